--- /dev/null
+++ b/bayglade/__version__.py
@@ -0,0 +1,6 @@
+"""Version and metadata of the package, in one place."""
+
+__title__ = "bayglade"
+__description__ = "A router for model pipelines over mixed accelerators."
+__version__ = "0.1.0"
+__license__ = "Apache-2.0"
--- /dev/null
+++ b/bayglade/callers/presence.py
@@ -0,0 +1,61 @@
+"""Presence: notices callers that hung up while their answer is being made."""
+
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import eventlet
+import greenlet
+
+from bayglade.metrics import Metrics
+from bayglade.responses import Environ
+
+CHECK_INTERVAL = 0.1
+
+
+class CallerLeft(greenlet.GreenletExit):
+    """Thrown into the task of a request whose caller hung up."""
+
+
+class Presence:
+    """The connections of requests being served."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.metrics = metrics
+        self.watched: dict[greenlet.greenlet, socket.socket] = {}
+
+    def __repr__(self) -> str:
+        return f"<Presence {len(self.watched)} watched>"
+
+    @contextmanager
+    def watching(self, environ: Environ) -> Iterator[None]:
+        """Watch the connection of a request while its task works on it.
+
+        :param environ: the request's environment.
+        """
+        task = eventlet.getcurrent()
+        # The plain socket below the green one is non-blocking.
+        self.watched[task] = environ["eventlet.input"].get_socket().fd
+        try:
+            yield
+        finally:
+            self.watched.pop(task, None)
+
+    def run(self) -> None:
+        """Look at all watched connections now and then, for ever."""
+        while True:
+            eventlet.sleep(CHECK_INTERVAL)
+            for task, sock in list(self.watched.items()):
+                if _gone(sock):
+                    self.watched.pop(task, None)
+                    self.metrics.count("callers.left")
+                    eventlet.kill(task, CallerLeft())
+
+
+def _gone(sock: socket.socket) -> bool:
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- /dev/null
+++ b/bayglade/callers/server.py
@@ -0,0 +1,95 @@
+"""The HTTP server that callers and operators reach, over eventlet's WSGI server.
+
+The server's defaults leave gaps (no time-out on headers, the first of two
+lengths wins); the protocol class here closes them.
+"""
+
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+import eventlet
+import eventlet.wsgi
+
+BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+IDLE_TIMEOUT = 60.0
+SOCKET_TIMEOUT = 60.0
+SINGLE_HEADERS = ("content-length", "transfer-encoding", "host", "authorization", "idempotency-key")
+
+
+class _NoLog:
+    """Takes what the WSGI server would print; requests are logged elsewhere."""
+
+    def write(self, _: str) -> None:
+        """Drop a line."""
+
+
+def protocol(header_timeout: float) -> type[eventlet.wsgi.HttpProtocol]:
+    """Make the protocol class that guards the head of each request.
+
+    :param header_timeout: seconds from the first byte of a head to its last.
+    :return: a class for the WSGI server.
+    """
+
+    class GuardedProtocol(eventlet.wsgi.HttpProtocol):
+        """HTTP as eventlet speaks it, with a deadline on heads and no doubled lengths."""
+
+        def _read_request_line(self) -> Any:
+            line = super()._read_request_line()
+            self.guard = eventlet.spawn_after(header_timeout, self._give_up)
+            return line
+
+        def _give_up(self) -> None:
+            with suppress(OSError):
+                self.connection.shutdown(socket.SHUT_RDWR)
+
+        def parse_request(self) -> bool:
+            try:
+                good = super().parse_request()
+            finally:
+                self.guard.cancel()
+            if good and self._doubled():
+                self.wfile.write(BAD_REQUEST)
+                self.close_connection = True
+                return False
+            return bool(good)
+
+        def handle_one_request(self) -> None:
+            try:
+                super().handle_one_request()
+            finally:
+                if getattr(self, "guard", None) is not None:
+                    self.guard.cancel()
+
+        def _doubled(self) -> bool:
+            return any(len(self.headers.get_all(name, ())) > 1 for name in SINGLE_HEADERS)
+
+    return GuardedProtocol
+
+
+def serve(
+    sock: socket.socket,
+    application: Callable[..., Any],
+    max_connections: int,
+    header_timeout: float,
+) -> None:
+    """Serve until the calling task is killed; then wait for answers in flight.
+
+    :param sock: the listening socket.
+    :param application: the WSGI application.
+    :param max_connections: how many connections are served at once.
+    :param header_timeout: seconds for the head of a request.
+    """
+    with suppress(eventlet.greenlet.GreenletExit):
+        eventlet.wsgi.server(
+            sock,
+            application,
+            log=_NoLog(),
+            log_output=False,
+            debug=False,
+            custom_pool=eventlet.GreenPool(max_connections),
+            protocol=protocol(header_timeout),
+            keepalive=IDLE_TIMEOUT,
+            socket_timeout=SOCKET_TIMEOUT,
+        )
--- /dev/null
+++ b/bayglade/clock.py
@@ -0,0 +1,37 @@
+"""Time: one monotonic clock for all decisions, and averages that decay."""
+
+import math
+import time
+
+now = time.monotonic
+"""Seconds on the monotonic clock; it goes on while a process is stopped."""
+
+
+class Decayed:
+    """A sum that forgets exponentially.
+
+    :param tau: seconds in which the sum falls to 1/e.
+    """
+
+    __slots__ = ("at", "tau", "value")
+
+    def __init__(self, tau: float) -> None:
+        self.tau = tau
+        self.value = 0.0
+        self.at = now()
+
+    def __repr__(self) -> str:
+        return f"<Decayed {self.value:.3g} tau={self.tau}>"
+
+    def add(self, amount: float, at: float) -> None:
+        """Add an amount at a time."""
+        self.value = self.read(at) + amount
+        self.at = at
+
+    def read(self, at: float) -> float:
+        """Return the sum as it stands at a time."""
+        return self.value * math.exp(-max(0.0, at - self.at) / self.tau)
+
+    def rate(self, at: float) -> float:
+        """Return the amount a second that the sum stands for."""
+        return self.read(at) / self.tau
--- /dev/null
+++ b/bayglade/config.py
@@ -0,0 +1,91 @@
+"""The daemon's own settings: where it listens, where it stands, whom it asks.
+
+They are read once at start from a YAML file. Everything that operators steer
+lives in the settings tree instead (see :mod:`bayglade.settings`).
+"""
+
+import io
+from pathlib import Path
+
+import msgspec
+from ruamel.yaml import YAML
+from ruamel.yaml.error import YAMLError
+
+from bayglade.exceptions import InvalidSettings
+from bayglade.ids import HallName, MemberId
+
+MAX_CONFIG_BYTES = 64 * 1024
+
+
+class Address(msgspec.Struct, frozen=True):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class Config(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """What one daemon knows of itself at start; times are in seconds."""
+
+    member: MemberId
+    hall: HallName
+    callers: str
+    entries: str
+    platform: str
+    entry_secret: str
+    statsd: str | None = None
+    log_format: str = "text"
+    log_level: str = "INFO"
+    max_connections: int = 1024
+    max_body_bytes: int = 1024 * 1024
+    header_timeout: float = 10.0
+    body_timeout: float = 30.0
+    balancer_delay: float = 1.0
+    drain_limit: float = 60.0
+    blind_limit: float = 10.0
+    poll_interval: float = 1.0
+
+    def __repr__(self) -> str:
+        return f"<Config {self.member} in {self.hall} at {self.callers}>"
+
+
+def parse_address(text: str) -> Address:
+    """Read ``host:port``.
+
+    :param text: an IP number, a colon and a port.
+    :return: the address.
+    :raises InvalidSettings: when the text is not of that shape.
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise InvalidSettings(f"{text!r} is not an IP number, a colon and a port", step="config")
+    return Address(host, int(port))
+
+
+def load_config(path: Path) -> Config:
+    """Read and check a daemon's own settings.
+
+    :param path: a YAML file.
+    :return: the checked settings.
+    :raises InvalidSettings: when the file is unreadable or a field is wrong.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise InvalidSettings(f"cannot read {path}: {error.strerror}", step="config") from error
+    if len(text) > MAX_CONFIG_BYTES:
+        raise InvalidSettings(f"{path} is larger than {MAX_CONFIG_BYTES} bytes", step="config")
+    config = _convert(text, path)
+    for field in (config.callers, config.entries, config.platform):
+        parse_address(field)
+    return config
+
+
+def _convert(text: str, path: Path) -> Config:
+    try:
+        return msgspec.convert(YAML(typ="safe", pure=True).load(io.StringIO(text)), Config)
+    except (YAMLError, msgspec.ValidationError) as error:
+        raise InvalidSettings(f"{path}: {error}", step="config") from error
--- /dev/null
+++ b/bayglade/engines/client.py
@@ -0,0 +1,158 @@
+"""Client of the model engines: streams of frames, cancelling and load."""
+
+from collections.abc import Iterator
+from contextlib import suppress
+
+import msgspec
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError, ReadTimeoutError
+
+from bayglade.config import parse_address
+from bayglade.engines import wire
+from bayglade.exceptions import BackendError, BackendRefused, BackendUnreachable
+
+CONNECT_TIMEOUT = 0.5
+PROBE_TIMEOUT = 0.3
+POOL_SIZE = 64
+READ_BYTES = 16 * 1024
+
+
+class Engines:
+    """Pooled connections to the engines, by address."""
+
+    def __init__(self) -> None:
+        self.pools: dict[str, urllib3.HTTPConnectionPool] = {}
+
+    def __repr__(self) -> str:
+        return f"<Engines {len(self.pools)} pools>"
+
+    def stream(self, order: wire.Generate, gap_timeout: float) -> Iterator[wire.Frame]:
+        """Run one attempt and yield its frames until its end or its error.
+
+        A connection is pooled again only after the whole answer was read.
+
+        :param order: the attempt, sent to its first stage.
+        :param gap_timeout: seconds of silence after which the attempt has failed.
+        :return: frames as they come; strays are not filtered here.
+        :raises BackendUnreachable: when no byte was sent.
+        :raises BackendRefused: when the engine refused before running.
+        :raises BackendError: when the stream broke, fell silent or made no sense.
+        """
+        head = order.stages[0]
+        response = self._open(head, order, gap_timeout)
+        end: wire.EndFrame | None = None
+        try:
+            for line in self._lines(head, response):
+                frame = self._decode(head, line)
+                if isinstance(frame, wire.EndFrame):
+                    end = frame
+                    continue
+                yield frame
+        except BackendError:
+            # What follows the end frame does not matter to the answer.
+            if end is None:
+                raise
+        finally:
+            # Closes the connection unless its answer was read to the last byte.
+            response.close()
+        if end is not None:
+            yield end
+
+    def cancel(self, stage: wire.Stage, message: wire.Cancel) -> bool:
+        """Tell an engine to stop an attempt.
+
+        :param stage: the engine.
+        :param message: the attempt.
+        :return: whether the engine confirmed.
+        """
+        return self._ask(stage.address, "POST", wire.CANCEL_PATH, msgspec.json.encode(message)) is not None
+
+    def load(self, address: str) -> wire.Load | None:
+        """Ask an engine for its load.
+
+        :param address: the engine.
+        :return: the load; nothing when the engine does not answer in time.
+        """
+        body = self._ask(address, "GET", wire.LOAD_PATH, None)
+        if body is None:
+            return None
+        with suppress(msgspec.DecodeError):
+            return msgspec.json.decode(body, type=wire.Load)
+        return None
+
+    def forget(self, addresses: set[str]) -> None:
+        """Close the pools of engines that are no longer listed.
+
+        :param addresses: the engines to keep.
+        """
+        for address in set(self.pools) - addresses:
+            self.pools.pop(address).close()
+
+    def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
+        pool = self.pools.get(address)
+        if pool is None:
+            where = parse_address(address)
+            pool = urllib3.HTTPConnectionPool(where.host, where.port, maxsize=POOL_SIZE, retries=False)
+            self.pools[address] = pool
+        return pool
+
+    def _open(self, head: wire.Stage, order: wire.Generate, gap_timeout: float) -> urllib3.BaseHTTPResponse:
+        try:
+            response = self._pool(head.address).urlopen(
+                "POST",
+                wire.GENERATE_PATH,
+                body=msgspec.json.encode(order),
+                headers={"Content-Type": "application/json"},
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, read=gap_timeout),
+                retries=False,
+                redirect=False,
+                preload_content=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            raise BackendUnreachable("cannot connect", step="connect", peer=head.backend) from error
+        except HTTPError as error:
+            raise BackendError("no answer", step="send", peer=head.backend) from error
+        if response.status != 200:
+            response.close()
+            self._raise_for_status(head, response.status)
+        return response
+
+    def _raise_for_status(self, head: wire.Stage, status: int) -> None:
+        message = f"the engine answered {status}"
+        if status in (400, 404, 409, 429, 503):
+            raise BackendRefused(message, step="generate", peer=head.backend)
+        raise BackendError(message, step="generate", peer=head.backend)
+
+    def _lines(self, head: wire.Stage, response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+        rest = b""
+        try:
+            for chunk in response.read_chunked(READ_BYTES):
+                *lines, rest = (rest + chunk).split(b"\n")
+                yield from lines
+                if len(rest) > wire.MAX_FRAME_BYTES:
+                    raise BackendError("a frame is too long", step="stream", peer=head.backend)
+        except ReadTimeoutError as error:
+            raise BackendError("the stream fell silent", step="stream", peer=head.backend) from error
+        except HTTPError as error:
+            raise BackendError("the stream was cut", step="stream", peer=head.backend) from error
+
+    def _decode(self, head: wire.Stage, line: bytes) -> wire.Frame:
+        try:
+            return wire.decode_frame(line)
+        except msgspec.DecodeError as error:
+            raise BackendError("a frame makes no sense", step="stream", peer=head.backend) from error
+
+    def _ask(self, address: str, method: str, path: str, body: bytes | None) -> bytes | None:
+        timeout = urllib3.Timeout(connect=PROBE_TIMEOUT, read=PROBE_TIMEOUT)
+        try:
+            response = self._pool(address).urlopen(
+                method, path, body=body, timeout=timeout, retries=False, redirect=False
+            )
+        except HTTPError:
+            return None
+        return response.data if response.status == 200 else None
+
+
+def create_engines() -> Engines:
+    """Build the client of the engines, with no connection yet."""
+    return Engines()
--- /dev/null
+++ b/bayglade/entries/membership.py
@@ -0,0 +1,287 @@
+"""Membership: which daemons live, and what they tell each other.
+
+Every daemon sends heartbeats to its neighbours: all others while they are few,
+those at distances 1, 2, 4 ... on the ring of names beyond. The host list says
+who should be there; heartbeats say who is.
+"""
+
+import random
+import socket
+from collections.abc import Callable
+
+import eventlet
+import msgspec
+from eventlet.event import Event
+
+from bayglade import patches, settings
+from bayglade.clock import now
+from bayglade.config import Address, parse_address
+from bayglade.entries import streams, wire
+from bayglade.exceptions import BaygladeError, PeerError
+from bayglade.fairness import Usage
+from bayglade.ids import BackendId, Digest, MemberId, Revision
+from bayglade.logs import event
+from bayglade.metrics import Metrics
+from bayglade.revisions import Current, Revisions
+
+BEAT_INTERVAL = 0.5
+LOST_AFTER = 2.5
+FULL_MESH = 16
+REDIAL_MIN = 0.1
+REDIAL_MAX = 2.0
+
+
+class Member:
+    """Another daemon as known here; times are monotonic seconds."""
+
+    __slots__ = ("address", "digest", "draining", "heard_at", "id", "outbox", "revision", "task", "wake")
+
+    def __init__(self, member: MemberId, address: Address) -> None:
+        self.id = member
+        self.address = address
+        self.heard_at = 0.0
+        self.revision = Revision(0)
+        self.digest = Digest("")
+        self.draining = False
+        self.outbox: list[wire.Message] = []
+        self.wake = Event()
+        self.task: eventlet.greenthread.GreenThread | None = None
+
+    def __repr__(self) -> str:
+        return f"<Member {self.id} revision={self.revision} draining={self.draining}>"
+
+    def live(self, at: float) -> bool:
+        """Tell whether it was heard lately."""
+        return at - self.heard_at < LOST_AFTER
+
+    def push(self, message: wire.Message | None = None) -> None:
+        """Have the sending task send a message, or just a heartbeat, at once."""
+        if message is not None:
+            self.outbox.append(message)
+        if not self.wake.ready():
+            self.wake.send()
+
+
+class Membership:
+    """The other daemons, one sending task for each neighbour."""
+
+    def __init__(
+        self,
+        me: MemberId,
+        secret: bytes,
+        revisions: Revisions,
+        usage: Usage,
+        metrics: Metrics,
+        leaving: Callable[[], list[BackendId]],
+        on_leaving: Callable[[list[BackendId]], None],
+        rng: random.Random,
+    ) -> None:
+        self.me = me
+        self.secret = secret
+        self.revisions = revisions
+        self.usage = usage
+        self.metrics = metrics
+        self.leaving = leaving
+        self.on_leaving = on_leaving
+        self.rng = rng
+        self.listed: set[MemberId] = {me}
+        self.members: dict[MemberId, Member] = {}
+        self.draining = False
+        self.last_patch: wire.Patch | None = None
+        self.bytes_out = 0
+        self.bytes_in = 0
+
+    def __repr__(self) -> str:
+        return f"<Membership {len(self.live())} of {len(self.listed)} live>"
+
+    def live(self) -> list[Member]:
+        """List the other daemons heard lately."""
+        at = now()
+        return [member for member in self.members.values() if member.live(at)]
+
+    def heard_at(self) -> float:
+        """Return when any other daemon was heard last; zero when never."""
+        return max((member.heard_at for member in self.members.values()), default=0.0)
+
+    def sync(self, listed: dict[MemberId, str]) -> None:
+        """Take in the host list: dial new neighbours and drop those gone.
+
+        :param listed: peer addresses of all entry daemons, this one included.
+        """
+        self.listed = set(listed) | {self.me}
+        wanted = neighbours(self.me, sorted(self.listed))
+        for member_id in wanted:
+            known = self.members.get(member_id)
+            address = parse_address(listed[member_id])
+            if known is None or known.address != address:
+                self._drop(member_id)
+                self._add(Member(member_id, address))
+        for member_id in set(self.members) - wanted:
+            self._drop(member_id)
+
+    def changed(self, before: Current, after: Current) -> None:
+        """Tell the neighbours of a new revision at once.
+
+        :param before: what was in force.
+        :param after: what is in force now.
+        """
+        self.last_patch = _make_patch(before, after)
+        self.beat()
+
+    def beat(self) -> None:
+        """Send a heartbeat to every neighbour at once."""
+        for member in self.members.values():
+            member.push()
+
+    def serve(self, sock: socket.socket) -> None:
+        """Accept streams of other daemons until the socket is closed.
+
+        :param sock: the listening socket.
+        """
+        while True:
+            try:
+                connection, _ = sock.accept()
+            except OSError:
+                return
+            eventlet.spawn_n(self._receive, connection)
+
+    def watch(self) -> None:
+        """Drop the usage of daemons that fell silent; called now and then."""
+        at = now()
+        for member in self.members.values():
+            if not member.live(at):
+                self.usage.drop(member.id)
+        self.metrics.gauge("members.live", len(self.live()) + 1)
+
+    def _add(self, member: Member) -> None:
+        self.members[member.id] = member
+        member.task = eventlet.spawn(self._send, member)
+
+    def _drop(self, member_id: MemberId) -> None:
+        member = self.members.pop(member_id, None)
+        if member is not None and member.task is not None:
+            member.task.kill()
+        self.usage.drop(member_id)
+
+    def _send(self, member: Member) -> None:
+        """Keep a stream to one neighbour and send on it."""
+        pause = REDIAL_MIN
+        while True:
+            try:
+                stream = streams.dial(member.address, self.me, self.secret)
+            except (OSError, PeerError):
+                eventlet.sleep(pause * self.rng.uniform(0.5, 1.0))
+                pause = min(REDIAL_MAX, pause * 2)
+                continue
+            pause = REDIAL_MIN
+            try:
+                self._send_on(member, stream)
+            except OSError as error:
+                event("INFO", "stream to daemon broke", peer=member.id, error=repr(error))
+            finally:
+                stream.close()
+
+    def _send_on(self, member: Member, stream: streams.OutStream) -> None:
+        while True:
+            member.wake = Event()
+            messages, member.outbox = member.outbox, []
+            before = stream.sent_bytes
+            for message in (*messages, self._heartbeat()):
+                stream.send(message)
+            self.bytes_out += stream.sent_bytes - before
+            with eventlet.Timeout(BEAT_INTERVAL, False):
+                member.wake.wait()
+
+    def _heartbeat(self) -> wire.Heartbeat:
+        current = self.revisions.current
+        return wire.Heartbeat(
+            member=self.me,
+            revision=current.revision,
+            digest=current.digest,
+            draining=self.draining,
+            usage=self.usage.tell(),
+            leaving=self.leaving(),
+        )
+
+    def _receive(self, connection: socket.socket) -> None:
+        """Read one stream of another daemon until it ends."""
+        peer = ""
+        try:
+            stream = streams.accept(connection, self.secret)
+            peer = stream.member
+            for message in stream.messages(LOST_AFTER * 2):
+                self._handle(stream.member, message)
+            self.bytes_in += stream.received_bytes
+        except (OSError, BaygladeError) as error:
+            self.metrics.count("entries.streams_broken")
+            event("INFO", "stream from daemon broke", peer=peer, error=repr(error))
+        finally:
+            connection.close()
+
+    def _handle(self, sender: MemberId, message: wire.Message) -> None:
+        member = self.members.get(sender)
+        if isinstance(message, wire.Heartbeat):
+            if member is not None:
+                self._heard(member, message)
+        elif isinstance(message, wire.Fetch):
+            if member is not None:
+                member.push(self._settings_for(message.have))
+        elif isinstance(message, wire.Document):
+            self.revisions.offer(message.revision, message.digest, message.document)
+        else:
+            self._take_patch(member, message)
+
+    def _heard(self, member: Member, beat: wire.Heartbeat) -> None:
+        member.heard_at = now()
+        member.revision = beat.revision
+        member.digest = beat.digest
+        member.draining = beat.draining
+        self.usage.hear(member.id, beat.usage)
+        self.on_leaving(beat.leaving)
+        if beat.revision > self.revisions.current.revision:
+            member.push(wire.Fetch(self.me, self.revisions.current.revision))
+
+    def _settings_for(self, have: Revision) -> wire.Message:
+        current = self.revisions.current
+        if self.last_patch is not None and have == current.revision - 1:
+            return self.last_patch
+        return wire.Document(current.revision, current.digest, current.document)
+
+    def _take_patch(self, member: Member | None, message: wire.Patch) -> None:
+        current = self.revisions.current
+        if message.revision != current.revision + 1:
+            return
+        before = msgspec.json.decode(current.document)
+        document = patches.apply(before, msgspec.json.decode(message.patch))
+        content = msgspec.json.encode(document, order="sorted")
+        if settings.digest_of(content) == message.digest:
+            self.revisions.offer(message.revision, message.digest, content)
+        elif member is not None:
+            member.push(wire.Fetch(self.me, Revision(0)))
+
+
+def neighbours(me: MemberId, members: list[MemberId]) -> set[MemberId]:
+    """Choose whom a daemon exchanges heartbeats with; the relation is mutual.
+
+    :param me: the daemon.
+    :param members: all daemons, sorted, this one included.
+    :return: all others while few; those at powers of two on the ring beyond.
+    """
+    others = set(members) - {me}
+    if len(members) <= FULL_MESH:
+        return others
+    place, size = members.index(me), len(members)
+    chosen: set[MemberId] = set()
+    distance = 1
+    while distance <= size // 2:
+        chosen.add(members[(place + distance) % size])
+        chosen.add(members[(place - distance) % size])
+        distance *= 2
+    return chosen - {me}
+
+
+def _make_patch(before: Current, after: Current) -> wire.Patch | None:
+    if after.revision != before.revision + 1:
+        return None
+    patch = patches.diff(msgspec.json.decode(before.document), msgspec.json.decode(after.document))
+    return wire.Patch(after.revision, after.digest, msgspec.json.encode(patch))
--- /dev/null
+++ b/bayglade/entries/streams.py
@@ -0,0 +1,158 @@
+"""Streams between entry daemons: dialing, accepting, reading and sending."""
+
+import hmac
+import socket
+from collections.abc import Iterator
+
+import eventlet
+import msgpack
+
+from bayglade.config import Address
+from bayglade.entries import wire
+from bayglade.exceptions import PeerError
+from bayglade.ids import MemberId
+
+CONNECT_TIMEOUT = 1.0
+HANDSHAKE_TIMEOUT = 2.0
+SEND_TIMEOUT = 2.0
+READ_BYTES = 64 * 1024
+HANDSHAKE_BYTES = 4096
+
+
+class OutStream:
+    """A stream that this daemon opened and sends on."""
+
+    def __init__(self, sock: socket.socket, sealer: wire.Sealer) -> None:
+        self.sock = sock
+        self.sealer = sealer
+        self.sent_bytes = 0
+
+    def __repr__(self) -> str:
+        return f"<OutStream {self.sent_bytes} bytes sent>"
+
+    def send(self, message: wire.Message) -> None:
+        """Send one message.
+
+        :param message: the message.
+        :raises OSError: when the stream broke or does not take it in time.
+        """
+        frame = self.sealer.seal(message)
+        self.sock.sendall(frame)
+        self.sent_bytes += len(frame)
+
+    def close(self) -> None:
+        """Close the stream."""
+        self.sock.close()
+
+
+class InStream:
+    """A stream that another daemon opened; messages are read from it."""
+
+    def __init__(self, sock: socket.socket, sealer: wire.Sealer, member: MemberId) -> None:
+        self.sock = sock
+        self.sealer = sealer
+        self.member = member
+        self.received_bytes = 0
+
+    def __repr__(self) -> str:
+        return f"<InStream from {self.member}, {self.received_bytes} bytes>"
+
+    def messages(self, timeout: float) -> Iterator[wire.Message]:
+        """Read messages until the stream ends.
+
+        :param timeout: seconds of silence after which the stream is given up.
+        :return: messages as they come.
+        :raises PeerError: when a frame is not what it should be.
+        :raises OSError: when the stream broke or fell silent.
+        """
+        self.sock.settimeout(timeout)
+        unpacker = msgpack.Unpacker(max_buffer_size=wire.MAX_FRAME_BYTES, raw=False)
+        while chunk := self.sock.recv(READ_BYTES):
+            self.received_bytes += len(chunk)
+            for frame in _feed(unpacker, chunk):
+                yield self.sealer.open(frame)
+
+
+def dial(address: Address, me: MemberId, secret: bytes) -> OutStream:
+    """Open a stream to another daemon.
+
+    :param address: where it listens for peers.
+    :param me: this daemon.
+    :param secret: the shared secret.
+    :return: the stream.
+    :raises OSError: when it cannot be reached.
+    :raises PeerError: when it does not hold the secret.
+    """
+    sock = socket.create_connection((address.host, address.port), timeout=CONNECT_TIMEOUT)
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with eventlet.Timeout(HANDSHAKE_TIMEOUT, PeerError("greeting took too long", step="hello")):
+            key = _greet(sock, me, secret)
+        sock.settimeout(SEND_TIMEOUT)
+    except BaseException:
+        sock.close()
+        raise
+    return OutStream(sock, wire.Sealer(key))
+
+
+def accept(sock: socket.socket, secret: bytes) -> InStream:
+    """Answer the greeting of a daemon that dialed.
+
+    :param sock: the new connection.
+    :param secret: the shared secret.
+    :return: the stream.
+    :raises PeerError: when the other side does not hold the secret.
+    :raises OSError: when the connection broke.
+    """
+    with eventlet.Timeout(HANDSHAKE_TIMEOUT, PeerError("greeting took too long", step="hello")):
+        mine = wire.new_nonce()
+        sock.sendall(mine)
+        hello = wire.decode_hello(_read_frame(sock))
+        if hello.protocol != wire.PROTOCOL:
+            raise PeerError(f"protocol {hello.protocol} is not spoken", step="hello")
+        _check(hello.proof, wire.proof(secret, "dial", mine, hello.nonce, hello.member))
+        sock.sendall(wire.proof(secret, "accept", hello.nonce, mine, hello.member))
+    key = wire.stream_key(secret, mine, hello.nonce)
+    return InStream(sock, wire.Sealer(key), hello.member)
+
+
+def _greet(sock: socket.socket, me: MemberId, secret: bytes) -> bytes:
+    theirs = _read_exactly(sock, wire.NONCE_BYTES)
+    mine = wire.new_nonce()
+    proof = wire.proof(secret, "dial", theirs, mine, me)
+    sock.sendall(wire.encode_hello(wire.Hello(wire.PROTOCOL, me, mine, proof)))
+    expected = wire.proof(secret, "accept", mine, theirs, me)
+    _check(_read_exactly(sock, len(expected)), expected)
+    return wire.stream_key(secret, theirs, mine)
+
+
+def _check(given: bytes, expected: bytes) -> None:
+    if not hmac.compare_digest(given, expected):
+        raise PeerError("the other side does not hold the secret", step="hello")
+
+
+def _read_exactly(sock: socket.socket, size: int) -> bytes:
+    content = b""
+    while len(content) < size:
+        chunk = sock.recv(size - len(content))
+        if not chunk:
+            raise PeerError("the stream ended in the greeting", step="hello")
+        content += chunk
+    return content
+
+
+def _read_frame(sock: socket.socket) -> object:
+    unpacker = msgpack.Unpacker(max_buffer_size=HANDSHAKE_BYTES, raw=False)
+    while chunk := sock.recv(HANDSHAKE_BYTES):
+        for frame in _feed(unpacker, chunk):
+            return frame
+    raise PeerError("the stream ended in the greeting", step="hello")
+
+
+def _feed(unpacker: msgpack.Unpacker, chunk: bytes) -> Iterator[object]:
+    """Yield the frames that a chunk completes; whatever is no msgpack is an error."""
+    try:
+        unpacker.feed(chunk)
+        yield from unpacker
+    except (msgpack.exceptions.UnpackException, ValueError) as error:
+        raise PeerError("the stream is not msgpack or a frame is too large", step="read") from error
--- /dev/null
+++ b/bayglade/entries/wire.py
@@ -0,0 +1,159 @@
+"""Messages between entry daemons: sealed msgpack frames on a TCP stream.
+
+A stream is opened by the daemon that sends on it. Both sides prove that they
+hold the shared secret; every frame then carries a keyed digest over its place
+in the stream and its content, so none can be changed, repeated or left out.
+"""
+
+import hashlib
+import hmac
+import os
+
+import msgpack
+import msgspec
+
+from bayglade.exceptions import PeerError
+from bayglade.ids import BackendId, Digest, GroupPath, MemberId, Revision
+
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+NONCE_BYTES = 16
+SEAL_BYTES = 16
+PROTOCOL = 1
+
+
+class Hello(msgspec.Struct, frozen=True, tag="hello"):
+    """Opens a stream: who dials, a nonce, and proof of the secret."""
+
+    protocol: int
+    member: MemberId
+    nonce: bytes
+    proof: bytes
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag="beat", kw_only=True):
+    """Tells that a daemon lives and what it knows; sent at once on a change."""
+
+    member: MemberId
+    revision: Revision
+    digest: Digest
+    draining: bool
+    usage: list[tuple[GroupPath, float]]
+    leaving: list[BackendId]
+
+
+class Fetch(msgspec.Struct, frozen=True, tag="fetch"):
+    """Asks for the settings in force, newer than a revision."""
+
+    member: MemberId
+    have: Revision
+
+
+class Document(msgspec.Struct, frozen=True, tag="document"):
+    """The settings in force, whole."""
+
+    revision: Revision
+    digest: Digest
+    document: bytes
+
+
+class Patch(msgspec.Struct, frozen=True, tag="patch"):
+    """The settings in force, as a merge patch against the revision before."""
+
+    revision: Revision
+    digest: Digest
+    patch: bytes
+
+
+Message = Heartbeat | Fetch | Document | Patch
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+_hello_decoder: msgspec.msgpack.Decoder[Hello] = msgspec.msgpack.Decoder(Hello)
+
+
+class Sealer:
+    """Seals or opens the frames of one direction of one stream, in order."""
+
+    def __init__(self, key: bytes) -> None:
+        self.key = key
+        self.count = 0
+
+    def __repr__(self) -> str:
+        return f"<Sealer {self.count} frames>"
+
+    def seal(self, message: Message) -> bytes:
+        """Encode the next message of the stream."""
+        payload = _encoder.encode(message)
+        return msgpack.packb([self._digest(payload), payload])  # type: ignore[no-any-return]
+
+    def open(self, frame: object) -> Message:
+        """Check and decode the next frame of the stream.
+
+        :param frame: what the unpacker gave.
+        :return: the message.
+        :raises PeerError: when the frame is not the next one of this stream.
+        """
+        if not isinstance(frame, list) or len(frame) != 2:
+            raise PeerError("a frame has the wrong shape", step="open")
+        seal, payload = frame
+        if not isinstance(seal, bytes) or not isinstance(payload, bytes):
+            raise PeerError("a frame has the wrong types", step="open")
+        if not hmac.compare_digest(seal, self._digest(payload)):
+            raise PeerError("a frame's seal is wrong", step="open")
+        try:
+            return _decoder.decode(payload)
+        except msgspec.DecodeError as error:
+            raise PeerError(f"a message makes no sense: {error}", step="open") from error
+
+    def _digest(self, payload: bytes) -> bytes:
+        self.count += 1
+        place = self.count.to_bytes(8, "big")
+        return hashlib.blake2b(place + payload, key=self.key, digest_size=SEAL_BYTES).digest()
+
+
+def new_nonce() -> bytes:
+    """Return fresh random bytes."""
+    return os.urandom(NONCE_BYTES)
+
+
+def proof(secret: bytes, side: str, first: bytes, second: bytes, member: MemberId) -> bytes:
+    """Prove that a side holds the secret, bound to both nonces.
+
+    :param secret: the shared secret.
+    :param side: ``"dial"`` or ``"accept"``, so that no proof can be sent back.
+    :param first: the nonce of the other side.
+    :param second: the nonce of this side.
+    :param member: the daemon that dials.
+    :return: the proof.
+    """
+    content = b"|".join((side.encode(), first, second, member.encode()))
+    return hashlib.blake2b(content, key=_key(secret), digest_size=32).digest()
+
+
+def stream_key(secret: bytes, accepting: bytes, dialing: bytes) -> bytes:
+    """Derive the key of one stream from the secret and both nonces."""
+    return hashlib.blake2b(accepting + dialing, key=_key(secret), digest_size=32).digest()
+
+
+def _key(secret: bytes) -> bytes:
+    return hashlib.blake2b(secret, digest_size=32).digest()
+
+
+def encode_hello(hello: Hello) -> bytes:
+    """Encode the frame that opens a stream."""
+    return msgpack.packb([_encoder.encode(hello)])  # type: ignore[no-any-return]
+
+
+def decode_hello(frame: object) -> Hello:
+    """Read the frame that opens a stream.
+
+    :param frame: what the unpacker gave.
+    :return: the greeting; its proof is not yet checked.
+    :raises PeerError: when it is none.
+    """
+    if not isinstance(frame, list) or len(frame) != 1 or not isinstance(frame[0], bytes):
+        raise PeerError("no greeting", step="hello")
+    try:
+        return _hello_decoder.decode(frame[0])
+    except msgspec.DecodeError as error:
+        raise PeerError("no greeting", step="hello") from error
--- /dev/null
+++ b/bayglade/fairness.py
@@ -0,0 +1,276 @@
+"""Fair shares: who is served next, over a tree of groups and over all daemons.
+
+Service is counted in tokens and forgotten exponentially. At each level the
+child with the least recent service for its share goes first, so an idle group
+lends its share and has it back within a few time constants. Other daemons tell
+their counts as absolute figures: a lost or repeated message does no harm.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from itertools import pairwise
+from typing import Generic, TypeVar
+
+from bayglade.clock import Decayed, now
+from bayglade.ids import GroupPath, MemberId
+from bayglade.settings import lineage
+
+USAGE_TAU = 5.0
+FORGET_BELOW = 0.5
+MAX_TOLD_GROUPS = 64
+LATE_FRACTION = 0.5
+
+EntryT = TypeVar("EntryT")
+
+ShareOf = Callable[[GroupPath], tuple[int, float]]
+"""Returns priority and share in force for a group."""
+
+
+class Usage:
+    """Recent service of each group, here and as told by other daemons."""
+
+    def __init__(self) -> None:
+        self.local: dict[GroupPath, Decayed] = {}
+        self.own_leaves: dict[GroupPath, Decayed] = {}
+        self.remote: dict[MemberId, dict[GroupPath, Decayed]] = {}
+
+    def __repr__(self) -> str:
+        return f"<Usage {len(self.local)} groups, {len(self.remote)} daemons>"
+
+    def charge(self, path: GroupPath, tokens: float) -> None:
+        """Count service of a group here.
+
+        :param path: the group served.
+        :param tokens: tokens; negative when an estimate is corrected.
+        """
+        at = now()
+        _add(self.own_leaves, path, tokens, at)
+        for level in lineage(path):
+            _add(self.local, level, tokens, at)
+
+    def total(self, path: GroupPath, at: float) -> float:
+        """Return recent tokens of a group and all below it, over all daemons."""
+        amount = self.local[path].read(at) if path in self.local else 0.0
+        for groups in self.remote.values():
+            if path in groups:
+                amount += groups[path].read(at)
+        return max(0.0, amount)
+
+    def fraction(self, path: GroupPath, members: int, at: float) -> float:
+        """Return the part of a group's limit that this daemon may use.
+
+        Daemons that were heard divide by need; the part of silent ones is
+        left to them.
+
+        :param path: the group.
+        :param members: how many daemons the host list names.
+        :param at: monotonic seconds.
+        :return: between 0 and 1.
+        """
+        heard = min(members, len(self.remote) + 1)
+        mine = max(0.0, self.local[path].read(at)) if path in self.local else 0.0
+        total = self.total(path, at)
+        need = (mine + 1.0) / (total + heard)
+        return need * heard / max(members, 1)
+
+    def tell(self) -> list[tuple[GroupPath, float]]:
+        """List the largest own counts, for the other daemons."""
+        at = now()
+        counts = [(path, count.read(at)) for path, count in self.own_leaves.items()]
+        for path, amount in counts:
+            if amount < FORGET_BELOW:
+                del self.own_leaves[path]
+        counts.sort(key=lambda pair: -pair[1])
+        return [pair for pair in counts[:MAX_TOLD_GROUPS] if pair[1] >= FORGET_BELOW]
+
+    def hear(self, member: MemberId, counts: list[tuple[GroupPath, float]]) -> None:
+        """Take in the counts of another daemon, in place of its earlier ones."""
+        at = now()
+        groups: dict[GroupPath, Decayed] = {}
+        for path, amount in counts:
+            for level in lineage(path):
+                _add(groups, level, amount, at)
+        self.remote[member] = groups
+
+    def drop(self, member: MemberId) -> None:
+        """Forget a daemon that is gone."""
+        self.remote.pop(member, None)
+
+
+def _add(counts: dict[GroupPath, Decayed], path: GroupPath, amount: float, at: float) -> None:
+    count = counts.get(path)
+    if count is None:
+        count = counts[path] = Decayed(USAGE_TAU)
+    count.add(amount, at)
+
+
+class Waiting(Generic[EntryT]):
+    """One entry of a queue: whose it is, what it costs and until when it helps."""
+
+    __slots__ = ("cost", "entry", "group", "latest_start", "priority", "queued_at")
+
+    def __init__(
+        self, group: GroupPath, priority: int, cost: float, latest_start: float, entry: EntryT
+    ) -> None:
+        self.group = group
+        self.priority = priority
+        self.cost = cost
+        self.latest_start = latest_start
+        self.entry = entry
+        self.queued_at = now()
+
+    def __repr__(self) -> str:
+        return f"<Waiting {self.group} cost={self.cost}>"
+
+    def late(self, at: float) -> bool:
+        """Tell whether it has used up much of the time it had to wait."""
+        return at - self.queued_at > LATE_FRACTION * (self.latest_start - self.queued_at)
+
+
+class _Node(Generic[EntryT]):
+    """A group in a queue: its own entries and the groups below it."""
+
+    __slots__ = ("backlog", "children", "cost", "entries", "path")
+
+    def __init__(self, path: GroupPath) -> None:
+        self.path = path
+        self.children: dict[GroupPath, _Node[EntryT]] = {}
+        self.entries: dict[int, deque[Waiting[EntryT]]] = {}
+        self.backlog = 0
+        self.cost = 0.0
+
+
+class ShareQueue(Generic[EntryT]):
+    """Entries of many groups, taken out in the order of their shares.
+
+    :param usage: recent service.
+    :param share_of: priority and share of each group.
+    """
+
+    def __init__(self, usage: Usage, share_of: ShareOf) -> None:
+        self.usage = usage
+        self.share_of = share_of
+        self.root: _Node[EntryT] = _Node(GroupPath(""))
+
+    def __repr__(self) -> str:
+        return f"<ShareQueue {len(self)} waiting>"
+
+    def __len__(self) -> int:
+        return self.root.backlog
+
+    @property
+    def cost(self) -> float:
+        """Tokens of everything that waits."""
+        return self.root.cost
+
+    def push(self, waiting: Waiting[EntryT]) -> None:
+        """Add an entry."""
+        nodes = self._nodes(waiting.group)
+        nodes[-1].entries.setdefault(waiting.priority, deque()).append(waiting)
+        _count(nodes, 1, waiting.cost)
+
+    def remove(self, waiting: Waiting[EntryT]) -> bool:
+        """Take an entry out before its turn.
+
+        :return: false when it was no longer there.
+        """
+        nodes = self._nodes(waiting.group)
+        entries = nodes[-1].entries.get(waiting.priority)
+        if entries is None or waiting not in entries:
+            return False
+        entries.remove(waiting)
+        _count(nodes, -1, -waiting.cost)
+        return True
+
+    def pop(self) -> Waiting[EntryT] | None:
+        """Take out the entry whose turn it is.
+
+        Between groups the highest priority goes first, then the least service
+        for its share. Inside a group the highest priority goes first, oldest
+        first; while the oldest is late, the newest goes first instead, so that
+        a backlog does not make every answer too late.
+        """
+        if not self.root.backlog:
+            return None
+        at = now()
+        nodes = [self.root]
+        while True:
+            node = nodes[-1]
+            child = self._next_child(node, at)
+            if child is None:
+                break
+            nodes.append(child)
+        waiting = _take(nodes[-1], at)
+        _count(nodes, -1, -waiting.cost)
+        return waiting
+
+    def all(self) -> list[Waiting[EntryT]]:
+        """List every entry."""
+        found: list[Waiting[EntryT]] = []
+        nodes = [self.root]
+        while nodes:
+            node = nodes.pop()
+            nodes.extend(node.children.values())
+            for entries in node.entries.values():
+                found.extend(entries)
+        return found
+
+    def cost_before(self, group: GroupPath) -> float:
+        """Estimate the tokens served before a new entry of a group.
+
+        At each level the group waits for its own backlog and, by the shares,
+        for the part of its busy siblings.
+
+        :param group: the group of the new entry.
+        :return: tokens.
+        """
+        nodes = self._nodes(group)
+        ahead = nodes[-1].cost
+        for parent, node in reversed(list(pairwise(nodes))):
+            others = parent.cost - node.cost
+            share = self.share_of(node.path)[1]
+            busy = sum(
+                self.share_of(child.path)[1]
+                for child in parent.children.values()
+                if child.backlog and child is not node
+            )
+            ahead = ahead + min(others, max(ahead, 1.0) * busy / share)
+        return ahead
+
+    def _nodes(self, group: GroupPath) -> list[_Node[EntryT]]:
+        nodes = [self.root]
+        for path in lineage(group)[1:]:
+            children = nodes[-1].children
+            if path not in children:
+                children[path] = _Node(path)
+            nodes.append(children[path])
+        return nodes
+
+    def _next_child(self, node: _Node[EntryT], at: float) -> _Node[EntryT] | None:
+        best: _Node[EntryT] | None = None
+        best_rank = (0, 0.0)
+        for child in node.children.values():
+            if not child.backlog:
+                continue
+            priority, share = self.share_of(child.path)
+            rank = (-priority, self.usage.total(child.path, at) / share)
+            if best is None or rank < best_rank:
+                best, best_rank = child, rank
+        if best is None or not any(node.entries.values()):
+            return best
+        # Work queued at an inner group itself stands as one more child of share 1.
+        below = sum(self.usage.total(child, at) for child in node.children)
+        own = max(0.0, self.usage.total(node.path, at) - below)
+        return best if best_rank <= (-self.share_of(node.path)[0], own) else None
+
+
+def _take(node: _Node[EntryT], at: float) -> Waiting[EntryT]:
+    priority = max(p for p, entries in node.entries.items() if entries)
+    entries = node.entries[priority]
+    return entries.pop() if entries[0].late(at) else entries.popleft()
+
+
+def _count(nodes: list[_Node[EntryT]], backlog: int, cost: float) -> None:
+    for node in nodes:
+        node.backlog += backlog
+        node.cost = node.cost + cost if node.backlog else 0.0
--- /dev/null
+++ b/bayglade/ids.py
@@ -0,0 +1,21 @@
+"""Types of the identifiers used across the package."""
+
+from typing import NewType
+
+RequestId = NewType("RequestId", str)
+AttemptNumber = NewType("AttemptNumber", int)
+GroupPath = NewType("GroupPath", str)
+"""Names of the levels from the top, joined by ``/``; empty for the root."""
+
+AccountName = NewType("AccountName", str)
+BackendId = NewType("BackendId", str)
+ModelName = NewType("ModelName", str)
+Version = NewType("Version", str)
+HallName = NewType("HallName", str)
+ServiceName = NewType("ServiceName", str)
+MemberId = NewType("MemberId", str)
+"""Name of one entry daemon, unique among the daemons that share a platform."""
+
+Revision = NewType("Revision", int)
+ChangeId = NewType("ChangeId", str)
+Digest = NewType("Digest", str)
--- /dev/null
+++ b/bayglade/limits.py
@@ -0,0 +1,120 @@
+"""Limits of groups, held at every level of the tree over all daemons."""
+
+from bayglade.clock import now
+from bayglade.exceptions import LimitExceeded
+from bayglade.fairness import Usage
+from bayglade.ids import GroupPath
+from bayglade.settings import Level, Tree, level_at, lineage
+
+BURST_SECONDS = 1.0
+BUSY_RETRY_AFTER = 1.0
+
+
+class Bucket:
+    """A token bucket whose rate may change at each use; the burst is one second.
+
+    :param rate: what flows in a second; the bucket starts full.
+    """
+
+    __slots__ = ("at", "level")
+
+    def __init__(self, rate: float) -> None:
+        self.level = max(1.0, rate * BURST_SECONDS)
+        self.at = now()
+
+    def __repr__(self) -> str:
+        return f"<Bucket {self.level:.1f}>"
+
+    def refill(self, rate: float, at: float) -> None:
+        """Let in what has flowed since the last use."""
+        self.level = min(max(1.0, rate * BURST_SECONDS), self.level + rate * (at - self.at))
+        self.at = at
+
+    def wait_for(self, amount: float, rate: float) -> float:
+        """Return seconds until an amount is there; zero when it is there now.
+
+        An amount above the burst may pass when the bucket is full and leaves a
+        debt behind.
+        """
+        missing = min(amount, max(1.0, rate * BURST_SECONDS)) - self.level
+        if missing <= 0:
+            return 0.0
+        return missing / rate if rate > 0 else 60.0
+
+
+class GroupLimits:
+    """Buckets and counts of all groups that are limited.
+
+    :param usage: recent service, from which daemons divide a limit by need.
+    """
+
+    def __init__(self, usage: Usage) -> None:
+        self.usage = usage
+        self.requests: dict[GroupPath, Bucket] = {}
+        self.tokens: dict[GroupPath, Bucket] = {}
+        self.in_flight: dict[GroupPath, int] = {}
+
+    def __repr__(self) -> str:
+        return f"<GroupLimits {len(self.requests)} request rates, {len(self.tokens)} token rates>"
+
+    def enter(self, tree: Tree, group: GroupPath, tokens: float, members: int) -> None:
+        """Take one request of a group, at its level and at all above, or nothing.
+
+        :param tree: the settings in force.
+        :param group: the group.
+        :param tokens: estimated cost.
+        :param members: how many daemons share the limits.
+        :raises LimitExceeded: with when to come back.
+        """
+        at = now()
+        levels = [(path, level_at(tree, path)) for path in lineage(group)]
+        for path, level in levels:
+            self._check(path, level, tokens, self.usage.fraction(path, members, at), at)
+        for path, level in levels:
+            self.in_flight[path] = self.in_flight.get(path, 0) + 1
+            if level.limits.requests_per_second is not None:
+                self.requests[path].level -= 1
+            if level.limits.tokens_per_second is not None:
+                self.tokens[path].level -= tokens
+
+    def leave(self, group: GroupPath) -> None:
+        """Give back the place of a request that ended."""
+        for path in lineage(group):
+            self.in_flight[path] -= 1
+            if not self.in_flight[path]:
+                del self.in_flight[path]
+
+    def _check(self, path: GroupPath, level: Level, tokens: float, fraction: float, at: float) -> None:
+        limits = level.limits
+        if limits.in_flight is not None:
+            allowed = max(1, round(limits.in_flight * fraction)) if limits.in_flight else 0
+            if self.in_flight.get(path, 0) >= allowed:
+                raise _exceeded("in_flight", path, BUSY_RETRY_AFTER)
+        if limits.requests_per_second is not None:
+            rate = limits.requests_per_second * fraction
+            self._check_bucket(self.requests, "requests_per_second", path, rate, 1.0, at)
+        if limits.tokens_per_second is not None:
+            rate = limits.tokens_per_second * fraction
+            self._check_bucket(self.tokens, "tokens_per_second", path, rate, tokens, at)
+
+    def _check_bucket(
+        self,
+        buckets: dict[GroupPath, Bucket],
+        name: str,
+        path: GroupPath,
+        rate: float,
+        amount: float,
+        at: float,
+    ) -> None:
+        bucket = buckets.get(path)
+        if bucket is None:
+            bucket = buckets[path] = Bucket(rate)
+        bucket.refill(rate, at)
+        wait = bucket.wait_for(amount, rate)
+        if wait > 0:
+            raise _exceeded(name, path, wait)
+
+
+def _exceeded(name: str, path: GroupPath, retry_after: float) -> LimitExceeded:
+    where = path or "the root"
+    return LimitExceeded(f"{name} of {where} is used up", step="limits", retry_after=retry_after)
--- /dev/null
+++ b/bayglade/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators: the administration API and the commands on top of it."""
--- /dev/null
+++ b/bayglade/operators/client.py
@@ -0,0 +1,120 @@
+"""Client of the administration API, as the commands use it."""
+
+import uuid
+from typing import Any, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from bayglade import patches
+from bayglade.config import parse_address
+from bayglade.exceptions import BaygladeError, Outcome, PlatformAnswerLost, PlatformUnavailable
+from bayglade.ids import ChangeId, Revision
+from bayglade.operators import wire
+from bayglade.responses import ErrorAnswer
+from bayglade.revisions import Change
+
+CONNECT_TIMEOUT = 3.0
+READ_TIMEOUT = 30.0
+
+AnswerT = TypeVar("AnswerT")
+
+
+class Remote:
+    """One daemon as an operator's program sees it."""
+
+    def __init__(self, address: str, key: str) -> None:
+        where = parse_address(address)
+        self.address = address
+        self.headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+        self.pool = urllib3.HTTPConnectionPool(
+            where.host,
+            where.port,
+            retries=False,
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, read=READ_TIMEOUT),
+        )
+
+    def __repr__(self) -> str:
+        return f"<Remote {self.address}>"
+
+    def settings(self) -> wire.SettingsAnswer:
+        """Fetch the settings in force."""
+        return self._get(wire.SETTINGS_PATH, wire.SettingsAnswer)
+
+    def change(
+        self, base: Revision, before: dict[str, Any], after: dict[str, Any], note: str
+    ) -> wire.ChangeAnswer:
+        """Ask for a change; sent again with the same id it takes effect once only.
+
+        :param base: the revision that the change was made against.
+        :param before: the document at that revision.
+        :param after: the document wanted.
+        :param note: a word for the audit trail.
+        :return: the new revision and where it is in force.
+        """
+        change = Change(
+            id=ChangeId(uuid.uuid4().hex), base=base, patch=patches.diff(before, after), note=note
+        )
+        return self._post(wire.CHANGES_PATH, change, wire.ChangeAnswer)
+
+    def check(self, base: Revision, before: dict[str, Any], after: dict[str, Any]) -> wire.CheckAnswer:
+        """Ask whether a change would be taken."""
+        change = Change(id=ChangeId(""), base=base, patch=patches.diff(before, after))
+        return self._post(wire.CHECK_PATH, change, wire.CheckAnswer)
+
+    def audit(self, count: int) -> list[wire.AuditEntry]:
+        """Fetch the newest changes."""
+        return self._get(f"{wire.AUDIT_PATH}?count={count}", list[wire.AuditEntry])
+
+    def explain(self, group: str, field: str) -> wire.ExplainAnswer:
+        """Ask which level a value comes from."""
+        query = urlencode({"group": group, "field": field})
+        return self._get(f"{wire.EXPLAIN_PATH}?{query}", wire.ExplainAnswer)
+
+    def status(self) -> wire.StatusAnswer:
+        """Ask how the daemon stands."""
+        return self._get(wire.STATUS_PATH, wire.StatusAnswer)
+
+    def backends(self) -> list[wire.BackendStatus]:
+        """Ask how the daemon sees the backend servers."""
+        return self._get(wire.BACKENDS_PATH, list[wire.BackendStatus])
+
+    def groups(self) -> list[wire.GroupStatus]:
+        """Ask for the recent service of the groups."""
+        return self._get(wire.GROUPS_PATH, list[wire.GroupStatus])
+
+    def _get(self, path: str, kind: type[AnswerT]) -> AnswerT:
+        return self._request("GET", path, None, kind)
+
+    def _post(self, path: str, body: msgspec.Struct, kind: type[AnswerT]) -> AnswerT:
+        return self._request("POST", path, msgspec.json.encode(body), kind)
+
+    def _request(self, method: str, path: str, body: bytes | None, kind: type[AnswerT]) -> AnswerT:
+        try:
+            response = self.pool.urlopen(
+                method, path, body=body, headers=self.headers, retries=False, redirect=False
+            )
+        except HTTPError as error:
+            lost = PlatformAnswerLost if method == "POST" else PlatformUnavailable
+            raise lost(f"no answer: {error}", step=path, peer=self.address) from error
+        if response.status != 200:
+            raise _remote_error(response.data, path, self.address)
+        return msgspec.json.decode(response.data, type=kind)
+
+
+def _remote_error(content: bytes, path: str, peer: str) -> BaygladeError:
+    try:
+        body = msgspec.json.decode(content, type=ErrorAnswer).error
+    except msgspec.DecodeError:
+        return BaygladeError("the answer makes no sense", step=path, peer=peer)
+    error = BaygladeError(
+        body.message,
+        step=body.step,
+        peer=body.peer or peer,
+        retry_after=body.retry_after,
+        outcome=Outcome(body.outcome),
+    )
+    error.code = body.code
+    return error
--- /dev/null
+++ b/bayglade/platform/client.py
@@ -0,0 +1,117 @@
+"""Client of the platform's service, over pooled HTTP connections."""
+
+import msgspec
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from bayglade.config import Address, parse_address
+from bayglade.exceptions import NotFound, PlatformAnswerLost, PlatformUnavailable
+from bayglade.ids import Digest
+from bayglade.platform import wire
+
+CONNECT_TIMEOUT = 1.0
+READ_TIMEOUT = 2.0
+POOL_SIZE = 16
+RETRY_AFTER = 2.0
+
+
+class Platform:
+    """One platform as seen by one daemon; holds only pooled connections."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.pool = urllib3.HTTPConnectionPool(
+            address.host,
+            address.port,
+            maxsize=POOL_SIZE,
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, read=READ_TIMEOUT),
+            retries=False,
+        )
+
+    def __repr__(self) -> str:
+        return f"<Platform {self.address}>"
+
+    def read(self, keys: list[str]) -> dict[str, wire.Row]:
+        """Read rows of the table in one request.
+
+        :param keys: the rows wanted.
+        :return: the rows that exist.
+        :raises PlatformUnavailable: when the table does not answer.
+        """
+        body = self._post("read", wire.TABLE_READ_PATH, wire.ReadRows(keys), PlatformUnavailable)
+        return msgspec.json.decode(body, type=wire.Rows).rows
+
+    def transact(self, transaction: wire.Transaction) -> wire.TransactionResult:
+        """Write rows together, when all conditions hold.
+
+        :param transaction: conditions and writes.
+        :return: whether it took effect.
+        :raises PlatformUnavailable: when nothing was written.
+        :raises PlatformAnswerLost: when it may have taken effect.
+        """
+        body = self._post("transact", wire.TABLE_TRANSACT_PATH, transaction, PlatformAnswerLost)
+        return msgspec.json.decode(body, type=wire.TransactionResult)
+
+    def put_object(self, digest: Digest, content: bytes) -> None:
+        """Store content under its digest; storing it twice is harmless.
+
+        :param digest: SHA-256 of the content.
+        :param content: the bytes.
+        :raises PlatformUnavailable: when the store does not answer.
+        """
+        self._request("put", "PUT", wire.OBJECT_PATH + digest, content, PlatformUnavailable)
+
+    def get_object(self, digest: Digest) -> bytes:
+        """Fetch content by digest.
+
+        :param digest: SHA-256 of the content.
+        :return: the bytes, as stored; the caller checks the digest.
+        :raises NotFound: when the store has no such object.
+        :raises PlatformUnavailable: when the store does not answer.
+        """
+        return self._request("get", "GET", wire.OBJECT_PATH + digest, None, PlatformUnavailable)
+
+    def hosts(self) -> list[wire.Host]:
+        """Read the host list.
+
+        :return: live and leaving hosts, as the platform knows them.
+        :raises PlatformUnavailable: when the platform does not answer.
+        """
+        body = self._request("hosts", "GET", wire.HOSTS_PATH, None, PlatformUnavailable)
+        return msgspec.json.decode(body, type=wire.Hosts).hosts
+
+    def _post(
+        self, step: str, path: str, message: msgspec.Struct, lost: type[PlatformUnavailable]
+    ) -> bytes:
+        return self._request(step, "POST", path, msgspec.json.encode(message), lost)
+
+    def _request(
+        self, step: str, method: str, path: str, body: bytes | None, lost: type[PlatformUnavailable]
+    ) -> bytes:
+        peer = str(self.address)
+        try:
+            response = self.pool.urlopen(method, path, body=body, retries=False, redirect=False)
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            message = "the platform cannot be reached"
+            raise PlatformUnavailable(message, step=step, peer=peer, retry_after=RETRY_AFTER) from error
+        except HTTPError as error:
+            message = "the platform's answer was lost"
+            raise lost(message, step=step, peer=peer, retry_after=RETRY_AFTER) from error
+        if response.status == 404:
+            raise NotFound(f"the platform has no {path}", step=step, peer=peer)
+        if response.status == 503:
+            message = "the platform refused"
+            raise PlatformUnavailable(message, step=step, peer=peer, retry_after=RETRY_AFTER)
+        if response.status >= 300:
+            message = f"the platform answered {response.status}"
+            raise lost(message, step=step, peer=peer, retry_after=RETRY_AFTER)
+        return response.data
+
+
+def create_platform(address: str) -> Platform:
+    """Build the client of a platform.
+
+    :param address: IP number and port.
+    :return: the client; nothing is sent yet.
+    """
+    return Platform(parse_address(address))
--- /dev/null
+++ b/bayglade/retries.py
@@ -0,0 +1,52 @@
+"""Budgets for retries, and when callers should come back."""
+
+import random
+
+from bayglade.clock import Decayed, now
+
+BUDGET_TAU = 10.0
+BUDGET_FRACTION = 0.1
+BUDGET_FLOOR = 10.0
+SPREAD = 0.5
+MIN_RETRY_AFTER = 0.5
+MAX_RETRY_AFTER = 60.0
+
+
+class RetryBudget:
+    """Allows retries up to a fraction of recent requests, plus a small floor."""
+
+    __slots__ = ("requests", "retries")
+
+    def __init__(self) -> None:
+        self.requests = Decayed(BUDGET_TAU)
+        self.retries = Decayed(BUDGET_TAU)
+
+    def __repr__(self) -> str:
+        return f"<RetryBudget {self.retries.value:.1f} of {self.requests.value:.1f}>"
+
+    def request(self) -> None:
+        """Count a first try."""
+        self.requests.add(1.0, now())
+
+    def retry(self) -> bool:
+        """Take one retry from the budget.
+
+        :return: false when the budget is spent.
+        """
+        at = now()
+        allowed = BUDGET_FLOOR + BUDGET_FRACTION * self.requests.read(at)
+        if self.retries.read(at) + 1.0 > allowed:
+            return False
+        self.retries.add(1.0, at)
+        return True
+
+
+def spread_retry_after(seconds: float, rng: random.Random) -> float:
+    """Spread the moments at which refused callers come back.
+
+    :param seconds: when coming back would help at the earliest.
+    :param rng: source of the spread.
+    :return: seconds, between the earliest and half as much again, within bounds.
+    """
+    base = min(max(seconds, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
+    return base * (1.0 + SPREAD * rng.random())
--- /dev/null
+++ b/bayglade/revisions.py
@@ -0,0 +1,331 @@
+"""Revisions of the settings: the one in force, how a new one is accepted.
+
+Content lies in the object store under its digest. One transaction moves the
+head of the table from revision n to n+1 and adds the audit row. A daemon takes
+in only a higher revision; a head that went back raises an alarm.
+"""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+import msgspec
+
+from bayglade import patches, settings
+from bayglade.clock import now
+from bayglade.exceptions import (
+    Forbidden,
+    InvalidSettings,
+    NotFound,
+    PlatformAnswerLost,
+    PlatformUnavailable,
+    SettingsConflict,
+    SettingsWentBack,
+)
+from bayglade.ids import ChangeId, Digest, GroupPath, Revision
+from bayglade.logs import event
+from bayglade.platform import Platform, wire
+from bayglade.settings import Tree
+
+HEAD_KEY = "settings/head"
+LOST_TRIES = 20
+LOST_PAUSE = 0.25
+MAX_HISTORY = 100
+
+
+class Head(msgspec.Struct, frozen=True):
+    """The head of the settings in the table."""
+
+    revision: Revision
+    digest: Digest
+
+
+class AuditRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Who changed what, when and from where; ``at`` is seconds since 1970."""
+
+    revision: Revision
+    change: ChangeId
+    operator: str
+    address: str
+    at: float
+    note: str
+    digest: Digest
+    patch: msgspec.Raw
+    undo: msgspec.Raw
+
+
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """A change as an operator asks for it."""
+
+    id: ChangeId
+    base: Revision
+    patch: dict[str, Any]
+    note: str = ""
+
+
+class Author(msgspec.Struct, frozen=True):
+    """Who asks for a change: name, subtree they steer, address they came from."""
+
+    operator: str
+    subtree: GroupPath
+    address: str
+
+
+class Current(msgspec.Struct, frozen=True):
+    """A revision in force: its number, digest, document and tree."""
+
+    revision: Revision
+    digest: Digest
+    document: bytes
+    tree: Tree
+
+    def __repr__(self) -> str:
+        return f"<Current revision {self.revision}>"
+
+
+EMPTY = Current(Revision(0), Digest(""), b"{}", Tree())
+
+
+class Revisions:
+    """The revision in force in this daemon.
+
+    :param platform: where revisions are kept.
+    :param on_change: called with each new revision in force.
+    """
+
+    def __init__(self, platform: Platform, on_change: Callable[[Current], None]) -> None:
+        self.platform = platform
+        self.on_change = on_change
+        self.current = EMPTY
+        self.known_at = 0.0
+        self.went_back = False
+
+    def __repr__(self) -> str:
+        return f"<Revisions {self.current.revision}>"
+
+    def poll(self) -> None:
+        """Ask the table for the head and take in a newer revision.
+
+        :raises PlatformUnavailable: when the table does not answer.
+        :raises SettingsWentBack: when its head is older than what is in force.
+        """
+        asked = now()
+        row = self.platform.read([HEAD_KEY]).get(HEAD_KEY)
+        head = msgspec.json.decode(row.value, type=Head) if row else Head(Revision(0), Digest(""))
+        self._check_not_back(head)
+        if head.revision > self.current.revision:
+            self.offer(head.revision, head.digest, self.platform.get_object(head.digest))
+        self.known_at = max(self.known_at, asked)
+
+    def offer(self, revision: Revision, digest: Digest, document: bytes) -> bool:
+        """Take in a revision if it is newer than the one in force.
+
+        :param revision: its number.
+        :param digest: what the document must hash to.
+        :param document: canonical JSON.
+        :return: whether it was newer.
+        :raises InvalidSettings: when the document is not what the digest says.
+        """
+        if revision <= self.current.revision:
+            return False
+        if settings.digest_of(document) != digest:
+            raise InvalidSettings("a document does not match its digest", step="settings")
+        self.current = Current(revision, digest, document, settings.decode(document))
+        event("INFO", "settings in force", revision=revision)
+        self.on_change(self.current)
+        return True
+
+    def accept(self, change: Change, author: Author) -> Current:
+        """Check a change, keep it in the platform and put it in force here.
+
+        :param change: the change.
+        :param author: who asks.
+        :return: the revision that holds the change.
+        :raises SettingsConflict: when the head is not the change's base.
+        :raises InvalidSettings: when the result breaks a rule.
+        :raises Forbidden: when the change reaches outside the author's subtree.
+        :raises PlatformUnavailable: when nothing was kept.
+        :raises PlatformAnswerLost: when the change may have been kept.
+        """
+        self.poll()
+        if change.base != self.current.revision:
+            return self._repeated(change) or self._conflict(change)
+        after = self._next(change, author)
+        self.platform.put_object(after.digest, after.document)
+        if self._commit(change, author, after):
+            self.offer(after.revision, after.digest, after.document)
+            return after
+        self.poll()
+        return self._repeated(change) or self._conflict(change)
+
+    def check(self, change: Change, author: Author) -> Current:
+        """Check a change against the settings in force, without keeping it.
+
+        :param change: the change.
+        :param author: who asks.
+        :return: the revision that it would make.
+        :raises SettingsConflict: when another change came first.
+        :raises InvalidSettings: when the result breaks a rule.
+        :raises Forbidden: when the change reaches outside the author's subtree.
+        """
+        if change.base != self.current.revision:
+            return self._conflict(change)
+        return self._next(change, author)
+
+    def history(self, count: int) -> list[AuditRow]:
+        """Read the newest audit rows, the newest first.
+
+        :param count: how many at most.
+        :return: the rows.
+        :raises PlatformUnavailable: when the table does not answer.
+        """
+        newest = self.current.revision
+        oldest = max(0, newest - min(count, MAX_HISTORY))
+        keys = [_revision_key(Revision(n)) for n in range(newest, oldest, -1)]
+        rows = self.platform.read(keys)
+        return [msgspec.json.decode(rows[key].value, type=AuditRow) for key in keys if key in rows]
+
+    def _check_not_back(self, head: Head) -> None:
+        current = self.current
+        same = head.revision == current.revision and head.digest == current.digest
+        self.went_back = head.revision < current.revision or (
+            head.revision == current.revision and not same
+        )
+        if not self.went_back:
+            return
+        event("ERROR", "settings went back", head=head.revision, in_force=current.revision)
+        raise SettingsWentBack(
+            f"the table says revision {head.revision}, but {current.revision} is in force",
+            step="settings",
+            peer="platform",
+        )
+
+    def _next(self, change: Change, author: Author) -> Current:
+        before = msgspec.json.decode(self.current.document)
+        _check_scope(self.current.tree, change.patch, author.subtree)
+        tree = settings.decode(msgspec.json.encode(patches.apply(before, change.patch)))
+        _check_accounts_stay(self.current.tree, tree, change.patch, author.subtree)
+        document = settings.encode(tree)
+        return Current(Revision(self.current.revision + 1), settings.digest_of(document), document, tree)
+
+    def _commit(self, change: Change, author: Author, after: Current) -> bool:
+        transaction = self._transaction(change, author, after)
+        lost = False
+        for _ in range(LOST_TRIES):
+            try:
+                return self.platform.transact(transaction).committed
+            except PlatformAnswerLost:
+                lost = True
+            except PlatformUnavailable:
+                if not lost:
+                    raise
+            # Sent again under the same conditions it can take effect once only.
+            eventlet.sleep(LOST_PAUSE)
+        raise PlatformAnswerLost("the change may have been kept", step="apply", retry_after=2.0)
+
+    def _transaction(self, change: Change, author: Author, after: Current) -> wire.Transaction:
+        before = msgspec.json.decode(self.current.document)
+        audit = AuditRow(
+            revision=after.revision,
+            change=change.id,
+            operator=author.operator,
+            address=author.address,
+            at=time.time(),
+            note=change.note,
+            digest=after.digest,
+            patch=wire.raw(change.patch),
+            undo=wire.raw(patches.diff(msgspec.json.decode(after.document), before)),
+        )
+        head = Head(after.revision, after.digest)
+        change_key = _change_key(change.id)
+        return wire.Transaction(
+            conditions=[
+                # The head is written once a revision, so its version is the revision.
+                wire.Condition(HEAD_KEY, self.current.revision),
+                wire.Condition(change_key, wire.ABSENT),
+            ],
+            writes=[
+                wire.Write(HEAD_KEY, wire.raw(head)),
+                wire.Write(change_key, wire.raw(after.revision)),
+                wire.Write(_revision_key(after.revision), wire.raw(audit)),
+            ],
+        )
+
+    def _repeated(self, change: Change) -> Current | None:
+        """Return the revision in force if it holds a change that was sent before."""
+        row = self.platform.read([_change_key(change.id)]).get(_change_key(change.id))
+        return self.current if row is not None else None
+
+    def _conflict(self, change: Change) -> Current:
+        names = [
+            f"{row.revision} by {row.operator}: "
+            + ", ".join(".".join(path) for path in patches.touched(msgspec.json.decode(row.patch)))
+            for row in self.history(MAX_HISTORY)
+            if row.revision > change.base
+        ]
+        raise SettingsConflict(
+            f"made against revision {change.base}, but {self.current.revision} is in force;"
+            f" changed since: {'; '.join(names)}",
+            step="apply",
+        )
+
+
+def _revision_key(revision: Revision) -> str:
+    return f"settings/revision/{revision}"
+
+
+def _change_key(change: ChangeId) -> str:
+    return f"settings/change/{change}"
+
+
+def _check_scope(tree: Tree, patch: dict[str, Any], subtree: GroupPath) -> None:
+    if not subtree:
+        return
+    top = ("root", *(part for name in subtree.split("/") for part in ("groups", name)))
+    own = {"groups", "versions", "deadline_seconds"}
+    for path in patches.touched(patch):
+        inside = path[: len(top)] == top and len(path) > len(top) and path[len(top)] in own
+        if not inside and not (path[0] == "accounts" and len(path) > 1):
+            raise Forbidden(f"{'.'.join(path)} is outside {subtree!r}", step="apply", peer="operator")
+
+
+def _check_accounts_stay(before: Tree, after: Tree, patch: dict[str, Any], subtree: GroupPath) -> None:
+    """Accounts that a change touches lie in the author's subtree before and after."""
+    accounts = patch.get("accounts") or {}
+    for name in accounts:
+        for tree in (before, after):
+            account = tree.accounts.get(name)
+            if account is not None and not settings.contains(subtree, account.group):
+                raise Forbidden(f"accounts.{name} is outside {subtree!r}", step="apply", peer="operator")
+
+
+def scoped_document(document: bytes, subtree: GroupPath) -> dict[str, Any]:
+    """Return the part of a document that an operator may see.
+
+    Keys of accounts are digests; those of operators are shown at the top only.
+
+    :param document: canonical JSON.
+    :param subtree: the operator's subtree.
+    :return: the document with all other groups and accounts left out.
+    """
+    whole: dict[str, Any] = msgspec.json.decode(document)
+    if not subtree:
+        return whole
+    kept = {name: whole[name] for name in ("models",) if name in whole}
+    kept["accounts"] = {
+        name: account
+        for name, account in whole.get("accounts", {}).items()
+        if settings.contains(subtree, GroupPath(account["group"]))
+    }
+    level: dict[str, Any] = whole.get("root", {})
+    branch: dict[str, Any] = {}
+    kept["root"] = branch
+    for name in subtree.split("/"):
+        level = level.get("groups", {}).get(name)
+        if level is None:
+            raise NotFound(f"no group {subtree!r}", step="settings")
+        branch["groups"] = {name: {}}
+        branch = branch["groups"][name]
+    branch.update(level)
+    return kept
--- /dev/null
+++ b/bayglade/routing.py
@@ -0,0 +1,95 @@
+"""Choice of the route of a request: which servers run which layers.
+
+A route tiles all layers of a model without gap or overlap. The choice is the
+cheapest path over a sample of the servers that have room; sampling keeps many
+daemons from running to the same server on the same stale news.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+
+from bayglade.backends import BackendState
+from bayglade.engines.wire import Stage
+from bayglade.ids import HallName
+
+SAMPLE_SIZE = 8
+NOISE = 0.05
+
+LinkSeconds = Callable[[HallName, HallName], float]
+"""Seconds one way between two data halls."""
+
+Choice = tuple[float, tuple[Stage, ...]]
+"""Cost in seconds a token and the stages from a position on."""
+
+
+def covers(states: Sequence[BackendState], layers: int) -> bool:
+    """Tell whether servers can tile all layers, whether or not they have room.
+
+    :param states: servers of one version of a model.
+    :param layers: the number of layers of the model.
+    :return: true when a route exists.
+    """
+    reach = 0
+    while reach < layers:
+        further = max((s.facts.last for s in states if s.facts.first <= reach), default=reach)
+        if further <= reach:
+            return False
+        reach = further
+    return True
+
+
+def choose_route(
+    states: Sequence[BackendState],
+    layers: int,
+    hall: HallName,
+    link_seconds: LinkSeconds,
+    rng: random.Random,
+) -> tuple[Stage, ...] | None:
+    """Choose the cheapest route among sampled servers.
+
+    :param states: usable servers of one version of a model that have room.
+    :param layers: the number of layers of the model.
+    :param hall: where the daemon stands.
+    :param link_seconds: the delay between two data halls.
+    :param rng: source of the sample and of the noise that breaks ties.
+    :return: the stages in order; nothing when the servers do not tile the model.
+    """
+    known: dict[tuple[int, HallName], Choice | None] = {}
+
+    def best(position: int, at: HallName) -> Choice | None:
+        if position >= layers:
+            return 0.0, ()
+        if (position, at) not in known:
+            known[position, at] = _cheapest(position, at)
+        return known[position, at]
+
+    def _cheapest(position: int, at: HallName) -> Choice | None:
+        cheapest: Choice | None = None
+        for state in _candidates(states, position, rng):
+            rest = best(state.facts.last, state.facts.hall)
+            if rest is None:
+                continue
+            cost = rest[0] + link_seconds(at, state.facts.hall) + _stage_cost(state, position, rng)
+            if cheapest is None or cost < cheapest[0]:
+                stage = Stage(state.id, state.facts.address, position, state.facts.last)
+                cheapest = cost, (stage, *rest[1])
+        return cheapest
+
+    chosen = best(0, hall)
+    return chosen[1] if chosen else None
+
+
+def _candidates(
+    states: Sequence[BackendState], position: int, rng: random.Random
+) -> Sequence[BackendState]:
+    fitting = [s for s in states if s.facts.first <= position < s.facts.last]
+    if len(fitting) <= SAMPLE_SIZE:
+        return fitting
+    return rng.sample(fitting, SAMPLE_SIZE)
+
+
+def _stage_cost(state: BackendState, position: int, rng: random.Random) -> float:
+    seconds = state.seconds_per_layer * (state.facts.last - position)
+    crowding = 1.0 + (state.in_flight + 1) / state.limit
+    doubt = 1.0 + state.failures
+    return seconds * crowding * doubt * (1.0 + NOISE * rng.random())
--- /dev/null
+++ b/bayglade/settings.py
@@ -0,0 +1,354 @@
+"""The settings tree: its types, its checks and its inheritance.
+
+A revision of the tree is one document. It is kept and spread as canonical JSON
+and written by operators as YAML (see :mod:`bayglade.operators.documents`).
+"""
+
+import hashlib
+from collections.abc import Iterator
+from typing import cast
+
+import msgspec
+
+from bayglade.exceptions import InvalidSettings, NotFound
+from bayglade.ids import (
+    AccountName,
+    BackendId,
+    Digest,
+    GroupPath,
+    HallName,
+    ModelName,
+    ServiceName,
+    Version,
+)
+
+MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
+MAX_DEPTH = 16
+DEFAULT_DEADLINE_SECONDS = 30.0
+DEFAULT_PRIORITY = 0
+ROOT = GroupPath("")
+
+
+class Limits(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True, frozen=True):
+    """Upper bounds for a level and everything below it, over all daemons."""
+
+    requests_per_second: float | None = None
+    tokens_per_second: float | None = None
+    in_flight: int | None = None
+
+
+class Level(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
+    """One level of the tree of groups.
+
+    ``share`` weighs a level against its siblings. ``priority``, ``versions``
+    and ``deadline_seconds`` are inherited unless a lower level overrides them.
+    ``limits`` bound the level together with everything below it.
+    """
+
+    share: float = 1.0
+    priority: int | None = None
+    deadline_seconds: float | None = None
+    limits: Limits = msgspec.field(default_factory=Limits)
+    versions: dict[ModelName, Version] = msgspec.field(default_factory=dict)
+    groups: dict[str, "Level"] = msgspec.field(default_factory=dict)
+
+
+class Model(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
+    """A model: how many layers it has and which version serves by default."""
+
+    layers: int
+    version: Version
+
+
+class Backend(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
+    """Facts of one backend server that holds layers ``[first, last)`` of a model."""
+
+    address: str
+    hall: HallName
+    accelerator: str
+    model: ModelName
+    version: Version
+    first: int
+    last: int
+    checks_orders: bool = True
+
+
+class Service(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
+    """A plain service and the servers that offer it."""
+
+    servers: dict[BackendId, str]
+    repeatable: bool = True
+    timeout_seconds: float = 5.0
+
+
+class Account(msgspec.Struct, forbid_unknown_fields=True):
+    """A client account: its group and the SHA-256 of its key, in hex."""
+
+    group: GroupPath
+    key_sha256: str
+
+
+class Operator(msgspec.Struct, forbid_unknown_fields=True):
+    """An operator: the subtree they steer and the SHA-256 of their key, in hex."""
+
+    subtree: GroupPath
+    key_sha256: str
+
+
+class Tree(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
+    """One revision of all that operators steer."""
+
+    root: Level = msgspec.field(default_factory=Level)
+    models: dict[ModelName, Model] = msgspec.field(default_factory=dict)
+    backends: dict[BackendId, Backend] = msgspec.field(default_factory=dict)
+    services: dict[ServiceName, Service] = msgspec.field(default_factory=dict)
+    accounts: dict[AccountName, Account] = msgspec.field(default_factory=dict)
+    operators: dict[str, Operator] = msgspec.field(default_factory=dict)
+    links: dict[str, float] = msgspec.field(default_factory=dict)
+    """Milliseconds one way between two data halls, keyed ``"a b"`` in name order."""
+
+
+Value = str | float | int | None
+"""A value of a field of a level."""
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """A value in force for a group and the level that it comes from."""
+
+    field: str
+    value: Value
+    level: GroupPath | None
+
+
+def path_of_parent(path: GroupPath) -> GroupPath:
+    """Return the group one level above, or the root.
+
+    :param path: a group.
+    :return: the path without its last name.
+    """
+    return GroupPath(path.rpartition("/")[0])
+
+
+def lineage(path: GroupPath) -> list[GroupPath]:
+    """List a group and all levels above it, the root first.
+
+    :param path: a group.
+    :return: paths from the root down to the group.
+    """
+    names = path.split("/") if path else []
+    return [GroupPath("/".join(names[:depth])) for depth in range(len(names) + 1)]
+
+
+def contains(subtree: GroupPath, path: GroupPath) -> bool:
+    """Tell whether a group lies in a subtree.
+
+    :param subtree: the top of the subtree.
+    :param path: the group asked about.
+    :return: true when it is the top itself or below it.
+    """
+    return not subtree or path == subtree or path.startswith(subtree + "/")
+
+
+def level_at(tree: Tree, path: GroupPath) -> Level:
+    """Find the level of a group.
+
+    :param tree: the settings.
+    :param path: the group.
+    :return: its level.
+    :raises NotFound: when no such group exists.
+    """
+    level = tree.root
+    for name in path.split("/") if path else []:
+        if name not in level.groups:
+            raise NotFound(f"no group {path!r}", step="settings")
+        level = level.groups[name]
+    return level
+
+
+def walk(level: Level, path: GroupPath = ROOT) -> Iterator[tuple[GroupPath, Level]]:
+    """Visit a level and all below it, the upper ones first.
+
+    :param level: where to start.
+    :param path: the path of that level.
+    :return: pairs of path and level.
+    """
+    yield path, level
+    for name, child in level.groups.items():
+        yield from walk(child, GroupPath(f"{path}/{name}" if path else name))
+
+
+def explain(tree: Tree, path: GroupPath, field: str) -> Explanation:
+    """Tell which value of a field is in force for a group, and from which level.
+
+    :param tree: the settings.
+    :param path: the group.
+    :param field: ``share``, ``priority``, ``deadline_seconds``, a limit such as
+        ``limits.in_flight``, or ``versions.MODEL``.
+    :return: the value and its level; no level when it is the default.
+    :raises NotFound: when the group or the field does not exist.
+    """
+    if field == "share":
+        return Explanation(field, level_at(tree, path).share, path)
+    for candidate in reversed(lineage(path)):
+        value = _own_value(level_at(tree, candidate), field)
+        if value is not None:
+            return Explanation(field, value, candidate)
+    return Explanation(field, _default_value(tree, field), None)
+
+
+def _own_value(level: Level, field: str) -> Value:
+    head, _, rest = field.partition(".")
+    if head in ("priority", "deadline_seconds") and not rest:
+        return cast(Value, getattr(level, head))
+    if head == "limits" and rest in Limits.__struct_fields__:
+        return cast(Value, getattr(level.limits, rest))
+    if head == "versions" and rest:
+        return level.versions.get(ModelName(rest))
+    raise NotFound(f"no field {field!r} in a level", step="settings")
+
+
+def _default_value(tree: Tree, field: str) -> Value:
+    if field == "priority":
+        return DEFAULT_PRIORITY
+    if field == "deadline_seconds":
+        return DEFAULT_DEADLINE_SECONDS
+    head, _, rest = field.partition(".")
+    if head != "versions":
+        return None
+    model = tree.models.get(ModelName(rest))
+    if model is None:
+        raise NotFound(f"no model {rest!r}", step="settings")
+    return model.version
+
+
+def priority_of(tree: Tree, path: GroupPath) -> int:
+    """Return the priority in force for a group; larger goes first."""
+    return int(explain(tree, path, "priority").value)  # type: ignore[arg-type]
+
+
+def deadline_of(tree: Tree, path: GroupPath) -> float:
+    """Return the seconds a request of a group may take unless it says less."""
+    return float(explain(tree, path, "deadline_seconds").value)  # type: ignore[arg-type]
+
+
+def version_of(tree: Tree, path: GroupPath, model: ModelName) -> Version:
+    """Return the version of a model in force for a group."""
+    return Version(str(explain(tree, path, f"versions.{model}").value))
+
+
+def link_milliseconds(tree: Tree, one: HallName, other: HallName) -> float:
+    """Return the one-way delay between two data halls.
+
+    :param tree: the settings.
+    :param one: a data hall.
+    :param other: a data hall.
+    :return: milliseconds; zero inside a hall or where nothing is set.
+    """
+    if one == other:
+        return 0.0
+    return tree.links.get(" ".join(sorted((one, other))), 0.0)
+
+
+def encode(tree: Tree) -> bytes:
+    """Write a tree as canonical JSON: keys sorted, defaults left out."""
+    return msgspec.json.encode(tree, order="sorted")
+
+
+def digest_of(document: bytes) -> Digest:
+    """Return the SHA-256 of a canonical document, in hex."""
+    return Digest(hashlib.sha256(document).hexdigest())
+
+
+def decode(document: bytes) -> Tree:
+    """Read and check a tree.
+
+    :param document: JSON.
+    :return: the checked tree.
+    :raises InvalidSettings: naming the field, when a rule is broken.
+    """
+    if len(document) > MAX_DOCUMENT_BYTES:
+        raise InvalidSettings(f"settings above {MAX_DOCUMENT_BYTES} bytes", step="settings")
+    try:
+        tree = msgspec.json.decode(document, type=Tree)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise InvalidSettings(str(error), step="settings") from error
+    check(tree)
+    return tree
+
+
+def check(tree: Tree) -> None:
+    """Check the rules that types alone do not express.
+
+    :param tree: the tree.
+    :raises InvalidSettings: naming the field, at the first broken rule.
+    """
+    for path, level in walk(tree.root):
+        _check_level(tree, path, level)
+    for name, model in tree.models.items():
+        _require(model.layers > 0, f"models.{name}.layers", "must be above zero")
+    for backend_id, backend in tree.backends.items():
+        _check_backend(tree, backend_id, backend)
+    for service_name, service in tree.services.items():
+        _require(bool(service.servers), f"services.{service_name}.servers", "must not be empty")
+        _require(
+            service.timeout_seconds > 0, f"services.{service_name}.timeout_seconds", "must be above zero"
+        )
+    for account_name, account in tree.accounts.items():
+        _check_group_exists(tree, account.group, f"accounts.{account_name}.group")
+        _check_sha256(account.key_sha256, f"accounts.{account_name}.key_sha256")
+    for operator_name, operator in tree.operators.items():
+        _check_group_exists(tree, operator.subtree, f"operators.{operator_name}.subtree")
+        _check_sha256(operator.key_sha256, f"operators.{operator_name}.key_sha256")
+    _check_keys_unique(tree)
+
+
+def _check_level(tree: Tree, path: GroupPath, level: Level) -> None:
+    where = "root" + "".join(f".groups.{name}" for name in path.split("/") if name)
+    _require(path.count("/") < MAX_DEPTH, where, f"is nested deeper than {MAX_DEPTH}")
+    _require(0 < level.share < float("inf"), f"{where}.share", "must be above zero and finite")
+    if level.deadline_seconds is not None:
+        _require(level.deadline_seconds > 0, f"{where}.deadline_seconds", "must be above zero")
+    for field in Limits.__struct_fields__:
+        value = getattr(level.limits, field)
+        _require(value is None or value >= 0, f"{where}.limits.{field}", "must not be negative")
+    for model in level.versions:
+        _require(model in tree.models, f"{where}.versions.{model}", "names no model")
+    for name in level.groups:
+        _require(bool(name) and "/" not in name, f"{where}.groups.{name}", "must be a name without '/'")
+
+
+def _check_backend(tree: Tree, backend_id: BackendId, backend: Backend) -> None:
+    where = f"backends.{backend_id}"
+    _require(backend.model in tree.models, f"{where}.model", f"names no model: {backend.model!r}")
+    layers = tree.models[backend.model].layers
+    _require(
+        0 <= backend.first < backend.last <= layers,
+        f"{where}.first",
+        f"layers [{backend.first}, {backend.last}) do not lie in [0, {layers})",
+    )
+
+
+def _check_group_exists(tree: Tree, path: GroupPath, where: str) -> None:
+    try:
+        level_at(tree, path)
+    except NotFound as error:
+        raise InvalidSettings(f"{where}: names no group: {path!r}", step="settings") from error
+
+
+def _check_sha256(text: str, where: str) -> None:
+    good = len(text) == 64 and all(c in "0123456789abcdef" for c in text)
+    _require(good, where, "must be 64 lower-case hex digits")
+
+
+def _check_keys_unique(tree: Tree) -> None:
+    seen: dict[str, str] = {}
+    holders = [(f"accounts.{n}", a.key_sha256) for n, a in tree.accounts.items()]
+    holders += [(f"operators.{n}", o.key_sha256) for n, o in tree.operators.items()]
+    for where, key in holders:
+        _require(key not in seen, f"{where}.key_sha256", f"is the key of {seen.get(key)} too")
+        seen[key] = where
+
+
+def _require(condition: bool, where: str, what: str) -> None:
+    if not condition:
+        raise InvalidSettings(f"{where}: {what}", step="settings")
--- /dev/null
+++ b/bayglade/trust.py
@@ -0,0 +1,58 @@
+"""Trust in what a daemon knows: how old its knowledge of the settings may be.
+
+A daemon that hears neither the table nor any other daemon cannot know of a
+newer revision. After a set time it stops serving, unless it is the only daemon
+that the host list names: then nobody else could have accepted a change.
+"""
+
+from collections.abc import Callable
+
+from bayglade.clock import now
+from bayglade.entries import Membership
+from bayglade.exceptions import Draining
+from bayglade.revisions import Revisions
+
+
+class Trust:
+    """Decides whether this daemon may act on what it knows.
+
+    :param revisions: the settings in force.
+    :param membership: returns the other daemons.
+    :param blind_limit: seconds without news after which it may not.
+    """
+
+    def __init__(
+        self, revisions: Revisions, membership: Callable[[], Membership], blind_limit: float
+    ) -> None:
+        self.revisions = revisions
+        self.membership = membership
+        self.blind_limit = blind_limit
+
+    def __repr__(self) -> str:
+        return f"<Trust {'good' if self.good() else 'lost'}>"
+
+    def age(self) -> float:
+        """Return the seconds since anybody confirmed the settings."""
+        return now() - max(self.revisions.known_at, self.membership().heard_at())
+
+    def good(self) -> bool:
+        """Tell whether what is known is fresh enough to act on."""
+        if self.revisions.known_at == 0.0 and not self.revisions.current.revision:
+            return False
+        return self.member_count() == 1 or self.age() < self.blind_limit
+
+    def check(self) -> None:
+        """Refuse to act on old knowledge.
+
+        :raises Draining: when nothing was heard for too long.
+        """
+        if not self.good():
+            raise Draining(
+                "this daemon is cut off and may not know the settings in force",
+                step="trust",
+                retry_after=2.0,
+            )
+
+    def member_count(self) -> int:
+        """Return how many daemons the host list names, this one included."""
+        return len(self.membership().listed)
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,201 @@
+"""Stand-in of a model engine that holds a range of layers.
+
+The engine of the first stage drives the others, one step a token and stage.
+Every layer run is recorded, so that tests check the record and not the word of
+the router. Faults are set with ``POST /standin/faults``.
+"""
+
+import hashlib
+import time
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import eventlet
+import msgspec
+
+eventlet.monkey_patch()
+
+import urllib3  # noqa: E402
+from eventlet.semaphore import Semaphore  # noqa: E402
+
+from bayglade.engines import wire  # noqa: E402
+from bayglade.ids import BackendId  # noqa: E402
+from standins import web  # noqa: E402
+
+STEP_TIMEOUT = 1.0
+
+
+class Step(msgspec.Struct):
+    """One stage's part of one token."""
+
+    request: str
+    attempt: int
+    index: int
+    first: int
+    last: int
+
+
+class Faults(msgspec.Struct):
+    """What the stand-in does wrong just now."""
+
+    token_delay: float = 0.0
+    refuse: bool = False
+    silent: bool = False
+    cut_after: int = -1
+    repeat_frames: bool = False
+    stray_frames: bool = False
+
+
+class Engine:
+    """The state of one engine."""
+
+    def __init__(self, arguments: Any) -> None:
+        self.id = BackendId(arguments.id)
+        self.first, self.last = arguments.first, arguments.last
+        self.version = arguments.version
+        self.step_seconds = arguments.step_ms / 1000
+        self.slots = arguments.slots
+        self.gate = Semaphore(arguments.slots)
+        self.waiting = 0
+        self.leaving = False
+        self.fences: dict[str, int] = {}
+        self.record: list[list[Any]] = []
+        self.faults = Faults()
+        self.http = urllib3.PoolManager(retries=False, maxsize=256)
+
+    def generate(self, body: bytes, start_response: web.StartResponse) -> Iterable[bytes]:
+        """Run an attempt as its first stage, streaming frames."""
+        order = msgspec.json.decode(body, type=wire.Generate)
+        if self.faults.refuse or self.leaving or order.version != self.version:
+            start_response("503 Refused", [("Content-Length", "0")])
+            return []
+        self.fences[order.request] = max(order.attempt, self.fences.get(order.request, 0))
+        start_response("200 OK", [("Content-Type", "application/x-ndjson")])
+        return self._frames(order)
+
+    def _frames(self, order: wire.Generate) -> Iterator[bytes]:
+        self.waiting += 1
+        try:
+            self.gate.acquire()
+        finally:
+            self.waiting -= 1
+        try:
+            for index in range(len(order.committed), order.max_tokens):
+                error = self._token(order, index)
+                if error is not None:
+                    yield msgspec.json.encode(error) + b"\n"
+                    return
+                yield from self._faulty(order, index)
+            end = wire.EndFrame(order.request, order.attempt, order.max_tokens, "length", self.load())
+            yield msgspec.json.encode(end) + b"\n"
+        finally:
+            self.gate.release()
+
+    def _faulty(self, order: wire.Generate, index: int) -> Iterator[bytes]:
+        text = token_text(order.model, order.version, order.prompt, index)
+        frame = wire.TokenFrame(order.request, order.attempt, index, text)
+        line = msgspec.json.encode(frame) + b"\n"
+        while self.faults.silent:
+            eventlet.sleep(0.05)
+        if self.faults.cut_after == index:
+            raise ConnectionError("cut by order of the test")
+        if self.faults.stray_frames:
+            stray = msgspec.structs.replace(frame, request="somebody-else", text="STRAY")
+            yield msgspec.json.encode(stray) + b"\n"
+            old = msgspec.structs.replace(frame, attempt=0, text="OLD")
+            yield msgspec.json.encode(old) + b"\n"
+        yield line
+        if self.faults.repeat_frames:
+            yield line
+
+    def _token(self, order: wire.Generate, index: int) -> wire.ErrorFrame | None:
+        if self.faults.token_delay:
+            eventlet.sleep(self.faults.token_delay)
+        for position, stage in enumerate(order.stages):
+            step = Step(order.request, order.attempt, index, stage.first, stage.last)
+            fine = self._run(step) if position == 0 else self._remote(stage, step)
+            if not fine:
+                return wire.ErrorFrame(order.request, order.attempt, "stage_failed", stage.backend)
+        return None
+
+    def _run(self, step: Step) -> bool:
+        held = self.first <= step.first < step.last <= self.last
+        if not held or step.attempt < self.fences.get(step.request, 0):
+            return False
+        self.fences[step.request] = step.attempt
+        if self.step_seconds:
+            eventlet.sleep(self.step_seconds)
+        self.record.append([step.request, step.attempt, step.index, step.first, step.last])
+        return True
+
+    def _remote(self, stage: wire.Stage, step: Step) -> bool:
+        url = f"http://{stage.address}/v1/step"
+        try:
+            response = self.http.request(
+                "POST", url, body=msgspec.json.encode(step), timeout=STEP_TIMEOUT, retries=False
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        return response.status == 200
+
+    def step(self, body: bytes, _: dict[str, Any]) -> tuple[int, Any]:
+        """Run one step as a later stage."""
+        while self.faults.silent:
+            eventlet.sleep(0.05)
+        return (200, {}) if self._run(msgspec.json.decode(body, type=Step)) else (409, {})
+
+    def cancel(self, body: bytes, _: dict[str, Any]) -> tuple[int, Any]:
+        """Fence an attempt: no step of it or of an older one runs any more."""
+        order = msgspec.json.decode(body, type=wire.Cancel)
+        self.fences[order.request] = max(order.attempt + 1, self.fences.get(order.request, 0))
+        return 200, {}
+
+    def load(self) -> wire.Load:
+        """Report the load."""
+        return wire.Load(self.slots - self.gate.counter, self.waiting, self.slots, self.leaving)
+
+    def set_faults(self, body: bytes, _: dict[str, Any]) -> tuple[int, Any]:
+        """Replace the faults."""
+        self.faults = msgspec.json.decode(body, type=Faults)
+        return 200, {}
+
+    def leave(self, _: bytes, __: dict[str, Any]) -> tuple[int, Any]:
+        """Begin to leave: streams finish, new work is refused."""
+        self.leaving = True
+        return 200, {}
+
+
+def token_text(model: str, version: str, prompt: str, index: int) -> str:
+    """Return the one right token at an index, marked by all that it depends on."""
+    seed = f"{model}|{version}|{prompt}|{index}".encode()
+    return f"{hashlib.sha256(seed).hexdigest()[:6]}.{index} "
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = web.parser(__doc__ or "")
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--first", type=int, required=True)
+    parser.add_argument("--last", type=int, required=True)
+    parser.add_argument("--version", default="v1")
+    parser.add_argument("--step-ms", type=float, default=1.0)
+    parser.add_argument("--slots", type=int, default=8)
+    arguments = parser.parse_args()
+    engine = Engine(arguments)
+    started = time.monotonic()
+    site = web.Site()
+    site.streams = {f"POST {wire.GENERATE_PATH}": engine.generate}
+    site.handlers = {
+        "POST /v1/step": engine.step,
+        f"POST {wire.CANCEL_PATH}": engine.cancel,
+        f"GET {wire.LOAD_PATH}": lambda *_: (200, engine.load()),
+        "POST /standin/faults": engine.set_faults,
+        "POST /standin/leave": engine.leave,
+        "GET /standin/record": lambda *_: (200, engine.record),
+        "GET /standin/age": lambda *_: (200, time.monotonic() - started),
+    }
+    web.serve(site, arguments.listen)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,62 @@
+"""Stand-in of a plain service: keeps what it was sent and counts each run.
+
+Faults are set with ``POST /standin/faults``: ``delay`` waits before running,
+``refuse`` refuses before running, ``cut`` runs and then drops the answer.
+"""
+
+from typing import Any
+
+import eventlet
+import msgspec
+
+from standins import web
+
+
+class Faults(msgspec.Struct):
+    """What the stand-in does wrong just now."""
+
+    delay: float = 0.0
+    refuse: bool = False
+    cut: bool = False
+
+
+class Service:
+    """Runs seen so far."""
+
+    def __init__(self) -> None:
+        self.runs: list[list[str]] = []
+        self.faults = Faults()
+
+    def run(self, body: bytes, environ: dict[str, Any]) -> tuple[int, Any]:
+        """Run one call."""
+        if self.faults.refuse:
+            return 503, {}
+        if self.faults.delay:
+            eventlet.sleep(self.faults.delay)
+        self.runs.append([environ["PATH_INFO"], body.decode(errors="replace")])
+        if self.faults.cut:
+            raise ConnectionError("cut by order of the test")
+        return 200, {"run": len(self.runs), "path": environ["PATH_INFO"]}
+
+    def set_faults(self, body: bytes, _: dict[str, Any]) -> tuple[int, Any]:
+        """Replace the faults."""
+        self.faults = msgspec.json.decode(body, type=Faults)
+        return 200, {}
+
+
+def main() -> None:
+    """Run the stand-in."""
+    arguments = web.parser(__doc__ or "").parse_args()
+    service = Service()
+    site = web.Site()
+    site.handlers = {
+        "GET /run/": service.run,
+        "POST /run/": service.run,
+        "POST /standin/faults": service.set_faults,
+        "GET /standin/runs": lambda *_: (200, service.runs),
+    }
+    web.serve(site, arguments.listen)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,24 @@
+"""Fixtures shared by all tests: worlds of processes on loopback, fixed seeds."""
+
+from collections.abc import Iterator
+
+import hypothesis
+import pytest
+
+from standins.world import World
+
+# The same examples every time, and no verdict that depends on the clock.
+hypothesis.settings.register_profile(
+    "fixed",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
+hypothesis.settings.load_profile("fixed")
+
+
+@pytest.fixture
+def world() -> Iterator[World]:
+    with World() as made:
+        yield made
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,8 @@
+"""The whole path as the demo walks it, through processes of their own."""
+
+from standins import demo
+
+
+def test_the_demo_runs_to_its_end(capsys):
+    demo.main()
+    assert "every process is ended" in capsys.readouterr().out
