Refuse to share a listening address with another daemon

Cause: eventlet.listen sets SO_REUSEPORT unless told otherwise, so two processes on one port both start and the kernel deals connections between them. Seen as a test world whose engine never answered: its port was another's too. Ruled out: a slow start (the process was up and bound).

--- a/bayglade/daemon.py
+++ b/bayglade/daemon.py
@@ -271,7 +271,10 @@
 
 def _listen(address: str) -> socket.socket:
     where = parse_address(address)
-    sock: socket.socket = eventlet.listen((where.host, where.port), backlog=LISTEN_BACKLOG)
+    # Without reuse_port=False two daemons could share a port without a word.
+    sock: socket.socket = eventlet.listen(
+        (where.host, where.port), backlog=LISTEN_BACKLOG, reuse_port=False
+    )
     # Accepted connections take this over: a token must not wait for an acknowledgement.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
--- a/standins/balancer.py
+++ b/standins/balancer.py
@@ -85,7 +85,9 @@
     balancer = Balancer(arguments.daemons)
     host, _, port = arguments.listen.rpartition(":")
     eventlet.spawn_n(balancer.watch)
-    eventlet.serve(eventlet.listen((host, int(port))), lambda sock, _: balancer.serve(sock), 4096)
+    eventlet.serve(
+        eventlet.listen((host, int(port)), reuse_port=False), lambda sock, _: balancer.serve(sock), 4096
+    )
 
 
 if __name__ == "__main__":
--- a/standins/web.py
+++ b/standins/web.py
@@ -48,7 +48,7 @@
     :param listen: IP number, colon, port.
     """
     host, _, port = listen.rpartition(":")
-    sock = eventlet.listen((host, int(port)), backlog=1024)
+    sock = eventlet.listen((host, int(port)), backlog=1024, reuse_port=False)
     # Accepted connections take this over: a token must not wait for an acknowledgement.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGKILL))
--- a/standins/world.py
+++ b/standins/world.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Callable
 from hashlib import sha256
+from itertools import cycle
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -29,6 +30,12 @@
 CALLER_KEY = "caller-key"
 OPERATOR_KEY = "operator-key"
 
+FIRST_PORT, PORT_RANGES, PORTS_A_RANGE = 15000, 16, 1000
+
+# Processes that run at the same time begin at different ranges.
+_range = FIRST_PORT + os.getpid() % PORT_RANGES * PORTS_A_RANGE
+_ports = cycle(range(_range, _range + PORTS_A_RANGE))
+
 ValueT = TypeVar("ValueT")
 
 
@@ -253,11 +260,19 @@
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on just now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Return a port that nobody listens on and that no other call returned.
+
+    Ports for outgoing connections are left alone: one could take the port
+    before the process that it is meant for listens on it.
+    """
+    for port in _ports:
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError("no free port")
 
 
 def digest(key: str) -> str:
