Refer a change to one revision from check to commit

Cause: accept() read the revision in force again after it had stored the new content. While the object store answered, another change came in force through the same daemon, so the head was moved on from a revision that the content did not hold: an accepted change was undone. Found by ten operators who race until accepted; the daemons then rightly said that the settings had gone back. A second cause of that alarm was false: a head read before a newer revision came by a peer stream was compared with the newer one. Ruled out: the table's conditions (they held as asked), peer patches (their digests matched). Change: accept() works on the revision it polled; poll() compares the head with what was in force before it asked. The engines' stand-in writes its record to a file, so that a killed engine's last steps are not missing from the check.

--- a/bayglade/revisions.py
+++ b/bayglade/revisions.py
@@ -110,10 +110,10 @@
         :raises PlatformUnavailable: when the table does not answer.
         :raises SettingsWentBack: when its head is older than what is in force.
         """
-        asked = now()
+        asked, known = now(), self.current
         row = self.platform.read([HEAD_KEY]).get(HEAD_KEY)
         head = msgspec.json.decode(row.value, type=Head) if row else Head(Revision(0), Digest(""))
-        self._check_not_back(head)
+        self._check_not_back(head, known)
         if head.revision > self.current.revision:
             self.offer(head.revision, head.digest, self.platform.get_object(head.digest))
         self.known_at = max(self.known_at, asked)
@@ -149,11 +149,13 @@
         :raises PlatformAnswerLost: when the change may have been kept.
         """
         self.poll()
-        if change.base != self.current.revision:
+        # Everything below refers to this revision: another may come in force meanwhile.
+        before = self.current
+        if change.base != before.revision:
             return self._repeated(change) or self._conflict(change)
-        after = self._next(change, author)
+        after = _next(before, change, author)
         self.platform.put_object(after.digest, after.document)
-        if self._commit(change, author, after):
+        if self._commit(change, author, before, after):
             self.offer(after.revision, after.digest, after.document)
             return after
         self.poll()
@@ -169,9 +171,10 @@
         :raises InvalidSettings: when the result breaks a rule.
         :raises Forbidden: when the change reaches outside the author's subtree.
         """
-        if change.base != self.current.revision:
+        before = self.current
+        if change.base != before.revision:
             return self._conflict(change)
-        return self._next(change, author)
+        return _next(before, change, author)
 
     def history(self, count: int) -> list[AuditRow]:
         """Read the newest audit rows, the newest first.
@@ -186,31 +189,22 @@
         rows = self.platform.read(keys)
         return [msgspec.json.decode(rows[key].value, type=AuditRow) for key in keys if key in rows]
 
-    def _check_not_back(self, head: Head) -> None:
-        current = self.current
-        same = head.revision == current.revision and head.digest == current.digest
-        self.went_back = head.revision < current.revision or (
-            head.revision == current.revision and not same
-        )
+    def _check_not_back(self, head: Head, known: Current) -> None:
+        """Compare the head with what was in force before it was asked for."""
+        older = head.revision < known.revision
+        other = head.revision == known.revision and head.digest != known.digest
+        self.went_back = older or other
         if not self.went_back:
             return
-        event("ERROR", "settings went back", head=head.revision, in_force=current.revision)
+        event("ERROR", "settings went back", head=head.revision, in_force=known.revision)
         raise SettingsWentBack(
-            f"the table says revision {head.revision}, but {current.revision} is in force",
+            f"the table says revision {head.revision}, but {known.revision} is in force",
             step="settings",
             peer="platform",
         )
 
-    def _next(self, change: Change, author: Author) -> Current:
-        before = msgspec.json.decode(self.current.document)
-        _check_scope(self.current.tree, change.patch, author.subtree)
-        tree = settings.decode(msgspec.json.encode(patches.apply(before, change.patch)))
-        _check_accounts_stay(self.current.tree, tree, change.patch, author.subtree)
-        document = settings.encode(tree)
-        return Current(Revision(self.current.revision + 1), settings.digest_of(document), document, tree)
-
-    def _commit(self, change: Change, author: Author, after: Current) -> bool:
-        transaction = self._transaction(change, author, after)
+    def _commit(self, change: Change, author: Author, before: Current, after: Current) -> bool:
+        transaction = _transaction(change, author, before, after)
         lost = False
         for _ in range(LOST_TRIES):
             try:
@@ -224,34 +218,6 @@
             eventlet.sleep(LOST_PAUSE)
         raise PlatformAnswerLost("the change may have been kept", step="apply", retry_after=2.0)
 
-    def _transaction(self, change: Change, author: Author, after: Current) -> wire.Transaction:
-        before = msgspec.json.decode(self.current.document)
-        audit = AuditRow(
-            revision=after.revision,
-            change=change.id,
-            operator=author.operator,
-            address=author.address,
-            at=time.time(),
-            note=change.note,
-            digest=after.digest,
-            patch=wire.raw(change.patch),
-            undo=wire.raw(patches.diff(msgspec.json.decode(after.document), before)),
-        )
-        head = Head(after.revision, after.digest)
-        change_key = _change_key(change.id)
-        return wire.Transaction(
-            conditions=[
-                # The head is written once a revision, so its version is the revision.
-                wire.Condition(HEAD_KEY, self.current.revision),
-                wire.Condition(change_key, wire.ABSENT),
-            ],
-            writes=[
-                wire.Write(HEAD_KEY, wire.raw(head)),
-                wire.Write(change_key, wire.raw(after.revision)),
-                wire.Write(_revision_key(after.revision), wire.raw(audit)),
-            ],
-        )
-
     def _repeated(self, change: Change) -> Current | None:
         """Return the revision in force if it holds a change that was sent before."""
         row = self.platform.read([_change_key(change.id)]).get(_change_key(change.id))
@@ -271,6 +237,46 @@
         )
 
 
+def _next(before: Current, change: Change, author: Author) -> Current:
+    """Work out the revision that a change makes of the one before."""
+    _check_scope(change.patch, author.subtree)
+    document = msgspec.json.decode(before.document)
+    tree = settings.decode(msgspec.json.encode(patches.apply(document, change.patch)))
+    _check_accounts_stay(before.tree, tree, change.patch, author.subtree)
+    content = settings.encode(tree)
+    return Current(Revision(before.revision + 1), settings.digest_of(content), content, tree)
+
+
+def _transaction(change: Change, author: Author, before: Current, after: Current) -> wire.Transaction:
+    """Build the write that moves the head and adds the audit row, or does neither."""
+    old, new = msgspec.json.decode(before.document), msgspec.json.decode(after.document)
+    audit = AuditRow(
+        revision=after.revision,
+        change=change.id,
+        operator=author.operator,
+        address=author.address,
+        at=time.time(),
+        note=change.note,
+        digest=after.digest,
+        patch=wire.raw(patches.diff(old, new)),
+        undo=wire.raw(patches.diff(new, old)),
+    )
+    head = Head(after.revision, after.digest)
+    change_key = _change_key(change.id)
+    return wire.Transaction(
+        conditions=[
+            # The head is written once a revision, so its version is the revision.
+            wire.Condition(HEAD_KEY, before.revision),
+            wire.Condition(change_key, wire.ABSENT),
+        ],
+        writes=[
+            wire.Write(HEAD_KEY, wire.raw(head)),
+            wire.Write(change_key, wire.raw(after.revision)),
+            wire.Write(_revision_key(after.revision), wire.raw(audit)),
+        ],
+    )
+
+
 def _revision_key(revision: Revision) -> str:
     return f"settings/revision/{revision}"
 
@@ -279,7 +285,7 @@
     return f"settings/change/{change}"
 
 
-def _check_scope(tree: Tree, patch: dict[str, Any], subtree: GroupPath) -> None:
+def _check_scope(patch: dict[str, Any], subtree: GroupPath) -> None:
     if not subtree:
         return
     top = ("root", *(part for name in subtree.split("/") for part in ("groups", name)))
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -56,16 +56,11 @@
         body["stream"] = False
         whole = msgspec.json.decode(_post(world, daemon, "/v1/completions", body).data)
         print(f"in one piece through {daemon.name}: {whole['usage']['completion_tokens']} tokens")
-    record = [run for name in ("e1", "e2", "e3") for run in _record(world, name)]
+    record = [run for name in ("e1", "e2", "e3") for run in world.record(name)]
     _check_layers(record)
     print(f"the engines' own records: each of {LAYERS} layers ran once for each token, in order")
 
 
-def _record(world: World, name: str) -> list[list[object]]:
-    found: list[list[object]] = world.get(world.processes[name].address, "/standin/record")
-    return found
-
-
 def _check_layers(record: list[list[object]]) -> None:
     tokens: dict[tuple[object, object], list[object]] = {}
     for request, _, index, first, last, _ in record:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Iterable, Iterator
+from pathlib import Path
 from typing import Any
 
 import eventlet
@@ -59,7 +60,8 @@
         self.waiting = 0
         self.leaving = False
         self.fences: dict[str, int] = {}
-        self.record: list[list[Any]] = []
+        # A file, so that the record of a killed engine is whole up to its last step.
+        self.record = Path(arguments.record).open("ab", buffering=0)  # noqa: SIM115
         self.faults = Faults()
         self.http = urllib3.PoolManager(retries=False, maxsize=256)
 
@@ -126,7 +128,8 @@
         if self.step_seconds:
             eventlet.sleep(self.step_seconds)
         ended = time.monotonic()
-        self.record.append([step.request, step.attempt, step.index, step.first, step.last, ended])
+        run = [step.request, step.attempt, step.index, step.first, step.last, ended]
+        self.record.write(msgspec.json.encode(run) + b"\n")
         return True
 
     def _remote(self, stage: wire.Stage, step: Step) -> bool:
@@ -174,6 +177,7 @@
     parser.add_argument("--last", type=int, required=True)
     parser.add_argument("--version", default="v1")
     parser.add_argument("--step-ms", type=float, default=1.0)
+    parser.add_argument("--record", required=True, help="file for the layers that were run")
     parser.add_argument("--slots", type=int, default=8)
     arguments = parser.parse_args()
     engine = Engine(arguments)
@@ -186,7 +190,6 @@
         f"GET {wire.LOAD_PATH}": lambda *_: (200, engine.load()),
         "POST /standin/faults": engine.set_faults,
         "POST /standin/leave": engine.leave,
-        "GET /standin/record": lambda *_: (200, engine.record),
         "GET /standin/age": lambda *_: (200, time.monotonic() - started),
     }
     web.serve(site, arguments.listen)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -19,6 +19,7 @@
     """What the stand-in does wrong just now."""
 
     out: bool = False
+    table_out: bool = False
     delay: float = 0.0
     lose_answers: int = 0
     writes_per_second: float = 0.0
@@ -123,7 +124,10 @@
         def run(body: bytes, environ: dict[str, Any]) -> tuple[int, Any]:
             if table.faults.delay:
                 eventlet.sleep(table.faults.delay)
-            return (503, {"error": "out"}) if table.faults.out else handler(body, environ)
+            in_table = environ["PATH_INFO"].startswith("/v1/table/")
+            if table.faults.out or (table.faults.table_out and in_table):
+                return 503, {"error": "out"}
+            return handler(body, environ)
 
         return run
 
--- a/standins/world.py
+++ b/standins/world.py
@@ -131,10 +131,20 @@
         address = str(options.pop("address", f"{HOST}:{free_port()}"))
         arguments = ["-m", "standins.engine", "--listen", address, "--id", name]
         arguments += ["--first", str(first), "--last", str(last)]
+        arguments += ["--record", str(self.folder / f"{name}.record")]
         for option, value in options.items():
             arguments += [f"--{option.replace('_', '-')}", str(value)]
         return self.start(name, arguments, address, "/v1/load")
 
+    def record(self, name: str) -> list[list[Any]]:
+        """Read what an engine has run, whether or not it still lives.
+
+        :return: request, attempt, index, first layer, last layer, time, in order.
+        """
+        path = self.folder / f"{name}.record"
+        lines = path.read_bytes().splitlines() if path.exists() else []
+        return [msgspec.json.decode(line) for line in lines]
+
     def start_service(self, name: str) -> Process:
         """Start a stand-in of a plain service."""
         address = f"{HOST}:{free_port()}"
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -8,7 +8,7 @@
 import urllib3
 
 from standins.engine_tokens import token_text
-from standins.world import CALLER_KEY, Process, wait_for
+from standins.world import CALLER_KEY, wait_for
 
 HTTP = urllib3.PoolManager(maxsize=512, retries=False, timeout=urllib3.Timeout(connect=3, read=60))
 
@@ -145,9 +145,3 @@
         indexes.setdefault(request, set()).add(index)
     for request, found in indexes.items():
         assert found == set(range(len(found))), (request, sorted(found))
-
-
-def record_of(world: Any, engines: list[Process]) -> list[list[Any]]:
-    """Gather the records of engines that live."""
-    live = [engine for engine in engines if engine.popen.poll() is None]
-    return [run for engine in live for run in world.get(engine.address, "/standin/record")]
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -23,13 +23,17 @@
         self.streams: list[callers.Stream] = []
         self.answers: list[tuple[int, Any]] = []
         self.last: Any = None
-        self.dead_record: list[list[Any]] = []
+        self.asks: list[Any] = []
+        self.wanted: dict[str, float] = {}
+        self.marks: dict[str, int] = {}
+        self.askers: list[threading.Thread] = []
+        self.stop_asking = threading.Event()
 
     def process(self, name: str) -> Process:
         return self.world.processes[name]
 
     def all_records(self) -> list[list[Any]]:
-        return self.dead_record + callers.record_of(self.world, self.engines)
+        return [run for engine in self.engines for run in self.world.record(engine.name)]
 
 
 @given(parsers.parse("a model of {layers:d} layers on engines:"), target_fixture="stage")
@@ -95,9 +99,7 @@
 
 @when(parsers.parse("engine {name} is killed"))
 def when_engine_killed(stage: Stage, name: str) -> None:
-    process = stage.process(name)
-    stage.dead_record += stage.world.get(process.address, "/standin/record")
-    process.kill()
+    stage.process(name).kill()
 
 
 @when(parsers.parse("the engine in use after the first is killed"))
@@ -124,7 +126,7 @@
 def _busiest(stage: Stage, first: bool) -> str:
     """Find the engine that ran most steps, at the start of the route or after it."""
     for engine in stage.engines:
-        record = stage.world.get(engine.address, "/standin/record")
+        record = stage.world.record(engine.name)
         if record and (record[-1][3] == 0) is first:
             return engine.name
     raise AssertionError("no engine is in use")
