Say not_run only and always where nothing ran; refuse bad HTTP heads at once

Cause: three faults found by tables of contract cases. (1) A request that every engine had refused ended as 'unknown': the last error did not ask whether any attempt had run. (2) A head that stopped in its first line was kept for the 60 s that a connection may idle. (3) A first line that is no HTTP got an answer without a status line from the library's HTTP/0.9 branch. Ruled out: for (1) a frame from an engine (the stand-in's record was empty). Change: an answer remembers whether any attempt may have run; retries on the same failed servers pause, doubling; the deadline for a head begins with its first byte; refusals of heads are plain HTTP 400.

--- a/bayglade/callers/server.py
+++ b/bayglade/callers/server.py
@@ -36,9 +36,18 @@
         """HTTP as eventlet speaks it, with a deadline on heads and no doubled lengths."""
 
         def _read_request_line(self) -> Any:
-            line = super()._read_request_line()
+            if not self._begun():
+                return ""
             self.guard = eventlet.spawn_after(header_timeout, self._give_up)
-            return line
+            return super()._read_request_line()
+
+        def _begun(self) -> bool:
+            """Wait for the first byte of the next request, for as long as a connection may idle."""
+            try:
+                self.connection.settimeout(IDLE_TIMEOUT)
+                return bool(self.rfile.peek(1))
+            except (OSError, ValueError):
+                return False
 
         def _give_up(self) -> None:
             with suppress(OSError):
@@ -62,6 +71,11 @@
                 if getattr(self, "guard", None) is not None:
                     self.guard.cancel()
 
+        def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
+            """Refuse a head that cannot be read, in HTTP and without its content."""
+            self.wfile.write(BAD_REQUEST)
+            self.close_connection = True
+
         def _doubled(self) -> bool:
             return any(len(self.headers.get_all(name, ())) > 1 for name in SINGLE_HEADERS)
 
--- a/bayglade/completions.py
+++ b/bayglade/completions.py
@@ -11,7 +11,7 @@
 
 import eventlet
 
-from bayglade.admission import Admission
+from bayglade.admission import Admission, Kind
 from bayglade.clock import now
 from bayglade.engines import Engines
 from bayglade.engines import wire as engine_wire
@@ -29,7 +29,7 @@
 from bayglade.logs import event
 from bayglade.metrics import Metrics
 from bayglade.models import Completion, EndReason, Route
-from bayglade.retries import RetryBudget, spread_retry_after
+from bayglade.retries import RetryBudget, retry_pause, spread_retry_after
 
 FIRST_GAP_TIMEOUT = 4.0
 MIN_GAP_TIMEOUT = 0.5
@@ -42,17 +42,21 @@
 class Answer:
     """What one completion has given so far."""
 
-    __slots__ = ("committed", "reason", "route", "sent")
+    __slots__ = ("committed", "ran", "reason", "route")
 
     def __init__(self) -> None:
         self.committed: list[str] = []
         self.reason: EndReason | None = None
         self.route: Route | None = None
-        self.sent = False
+        self.ran = False
 
     def __repr__(self) -> str:
         return f"<Answer {len(self.committed)} tokens, {self.reason}>"
 
+    def outcome(self) -> Outcome:
+        """Tell what is known of an answer that will not become whole."""
+        return Outcome.UNKNOWN if self.ran else Outcome.NOT_RUN
+
 
 class Completions:
     """Runs completions over the engines."""
@@ -90,8 +94,13 @@
                     return
                 except BackendError as error:
                     avoid = self._failed(request, answer, attempt, error, avoid)
-                self._next_route(request, answer, avoid)
-            raise RetryBudgetSpent(f"{MAX_ATTEMPTS} attempts failed", step="retry")
+                self._next_route(request, answer, attempt, avoid)
+            raise RetryBudgetSpent(
+                f"{MAX_ATTEMPTS} attempts failed",
+                step="retry",
+                outcome=answer.outcome(),
+                retry_after=spread_retry_after(1.0, self.rng),
+            )
         finally:
             self._correct_charge(request, len(answer.committed))
             if answer.route is not None:
@@ -106,7 +115,7 @@
         whole = False
         try:
             for frame in self.engines.stream(order, self._gap_timeout(request)):
-                answer.sent = True
+                answer.ran = True
                 if not self._belongs(frame, request, attempt, len(answer.committed)):
                     self.metrics.count("frames.dropped")
                     continue
@@ -200,17 +209,18 @@
             self._blame(backend, error)
         self.metrics.count("attempts.failed")
         event("WARNING", "attempt failed", request=request.id, attempt=attempt, error=repr(error))
-        ran = answer.sent or error.outcome is not Outcome.NOT_RUN
-        if not request.repeatable and ran:
+        answer.ran = answer.ran or error.outcome is not Outcome.NOT_RUN
+        if not request.repeatable and answer.ran:
             raise error
         if request.seconds_left() < 0:
-            raise DeadlinePassed("the deadline passed", step="retry", peer=error.peer)
+            outcome = answer.outcome()
+            raise DeadlinePassed("the deadline passed", step="retry", peer=error.peer, outcome=outcome)
         if not self._budget(request).retry():
             raise RetryBudgetSpent(
                 "the budget for retries is spent",
                 step="retry",
                 peer=error.peer,
-                outcome=Outcome.UNKNOWN if ran else Outcome.NOT_RUN,
+                outcome=answer.outcome(),
                 retry_after=spread_retry_after(1.0, self.rng),
             )
         return avoid | guilty
@@ -239,12 +249,17 @@
         for stage in route.stages:
             eventlet.spawn_n(self.engines.cancel, stage, message)
 
-    def _next_route(self, request: Completion, answer: Answer, avoid: frozenset[BackendId]) -> None:
+    def _next_route(
+        self, request: Completion, answer: Answer, attempt: AttemptNumber, avoid: frozenset[BackendId]
+    ) -> None:
         """Move to another route; what was begun goes before what waits."""
         old, answer.route = answer.route, None
         assert old is not None
         self.admission.leave(old)
         kind = (request.model, request.version)
+        if not self._others_cover(kind, avoid):
+            # Only servers that failed are left: give them a moment.
+            eventlet.sleep(min(retry_pause(attempt, self.rng), max(0.0, request.seconds_left())))
         until = now() + min(ROOM_WAIT, request.seconds_left())
         while answer.route is None:
             answer.route = self._take(request, avoid)
@@ -256,19 +271,22 @@
 
     def _take(self, request: Completion, avoid: frozenset[BackendId]) -> Route | None:
         kind = (request.model, request.version)
+        if self._others_cover(kind, avoid):
+            return self.admission.take_route(kind, avoid)
+        return self.admission.take_route(kind)
+
+    def _others_cover(self, kind: Kind, avoid: frozenset[BackendId]) -> bool:
         try:
             self.admission.check_coverage(kind, avoid)
         except NoRoute:
-            # Nothing else covers the model: the servers that failed may be back.
-            return self.admission.take_route(kind)
-        return self.admission.take_route(kind, avoid)
+            return False
+        return True
 
-    def _no_room(self, kind: tuple, answer: Answer) -> BaygladeError:  # type: ignore[type-arg]
-        outcome = Outcome.UNKNOWN if answer.sent else Outcome.NOT_RUN
+    def _no_room(self, kind: Kind, answer: Answer) -> BaygladeError:
         return Overloaded(
             f"no other route of {kind[0]} has room",
             step="retry",
-            outcome=outcome,
+            outcome=answer.outcome(),
             retry_after=spread_retry_after(1.0, self.rng),
         )
 
--- a/bayglade/retries.py
+++ b/bayglade/retries.py
@@ -8,6 +8,7 @@
 BUDGET_FRACTION = 0.1
 BUDGET_FLOOR = 10.0
 SPREAD = 0.5
+FIRST_PAUSE = 0.1
 MIN_RETRY_AFTER = 0.5
 MAX_RETRY_AFTER = 60.0
 
@@ -41,6 +42,16 @@
         return True
 
 
+def retry_pause(attempt: int, rng: random.Random) -> float:
+    """Return how long to wait before servers that failed are tried again.
+
+    :param attempt: how many attempts have failed.
+    :param rng: source of the spread.
+    :return: seconds, doubling with each attempt, spread by half.
+    """
+    return FIRST_PAUSE * 2.0 ** (attempt - 1) * (1.0 - SPREAD * rng.random())
+
+
 def spread_retry_after(seconds: float, rng: random.Random) -> float:
     """Spread the moments at which refused callers come back.
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -27,6 +27,7 @@
     def __init__(self) -> None:
         self.runs: list[list[str]] = []
         self.begun = 0
+        self.headers: dict[str, str] = {}
         self.faults = Faults()
 
     def run(self, body: bytes, environ: dict[str, Any]) -> tuple[int, Any]:
@@ -34,6 +35,7 @@
         if self.faults.refuse:
             return 503, {}
         self.begun += 1
+        self.headers = {name: str(value) for name, value in environ.items() if name.isupper()}
         if self.faults.delay:
             eventlet.sleep(self.faults.delay)
         self.runs.append([environ["PATH_INFO"], body.decode(errors="replace")])
@@ -56,6 +58,7 @@
         "GET /run/": service.run,
         "POST /run/": service.run,
         "POST /standin/faults": service.set_faults,
+        "GET /standin/headers": lambda *_: (200, service.headers),
         "GET /standin/begun": lambda *_: (200, service.begun),
         "GET /standin/runs": lambda *_: (200, service.runs),
     }
