Divide server slots by what groups ask; refuse what cannot be in time

Cause: each daemon's limit for a server grew by one with every answer, so limits went far above the server's slots and the order was decided by the server's own queue: a flood moved a calm account's first token from 19.6 to 1,430 ms (median), shares depended on the daemon entered through, and requests were admitted whose deadline then passed half-way (349 of 953 at 1.1 times the bound). The rate behind the estimate of waiting began near zero. Ruled out: the order of the share queue itself (DEBUG lines show calm requests granted first), processor time (0.8 of a core during the flood). Change: a limit has a ceiling, the daemon's part of the server's slots; parts follow from what groups ask through each daemon and their shares (division). Estimates carry a margin from the measured deviation; a new rate is corrected for its age. Also: a trace of the load tool, recovery bench (not yet run).

--- a/bayglade/admission.py
+++ b/bayglade/admission.py
@@ -13,7 +13,7 @@
 from bayglade.clock import Decayed, now
 from bayglade.exceptions import BaygladeError, NoRoute, Overloaded
 from bayglade.fairness import ShareQueue, Usage, Waiting
-from bayglade.ids import BackendId, ModelName, Version
+from bayglade.ids import BackendId, GroupPath, ModelName, Version
 from bayglade.models import Completion, Route
 from bayglade.retries import spread_retry_after
 from bayglade.routing import choose_route, covers
@@ -21,7 +21,8 @@
 
 RATE_TAU = 5.0
 NO_ROUTE_RETRY_AFTER = 2.0
-SERVICE_MARGIN = 1.1
+SAFE_DEVIATIONS = 3.0
+WAIT_MARGIN = 1.25
 FIRST_SECONDS_PER_TOKEN = 0.02
 SPEED_WEIGHT = 0.1
 
@@ -33,18 +34,25 @@
 class Speed:
     """What was measured of one version of a model."""
 
-    __slots__ = ("seconds_per_token", "served")
+    __slots__ = ("deviation", "seconds_per_token", "served")
 
     def __init__(self) -> None:
         self.served = Decayed(RATE_TAU)
         self.seconds_per_token = FIRST_SECONDS_PER_TOKEN
+        self.deviation = FIRST_SECONDS_PER_TOKEN / 4
 
     def __repr__(self) -> str:
         return f"<Speed {self.seconds_per_token * 1000:.2f} ms a token>"
 
     def learn(self, seconds_per_token: float) -> None:
         """Take in the speed of one answer."""
-        self.seconds_per_token += SPEED_WEIGHT * (seconds_per_token - self.seconds_per_token)
+        error = seconds_per_token - self.seconds_per_token
+        self.seconds_per_token += SPEED_WEIGHT * error
+        self.deviation += SPEED_WEIGHT * (abs(error) - self.deviation)
+
+    def safe(self) -> float:
+        """Return seconds a token that nearly all answers keep to."""
+        return self.seconds_per_token + SAFE_DEVIATIONS * self.deviation
 
 
 class Admission:
@@ -85,6 +93,7 @@
         """
         kind = (request.model, request.version)
         self.check_coverage(kind)
+        self.usage.ask(request.group, request.cost)
         line = self._line(kind)
         if not len(line):
             route = self.take_route(kind)
@@ -199,7 +208,7 @@
 
     def _refuse_if_too_late(self, request: Completion, line: Line) -> None:
         wait = self._wait_seconds(request, line)
-        if wait + self._service_seconds(request) * SERVICE_MARGIN > request.seconds_left():
+        if wait * WAIT_MARGIN + self._service_seconds(request) > request.seconds_left():
             raise self._too_late(line, request)
 
     def _too_late(self, line: Line, request: Completion) -> BaygladeError:
@@ -212,14 +221,21 @@
 
     def _service_seconds(self, request: Completion) -> float:
         speed = self.speed((request.model, request.version))
-        return speed.seconds_per_token * request.max_tokens
+        return speed.safe() * request.max_tokens
 
     def _wait_seconds(self, request: Completion, line: Line) -> float:
         speed = self.speed((request.model, request.version))
-        rate = speed.served.rate(now())
+        # What runs now is a bound from below while few answers have ended.
+        running = self._in_flight(request) / speed.seconds_per_token
+        rate = max(speed.served.rate(now()), running)
         ahead = line.cost_before(request.group)
         return ahead / rate if rate > 0 else 0.0
 
+    def _in_flight(self, request: Completion) -> int:
+        """Return how many requests of this daemon the first stages of a model run."""
+        states = self.backends.of_model(request.model, request.version)
+        return sum(state.in_flight for state in states if state.facts.first == 0)
+
     def _usable(self, kind: Kind, without: frozenset[BackendId] = frozenset()) -> list[BackendState]:
         at = now()
         states = self.backends.of_model(*kind)
@@ -230,7 +246,11 @@
             self.lines[kind] = ShareQueue(self.usage, self._share_of)
         return self.lines[kind]
 
-    def _share_of(self, path) -> tuple[int, float]:  # type: ignore[no-untyped-def]
+    def share_of_group(self, path: GroupPath) -> float:
+        """Return the share of a group."""
+        return self._share_of(path)[1]
+
+    def _share_of(self, path: GroupPath) -> tuple[int, float]:
         try:
             return priority_of(self.tree, path), level_at(self.tree, path).share
         except BaygladeError:
--- a/bayglade/backends.py
+++ b/bayglade/backends.py
@@ -12,6 +12,8 @@
 MAX_LIMIT = 512.0
 LIMIT_DECREASE = 0.85
 DECREASE_INTERVAL = 0.5
+MAX_WAITING_PART = 0.25
+"""Part of a server's slots that may wait there before the limit falls."""
 FAILURES_TO_EJECT = 1
 EJECT_SECONDS = 1.0
 MAX_EJECT_SECONDS = 15.0
@@ -25,6 +27,7 @@
     """One backend server, as this daemon knows it; times are monotonic seconds."""
 
     __slots__ = (
+        "ceiling",
         "decreased_at",
         "ejected_until",
         "facts",
@@ -42,6 +45,7 @@
         self.facts = facts
         self.in_flight = 0
         self.limit = FIRST_LIMIT
+        self.ceiling = MAX_LIMIT
         self.decreased_at = 0.0
         self.failures = 0
         self.ejected_until = 0.0
@@ -61,7 +65,7 @@
 
     def has_room(self) -> bool:
         """Tell whether its limit allows one more request."""
-        return self.in_flight < int(self.limit)
+        return self.in_flight < int(min(self.limit, self.ceiling))
 
 
 class Backends:
@@ -69,6 +73,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
+        self.part = 1.0
         self.states: dict[BackendId, BackendState] = {}
         self.by_model: dict[tuple[ModelName, Version], list[BackendState]] = {}
 
@@ -120,8 +125,11 @@
         if state is None:
             return
         state.failures = 0
-        if state.in_flight + 1 >= int(state.limit):
-            state.limit = min(MAX_LIMIT, state.limit + 1.0)
+        if state.in_flight < int(state.limit):
+            return
+        # Back to what is known to fit quickly, beyond it by one a round.
+        step = 1.0 if state.limit < state.ceiling < MAX_LIMIT else 1.0 / state.limit
+        state.limit = min(state.ceiling, state.limit + step)
 
     def report(self, backend_id: BackendId, load: Load) -> None:
         """Take in what a server says of itself.
@@ -132,14 +140,36 @@
         state = self.states.get(backend_id)
         if state is None:
             return
+        first = state.reported is None
         state.reported = load
+        self._set_ceiling(state)
+        if first and state.limit >= FIRST_LIMIT:
+            state.limit = state.ceiling
         if load.leaving:
             state.leaving = True
         at = now()
-        if load.waiting > 0 and at - state.decreased_at > DECREASE_INTERVAL:
+        if load.waiting > load.slots * MAX_WAITING_PART and at - state.decreased_at > DECREASE_INTERVAL:
             state.limit = max(MIN_LIMIT, state.limit * LIMIT_DECREASE)
             state.decreased_at = at
 
+    def divide(self, part: float) -> None:
+        """Take in which part of every server this daemon may fill.
+
+        :param part: between 0 and 1, see :mod:`bayglade.division`.
+        """
+        self.part = part
+        for state in self.states.values():
+            self._set_ceiling(state)
+
+    def _set_ceiling(self, state: BackendState) -> None:
+        if state.reported is None:
+            return
+        before = state.ceiling
+        state.ceiling = min(MAX_LIMIT, max(MIN_LIMIT, float(round(state.reported.slots * self.part))))
+        if state.limit >= before:
+            # It stood at its ceiling: it moves along.
+            state.limit = state.ceiling
+
     def learn(self, layers: dict[BackendId, int], seconds_per_token: float) -> None:
         """Learn the speed of the servers of a route from one answer.
 
--- a/bayglade/clock.py
+++ b/bayglade/clock.py
@@ -13,12 +13,13 @@
     :param tau: seconds in which the sum falls to 1/e.
     """
 
-    __slots__ = ("at", "tau", "value")
+    __slots__ = ("at", "began", "tau", "value")
 
     def __init__(self, tau: float) -> None:
         self.tau = tau
         self.value = 0.0
         self.at = now()
+        self.began = self.at
 
     def __repr__(self) -> str:
         return f"<Decayed {self.value:.3g} tau={self.tau}>"
@@ -33,5 +34,10 @@
         return self.value * math.exp(-max(0.0, at - self.at) / self.tau)
 
     def rate(self, at: float) -> float:
-        """Return the amount a second that the sum stands for."""
-        return self.read(at) / self.tau
+        """Return the amount a second that the sum stands for.
+
+        A sum that began lately has not seen a whole time constant yet, which
+        would make every rate look too low.
+        """
+        seen = 1.0 - math.exp(-max(1e-3, at - self.began) / self.tau)
+        return self.read(at) / (self.tau * seen)
--- a/bayglade/completions.py
+++ b/bayglade/completions.py
@@ -84,7 +84,10 @@
         :raises BaygladeError: when the answer cannot be made whole.
         """
         self._budget(request).request()
+        began = now()
         answer.route = self.admission.enter(request)
+        self.metrics.time("admission.wait", now() - began)
+        event("DEBUG", "granted", request=request.id, group=request.group, wait=round(now() - began, 4))
         avoid: frozenset[BackendId] = frozenset()
         try:
             for number in range(1, MAX_ATTEMPTS + 1):
--- a/bayglade/daemon.py
+++ b/bayglade/daemon.py
@@ -270,6 +270,7 @@
             if late > LATE_TICK:
                 event("WARNING", "the loop was late", seconds=round(late, 3))
             self.membership.watch()
+            self.router.divide(len(self.membership.live()) + 1)
             self.router.admission.fail_uncovered()
             self.router.admission.dispatch_all()
 
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from bayglade.exceptions import PeerError
-from bayglade.ids import BackendId, Digest, GroupPath, MemberId, Revision
+from bayglade.fairness import GroupUsage
+from bayglade.ids import BackendId, Digest, MemberId, Revision
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 NONCE_BYTES = 16
@@ -37,7 +38,7 @@
     revision: Revision
     digest: Digest
     draining: bool
-    usage: list[tuple[GroupPath, float]]
+    usage: list[GroupUsage]
     leaving: list[BackendId]
 
 
--- a/bayglade/fairness.py
+++ b/bayglade/fairness.py
@@ -11,9 +11,11 @@
 from itertools import pairwise
 from typing import Generic, TypeVar
 
+import msgspec
+
 from bayglade.clock import Decayed, now
 from bayglade.ids import GroupPath, MemberId
-from bayglade.settings import lineage
+from bayglade.settings import contains, lineage
 
 USAGE_TAU = 5.0
 FORGET_BELOW = 0.5
@@ -26,6 +28,14 @@
 """Returns priority and share in force for a group."""
 
 
+class GroupUsage(msgspec.Struct, frozen=True, array_like=True):
+    """What one daemon tells of a group: recent tokens served and asked for."""
+
+    group: GroupPath
+    served: float
+    asked: float
+
+
 class Usage:
     """Recent service of each group, here and as told by other daemons."""
 
@@ -33,6 +43,8 @@
         self.local: dict[GroupPath, Decayed] = {}
         self.own_leaves: dict[GroupPath, Decayed] = {}
         self.remote: dict[MemberId, dict[GroupPath, Decayed]] = {}
+        self.asked: dict[GroupPath, Decayed] = {}
+        self.remote_asked: dict[MemberId, dict[GroupPath, Decayed]] = {}
 
     def __repr__(self) -> str:
         return f"<Usage {len(self.local)} groups, {len(self.remote)} daemons>"
@@ -56,6 +68,22 @@
                 amount += groups[path].read(at)
         return max(0.0, amount)
 
+    def ask(self, path: GroupPath, tokens: float) -> None:
+        """Count what a group asks for here, whether or not it is served."""
+        _add(self.asked, path, tokens, now())
+
+    def asked_here(self, at: float) -> dict[GroupPath, float]:
+        """Return what groups ask for through this daemon, in tokens a second."""
+        return {path: count.read(at) / USAGE_TAU for path, count in self.asked.items()}
+
+    def asked_everywhere(self, at: float) -> dict[GroupPath, float]:
+        """Return what groups ask for through all daemons heard, in tokens a second."""
+        total = self.asked_here(at)
+        for groups in self.remote_asked.values():
+            for path, count in groups.items():
+                total[path] = total.get(path, 0.0) + count.read(at) / USAGE_TAU
+        return total
+
     def fraction(self, path: GroupPath, members: int, at: float) -> float:
         """Return the part of a group's limit that this daemon may use.
 
@@ -68,33 +96,49 @@
         :return: between 0 and 1.
         """
         heard = min(members, len(self.remote) + 1)
-        mine = max(0.0, self.local[path].read(at)) if path in self.local else 0.0
-        total = self.total(path, at)
+        mine = _below(self.asked, path, at)
+        total = mine + sum(_below(groups, path, at) for groups in self.remote_asked.values())
         need = (mine + 1.0) / (total + heard)
         return need * heard / max(members, 1)
 
-    def tell(self) -> list[tuple[GroupPath, float]]:
-        """List the largest own counts, for the other daemons."""
+    def tell(self) -> list[GroupUsage]:
+        """List the groups with the largest own counts, for the other daemons."""
         at = now()
-        counts = [(path, count.read(at)) for path, count in self.own_leaves.items()]
-        for path, amount in counts:
-            if amount < FORGET_BELOW:
-                del self.own_leaves[path]
-        counts.sort(key=lambda pair: -pair[1])
-        return [pair for pair in counts[:MAX_TOLD_GROUPS] if pair[1] >= FORGET_BELOW]
-
-    def hear(self, member: MemberId, counts: list[tuple[GroupPath, float]]) -> None:
+        rows = []
+        for path in self.own_leaves.keys() | self.asked.keys():
+            row = GroupUsage(path, _read(self.own_leaves, path, at), _read(self.asked, path, at))
+            if max(row.served, row.asked) >= FORGET_BELOW:
+                rows.append(row)
+            else:
+                self.own_leaves.pop(path, None)
+                self.asked.pop(path, None)
+        rows.sort(key=lambda row: -row.asked)
+        return rows[:MAX_TOLD_GROUPS]
+
+    def hear(self, member: MemberId, rows: list[GroupUsage]) -> None:
         """Take in the counts of another daemon, in place of its earlier ones."""
         at = now()
-        groups: dict[GroupPath, Decayed] = {}
-        for path, amount in counts:
-            for level in lineage(path):
-                _add(groups, level, amount, at)
-        self.remote[member] = groups
+        served: dict[GroupPath, Decayed] = {}
+        asked: dict[GroupPath, Decayed] = {}
+        for row in rows:
+            _add(asked, row.group, row.asked, at)
+            for level in lineage(row.group):
+                _add(served, level, row.served, at)
+        self.remote[member] = served
+        self.remote_asked[member] = asked
 
     def drop(self, member: MemberId) -> None:
         """Forget a daemon that is gone."""
         self.remote.pop(member, None)
+        self.remote_asked.pop(member, None)
+
+
+def _read(counts: dict[GroupPath, Decayed], path: GroupPath, at: float) -> float:
+    return counts[path].read(at) if path in counts else 0.0
+
+
+def _below(counts: dict[GroupPath, Decayed], top: GroupPath, at: float) -> float:
+    return sum(count.read(at) for path, count in counts.items() if contains(top, path))
 
 
 def _add(counts: dict[GroupPath, Decayed], path: GroupPath, amount: float, at: float) -> None:
--- a/bayglade/loads.py
+++ b/bayglade/loads.py
@@ -7,6 +7,7 @@
 import random
 import uuid
 from collections import Counter
+from pathlib import Path
 
 import eventlet
 import msgspec
@@ -37,6 +38,9 @@
     prompt: str = "the way from gate 4 to gate 11"
     deadline: float = 10.0
     seed: int = 1
+    trace: str | None = None
+    """A file for one line a request: when it was due, when it ended, what came of it."""
+
     service: str | None = None
     """Call a plain service instead, ``NAME/PATH``, each call under a key of its own."""
 
@@ -79,6 +83,15 @@
         self.errors: Counter[str] = Counter()
         self.good = 0
         self.tokens = 0
+        self.trace: list[str] = []
+
+    def end(self, due: float, word: str) -> None:
+        """Note the end of one request."""
+        if word == "good":
+            self.good += 1
+        else:
+            self.errors[word] += 1
+        self.trace.append(f"{due:.4f} {now():.4f} {word.replace(' ', '_')}")
 
 
 def run(plan: Plan) -> Result:
@@ -98,6 +111,8 @@
         tasks.append(eventlet.spawn(_send, plan, rng.choice(pools), due, recorder))
     for task in tasks:
         task.wait()
+    if plan.trace is not None:
+        Path(plan.trace).write_text("\n".join(recorder.trace) + "\n", encoding="utf-8")
     return Result(
         sent=len(tasks),
         good=recorder.good,
@@ -128,17 +143,17 @@
         )
         if response.status != 200:
             outcome = response.headers.get(OUTCOME_HEADER, "")
-            recorder.errors[f"{response.status} {outcome}".strip()] += 1
+            recorder.end(due, f"{response.status} {outcome}".strip())
             response.drain_conn()
             return
         if plan.service is None:
             _read(response, due, recorder)
             return
         response.drain_conn()
-        recorder.good += 1
+        recorder.end(due, "good")
         _record(recorder.whole, now() - due)
     except (urllib3.exceptions.HTTPError, OSError) as error:
-        recorder.errors[type(error).__name__] += 1
+        recorder.end(due, type(error).__name__)
 
 
 def _read(response: urllib3.BaseHTTPResponse, due: float, recorder: _Recorder) -> None:
@@ -157,10 +172,10 @@
     if tail.endswith(b"data: [DONE]\n\n"):
         # The end and its mark are no tokens.
         recorder.tokens -= 2
-        recorder.good += 1
+        recorder.end(due, "good")
         _record(recorder.whole, last - due)
     else:
-        recorder.errors["ended by an error"] += 1
+        recorder.end(due, "ended by an error")
 
 
 def _body(plan: Plan) -> dict[str, object]:
--- a/bayglade/operators/commands.py
+++ b/bayglade/operators/commands.py
@@ -350,6 +350,7 @@
         option("model", "m", "The model.", flag=False, default="guide"),
         option("service", None, "Call a plain service instead: NAME/PATH.", flag=False),
         option("deadline", "d", "Seconds a request may take.", flag=False, default="10"),
+        option("trace", None, "File for one line a request.", flag=False),
         option("seed", None, "Seed of the arrivals.", flag=False, default="1"),
         JSON,
     ]
@@ -363,6 +364,7 @@
             key=os.environ.get(KEY_VARIABLE, ""),
             model=self.option("model"),
             service=self.option("service"),
+            trace=self.option("trace"),
             rate=float(self.option("rate")),
             seconds=float(self.option("seconds")),
             max_tokens=int(self.option("tokens")),
--- a/bayglade/router.py
+++ b/bayglade/router.py
@@ -9,6 +9,7 @@
 from bayglade.claims import Claim, Claims, Kept
 from bayglade.clock import now
 from bayglade.completions import Answer, Completions
+from bayglade.division import own_part
 from bayglade.engines import Engines
 from bayglade.exceptions import (
     BackendError,
@@ -18,7 +19,7 @@
     NoRoute,
     Outcome,
 )
-from bayglade.fairness import Usage
+from bayglade.fairness import USAGE_TAU, Usage
 from bayglade.ids import BackendId, GroupPath
 from bayglade.limits import GroupLimits
 from bayglade.logs import event
@@ -27,11 +28,13 @@
 from bayglade.retries import RetryBudget, spread_retry_after
 from bayglade.services import Services
 from bayglade.services.wire import ServiceAnswer
-from bayglade.settings import Service, Tree
+from bayglade.settings import ROOT, Service, Tree
 from bayglade.trust import Trust
 
 AVOID_SECONDS = 2.0
 SERVICE_COST = 1.0
+CAPACITY_MARGIN = 1.05
+"""What is served now, and a little more, stands for what the pool can serve."""
 
 
 class Router:
@@ -71,6 +74,22 @@
         self.tree = tree
         self.admission.sync(tree)
 
+    def divide(self, heard: int) -> None:
+        """Work out anew which part of every server this daemon may fill.
+
+        :param heard: how many daemons are heard, this one included.
+        """
+        at = now()
+        part = own_part(
+            self.usage.asked_here(at),
+            self.usage.asked_everywhere(at),
+            self.admission.share_of_group,
+            self.usage.total(ROOT, at) / USAGE_TAU * CAPACITY_MARGIN,
+            heard,
+            self.trust.member_count(),
+        )
+        self.backends.divide(part)
+
     def claim(self, request: Request, body_sha256: str) -> Claim | Kept | None:
         """Claim a request that may not be repeated.
 
--- /dev/null
+++ b/benches/policies.py
@@ -0,0 +1,287 @@
+"""Comparisons of policies through real daemons: shares, overload, recovery, routing.
+
+Run as ``python -m benches.policies [NAME ...]``. Arrivals come from fixed seeds.
+"""
+
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from datetime import datetime
+from typing import Any
+
+import msgspec
+import numpy as np
+import psutil
+
+from benches.slopes import print_table
+from standins.world import (
+    CALLER_KEY,
+    HOST,
+    Process,
+    World,
+    backend,
+    free_port,
+    usual_tree,
+    wait_for,
+)
+
+TOKENS = 20
+STEP_MS = 25.0
+SLOTS = 8
+SECONDS = 10
+
+
+def capacity(engines: int) -> float:
+    """Return the requests a second that so many stand-in engines can answer at most."""
+    return engines * SLOTS / (TOKENS * STEP_MS / 1000)
+
+
+def build(world: World, engines: int, daemons: int, **level: Any) -> list[Process]:
+    """Start a world with engines that each hold the whole model."""
+    world.start_platform()
+    made = {
+        f"e{n}": world.start_engine(f"e{n}", 0, 8, step_ms=STEP_MS, slots=SLOTS) for n in range(engines)
+    }
+    world.wait_up()
+    tree = usual_tree({name: backend(engine, 0, 8) for name, engine in made.items()}, {}, 8)
+    tree["root"].update(level)
+    world.cli("settings", "init", str(world.write_settings(tree)), "-p", world.platform)
+    started = [world.start_daemon(f"d{n}") for n in range(daemons)]
+    world.wait_ready(*started)
+    # The daemons have asked every engine for its slots once.
+    time.sleep(engines / 2.0 + 1.0)
+    return started
+
+
+def load(
+    world: World, addresses: list[str], key: str, rate: float, seconds: float = SECONDS, **options: Any
+) -> dict[str, Any]:
+    """Run the load tool as a process of its own.
+
+    :param options: ``deadline`` and ``seed``.
+    :return: its result.
+    """
+    arguments = ["load", "-r", str(rate), "-s", str(seconds), "-t", str(TOKENS), "--json"]
+    for address in addresses:
+        arguments += ["-a", address]
+    for name, value in options.items():
+        arguments += [f"--{name}", str(value)]
+    code, said = world.cli(*arguments, key=key)
+    assert code == 0, said
+    found: dict[str, Any] = msgspec.json.decode(said.splitlines()[-1])
+    return found
+
+
+def together(
+    world: World, asks: list[tuple[list[str], str, float, dict[str, Any]]]
+) -> list[dict[str, Any]]:
+    """Run several loads at once: addresses, key, rate and options of each."""
+    results: list[dict[str, Any]] = [{} for _ in asks]
+
+    def run(place: int) -> None:
+        addresses, key, rate, options = asks[place]
+        results[place] = load(world, addresses, key, rate, **options)
+
+    threads = [threading.Thread(target=run, args=(place,)) for place in range(len(asks))]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return results
+
+
+def shares() -> None:
+    """Measure the shares that groups get when all want more, through one daemon and several."""
+    rows = []
+    for name, routes in (
+        ("both through both daemons", ([0, 1], [0, 1])),
+        ("khangai through d0 only", ([0], [0, 1])),
+        ("kines through d1 only", ([0, 1], [1])),
+    ):
+        with World() as world:
+            daemons = build(world, 2, 2)
+            full = capacity(2)
+            asks = [
+                ([daemons[i].address for i in routes[0]], CALLER_KEY, full * 1.5, {"deadline": 3}),
+                ([daemons[i].address for i in routes[1]], "plateau-key", full * 1.5, {"deadline": 3}),
+            ]
+            first, second = together(world, asks)
+            total = first["good"] + second["good"]
+            rows.append(
+                [
+                    name,
+                    first["good"] / total * 100,
+                    200 / 3,
+                    total / SECONDS / full * 100,
+                    first["whole"]["p95"],
+                    second["whole"]["p95"],
+                ]
+            )
+    headers = ["entering", "khangai %", "its share %", "good % of bound", "khangai p95 ms", "kines p95 ms"]
+    print_table("Shares 2:1, each asks 1.5 times the bound", headers, rows)
+
+
+def flood() -> None:
+    """Measure what a flood of one account does to another's latency."""
+    rows = []
+    for flooding in (False, True):
+        with World() as world:
+            daemons = build(world, 2, 2)
+            addresses = [daemon.address for daemon in daemons]
+            full = capacity(2)
+            asks = [(addresses, "plateau-key", full * 0.2, {"deadline": 3})]
+            if flooding:
+                asks.append((addresses, CALLER_KEY, full * 4, {"deadline": 3, "seed": 2}))
+            found = together(world, asks)[0]
+            rows.append(
+                [
+                    "flood" if flooding else "calm",
+                    found["sent"],
+                    found["good"],
+                    found["first_token"]["p50"],
+                    found["first_token"]["p95"],
+                    found["whole"]["p95"],
+                ]
+            )
+    headers = ["other account", "sent", "good", "first p50 ms", "first p95 ms", "whole p95 ms"]
+    print_table("A calm account at 20% of the bound while another floods with 400%", headers, rows)
+
+
+def overload() -> None:
+    """Measure goodput from half the bound to five times it."""
+    rows = []
+    for times in (0.5, 0.8, 0.95, 1.1, 2.0, 5.0):
+        with World() as world:
+            daemons = build(world, 2, 2)
+            full = capacity(2)
+            found = load(world, [d.address for d in daemons], CALLER_KEY, full * times, deadline=2)
+            refused = sum(n for name, n in found["errors"].items() if "not_run" in name)
+            rows.append(
+                [
+                    times,
+                    found["sent"] / SECONDS,
+                    found["good"] / SECONDS,
+                    found["good"] / SECONDS / full * 100,
+                    refused,
+                    sum(found["errors"].values()) - refused,
+                    found["first_token"]["p50"],
+                    found["first_token"]["p95"],
+                ]
+            )
+    headers = [
+        "times the bound",
+        "asked/s",
+        "good/s",
+        "good % of bound",
+        "refused",
+        "other errors",
+        "first p50 ms",
+        "first p95 ms",
+    ]
+    print_table(f"Overload, deadline 2 s, answers take {TOKENS * STEP_MS / 1000} s", headers, rows)
+
+
+def recovery(runs: int = 10) -> None:
+    """Measure the time from a fault until answers are good again, at half load."""
+    rows = []
+    for name in ("engine killed", "engine frozen", "data hall of engines killed", "daemon killed"):
+        found = [_recover(name, seed) for seed in range(runs)]
+        first = [one[0] for one in found]
+        steady = [one[1] for one in found]
+        rows.append(
+            [
+                name,
+                runs,
+                float(np.median(first)),
+                max(first),
+                float(np.median(steady)),
+                max(steady),
+                sum(one[2] for one in found),
+                sum(one[3] for one in found),
+            ]
+        )
+    headers = [
+        "fault",
+        "runs",
+        "first good s",
+        "worst",
+        "99 in 100 good s",
+        "worst",
+        "failed in flight",
+        "of sent",
+    ]
+    print_table("Recovery, 4 engines in 2 halls, 2 daemons, half load, streams of 0.2 s", headers, rows)
+
+
+def _recover(name: str, seed: int) -> tuple[float, float, int, int]:
+    """Cause one fault under load; first good and steady good after it, failures, sent."""
+    with World() as world:
+        daemons = build(world, 4, 2)
+        balancer = _balancer(world, daemons)
+        rate = capacity(4) * 0.5
+        trace = world.folder / "trace"
+        arguments = ["load", "-a", balancer, "-r", str(rate), "-s", "8", "-t", str(TOKENS)]
+        arguments += ["--seed", str(seed), "--trace", str(trace)]
+        environment = {**os.environ, "BAYGLADE_KEY": CALLER_KEY}
+        sender = subprocess.Popen(
+            [sys.executable, "-m", "bayglade", *arguments], env=environment, stdout=subprocess.DEVNULL
+        )
+        wait_for("load runs", lambda: len(world.record("e0")) > rate * 2)
+        at = time.monotonic()
+        _cause(world, name)
+        sender.wait(60)
+        return _judge(trace.read_text(), at)
+
+
+def _balancer(world: World, daemons: list[Process]) -> str:
+    address = f"{HOST}:{free_port()}"
+    arguments = ["-m", "standins.balancer", "--listen", address, *[d.address for d in daemons]]
+    world.start("balancer", arguments, address, "/readyz")
+    world.wait_up()
+    return address
+
+
+def _cause(world: World, name: str) -> None:
+    if name == "engine killed":
+        world.processes["e0"].kill()
+    elif name == "engine frozen":
+        world.processes["e0"].signal(signal.SIGSTOP)
+    elif name == "daemon killed":
+        world.processes["d0"].kill()
+    else:
+        world.processes["e0"].kill()
+        world.processes["e1"].kill()
+
+
+def _judge(trace: str, at: float) -> tuple[float, float, int, int]:
+    """Read the trace: due time, end time and outcome of each request."""
+    rows = [line.split() for line in trace.splitlines()]
+    asks = sorted((float(due), float(end), word == "good") for due, end, word in rows)
+    after = [ask for ask in asks if ask[0] >= at]
+    first = next((end - at for _, end, good in after if good), float("inf"))
+    failed = [due for due, _, good in asks if not good]
+    # From here on at least 99 in 100 of those that are asked are answered well.
+    bad_after = sorted(due for due in failed if due >= at)
+    steady = 0.0
+    for place, due in enumerate(bad_after):
+        rest = [ask for ask in after if ask[0] >= due]
+        if len(bad_after) - place > len(rest) / 100:
+            steady = due - at
+    return first, max(steady, first), len(failed), len(asks)
+
+
+TABLES = {"shares": shares, "flood": flood, "overload": overload, "recovery": recovery}
+
+
+def main() -> None:
+    """Run the comparisons named, or all."""
+    print(f"measured {datetime.now():%Y-%m-%d}, {psutil.cpu_count()} cores")
+    for name in sys.argv[1:] or list(TABLES):
+        TABLES[name]()
+
+
+if __name__ == "__main__":
+    main()
--- a/benches/slopes.py
+++ b/benches/slopes.py
@@ -308,6 +308,7 @@
         usage = Usage()
         for n in range(groups):
             usage.charge(GroupPath(f"khangai/airport-{n:03}"), 1000.0 + n)
+            usage.ask(GroupPath(f"khangai/airport-{n:03}"), 1000.0 + n)
         beat = _heartbeat(usage)
         tracemalloc.start()
         heard = Usage()
