--- a/bayglade/admission.py
+++ b/bayglade/admission.py
@@ -103,6 +103,23 @@
         self._refuse_if_too_late(request, line)
         return self._wait(request, line)
 
+    def serving_version(self, model: ModelName, wanted: Version) -> Version:
+        """Return the version to serve: the wanted one, or another while it is being loaded.
+
+        :param model: the model.
+        :param wanted: the version in force for the group.
+        :return: a version that live servers cover, if there is any.
+        """
+        if self._covered((model, wanted)):
+            return wanted
+        states = self.backends.by_model.get(model, ())
+        others = sorted({version for state in states for version in state.versions()} - {wanted})
+        return next((version for version in others if self._covered((model, version))), wanted)
+
+    def _covered(self, kind: Kind) -> bool:
+        model = self.tree.models.get(kind[0])
+        return model is not None and covers(self._usable(kind), model.layers)
+
     def take_route(self, kind: Kind, without: frozenset[BackendId] = frozenset()) -> Route | None:
         """Take a place on a route at once, if one has room.
 
--- a/bayglade/backends.py
+++ b/bayglade/backends.py
@@ -2,6 +2,8 @@
 
 import random
 
+import msgspec
+
 from bayglade.clock import now
 from bayglade.engines.wire import Load
 from bayglade.ids import BackendId, ModelName, Version
@@ -63,6 +65,18 @@
         """Tell whether new work may go there at all."""
         return not self.leaving and at >= self.ejected_until
 
+    def versions(self) -> tuple[Version, ...]:
+        """Return the versions it serves: by its own word, else by the settings."""
+        if self.reported is None or not (self.reported.versions or self.reported.loading):
+            return (self.facts.version,)
+        return tuple(self.reported.versions)
+
+    def hold(self, version: Version) -> None:
+        """Take in another daemon's word that the server holds just one version by now."""
+        if self.reported is not None:
+            reported = msgspec.structs.replace(self.reported, versions=[version], loading=False)
+            self.reported = reported
+
     def has_room(self) -> bool:
         """Tell whether its limit allows one more request."""
         return self.in_flight < int(min(self.limit, self.ceiling))
@@ -75,7 +89,7 @@
         self.rng = rng
         self.part = 1.0
         self.states: dict[BackendId, BackendState] = {}
-        self.by_model: dict[tuple[ModelName, Version], list[BackendState]] = {}
+        self.by_model: dict[ModelName, list[BackendState]] = {}
 
     def __repr__(self) -> str:
         return f"<Backends {len(self.states)}>"
@@ -94,11 +108,11 @@
                 state = BackendState(backend_id, facts)
             state.facts = facts
             self.states[backend_id] = state
-            self.by_model.setdefault((facts.model, facts.version), []).append(state)
+            self.by_model.setdefault(facts.model, []).append(state)
 
     def of_model(self, model: ModelName, version: Version) -> list[BackendState]:
         """List the servers that hold layers of a version of a model."""
-        return self.by_model.get((model, version), [])
+        return [state for state in self.by_model.get(model, ()) if version in state.versions()]
 
     def failed(self, backend_id: BackendId) -> None:
         """Note a failure; the server is ejected for a while unless too many are.
@@ -187,7 +201,7 @@
             state.seconds_per_layer = max(1e-7, state.seconds_per_layer + step)
 
     def _may_eject(self, state: BackendState) -> bool:
-        peers = self.of_model(state.facts.model, state.facts.version)
+        peers = self.by_model.get(state.facts.model, [])
         at = now()
         ejected = sum(1 for peer in peers if at < peer.ejected_until)
         return ejected + 1 <= len(peers) * MAX_EJECTED_FRACTION
--- a/bayglade/callers/api.py
+++ b/bayglade/callers/api.py
@@ -108,7 +108,7 @@
             repeatable=repeatable,
             idempotency_key=_idempotency_key(environ, repeatable),
             model=model,
-            version=version_of(tree, holder.group, model),
+            version=self.router.admission.serving_version(model, version_of(tree, holder.group, model)),
             prompt=ask.prompt,
             max_tokens=ask.max_tokens,
         )
--- a/bayglade/daemon.py
+++ b/bayglade/daemon.py
@@ -16,11 +16,14 @@
 from bayglade.directory import Directory
 from bayglade.engines import create_engines
 from bayglade.entries import Membership
+from bayglade.entries.wire import Heartbeat
 from bayglade.exceptions import BaygladeError
 from bayglade.ids import BackendId
+from bayglade.leases import Lease
 from bayglade.logs import event
 from bayglade.metrics import create_metrics
 from bayglade.operators.api import Operators
+from bayglade.placement import LEASE_NAME, Placer
 from bayglade.platform import create_platform
 from bayglade.platform.wire import HostKind, HostState
 from bayglade.responses import (
@@ -44,6 +47,7 @@
 HOSTS_POLL_FACTOR = 2.0
 HEARD_POLL_FACTOR = 5.0
 DRAIN_POLL = 0.05
+PLACE_INTERVAL = 1.0
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
 ADMIN_PREFIX = "/admin/"
@@ -70,6 +74,12 @@
             config.hall,
             self.rng,
         )
+        self.placer = Placer(
+            Lease(self.platform, LEASE_NAME, config.member),
+            self.engines,
+            self.router.backends,
+            self.metrics,
+        )
         self.membership = Membership(
             config.member,
             config.entry_secret.encode(),
@@ -77,7 +87,8 @@
             self.router.usage,
             self.metrics,
             self._leaving,
-            self._heard_leaving,
+            self.placer.recent,
+            self._heard,
             self.rng,
         )
         self.presence = Presence(self.metrics)
@@ -102,7 +113,8 @@
         callers_socket = _listen(self.config.callers)
         entries_socket = _listen(self.config.entries)
         self._on_signals()
-        for task in (self._poll_hosts, self._poll_settings, self._probe, self._tick, self.presence.run):
+        tasks = (self._poll_hosts, self._poll_settings, self._probe, self._tick, self._place)
+        for task in (*tasks, self.presence.run):
             eventlet.spawn_n(task)
         eventlet.spawn_n(self.membership.serve, entries_socket)
         server = eventlet.spawn(self._serve, callers_socket)
@@ -231,11 +243,22 @@
         """List the servers that said here that they leave, for the other daemons."""
         return sorted(self.own_leaving)
 
-    def _heard_leaving(self, backends: list[BackendId]) -> None:
-        for backend in backends:
-            state = self.router.backends.states.get(backend)
-            if state is not None:
-                state.leaving = True
+    def _heard(self, beat: Heartbeat) -> None:
+        """Take in what another daemon says of backend servers."""
+        states = self.router.backends.states
+        for backend in beat.leaving:
+            if backend in states:
+                states[backend].leaving = True
+        for held in beat.held:
+            if held.backend in states:
+                states[held.backend].hold(held.version)
+
+    def _place(self) -> None:
+        """Give the orders of placement that fall to this daemon, for ever."""
+        while True:
+            eventlet.sleep(PLACE_INTERVAL * self.rng.uniform(0.8, 1.2))
+            if self.trust.good() and not self.membership.draining:
+                self._try("placement", lambda: self.placer.run_once(self.router.tree))
 
     def _mark_leaving(self) -> None:
         """Bring together what the host list and the servers themselves say."""
--- a/bayglade/engines/client.py
+++ b/bayglade/engines/client.py
@@ -80,6 +80,15 @@
             return msgspec.json.decode(body, type=wire.Load)
         return None
 
+    def order(self, address: str, message: wire.HoldVersion) -> bool:
+        """Order an engine to hold a version.
+
+        :param address: the engine.
+        :param message: the order, with the epoch it is given under.
+        :return: whether the engine took it; a repeat is harmless.
+        """
+        return self._ask(address, "POST", wire.ORDER_PATH, msgspec.json.encode(message)) is not None
+
     def forget(self, addresses: set[str]) -> None:
         """Close the pools of engines that are no longer listed.
 
--- a/bayglade/engines/wire.py
+++ b/bayglade/engines/wire.py
@@ -12,6 +12,7 @@
 GENERATE_PATH = "/v1/generate"
 CANCEL_PATH = "/v1/cancel"
 LOAD_PATH = "/v1/load"
+ORDER_PATH = "/v1/orders"
 
 MAX_FRAME_BYTES = 64 * 1024
 
@@ -58,6 +59,16 @@
     waiting: int
     slots: int
     leaving: bool = False
+    versions: list[Version] = []
+    loading: bool = False
+
+
+class HoldVersion(msgspec.Struct, frozen=True):
+    """Orders an engine to hold just one version; an engine that checks refuses older epochs."""
+
+    epoch: int
+    model: ModelName
+    version: Version
 
 
 class TokenFrame(msgspec.Struct, frozen=True, tag="token"):
--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -73,7 +73,8 @@
         usage: Usage,
         metrics: Metrics,
         leaving: Callable[[], list[BackendId]],
-        on_leaving: Callable[[list[BackendId]], None],
+        held: Callable[[], list[wire.Held]],
+        on_beat: Callable[[wire.Heartbeat], None],
         rng: random.Random,
     ) -> None:
         self.me = me
@@ -82,7 +83,8 @@
         self.usage = usage
         self.metrics = metrics
         self.leaving = leaving
-        self.on_leaving = on_leaving
+        self.held = held
+        self.on_beat = on_beat
         self.rng = rng
         self.listed: set[MemberId] = {me}
         self.members: dict[MemberId, Member] = {}
@@ -208,6 +210,7 @@
             draining=self.draining,
             usage=self.usage.tell(),
             leaving=self.leaving(),
+            held=self.held(),
         )
 
     def _receive(self, connection: socket.socket) -> None:
@@ -244,7 +247,7 @@
         member.digest = beat.digest
         member.draining = beat.draining
         self.usage.hear(member.id, beat.usage)
-        self.on_leaving(beat.leaving)
+        self.on_beat(beat)
         if beat.revision > self.revisions.current.revision:
             member.push(wire.Fetch(self.me, self.revisions.current.revision))
 
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -14,7 +14,7 @@
 
 from bayglade.exceptions import PeerError
 from bayglade.fairness import GroupUsage
-from bayglade.ids import BackendId, Digest, MemberId, Revision
+from bayglade.ids import BackendId, Digest, MemberId, Revision, Version
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 NONCE_BYTES = 16
@@ -31,6 +31,13 @@
     proof: bytes
 
 
+class Held(msgspec.Struct, frozen=True, array_like=True):
+    """The version that a server holds since a short while, by an order that was taken."""
+
+    backend: BackendId
+    version: Version
+
+
 class Heartbeat(msgspec.Struct, frozen=True, tag="beat", kw_only=True):
     """Tells that a daemon lives and what it knows; sent at once on a change."""
 
@@ -40,6 +47,7 @@
     draining: bool
     usage: list[GroupUsage]
     leaving: list[BackendId]
+    held: list[Held]
 
 
 class Fetch(msgspec.Struct, frozen=True, tag="fetch"):
--- a/bayglade/settings.py
+++ b/bayglade/settings.py
@@ -95,6 +95,17 @@
     key_sha256: str
 
 
+class Placement(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True, frozen=True):
+    """How servers are moved to other versions.
+
+    ``loads_at_once`` keeps to the weight store's rate. ``keep_part`` is the
+    part of the servers of a range of layers that goes on serving meanwhile.
+    """
+
+    loads_at_once: int = 2
+    keep_part: float = 0.5
+
+
 class Tree(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
     """One revision of all that operators steer."""
 
@@ -104,6 +115,7 @@
     services: dict[ServiceName, Service] = msgspec.field(default_factory=dict)
     accounts: dict[AccountName, Account] = msgspec.field(default_factory=dict)
     operators: dict[str, Operator] = msgspec.field(default_factory=dict)
+    placement: Placement = Placement()
     links: dict[str, float] = msgspec.field(default_factory=dict)
     """Milliseconds one way between two data halls, keyed ``"a b"`` in name order."""
 
@@ -284,6 +296,8 @@
     """
     for path, level in walk(tree.root):
         _check_level(tree, path, level)
+    _require(tree.placement.loads_at_once > 0, "placement.loads_at_once", "must be above zero")
+    _require(0 <= tree.placement.keep_part < 1, "placement.keep_part", "must lie in [0, 1)")
     for name, model in tree.models.items():
         _require(model.layers > 0, f"models.{name}.layers", "must be above zero")
     for backend_id, backend in tree.backends.items():
--- a/benches/slopes.py
+++ b/benches/slopes.py
@@ -335,6 +335,7 @@
         draining=False,
         usage=usage.tell(),
         leaving=[],
+        held=[],
     )
 
 
--- a/standins/world.py
+++ b/standins/world.py
@@ -27,6 +27,7 @@
 START_TIMEOUT = 15.0
 STOP_TIMEOUT = 15.0
 POLL = 0.02
+PROGRAM = ("-m", "bayglade")
 CALLER_KEY = "caller-key"
 OPERATOR_KEY = "operator-key"
 
@@ -151,10 +152,13 @@
         arguments = ["-m", "standins.service", "--listen", address]
         return self.start(name, arguments, address, "/standin/runs")
 
-    def start_daemon(self, name: str, listed: bool = True, **fields: object) -> Process:
+    def start_daemon(
+        self, name: str, listed: bool = True, program: tuple[str, ...] = PROGRAM, **fields: object
+    ) -> Process:
         """Start an entry daemon.
 
         :param listed: put it on the host list first.
+        :param program: what Python is to run.
         :param fields: fields of its own settings that differ from the usual.
         """
         address = str(fields.pop("callers", f"{HOST}:{free_port()}"))
@@ -174,7 +178,7 @@
         path.write_bytes(msgspec.json.encode(config))
         if listed:
             self.list_host(name, "entry", peers)
-        return self.start(name, ["-m", "bayglade", "entry", "--config", str(path)], address, "/healthz")
+        return self.start(name, [*program, "entry", "--config", str(path)], address, "/healthz")
 
     def list_host(self, name: str, kind: str, address: str, state: str = "live") -> None:
         """Put a host on the platform's host list."""
