--- a/bayglade/callers/api.py
+++ b/bayglade/callers/api.py
@@ -1,6 +1,7 @@
 """What callers can ask: completions, chats, models and plain services."""
 
 import hashlib
+import socket
 import uuid
 from collections.abc import Iterator
 
@@ -117,7 +118,7 @@
         self, environ: Environ, request: Completion, writer: wire.Writer, claim: Claim | None
     ) -> Response:
         answer = Answer()
-        with self.presence.watching(environ):
+        with self.presence.watching(_socket(environ)):
             tokens = list(self.router.complete(request, answer, claim))
         content = self._finished(writer, answer, claim)
         assert tokens == answer.committed
@@ -138,7 +139,7 @@
         self, environ: Environ, request: Completion, writer: wire.Writer, claim: Claim | None
     ) -> Iterator[bytes]:
         answer = Answer()
-        with self.presence.watching(environ):
+        with self.presence.watching(_socket(environ)):
             try:
                 for token in self.router.complete(request, answer, claim):
                     yield writer.token(token)
@@ -170,7 +171,7 @@
         claim = self.router.claim(request, _digest(environ, body))
         if isinstance(claim, Kept):
             return _service_response(request.id, claim.answer)
-        with self.presence.watching(environ):
+        with self.presence.watching(_socket(environ)):
             return _service_response(request.id, self.router.call(request, claim))
 
     def _service_request(
@@ -206,6 +207,11 @@
         return min(allowed, asked)
 
 
+def _socket(environ: Environ) -> socket.socket:
+    green: socket.socket = environ["eventlet.input"].get_socket()
+    return green
+
+
 def _expect(environ: Environ, method: str) -> None:
     if environ["REQUEST_METHOD"] != method:
         raise MethodNotAllowed(f"this page takes {method}", step="read", peer="caller")
--- a/bayglade/callers/presence.py
+++ b/bayglade/callers/presence.py
@@ -9,7 +9,6 @@
 from eventlet.event import Event
 
 from bayglade.metrics import Metrics
-from bayglade.responses import Environ
 
 CHECK_INTERVAL = 0.1
 
@@ -30,16 +29,16 @@
         return f"<Presence {len(self.watched)} watched>"
 
     @contextmanager
-    def watching(self, environ: Environ) -> Iterator[None]:
+    def watching(self, connection: socket.socket) -> Iterator[None]:
         """Watch the connection of a request while its task works on it.
 
-        :param environ: the request's environment.
+        :param connection: the caller's green socket.
         """
         task = eventlet.getcurrent()
         if not self.watched and not self.busy.ready():
             self.busy.send()
         # The plain socket below the green one is non-blocking.
-        self.watched[task] = environ["eventlet.input"].get_socket().fd
+        self.watched[task] = connection.fd  # type: ignore[attr-defined]
         try:
             yield
         finally:
--- /dev/null
+++ b/bayglade/calls.py
@@ -0,0 +1,93 @@
+"""Calls: what callers ask of an endpoint, and how a peer's wire says it."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from bayglade.clock import now
+from bayglade.endpoints import Endpoint
+from bayglade.heads import Headers, Message
+from bayglade.ids import BackendId, GroupPath, RequestId, ServiceName
+from bayglade.models import Route
+
+
+class CallHead(msgspec.Struct, frozen=True, kw_only=True):
+    """What the head of a caller's request says."""
+
+    id: RequestId
+    host: str
+    key: str | None = None
+    seconds: float | None = None
+    """How long the caller waits."""
+
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    last_event: int | None = None
+    """The event after which a stream goes on."""
+
+
+class Call(msgspec.Struct, kw_only=True):
+    """A caller's request on its way; times are monotonic seconds."""
+
+    head: CallHead
+    endpoint: Endpoint
+    service: ServiceName
+    group: GroupPath | None
+    priority: int
+    arrived: float
+    deadline: float
+    method: str
+    target: bytes
+    headers: Headers
+    body: bytes
+
+    def __repr__(self) -> str:
+        return f"<Call {self.head.id} to {self.service}>"
+
+    @property
+    def once(self) -> bool:
+        """Tell whether it may run at most once."""
+        return not self.endpoint.repeatable and not self.endpoint.resumable
+
+    def seconds_left(self) -> float:
+        """Return the seconds until the deadline; negative when it has passed."""
+        return self.deadline - now()
+
+
+class Sending(msgspec.Struct, frozen=True, kw_only=True):
+    """One sending of a call to a backend server."""
+
+    backend: BackendId
+    seconds: float
+    route: Route | None = None
+    last_event: int | None = None
+
+
+class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
+    """What the head of a backend server's answer says."""
+
+    request: str | None
+    genuine: bool
+    """Whether the server vouches for it as its own answer to a request that it ran."""
+
+    not_run: bool
+    """Whether the server says that it did not run the request."""
+
+    instance: str | None = None
+    """The server's own id, where it says it."""
+
+    at_fault: str | None = None
+    """Address of the stage that did not take part."""
+
+    keep_seconds: float | None = None
+    """How long the server keeps the connection."""
+
+
+class Dialect(msgspec.Struct, frozen=True):
+    """How callers and backend servers speak: plain functions that translate."""
+
+    read_call: Callable[[Message], CallHead]
+    """Raises InvalidMessage when the head lacks what every call needs."""
+
+    request_headers: Callable[[Call, Sending], Headers]
+    read_answer: Callable[[Message], AnswerHead]
--- a/bayglade/claims.py
+++ b/bayglade/claims.py
@@ -15,6 +15,7 @@
 import msgspec
 from eventlet.event import Event
 
+from bayglade import rows
 from bayglade.clock import now
 from bayglade.exceptions import (
     BaygladeError,
@@ -26,8 +27,8 @@
 from bayglade.ids import GroupPath
 from bayglade.logs import event
 from bayglade.metrics import Metrics
-from bayglade.platform import Platform, wire
 from bayglade.services.wire import ServiceAnswer
+from bayglade.table import Platform
 
 MAX_ROWS = 64
 LINGER = 0.004
@@ -116,8 +117,8 @@
         :raises PlatformUnavailable: when the claim could not be written.
         """
         row = ClaimRow(uuid.uuid4().hex, self.member, body_sha256, ClaimState.CLAIMED)
-        claim = Claim(_row_key(group, key), row, wire.ABSENT, deadline)
-        version = self._write(claim, wire.ABSENT, deadline)
+        claim = Claim(_row_key(group, key), row, rows.ABSENT, deadline)
+        version = self._write(claim, rows.ABSENT, deadline)
         if version is not None:
             claim.version = version
             return claim
@@ -299,13 +300,13 @@
     return "claims/" + hashlib.sha256(content).hexdigest()
 
 
-def _same(found: wire.Row, row: ClaimRow) -> bool:
+def _same(found: rows.Row, row: ClaimRow) -> bool:
     kept = msgspec.json.decode(found.value, type=ClaimRow)
     return kept.attempt == row.attempt and kept.state is row.state
 
 
-def _transaction(group: list[_Operation]) -> wire.Transaction:
-    return wire.Transaction(
-        conditions=[wire.Condition(o.claim.key, o.expects) for o in group],
-        writes=[wire.Write(o.claim.key, wire.raw(o.claim.row)) for o in group],
+def _transaction(group: list[_Operation]) -> rows.Transaction:
+    return rows.Transaction(
+        conditions=[rows.Condition(o.claim.key, o.expects) for o in group],
+        writes=[rows.Write(o.claim.key, rows.raw(o.claim.row)) for o in group],
     )
--- a/bayglade/cli.py
+++ b/bayglade/cli.py
@@ -6,7 +6,7 @@
 import warnings
 from pathlib import Path
 
-GREEN_COMMANDS = ("entry", "load")
+GREEN_COMMANDS = ("entry", "gateway", "load")
 """Commands that serve many connections at once."""
 
 
@@ -22,6 +22,8 @@
     if command == "entry":
         # The daemon does without the command line library, which would cost it 4 MB.
         sys.exit(run_entry(arguments))
+    if command == "gateway":
+        sys.exit(run_gateway())
     from bayglade.commands import create_application
 
     sys.exit(create_application().run())
@@ -47,6 +49,23 @@
     return 0
 
 
+def run_gateway() -> int:
+    """Run the daemon on the users' platform until it is told to stop.
+
+    :return: the exit code.
+    """
+    from bayglade.exceptions import BaygladeError
+    from bayglade.gateway import create_gateway
+    from bayglade.platform import settings_path
+
+    try:
+        create_gateway(settings_path(dict(os.environ))).run()
+    except (BaygladeError, OSError) as error:
+        print(f"bayglade gateway: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
 def _patch() -> None:
     import eventlet
 
--- a/bayglade/config.py
+++ b/bayglade/config.py
@@ -6,6 +6,7 @@
 
 import io
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 from ruamel.yaml import YAML
@@ -16,6 +17,8 @@
 
 MAX_CONFIG_BYTES = 64 * 1024
 
+ConfigT = TypeVar("ConfigT")
+
 
 class Address(msgspec.Struct, frozen=True):
     """An IP number and a port."""
@@ -52,6 +55,46 @@
         return f"<Config {self.member} in {self.hall} at {self.callers}>"
 
 
+class GatewayConfig(msgspec.Struct, kw_only=True):
+    """What a daemon on the users' platform knows of itself; fields it does not know are passed over.
+
+    Filled in by the platform from ``deploy/gateway.yaml``.
+    """
+
+    member: MemberId
+    hall: HallName
+    callers: str
+    """Where callers are accepted."""
+
+    ready: str
+    """Where the balancer asks whether this daemon is ready."""
+
+    metrics: str
+    store: str
+    """The platform's metadata store."""
+
+    peer_ports: str = ""
+    memory_mb: float = 0.0
+    max_descriptors: int = 1024
+    drain_ms: float = 2000.0
+    """How soon a backend server that leaves must get nothing new."""
+
+    grace_seconds: float = 8.0
+    """Time between the signal to stop and the end by force."""
+
+    key_trust_ms: float = 5000.0
+    """How old the knowledge of keys may be for requests that carry one."""
+
+    retry_fraction: float = 0.1
+    retry_window_seconds: float = 10.0
+    retry_floor: float = 10.0
+    event_pass_ms: float = 120.0
+    log_level: str = "INFO"
+
+    def __repr__(self) -> str:
+        return f"<GatewayConfig {self.member} in {self.hall} at {self.callers}>"
+
+
 def parse_address(text: str) -> Address:
     """Read ``host:port``.
 
@@ -72,20 +115,33 @@
     :return: the checked settings.
     :raises InvalidSettings: when the file is unreadable or a field is wrong.
     """
+    config = _load(path, Config)
+    for field in (config.callers, config.entries, config.platform):
+        parse_address(field)
+    return config
+
+
+def load_gateway_config(path: Path) -> GatewayConfig:
+    """Read and check the settings of a daemon on the users' platform.
+
+    :param path: a YAML file.
+    :return: the checked settings.
+    :raises InvalidSettings: when the file is unreadable or a field is wrong.
+    """
+    config = _load(path, GatewayConfig)
+    for field in (config.callers, config.ready, config.metrics, config.store):
+        parse_address(field)
+    return config
+
+
+def _load(path: Path, kind: type[ConfigT]) -> ConfigT:
     try:
         text = path.read_text(encoding="utf-8")
     except OSError as error:
         raise InvalidSettings(f"cannot read {path}: {error.strerror}", step="config") from error
     if len(text) > MAX_CONFIG_BYTES:
         raise InvalidSettings(f"{path} is larger than {MAX_CONFIG_BYTES} bytes", step="config")
-    config = _convert(text, path)
-    for field in (config.callers, config.entries, config.platform):
-        parse_address(field)
-    return config
-
-
-def _convert(text: str, path: Path) -> Config:
     try:
-        return msgspec.convert(YAML(typ="safe", pure=True).load(io.StringIO(text)), Config)
+        return msgspec.convert(YAML(typ="safe", pure=True).load(io.StringIO(text)), kind)
     except (YAMLError, msgspec.ValidationError) as error:
         raise InvalidSettings(f"{path}: {error}", step="config") from error
--- a/bayglade/daemon.py
+++ b/bayglade/daemon.py
@@ -25,8 +25,6 @@
 from bayglade.metrics import create_metrics
 from bayglade.operators.api import Operators
 from bayglade.placement import LEASE_NAME, Placer
-from bayglade.platform import create_platform
-from bayglade.platform.wire import HostKind, HostState
 from bayglade.responses import (
     Environ,
     Response,
@@ -38,6 +36,8 @@
 from bayglade.revisions import Current, Revisions
 from bayglade.router import Router
 from bayglade.services import create_services
+from bayglade.table import create_platform
+from bayglade.table.wire import HostKind, HostState
 from bayglade.trust import Trust
 
 TICK_INTERVAL = 0.25
--- /dev/null
+++ b/bayglade/diagnosis.py
@@ -0,0 +1,105 @@
+"""Diagnosis: which stage of a path that stands still is dead, slow or cut off.
+
+A stalled stream tells only that some stage is missing. All stages of its path
+are asked for their reports at once; a stage that does not answer while the
+others do is suspect, and stays so until it answers again.
+"""
+
+from collections.abc import Iterable
+
+import eventlet
+
+from bayglade.clock import now
+from bayglade.control import Control, StageReport
+from bayglade.fleet import Fleet, Server
+from bayglade.ids import BackendId
+from bayglade.logs import event
+
+ANSWER_SECONDS = 0.12
+"""How long a stage may take to answer: some fifty times the usual."""
+FRESH_SECONDS = 0.15
+"""How long an answer serves all streams that ask; reports lag by more than that."""
+RECHECK_SECONDS = 0.4
+"""Time between questions to a suspect stage."""
+MAX_SILENT_PART = 0.5
+"""When more stages than this are silent, the fault is more likely on this side."""
+
+
+class Finding:
+    """What a stage said when it was last asked; ``report`` is nothing when it was silent."""
+
+    __slots__ = ("asked_at", "report")
+
+    def __init__(self, report: StageReport | None) -> None:
+        self.report = report
+        self.asked_at = now()
+
+    def __repr__(self) -> str:
+        return f"<Finding {self.report!r}>"
+
+
+class Diagnosis:
+    """What stages said lately, and the questions under way."""
+
+    def __init__(self, fleet: Fleet, control: Control) -> None:
+        self.fleet = fleet
+        self.control = control
+        self.findings: dict[BackendId, Finding] = {}
+        self.asking: dict[BackendId, eventlet.greenthread.GreenThread] = {}
+
+    def __repr__(self) -> str:
+        return f"<Diagnosis {len(self.findings)} findings>"
+
+    def examine(self, servers: Iterable[Server]) -> frozenset[BackendId]:
+        """Ask all stages of a path, and suspect those that are silent.
+
+        :param servers: the servers of the path.
+        :return: the stages that are dead, as far as can be told.
+        """
+        stages = list(servers)
+        findings = self._ask_all(stages)
+        silent = [server for server in stages if findings[server.facts.id].report is None]
+        if len(silent) > max(1.0, len(stages) * MAX_SILENT_PART):
+            event("WARNING", "stages silent", silent=len(silent), of=len(stages), outcome="own fault")
+            return frozenset()
+        for server in silent:
+            if not server.suspect:
+                self.fleet.suspect(server, "silent")
+        return frozenset(server.facts.id for server in silent)
+
+    def recheck(self) -> None:
+        """Ask suspect stages now and then whether they are back, for ever."""
+        while True:
+            eventlet.sleep(RECHECK_SECONDS)
+            suspects = [s for s in self.fleet.servers.values() if s.suspect and s.facts.held]
+            if not suspects:
+                continue
+            findings = self._ask_all(suspects)
+            for server in suspects:
+                if findings[server.facts.id].report is not None:
+                    self.fleet.trust(server, "answers again")
+
+    def _ask_all(self, servers: list[Server]) -> dict[BackendId, Finding]:
+        at = now()
+        tasks = {}
+        for server in servers:
+            backend = server.facts.id
+            known = self.findings.get(backend)
+            if known is not None and at - known.asked_at < FRESH_SECONDS:
+                continue
+            if backend not in self.asking:
+                self.asking[backend] = eventlet.spawn(self._ask, server)
+            tasks[backend] = self.asking[backend]
+        for task in tasks.values():
+            task.wait()
+        return {server.facts.id: self.findings[server.facts.id] for server in servers}
+
+    def _ask(self, server: Server) -> None:
+        facts = server.facts
+        try:
+            report = self.control.report(facts.id, facts.address, ANSWER_SECONDS)
+            self.findings[facts.id] = Finding(report)
+            if report is not None:
+                self.fleet.pace(server, report.pace)
+        finally:
+            self.asking.pop(facts.id, None)
--- /dev/null
+++ b/bayglade/endpoints.py
@@ -0,0 +1,81 @@
+"""Endpoints: which service answers for a host name and a path, and under what terms."""
+
+import random
+from collections.abc import Iterable
+
+import msgspec
+
+from bayglade.exceptions import NotFound
+from bayglade.ids import ServiceName
+
+
+class Target(msgspec.Struct, frozen=True):
+    """A service that takes part of an endpoint's requests, by weight."""
+
+    service: ServiceName
+    weight: float = 1.0
+
+
+class Endpoint(msgspec.Struct, frozen=True, kw_only=True):
+    """A host name and a path prefix, and what holds for requests to them.
+
+    Times are in seconds. ``repeatable`` requests may run more than once;
+    ``resumable`` streams may go on at another backend server after the last
+    event that was delivered. ``aim`` is the time to the answer, or to the first
+    event, that the operator wants; ``gap_aim`` the longest pause between events.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    targets: tuple[Target, ...]
+    timeout: float
+    aim: float
+    gap_aim: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    repeatable: bool = False
+    streamed: bool = False
+    resumable: bool = False
+    public: bool = False
+
+    def choose(self, rng: random.Random) -> ServiceName:
+        """Draw the service of one request.
+
+        :param rng: source of chance.
+        :return: the service, by the weights.
+        """
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        weights = [target.weight for target in self.targets]
+        return rng.choices(self.targets, weights)[0].service
+
+
+class Endpoints:
+    """All endpoints of one revision, by host name and prefix."""
+
+    def __init__(self, endpoints: Iterable[Endpoint]) -> None:
+        self.by_host: dict[str, dict[str, Endpoint]] = {}
+        for endpoint in endpoints:
+            self.by_host.setdefault(endpoint.host, {})[endpoint.prefix] = endpoint
+
+    def __repr__(self) -> str:
+        return f"<Endpoints of {len(self.by_host)} hosts>"
+
+    def find(self, host: str, target: str) -> Endpoint:
+        """Find the endpoint with the longest prefix of a path.
+
+        :param host: the host name asked for; a port is ignored.
+        :param target: the path, with its query.
+        :return: the endpoint.
+        :raises NotFound: when none fits.
+        """
+        prefixes = self.by_host.get(host.partition(":")[0].lower())
+        path = target.partition("?")[0]
+        while prefixes and path:
+            # Prefixes end with a slash: cut back to the slash before.
+            path = path[: path.rfind("/") + 1]
+            if path in prefixes:
+                return prefixes[path]
+            path = path[:-1]
+        raise NotFound("no endpoint for this host and path", step="route", peer="caller")
--- a/bayglade/exceptions.py
+++ b/bayglade/exceptions.py
@@ -54,7 +54,25 @@
     code, status, default_outcome = "invalid_request", 400, Outcome.NOT_RUN
 
 
-class RequestTooLarge(InvalidRequest):
+class InvalidMessage(BaygladeError):
+    """Bytes of a connection are no HTTP/1.1 message."""
+
+    code, status, default_outcome = "invalid_message", 400, Outcome.NOT_RUN
+
+
+class HeadTooLarge(InvalidMessage):
+    """The head of a message is above the size limit."""
+
+    code, status = "head_too_large", 431
+
+
+class SlowHead(InvalidMessage):
+    """The head or the body of a request did not come in time."""
+
+    code, status = "slow_head", 408
+
+
+class RequestTooLarge(InvalidMessage, InvalidRequest):
     """The caller's body is above the size limit."""
 
     code, status = "request_too_large", 413
@@ -120,11 +138,34 @@
     code, status, default_outcome = "backend_error", 502, Outcome.UNKNOWN
 
 
+class BackendSilent(BackendError):
+    """A backend server sent nothing in time; it may still be at work."""
+
+    code = "backend_silent"
+
+
 class BackendRefused(BackendError):
-    """A backend server said no before running anything."""
+    """A backend server said no before running anything.
+
+    :param misdirected: whether it is another server than was meant.
+    :param at_fault: address of the stage that did not take part, if another one.
+    """
 
     code, status, default_outcome = "backend_refused", 502, Outcome.NOT_RUN
 
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str = "",
+        peer: str = "",
+        misdirected: bool = False,
+        at_fault: str | None = None,
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.misdirected = misdirected
+        self.at_fault = at_fault
+
 
 class BackendUnreachable(BackendError):
     """No byte of the request reached the backend server."""
@@ -162,6 +203,12 @@
     code, default_outcome = "platform_answer_lost", Outcome.UNKNOWN
 
 
+class HistoryGone(BaygladeError):
+    """The table no longer has the changes after the version asked for."""
+
+    code, status, default_outcome = "history_gone", 503, Outcome.NOT_RUN
+
+
 class InvalidSettings(BaygladeError):
     """The settings break a rule; nothing of them was taken."""
 
--- /dev/null
+++ b/bayglade/feeds.py
@@ -0,0 +1,103 @@
+"""Feeds: follow a table of the platform, and know how old the knowledge is.
+
+A feed reads the table whole, then waits for changes. It starts anew when the
+history it needs is gone. ``known_at`` is the time just before the last answered
+call was sent: everything acknowledged before it is known here.
+"""
+
+from collections.abc import Callable
+
+import eventlet
+
+from bayglade.clock import now
+from bayglade.exceptions import HistoryGone, PlatformUnavailable
+from bayglade.logs import event
+from bayglade.rows import ChangeFeed, Changes
+
+FIRST_PAUSE = 0.05
+MAX_PAUSE = 0.4
+"""Seconds between calls that fail: short against the bounds on news, long for a store in trouble."""
+
+Apply = Callable[[Changes, bool], None]
+"""Takes changes in; the flag tells that they are the whole table."""
+
+
+class Feed:
+    """One table as followed by one daemon; times are monotonic seconds.
+
+    :param store: whoever tells of changes.
+    :param table: the table's name.
+    :param wait: seconds a call may wait for a change; bounds the age of what is known.
+    :param apply: takes changes in.
+    """
+
+    def __init__(self, store: ChangeFeed, table: str, wait: float, apply: Apply) -> None:
+        self.store = store
+        self.table = table
+        self.wait = wait
+        self.apply = apply
+        self.version: int | None = None
+        self.known_at = 0.0
+        self.failing_since: float | None = None
+        self.recovered_at = 0.0
+        self.on_lost: Callable[[], None] | None = None
+        """Told when the store stops answering here."""
+
+        self.task: eventlet.greenthread.GreenThread | None = None
+
+    def __repr__(self) -> str:
+        return f"<Feed {self.table} version={self.version} age={self.age():.1f}>"
+
+    def age(self) -> float:
+        """Return the seconds since what is known here was surely the newest."""
+        return now() - self.known_at
+
+    def start(self) -> None:
+        """Follow the table in a task of its own; a task that runs already is replaced."""
+        if self.task is not None:
+            self.task.kill()
+        self.task = eventlet.spawn(self.run)
+
+    def interrupt(self) -> None:
+        """Start the present call anew: another feed found the store lost."""
+        self.failing_since = self.failing_since or now()
+        self.start()
+
+    def run(self) -> None:
+        """Follow the table for ever."""
+        pause = FIRST_PAUSE
+        while True:
+            try:
+                self._step()
+            except HistoryGone:
+                event("WARNING", "history gone", table=self.table, version=self.version)
+                self.version = None
+            except PlatformUnavailable as error:
+                self._failed(error)
+                eventlet.sleep(pause)
+                pause = min(MAX_PAUSE, 2 * pause)
+            else:
+                pause = FIRST_PAUSE
+
+    def _step(self) -> None:
+        asked = now()
+        whole = self.version is None
+        if self.version is None:
+            changes = self.store.snapshot(self.table)
+        else:
+            changes = self.store.changes(self.table, self.version, self.wait)
+        if self.failing_since is not None:
+            event("INFO", "store regained", table=self.table, out=round(now() - self.failing_since, 2))
+            self.failing_since = None
+            self.recovered_at = now()
+        self.version = changes.version
+        self.known_at = asked
+        if whole or changes.rows:
+            self.apply(changes, whole)
+
+    def _failed(self, error: PlatformUnavailable) -> None:
+        if self.failing_since is None:
+            self.failing_since = now()
+            event("WARNING", "store lost", table=self.table, error=repr(error))
+            if self.on_lost is not None:
+                self.on_lost()
--- /dev/null
+++ b/bayglade/fleet.py
@@ -0,0 +1,216 @@
+"""The fleet: backend servers as the platform lists them and as calls find them."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from bayglade.clock import now
+from bayglade.ids import BackendId, HallName, ServiceName
+from bayglade.logs import event
+
+SUSPECT_SECONDS = 1.0
+"""First time that a server which failed gets nothing; doubled at each failure in a row."""
+MAX_SUSPECT_SECONDS = 8.0
+MAX_SUSPECT_PART = 0.5
+"""Part of a service's servers that may be suspect at once: a common cause must not take all."""
+PACE_STEP = 0.2
+"""Changes of a server's pace below this are noise."""
+LAPSE_GRACE = 2.2
+"""Seconds after the store's return in which a missing entry may come back (the users' letter: two)."""
+
+
+class ServerFacts(msgspec.Struct, frozen=True, kw_only=True):
+    """What the platform's list says of a backend server.
+
+    ``first`` and ``last`` are the layers ``[first, last)`` that it holds; a
+    server of a plain service, or one that is empty, holds none.
+    """
+
+    id: BackendId
+    service: ServiceName
+    address: str
+    hall: HallName
+    slots: int
+    leaving: bool = False
+    accelerator: str | None = None
+    first: int = 0
+    last: int = 0
+    weights: int = 0
+    """Version of the weights it holds."""
+
+    @property
+    def held(self) -> int:
+        """Return how many layers it holds."""
+        return self.last - self.first
+
+
+class Server:
+    """One backend server as this daemon knows it; times are monotonic seconds."""
+
+    __slots__ = ("facts", "failures", "in_flight", "leaving", "pace", "suspect", "suspect_until")
+
+    def __init__(self, facts: ServerFacts) -> None:
+        self.facts = facts
+        self.in_flight = 0
+        self.failures = 0
+        self.suspect = False
+        """Set for a stage until it answers again."""
+
+        self.suspect_until = 0.0
+        """Set for a server of a plain service, which has no report to ask for."""
+
+        self.leaving = facts.leaving
+        self.pace = 1.0
+        """How many times slower than usual it said it is."""
+
+    def __repr__(self) -> str:
+        return f"<Server {self.facts.id} {self.facts.first}-{self.facts.last} in_flight={self.in_flight}>"
+
+    def usable(self, at: float) -> bool:
+        """Tell whether new work may go there."""
+        return not self.leaving and not self.suspect and at >= self.suspect_until
+
+
+class Fleet:
+    """All backend servers, by service."""
+
+    def __init__(self) -> None:
+        self.servers: dict[BackendId, Server] = {}
+        self.by_service: dict[ServiceName, list[Server]] = {}
+        self.lapsed: dict[BackendId, float] = {}
+        self.grown_at = 0.0
+        """When a server was listed that was not known before."""
+
+        self.changed = 0
+        """Grows with each change that may make another path better."""
+
+    def __repr__(self) -> str:
+        return f"<Fleet {len(self.servers)} servers>"
+
+    def of(self, service: ServiceName) -> list[Server]:
+        """List the servers of a service."""
+        return self.by_service.get(service, [])
+
+    def usable(self, service: ServiceName) -> list[Server]:
+        """List the servers of a service that may get new work."""
+        at = now()
+        return [server for server in self.of(service) if server.usable(at)]
+
+    def take(self, listed: Iterable[ServerFacts], gone: Iterable[BackendId], outage: bool) -> None:
+        """Take in news of the list.
+
+        :param listed: servers that are new or changed.
+        :param gone: entries that were removed.
+        :param outage: whether the store was away just now, so that entries lapsed of themselves.
+        """
+        for facts in listed:
+            self._list(facts)
+        for backend in gone:
+            self._unlist(backend, outage)
+        self._rebuild()
+
+    def replace(self, listed: Iterable[ServerFacts], outage: bool) -> None:
+        """Take in the whole list.
+
+        :param listed: all entries.
+        :param outage: whether the store was away just now.
+        """
+        entries = list(listed)
+        missing = self.servers.keys() - {facts.id for facts in entries}
+        self.take(entries, missing, outage)
+
+    def drop_lapsed(self, before: float) -> None:
+        """Drop entries that lapsed in an outage and did not come back.
+
+        :param before: the latest time of lapsing that is dropped.
+        """
+        late = [backend for backend, at in self.lapsed.items() if at <= before]
+        for backend in late:
+            del self.lapsed[backend]
+            self._drop(backend)
+        if late:
+            self._rebuild()
+
+    def suspect(self, server: Server, reason: str) -> bool:
+        """Give a server nothing for a while, unless too many are suspect already.
+
+        :param server: the server that failed.
+        :param reason: what was seen.
+        :return: whether it is suspect now.
+        """
+        at = now()
+        server.failures += 1
+        peers = self.of(server.facts.service)
+        others = sum(1 for peer in peers if not peer.usable(at) and peer is not server)
+        if others + 1 > max(1.0, len(peers) * MAX_SUSPECT_PART):
+            return False
+        if server.facts.held:
+            server.suspect = True
+        else:
+            seconds = min(MAX_SUSPECT_SECONDS, SUSPECT_SECONDS * 2.0 ** (server.failures - 1))
+            server.suspect_until = at + seconds
+        self.changed += 1
+        event("WARNING", "server suspect", peer=server.facts.id, reason=reason, failures=server.failures)
+        return True
+
+    def trust(self, server: Server, reason: str) -> None:
+        """End the suspicion of a server."""
+        server.suspect = False
+        server.suspect_until = 0.0
+        self.changed += 1
+        event("INFO", "server trusted", peer=server.facts.id, reason=reason)
+
+    def pace(self, server: Server, pace: float) -> None:
+        """Note how slow a server says it is; a clear change makes other paths better."""
+        if abs(pace - server.pace) > PACE_STEP:
+            event("INFO", "server pace", peer=server.facts.id, before=server.pace, pace=pace)
+            server.pace = pace
+            self.changed += 1
+
+    def mark_leaving(self, server: Server, reason: str) -> None:
+        """Give a server nothing more: it said itself that it leaves, or another took its address."""
+        if server.leaving:
+            return
+        server.leaving = True
+        self.changed += 1
+        event("INFO", "server leaving", peer=server.facts.id, reason=reason)
+
+    def succeeded(self, server: Server) -> None:
+        """Note a whole answer."""
+        server.failures = 0
+
+    def _list(self, facts: ServerFacts) -> None:
+        self.lapsed.pop(facts.id, None)
+        server = self.servers.get(facts.id)
+        if server is None:
+            self.servers[facts.id] = Server(facts)
+            self.grown_at = now()
+            event("INFO", "server listed", peer=facts.id, hall=facts.hall, service=facts.service)
+            return
+        if facts.leaving and not server.leaving:
+            event("INFO", "server leaving", peer=facts.id, reason="listed")
+        # A server that left never comes back under the same id.
+        server.leaving = server.leaving or facts.leaving
+        server.facts = facts
+
+    def _unlist(self, backend: BackendId, outage: bool) -> None:
+        server = self.servers.get(backend)
+        if server is None:
+            return
+        if outage and not server.leaving:
+            self.lapsed[backend] = now()
+            event("INFO", "server lapsed", peer=backend)
+            return
+        self._drop(backend)
+
+    def _drop(self, backend: BackendId) -> None:
+        server = self.servers.pop(backend, None)
+        if server is not None:
+            server.leaving = True
+            event("INFO", "server gone", peer=backend)
+
+    def _rebuild(self) -> None:
+        self.changed += 1
+        self.by_service = {}
+        for server in self.servers.values():
+            self.by_service.setdefault(server.facts.service, []).append(server)
--- /dev/null
+++ b/bayglade/gateway.py
@@ -0,0 +1,279 @@
+"""The daemon on the users' platform: puts the parts together, runs their tasks, stops in order."""
+
+import random
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+import eventlet
+from eventlet.event import Event
+
+from bayglade import logs, platform
+from bayglade.callers.presence import CallerLeft, Presence
+from bayglade.calls import Call
+from bayglade.clock import now
+from bayglade.config import GatewayConfig, load_gateway_config, parse_address
+from bayglade.diagnosis import Diagnosis
+from bayglade.exceptions import BaygladeError, InvalidSettings
+from bayglade.feeds import Feed
+from bayglade.fleet import LAPSE_GRACE, Fleet, ServerFacts
+from bayglade.heads import Message
+from bayglade.ids import BackendId, RequestId
+from bayglade.intake import Intake
+from bayglade.leases import Lease
+from bayglade.listener import Connection, Handler, listen, serve
+from bayglade.loading import LEASE_MARGIN, LEASE_NAME, LEASE_SECONDS, Loader
+from bayglade.logs import event
+from bayglade.metrics import create_metrics
+from bayglade.paths import Paths
+from bayglade.relay import Peers
+from bayglade.rows import Changes
+from bayglade.settings import CallerLimits
+from bayglade.streams import relay_stream
+from bayglade.upstream import Links
+from bayglade.wholes import relay_whole
+
+METRICS_PATH = b"/metrics"
+DOCUMENT_WAIT = 1.3
+"""Seconds that the feed of the operator's document waits: bounds the age of what is known of keys."""
+SERVERS_WAIT = 8.0
+TIDY_SECONDS = 0.5
+DRAIN_POLL = 0.05
+BALANCER_SECONDS = 3.0
+"""The balancer asks each second and takes a daemon out after two misses."""
+STOP_MARGIN = 0.6
+"""Seconds before the end by force at which the daemon ends by itself."""
+LOCAL_LIMITS = CallerLimits()
+"""Bounds for whoever asks for readiness and metrics."""
+
+
+class Gateway:
+    """One daemon on the users' platform."""
+
+    def __init__(self, config: GatewayConfig, path: Path) -> None:
+        self.config = config
+        self.path = path
+        self.changed_at = _changed_at(path)
+        self.rng = random.Random()
+        self.metrics = create_metrics(None, config.member)
+        self.store = platform.Store(parse_address(config.store))
+        self.fleet = Fleet()
+        self.links = Links()
+        self.control = platform.Engines(self.links)
+        self.diagnosis = Diagnosis(self.fleet, self.control)
+        self.document_feed = Feed(self.store, platform.OPERATOR_TABLE, DOCUMENT_WAIT, self._take_document)
+        self.servers_feed = Feed(self.store, platform.SERVERS_TABLE, SERVERS_WAIT, self._take_servers)
+        self.document_feed.on_lost = self.servers_feed.interrupt
+        dialect = platform.create_dialect()
+        self.intake = Intake(dialect, self.document_feed.age, config.key_trust_ms / 1000, self.rng)
+        self.peers = Peers(
+            fleet=self.fleet,
+            paths=Paths(self.fleet, config.hall),
+            links=self.links,
+            dialect=dialect,
+            control=self.control,
+            diagnosis=self.diagnosis,
+            check=self.intake.check,
+            metrics=self.metrics,
+            rng=self.rng,
+        )
+        self.loader = Loader(
+            self.fleet,
+            self.control,
+            Lease(self.store, LEASE_NAME, config.member, LEASE_SECONDS, LEASE_MARGIN),
+            self.intake.pipelines,
+            self.metrics,
+            self.rng,
+        )
+        self.presence = Presence(self.metrics)
+        self.active: set[RequestId] = set()
+        self.draining = False
+        self.stopping = Event()
+
+    def __repr__(self) -> str:
+        return f"<Gateway {self.config.member} {self.intake!r} {len(self.active)} active>"
+
+    def run(self) -> None:
+        """Serve until told to stop, then stop in order.
+
+        :raises OSError: when an address cannot be listened on.
+        """
+        logs.set_up(self.config.member, "json", self.config.log_level)
+        self._on_signals()
+        self._listen(self.config.ready, lambda: LOCAL_LIMITS, self._answer_ready)
+        self._listen(self.config.metrics, lambda: LOCAL_LIMITS, self._answer_metrics)
+        self._listen(self.config.callers, self.intake.limits, self._answer_caller)
+        self.document_feed.start()
+        self.servers_feed.start()
+        for task in (self.loader.run, self.diagnosis.recheck, self.presence.run, self._tidy):
+            eventlet.spawn_n(task)
+        event("INFO", "started", callers=self.config.callers, hall=self.config.hall)
+        self.stopping.wait()
+        self._drain()
+
+    def ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        return (
+            not self.draining
+            and self.intake.version > 0
+            and bool(self.fleet.servers)
+            and self.document_feed.age() < self.config.key_trust_ms / 1000
+        )
+
+    def _answer_ready(self, connection: Connection, message: Message) -> None:
+        if message.target != platform.READY_PATH:
+            connection.answer(404, [], b"")
+            return
+        ready = self.ready()
+        connection.answer(200 if ready else 503, [], b"ready" if ready else b"not ready")
+
+    def _answer_metrics(self, connection: Connection, message: Message) -> None:
+        if message.target != METRICS_PATH:
+            connection.answer(404, [], b"")
+            return
+        connection.answer(200, [("Content-Type", "text/plain; version=0.0.4")], self.metrics.text())
+
+    def _answer_caller(self, connection: Connection, message: Message) -> None:
+        connection.closing = connection.closing or self.draining
+        started = now()
+        request = RequestId("")
+        try:
+            call = self.intake.call(message)
+            request = call.head.id
+            self.active.add(request)
+            with self.presence.watching(connection.sock):
+                self._relay(call, connection)
+        except BaygladeError as error:
+            self._fail(connection, error, request, started)
+        except CallerLeft:
+            event("INFO", "caller left", request=request, after=round(now() - started, 3))
+            raise
+        finally:
+            self.active.discard(request)
+            self.metrics.observe("request_seconds", now() - started)
+
+    def _relay(self, call: Call, connection: Connection) -> None:
+        service = self.intake.tree.services.get(call.service)
+        self.metrics.count("requests")
+        if service is not None and service.pipeline is not None:
+            relay_stream(self.peers, call, service.pipeline, connection)
+        else:
+            relay_whole(self.peers, call, connection)
+
+    def _fail(
+        self, connection: Connection, error: BaygladeError, request: RequestId, started: float
+    ) -> None:
+        self.metrics.count(f"errors_{error.code}")
+        event(
+            "INFO",
+            "request failed",
+            request=request,
+            error=repr(error),
+            cut=connection.sent,
+            after=round(now() - started, 3),
+            settings=self.intake.version,
+            age=round(self.document_feed.age(), 2),
+        )
+        if connection.sent:
+            # Part of the answer is out: only the end of the connection says that it is not whole.
+            connection.closing = True
+            return
+        connection.refuse(error, request)
+
+    def _take_document(self, changes: Changes, whole: bool) -> None:
+        value = changes.rows.get(platform.DOCUMENT_KEY)
+        if value is None:
+            return
+        try:
+            version, tree = platform.decode_document(value)
+        except InvalidSettings as error:
+            event("ERROR", "settings refused", error=repr(error), in_force=self.intake.version)
+            return
+        self.intake.take(version, tree)
+
+    def _take_servers(self, changes: Changes, whole: bool) -> None:
+        listed: list[ServerFacts] = []
+        gone: list[BackendId] = []
+        for key, value in changes.rows.items():
+            if value is None:
+                gone.append(BackendId(key))
+                continue
+            try:
+                listed.append(platform.decode_server(key, value))
+            except InvalidSettings as error:
+                event("ERROR", "server row ignored", peer=key, error=repr(error))
+        outage = now() - self.servers_feed.recovered_at < LAPSE_GRACE
+        if whole:
+            self.fleet.replace(listed, outage)
+        else:
+            self.fleet.take(listed, gone, outage)
+
+    def _tidy(self) -> None:
+        """Do what is due now and then, for ever."""
+        while True:
+            eventlet.sleep(TIDY_SECONDS)
+            self.links.forget(set(self.fleet.servers))
+            if self.servers_feed.failing_since is None:
+                self.fleet.drop_lapsed(now() - LAPSE_GRACE)
+            if _changed_at(self.path) != self.changed_at:
+                self.reload("the file changed")
+
+    def reload(self, cause: str) -> None:
+        """Read the daemon's own settings again; what makes no sense changes nothing.
+
+        :param cause: why, for the log.
+        """
+        self.changed_at = _changed_at(self.path)
+        try:
+            self.config = load_gateway_config(self.path)
+        except InvalidSettings as error:
+            event("ERROR", "reload refused", cause=cause, error=repr(error))
+            return
+        self.intake.key_trust = self.config.key_trust_ms / 1000
+        event("INFO", "reloaded", cause=cause)
+
+    def _listen(self, address: str, limits: Callable[[], CallerLimits], handler: Handler) -> None:
+        where = parse_address(address)
+        eventlet.spawn_n(serve, listen(where.host, where.port), limits, handler)
+
+    def _on_signals(self) -> None:
+        def pass_on(act: Callable[[], None]) -> Callable[[int, object], None]:
+            # A signal arrives between any two steps: only pass it on.
+            return lambda *_: eventlet.hubs.get_hub().schedule_call_global(0, act)
+
+        signal.signal(signal.SIGTERM, pass_on(self._stop))
+        signal.signal(signal.SIGINT, pass_on(self._stop))
+        signal.signal(signal.SIGHUP, pass_on(lambda: self.reload("SIGHUP")))
+
+    def _stop(self) -> None:
+        self.draining = True
+        if not self.stopping.ready():
+            self.stopping.send()
+
+    def _drain(self) -> None:
+        """Stop in order: unready first, then wait for the balancer and for answers."""
+        started = now()
+        event("INFO", "stopping", active=len(self.active))
+        until = started + self.config.grace_seconds - STOP_MARGIN
+        eventlet.sleep(min(BALANCER_SECONDS, until - now()))
+        while self.active and now() < until:
+            eventlet.sleep(DRAIN_POLL)
+        event("INFO", "stopped", cut=sorted(self.active), after=round(now() - started, 2))
+
+
+def create_gateway(path: Path) -> Gateway:
+    """Build a daemon from its settings.
+
+    :param path: a YAML file.
+    :return: the daemon; nothing runs yet.
+    :raises InvalidSettings: when the settings are unreadable or wrong.
+    """
+    return Gateway(load_gateway_config(path), path)
+
+
+def _changed_at(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        # Between two versions of the file there may be none for a moment.
+        return 0
--- /dev/null
+++ b/bayglade/heads.py
@@ -0,0 +1,210 @@
+"""HTTP/1.1 messages as they arrive: heads, framing and bodies.
+
+The parsing is httptools' (llhttp, strict): it refuses two lengths, both
+framings, and chunks that make no sense. What is added here is what a router
+needs besides: limits, and where one message ends and the next begins.
+"""
+
+from collections import deque
+
+import httptools
+
+from bayglade.exceptions import HeadTooLarge, InvalidMessage, RequestTooLarge
+
+Headers = list[tuple[str, str]]
+"""Names and values as received, in order; names keep their case."""
+
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+"""Headers of one connection (RFC 9110, 7.6.1) and of framing, which each side sets anew."""
+
+BODILESS_STATUSES = (204, 304)
+
+
+class Message:
+    """One HTTP message: its head, then the pieces of its body as they come."""
+
+    __slots__ = (
+        "chunked",
+        "complete",
+        "head_done",
+        "headers",
+        "keep_alive",
+        "length",
+        "method",
+        "pieces",
+        "status",
+        "target",
+    )
+
+    def __init__(self) -> None:
+        self.method = ""
+        self.target = b""
+        self.status = 0
+        self.headers: Headers = []
+        self.pieces: deque[bytes] = deque()
+        self.length: int | None = None
+        self.chunked = False
+        self.keep_alive = True
+        self.head_done = False
+        self.complete = False
+
+    def __repr__(self) -> str:
+        return f"<Message {self.method or self.status} complete={self.complete}>"
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Tell whether only the end of the connection ends the body of this response."""
+        return self.length is None and not self.chunked and self.status not in BODILESS_STATUSES
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header.
+
+        :param name: the name in lower case.
+        :return: its value, or nothing.
+        """
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+    def body(self) -> bytes:
+        """Return all of the body that has come so far."""
+        return b"".join(self.pieces)
+
+
+class Reader:
+    """Takes bytes of one connection in and gives messages out.
+
+    :param responses: whether the peer sends responses rather than requests.
+    :param max_head_bytes: bound for a head, in bytes.
+    :param max_body_bytes: bound for a body that is collected; none for responses.
+    """
+
+    def __init__(
+        self, responses: bool, max_head_bytes: int = 64 * 1024, max_body_bytes: int | None = None
+    ) -> None:
+        self.max_head_bytes = max_head_bytes
+        self.max_body_bytes = max_body_bytes
+        self.messages: deque[Message] = deque()
+        self.current: Message | None = None
+        self.head_bytes = 0
+        self.body_bytes = 0
+        self.parser: httptools.HttpRequestParser | httptools.HttpResponseParser
+        self.parser = httptools.HttpResponseParser(self) if responses else httptools.HttpRequestParser(self)
+
+    def __repr__(self) -> str:
+        return f"<Reader {len(self.messages)} messages>"
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes.
+
+        :param data: as read from the connection.
+        :raises InvalidMessage: when they are no HTTP/1.1, or break a limit.
+        """
+        if self.current is None or not self.current.head_done:
+            self.head_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, InvalidMessage):
+                raise error.__context__ from None
+            raise InvalidMessage(str(error), step="read") from error
+        except httptools.HttpParserUpgrade as error:
+            raise InvalidMessage("upgrades are not supported", step="read") from error
+        except httptools.HttpParserError as error:
+            raise InvalidMessage(str(error), step="read") from error
+        if self.head_bytes > self.max_head_bytes and not (self.current and self.current.head_done):
+            raise HeadTooLarge("the head is too large", step="read")
+
+    def on_message_begin(self) -> None:
+        """Start a message."""
+        self.current = Message()
+        self.messages.append(self.current)
+        self.body_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Take in a part of the request's target."""
+        assert self.current is not None
+        self.current.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take in a header, or a trailer, which is dropped."""
+        assert self.current is not None
+        if self.current.head_done:
+            return
+        self.current.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """End the head."""
+        message = self.current
+        assert message is not None
+        message.head_done = True
+        message.keep_alive = self.parser.should_keep_alive()
+        self.head_bytes = 0
+        if isinstance(self.parser, httptools.HttpResponseParser):
+            message.status = self.parser.get_status_code()
+        else:
+            message.method = self.parser.get_method().decode("ascii")
+        for name, value in message.headers:
+            lower = name.lower()
+            if lower == "content-length":
+                message.length = int(value)
+            elif lower == "transfer-encoding":
+                message.chunked = True
+        if self.max_body_bytes is not None and (message.length or 0) > self.max_body_bytes:
+            raise RequestTooLarge("the body is larger than the limit", step="read", peer="caller")
+
+    def on_body(self, data: bytes) -> None:
+        """Take in a piece of the body."""
+        assert self.current is not None
+        self.body_bytes += len(data)
+        if self.max_body_bytes is not None and self.body_bytes > self.max_body_bytes:
+            raise RequestTooLarge("the body is larger than the limit", step="read", peer="caller")
+        self.current.pieces.append(data)
+
+    def on_message_complete(self) -> None:
+        """End a message."""
+        assert self.current is not None
+        self.current.complete = True
+        self.current = None
+
+
+def write_head(start: str, headers: Headers) -> bytes:
+    """Write a head.
+
+    :param start: the request or status line.
+    :param headers: names and values.
+    :return: the bytes, with the empty line.
+    """
+    lines = [start, *(f"{name}: {value}" for name, value in headers), "", ""]
+    return "\r\n".join(lines).encode("latin-1")
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Drop the headers that belong to one connection, also those that it names itself.
+
+    :param headers: as received.
+    :return: those that are passed on, in order.
+    """
+    named = {
+        part.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for part in value.split(",")
+    }
+    dropped = CONNECTION_HEADERS | named
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
--- /dev/null
+++ b/bayglade/intake.py
@@ -0,0 +1,134 @@
+"""Intake: turns a caller's request into a call, under the settings in force."""
+
+import random
+from collections.abc import Callable
+
+from bayglade.calls import Call, CallHead, Dialect
+from bayglade.clock import now
+from bayglade.directory import Directory
+from bayglade.endpoints import Endpoint, Endpoints
+from bayglade.exceptions import BaygladeError, CutOff, NotFound, Unauthenticated
+from bayglade.heads import Message
+from bayglade.ids import GroupPath, ServiceName
+from bayglade.logs import event
+from bayglade.pipelines import Pipeline
+from bayglade.retries import spread_retry_after
+from bayglade.settings import CallerLimits, Tree, priority_of
+
+TRUST_MARGIN = 0.6
+"""Seconds before the bound on old keys at which requests with keys are refused: a send takes time."""
+STALE_SECONDS = 3.5
+"""Older settings refuse nobody for good: the caller may be right by newer ones."""
+COME_BACK_SECONDS = 0.5
+
+
+class Intake:
+    """The settings in force, as requests are judged by them.
+
+    :param dialect: how callers speak.
+    :param age: returns the seconds since the settings were surely the newest.
+    :param key_trust: bound on that age for requests with keys, in seconds.
+    :param rng: source of chance.
+    """
+
+    def __init__(
+        self, dialect: Dialect, age: Callable[[], float], key_trust: float, rng: random.Random
+    ) -> None:
+        self.dialect = dialect
+        self.age = age
+        self.key_trust = key_trust
+        self.rng = rng
+        self.version = 0
+        self.tree = Tree()
+        self.endpoints = Endpoints([])
+        self.directory = Directory(self.tree)
+
+    def __repr__(self) -> str:
+        return f"<Intake version={self.version} age={self.age():.1f}>"
+
+    def take(self, version: int, tree: Tree) -> None:
+        """Take in settings, whole, and only newer ones.
+
+        :param version: their version.
+        :param tree: the settings.
+        """
+        if version <= self.version:
+            if version < self.version:
+                event("WARNING", "older settings ignored", version=version, in_force=self.version)
+            return
+        event(
+            "INFO", "settings in force", version=version, before=self.version, endpoints=len(tree.endpoints)
+        )
+        self.endpoints = Endpoints(tree.endpoints)
+        self.directory = Directory(tree)
+        self.tree = tree
+        self.version = version
+
+    def limits(self) -> CallerLimits:
+        """Return the bounds for new connections."""
+        return self.tree.caller_limits
+
+    def pipelines(self) -> dict[ServiceName, Pipeline]:
+        """Return the models that run as pipelines, by service."""
+        return {name: s.pipeline for name, s in self.tree.services.items() if s.pipeline is not None}
+
+    def call(self, message: Message) -> Call:
+        """Judge a request.
+
+        :param message: the request, whole.
+        :return: the call to be relayed.
+        :raises BaygladeError: when it is refused; nothing ran.
+        """
+        arrived = now()
+        head = self.dialect.read_call(message)
+        if not self.version:
+            raise self._cut_off("no settings are known yet")
+        try:
+            endpoint = self.endpoints.find(head.host, message.target.decode("latin-1"))
+            group = self._group(head, endpoint)
+        except (NotFound, Unauthenticated) as error:
+            if self.age() > STALE_SECONDS:
+                raise self._cut_off("the settings known here are old") from error
+            raise
+        seconds = endpoint.timeout if head.seconds is None else min(head.seconds, endpoint.timeout)
+        call = Call(
+            head=head,
+            endpoint=endpoint,
+            service=endpoint.choose(self.rng),
+            group=group,
+            priority=self._priority(endpoint, group),
+            arrived=arrived,
+            deadline=arrived + seconds,
+            method=message.method,
+            target=message.target,
+            headers=message.headers,
+            body=message.body(),
+        )
+        self.check(call)
+        return call
+
+    def check(self, call: Call) -> None:
+        """Refuse a request whose key may have been taken away in the meantime.
+
+        A daemon that was stopped and goes on finds its knowledge old here, right
+        before it would send.
+
+        :param call: the call.
+        :raises CutOff: when what is known of keys is too old.
+        """
+        if call.group is not None and self.age() > self.key_trust - TRUST_MARGIN:
+            raise self._cut_off("what is known here of keys is too old")
+
+    def _group(self, head: CallHead, endpoint: Endpoint) -> GroupPath | None:
+        if endpoint.public or not self.tree.accounts:
+            return None
+        return self.directory.account(head.key or "").group
+
+    def _priority(self, endpoint: Endpoint, group: GroupPath | None) -> int:
+        if group is None or self.tree.root.groups[group].priority is None:
+            return endpoint.priority
+        return priority_of(self.tree, group)
+
+    def _cut_off(self, message: str) -> BaygladeError:
+        again = spread_retry_after(COME_BACK_SECONDS, self.rng)
+        return CutOff(message, step="intake", retry_after=again)
--- a/bayglade/leases.py
+++ b/bayglade/leases.py
@@ -14,7 +14,7 @@
 from bayglade.clock import now
 from bayglade.exceptions import PlatformAnswerLost
 from bayglade.ids import MemberId
-from bayglade.platform import Platform, wire
+from bayglade.rows import ABSENT, Condition, RowStore, Transaction, Write, raw
 
 DURATION = 6.0
 MARGIN = 2.0
@@ -40,13 +40,21 @@
 class Lease:
     """One lease as one daemon sees it; times are monotonic seconds."""
 
-    def __init__(self, platform: Platform, name: str, me: MemberId, duration: float = DURATION) -> None:
+    def __init__(
+        self,
+        platform: RowStore,
+        name: str,
+        me: MemberId,
+        duration: float = DURATION,
+        margin: float = MARGIN,
+    ) -> None:
         self.platform = platform
         self.key = f"leases/{name}"
         self.me = me
         self.duration = duration
+        self.margin = margin
         self.epoch = 0
-        self.version = wire.ABSENT
+        self.version = ABSENT
         self.good_until = 0.0
         self.seen_version = -1
         self.seen_at = 0.0
@@ -70,11 +78,11 @@
         :return: whether it is held.
         :raises PlatformUnavailable: when the table does not answer.
         """
-        if self.seconds_left() > self.duration - RENEW_AFTER:
+        if self.seconds_left() > max(self.duration - RENEW_AFTER, self.duration / 2):
             return True
         row = self.platform.read([self.key]).get(self.key)
         found = msgspec.json.decode(row.value, type=LeaseRow) if row is not None else None
-        version = row.version if row is not None else wire.ABSENT
+        version = row.version if row is not None else ABSENT
         if found is not None and found.holder == self.me and found.epoch == self.epoch and self.epoch:
             return self._write(version, LeaseRow(self.me, self.epoch))
         if found is None or found.released or self._unchanged(version):
@@ -97,7 +105,7 @@
         if version != self.seen_version:
             self.seen_version, self.seen_at = version, now()
             return False
-        return now() - self.seen_at > self.duration + MARGIN
+        return now() - self.seen_at > self.duration + self.margin
 
     def _write(self, version: int, row: LeaseRow) -> bool:
         asked = now()
@@ -114,9 +122,9 @@
         return won
 
     def _transact(self, row: LeaseRow) -> bool:
-        transaction = wire.Transaction(
-            conditions=[wire.Condition(self.key, self.version)],
-            writes=[wire.Write(self.key, wire.raw(row))],
+        transaction = Transaction(
+            conditions=[Condition(self.key, self.version)],
+            writes=[Write(self.key, raw(row))],
         )
         won = self.platform.transact(transaction).committed
         self.version += won
--- /dev/null
+++ b/bayglade/loading.py
@@ -0,0 +1,178 @@
+"""Loading: orders the layers that backend servers should hold, one daemon at a time.
+
+Every daemon sees what is missing; the one that gets the lease gives the orders,
+and gives the lease back when nothing is missing. An order names the number of
+orders that the server has taken, so that one from an old view is refused, and
+what is wanted is always compared with what servers report, since an order
+without an answer may be carried out later.
+"""
+
+import random
+from collections.abc import Callable
+
+import eventlet
+import msgspec
+
+from bayglade.clock import now
+from bayglade.control import Control, OrderOutcome
+from bayglade.exceptions import PlatformUnavailable
+from bayglade.fleet import Fleet, ServerFacts
+from bayglade.ids import BackendId, ServiceName
+from bayglade.leases import Lease
+from bayglade.logs import event
+from bayglade.metrics import Metrics
+from bayglade.pipelines import Pipeline
+from bayglade.tiling import Span, Spans, fill, groups, missing, tile_group
+
+LEASE_NAME = "placement"
+LEASE_SECONDS = 2.5
+LEASE_MARGIN = 0.7
+"""Short: the lease is held only while there is something to order."""
+LOOK_SECONDS = 0.4
+SETTLE_SECONDS = 1.5
+"""An empty fleet is laid out once no server was listed for so long: the list fills slowly at a start."""
+RETILE_SECONDS = 1.5
+"""A group with layers missing is laid out anew after this time, when no empty server helps."""
+ORDER_SETTLE_SECONDS = 6.0
+"""An order without effect is given again after this time: unanswered ones may be carried out late."""
+ORDERS_AT_ONCE = 8
+SEND_MARGIN = 0.3
+"""Seconds of the lease that must be left when an order goes out."""
+REPORT_SECONDS = 0.5
+
+
+class Given(msgspec.Struct, frozen=True):
+    """An order that was given lately."""
+
+    span: Span
+    at: float
+
+
+class Loader:
+    """What one daemon knows of orders; times are monotonic seconds."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        control: Control,
+        lease: Lease,
+        pipelines: Callable[[], dict[ServiceName, Pipeline]],
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.fleet = fleet
+        self.control = control
+        self.lease = lease
+        self.pipelines = pipelines
+        self.metrics = metrics
+        self.rng = rng
+        self.given: dict[BackendId, Given] = {}
+        self.missing_since: dict[str, float] = {}
+
+    def __repr__(self) -> str:
+        return f"<Loader {self.lease!r} {len(self.given)} orders>"
+
+    def run(self) -> None:
+        """Look for missing layers now and then, for ever."""
+        while True:
+            eventlet.sleep(LOOK_SECONDS * self.rng.uniform(0.8, 1.2))
+            try:
+                self.step()
+            except PlatformUnavailable as error:
+                event("INFO", "lease not kept", error=repr(error))
+
+    def step(self) -> None:
+        """Order what is missing, if this daemon gets the lease.
+
+        :raises PlatformUnavailable: when the lease cannot be read or written.
+        """
+        for service, pipeline in self.pipelines().items():
+            wanted = self.wanted(service, pipeline)
+            if not wanted:
+                continue
+            if not self.lease.keep():
+                return
+            pool = eventlet.GreenPool(ORDERS_AT_ONCE)
+            for backend, span in wanted.items():
+                pool.spawn_n(self._order, backend, span)
+            pool.waitall()
+            return
+        self.lease.release()
+
+    def wanted(self, service: ServiceName, pipeline: Pipeline) -> Spans:
+        """Work out the spans to be ordered now.
+
+        :param service: a service whose servers hold a model.
+        :param pipeline: facts of the model.
+        :return: spans by server, without those under way.
+        """
+        at = now()
+        servers = [s.facts for s in self.fleet.of(service) if not s.leaving and not s.suspect]
+        expected = [self._as_ordered(facts, at) for facts in servers]
+        wanted: Spans = {}
+        for group in groups(expected, pipeline):
+            wanted.update(self._wanted_of(group, pipeline, at))
+        held = {facts.id: Span(facts.first, facts.last) for facts in expected}
+        return {backend: span for backend, span in wanted.items() if held[backend] != span}
+
+    def _wanted_of(self, group: list[ServerFacts], pipeline: Pipeline, at: float) -> Spans:
+        empty = [facts for facts in group if not facts.held]
+        holding = [facts for facts in group if facts.held]
+        if not holding:
+            return tile_group(group, pipeline) if self._settled(at) else {}
+        spans = fill(holding, empty, pipeline)
+        filled = [
+            msgspec.structs.replace(f, first=spans[f.id].first, last=spans[f.id].last)
+            for f in empty
+            if f.id in spans
+        ]
+        name = min(facts.hall for facts in group)
+        if not missing([*holding, *filled], pipeline.layers):
+            self.missing_since.pop(name, None)
+            return spans
+        since = self.missing_since.setdefault(name, at)
+        if at - since < RETILE_SECONDS:
+            return spans
+        event("INFO", "layers missing", hall=name, since=round(at - since, 2), servers=len(group))
+        return tile_group(group, pipeline)
+
+    def _settled(self, at: float) -> bool:
+        return at - self.fleet.grown_at > SETTLE_SECONDS
+
+    def _as_ordered(self, facts: ServerFacts, at: float) -> ServerFacts:
+        """Return what a server will hold once the order under way is done."""
+        given = self.given.get(facts.id)
+        if given is None:
+            return facts
+        if at - given.at > ORDER_SETTLE_SECONDS or (facts.first, facts.last) == (
+            given.span.first,
+            given.span.last,
+        ):
+            del self.given[facts.id]
+            return facts
+        return msgspec.structs.replace(facts, first=given.span.first, last=given.span.last)
+
+    def _order(self, backend: BackendId, span: Span) -> None:
+        server = self.fleet.servers.get(backend)
+        if server is None:
+            return
+        address = server.facts.address
+        report = self.control.report(backend, address, REPORT_SECONDS)
+        if report is None or report.loading:
+            return
+        # The last look before the send: a holder that was stopped must not act.
+        if self.lease.seconds_left() < SEND_MARGIN:
+            return
+        outcome = self.control.place(backend, address, span.first, span.last, report.orders_taken)
+        self.metrics.count(f"orders.{outcome.value}")
+        event(
+            "INFO",
+            "order given",
+            peer=backend,
+            first=span.first,
+            last=span.last,
+            after=report.orders_taken,
+            outcome=outcome.value,
+        )
+        if outcome is not OrderOutcome.REFUSED:
+            self.given[backend] = Given(span, now())
--- a/bayglade/metrics.py
+++ b/bayglade/metrics.py
@@ -3,6 +3,7 @@
 The names are listed in ``docs/operators/metrics.md``.
 """
 
+from bisect import bisect_left
 from collections import Counter
 
 import statsd
@@ -10,6 +11,34 @@
 from bayglade.config import parse_address
 
 PREFIX = "bayglade"
+BOUNDS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0)
+"""Upper bounds of the buckets of a latency, in seconds."""
+
+
+class Histogram:
+    """How often a latency fell into each bucket."""
+
+    __slots__ = ("counts", "total")
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BOUNDS) + 1)
+        self.total = 0.0
+
+    def __repr__(self) -> str:
+        return f"<Histogram of {sum(self.counts)}>"
+
+    def observe(self, seconds: float) -> None:
+        """Take in one latency."""
+        self.counts[bisect_left(BOUNDS, seconds)] += 1
+        self.total += seconds
+
+    def lines(self, name: str) -> list[str]:
+        """Write the buckets, each with all below it, then sum and count."""
+        lines, so_far = [], 0
+        for bound, count in zip((*map(str, BOUNDS), "+Inf"), self.counts, strict=True):
+            so_far += count
+            lines.append(f'{name}_bucket{{le="{bound}"}} {so_far}')
+        return [*lines, f"{name}_sum {self.total:.6f}", f"{name}_count {so_far}"]
 
 
 class Metrics:
@@ -19,6 +48,7 @@
         self.client = client
         self.counts: Counter[str] = Counter()
         self.gauges: dict[str, float] = {}
+        self.histograms: dict[str, Histogram] = {}
 
     def __repr__(self) -> str:
         return f"<Metrics {len(self.counts)} counters>"
@@ -35,6 +65,21 @@
         if self.client is not None:
             self.client.gauge(name, value)
 
+    def observe(self, name: str, seconds: float) -> None:
+        """Take a latency into its histogram."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = self.histograms[name] = Histogram()
+        histogram.observe(seconds)
+
+    def text(self) -> bytes:
+        """Write all figures in the text format of Prometheus."""
+        lines = [f"{_name(n)}_total {v}" for n, v in sorted(self.counts.items())]
+        lines += [f"{_name(n)} {v:g}" for n, v in sorted(self.gauges.items())]
+        for name, histogram in sorted(self.histograms.items()):
+            lines += histogram.lines(_name(name))
+        return ("\n".join(lines) + "\n").encode()
+
     def time(self, name: str, seconds: float) -> None:
         """Record how long something took."""
         if self.client is not None:
@@ -52,3 +97,7 @@
         return Metrics(None)
     where = parse_address(address)
     return Metrics(statsd.StatsClient(where.host, where.port, prefix=f"{PREFIX}.{member}"))
+
+
+def _name(name: str) -> str:
+    return f"{PREFIX}_{name}".replace(".", "_")
--- a/bayglade/operators/changes.py
+++ b/bayglade/operators/changes.py
@@ -15,8 +15,8 @@
 from bayglade.operators import documents
 from bayglade.operators.client import Remote
 from bayglade.operators.commands import ADDRESS, JSON, Audit, RemoteCommand, text_of
-from bayglade.platform import create_platform
 from bayglade.revisions import Author, Change, Current, Revisions
+from bayglade.table import create_platform
 
 NOT_YET = 6
 """Exit code of a change that is kept but not yet in force everywhere."""
--- /dev/null
+++ b/bayglade/paths.py
@@ -0,0 +1,259 @@
+"""Paths: which stages run which layers, over what backend servers report to hold.
+
+A path inside one data hall is cheapest by far: every hop to another hall takes
+the pipe between them for each token. So paths are sought hall by hall, and only
+when no hall holds the whole model over all halls together. The search is a
+shortest path over layers; see ``docs/design/placement.md``.
+"""
+
+from collections.abc import Iterable, Sequence
+
+from bayglade.engines.wire import Stage
+from bayglade.fleet import Fleet, Server
+from bayglade.ids import BackendId, HallName, ServiceName
+from bayglade.models import Route
+from bayglade.pipelines import Pipeline
+
+HOP_MS = 0.25
+"""Cost of one more stage inside a hall: about the delay between two hosts there."""
+CROSSING_MS = 20.0
+"""Cost of a hop to another hall: measured, a path over all halls takes 10 to 30 times as long."""
+ABROAD_MS = 2.0
+"""Cost of running a whole request in another hall than the daemon's own."""
+PRESSURE_MS = 4.0
+"""Cost of a stage whose free memory holds half of the tokens that it should."""
+CROWD = 24.0
+"""Requests of this daemon on a path at which it counts as twice as costly."""
+MAX_PATHS = 4
+"""Paths that are kept for each hall."""
+
+
+class Path:
+    """One way through all layers, with what it costs a token; times are milliseconds."""
+
+    __slots__ = ("cost", "hall", "in_flight", "route", "servers")
+
+    def __init__(self, route: Route, servers: tuple[Server, ...], cost: float) -> None:
+        self.route = route
+        self.servers = servers
+        self.cost = cost
+        self.hall = servers[0].facts.hall
+        self.in_flight = 0
+
+    def __repr__(self) -> str:
+        return f"<Path {self.cost:.1f} ms {self.route!r}>"
+
+    def score(self, own: HallName) -> float:
+        """Return what one more request here costs, for a daemon of a hall."""
+        return (self.cost + (ABROAD_MS if self.hall != own else 0.0)) * (1.0 + self.in_flight / CROWD)
+
+
+class _Reach:
+    """The cheapest known way to a layer: its last stage and the way before it."""
+
+    __slots__ = ("before", "cost", "first", "last", "server")
+
+    def __init__(
+        self, cost: float, server: Server | None, first: int, last: int, before: "_Reach | None"
+    ) -> None:
+        self.cost = cost
+        self.server = server
+        self.first = first
+        self.last = last
+        self.before = before
+
+
+class Paths:
+    """The paths of one daemon, sought anew when the fleet has changed."""
+
+    def __init__(self, fleet: Fleet, hall: HallName) -> None:
+        self.fleet = fleet
+        self.hall = hall
+        self.known: dict[ServiceName, list[Path]] = {}
+        self.valid: tuple[int, int] = (-1, -1)
+
+    def __repr__(self) -> str:
+        return f"<Paths {self.known!r}>"
+
+    def choose(
+        self, service: ServiceName, pipeline: Pipeline, without: frozenset[BackendId] = frozenset()
+    ) -> Path | None:
+        """Choose a path for one request.
+
+        :param service: the service whose servers hold the model.
+        :param pipeline: facts of the model.
+        :param without: servers not to use.
+        :return: the path, or nothing when the servers do not hold all layers.
+        """
+        paths = self.all(service, pipeline)
+        fitting = [p for p in paths if without.isdisjoint(s.facts.id for s in p.servers)]
+        if fitting:
+            return min(fitting, key=lambda path: path.score(self.hall))
+        if not without:
+            return None
+        usable = [s for s in self.fleet.usable(service) if s.facts.id not in without]
+        return find_path(usable, pipeline)
+
+    def all(self, service: ServiceName, pipeline: Pipeline) -> list[Path]:
+        """List the paths of a service that are worth using now."""
+        usable = self.fleet.usable(service)
+        # Suspicion ends by time alone, which changes the number of usable servers.
+        valid = (self.fleet.changed, len(usable))
+        if valid != self.valid:
+            self.known.clear()
+            self.valid = valid
+        if service not in self.known:
+            self.known[service] = find_paths(usable, pipeline)
+        return self.known[service]
+
+    def detour(
+        self, path: Path, service: ServiceName, pipeline: Pipeline, without: frozenset[BackendId]
+    ) -> Path | None:
+        """Find a path with the same first stage that avoids some servers.
+
+        :param path: the path that a request is on.
+        :param service: the service whose servers hold the model.
+        :param pipeline: facts of the model.
+        :param without: servers to avoid.
+        :return: the path, or nothing.
+        """
+        head = path.servers[0]
+        if head.facts.id in without:
+            return None
+        stage = path.route.stages[0]
+        usable = [s for s in self.fleet.usable(service) if s.facts.id not in without and s is not head]
+        here = [s for s in usable if s.facts.hall == head.facts.hall]
+        for servers in (here, usable):
+            rest = _search(servers, pipeline, _Reach(0.0, head, stage.first, stage.last, None))
+            if rest is not None:
+                return _path(rest)
+        return None
+
+
+def find_paths(servers: Sequence[Server], pipeline: Pipeline) -> list[Path]:
+    """Find the paths of a fleet: those inside each hall, and one over halls that have none.
+
+    :param servers: the servers that may be used.
+    :param pipeline: facts of the model.
+    :return: paths without a common server inside a hall, cheapest first.
+    """
+    paths: list[Path] = []
+    without: list[Server] = []
+    for hall in sorted({server.facts.hall for server in servers}):
+        left = [server for server in servers if server.facts.hall == hall]
+        for _ in range(MAX_PATHS):
+            path = find_path(left, pipeline)
+            if path is None:
+                break
+            paths.append(path)
+            left = [server for server in left if server not in path.servers]
+        if not any(path.hall == hall for path in paths):
+            without += left
+    # Halls that do not hold the model alone may do so together.
+    mixed = find_path(without, pipeline) or (None if paths else find_path(servers, pipeline))
+    if mixed is not None:
+        paths.append(mixed)
+    return sorted(paths, key=lambda path: path.cost)
+
+
+def find_path(servers: Iterable[Server], pipeline: Pipeline) -> Path | None:
+    """Find the cheapest path over some servers.
+
+    :param servers: the servers that may be used.
+    :param pipeline: facts of the model.
+    :return: the path, or nothing when they do not hold all layers.
+    """
+    reach = _search(servers, pipeline, _Reach(0.0, None, 0, 0, None))
+    return _path(reach) if reach is not None else None
+
+
+def stage_cost(server: Server, pipeline: Pipeline, layers: int) -> float:
+    """Return the milliseconds a token takes on a stage, dearer where memory is short.
+
+    :param server: the server.
+    :param pipeline: facts of the model.
+    :param layers: how many of its layers the stage runs.
+    """
+    facts = server.facts
+    assert facts.accelerator is not None
+    kind = pipeline.accelerators[facts.accelerator]
+    time = pipeline.step_ms * kind.step_factor * server.pace * layers / pipeline.layers
+    room = pipeline.room(facts.accelerator, facts.held, layers)
+    if room <= 0:
+        return float("inf")
+    shortage = max(0.0, pipeline.token_capacity / room - 1.0)
+    return time + PRESSURE_MS * shortage * shortage
+
+
+def _search(servers: Iterable[Server], pipeline: Pipeline, start: _Reach) -> _Reach | None:
+    """Find the cheapest way from a start to the last layer.
+
+    Servers are taken in the order of their last layers, so that no way comes
+    back to a server that it has left.
+    """
+    fitting = [s for s in servers if s.facts.held > 0 and s.facts.accelerator in pipeline.accelerators]
+    fitting.sort(key=lambda s: (s.facts.last, s.facts.first, s.facts.id))
+    reached: dict[int, dict[HallName | None, _Reach]] = {}
+    hall = start.server.facts.hall if start.server is not None else None
+    reached[start.last] = {hall: start}
+    for server in fitting:
+        _extend(reached, server, pipeline)
+    ends = reached.get(pipeline.layers, {})
+    return min(ends.values(), key=lambda reach: reach.cost, default=None)
+
+
+def _extend(reached: dict[int, dict[HallName | None, _Reach]], server: Server, pipeline: Pipeline) -> None:
+    """Extend the known ways by one stage on a server."""
+    facts = server.facts
+    costs = [stage_cost(server, pipeline, n) for n in range(1, facts.held + 1)]
+    found: list[_Reach] = []
+    for position in range(facts.first, facts.last):
+        ways = reached.get(position)
+        if not ways:
+            continue
+        cost, before = min(
+            ((way.cost + _hop(hall, facts.hall), way) for hall, way in ways.items()),
+            key=lambda entry: entry[0],
+        )
+        found.extend(
+            _Reach(cost + costs[end - position - 1], server, position, end, before)
+            for end in range(position + 1, facts.last + 1)
+        )
+    for reach in found:
+        ways = reached.setdefault(reach.last, {})
+        known = ways.get(facts.hall)
+        if known is None or reach.cost < known.cost:
+            ways[facts.hall] = reach
+
+
+def _hop(one: HallName | None, other: HallName) -> float:
+    if one is None:
+        return 0.0
+    return HOP_MS if one == other else CROSSING_MS
+
+
+def _path(reach: _Reach) -> Path:
+    cost = reach.cost
+    stages: list[Stage] = []
+    servers: list[Server] = []
+    step: _Reach | None = reach
+    while step is not None and step.server is not None:
+        facts = step.server.facts
+        stages.append(Stage(facts.id, facts.address, step.first, step.last))
+        servers.append(step.server)
+        step = step.before
+    return Path(Route(tuple(reversed(stages))), tuple(reversed(servers)), cost)
+
+
+def covered(servers: Iterable[Server], layers: int) -> list[int]:
+    """Count for each layer how many servers hold it.
+
+    :param servers: the servers.
+    :param layers: layers of the model.
+    :return: a count for each layer.
+    """
+    counts = [0] * layers
+    for server in servers:
+        for layer in range(server.facts.first, min(server.facts.last, layers)):
+            counts[layer] += 1
+    return counts
--- a/bayglade/platform/__init__.py
+++ b/bayglade/platform/__init__.py
@@ -1,5 +1,40 @@
-"""The platform's service: table, object store and host list."""
+"""The users' platform: translates its wire to and from bayglade's own types, and decides nothing."""
 
-from bayglade.platform.client import Platform, create_platform
+from pathlib import Path
 
-__all__ = ["Platform", "create_platform"]
+from bayglade.platform.calls import create_dialect
+from bayglade.platform.documents import (
+    DOCUMENT_KEY,
+    OPERATOR_TABLE,
+    SERVERS_TABLE,
+    decode_document,
+    decode_server,
+)
+from bayglade.platform.engines import Engines
+from bayglade.platform.store import Store
+
+__all__ = [
+    "DOCUMENT_KEY",
+    "OPERATOR_TABLE",
+    "READY_PATH",
+    "SERVERS_TABLE",
+    "SETTINGS_VARIABLE",
+    "Engines",
+    "Store",
+    "create_dialect",
+    "decode_document",
+    "decode_server",
+    "settings_path",
+]
+
+SETTINGS_VARIABLE = "BAYGLADE_NODE_FILE"
+DEFAULT_SETTINGS_PATH = "/etc/bayglade/boot.conf"
+READY_PATH = b"/api/ready"
+
+
+def settings_path(environment: dict[str, str]) -> Path:
+    """Return where the platform lays the settings of this process.
+
+    :param environment: the variables of the process.
+    """
+    return Path(environment.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH))
--- /dev/null
+++ b/bayglade/platform/calls.py
@@ -0,0 +1,123 @@
+"""Headers of calls: as clients send them, as replicas get them, as replicas answer."""
+
+from bayglade.calls import AnswerHead, Call, CallHead, Dialect, Sending
+from bayglade.exceptions import InvalidMessage
+from bayglade.heads import Headers, Message, end_to_end
+from bayglade.ids import RequestId
+from bayglade.models import Route
+
+REQUEST_ID = "X-Request-Id"
+DEADLINE = "X-Deadline-Ms"
+KEY = "X-Key"
+TOKENS = "X-Token-Counts"
+LAST_EVENT = "Last-Event-Id"
+GROUP = "X-Tenant"
+INSTANCE = "X-Expect-Instance"
+ROUTE = "Path"
+PRIORITY = "Priority"
+SEAL = "x-response-seal"
+NOT_RUN = "x-not-executed"
+AT_FAULT = "at-server"
+ANSWERING = "x-instance-id"
+
+OWN_HEADERS = frozenset(
+    name.lower() for name in (DEADLINE, KEY, LAST_EVENT, GROUP, INSTANCE, ROUTE, PRIORITY, "Expect-Version")
+)
+"""Headers that are set here, whatever the client sent."""
+
+
+def read_call(message: Message) -> CallHead:
+    """Read the head of a client's request.
+
+    :param message: the request.
+    :return: what it says.
+    :raises InvalidMessage: when it has no id or no host, or a figure is none.
+    """
+    found = {name.lower(): value for name, value in message.headers}
+    request, host = found.get(REQUEST_ID.lower()), found.get("host")
+    if not request or not host:
+        raise InvalidMessage(f"a request needs Host and {REQUEST_ID}", step="read", peer="caller")
+    deadline = found.get(DEADLINE.lower())
+    try:
+        prompt, answer = _tokens(found.get(TOKENS.lower()))
+        return CallHead(
+            id=RequestId(request),
+            host=host,
+            key=found.get(KEY.lower()),
+            seconds=None if deadline is None else float(deadline) / 1000,
+            prompt_tokens=prompt,
+            answer_tokens=answer,
+            last_event=_event_id(found.get(LAST_EVENT.lower())),
+        )
+    except ValueError as error:
+        raise InvalidMessage(f"a header makes no sense: {error}", step="read", peer="caller") from error
+
+
+def request_headers(call: Call, sending: Sending) -> Headers:
+    """Write the headers of a request to a replica.
+
+    :param call: the client's request.
+    :param sending: where it goes, and with how much time.
+    :return: the headers, without those of framing.
+    """
+    passed = [(n, v) for n, v in end_to_end(call.headers) if n.lower() not in OWN_HEADERS]
+    passed.append((DEADLINE, str(max(1, int(sending.seconds * 1000)))))
+    passed.append((INSTANCE, sending.backend))
+    if call.group is not None:
+        passed.append((GROUP, call.group))
+    if sending.last_event is not None:
+        passed.append((LAST_EVENT, str(sending.last_event)))
+    if sending.route is not None:
+        passed.append((ROUTE, write_route(sending.route)))
+    return passed
+
+
+def write_route(route: Route) -> str:
+    """Write the stages of a route as replicas take them.
+
+    :param route: the stages; the last layer of each is excluded.
+    :return: the value of the header.
+    """
+    return ",".join(f"{stage.address}={stage.first}-{stage.last}" for stage in route.stages)
+
+
+def read_answer(message: Message) -> AnswerHead:
+    """Read the head of a replica's answer.
+
+    :param message: the answer.
+    :return: what it says.
+    """
+    found = {name.lower(): value for name, value in message.headers}
+    return AnswerHead(
+        request=found.get(REQUEST_ID.lower()),
+        genuine=SEAL in found,
+        not_run=NOT_RUN in found or message.status == 421,
+        instance=found.get(ANSWERING),
+        at_fault=found.get(AT_FAULT),
+        keep_seconds=_keep_seconds(found.get("keep-alive")),
+    )
+
+
+def create_dialect() -> Dialect:
+    """Build the translation of calls on this platform."""
+    return Dialect(read_call, request_headers, read_answer)
+
+
+def _tokens(text: str | None) -> tuple[int, int]:
+    """Read ``in,out``: tokens of the prompt and the most that are generated."""
+    if text is None:
+        return 0, 0
+    prompt, _, answer = text.partition(",")
+    return int(prompt), int(answer or 0)
+
+
+def _event_id(text: str | None) -> int | None:
+    return int(text) if text and text.isdigit() else None
+
+
+def _keep_seconds(text: str | None) -> float | None:
+    """Read the whole seconds of ``Keep-Alive: timeout=5``."""
+    if text is None:
+        return None
+    digits = "".join(c for c in text.partition("timeout=")[2] or text if c.isdigit())
+    return float(digits) if digits else None
--- /dev/null
+++ b/bayglade/platform/documents.py
@@ -0,0 +1,248 @@
+"""The operator's document and the rows of servers, decoded into bayglade's own types."""
+
+from hashlib import sha256
+from typing import Literal
+
+import msgspec
+
+from bayglade.endpoints import Endpoint, Target
+from bayglade.exceptions import InvalidSettings
+from bayglade.fleet import ServerFacts
+from bayglade.ids import AccountName, BackendId, GroupPath, HallName, ModelName, ServiceName
+from bayglade.pipelines import Accelerator, Pipeline
+from bayglade.settings import Account, CallerLimits, Level, Service, Tree
+
+OPERATOR_TABLE = "op"
+DOCUMENT_KEY = "config"
+SERVERS_TABLE = "servers"
+
+
+class SplitEntry(msgspec.Struct):
+    """Part of a route's requests."""
+
+    service: str
+    weight: float
+
+
+class RouteEntry(msgspec.Struct, rename="camel"):
+    """A route; what it calls a kind says whether a request may be repeated."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: Literal["safe", "unsafe", "stream"]
+    timeout_ms: float
+    slo_ms: float
+    priority: int = 0  # 0 is the most urgent
+    service: str | None = None
+    split: list[SplitEntry] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = msgspec.field(name="gap_aim_ms", default=0.0)
+
+
+class KindEntry(msgspec.Struct):
+    """A kind of accelerator."""
+
+    name: str
+    mb: float
+    pace: float  # factor on the time of a token step, not a speed
+    read_x: float  # factor on the time of reading a prompt
+
+
+class ModelEntry(msgspec.Struct):
+    """A model that the servers of a service can load."""
+
+    name: str
+    load_s: float = 0.0
+
+
+class EngineEntry(msgspec.Struct):
+    """Facts of the servers of a model."""
+
+    models: list[ModelEntry]
+    kv_capacity: int = msgspec.field(name="kvCapacity", default=0)
+    kv_token_bytes: float = msgspec.field(name="kvTokenBytes", default=0.0)
+    step_ms: float = 0.0
+    read_per_s: float = 0.0
+    loads_at_once: int = 1
+    usual: dict[str, float] = {}
+    layers: int = 0
+    layer_mb: float = 0.0
+    kinds: list[KindEntry] = []
+
+
+class ServiceEntry(msgspec.Struct, rename="camel"):
+    """A service."""
+
+    name: str
+    health_path: str | None = None
+    max_conns: int | None = None
+    engine: EngineEntry | None = None
+
+
+class LimitsEntry(msgspec.Struct, rename="camel"):
+    """Bounds for clients."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class TenantEntry(msgspec.Struct, rename="camel"):
+    """A client account with its keys; its priority goes before that of a route."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class Document(msgspec.Struct):
+    """The newest configuration, whole."""
+
+    version: int
+    routes: list[RouteEntry]
+    services: list[ServiceEntry]
+    limits: LimitsEntry | None = None
+    tenants: list[TenantEntry] | None = None
+
+
+class Layers(msgspec.Struct):
+    """Layers that a server holds; the second bound is not a version, whatever its name."""
+
+    first: int = msgspec.field(name="from", default=0)
+    last: int = msgspec.field(name="targetVersion", default=0)
+    version: int = 0
+
+
+class ServerRow(msgspec.Struct):
+    """A server's own row."""
+
+    service: str
+    addr: str
+    zone: str
+    slots: int = 1
+    state: str = "ready"
+    kind: str | None = None
+    layers: Layers | None = None
+
+
+def decode_document(value: msgspec.Raw) -> tuple[int, Tree]:
+    """Read the operator's document.
+
+    :param value: the row's value.
+    :return: its version and the settings it stands for.
+    :raises InvalidSettings: when it makes no sense.
+    """
+    try:
+        document = msgspec.json.decode(value, type=Document)
+    except msgspec.DecodeError as error:
+        raise InvalidSettings(f"the operator's document: {error}", step="settings") from error
+    tree = Tree(
+        services={ServiceName(s.name): _service(s) for s in document.services},
+        endpoints=[_endpoint(route) for route in document.routes],
+    )
+    if document.limits is not None:
+        tree.caller_limits = _limits(document.limits)
+    for tenant in document.tenants or ():
+        _add_account(tree, tenant)
+    return document.version, tree
+
+
+def decode_server(key: str, value: msgspec.Raw) -> ServerFacts:
+    """Read a server's row.
+
+    :param key: the row's key, which is the server's id.
+    :param value: the row's value.
+    :return: facts of the server.
+    :raises InvalidSettings: when it makes no sense.
+    """
+    try:
+        row = msgspec.json.decode(value, type=ServerRow)
+    except msgspec.DecodeError as error:
+        raise InvalidSettings(f"row of server {key}: {error}", step="fleet") from error
+    layers = row.layers or Layers()
+    return ServerFacts(
+        id=BackendId(key),
+        service=ServiceName(row.service),
+        address=row.addr,
+        hall=HallName(row.zone),
+        slots=row.slots,
+        leaving=row.state != "ready",
+        accelerator=row.kind,
+        first=layers.first,
+        last=layers.last,
+        weights=layers.version,
+    )
+
+
+def _endpoint(route: RouteEntry) -> Endpoint:
+    targets = [Target(ServiceName(part.service), part.weight) for part in route.split]
+    if route.service is not None:
+        targets = [Target(ServiceName(route.service))]
+    return Endpoint(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.path_prefix,
+        targets=tuple(targets),
+        timeout=route.timeout_ms / 1000,
+        aim=route.slo_ms / 1000,
+        gap_aim=route.gap_aim_ms / 1000,
+        priority=-route.priority,
+        max_attempts=route.max_attempts,
+        repeatable=route.kind == "safe",
+        streamed=route.kind == "stream",
+        resumable=route.resumable,
+        public=route.public,
+    )
+
+
+def _service(entry: ServiceEntry) -> Service:
+    engine = entry.engine
+    return Service(
+        servers={},
+        max_connections=entry.max_conns,
+        health_path=entry.health_path,
+        pipeline=_pipeline(engine) if engine is not None and engine.layers else None,
+    )
+
+
+def _pipeline(engine: EngineEntry) -> Pipeline:
+    model = engine.models[0]
+    return Pipeline(
+        model=ModelName(model.name),
+        layers=engine.layers,
+        layer_mb=engine.layer_mb,
+        token_mb=engine.kv_token_bytes / 1e6,
+        token_capacity=engine.kv_capacity,
+        step_ms=engine.step_ms,
+        read_ms=1000 / engine.read_per_s if engine.read_per_s else 0.0,
+        load_seconds=model.load_s,
+        loads_at_once=engine.loads_at_once,
+        accelerators={
+            kind.name: Accelerator(memory_mb=kind.mb, step_factor=kind.pace, read_factor=kind.read_x)
+            for kind in engine.kinds
+        },
+        typical_prompt=int(engine.usual.get("prompt", 0)),
+        typical_answer=int(engine.usual.get("answer", 0)),
+    )
+
+
+def _limits(entry: LimitsEntry) -> CallerLimits:
+    return CallerLimits(
+        head_bytes=entry.max_header_bytes,
+        body_bytes=entry.max_body_bytes,
+        head_seconds=entry.header_timeout_ms / 1000,
+        idle_seconds=entry.idle_timeout_ms / 1000,
+    )
+
+
+def _add_account(tree: Tree, tenant: TenantEntry) -> None:
+    group = GroupPath(tenant.name)
+    priority = None if tenant.priority is None else -tenant.priority
+    tree.root.groups[tenant.name] = Level(priority=priority)
+    for number, key in enumerate(tenant.api_keys):
+        account = Account(group, sha256(key.encode()).hexdigest())
+        tree.accounts[AccountName(f"{tenant.name}.{number}")] = account
--- /dev/null
+++ b/bayglade/platform/engines.py
@@ -0,0 +1,150 @@
+"""Orders to replicas and their reports."""
+
+from typing import Literal
+
+import msgspec
+
+from bayglade.clock import now
+from bayglade.control import OrderOutcome, RerouteOutcome, StageReport
+from bayglade.exceptions import BackendError
+from bayglade.heads import write_head
+from bayglade.ids import BackendId, RequestId
+from bayglade.logs import event
+from bayglade.models import Route
+from bayglade.platform.calls import write_route
+from bayglade.platform.documents import Layers
+from bayglade.upstream import Links, open_exchange
+
+REPORT_PATH = "/api/report"
+ORDER_PATH = "/api/order"
+ORDER_SECONDS = 1.0
+REROUTE_SECONDS = 0.4
+"""A moved request is worth little once its caller has waited for another half second."""
+
+
+class StalledEntry(msgspec.Struct):
+    """A request that stands still; the address is that of the stage it waits for."""
+
+    id: str
+    addr: str = ""
+
+
+class Report(msgspec.Struct):
+    """A replica's report."""
+
+    seq: int = 0  # orders begun since its start
+    busy: bool = False  # an order is in progress, not: requests are
+    layers: Layers | None = None
+    running: int = 0
+    queued: int = 0
+    kv_used: float = msgspec.field(name="kvUsed", default=0.0)  # tokens times layers
+    kv_total: float = msgspec.field(name="kvTotal", default=0.0)
+    pace: float = 1.0  # over 1: slow
+    stalled: list[StalledEntry] = []
+
+
+class PlaceOrder(msgspec.Struct):
+    """Hold these layers; the second bound is excluded and is not a version."""
+
+    first: int = msgspec.field(name="from")
+    last: int = msgspec.field(name="targetVersion")
+    expected: int = msgspec.field(name="expectedRev")  # orders begun, as reported
+    op: Literal["place"] = "place"
+    how: Literal["wait", "cut"] = "wait"
+
+
+class RepathOrder(msgspec.Struct):
+    """Go on over another path."""
+
+    id: str
+    path: str
+    op: Literal["repath"] = "repath"
+
+
+class Refusal(msgspec.Struct):
+    """Why an order was not taken."""
+
+    addr: str | None = None
+
+
+class Engines:
+    """The replicas as reached over the daemon's connections."""
+
+    def __init__(self, links: Links) -> None:
+        self.links = links
+
+    def __repr__(self) -> str:
+        return f"<Engines {self.links!r}>"
+
+    def report(self, backend: BackendId, address: str, timeout: float) -> StageReport | None:
+        """Ask a replica for its report; see :class:`bayglade.control.Control`."""
+        status, body = self._ask(backend, address, "GET", REPORT_PATH, b"", timeout)
+        if status != 200:
+            return None
+        try:
+            report = msgspec.json.decode(body, type=Report)
+        except msgspec.DecodeError as error:
+            event("WARNING", "report makes no sense", peer=backend, error=str(error))
+            return None
+        layers = report.layers or Layers()
+        return StageReport(
+            orders_taken=report.seq,
+            loading=report.busy,
+            first=layers.first,
+            last=layers.last,
+            running=report.running,
+            queued=report.queued,
+            used=report.kv_used,
+            total=report.kv_total,
+            pace=report.pace,
+            stalled={RequestId(entry.id): entry.addr for entry in report.stalled},
+        )
+
+    def place(self, backend: BackendId, address: str, first: int, last: int, after: int) -> OrderOutcome:
+        """Order a range of layers; see :class:`bayglade.control.Control`."""
+        body = msgspec.json.encode(PlaceOrder(first, last, after))
+        status, _ = self._ask(backend, address, "POST", ORDER_PATH, body, ORDER_SECONDS)
+        if status == 202:
+            return OrderOutcome.TAKEN
+        if status == 200:
+            return OrderOutcome.DONE
+        return OrderOutcome.REFUSED if status in (400, 409, 412, 421) else OrderOutcome.UNKNOWN
+
+    def reroute(self, backend: BackendId, address: str, request: RequestId, route: Route) -> RerouteOutcome:
+        """Move a running request; see :class:`bayglade.control.Control`."""
+        body = msgspec.json.encode(RepathOrder(request, write_route(route)))
+        status, answer = self._ask(backend, address, "POST", ORDER_PATH, body, REROUTE_SECONDS)
+        if status in (200, 202):
+            return RerouteOutcome(True)
+        if status == 409:
+            try:
+                return RerouteOutcome(False, True, msgspec.json.decode(answer, type=Refusal).addr)
+            except msgspec.DecodeError as error:
+                event("WARNING", "refusal makes no sense", peer=backend, error=str(error))
+        return RerouteOutcome(False, status == 409)
+
+    def _ask(
+        self, backend: BackendId, address: str, method: str, path: str, body: bytes, timeout: float
+    ) -> tuple[int, bytes]:
+        """Make one call; status 0 when there was no whole answer."""
+        until = now() + timeout
+        headers = [("Host", address)]
+        if method == "POST":
+            headers += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        pieces = []
+        try:
+            exchange = open_exchange(self.links, backend, address)
+        except BackendError as error:
+            event("INFO", "server not reached", peer=backend, path=path, error=repr(error))
+            return 0, b""
+        try:
+            exchange.send(write_head(f"{method} {path} HTTP/1.1", headers) + body, until)
+            answer = exchange.head(until, lambda message: True)
+            while (piece := exchange.piece(until)) is not None:
+                pieces.append(piece)
+        except BackendError as error:
+            event("INFO", "server did not answer", peer=backend, path=path, error=repr(error))
+            return 0, b""
+        finally:
+            exchange.close()
+        return answer.status, b"".join(pieces)
--- /dev/null
+++ b/bayglade/platform/store.py
@@ -0,0 +1,158 @@
+"""Client of the platform's metadata store: rows, transactions and feeds over HTTP."""
+
+import base64
+
+import msgspec
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from bayglade.config import Address
+from bayglade.exceptions import HistoryGone, PlatformAnswerLost, PlatformUnavailable
+from bayglade.rows import ABSENT, Changes, Row, Transaction, TransactionResult
+
+CONNECT_TIMEOUT = 0.5
+READ_TIMEOUT = 1.0
+"""Seconds that an answer may take beside the wait that was asked for."""
+POOL_SIZE = 4
+PAGE_ROWS = 500
+OWN_TABLE = "bayglade"
+
+
+class StoredRow(msgspec.Struct):
+    """A row on the wire."""
+
+    key: str
+    value: str = ""  # base64
+    ver: int = ABSENT
+    gone: bool = False  # a row that was removed, in feeds
+
+
+class Page(msgspec.Struct):
+    """Rows as of one moment."""
+
+    rows: list[StoredRow]
+    ver: int  # the newest version of the whole store, not of these rows
+    more: bool = False
+
+
+class Expected(msgspec.Struct):
+    """A row and the version that it must have."""
+
+    key: str
+    ver: int
+    table: str = OWN_TABLE
+    part: str = ""
+
+
+class Put(msgspec.Struct):
+    """A row to be written."""
+
+    key: str
+    value: str
+    table: str = OWN_TABLE
+    part: str = ""
+
+
+class Write(msgspec.Struct):
+    """A transaction on the wire; ``expected`` are versions of rows, not revisions of settings."""
+
+    expected: list[Expected] = msgspec.field(name="expectedRev")
+    put: list[Put]
+    remove: list[Expected] = []
+
+
+class Store:
+    """The store as seen by one daemon; holds only pooled connections."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.pool = urllib3.HTTPConnectionPool(address.host, address.port, maxsize=POOL_SIZE, retries=False)
+
+    def __repr__(self) -> str:
+        return f"<Store {self.address}>"
+
+    def snapshot(self, table: str) -> Changes:
+        """Read all rows of a table; see :class:`bayglade.rows.ChangeFeed`."""
+        found: dict[str, msgspec.Raw | None] = {}
+        start, version = "", None
+        while True:
+            page = self._page(f"/api/rows-get?table={table}&part=&from={start}&limit={PAGE_ROWS}")
+            # Changes since the first page come again with the feed.
+            version = page.ver if version is None else version
+            found.update((row.key, _value(row)) for row in page.rows)
+            if not page.more or not page.rows:
+                return Changes(found, version)
+            start = page.rows[-1].key + "\0"
+
+    def changes(self, table: str, after: int, wait: float) -> Changes:
+        """Wait for changes; see :class:`bayglade.rows.ChangeFeed`."""
+        path = f"/api/rows-feed?table={table}&afterRev={after}&waitMs={int(wait * 1000)}"
+        page = self._page(path, wait)
+        return Changes({row.key: _value(row) for row in page.rows}, page.ver)
+
+    def read(self, keys: list[str]) -> dict[str, Row]:
+        """Read rows of bayglade's own table; see :class:`bayglade.rows.RowStore`."""
+        found: dict[str, Row] = {}
+        for key in keys:
+            page = self._page(f"/api/rows-get?table={OWN_TABLE}&part=&from={key}&limit=1")
+            for row in page.rows:
+                if row.key == key:
+                    found[key] = Row(row.ver, msgspec.Raw(base64.b64decode(row.value)))
+        return found
+
+    def transact(self, transaction: Transaction) -> TransactionResult:
+        """Write rows of bayglade's own table; see :class:`bayglade.rows.RowStore`."""
+        message = Write(
+            expected=[Expected(condition.key, condition.version) for condition in transaction.conditions],
+            put=[Put(w.key, base64.b64encode(w.value).decode()) for w in transaction.writes],
+        )
+        status, body = self._call(
+            "transact", "POST", "/api/rows-tx", msgspec.json.encode(message), READ_TIMEOUT
+        )
+        if status == 412:
+            return TransactionResult(False, [row.key for row in msgspec.json.decode(body, type=Page).rows])
+        if status != 200:
+            raise self._refused("transact", status, lost=status not in (429, 503))
+        return TransactionResult(True)
+
+    def _page(self, path: str, wait: float = 0.0) -> Page:
+        status, body = self._call("read", "GET", path, None, wait + READ_TIMEOUT)
+        if status == 410:
+            raise HistoryGone("the history after this version is gone", step="read", peer="store")
+        if status != 200:
+            raise self._refused("read", status, lost=False)
+        try:
+            return msgspec.json.decode(body, type=Page)
+        except msgspec.DecodeError as error:
+            raise PlatformUnavailable(
+                f"an answer makes no sense: {error}", step="read", peer="store"
+            ) from error
+
+    def _refused(self, step: str, status: int, lost: bool) -> PlatformUnavailable:
+        kind = PlatformAnswerLost if lost else PlatformUnavailable
+        return kind(f"the store answered {status}", step=step, peer="store")
+
+    def _call(
+        self, step: str, method: str, path: str, body: bytes | None, timeout: float
+    ) -> tuple[int, bytes]:
+        lost = PlatformAnswerLost if step == "transact" else PlatformUnavailable
+        headers = {"Content-Type": "application/json"} if body is not None else {}
+        try:
+            response = self.pool.urlopen(
+                method,
+                path,
+                body=body,
+                headers=headers,
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, read=timeout),
+                retries=False,
+                redirect=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            raise PlatformUnavailable("the store cannot be reached", step=step, peer="store") from error
+        except (HTTPError, OSError) as error:
+            raise lost("the store's answer was lost", step=step, peer="store") from error
+        return response.status, response.data
+
+
+def _value(row: StoredRow) -> msgspec.Raw | None:
+    return None if row.gone else msgspec.Raw(base64.b64decode(row.value))
--- /dev/null
+++ b/bayglade/relay.py
@@ -0,0 +1,202 @@
+"""The relay: sends calls to backend servers, and keeps count of what came of each.
+
+What may be sent again, and when a refusal may promise that nothing ran, is
+decided here. Whole answers are in :mod:`bayglade.wholes`, streams in
+:mod:`bayglade.streams`.
+"""
+
+import random
+from collections.abc import Callable
+
+from bayglade.calls import AnswerHead, Call, Dialect, Sending
+from bayglade.control import Control
+from bayglade.diagnosis import Diagnosis
+from bayglade.exceptions import (
+    BackendError,
+    BackendRefused,
+    BackendUnreachable,
+    BaygladeError,
+    DeadlinePassed,
+    NoRoute,
+    Outcome,
+    Overloaded,
+)
+from bayglade.fleet import Fleet, Server
+from bayglade.heads import Message, write_head
+from bayglade.ids import BackendId
+from bayglade.logs import event
+from bayglade.metrics import Metrics
+from bayglade.models import Route
+from bayglade.paths import Paths
+from bayglade.retries import RetryBudget, spread_retry_after
+from bayglade.upstream import FRESH_SECONDS, IDLE_SECONDS, Exchange, Links, open_exchange
+
+MAX_UNREACHED = 4
+"""Servers that may turn out unreachable before a call is given up: nothing was sent to them."""
+NO_ROUTE_SECONDS = 0.5
+FULL_SECONDS = 0.3
+"""When to come back: about the time in which a place becomes free."""
+
+
+class Peers:
+    """What the relay works with: the servers, the ways to them and what guards their use."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        paths: Paths,
+        links: Links,
+        dialect: Dialect,
+        control: Control,
+        diagnosis: Diagnosis,
+        check: Callable[[Call], None],
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.fleet = fleet
+        self.paths = paths
+        self.links = links
+        self.dialect = dialect
+        self.control = control
+        self.diagnosis = diagnosis
+        self.check = check
+        """Raises CutOff when the call may no longer be sent."""
+
+        self.metrics = metrics
+        self.rng = rng
+        self.budgets: dict[str, RetryBudget] = {}
+
+    def __repr__(self) -> str:
+        return f"<Peers {self.fleet!r}>"
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the budget for sending calls of a service again."""
+        if service not in self.budgets:
+            self.budgets[service] = RetryBudget()
+        return self.budgets[service]
+
+
+class Attempts:
+    """What has come of one call so far."""
+
+    __slots__ = ("call", "failure", "sent", "tried", "unknown", "unreached")
+
+    def __init__(self, call: Call) -> None:
+        self.call = call
+        self.sent = 0
+        self.unreached = 0
+        self.tried: set[BackendId] = set()
+        self.failure: BackendError | None = None
+        self.unknown = False
+        """Whether one of the sendings may have run."""
+
+    def __repr__(self) -> str:
+        return f"<Attempts {self.sent} sent, {self.unreached} unreached>"
+
+    def may_send(self, peers: Peers) -> bool:
+        """Tell whether the call may be sent once more, and take that from the budget."""
+        if self.call.seconds_left() <= 0 or self.unreached > MAX_UNREACHED:
+            return False
+        if self.sent == 0:
+            return True
+        return self.sent < self.call.endpoint.max_attempts and peers.budget(self.call.service).retry()
+
+    def failed(self, error: BackendError) -> bool:
+        """Take in the end of an attempt; tell whether another may follow."""
+        self.failure = error
+        if isinstance(error, BackendUnreachable):
+            self.unreached += 1
+        if error.outcome is Outcome.NOT_RUN:
+            return True
+        self.unknown = True
+        return not self.call.once
+
+    def error(self, rng: random.Random) -> BaygladeError:
+        """Return what the caller is told when no attempt brought an answer.
+
+        Only a call of which no sending can have run is refused with a status
+        that promises so.
+        """
+        if self.call.seconds_left() <= 0:
+            return DeadlinePassed("no whole answer in time", step="relay", outcome=self.outcome())
+        if self.unknown:
+            return self.failure or BackendError("no whole answer", step="relay")
+        if isinstance(self.failure, BackendRefused):
+            again = spread_retry_after(FULL_SECONDS, rng)
+            return Overloaded("the servers are full", step="relay", retry_after=again)
+        again = spread_retry_after(NO_ROUTE_SECONDS, rng)
+        return NoRoute("no server can run this now", step="relay", retry_after=again)
+
+    def outcome(self) -> Outcome:
+        """Tell what is known of all sendings together."""
+        return Outcome.UNKNOWN if self.unknown else Outcome.NOT_RUN
+
+
+def send(peers: Peers, call: Call, server: Server, route: Route | None, last_event: int | None) -> Exchange:
+    """Send a call to a server.
+
+    :param peers: what the relay works with.
+    :param call: the call.
+    :param server: where it goes.
+    :param route: the stages, for a model.
+    :param last_event: the event after which a stream goes on.
+    :return: the exchange, whose answer is still to come.
+    :raises CutOff: when the call may no longer be sent.
+    :raises BackendUnreachable: when nothing was sent.
+    :raises BackendError: when parts may have arrived.
+    """
+    facts = server.facts
+    peers.check(call)
+    max_idle = FRESH_SECONDS if call.once else IDLE_SECONDS
+    exchange = open_exchange(peers.links, facts.id, facts.address, max_idle)
+    try:
+        sending = Sending(backend=facts.id, seconds=call.seconds_left(), route=route, last_event=last_event)
+        headers = peers.dialect.request_headers(call, sending)
+        if call.body or call.method not in ("GET", "HEAD"):
+            headers.append(("Content-Length", str(len(call.body))))
+        start = f"{call.method} {call.target.decode('latin-1')} HTTP/1.1"
+        exchange.send(write_head(start, headers) + call.body, call.deadline)
+    except BaseException:
+        exchange.link.sock.close()
+        raise
+    event(
+        "INFO",
+        "sent",
+        request=call.head.id,
+        peer=facts.id,
+        route=route,
+        after=last_event,
+        left=round(call.seconds_left(), 3),
+    )
+    return exchange
+
+
+def answer_head(peers: Peers, call: Call, exchange: Exchange, until: float) -> tuple[Message, AnswerHead]:
+    """Wait for the head of the own answer.
+
+    :param peers: what the relay works with.
+    :param call: the call.
+    :param exchange: where it was sent.
+    :param until: when to give up, in monotonic seconds.
+    :return: the answer and what its head says.
+    :raises BackendRefused: when the server says that it did not run the call.
+    :raises BackendError: when there is no answer, or none that is the server's own.
+    """
+
+    def own(message: Message) -> bool:
+        request = peers.dialect.read_answer(message).request
+        return request is None or request == call.head.id
+
+    message = exchange.head(until, own)
+    head = peers.dialect.read_answer(message)
+    if head.not_run:
+        raise BackendRefused(
+            f"the server answered {message.status}",
+            step="answer",
+            peer=exchange.backend,
+            misdirected=head.instance is not None and head.instance != exchange.backend,
+            at_fault=head.at_fault,
+        )
+    if not head.genuine or head.request is None:
+        raise BackendError("an answer that is not the server's own", step="answer", peer=exchange.backend)
+    return message, head
--- a/bayglade/revisions.py
+++ b/bayglade/revisions.py
@@ -12,7 +12,7 @@
 import eventlet
 import msgspec
 
-from bayglade import patches, settings
+from bayglade import patches, rows, settings
 from bayglade.clock import now
 from bayglade.exceptions import (
     Forbidden,
@@ -25,8 +25,8 @@
 )
 from bayglade.ids import ChangeId, Digest, GroupPath, Revision
 from bayglade.logs import event
-from bayglade.platform import Platform, wire
 from bayglade.settings import Tree
+from bayglade.table import Platform
 
 HEAD_KEY = "settings/head"
 LOST_TRIES = 20
@@ -247,7 +247,7 @@
     return Current(Revision(before.revision + 1), settings.digest_of(content), content, tree)
 
 
-def _transaction(change: Change, author: Author, before: Current, after: Current) -> wire.Transaction:
+def _transaction(change: Change, author: Author, before: Current, after: Current) -> rows.Transaction:
     """Build the write that moves the head and adds the audit row, or does neither."""
     old, new = msgspec.json.decode(before.document), msgspec.json.decode(after.document)
     audit = AuditRow(
@@ -258,21 +258,21 @@
         at=time.time(),
         note=change.note,
         digest=after.digest,
-        patch=wire.raw(patches.diff(old, new)),
-        undo=wire.raw(patches.diff(new, old)),
+        patch=rows.raw(patches.diff(old, new)),
+        undo=rows.raw(patches.diff(new, old)),
     )
     head = Head(after.revision, after.digest)
     change_key = _change_key(change.id)
-    return wire.Transaction(
+    return rows.Transaction(
         conditions=[
             # The head is written once a revision, so its version is the revision.
-            wire.Condition(HEAD_KEY, before.revision),
-            wire.Condition(change_key, wire.ABSENT),
+            rows.Condition(HEAD_KEY, before.revision),
+            rows.Condition(change_key, rows.ABSENT),
         ],
         writes=[
-            wire.Write(HEAD_KEY, wire.raw(head)),
-            wire.Write(change_key, wire.raw(after.revision)),
-            wire.Write(_revision_key(after.revision), wire.raw(audit)),
+            rows.Write(HEAD_KEY, rows.raw(head)),
+            rows.Write(change_key, rows.raw(after.revision)),
+            rows.Write(_revision_key(after.revision), rows.raw(audit)),
         ],
     )
 
--- /dev/null
+++ b/bayglade/rows.py
@@ -0,0 +1,90 @@
+"""Rows of the platform's table: what they are, and what is asked of whoever keeps them."""
+
+from typing import Protocol
+
+import msgspec
+
+ABSENT = 0
+"""The version of a row that does not exist."""
+
+
+class Row(msgspec.Struct, frozen=True):
+    """A row of the table: its version, which grows with each write, and its value."""
+
+    version: int
+    value: msgspec.Raw
+
+
+class Condition(msgspec.Struct, frozen=True):
+    """Holds when the row has just this version."""
+
+    key: str
+    version: int
+
+
+class Write(msgspec.Struct, frozen=True):
+    """Sets the value of a row."""
+
+    key: str
+    value: msgspec.Raw
+
+
+class Transaction(msgspec.Struct, frozen=True):
+    """Writes that take effect together, when all conditions hold."""
+
+    conditions: list[Condition]
+    writes: list[Write]
+
+
+class TransactionResult(msgspec.Struct, frozen=True):
+    """Whether a transaction took effect, and the rows that stood against it."""
+
+    committed: bool
+    conflicts: list[str] = []
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """Rows of one table as of a version; a key without a value is a row that was removed."""
+
+    rows: dict[str, msgspec.Raw | None]
+    version: int
+
+
+class RowStore(Protocol):
+    """Whoever keeps the table's rows."""
+
+    def read(self, keys: list[str]) -> dict[str, Row]:
+        """Read the rows that exist among those asked for.
+
+        :raises PlatformUnavailable: when the table does not answer.
+        """
+
+    def transact(self, transaction: Transaction) -> TransactionResult:
+        """Write rows together, when all conditions hold.
+
+        :raises PlatformUnavailable: when nothing was written.
+        :raises PlatformAnswerLost: when it may have taken effect.
+        """
+
+
+class ChangeFeed(Protocol):
+    """Whoever tells of changes to the rows of a table."""
+
+    def snapshot(self, table: str) -> Changes:
+        """Read all rows of a table.
+
+        :raises PlatformUnavailable: when the table does not answer.
+        """
+
+    def changes(self, table: str, after: int, wait: float) -> Changes:
+        """Wait for rows that changed after a version.
+
+        :param wait: seconds after which an empty answer comes.
+        :raises HistoryGone: when that version is too old.
+        :raises PlatformUnavailable: when the table does not answer.
+        """
+
+
+def raw(value: object) -> msgspec.Raw:
+    """Encode a value as it lies in a row."""
+    return msgspec.Raw(msgspec.json.encode(value))
--- a/bayglade/settings.py
+++ b/bayglade/settings.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from bayglade.endpoints import Endpoint
 from bayglade.exceptions import InvalidSettings, NotFound
 from bayglade.ids import (
     AccountName,
@@ -21,6 +22,7 @@
     ServiceName,
     Version,
 )
+from bayglade.pipelines import Pipeline
 
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 MAX_DEPTH = 16
@@ -79,6 +81,12 @@
     servers: dict[BackendId, str]
     repeatable: bool = True
     timeout_seconds: float = 5.0
+    max_connections: int | None = None
+    """Connections that one server takes from all daemons together."""
+
+    health_path: str | None = None
+    pipeline: Pipeline | None = None
+    """Set when the service is a model whose layers are spread over its servers."""
 
 
 class Account(msgspec.Struct, forbid_unknown_fields=True):
@@ -106,6 +114,15 @@
     keep_part: float = 0.5
 
 
+class CallerLimits(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True, frozen=True):
+    """What one caller may send and how long it may take; bytes and seconds."""
+
+    head_bytes: int = 16 * 1024
+    body_bytes: int = 1024 * 1024
+    head_seconds: float = 10.0
+    idle_seconds: float = 60.0
+
+
 class Tree(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
     """One revision of all that operators steer."""
 
@@ -119,6 +136,9 @@
     links: dict[str, float] = msgspec.field(default_factory=dict)
     """Milliseconds one way between two data halls, keyed ``"a b"`` in name order."""
 
+    endpoints: list[Endpoint] = msgspec.field(default_factory=list)
+    caller_limits: CallerLimits = CallerLimits()
+
 
 Value = str | float | int | None
 """A value of a field of a level."""
--- /dev/null
+++ b/bayglade/streams.py
@@ -0,0 +1,240 @@
+"""Streams of a model: events pass as they come, over a path of stages that may change.
+
+A stream that stands still is looked into at once. When a stage is dead, its
+layers go to another one while the first stage keeps the request; when the
+first stage itself is gone, the stream goes on at another one after the last
+event that was delivered, inside the same answer.
+"""
+
+from collections.abc import Iterable
+
+from bayglade.calls import AnswerHead, Call
+from bayglade.clock import now
+from bayglade.events import EventSplitter, event_id
+from bayglade.exceptions import BackendError, BackendRefused, BackendSilent, BackendUnreachable
+from bayglade.fleet import Server
+from bayglade.heads import Message, end_to_end
+from bayglade.ids import BackendId
+from bayglade.listener import Connection
+from bayglade.logs import event
+from bayglade.paths import Path
+from bayglade.pipelines import Pipeline
+from bayglade.relay import Attempts, Peers, answer_head, send
+from bayglade.upstream import Exchange
+
+FIRST_PATIENCE_OF_AIM = 0.3
+"""Part of the aim after which a stream without an event is looked into."""
+GAP_PATIENCE_OF_AIM = 0.5
+"""Part of the longest good pause after which a stream is looked into."""
+LEAST_PATIENCE = 0.06
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+class Delivery:
+    """What the caller has of a stream."""
+
+    __slots__ = ("begun", "connection", "last_event", "started")
+
+    def __init__(self, connection: Connection, last_event: int | None) -> None:
+        self.connection = connection
+        self.begun = False
+        self.started = now()
+        self.last_event = last_event
+
+    def __repr__(self) -> str:
+        return f"<Delivery begun={self.begun} last_event={self.last_event}>"
+
+    def begin(self, message: Message) -> bytes:
+        """Return the head of the answer, once; a later run goes on under it."""
+        if self.begun:
+            return b""
+        self.begun = True
+        headers = [*end_to_end(message.headers), ("Transfer-Encoding", "chunked")]
+        return self.connection.head(message.status, headers)
+
+    def deliver(self, message: Message, events: Iterable[bytes]) -> None:
+        """Send the events that the caller does not have yet."""
+        fresh = []
+        for item in events:
+            number = event_id(item)
+            if number is not None:
+                if self.last_event is not None and number <= self.last_event:
+                    continue
+                self.last_event = number
+            fresh.append(item)
+        if fresh:
+            data = b"".join(fresh)
+            self.connection.send(self.begin(message) + b"%x\r\n%b\r\n" % (len(data), data))
+
+    def end(self, message: Message) -> None:
+        """Send the end of a whole answer."""
+        self.connection.send(self.begin(message) + LAST_CHUNK)
+
+
+class Run:
+    """One attempt at a stream: the path it is on and the exchange with its first stage."""
+
+    __slots__ = ("avoided", "exchange", "path")
+
+    def __init__(self, path: Path, exchange: Exchange) -> None:
+        self.path = path
+        self.exchange = exchange
+        self.avoided: frozenset[BackendId] = frozenset()
+
+    def __repr__(self) -> str:
+        return f"<Run on {self.path!r}>"
+
+    def move(self, path: Path) -> None:
+        """Count the request on another path."""
+        self.path.in_flight -= 1
+        self.path = path
+        self.path.in_flight += 1
+
+
+def relay_stream(peers: Peers, call: Call, pipeline: Pipeline, connection: Connection) -> None:
+    """Serve a call to a model.
+
+    :param peers: what the relay works with.
+    :param call: the call.
+    :param pipeline: facts of the model.
+    :param connection: the caller's connection.
+    :raises BaygladeError: when it cannot be answered; what was sent to the caller shows in
+        ``connection.sent``.
+    """
+    attempts = Attempts(call)
+    delivery = Delivery(connection, call.head.last_event)
+    peers.budget(call.service).request()
+    avoided: frozenset[BackendId] = frozenset()
+    while attempts.may_send(peers):
+        path = peers.paths.choose(call.service, pipeline, avoided)
+        if path is None:
+            break
+        try:
+            _attempt(peers, call, pipeline, path, delivery, attempts)
+            event("INFO", "answered", request=call.head.id, sent=attempts.sent, last=delivery.last_event)
+            return
+        except BackendError as error:
+            avoided |= _note_failure(peers, call, path, error)
+            if not attempts.failed(error):
+                break
+    raise attempts.error(peers.rng)
+
+
+def _attempt(
+    peers: Peers, call: Call, pipeline: Pipeline, path: Path, delivery: Delivery, attempts: Attempts
+) -> None:
+    """Make one attempt, to the end of the stream."""
+    path.in_flight += 1
+    run: Run | None = None
+    keep_seconds = None
+    try:
+        exchange = send(peers, call, path.servers[0], path.route, delivery.last_event)
+        attempts.sent += 1
+        run = Run(path, exchange)
+        try:
+            message, head = _await_head(peers, call, pipeline, run)
+            if message.status != 200:
+                _pass_on(call, exchange, message, delivery)
+            else:
+                _pass_events(peers, call, pipeline, run, message, delivery)
+            keep_seconds = head.keep_seconds
+        finally:
+            exchange.close(keep_seconds)
+    finally:
+        (run.path if run is not None else path).in_flight -= 1
+    for server in run.path.servers:
+        peers.fleet.succeeded(server)
+
+
+def _await_head(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> tuple[Message, AnswerHead]:
+    while True:
+        until = min(call.deadline, now() + _first_patience(call))
+        try:
+            return answer_head(peers, call, run.exchange, until)
+        except BackendSilent:
+            _look_into(peers, call, pipeline, run)
+
+
+def _pass_on(call: Call, exchange: Exchange, message: Message, delivery: Delivery) -> None:
+    """Pass on a failure that the server vouches for, as a whole answer."""
+    pieces = []
+    while (piece := exchange.piece(call.deadline)) is not None:
+        pieces.append(piece)
+    if delivery.begun:
+        raise BackendError("a stream cannot go on: the server failed", step="stream", peer=exchange.backend)
+    delivery.connection.answer(message.status, end_to_end(message.headers), b"".join(pieces))
+
+
+def _pass_events(
+    peers: Peers, call: Call, pipeline: Pipeline, run: Run, message: Message, delivery: Delivery
+) -> None:
+    splitter = EventSplitter()
+    gap = max(LEAST_PATIENCE, GAP_PATIENCE_OF_AIM * call.endpoint.gap_aim)
+    while True:
+        patience = gap if delivery.begun else _first_patience(call)
+        try:
+            piece = run.exchange.piece(min(call.deadline, now() + patience))
+        except BackendSilent:
+            _look_into(peers, call, pipeline, run)
+            continue
+        if piece is None:
+            break
+        delivery.deliver(message, splitter.feed(piece))
+    if splitter.rest:
+        raise BackendError("the stream ended inside an event", step="stream", peer=run.exchange.backend)
+    delivery.end(message)
+
+
+def _look_into(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> None:
+    """Find out why a stream stands still, and move it away from a dead stage.
+
+    :raises BackendError: when it has to be sent anew, or its time is over.
+    """
+    if call.seconds_left() <= 0:
+        raise BackendSilent("no whole answer in time", step="stream", peer=run.exchange.backend)
+    dead = peers.diagnosis.examine(run.path.servers)
+    if not dead:
+        return
+    head = run.path.servers[0]
+    if head.facts.id in dead:
+        raise BackendError("the first stage is dead", step="stream", peer=head.facts.id)
+    run.avoided |= dead
+    path = peers.paths.detour(run.path, call.service, pipeline, run.avoided)
+    if path is None:
+        raise BackendError(
+            "no other stages for the layers of a dead one", step="stream", peer=head.facts.id
+        )
+    outcome = peers.control.reroute(head.facts.id, head.facts.address, call.head.id, path.route)
+    event(
+        "INFO", "rerouted", request=call.head.id, dead=sorted(dead), moved=outcome.moved, route=path.route
+    )
+    peers.metrics.count("streams.rerouted" if outcome.moved else "streams.reroute_failed")
+    if not outcome.moved:
+        raise BackendError("the stream could not be moved", step="stream", peer=head.facts.id)
+    run.move(path)
+
+
+def _first_patience(call: Call) -> float:
+    return max(LEAST_PATIENCE, FIRST_PATIENCE_OF_AIM * call.endpoint.aim)
+
+
+def _note_failure(peers: Peers, call: Call, path: Path, error: BackendError) -> frozenset[BackendId]:
+    """Judge the servers of a failed attempt; return those to avoid now."""
+    head = path.servers[0]
+    event("INFO", "attempt failed", request=call.head.id, peer=head.facts.id, error=repr(error))
+    if isinstance(error, BackendRefused):
+        server = _at_fault(path, error.at_fault)
+        if error.misdirected:
+            peers.fleet.mark_leaving(head, "another server has its address")
+        return frozenset({server.facts.id})
+    if isinstance(error, BackendUnreachable):
+        peers.fleet.suspect(head, error.code)
+    dead = {server.facts.id for server in path.servers if server.suspect}
+    return frozenset(dead) or frozenset({head.facts.id})
+
+
+def _at_fault(path: Path, address: str | None) -> Server:
+    for server in path.servers:
+        if server.facts.address == address:
+            return server
+    return path.servers[0]
--- /dev/null
+++ b/bayglade/table/__init__.py
@@ -0,0 +1,5 @@
+"""The platform's service: table, object store and host list."""
+
+from bayglade.table.client import Platform, create_platform
+
+__all__ = ["Platform", "create_platform"]
--- a/bayglade/platform/client.py
+++ b/bayglade/table/client.py
@@ -7,7 +7,8 @@
 from bayglade.config import Address, parse_address
 from bayglade.exceptions import NotFound, PlatformAnswerLost, PlatformUnavailable
 from bayglade.ids import Digest
-from bayglade.platform import wire
+from bayglade.rows import Row, Transaction, TransactionResult
+from bayglade.table import wire
 
 CONNECT_TIMEOUT = 1.0
 READ_TIMEOUT = 2.0
@@ -31,7 +32,7 @@
     def __repr__(self) -> str:
         return f"<Platform {self.address}>"
 
-    def read(self, keys: list[str]) -> dict[str, wire.Row]:
+    def read(self, keys: list[str]) -> dict[str, Row]:
         """Read rows of the table in one request.
 
         :param keys: the rows wanted.
@@ -41,7 +42,7 @@
         body = self._post("read", wire.TABLE_READ_PATH, wire.ReadRows(keys), PlatformUnavailable)
         return msgspec.json.decode(body, type=wire.Rows).rows
 
-    def transact(self, transaction: wire.Transaction) -> wire.TransactionResult:
+    def transact(self, transaction: Transaction) -> TransactionResult:
         """Write rows together, when all conditions hold.
 
         :param transaction: conditions and writes.
@@ -50,7 +51,7 @@
         :raises PlatformAnswerLost: when it may have taken effect.
         """
         body = self._post("transact", wire.TABLE_TRANSACT_PATH, transaction, PlatformAnswerLost)
-        return msgspec.json.decode(body, type=wire.TransactionResult)
+        return msgspec.json.decode(body, type=TransactionResult)
 
     def put_object(self, digest: Digest, content: bytes) -> None:
         """Store content under its digest; storing it twice is harmless.
--- a/bayglade/platform/wire.py
+++ b/bayglade/table/wire.py
@@ -4,21 +4,13 @@
 
 import msgspec
 
+from bayglade.rows import Row
+
 TABLE_READ_PATH = "/v1/table/read"
 TABLE_TRANSACT_PATH = "/v1/table/transact"
 OBJECT_PATH = "/v1/objects/"
 HOSTS_PATH = "/v1/hosts"
 
-ABSENT = 0
-"""The version of a row that does not exist."""
-
-
-class Row(msgspec.Struct, frozen=True):
-    """A row of the table: its version, which grows with each write, and its value."""
-
-    version: int
-    value: msgspec.Raw
-
 
 class ReadRows(msgspec.Struct, frozen=True):
     """Asks for several rows at once."""
@@ -32,34 +24,6 @@
     rows: dict[str, Row]
 
 
-class Condition(msgspec.Struct, frozen=True):
-    """Holds when the row has just this version."""
-
-    key: str
-    version: int
-
-
-class Write(msgspec.Struct, frozen=True):
-    """Sets the value of a row."""
-
-    key: str
-    value: msgspec.Raw
-
-
-class Transaction(msgspec.Struct, frozen=True):
-    """Writes that take effect together, when all conditions hold."""
-
-    conditions: list[Condition]
-    writes: list[Write]
-
-
-class TransactionResult(msgspec.Struct, frozen=True):
-    """Whether a transaction took effect, and the rows that stood against it."""
-
-    committed: bool
-    conflicts: list[str] = []
-
-
 class HostState(Enum):
     """What the host list says of a host."""
 
@@ -88,8 +52,3 @@
     """The host list, which lags."""
 
     hosts: list[Host]
-
-
-def raw(value: object) -> msgspec.Raw:
-    """Encode a value as it lies in a row."""
-    return msgspec.Raw(msgspec.json.encode(value))
--- /dev/null
+++ b/bayglade/tiling.py
@@ -0,0 +1,253 @@
+"""Tiling: which layers each backend server should hold.
+
+In each data hall the servers form chains that hold all layers, so that no
+token crosses to another hall. Where memory allows, two servers of a kind hold
+the same layers: each usually runs half of them, and all of them when the other
+is gone. Plain functions; see ``docs/design/placement.md``.
+"""
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from bayglade.fleet import ServerFacts
+from bayglade.ids import BackendId, HallName
+from bayglade.pipelines import Pipeline
+
+SPARE_ROOM = 0.72
+"""Part of the wanted room for tokens that a server which runs all its layers must have left."""
+PAIR_ROOM = 0.5
+"""The same for one of a pair, which runs all its layers only when the other is gone."""
+TIGHTER = 0.75
+LEAST_ROOM = 0.1
+"""Where the model does not fit otherwise, the room for tokens shrinks in these steps, to this part."""
+SAME_SPEED = 1.3
+"""Kinds whose step times differ by less than this share layers evenly."""
+UNCOVERED_GAIN = 100.0
+SPARE_GAIN = 1.0
+"""Gain of holding a layer that nobody, or just one server, holds."""
+
+
+class Span(msgspec.Struct, frozen=True):
+    """Layers ``[first, last)``."""
+
+    first: int
+    last: int
+
+    @property
+    def length(self) -> int:
+        """Return how many layers these are."""
+        return self.last - self.first
+
+
+Spans = dict[BackendId, Span]
+
+
+def tile(servers: Sequence[ServerFacts], pipeline: Pipeline) -> Spans:
+    """Lay out a whole fleet anew.
+
+    :param servers: servers that may hold layers.
+    :param pipeline: facts of the model.
+    :return: the span of each server; empty for servers that no chain can use.
+    """
+    spans: Spans = {}
+    for group in groups(servers, pipeline):
+        spans.update(tile_group(group, pipeline))
+    return spans
+
+
+def groups(servers: Sequence[ServerFacts], pipeline: Pipeline) -> list[list[ServerFacts]]:
+    """Divide a fleet into halls that hold the model alone, and one group of all others.
+
+    :param servers: servers that may hold layers.
+    :param pipeline: facts of the model.
+    :return: groups of servers that together hold the model.
+    """
+    halls: dict[HallName, list[ServerFacts]] = {}
+    for server in servers:
+        if server.accelerator in pipeline.accelerators:
+            halls.setdefault(server.hall, []).append(server)
+    able = [hall for hall in halls.values() if _room_for(hall, pipeline) is not None]
+    rest = [server for hall in halls.values() if hall not in able for server in hall]
+    return [*able, rest] if rest else able
+
+
+def tile_group(servers: Sequence[ServerFacts], pipeline: Pipeline) -> Spans:
+    """Lay out one group of servers as chains.
+
+    :param servers: the group.
+    :param pipeline: facts of the model.
+    :return: the span of each server; empty when they cannot hold the model.
+    """
+    room = _room_for(servers, pipeline)
+    if room is None:
+        return {}
+    spans: Spans = {}
+    for chain in _chains(servers, pipeline, room):
+        spans.update(_lay(chain, pipeline, room))
+    return spans
+
+
+def fill(servers: Sequence[ServerFacts], empty: Iterable[ServerFacts], pipeline: Pipeline) -> Spans:
+    """Choose spans for empty servers beside those that hold layers.
+
+    :param servers: the servers of the group that hold layers.
+    :param empty: servers that hold none.
+    :param pipeline: facts of the model.
+    :return: a span for each empty server: where layers are missing first, then where
+        just one server holds them.
+    """
+    counts = [0] * pipeline.layers
+    for server in servers:
+        _count(counts, Span(server.first, server.last))
+    spans: Spans = {}
+    for server in sorted(empty, key=lambda s: (-_most(s, pipeline, SPARE_ROOM), s.id)):
+        length = _most(server, pipeline, SPARE_ROOM)
+        if length == 0:
+            continue
+        starts = range(pipeline.layers - length + 1)
+        first = max(starts, key=lambda start: (_gain(counts, start, length), -start))
+        spans[server.id] = Span(first, first + length)
+        _count(counts, spans[server.id])
+    return spans
+
+
+def missing(servers: Iterable[ServerFacts], layers: int) -> int:
+    """Count the layers that no server holds.
+
+    :param servers: the servers.
+    :param layers: layers of the model.
+    """
+    counts = [0] * layers
+    for server in servers:
+        _count(counts, Span(server.first, server.last))
+    return counts.count(0)
+
+
+def _most(server: ServerFacts, pipeline: Pipeline, part: float) -> int:
+    assert server.accelerator is not None
+    return pipeline.most_layers(server.accelerator, part * pipeline.token_capacity)
+
+
+def _room_for(servers: Sequence[ServerFacts], pipeline: Pipeline) -> float | None:
+    """Return the largest room for tokens, as a part of the wanted one, with which the model fits."""
+    part = 1.0
+    while part >= LEAST_ROOM:
+        if sum(_most(server, pipeline, part) for server in servers) >= pipeline.layers:
+            return part
+        part *= TIGHTER
+    return None
+
+
+def _chains(servers: Sequence[ServerFacts], pipeline: Pipeline, room: float) -> list[list[ServerFacts]]:
+    """Divide a group into as many chains as hold the model, of about equal size."""
+    most = {server.id: _most(server, pipeline, room) for server in servers}
+    ordered = sorted((s for s in servers if most[s.id]), key=lambda s: (-most[s.id], s.id))
+    count = sum(most.values()) // pipeline.layers
+    while count > 1:
+        chains: list[list[ServerFacts]] = [[] for _ in range(count)]
+        sums = [0] * count
+        for server in ordered:
+            least = sums.index(min(sums))
+            chains[least].append(server)
+            sums[least] += most[server.id]
+        if min(sums) >= pipeline.layers:
+            return chains
+        count -= 1
+    return [ordered]
+
+
+class _Unit:
+    """A server, or two that hold the same layers so that either can do without the other."""
+
+    __slots__ = ("most", "servers")
+
+    def __init__(self, servers: tuple[ServerFacts, ...], most: int) -> None:
+        self.servers = servers
+        self.most = most
+
+    def middle(self) -> float:
+        """Return the middle of what its servers hold now."""
+        return sum(s.first + s.last for s in self.servers) / (2 * len(self.servers))
+
+
+def _units(chain: Sequence[ServerFacts], pipeline: Pipeline, room: float) -> list[_Unit]:
+    """Pair as many servers of a chain as the memory left allows, cheapest kinds first."""
+    by_kind: dict[str, list[ServerFacts]] = {}
+    for server in sorted(chain, key=lambda s: ((s.first + s.last) / 2, s.id)):
+        by_kind.setdefault(server.accelerator or "", []).append(server)
+    alone = {kind: _most(servers[0], pipeline, room * SPARE_ROOM) for kind, servers in by_kind.items()}
+    paired = {kind: _most(servers[0], pipeline, room * PAIR_ROOM) for kind, servers in by_kind.items()}
+    slack = sum(alone[kind] * len(servers) for kind, servers in by_kind.items()) - pipeline.layers
+    units: list[_Unit] = []
+    for kind in sorted(by_kind, key=lambda kind: (2 * alone[kind] - paired[kind], kind)):
+        servers = by_kind[kind]
+        cost = 2 * alone[kind] - paired[kind]
+        while len(servers) >= 2 and cost <= slack:
+            units.append(_Unit((servers.pop(), servers.pop()), paired[kind]))
+            slack -= cost
+        units.extend(_Unit((server,), alone[kind]) for server in servers)
+    return units
+
+
+def _lay(chain: Sequence[ServerFacts], pipeline: Pipeline, room: float) -> Spans:
+    """Lay the units of a chain side by side over all layers."""
+    units = _units(chain, pipeline, room)
+    lengths = _lengths(units, pipeline)
+    # In the order of what they hold already, so that few layers move.
+    order = sorted(range(len(units)), key=lambda i: (units[i].middle(), i))
+    spans: Spans = {}
+    position = 0
+    for i in order:
+        span = Span(position, position + lengths[i])
+        position = span.last
+        if span.length:
+            spans.update((server.id, span) for server in units[i].servers)
+    return spans
+
+
+def _lengths(units: Sequence[_Unit], pipeline: Pipeline) -> list[int]:
+    """Share out the layers: fast kinds take all they can, kinds of like speed the rest evenly."""
+    left = pipeline.layers
+    lengths = [0] * len(units)
+    for tier in _tiers(units, pipeline):
+        most = [units[i].most for i in tier]
+        take = min(left, sum(most))
+        for i, length in zip(tier, _divide(take, most), strict=True):
+            lengths[i] = length
+        left -= take
+    return lengths
+
+
+def _tiers(units: Sequence[_Unit], pipeline: Pipeline) -> list[list[int]]:
+    def factor(i: int) -> float:
+        return pipeline.accelerators[units[i].servers[0].accelerator or ""].step_factor
+
+    tiers: list[list[int]] = []
+    for i in sorted(range(len(units)), key=lambda i: (factor(i), i)):
+        if tiers and factor(i) < SAME_SPEED * factor(tiers[-1][0]):
+            tiers[-1].append(i)
+        else:
+            tiers.append([i])
+    return tiers
+
+
+def _divide(total: int, most: Sequence[int]) -> list[int]:
+    """Divide a number in proportion to bounds, none above its bound, by largest remainders."""
+    whole = sum(most)
+    exact = [total * bound / whole for bound in most]
+    parts = [int(value) for value in exact]
+    by_rest = sorted(range(len(most)), key=lambda i: parts[i] - exact[i])
+    for i in by_rest[: total - sum(parts)]:
+        parts[i] += 1
+    return parts
+
+
+def _gain(counts: Sequence[int], first: int, length: int) -> float:
+    window = counts[first : first + length]
+    return UNCOVERED_GAIN * window.count(0) + SPARE_GAIN * window.count(1)
+
+
+def _count(counts: list[int], span: Span) -> None:
+    for layer in range(span.first, min(span.last, len(counts))):
+        counts[layer] += 1
--- /dev/null
+++ b/bayglade/wholes.py
@@ -0,0 +1,116 @@
+"""Whole answers of plain services: read to their end before a byte goes to the caller."""
+
+from bayglade.calls import Call
+from bayglade.clock import now
+from bayglade.exceptions import BackendError, BackendRefused
+from bayglade.fleet import Server
+from bayglade.heads import Headers, Message, end_to_end
+from bayglade.listener import Connection
+from bayglade.logs import event
+from bayglade.relay import Attempts, Peers, answer_head, send
+
+PATIENCE_OF_AIM = 0.6
+"""Part of the aim after which a repeatable call is tried at another server."""
+AWAY_COST = 0.5
+"""A server of another hall counts as this much busier, as its answer takes longer."""
+
+
+class Answer:
+    """A whole answer of a server."""
+
+    __slots__ = ("content", "headers", "status")
+
+    def __init__(self, message: Message, content: bytes) -> None:
+        self.status = message.status
+        self.headers: Headers = end_to_end(message.headers)
+        self.content = content
+
+    def __repr__(self) -> str:
+        return f"<Answer {self.status} {len(self.content)} bytes>"
+
+
+def relay_whole(peers: Peers, call: Call, connection: Connection) -> None:
+    """Serve a call to a plain service.
+
+    :param peers: what the relay works with.
+    :param call: the call.
+    :param connection: the caller's connection.
+    :raises BaygladeError: when there is no answer to pass on; nothing was sent to the caller.
+    """
+    attempts = Attempts(call)
+    peers.budget(call.service).request()
+    answer: Answer | None = None
+    while attempts.may_send(peers):
+        server = _least_busy(peers, call, attempts)
+        if server is None:
+            break
+        try:
+            answer = _attempt(peers, call, server, attempts)
+        except BackendError as error:
+            _note_failure(peers, call, server, error)
+            if not attempts.failed(error):
+                break
+            continue
+        # A failure that the server vouches for goes on only when no other server may do better.
+        if answer.status < 500 or not call.endpoint.repeatable:
+            break
+    if answer is None:
+        raise attempts.error(peers.rng)
+    connection.answer(answer.status, answer.headers, answer.content)
+    event("INFO", "answered", request=call.head.id, status=answer.status, sent=attempts.sent)
+
+
+def _attempt(peers: Peers, call: Call, server: Server, attempts: Attempts) -> Answer:
+    attempts.tried.add(server.facts.id)
+    server.in_flight += 1
+    keep_seconds = None
+    try:
+        exchange = send(peers, call, server, None, None)
+        attempts.sent += 1
+        try:
+            until = _patience(peers, call, attempts)
+            message, head = answer_head(peers, call, exchange, until)
+            pieces = []
+            while (piece := exchange.piece(call.deadline)) is not None:
+                pieces.append(piece)
+            keep_seconds = head.keep_seconds
+        finally:
+            exchange.close(keep_seconds)
+    finally:
+        server.in_flight -= 1
+    if message.status < 500:
+        peers.fleet.succeeded(server)
+    return Answer(message, b"".join(pieces))
+
+
+def _patience(peers: Peers, call: Call, attempts: Attempts) -> float:
+    """Return until when to wait for the head of an answer."""
+    endpoint = call.endpoint
+    others = [s for s in peers.fleet.usable(call.service) if s.facts.id not in attempts.tried]
+    if not endpoint.repeatable or not others or attempts.sent >= endpoint.max_attempts:
+        return call.deadline
+    return min(call.deadline, now() + PATIENCE_OF_AIM * endpoint.aim)
+
+
+def _least_busy(peers: Peers, call: Call, attempts: Attempts) -> Server | None:
+    """Choose a server that was not tried, the least busy by this daemon's own count."""
+    fitting = [s for s in peers.fleet.usable(call.service) if s.facts.id not in attempts.tried]
+    if not fitting:
+        return None
+    own = peers.paths.hall
+    return min(
+        fitting,
+        key=lambda s: (
+            s.in_flight / max(1, s.facts.slots) + (AWAY_COST if s.facts.hall != own else 0.0) + s.failures,
+            peers.rng.random(),
+        ),
+    )
+
+
+def _note_failure(peers: Peers, call: Call, server: Server, error: BackendError) -> None:
+    event("INFO", "attempt failed", request=call.head.id, peer=server.facts.id, error=repr(error))
+    if isinstance(error, BackendRefused):
+        if error.misdirected:
+            peers.fleet.mark_leaving(server, "another server has its address")
+        return
+    peers.fleet.suspect(server, error.code)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -11,7 +11,8 @@
 import eventlet
 import msgspec
 
-from bayglade.platform import wire
+from bayglade import rows
+from bayglade.table import wire
 from standins import web
 
 
@@ -29,8 +30,8 @@
     """Rows, objects and hosts, in memory."""
 
     def __init__(self) -> None:
-        self.rows: dict[str, wire.Row] = {}
-        self.saved: dict[str, wire.Row] = {}
+        self.table: dict[str, rows.Row] = {}
+        self.saved: dict[str, rows.Row] = {}
         self.objects: dict[str, bytes] = {}
         self.hosts: dict[str, wire.Host] = {}
         self.faults = Faults()
@@ -42,25 +43,25 @@
         """Answer a read of several rows."""
         self.reads += 1
         keys = msgspec.json.decode(body, type=wire.ReadRows).keys
-        return 200, wire.Rows({key: self.rows[key] for key in keys if key in self.rows})
+        return 200, wire.Rows({key: self.table[key] for key in keys if key in self.table})
 
     def transact(self, body: bytes, _: dict[str, Any]) -> tuple[int, Any]:
         """Apply a transaction when all its conditions hold."""
         self._pace()
         self.writes += 1
-        order = msgspec.json.decode(body, type=wire.Transaction)
+        order = msgspec.json.decode(body, type=rows.Transaction)
         conflicts = [c.key for c in order.conditions if self._version(c.key) != c.version]
         if conflicts:
-            return 200, wire.TransactionResult(False, conflicts)
+            return 200, rows.TransactionResult(False, conflicts)
         for write in order.writes:
-            self.rows[write.key] = wire.Row(self._version(write.key) + 1, write.value)
+            self.table[write.key] = rows.Row(self._version(write.key) + 1, write.value)
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             return 500, {"error": "lost"}
-        return 200, wire.TransactionResult(True)
+        return 200, rows.TransactionResult(True)
 
     def _version(self, key: str) -> int:
-        return self.rows[key].version if key in self.rows else wire.ABSENT
+        return self.table[key].version if key in self.table else rows.ABSENT
 
     def _pace(self) -> None:
         if not self.faults.writes_per_second:
@@ -101,17 +102,17 @@
 
     def save(self, _: bytes, __: dict[str, Any]) -> tuple[int, Any]:
         """Keep a copy of the table to restore later."""
-        self.saved = dict(self.rows)
+        self.saved = dict(self.table)
         return 200, {}
 
     def restore(self, _: bytes, __: dict[str, Any]) -> tuple[int, Any]:
         """Put the table back to the saved copy."""
-        self.rows = dict(self.saved)
+        self.table = dict(self.saved)
         return 200, {}
 
     def counts(self, _: bytes, __: dict[str, Any]) -> tuple[int, Any]:
         """Tell how many reads and writes there were."""
-        return 200, {"reads": self.reads, "writes": self.writes, "rows": len(self.rows)}
+        return 200, {"reads": self.reads, "writes": self.writes, "rows": len(self.table)}
 
 
 def main() -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,12 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bayglade import leases, settings
+from bayglade import leases, rows, settings
 from bayglade.exceptions import PlatformAnswerLost
 from bayglade.ids import BackendId, GroupPath, MemberId, Version
 from bayglade.leases import Lease, LeaseState
 from bayglade.placement import Holding, assign, next_orders
-from bayglade.platform import wire
 from standins.world import usual_tree
 
 
@@ -95,14 +94,14 @@
         for condition in transaction.conditions:
             row = self.rows.get(condition.key)
             if (row.version if row else 0) != condition.version:
-                return wire.TransactionResult(False, [condition.key])
+                return rows.TransactionResult(False, [condition.key])
         for write in transaction.writes:
             row = self.rows.get(write.key)
-            self.rows[write.key] = wire.Row((row.version if row else 0) + 1, write.value)
+            self.rows[write.key] = rows.Row((row.version if row else 0) + 1, write.value)
         if self.lose:
             self.lose -= 1
             raise PlatformAnswerLost("lost")
-        return wire.TransactionResult(True)
+        return rows.TransactionResult(True)
 
 
 @pytest.fixture
