Keep requests in their own hall while it can serve them; ask the store less

Cause: a hop abroad counted 2 ms a token, so all daemons used the quickest hall's path; 102 requests were refused there for want of room. Each server's row that changed cost each daemon a call of the store. Ruled out: too little memory in the tiling (the other halls stood idle). Change: abroad counts 10 ms; the servers' feed lets changes gather for 0.25 s; the document's feed waits 0.36 of the bound on old keys.

--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -29,13 +29,17 @@
     :param table: the table's name.
     :param wait: seconds a call may wait for a change; bounds the age of what is known.
     :param apply: takes changes in.
+    :param pause: seconds after changes in which more of them gather for one call.
     """
 
-    def __init__(self, store: ChangeFeed, table: str, wait: float, apply: Apply) -> None:
+    def __init__(
+        self, store: ChangeFeed, table: str, wait: float, apply: Apply, pause: float = 0.0
+    ) -> None:
         self.store = store
         self.table = table
         self.wait = wait
         self.apply = apply
+        self.pause = pause
         self.version: int | None = None
         self.known_at = 0.0
         self.failing_since: float | None = None
@@ -94,6 +98,7 @@
         self.known_at = asked
         if whole or changes.rows:
             self.apply(changes, whole)
+            eventlet.sleep(self.pause)
 
     def _failed(self, error: PlatformUnavailable) -> None:
         if self.failing_since is None:
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -34,9 +34,12 @@
 from bayglade.wholes import relay_whole
 
 METRICS_PATH = b"/metrics"
-DOCUMENT_WAIT = 1.3
-"""Seconds that the feed of the operator's document waits: bounds the age of what is known of keys."""
+DOCUMENT_WAIT_OF_TRUST = 0.36
+"""Part of the bound on old keys that the feed of the operator's document waits: what is known
+is up to two waits old."""
 SERVERS_WAIT = 8.0
+SERVERS_PAUSE = 0.25
+"""Seconds between calls of the servers' feed: many rows change together, and each call is paid for."""
 TIDY_SECONDS = 0.5
 DRAIN_POLL = 0.05
 BALANCER_SECONDS = 3.0
@@ -61,11 +64,16 @@
         self.links = Links()
         self.control = platform.Engines(self.links)
         self.diagnosis = Diagnosis(self.fleet, self.control)
-        self.document_feed = Feed(self.store, platform.OPERATOR_TABLE, DOCUMENT_WAIT, self._take_document)
-        self.servers_feed = Feed(self.store, platform.SERVERS_TABLE, SERVERS_WAIT, self._take_servers)
+        key_trust = config.key_trust_ms / 1000
+        self.document_feed = Feed(
+            self.store, platform.OPERATOR_TABLE, DOCUMENT_WAIT_OF_TRUST * key_trust, self._take_document
+        )
+        self.servers_feed = Feed(
+            self.store, platform.SERVERS_TABLE, SERVERS_WAIT, self._take_servers, SERVERS_PAUSE
+        )
         self.document_feed.on_lost = self.servers_feed.interrupt
         dialect = platform.create_dialect()
-        self.intake = Intake(dialect, self.document_feed.age, config.key_trust_ms / 1000, self.rng)
+        self.intake = Intake(dialect, self.document_feed.age, key_trust, self.rng)
         self.peers = Peers(
             fleet=self.fleet,
             paths=Paths(self.fleet, config.hall),
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -18,11 +18,12 @@
 """Cost of one more stage inside a hall: about the delay between two hosts there."""
 CROSSING_MS = 20.0
 """Cost of a hop to another hall: measured, a path over all halls takes 10 to 30 times as long."""
-ABROAD_MS = 2.0
-"""Cost of running a whole request in another hall than the daemon's own."""
+ABROAD_MS = 10.0
+"""Cost of running a whole request in another hall: less than a crossing within a path, and
+enough that halls of unequal speed keep to their own callers while they can."""
 PRESSURE_MS = 4.0
 """Cost of a stage whose free memory holds half of the tokens that it should."""
-CROWD = 24.0
+CROWD = 12.0
 """Requests of this daemon on a path at which it counts as twice as costly."""
 MAX_PATHS = 4
 """Paths that are kept for each hall."""
