Tell a reset from an end; refuse requests late in a stop

Ruled out: a lost last piece (the body was short by the bytes after the crash). Change: connections are read past eventlet's recv; requests that come more than 2.8 s after the signal get 503 with a time to come back.

--- a/bayglade/exceptions.py
+++ b/bayglade/exceptions.py
@@ -132,6 +132,12 @@
     code, status, default_outcome = "cut_off", 503, Outcome.NOT_RUN
 
 
+class Stopping(BaygladeError):
+    """This daemon stops and takes no new requests."""
+
+    code, status, default_outcome = "stopping", 503, Outcome.NOT_RUN
+
+
 class BackendError(BaygladeError):
     """A backend server failed after it may have begun to run the request."""
 
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -14,7 +14,7 @@
 from bayglade.clock import now
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
 from bayglade.diagnosis import Diagnosis
-from bayglade.exceptions import BaygladeError, InvalidSettings
+from bayglade.exceptions import BaygladeError, InvalidSettings, Stopping
 from bayglade.feeds import Feed
 from bayglade.fleet import LAPSE_GRACE, Fleet, ServerFacts
 from bayglade.heads import Message
@@ -27,6 +27,7 @@
 from bayglade.metrics import create_metrics
 from bayglade.paths import Paths
 from bayglade.relay import Peers
+from bayglade.retries import spread_retry_after
 from bayglade.rows import Changes
 from bayglade.settings import CallerLimits
 from bayglade.streams import relay_stream
@@ -44,6 +45,10 @@
 DRAIN_POLL = 0.05
 BALANCER_SECONDS = 3.0
 """The balancer asks each second and takes a daemon out after two misses."""
+ACCEPT_SECONDS = 2.8
+"""How long after the signal to stop requests are still taken: later ones may not be over in time."""
+ELSEWHERE_SECONDS = 0.1
+"""When to come back where another daemon can serve at once."""
 STOP_MARGIN = 0.6
 """Seconds before the end by force at which the daemon ends by itself."""
 LOCAL_LIMITS = CallerLimits()
@@ -96,6 +101,7 @@
         self.presence = Presence(self.metrics)
         self.active: set[RequestId] = set()
         self.draining = False
+        self.draining_since = 0.0
         self.stopping = Event()
 
     def __repr__(self) -> str:
@@ -148,6 +154,7 @@
         try:
             call = self.intake.call(message)
             request = call.head.id
+            self._check_stopping()
             self.active.add(request)
             with self.presence.watching(connection.sock):
                 self._relay(call, connection)
@@ -160,6 +167,11 @@
             self.active.discard(request)
             self.metrics.observe("request_seconds", now() - started)
 
+    def _check_stopping(self) -> None:
+        if self.draining and now() - self.draining_since > ACCEPT_SECONDS:
+            again = spread_retry_after(ELSEWHERE_SECONDS, self.rng)
+            raise Stopping("this daemon stops", step="intake", retry_after=again)
+
     def _relay(self, call: Call, connection: Connection) -> None:
         service = self.intake.tree.services.get(call.service)
         self.metrics.count("requests")
@@ -254,6 +266,8 @@
         signal.signal(signal.SIGHUP, pass_on(lambda: self.reload("SIGHUP")))
 
     def _stop(self) -> None:
+        if not self.draining:
+            self.draining_since = now()
         self.draining = True
         if not self.stopping.ready():
             self.stopping.send()
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -17,8 +17,8 @@
 from bayglade.logs import event
 from bayglade.responses import JSON_TYPE, error_body
 from bayglade.settings import CallerLimits
+from bayglade.sockets import receive
 
-READ_BYTES = 64 * 1024
 BACKLOG = 1024
 SEND_SECONDS = 10.0
 """How long a caller that does not read may hold up a send."""
@@ -108,12 +108,8 @@
         return bool(self.reader.messages) or self.reader.head_bytes > 0
 
     def _receive(self, until: float, message: Message | None) -> bool:
-        left = until - now()
         try:
-            if left <= 0:
-                raise TimeoutError
-            self.sock.settimeout(left)
-            data = self.sock.recv(READ_BYTES)
+            data = receive(self.sock, until)
         except TimeoutError:
             if not self._begun():
                 return False
@@ -215,5 +211,5 @@
     connection.refuse(error)
     connection.sock.shutdown(socket.SHUT_WR)
     until = now() + LINGER_SECONDS
-    while now() < until and connection.sock.recv(READ_BYTES):
+    while receive(connection.sock, until):
         pass
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -9,6 +9,7 @@
 from bayglade.exceptions import BackendError, BackendSilent, BackendUnreachable, InvalidMessage
 from bayglade.heads import Message, Reader
 from bayglade.ids import BackendId
+from bayglade.sockets import at_rest, receive
 
 CONNECT_SECONDS = 0.4
 """A connect takes about two milliseconds on the users' links; a lost packet adds 0.2 s or more."""
@@ -21,7 +22,6 @@
 FRESH_SECONDS = 1.0
 """A call that must not be repeated takes only a connection used this lately: one that was
 closed in the meantime would leave it open whether the call ran."""
-READ_BYTES = 64 * 1024
 MAX_STRAYS = 2
 """Answers to earlier calls that are read away before the own one."""
 
@@ -42,14 +42,7 @@
 
     def quiet(self) -> bool:
         """Tell whether nothing came in while it rested: neither its end nor stray bytes."""
-        try:
-            # The plain socket below the green one is non-blocking.
-            self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)  # type: ignore[attr-defined]
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return at_rest(self.sock)
 
 
 class Links:
@@ -221,12 +214,8 @@
 
     def receive(self, until: float) -> bool:
         """Read once from the connection; tell whether it goes on."""
-        left = until - now()
-        if left <= 0:
-            raise self._silent()
         try:
-            self.link.sock.settimeout(left)
-            data = self.link.sock.recv(READ_BYTES)
+            data = receive(self.link.sock, until)
         except TimeoutError as error:
             raise self._silent() from error
         except OSError as error:
