--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -1,8 +1,9 @@
 """Feeds: follow a table of the platform, and know how old the knowledge is.
 
 A feed reads the table whole, then waits for changes. It starts anew when the
-history it needs is gone. ``known_at`` is the time just before the last answered
-call was sent: everything acknowledged before it is known here.
+history it needs is gone. ``known_at`` is a time before which everything that was
+acknowledged is known here: the time just before the last answered call was sent,
+or, when its whole wait passed without a change, the end of that wait.
 """
 
 from collections.abc import Callable
@@ -95,7 +96,8 @@
             self.failing_since = None
             self.recovered_at = now()
         self.version = changes.version
-        self.known_at = asked
+        quiet = not whole and not changes.rows and now() - asked >= self.wait
+        self.known_at = asked + self.wait if quiet else asked
         if whole or changes.rows:
             self.apply(changes, whole)
             eventlet.sleep(self.pause)
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -35,16 +35,17 @@
 from bayglade.wholes import relay_whole
 
 METRICS_PATH = b"/metrics"
-DOCUMENT_WAIT_OF_TRUST = 0.36
+DOCUMENT_WAIT_OF_TRUST = 0.45
 """Part of the bound on old keys that the feed of the operator's document waits: what is known
-is up to two waits old."""
+is up to one wait old, and a second answer may fail before keys are no longer trusted."""
 SERVERS_WAIT = 8.0
 SERVERS_PAUSE = 0.25
 """Seconds between calls of the servers' feed: many rows change together, and each call is paid for."""
 TIDY_SECONDS = 0.5
 DRAIN_POLL = 0.05
-BALANCER_SECONDS = 3.0
-"""The balancer asks each second and takes a daemon out after two misses."""
+BALANCER_SECONDS = 3.5
+"""The balancer asks each second and takes a daemon out after two misses; then connections
+that are on their way still come."""
 ACCEPT_SECONDS = 2.8
 """How long after the signal to stop requests are still taken: later ones may not be over in time."""
 ELSEWHERE_SECONDS = 0.1
@@ -131,7 +132,7 @@
             not self.draining
             and self.intake.version > 0
             and bool(self.fleet.servers)
-            and self.document_feed.age() < self.config.key_trust_ms / 1000
+            and self.intake.trusted()
         )
 
     def _answer_ready(self, connection: Connection, message: Message) -> None:
--- a/bayglade/heads.py
+++ b/bayglade/heads.py
@@ -31,6 +31,8 @@
 )
 """Headers of one connection (RFC 9110, 7.6.1) and of framing, which each side sets anew."""
 
+FIELD_OVERHEAD = 4
+"""Bytes of a field beside its name and value: colon, space and line end."""
 BODILESS_STATUSES = (204, 304)
 
 
@@ -102,6 +104,11 @@
         self.messages: deque[Message] = deque()
         self.current: Message | None = None
         self.head_bytes = 0
+        """Bytes read since the last head was whole."""
+
+        self.field_bytes = 0
+        """Bytes of the fields of the present head, which may come whole in one read."""
+
         self.body_bytes = 0
         self.parser: httptools.HttpRequestParser | httptools.HttpResponseParser
         self.parser = httptools.HttpResponseParser(self) if responses else httptools.HttpRequestParser(self)
@@ -135,11 +142,13 @@
         self.current = Message()
         self.messages.append(self.current)
         self.body_bytes = 0
+        self.field_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Take in a part of the request's target."""
         assert self.current is not None
         self.current.target += url
+        self._count_field(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take in a header, or a trailer, which is dropped."""
@@ -147,6 +156,7 @@
         if self.current.head_done:
             return
         self.current.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        self._count_field(len(name) + len(value) + FIELD_OVERHEAD)
 
     def on_headers_complete(self) -> None:
         """End the head."""
@@ -176,6 +186,11 @@
             raise RequestTooLarge("the body is larger than the limit", step="read", peer="caller")
         self.current.pieces.append(data)
 
+    def _count_field(self, size: int) -> None:
+        self.field_bytes += size
+        if self.field_bytes > self.max_head_bytes:
+            raise HeadTooLarge("the head is too large", step="read", peer="caller")
+
     def on_message_complete(self) -> None:
         """End a message."""
         assert self.current is not None
--- a/bayglade/intake.py
+++ b/bayglade/intake.py
@@ -15,10 +15,12 @@
 from bayglade.retries import spread_retry_after
 from bayglade.settings import CallerLimits, Tree, priority_of
 
-TRUST_MARGIN = 0.6
-"""Seconds before the bound on old keys at which requests with keys are refused: a send takes time."""
-STALE_SECONDS = 3.5
-"""Older settings refuse nobody for good: the caller may be right by newer ones."""
+TRUST_MARGIN = 1.2
+"""Seconds before the bound on old keys at which requests with keys are refused: a send takes
+time, and a feed may hear nothing for a second while the store drops its history."""
+STALE_OF_TRUST = 0.75
+"""Settings older than this part of that bound refuse nobody for good: the caller may be right
+by newer ones."""
 COME_BACK_SECONDS = 0.5
 
 
@@ -87,7 +89,7 @@
             endpoint = self.endpoints.find(head.host, message.target.decode("latin-1"))
             group = self._group(head, endpoint)
         except (NotFound, Unauthenticated) as error:
-            if self.age() > STALE_SECONDS:
+            if self.age() > STALE_OF_TRUST * self.key_trust:
                 raise self._cut_off("the settings known here are old") from error
             raise
         seconds = endpoint.timeout if head.seconds is None else min(head.seconds, endpoint.timeout)
@@ -107,6 +109,10 @@
         self.check(call)
         return call
 
+    def trusted(self) -> bool:
+        """Tell whether what is known of keys is fresh enough to run requests that carry one."""
+        return self.age() <= self.key_trust - TRUST_MARGIN
+
     def check(self, call: Call) -> None:
         """Refuse a request whose key may have been taken away in the meantime.
 
@@ -116,7 +122,7 @@
         :param call: the call.
         :raises CutOff: when what is known of keys is too old.
         """
-        if call.group is not None and self.age() > self.key_trust - TRUST_MARGIN:
+        if call.group is not None and not self.trusted():
             raise self._cut_off("what is known here of keys is too old")
 
     def _group(self, head: CallHead, endpoint: Endpoint) -> GroupPath | None:
--- /dev/null
+++ b/tests/test_gateway_faults.py
@@ -0,0 +1,225 @@
+"""Faults around a gateway: the store, dead stages, changes of settings, planned stops."""
+
+import signal
+import socket
+import threading
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from standins.users import EVENTS, KEY, MODEL, PLAIN, Daemon, UsersSite, quietly
+from standins.world import wait_for
+from tests.gateway_callers import Answer, ask, read_answer, request_bytes
+
+
+@pytest.fixture
+def site() -> Iterator[UsersSite]:
+    with UsersSite(halls=1, stages=6) as made:
+        yield made
+
+
+def served(daemon: Daemon, path: str = "/stream/x", **headers: str) -> bool:
+    return ask(daemon.callers, path, **headers).whole and ask(daemon.callers, path, **headers).status == 200
+
+
+def start_stream(daemon: Daemon) -> tuple[list[Answer], threading.Thread]:
+    answers: list[Answer] = []
+    thread = threading.Thread(target=lambda: answers.append(ask(daemon.callers, "/stream/x")))
+    thread.start()
+    return answers, thread
+
+
+def test_a_dead_stage_is_replaced_while_its_stream_runs(site: UsersSite) -> None:
+    daemon = site.start()
+    site.wait_placed()
+    wait_for("streams are served", lambda: served(daemon))
+    known = {request for replica in site.of(MODEL) for request in replica.paths}
+    answers, thread = start_stream(daemon)
+    head = wait_for(
+        "the stream runs", lambda: next((r for r in site.of(MODEL) if r.paths.keys() - known), None)
+    )
+    request = next(iter(head.paths.keys() - known))
+    last = head.paths[request][-1][0]
+    victim = next(r for r in site.of(MODEL) if r.address == last)
+    assert victim is not head
+    victim.die()
+    thread.join(10)
+    assert answers[0].events == list(range(1, EVENTS + 1))
+    assert answers[0].whole
+    assert sum(r.ran[request] for r in site.of(MODEL)) == 1
+    assert daemon.lines("rerouted")[-1]["moved"]
+    assert site.wrong_paths == []
+
+
+def test_a_dead_first_stage_does_not_end_the_answer(site: UsersSite) -> None:
+    daemon = site.start()
+    site.wait_placed()
+    wait_for("streams are served", lambda: served(daemon))
+    ask(daemon.callers, "/stream/x")
+    head = max(site.of(MODEL), key=lambda r: sum(r.ran.values()))
+    answers, thread = start_stream(daemon)
+    time.sleep(0.12)
+    head.die()
+    thread.join(10)
+    assert answers[0].events == list(range(1, EVENTS + 1))
+    assert answers[0].whole
+
+
+def test_layers_of_lost_servers_are_placed_anew(site: UsersSite) -> None:
+    daemon = site.start()
+    site.wait_placed()
+    wait_for("streams are served", lambda: served(daemon))
+    victim = site.of(MODEL)[0]
+    twins = [r for r in site.of(MODEL) if r.held == victim.held]
+    for replica in twins:
+        replica.die()
+        site.replicas.remove(replica)
+        site.store.drop("servers", replica.id)
+    wait_for("the layers are held again", site._placed)
+    wait_for("streams are served again", lambda: served(daemon))
+    assert site.wrong_paths == []
+
+
+def test_only_one_daemon_gives_orders(site: UsersSite) -> None:
+    daemons = [site.start() for _ in range(3)]
+    site.wait_placed()
+    for daemon in daemons:
+        wait_for("streams are served", lambda daemon=daemon: served(daemon))
+    givers = [daemon for daemon in daemons if daemon.lines("order given")]
+    assert len(givers) == 1
+    refused = [line for line in givers[0].lines("order given") if line["outcome"] == "refused"]
+    assert refused == []
+
+
+@pytest.mark.parametrize("fault", ["busy", "silent"])
+def test_serving_goes_on_without_the_store_until_keys_are_too_old(site: UsersSite, fault: str) -> None:
+    daemon = site.start(key_trust_ms=4000)
+    wait_for("calls are served", lambda: served(daemon, "/once/x"))
+    site.store.faults.set(fault)
+    assert served(daemon, "/once/x")
+    wait_for("keys are no longer trusted", lambda: ask(daemon.callers, "/once/x").status == 503)
+    refused = ask(daemon.callers, "/once/x")
+    assert site.runs(refused.request) == 0
+    assert "retry-after" in refused.headers
+    assert ask(daemon.callers, "/open/x", X_Key="").status == 200
+    assert not daemon.is_ready()
+    site.store.faults.clear()
+    wait_for("keyed calls are served again", lambda: served(daemon, "/once/x"))
+
+
+def test_a_key_that_is_taken_away_runs_nothing_more(site: UsersSite) -> None:
+    daemon = site.start()
+    wait_for("calls are served", lambda: served(daemon, "/once/x"))
+    site.configure(keys=("another",))
+    wait_for("the key is refused", lambda: ask(daemon.callers, "/once/x").status == 401, 2.0)
+    assert ask(daemon.callers, "/once/x", X_Key="another").status == 200
+
+
+def test_an_older_configuration_is_never_taken(site: UsersSite) -> None:
+    daemon = site.start()
+    site.configure(keys=("another",), version=50)
+    wait_for("the new key is known", lambda: ask(daemon.callers, "/once/x", X_Key="another").status == 200)
+    site.configure(keys=(KEY,), version=49)
+    wait_for("the old one was seen", lambda: daemon.lines("older settings ignored"))
+    assert ask(daemon.callers, "/once/x").status == 401
+
+
+def test_a_forgotten_history_is_read_whole(site: UsersSite) -> None:
+    daemon = site.start()
+    site.store.faults.set("forgotten", 2)
+    wait_for("the history is gone", lambda: daemon.lines("history gone"))
+    site.configure(keys=("another",))
+    wait_for("the change is known", lambda: ask(daemon.callers, "/once/x", X_Key="another").status == 200)
+
+
+def test_a_lost_answer_to_the_lease_does_not_stop_placement(site: UsersSite) -> None:
+    site.store.faults.set("lost", 1)
+    daemon = site.start()
+    wait_for("streams are served", lambda: served(daemon))
+
+
+def test_a_leaving_server_gets_nothing_new(site: UsersSite) -> None:
+    daemon = site.start()
+    wait_for("calls are served", lambda: served(daemon, "/once/x"))
+    leaving, staying = site.of(PLAIN)
+    leaving.state = "draining"
+    leaving.register()
+    wait_for("it is known to leave", lambda: daemon.lines("server leaving"), 2.0)
+    before = sum(leaving.ran.values())
+    answers = [ask(daemon.callers, "/once/x") for _ in range(8)]
+    assert {answer.status for answer in answers} == {200}
+    assert sum(leaving.ran.values()) == before
+    assert sum(staying.ran[answer.request] for answer in answers) == 8
+
+
+def test_entries_that_lapse_in_an_outage_may_come_back(site: UsersSite) -> None:
+    daemon = site.start()
+    wait_for("calls are served", lambda: served(daemon, "/once/x"))
+    site.store.faults.set("busy")
+    wait_for("the store is lost", lambda: daemon.lines("store lost"))
+    gone, lapsed = site.of(PLAIN)
+    for replica in (gone, lapsed):
+        site.store.drop("servers", replica.id)
+    site.store.faults.clear()
+    wait_for("the entries lapsed", lambda: len(daemon.lines("server lapsed")) == 2)
+    assert ask(daemon.callers, "/once/x").status == 200
+    lapsed.register()
+    wait_for("the other one is gone", lambda: daemon.lines("server gone"))
+    assert [line["peer"] for line in daemon.lines("server gone")] == [gone.id]
+    assert ask(daemon.callers, "/once/x").status == 200
+
+
+def test_a_planned_stop_cuts_nothing(site: UsersSite) -> None:
+    daemon = site.start()
+    wait_for("streams are served", lambda: served(daemon))
+    host, _, port = daemon.callers.rpartition(":")
+    kept = socket.create_connection((host, int(port)), timeout=5)
+    kept.sendall(request_bytes("/once/x", "kept-before", "POST", b"body"))
+    assert b"200" in kept.recv(65536)
+    answers, thread = start_stream(daemon)
+    time.sleep(0.05)
+    daemon.signal(signal.SIGTERM)
+    wait_for("it is not ready", lambda: not quietly(daemon.is_ready), 1.0)
+    kept.sendall(request_bytes("/once/x", "kept-after", "POST", b"body"))
+    late = read_answer("kept-after", kept.recv(65536))
+    assert (late.status, late.headers["connection"]) == (200, "close")
+    thread.join(10)
+    assert answers[0].whole
+    # Later requests may not be over in time: they are refused, and not run.
+    wait_for("requests are refused", lambda: ask(daemon.callers, "/once/x").status == 503)
+    refused = daemon.lines("request failed")[-1]
+    assert "stopping" in refused["error"]
+    assert site.runs(refused["request"]) == 0
+    assert daemon.popen.wait(10) == 0
+    assert daemon.lines("stopped")[0]["cut"] == []
+
+
+def test_a_caller_that_leaves_ends_the_work(site: UsersSite) -> None:
+    daemon = site.start()
+    wait_for("streams are served", lambda: served(daemon))
+    host, _, port = daemon.callers.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=5) as caller:
+        caller.sendall(request_bytes("/stream/x", "leaver"))
+        assert caller.recv(65536)
+    wait_for("its leaving is noticed", lambda: daemon.lines("caller left"), 1.0)
+
+
+def test_settings_are_read_again_on_a_signal_and_when_the_file_changes(site: UsersSite) -> None:
+    daemon = site.start()
+    daemon.settings["key_trust_ms"] = 9000
+    daemon.write()
+    wait_for("the change was noticed", lambda: daemon.lines("reloaded"))
+    daemon.signal(signal.SIGHUP)
+    wait_for("the signal was noticed", lambda: len(daemon.lines("reloaded")) == 2)
+    daemon.file.write_text("member: [", encoding="utf-8")
+    wait_for("what makes no sense is refused", lambda: daemon.lines("reload refused"))
+    assert ask(daemon.callers, "/open/x", X_Key="").status == 200
+
+
+def test_metrics_are_told_as_text(site: UsersSite) -> None:
+    daemon = site.start()
+    wait_for("calls are served", lambda: served(daemon, "/once/x"))
+    text = ask(daemon.metrics, "/metrics").body.decode()
+    assert "bayglade_requests_total " in text
+    assert 'bayglade_request_seconds_bucket{le="+Inf"} ' in text
--- /dev/null
+++ b/tests/test_tiling.py
@@ -0,0 +1,148 @@
+"""Tiling and paths: all layers once and in order, inside memory, also when servers are lost."""
+
+import time
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bayglade.fleet import Server, ServerFacts
+from bayglade.ids import BackendId, HallName, ModelName, ServiceName
+from bayglade.paths import find_path, find_paths
+from bayglade.pipelines import Accelerator, Pipeline
+from bayglade.tiling import Span, fill, groups, missing, tile
+
+SERVICE = ServiceName("s")
+KINDS = {"big": (36000.0, 3.0), "middle": (21600.0, 16.0), "small": (14400.0, 15.0)}
+
+
+def pipeline(layers: int = 80, layer_mb: float = 1750.0) -> Pipeline:
+    accelerators = {
+        name: Accelerator(memory_mb=memory, step_factor=factor, read_factor=factor)
+        for name, (memory, factor) in KINDS.items()
+    }
+    return Pipeline(
+        model=ModelName("m"),
+        layers=layers,
+        layer_mb=layer_mb,
+        token_mb=0.9,
+        token_capacity=50_000,
+        step_ms=0.85,
+        read_ms=0.004,
+        load_seconds=14.0,
+        loads_at_once=6,
+        accelerators=accelerators,
+    )
+
+
+def servers(**halls: dict[str, int]) -> list[ServerFacts]:
+    return [
+        ServerFacts(
+            id=BackendId(f"{hall}-{kind}-{number}"),
+            service=SERVICE,
+            address=f"{hall}-{kind}-{number}:1",
+            hall=HallName(hall),
+            slots=96,
+            accelerator=kind,
+        )
+        for hall, kinds in halls.items()
+        for kind, count in kinds.items()
+        for number in range(count)
+    ]
+
+
+def placed(listed: list[ServerFacts], model: Pipeline) -> list[Server]:
+    spans = tile(listed, model)
+    return [
+        Server(msgspec.structs.replace(f, first=spans[f.id].first, last=spans[f.id].last))
+        for f in listed
+        if f.id in spans
+    ]
+
+
+HALLS = {
+    "one quick hall": {"a": {"big": 3, "middle": 3, "small": 5}},
+    "slow hall": {"a": {"big": 1, "middle": 5, "small": 8}},
+    "three halls": {
+        "a": {"big": 3, "middle": 3, "small": 5},
+        "b": {"big": 1, "middle": 5, "small": 8},
+        "c": {"big": 1, "middle": 7, "small": 5},
+    },
+    "several chains": {"a": {"big": 4, "middle": 22, "small": 14}},
+    "too small halls": {"a": {"middle": 5}, "b": {"middle": 5}, "c": {"big": 6}},
+    "just enough": {"a": {"small": 12}},
+}
+
+
+@pytest.mark.parametrize("name", HALLS)
+def test_every_hall_that_can_holds_the_model(name: str) -> None:
+    model = pipeline()
+    listed = servers(**HALLS[name])
+    held = placed(listed, model)
+    paths = find_paths(held, model)
+    assert paths
+    for path in paths:
+        stages = path.route.stages
+        assert [s.first for s in stages] == [0, *(s.last for s in stages[:-1])]
+        assert stages[-1].last == model.layers
+        assert len({s.backend for s in stages}) == len(stages)
+    able = [g for g in groups(listed, model) if len({f.hall for f in g}) == 1]
+    assert len({p.hall for p in paths if len({s.facts.hall for s in p.servers}) == 1}) >= len(able)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from("abc"),
+        st.dictionaries(st.sampled_from(sorted(KINDS)), st.integers(0, 9), min_size=1),
+        min_size=1,
+    ),
+    st.sampled_from([12, 40, 80]),
+)
+def test_no_server_holds_more_than_its_memory(halls: dict[str, dict[str, int]], layers: int) -> None:
+    model = pipeline(layers)
+    listed = servers(**halls)
+    spans = tile(listed, model)
+    for facts in listed:
+        span = spans.get(facts.id, Span(0, 0))
+        assert 0 <= span.first <= span.last <= layers
+        assert facts.accelerator is not None
+        assert model.free_mb(facts.accelerator, span.length) > 0 or span.length == 0
+
+
+def test_a_card_that_cannot_hold_a_layer_is_left_out() -> None:
+    model = pipeline(8, 15_000.0)
+    listed = servers(a={"big": 4, "middle": 2, "small": 3})
+    spans = tile(listed, model)
+    assert not any("small" in backend for backend in spans)
+
+
+def test_most_servers_can_be_lost_without_losing_a_layer() -> None:
+    model = pipeline()
+    for kinds in ({"big": 3, "middle": 3, "small": 5}, {"big": 1, "middle": 5, "small": 8}):
+        held = placed(servers(a=kinds), model)
+        spared = [s for s in held if find_path([o for o in held if o is not s], model)]
+        assert len(spared) >= len(held) / 2
+
+
+def test_an_empty_server_goes_where_layers_are_missing() -> None:
+    model = pipeline()
+    held = [s.facts for s in placed(servers(a={"big": 3, "middle": 3, "small": 5}), model)]
+    lost = next(f for f in held if f.id == "a-middle-0")
+    rest = [f for f in held if f is not lost]
+    empty = msgspec.structs.replace(lost, id=BackendId("a-middle-new"), first=0, last=0)
+    spans = fill(rest, [empty], model)
+    filled = msgspec.structs.replace(empty, first=spans[empty.id].first, last=spans[empty.id].last)
+    assert missing([*rest, filled], model.layers) == 0
+
+
+@pytest.mark.parametrize(("count", "limit"), [(200, 0.3), (1000, 2.0)])
+def test_large_fleets_are_laid_out_in_bounded_time(count: int, limit: float) -> None:
+    model = pipeline()
+    each = count // 50
+    halls = {f"h{n}": {"big": each, "middle": 2 * each, "small": 2 * each} for n in range(10)}
+    began = time.process_time()
+    held = placed(servers(**halls), model)
+    paths = find_paths(held, model)
+    assert time.process_time() - began < limit
+    assert len({path.hall for path in paths}) == 10
