Mend lost layers by moving few servers; judge lapsed entries from the store's return

Change: mend() moves servers that all their layers can spare, then stretches neighbours; a whole layout follows only where that fails and no order is under way; orders from rows that are older than the server's report are withheld; the lease stays while orders are under way. Lapsed entries are dropped 1.9 s after the store's return.

--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -15,8 +15,9 @@
 """Part of a service's servers that may be suspect at once: a common cause must not take all."""
 PACE_STEP = 0.2
 """Changes of a server's pace below this are noise."""
-LAPSE_GRACE = 2.2
-"""Seconds after the store's return in which a missing entry may come back (the users' letter: two)."""
+LAPSE_GRACE = 1.9
+"""Seconds after the store's return in which a missing entry may come back: the users say two,
+and work that goes to a server that is gone must end by then."""
 
 
 class ServerFacts(msgspec.Struct, frozen=True, kw_only=True):
@@ -77,7 +78,7 @@
     def __init__(self) -> None:
         self.servers: dict[BackendId, Server] = {}
         self.by_service: dict[ServiceName, list[Server]] = {}
-        self.lapsed: dict[BackendId, float] = {}
+        self.lapsed: set[BackendId] = set()
         self.grown_at = 0.0
         """When a server was listed that was not known before."""
 
@@ -119,16 +120,12 @@
         missing = self.servers.keys() - {facts.id for facts in entries}
         self.take(entries, missing, outage)
 
-    def drop_lapsed(self, before: float) -> None:
-        """Drop entries that lapsed in an outage and did not come back.
-
-        :param before: the latest time of lapsing that is dropped.
-        """
-        late = [backend for backend, at in self.lapsed.items() if at <= before]
-        for backend in late:
-            del self.lapsed[backend]
+    def drop_lapsed(self) -> None:
+        """Drop entries that lapsed in an outage and did not come back in time."""
+        lapsed, self.lapsed = self.lapsed, set()
+        for backend in lapsed:
             self._drop(backend)
-        if late:
+        if lapsed:
             self._rebuild()
 
     def suspect(self, server: Server, reason: str) -> bool:
@@ -180,7 +177,7 @@
         server.failures = 0
 
     def _list(self, facts: ServerFacts) -> None:
-        self.lapsed.pop(facts.id, None)
+        self.lapsed.discard(facts.id)
         server = self.servers.get(facts.id)
         if server is None:
             self.servers[facts.id] = Server(facts)
@@ -198,7 +195,7 @@
         if server is None:
             return
         if outage and not server.leaving:
-            self.lapsed[backend] = now()
+            self.lapsed.add(backend)
             event("INFO", "server lapsed", peer=backend)
             return
         self._drop(backend)
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -223,19 +223,30 @@
                 listed.append(platform.decode_server(key, value))
             except InvalidSettings as error:
                 event("ERROR", "server row ignored", peer=key, error=repr(error))
-        outage = now() - self.servers_feed.recovered_at < LAPSE_GRACE
+        outage = self._grace_left() > 0
         if whole:
             self.fleet.replace(listed, outage)
         else:
             self.fleet.take(listed, gone, outage)
+        if self.fleet.lapsed:
+            eventlet.spawn_after(max(0.0, self._grace_left()), self._drop_lapsed)
+
+    def _grace_left(self) -> float:
+        """Return for how long entries that lapsed in an outage may still come back."""
+        return self.servers_feed.recovered_at + LAPSE_GRACE - now()
+
+    def _drop_lapsed(self) -> None:
+        # The store may be lost again by now, and then back later.
+        if self.servers_feed.failing_since is None and self._grace_left() <= 0:
+            self.fleet.drop_lapsed()
+        elif self.fleet.lapsed:
+            eventlet.spawn_after(max(TIDY_SECONDS, self._grace_left()), self._drop_lapsed)
 
     def _tidy(self) -> None:
         """Do what is due now and then, for ever."""
         while True:
             eventlet.sleep(TIDY_SECONDS)
             self.links.forget(set(self.fleet.servers))
-            if self.servers_feed.failing_since is None:
-                self.fleet.drop_lapsed(now() - LAPSE_GRACE)
             if _changed_at(self.path) != self.changed_at:
                 self.reload("the file changed")
 
--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -22,7 +22,7 @@
 from bayglade.logs import event
 from bayglade.metrics import Metrics
 from bayglade.pipelines import Pipeline
-from bayglade.tiling import Span, Spans, fill, groups, missing, tile_group
+from bayglade.tiling import Span, Spans, fill, groups, mend, missing, tile_group
 
 LEASE_NAME = "placement"
 LEASE_SECONDS = 2.5
@@ -31,8 +31,9 @@
 LOOK_SECONDS = 0.4
 SETTLE_SECONDS = 1.5
 """An empty fleet is laid out once no server was listed for so long: the list fills slowly at a start."""
-RETILE_SECONDS = 1.5
-"""A group with layers missing is laid out anew after this time, when no empty server helps."""
+MEND_SECONDS = 0.8
+"""Layers that are missing for this long are loaded elsewhere: a server that does not answer
+may be back sooner, one that crashed comes back empty and seconds later."""
 ORDER_SETTLE_SECONDS = 6.0
 """An order without effect is given again after this time: unanswered ones may be carried out late."""
 ORDERS_AT_ONCE = 8
@@ -97,7 +98,8 @@
                 pool.spawn_n(self._order, backend, span)
             pool.waitall()
             return
-        self.lease.release()
+        if not self.given:
+            self.lease.release()
 
     def wanted(self, service: ServiceName, pipeline: Pipeline) -> Spans:
         """Work out the spans to be ordered now.
@@ -126,14 +128,32 @@
             for f in empty
             if f.id in spans
         ]
+        after = [*holding, *filled]
         name = min(facts.hall for facts in group)
-        if not missing([*holding, *filled], pipeline.layers):
+        if not missing(after, pipeline.layers):
             self.missing_since.pop(name, None)
             return spans
-        since = self.missing_since.setdefault(name, at)
-        if at - since < RETILE_SECONDS:
+        if name not in self.missing_since:
+            self.missing_since[name] = at
+            event("INFO", "layers missing", hall=name, count=missing(after, pipeline.layers))
+        if at - self.missing_since[name] < MEND_SECONDS:
             return spans
-        event("INFO", "layers missing", hall=name, since=round(at - since, 2), servers=len(group))
+        return spans | self._mended(group, after, pipeline)
+
+    def _mended(self, group: list[ServerFacts], after: list[ServerFacts], pipeline: Pipeline) -> Spans:
+        """Bring missing layers back with few changes, or lay the group out anew where that fails."""
+        spans = mend(after, pipeline)
+        changed = [
+            msgspec.structs.replace(f, first=spans[f.id].first, last=spans[f.id].last)
+            if f.id in spans
+            else f
+            for f in after
+        ]
+        if not missing(changed, pipeline.layers):
+            return spans
+        if any(facts.id in self.given for facts in group):
+            # The layout would be reckoned from a state that is about to change.
+            return {}
         return tile_group(group, pipeline)
 
     def _settled(self, at: float) -> bool:
@@ -160,6 +180,10 @@
         report = self.control.report(backend, address, REPORT_SECONDS)
         if report is None or report.loading:
             return
+        if (report.first, report.last) != (server.facts.first, server.facts.last):
+            # Its row is late: what was wanted came from an old view.
+            event("INFO", "order withheld", peer=backend, holds=[report.first, report.last])
+            return
         # The last look before the send: a holder that was stopped must not act.
         if self.lease.seconds_left() < SEND_MARGIN:
             return
--- a/bayglade/tiling.py
+++ b/bayglade/tiling.py
@@ -112,6 +112,34 @@
     return spans
 
 
+def mend(servers: Sequence[ServerFacts], pipeline: Pipeline) -> Spans:
+    """Choose new spans for few servers so that missing layers are held again.
+
+    First servers move of which every layer is held by another one too; then
+    neighbours hold more than they otherwise would. Nothing else changes, so
+    that paths in use stay.
+
+    :param servers: the servers of a group that hold layers.
+    :param pipeline: facts of the model.
+    :return: the spans that change; they may not bring all layers back.
+    """
+    held = {server.id: Span(server.first, server.last) for server in servers}
+    counts = [0] * pipeline.layers
+    for span in held.values():
+        _count(counts, span)
+    changed: Spans = {}
+    while 0 in counts:
+        hole = _first_hole(counts)
+        server = _spare_for(hole, servers, held, changed, counts, pipeline)
+        if server is None:
+            break
+        changed[server.id] = _over(hole, counts, _most(server, pipeline, SPARE_ROOM))
+        _count(counts, held[server.id], -1)
+        _count(counts, changed[server.id])
+    _stretch(servers, held, changed, counts, pipeline)
+    return changed
+
+
 def missing(servers: Iterable[ServerFacts], layers: int) -> int:
     """Count the layers that no server holds.
 
@@ -248,6 +276,82 @@
     return UNCOVERED_GAIN * window.count(0) + SPARE_GAIN * window.count(1)
 
 
-def _count(counts: list[int], span: Span) -> None:
+def _count(counts: list[int], span: Span, by: int = 1) -> None:
     for layer in range(span.first, min(span.last, len(counts))):
-        counts[layer] += 1
+        counts[layer] += by
+
+
+def _first_hole(counts: Sequence[int]) -> Span:
+    first = counts.index(0)
+    last = first
+    while last < len(counts) and counts[last] == 0:
+        last += 1
+    return Span(first, last)
+
+
+def _spare_for(
+    hole: Span,
+    servers: Sequence[ServerFacts],
+    held: Spans,
+    changed: Spans,
+    counts: Sequence[int],
+    pipeline: Pipeline,
+) -> ServerFacts | None:
+    """Choose a server that can leave its layers: the smallest that fills the hole, else the largest."""
+    spare = [
+        server
+        for server in servers
+        if server.id not in changed
+        and _most(server, pipeline, SPARE_ROOM)
+        and min(counts[held[server.id].first : held[server.id].last], default=0) > 1
+    ]
+    if not spare:
+        return None
+
+    def fit(server: ServerFacts) -> tuple[bool, int, str]:
+        most = _most(server, pipeline, SPARE_ROOM)
+        return most < hole.length, most if most >= hole.length else -most, server.id
+
+    return min(spare, key=fit)
+
+
+def _over(hole: Span, counts: Sequence[int], length: int) -> Span:
+    """Lay a span over as much of a hole as it covers, and over layers held just once beside it."""
+    if length <= hole.length:
+        return Span(hole.first, hole.first + length)
+    starts = range(max(0, hole.last - length), min(hole.first, len(counts) - length) + 1)
+    first = max(starts, key=lambda start: (_gain(counts, start, length), -start))
+    return Span(first, first + length)
+
+
+def _stretch(
+    servers: Sequence[ServerFacts],
+    held: Spans,
+    changed: Spans,
+    counts: list[int],
+    pipeline: Pipeline,
+) -> None:
+    """Have neighbours of the holes that are left hold more, down to the room of a pair."""
+    for server in servers:
+        if 0 not in counts:
+            return
+        span = changed.get(server.id, held[server.id])
+        free = _most(server, pipeline, PAIR_ROOM) - span.length
+        if free <= 0:
+            continue
+        after = _zeros(counts, range(span.last, len(counts)), free)
+        before = _zeros(counts, range(span.first - 1, -1, -1), free - after)
+        if after + before:
+            changed[server.id] = Span(span.first - before, span.last + after)
+            _count(counts, Span(span.last, span.last + after))
+            _count(counts, Span(span.first - before, span.first))
+
+
+def _zeros(counts: Sequence[int], layers: range, most: int) -> int:
+    """Count the layers held by nobody from the start of a range on, up to a number."""
+    found = 0
+    for layer in layers:
+        if found >= most or counts[layer]:
+            break
+        found += 1
+    return found
--- a/tests/test_tiling.py
+++ b/tests/test_tiling.py
@@ -11,7 +11,7 @@
 from bayglade.ids import BackendId, HallName, ModelName, ServiceName
 from bayglade.paths import find_path, find_paths
 from bayglade.pipelines import Accelerator, Pipeline
-from bayglade.tiling import Span, fill, groups, missing, tile
+from bayglade.tiling import Span, fill, groups, mend, missing, tile
 
 SERVICE = ServiceName("s")
 KINDS = {"big": (36000.0, 3.0), "middle": (21600.0, 16.0), "small": (14400.0, 15.0)}
@@ -146,3 +146,40 @@
     paths = find_paths(held, model)
     assert time.process_time() - began < limit
     assert len({path.hall for path in paths}) == 10
+
+
+@pytest.mark.parametrize(
+    "kinds", [{"big": 3, "middle": 3, "small": 5}, {"big": 1, "middle": 5, "small": 8}]
+)
+def test_any_one_loss_is_mended_by_moving_few_servers(kinds: dict[str, int]) -> None:
+    model = pipeline()
+    held = [s.facts for s in placed(servers(a=kinds), model)]
+    for lost in held:
+        rest = [f for f in held if f is not lost]
+        spans = mend(rest, model)
+        after = [
+            msgspec.structs.replace(f, first=spans[f.id].first, last=spans[f.id].last)
+            if f.id in spans
+            else f
+            for f in rest
+        ]
+        assert missing(after, model.layers) == 0
+        assert len(spans) <= 3
+
+
+def test_mending_leaves_servers_alone_whose_layers_nobody_else_holds() -> None:
+    model = pipeline()
+    held = [s.facts for s in placed(servers(a={"big": 1, "middle": 5, "small": 8}), model)]
+    rest = [f for f in held if f.id != "a-big-0"]
+    spans = mend(rest, model)
+    for facts in rest:
+        others = [f for f in rest if f is not facts]
+        if missing(others, model.layers) > missing(rest, model.layers) and facts.id in spans:
+            assert spans[facts.id].first <= facts.first
+            assert spans[facts.id].last >= facts.last
+
+
+def test_nothing_is_mended_where_nothing_is_missing() -> None:
+    model = pipeline()
+    held = [s.facts for s in placed(servers(a={"big": 3, "middle": 3, "small": 5}), model)]
+    assert mend(held, model) == {}
