--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -33,12 +33,14 @@
 class Delivery:
     """What the caller has of a stream."""
 
-    __slots__ = ("begun", "connection", "last_event", "started")
+    __slots__ = ("begun", "connection", "first_seconds", "last_event", "longest_gap", "sent_at")
 
     def __init__(self, connection: Connection, last_event: int | None) -> None:
         self.connection = connection
         self.begun = False
-        self.started = now()
+        self.sent_at = now()
+        self.first_seconds: float | None = None
+        self.longest_gap = 0.0
         self.last_event = last_event
 
     def __repr__(self) -> str:
@@ -63,9 +65,18 @@
                 self.last_event = number
             fresh.append(item)
         if fresh:
+            self._note_time()
             data = b"".join(fresh)
             self.connection.send(self.begin(message) + b"%x\r\n%b\r\n" % (len(data), data))
 
+    def _note_time(self) -> None:
+        at = now()
+        if self.first_seconds is None:
+            self.first_seconds = at - self.sent_at
+        else:
+            self.longest_gap = max(self.longest_gap, at - self.sent_at)
+        self.sent_at = at
+
     def end(self, message: Message) -> None:
         """Send the end of a whole answer."""
         self.connection.send(self.begin(message) + LAST_CHUNK)
@@ -111,7 +122,7 @@
             break
         try:
             _attempt(peers, call, pipeline, path, delivery, attempts)
-            event("INFO", "answered", request=call.head.id, sent=attempts.sent, last=delivery.last_event)
+            _note_answer(peers, call, delivery, attempts)
             return
         except BackendError as error:
             avoided |= _note_failure(peers, call, path, error)
@@ -120,6 +131,21 @@
     raise attempts.error(peers.rng)
 
 
+def _note_answer(peers: Peers, call: Call, delivery: Delivery, attempts: Attempts) -> None:
+    if delivery.first_seconds is not None:
+        peers.metrics.observe("first_event_seconds", delivery.first_seconds)
+        peers.metrics.observe("longest_gap_seconds", delivery.longest_gap)
+    event(
+        "INFO",
+        "answered",
+        request=call.head.id,
+        sent=attempts.sent,
+        last=delivery.last_event,
+        first=round(delivery.first_seconds or 0.0, 3),
+        gap=round(delivery.longest_gap, 3),
+    )
+
+
 def _attempt(
     peers: Peers, call: Call, pipeline: Pipeline, path: Path, delivery: Delivery, attempts: Attempts
 ) -> None:
