Share loads and dead stages between gateways; wait for room in the order of shares

Ruled out: polling reports of the servers for their load (each is paid for, 38 of them). Change: the roster (a row a daemon, a secret) gives addresses; the streams between daemons that the own interface has carry loads by first stage and stages found silent; paths count both and their capacity; turned-away calls wait up to 1.5 s in a line that gives turns by priority and share; servers one call may be sent to are counted, not sendings; budgets are divided by the daemons. Test workers no longer share ports.

--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -5,7 +5,7 @@
 others do is suspect, and stays so until it answers again.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import eventlet
 
@@ -45,6 +45,9 @@
         self.fleet = fleet
         self.control = control
         self.findings: dict[BackendId, Finding] = {}
+        self.on_dead: Callable[[Server], None] | None = None
+        """Told of each stage that is found silent."""
+
         self.asking: dict[BackendId, eventlet.greenthread.GreenThread] = {}
 
     def __repr__(self) -> str:
@@ -63,8 +66,8 @@
             event("WARNING", "stages silent", silent=len(silent), of=len(stages), outcome="own fault")
             return frozenset()
         for server in silent:
-            if not server.suspect:
-                self.fleet.suspect(server, "silent")
+            if not server.suspect and self.fleet.suspect(server, "silent") and self.on_dead is not None:
+                self.on_dead(server)
         return frozenset(server.facts.id for server in silent)
 
     def recheck(self) -> None:
--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -8,6 +8,7 @@
 import random
 import socket
 from collections.abc import Callable
+from typing import Protocol
 
 import eventlet
 import msgspec
@@ -18,10 +19,10 @@
 from bayglade.config import Address, parse_address
 from bayglade.entries import streams, wire
 from bayglade.exceptions import BaygladeError, PeerError
-from bayglade.ids import BackendId, MemberId, Revision
+from bayglade.ids import BackendId, Digest, MemberId, Revision
 from bayglade.logs import event
 from bayglade.metrics import Metrics
-from bayglade.revisions import Current, Revisions
+from bayglade.revisions import Current
 from bayglade.usage import GroupUsage, Usage
 
 BEAT_INTERVAL = 1.0
@@ -35,10 +36,19 @@
 REDIAL_MAX = 2.0
 
 
+class Offered(Protocol):
+    """Settings in force, and whoever takes newer ones."""
+
+    current: Current
+
+    def offer(self, revision: Revision, digest: Digest, document: bytes) -> object:
+        """Take in settings that another daemon has, if they are newer and whole."""
+
+
 class Member:
     """Another daemon as known here; times are monotonic seconds."""
 
-    __slots__ = ("address", "draining", "heard_at", "id", "outbox", "revision", "task", "wake")
+    __slots__ = ("address", "draining", "heard_at", "id", "loads", "outbox", "revision", "task", "wake")
 
     def __init__(self, member: MemberId, address: Address) -> None:
         self.id = member
@@ -46,6 +56,7 @@
         self.heard_at = 0.0
         self.revision = Revision(0)
         self.draining = False
+        self.loads: list[wire.PathLoad] = []
         self.outbox: list[wire.Message] = []
         self.wake = Event()
         self.task: eventlet.greenthread.GreenThread | None = None
@@ -72,7 +83,7 @@
         self,
         me: MemberId,
         secret: bytes,
-        revisions: Revisions,
+        revisions: Offered,
         usage: Usage,
         metrics: Metrics,
         leaving: Callable[[], list[BackendId]],
@@ -92,6 +103,12 @@
         self.listed: set[MemberId] = {me}
         self.members: dict[MemberId, Member] = {}
         self.draining = False
+        self.loads: Callable[[], list[wire.PathLoad]] = list
+        """Returns what this daemon tells of its requests under way."""
+
+        self.dead: list[BackendId] = []
+        """Stages found silent since the last heartbeat."""
+
         self.last_patch: wire.Patch | None = None
         self.beat_at = 0.0
         self.rows: list[GroupUsage] = []
@@ -106,6 +123,19 @@
         at = now()
         return [member for member in self.members.values() if member.live(at)]
 
+    def count(self) -> int:
+        """Return how many daemons there are, as far as can be told from here."""
+        everybody_near = len(self.members) >= len(self.listed) - 1
+        return len(self.live()) + 1 if everybody_near else len(self.listed)
+
+    def elsewhere(self) -> dict[BackendId, int]:
+        """Sum up what the other daemons have under way, by first stage."""
+        loads: dict[BackendId, int] = {}
+        for member in self.live():
+            for load in member.loads:
+                loads[load.head] = loads.get(load.head, 0) + load.in_flight
+        return loads
+
     def heard_at(self) -> float:
         """Return when any other daemon was heard last; zero when never."""
         return max((member.heard_at for member in self.members.values()), default=0.0)
@@ -161,6 +191,7 @@
         at = now()
         if at - self.beat_at >= BEAT_INTERVAL:
             self.beat_at = at
+            self.dead = []
             self.rows = self.usage.tell(rows_a_beat(len(self.members)))
             self.beat()
         for member in self.members.values():
@@ -213,6 +244,8 @@
             usage=self.rows,
             leaving=self.leaving(),
             held=self.held(),
+            loads=self.loads(),
+            dead=self.dead,
         )
 
     def _receive(self, connection: socket.socket) -> None:
@@ -247,6 +280,7 @@
         member.heard_at = now()
         member.revision = beat.revision
         member.draining = beat.draining
+        member.loads = beat.loads
         self.usage.hear(member.id, beat.usage)
         self.on_beat(beat)
         if beat.revision > self.revisions.current.revision:
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -38,6 +38,13 @@
     version: Version
 
 
+class PathLoad(msgspec.Struct, frozen=True, array_like=True):
+    """How many requests a daemon has under way whose first stage is a server."""
+
+    head: BackendId
+    in_flight: int
+
+
 class Heartbeat(msgspec.Struct, frozen=True, tag="b", array_like=True, kw_only=True):
     """Tells that a daemon lives and what it knows; sent at once on a change.
 
@@ -49,6 +56,9 @@
     usage: list[GroupUsage]
     leaving: list[BackendId]
     held: list[Held]
+    loads: list[PathLoad] = []
+    dead: list[BackendId] = []
+    """Stages that were found silent just now; others look for themselves."""
 
 
 class Fetch(msgspec.Struct, frozen=True, tag="f", array_like=True):
--- a/bayglade/intake.py
+++ b/bayglade/intake.py
@@ -3,17 +3,20 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from bayglade.calls import Call, CallHead, Dialect
 from bayglade.clock import now
 from bayglade.directory import Directory
 from bayglade.endpoints import Endpoint, Endpoints
-from bayglade.exceptions import BaygladeError, CutOff, NotFound, Unauthenticated
+from bayglade.exceptions import BaygladeError, CutOff, InvalidSettings, NotFound, Unauthenticated
 from bayglade.heads import Message
-from bayglade.ids import GroupPath, ServiceName
+from bayglade.ids import Digest, GroupPath, Revision, ServiceName
 from bayglade.logs import event
 from bayglade.pipelines import Pipeline
 from bayglade.retries import spread_retry_after
-from bayglade.settings import CallerLimits, Tree, priority_of
+from bayglade.revisions import EMPTY, Current
+from bayglade.settings import CallerLimits, Tree, digest_of, level_at, priority_of
 
 TRUST_MARGIN = 1.2
 """Seconds before the bound on old keys at which requests with keys are refused: a send takes
@@ -40,7 +43,10 @@
         self.age = age
         self.key_trust = key_trust
         self.rng = rng
-        self.version = 0
+        self.current = EMPTY
+        self.decode: Callable[[msgspec.Raw], tuple[int, Tree]] | None = None
+        """Reads a document that another daemon has."""
+
         self.tree = Tree()
         self.endpoints = Endpoints([])
         self.directory = Directory(self.tree)
@@ -48,11 +54,33 @@
     def __repr__(self) -> str:
         return f"<Intake version={self.version} age={self.age():.1f}>"
 
-    def take(self, version: int, tree: Tree) -> None:
+    @property
+    def version(self) -> int:
+        """Return the version in force; 0 when none is known yet."""
+        return self.current.revision
+
+    def offer(self, revision: Revision, digest: Digest, document: bytes) -> None:
+        """Take in settings that another daemon has.
+
+        :param revision: their version.
+        :param digest: digest of the document.
+        :param document: the document as the operator wrote it.
+        """
+        if revision <= self.version or self.decode is None or digest_of(document) != digest:
+            return
+        try:
+            version, tree = self.decode(msgspec.Raw(document))
+        except InvalidSettings as error:
+            event("ERROR", "settings refused", error=repr(error), in_force=self.version)
+            return
+        self.take(version, tree, document)
+
+    def take(self, version: int, tree: Tree, document: bytes) -> None:
         """Take in settings, whole, and only newer ones.
 
         :param version: their version.
         :param tree: the settings.
+        :param document: what they were read from, for the other daemons.
         """
         if version <= self.version:
             if version < self.version:
@@ -64,7 +92,7 @@
         self.endpoints = Endpoints(tree.endpoints)
         self.directory = Directory(tree)
         self.tree = tree
-        self.version = version
+        self.current = Current(Revision(version), digest_of(document), document, tree)
 
     def limits(self) -> CallerLimits:
         """Return the bounds for new connections."""
@@ -74,6 +102,14 @@
         """Return the models that run as pipelines, by service."""
         return {name: s.pipeline for name, s in self.tree.services.items() if s.pipeline is not None}
 
+    def share_of(self, path: GroupPath) -> tuple[int, float]:
+        """Return priority and share of a group, for the order of those who wait."""
+        try:
+            return priority_of(self.tree, path), level_at(self.tree, path).share
+        except NotFound:
+            # The group went away while its requests waited.
+            return 0, 1.0
+
     def call(self, message: Message) -> Call:
         """Judge a request.
 
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -6,7 +6,7 @@
 shortest path over layers; see ``docs/design/placement.md``.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from bayglade.engines.wire import Stage
 from bayglade.fleet import Fleet, Server
@@ -23,8 +23,10 @@
 their own callers while they can, so that no hall gets the requests of all."""
 PRESSURE_MS = 4.0
 """Cost of a stage whose free memory holds half of the tokens that it should."""
-CROWD = 12.0
-"""Requests of this daemon on a path at which it counts as twice as costly."""
+FULL_COST = 3.0
+"""How many times as costly a path counts that is full by what all daemons tell."""
+LEAST_REQUEST = 100.0
+"""Tokens that a request takes at least, where the operator does not say what is usual."""
 MAX_PATHS = 4
 """Paths that are kept for each hall."""
 
@@ -32,21 +34,30 @@
 class Path:
     """One way through all layers, with what it costs a token; times are milliseconds."""
 
-    __slots__ = ("cost", "hall", "in_flight", "route", "servers")
+    __slots__ = ("capacity", "cost", "hall", "route", "servers")
 
-    def __init__(self, route: Route, servers: tuple[Server, ...], cost: float) -> None:
+    def __init__(
+        self, route: Route, servers: tuple[Server, ...], cost: float, capacity: float = float("inf")
+    ) -> None:
         self.route = route
         self.servers = servers
         self.cost = cost
         self.hall = servers[0].facts.hall
-        self.in_flight = 0
+        self.capacity = capacity
+        """Requests of the usual size that fit at once."""
 
     def __repr__(self) -> str:
         return f"<Path {self.cost:.1f} ms {self.route!r}>"
 
-    def score(self, own: HallName) -> float:
-        """Return what one more request here costs, for a daemon of a hall."""
-        return (self.cost + (ABROAD_MS if self.hall != own else 0.0)) * (1.0 + self.in_flight / CROWD)
+    def score(self, own: HallName, elsewhere: int) -> float:
+        """Return what one more request here costs.
+
+        :param own: the daemon's hall.
+        :param elsewhere: requests that other daemons have under way here.
+        """
+        used = (self.servers[0].in_flight + elsewhere) / self.capacity
+        cost = self.cost + (ABROAD_MS if self.hall != own else 0.0)
+        return cost * (1.0 + used) * (FULL_COST if used >= 1.0 else 1.0)
 
 
 class _Reach:
@@ -72,25 +83,38 @@
         self.hall = hall
         self.known: dict[ServiceName, list[Path]] = {}
         self.valid: tuple[int, int] = (-1, -1)
+        self.elsewhere: Callable[[], dict[BackendId, int]] = dict
+        """Returns the requests that other daemons have under way, by first stage."""
 
     def __repr__(self) -> str:
         return f"<Paths {self.known!r}>"
 
     def choose(
-        self, service: ServiceName, pipeline: Pipeline, without: frozenset[BackendId] = frozenset()
+        self,
+        service: ServiceName,
+        pipeline: Pipeline,
+        without: frozenset[BackendId] = frozenset(),
+        heads: frozenset[BackendId] | None = None,
     ) -> Path | None:
         """Choose a path for one request.
 
         :param service: the service whose servers hold the model.
         :param pipeline: facts of the model.
         :param without: servers not to use.
-        :return: the path, or nothing when the servers do not hold all layers.
+        :param heads: the only servers that may be the first stage; any when left out.
+        :return: the path, or nothing when there is none.
         """
         paths = self.all(service, pipeline)
-        fitting = [p for p in paths if without.isdisjoint(s.facts.id for s in p.servers)]
+        fitting = [
+            path
+            for path in paths
+            if without.isdisjoint(s.facts.id for s in path.servers)
+            and (heads is None or path.servers[0].facts.id in heads)
+        ]
         if fitting:
-            return min(fitting, key=lambda path: path.score(self.hall))
-        if not without:
+            loads = self.elsewhere()
+            return min(fitting, key=lambda p: p.score(self.hall, loads.get(p.servers[0].facts.id, 0)))
+        if not without or heads is not None:
             return None
         usable = [s for s in self.fleet.usable(service) if s.facts.id not in without]
         return find_path(usable, pipeline)
@@ -128,7 +152,7 @@
         halls = {server.facts.hall for server in path.servers}
         here = [s for s in usable if s.facts.hall in halls]
         rest = _search(here, pipeline, _Reach(0.0, head, stage.first, stage.last, None))
-        return _path(rest) if rest is not None else None
+        return _path(rest, pipeline) if rest is not None else None
 
 
 def find_paths(servers: Sequence[Server], pipeline: Pipeline) -> list[Path]:
@@ -165,7 +189,7 @@
     :return: the path, or nothing when they do not hold all layers.
     """
     reach = _search(servers, pipeline, _Reach(0.0, None, 0, 0, None))
-    return _path(reach) if reach is not None else None
+    return _path(reach, pipeline) if reach is not None else None
 
 
 def stage_cost(server: Server, pipeline: Pipeline, layers: int) -> float:
@@ -233,28 +257,18 @@
     return HOP_MS if one == other else CROSSING_MS
 
 
-def _path(reach: _Reach) -> Path:
+def _path(reach: _Reach, pipeline: Pipeline) -> Path:
     cost = reach.cost
     stages: list[Stage] = []
     servers: list[Server] = []
+    room = float("inf")
     step: _Reach | None = reach
     while step is not None and step.server is not None:
         facts = step.server.facts
         stages.append(Stage(facts.id, facts.address, step.first, step.last))
         servers.append(step.server)
+        room = min(room, pipeline.room(facts.accelerator or "", facts.held, step.last - step.first))
         step = step.before
-    return Path(Route(tuple(reversed(stages))), tuple(reversed(servers)), cost)
-
-
-def covered(servers: Iterable[Server], layers: int) -> list[int]:
-    """Count for each layer how many servers hold it.
-
-    :param servers: the servers.
-    :param layers: layers of the model.
-    :return: a count for each layer.
-    """
-    counts = [0] * layers
-    for server in servers:
-        for layer in range(server.facts.first, min(server.facts.last, layers)):
-            counts[layer] += 1
-    return counts
+    usual = max(LEAST_REQUEST, float(pipeline.typical_prompt + pipeline.typical_answer))
+    route = Route(tuple(reversed(stages)))
+    return Path(route, tuple(reversed(servers)), cost, max(1.0, room / usual))
--- a/bayglade/platform/__init__.py
+++ b/bayglade/platform/__init__.py
@@ -11,11 +11,12 @@
     decode_server,
 )
 from bayglade.platform.engines import Engines
-from bayglade.platform.store import Store
+from bayglade.platform.store import OWN_TABLE, Store
 
 __all__ = [
     "DOCUMENT_KEY",
     "OPERATOR_TABLE",
+    "OWN_TABLE",
     "READY_PATH",
     "SERVERS_TABLE",
     "SETTINGS_VARIABLE",
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -24,6 +24,7 @@
 from bayglade.fleet import Fleet, Server
 from bayglade.heads import Message, write_head
 from bayglade.ids import BackendId
+from bayglade.lines import Lines
 from bayglade.logs import event
 from bayglade.metrics import Metrics
 from bayglade.models import Route
@@ -34,6 +35,8 @@
 MAX_UNREACHED = 4
 """Servers that may turn out unreachable before a call is given up: nothing was sent to them."""
 NO_ROUTE_SECONDS = 0.5
+MAX_SENDINGS = 8
+"""Sendings of one call, those included that a full server turned away."""
 FULL_SECONDS = 0.3
 """When to come back: about the time in which a place becomes free."""
 
@@ -50,6 +53,8 @@
         control: Control,
         diagnosis: Diagnosis,
         check: Callable[[Call], None],
+        lines: Lines,
+        budget_floor: Callable[[], float],
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
@@ -64,6 +69,10 @@
 
         self.metrics = metrics
         self.rng = rng
+        self.lines = lines
+        self.budget_floor = budget_floor
+        """Returns how many sendings in a row of time this daemon may repeat beyond the fraction."""
+
         self.budgets: dict[str, RetryBudget] = {}
 
     def __repr__(self) -> str:
@@ -73,19 +82,24 @@
         """Return the budget for sending calls of a service again."""
         if service not in self.budgets:
             self.budgets[service] = RetryBudget()
-        return self.budgets[service]
+        budget = self.budgets[service]
+        budget.floor = self.budget_floor()
+        return budget
 
 
 class Attempts:
     """What has come of one call so far."""
 
-    __slots__ = ("call", "failure", "sent", "tried", "unknown", "unreached")
+    __slots__ = ("call", "failure", "heads", "sent", "tried", "unknown", "unreached")
 
     def __init__(self, call: Call) -> None:
         self.call = call
         self.sent = 0
         self.unreached = 0
         self.tried: set[BackendId] = set()
+        self.heads: list[Server] = []
+        """Servers that the call was sent to, each once."""
+
         self.failure: BackendError | None = None
         self.unknown = False
         """Whether one of the sendings may have run."""
@@ -95,11 +109,25 @@
 
     def may_send(self, peers: Peers) -> bool:
         """Tell whether the call may be sent once more, and take that from the budget."""
-        if self.call.seconds_left() <= 0 or self.unreached > MAX_UNREACHED:
+        if self.call.seconds_left() <= 0 or self.unreached > MAX_UNREACHED or self.sent >= MAX_SENDINGS:
             return False
-        if self.sent == 0:
-            return True
-        return self.sent < self.call.endpoint.max_attempts and peers.budget(self.call.service).retry()
+        return self.sent == 0 or peers.budget(self.call.service).retry()
+
+    def only(self) -> frozenset[BackendId] | None:
+        """Return the servers to which the call may still go; nothing when any may be new.
+
+        Servers that have ended or fell silent meanwhile do not count towards the
+        bound on servers that one call may be sent to.
+        """
+        alive = frozenset(head.facts.id for head in self.heads if not head.suspect and not head.leaving)
+        return alive if len(alive) >= self.call.endpoint.max_attempts else None
+
+    def note(self, server: Server) -> None:
+        """Count a sending to a server."""
+        self.sent += 1
+        self.tried.add(server.facts.id)
+        if server not in self.heads:
+            self.heads.append(server)
 
     def failed(self, error: BackendError) -> bool:
         """Take in the end of an attempt; tell whether another may follow."""
--- a/bayglade/retries.py
+++ b/bayglade/retries.py
@@ -14,11 +14,17 @@
 
 
 class RetryBudget:
-    """Allows retries up to a fraction of recent requests, plus a small floor."""
+    """Allows retries up to a fraction of recent requests, plus a small floor.
 
-    __slots__ = ("requests", "retries")
+    :param fraction: part of the recent requests.
+    :param floor: retries that are allowed besides; may change as daemons come and go.
+    """
+
+    __slots__ = ("floor", "fraction", "requests", "retries")
 
-    def __init__(self) -> None:
+    def __init__(self, fraction: float = BUDGET_FRACTION, floor: float = BUDGET_FLOOR) -> None:
+        self.fraction = fraction
+        self.floor = floor
         self.requests = Decayed(BUDGET_TAU)
         self.retries = Decayed(BUDGET_TAU)
 
@@ -35,7 +41,7 @@
         :return: false when the budget is spent.
         """
         at = now()
-        allowed = BUDGET_FLOOR + BUDGET_FRACTION * self.requests.read(at)
+        allowed = self.floor + self.fraction * self.requests.read(at)
         if self.retries.read(at) + 1.0 > allowed:
             return False
         self.retries.add(1.0, at)
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -28,6 +28,8 @@
 """Part of the longest good pause after which a stream is looked into: time is left to move it
 and read its tokens anew. On a calm day 1 stream in 30 pauses for longer."""
 LEAST_PATIENCE = 0.06
+WAIT_SECONDS = 1.5
+"""How long a call waits for room: callers of a stream leave after two seconds without an event."""
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -96,12 +98,6 @@
     def __repr__(self) -> str:
         return f"<Run on {self.path!r}>"
 
-    def move(self, path: Path) -> None:
-        """Count the request on another path."""
-        self.path.in_flight -= 1
-        self.path = path
-        self.path.in_flight += 1
-
 
 def relay_stream(peers: Peers, call: Call, pipeline: Pipeline, connection: Connection) -> None:
     """Serve a call to a model.
@@ -116,11 +112,15 @@
     attempts = Attempts(call)
     delivery = Delivery(connection, call.head.last_event)
     peers.budget(call.service).request()
+    peers.lines.charge(call)
     avoided: frozenset[BackendId] = frozenset()
     while attempts.may_send(peers):
-        path = peers.paths.choose(call.service, pipeline, avoided)
+        path = peers.paths.choose(call.service, pipeline, avoided, attempts.only())
         if path is None:
-            break
+            if not _wait_for_turn(peers, call, attempts, delivery):
+                break
+            avoided = frozenset()
+            continue
         try:
             _attempt(peers, call, pipeline, path, delivery, attempts)
             _note_answer(peers, call, delivery, attempts)
@@ -129,9 +129,19 @@
             avoided |= _note_failure(peers, call, path, error)
             if not attempts.failed(error):
                 break
+        finally:
+            peers.lines.wake(call.service)
     raise attempts.error(peers.rng)
 
 
+def _wait_for_turn(peers: Peers, call: Call, attempts: Attempts, delivery: Delivery) -> bool:
+    """Wait until a server that was full may have room; tell whether to offer the call again."""
+    if not isinstance(attempts.failure, BackendRefused):
+        return False
+    since = delivery.sent_at if delivery.begun else call.arrived
+    return peers.lines.wait(call, min(call.deadline, since + WAIT_SECONDS))
+
+
 def _note_answer(peers: Peers, call: Call, delivery: Delivery, attempts: Attempts) -> None:
     if delivery.first_seconds is not None:
         peers.metrics.observe("first_event_seconds", delivery.first_seconds)
@@ -151,24 +161,25 @@
     peers: Peers, call: Call, pipeline: Pipeline, path: Path, delivery: Delivery, attempts: Attempts
 ) -> None:
     """Make one attempt, to the end of the stream."""
-    path.in_flight += 1
+    head = path.servers[0]
+    head.in_flight += 1
     run: Run | None = None
     keep_seconds = None
     try:
-        exchange = send(peers, call, path.servers[0], path.route, delivery.last_event)
-        attempts.sent += 1
+        exchange = send(peers, call, head, path.route, delivery.last_event)
+        attempts.note(head)
         run = Run(path, exchange)
         try:
-            message, head = _await_head(peers, call, pipeline, run)
+            message, answer = _await_head(peers, call, pipeline, run)
             if message.status != 200:
                 _pass_on(call, exchange, message, delivery)
             else:
                 _pass_events(peers, call, pipeline, run, message, delivery)
-            keep_seconds = head.keep_seconds
+            keep_seconds = answer.keep_seconds
         finally:
             exchange.close(keep_seconds)
     finally:
-        (run.path if run is not None else path).in_flight -= 1
+        head.in_flight -= 1
     for server in run.path.servers:
         peers.fleet.succeeded(server)
 
@@ -238,7 +249,7 @@
     peers.metrics.count("streams.rerouted" if outcome.moved else "streams.reroute_failed")
     if not outcome.moved:
         raise BackendError("the stream could not be moved", step="stream", peer=head.facts.id)
-    run.move(path)
+    run.path = path
 
 
 def _first_patience(call: Call) -> float:
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -66,7 +66,7 @@
     keep_seconds = None
     try:
         exchange = send(peers, call, server, None, None)
-        attempts.sent += 1
+        attempts.note(server)
         try:
             until = _patience(peers, call, attempts)
             message, head = answer_head(peers, call, exchange, until)
@@ -87,7 +87,7 @@
     """Return until when to wait for the head of an answer."""
     endpoint = call.endpoint
     others = [s for s in peers.fleet.usable(call.service) if s.facts.id not in attempts.tried]
-    if not endpoint.repeatable or not others or attempts.sent >= endpoint.max_attempts:
+    if not endpoint.repeatable or not others or len(attempts.heads) >= endpoint.max_attempts:
         return call.deadline
     return min(call.deadline, now() + PATIENCE_OF_AIM * endpoint.aim)
 
@@ -95,7 +95,7 @@
 def _least_busy(peers: Peers, call: Call, attempts: Attempts) -> Server | None:
     """Choose a server that was not tried, the least busy by this daemon's own count."""
     fitting = [s for s in peers.fleet.usable(call.service) if s.facts.id not in attempts.tried]
-    if not fitting:
+    if not fitting or attempts.only() is not None:
         return None
     own = peers.paths.hall
     return min(
--- a/standins/users.py
+++ b/standins/users.py
@@ -469,6 +469,7 @@
             "ready": self.ready,
             "metrics": self.metrics,
             "store": site.store.server.address,
+            "peer_ports": f"{free_port()},0",
             **settings,
         }
         self.file = site.folder / f"{name}.yaml"
--- a/standins/world.py
+++ b/standins/world.py
@@ -34,8 +34,11 @@
 
 FIRST_PORT, PORT_RANGES, PORTS_A_RANGE = 15000, 16, 1000
 
-# Processes that run at the same time begin at different ranges.
-_range = FIRST_PORT + os.getpid() % PORT_RANGES * PORTS_A_RANGE
+# Processes that run at the same time begin at different ranges; two test workers whose ids
+# happened to agree took the same port, each before the other's process listened on it.
+_worker = os.environ.get("PYTEST_XDIST_WORKER", "").removeprefix("gw")
+_place = int(_worker) if _worker.isdigit() else os.getpid()
+_range = FIRST_PORT + _place % PORT_RANGES * PORTS_A_RANGE
 _ports = cycle(range(_range, _range + PORTS_A_RANGE))
 
 ValueT = TypeVar("ValueT")
