Send callers to another daemon sooner; serve short calls while stopping

Ruled out: readiness (it turned false at the signal; the refused came on kept connections, and on new ones where most of a hall's daemons stopped). Change: refusals that another daemon can mend ask callers back after 0.03 s; calls that are over before the daemon ends are taken to the end; what was full is offered again after another failure.

--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -21,7 +21,7 @@
 from bayglade.fleet import LAPSE_GRACE, Fleet, Server, ServerFacts
 from bayglade.heads import Message
 from bayglade.ids import BackendId, MemberId, RequestId
-from bayglade.intake import Intake
+from bayglade.intake import ELSEWHERE_SECONDS, Intake
 from bayglade.leases import Lease
 from bayglade.lines import Lines
 from bayglade.listener import Connection, Handler, listen, serve
@@ -58,9 +58,8 @@
 """The balancer asks each second and takes a daemon out after two misses; then connections
 that are on their way still come."""
 ACCEPT_SECONDS = 2.8
-"""How long after the signal to stop requests are still taken: later ones may not be over in time."""
-ELSEWHERE_SECONDS = 0.1
-"""When to come back where another daemon can serve at once."""
+"""How long after the signal to stop all requests are still taken; later ones only if they are
+over in time for sure."""
 STOP_MARGIN = 0.6
 """Seconds before the end by force at which the daemon ends by itself."""
 LOCAL_LIMITS = CallerLimits()
@@ -183,7 +182,7 @@
         try:
             call = self.intake.call(message)
             request = call.head.id
-            self._check_stopping()
+            self._check_stopping(call)
             self.active.add(request)
             with self.presence.watching(connection.sock):
                 self._relay(call, connection)
@@ -197,11 +196,18 @@
             self.active.discard(request)
             self.metrics.observe("request_seconds", now() - started)
 
-    def _check_stopping(self) -> None:
-        if self.draining and now() - self.draining_since > ACCEPT_SECONDS:
-            again = spread_retry_after(ELSEWHERE_SECONDS, self.rng)
+    def _check_stopping(self, call: Call) -> None:
+        """Refuse a request that may not be over before this daemon ends."""
+        if not self.draining or now() - self.draining_since < ACCEPT_SECONDS:
+            return
+        if call.deadline > self._ends_at():
+            again = spread_retry_after(ELSEWHERE_SECONDS, self.rng, ELSEWHERE_SECONDS)
             raise Stopping("this daemon stops", step="intake", retry_after=again)
 
+    def _ends_at(self) -> float:
+        """Return when this daemon ends by itself, once it was told to stop."""
+        return self.draining_since + self.config.grace_seconds - STOP_MARGIN
+
     def _relay(self, call: Call, connection: Connection) -> None:
         service = self.intake.tree.services.get(call.service)
         self.metrics.count("requests")
@@ -376,13 +382,12 @@
 
     def _drain(self) -> None:
         """Stop in order: unready first, then wait for the balancer and for answers."""
-        started = now()
         event("INFO", "stopping", active=len(self.active))
-        until = started + self.config.grace_seconds - STOP_MARGIN
+        until = self._ends_at()
         eventlet.sleep(min(BALANCER_SECONDS, until - now()))
         while self.active and now() < until:
             eventlet.sleep(DRAIN_POLL)
-        event("INFO", "stopped", cut=sorted(self.active), after=round(now() - started, 2))
+        event("INFO", "stopped", cut=sorted(self.active), after=round(now() - self.draining_since, 2))
 
 
 def create_gateway(path: Path) -> Gateway:
--- a/bayglade/intake.py
+++ b/bayglade/intake.py
@@ -24,7 +24,8 @@
 STALE_OF_TRUST = 0.75
 """Settings older than this part of that bound refuse nobody for good: the caller may be right
 by newer ones."""
-COME_BACK_SECONDS = 0.5
+ELSEWHERE_SECONDS = 0.03
+"""When to come back where another daemon can answer at once; callers reach another one then."""
 
 
 class Intake:
@@ -172,5 +173,5 @@
         return priority_of(self.tree, group)
 
     def _cut_off(self, message: str) -> BaygladeError:
-        again = spread_retry_after(COME_BACK_SECONDS, self.rng)
+        again = spread_retry_after(ELSEWHERE_SECONDS, self.rng, ELSEWHERE_SECONDS)
         return CutOff(message, step="intake", retry_after=again)
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -83,7 +83,7 @@
         """
         headers = [("Content-Type", JSON_TYPE)]
         if error.retry_after is not None:
-            headers.append(("Retry-After", f"{error.retry_after:.2f}"))
+            headers.append(("Retry-After", f"{error.retry_after:.3f}"))
         self.answer(error.status, headers, msgspec.json.encode(error_body(error, request)))
 
     def next_request(self) -> Message | None:
--- a/bayglade/retries.py
+++ b/bayglade/retries.py
@@ -58,12 +58,13 @@
     return FIRST_PAUSE * 2.0 ** (attempt - 1) * (1.0 - SPREAD * rng.random())
 
 
-def spread_retry_after(seconds: float, rng: random.Random) -> float:
+def spread_retry_after(seconds: float, rng: random.Random, least: float = MIN_RETRY_AFTER) -> float:
     """Spread the moments at which refused callers come back.
 
     :param seconds: when coming back would help at the earliest.
     :param rng: source of the spread.
+    :param least: lower bound; small where another daemon can answer at once.
     :return: seconds, between the earliest and half as much again, within bounds.
     """
-    base = min(max(seconds, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
+    base = min(max(seconds, least), MAX_RETRY_AFTER)
     return base * (1.0 + SPREAD * rng.random())
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -117,7 +117,8 @@
     while attempts.may_send(peers):
         path = peers.paths.choose(call.service, pipeline, avoided, attempts.only())
         if path is None:
-            if not _wait_for_turn(peers, call, attempts, delivery):
+            # Full servers may have room by now; dead ones are left out by the fleet.
+            if not avoided or not _wait_for_turn(peers, call, attempts, delivery):
                 break
             avoided = frozenset()
             continue
@@ -135,9 +136,12 @@
 
 
 def _wait_for_turn(peers: Peers, call: Call, attempts: Attempts, delivery: Delivery) -> bool:
-    """Wait until a server that was full may have room; tell whether to offer the call again."""
+    """Wait until a server that was full may have room; tell whether to offer the call again.
+
+    After another failure than a refusal there is nothing to wait for.
+    """
     if not isinstance(attempts.failure, BackendRefused):
-        return False
+        return attempts.failure is not None
     since = delivery.sent_at if delivery.begun else call.arrived
     return peers.lines.wait(call, min(call.deadline, since + WAIT_SECONDS))
 
