Show what a gateway takes for true; guard the adapter's border

Cause: on-call people have logs and metrics only, and the issue asks for commands. Change: /beliefs on the metrics address, 'bayglade beliefs' and 'bayglade gateway check'; gauges; tests that no wire name stands outside the adapter, that it is under a tenth of the product, and tables of what it translates.

--- /dev/null
+++ b/bayglade/beliefs.py
@@ -0,0 +1,91 @@
+"""Beliefs: what a gateway takes for true at a moment, for people on call.
+
+Served as JSON on the metrics address, and shown by ``bayglade beliefs``.
+"""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from bayglade.fleet import Fleet, Server
+from bayglade.ids import BackendId, HallName, MemberId, ServiceName
+from bayglade.paths import Path
+
+
+class ServerBelief(msgspec.Struct, frozen=True):
+    """A backend server as the daemon sees it."""
+
+    backend: BackendId
+    service: ServiceName
+    hall: HallName
+    first: int
+    last: int
+    state: str
+    in_flight: int
+    pace: float
+
+
+class PathBelief(msgspec.Struct, frozen=True):
+    """A path that requests may take."""
+
+    hall: HallName
+    stages: int
+    cost_ms: float
+    capacity: float
+    route: list[str]
+
+
+class Beliefs(msgspec.Struct, frozen=True, kw_only=True):
+    """All that one daemon takes for true; ages are in seconds."""
+
+    member: MemberId
+    ready: bool
+    draining: bool
+    settings: int
+    settings_age: float
+    servers_age: float
+    lease: str
+    members: list[MemberId]
+    in_flight: int
+    waiting: int
+    servers: list[ServerBelief]
+    paths: list[PathBelief]
+
+
+def server_beliefs(fleet: Fleet) -> list[ServerBelief]:
+    """Describe all servers.
+
+    :param fleet: the servers as known.
+    """
+    return [_server(server) for server in fleet.servers.values()]
+
+
+def path_beliefs(paths: Sequence[Path]) -> list[PathBelief]:
+    """Describe paths.
+
+    :param paths: the paths in use.
+    """
+    return [
+        PathBelief(
+            hall=path.hall,
+            stages=len(path.servers),
+            cost_ms=round(path.cost, 2),
+            capacity=round(path.capacity, 1),
+            route=[f"{s.backend}[{s.first},{s.last})" for s in path.route.stages],
+        )
+        for path in paths
+    ]
+
+
+def _server(server: Server) -> ServerBelief:
+    facts = server.facts
+    return ServerBelief(
+        backend=facts.id,
+        service=facts.service,
+        hall=facts.hall,
+        first=facts.first,
+        last=facts.last,
+        state=server.state(),
+        in_flight=server.in_flight,
+        pace=server.pace,
+    )
--- a/bayglade/cli.py
+++ b/bayglade/cli.py
@@ -15,6 +15,9 @@
     # The library says at import that it only mends bugs by now (docs/design/clashes.md).
     warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
     command, arguments = (sys.argv[1:] or [""])[0], sys.argv[2:]
+    if command == "gateway" and arguments:
+        # `gateway check` is a command of its own and serves nobody.
+        command = "gateway check"
     if command in GREEN_COMMANDS:
         # Addresses are IP numbers: green name look-ups would cost 12 MB for nothing.
         os.environ["EVENTLET_NO_GREENDNS"] = "yes"
--- a/bayglade/commands.py
+++ b/bayglade/commands.py
@@ -3,15 +3,20 @@
 import os
 import secrets
 from hashlib import sha256
+from pathlib import Path
 from typing import ClassVar
 
 import msgspec
+import urllib3
 from cleo.application import Application
 from cleo.commands.command import Command
-from cleo.helpers import option
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
 from bayglade.__version__ import __title__, __version__
+from bayglade.beliefs import Beliefs
+from bayglade.exceptions import BaygladeError
 from bayglade.operators import changes, commands
 from bayglade.operators.commands import DEFAULT_ADDRESS, JSON, KEY_VARIABLE
 
@@ -93,6 +98,76 @@
         raise NotImplementedError
 
 
+class Gateway(Command):
+    """Names the daemon among the commands; the program runs it before this library loads."""
+
+    name = "gateway"
+    description = "Run the daemon on the users' platform."
+    help = "  bayglade gateway"
+
+    def handle(self) -> int:
+        """Never reached: see :func:`bayglade.cli.main`."""
+        raise NotImplementedError
+
+
+class GatewayCheck(Command):
+    """Check the settings file of a gateway."""
+
+    name = "gateway check"
+    description = "Check the settings file of a gateway."
+    help = "  bayglade gateway check gateway.yaml"
+    arguments: ClassVar[list[Argument]] = [argument("file", "The file as the platform fills it in.")]
+
+    def handle(self) -> int:
+        """Check the file."""
+        from bayglade.config import load_gateway_config
+
+        try:
+            config = load_gateway_config(Path(self.argument("file")))
+        except BaygladeError as error:
+            self.line_error(error.message, style="error")
+            return 1
+        for field in config.__struct_fields__:
+            self.line(f"{field:<22} {getattr(config, field)}")
+        return 0
+
+
+class ShowBeliefs(Command):
+    """Show what a gateway takes for true."""
+
+    name = "beliefs"
+    description = "Show what a gateway takes for true: settings, servers, paths."
+    help = "  bayglade beliefs 10.1.0.40:9464"
+    arguments: ClassVar[list[Argument]] = [argument("address", "The metrics address of the gateway.")]
+    options: ClassVar[list[Option]] = [JSON]
+
+    def handle(self) -> int:
+        """Ask the gateway and print its answer."""
+        try:
+            response = urllib3.request("GET", f"http://{self.argument('address')}/beliefs", timeout=2.0)
+        except urllib3.exceptions.HTTPError as error:
+            self.line_error(f"the gateway cannot be asked: {error}", style="error")
+            return 1
+        if self.option("json"):
+            self.line(response.data.decode())
+            return 0
+        self._print(msgspec.json.decode(response.data, type=Beliefs))
+        return 0
+
+    def _print(self, found: Beliefs) -> None:
+        state = "draining" if found.draining else "ready" if found.ready else "not ready"
+        self.line(f"{found.member} {state}, {found.in_flight} in flight, {found.waiting} waiting")
+        self.line(
+            f"settings {found.settings}, {found.settings_age} s old; servers {found.servers_age} s old"
+        )
+        self.line(f"lease {found.lease}; hears {', '.join(found.members) or 'nobody'}")
+        for server in found.servers:
+            layers = f"[{server.first},{server.last})"
+            self.line(f"  {server.backend} {server.hall} {layers:<9} {server.state} {server.in_flight}")
+        for path in found.paths:
+            self.line(f"  path in {path.hall}, {path.cost_ms} ms a token: {' '.join(path.route)}")
+
+
 class ShowVersion(Command):
     """Print the version."""
 
@@ -116,6 +191,9 @@
 def _commands() -> list[Command]:
     return [
         Entry(),
+        Gateway(),
+        GatewayCheck(),
+        ShowBeliefs(),
         ShowVersion(),
         changes.SettingsShow(),
         changes.SettingsCheck(),
--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -71,6 +71,12 @@
         """Tell whether new work may go there."""
         return not self.leaving and not self.suspect and at >= self.suspect_until
 
+    def state(self) -> str:
+        """Return in a word how it stands."""
+        if self.leaving:
+            return "leaving"
+        return "ready" if self.usable(now()) else "suspect"
+
 
 class Fleet:
     """All backend servers, by service."""
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -6,9 +6,11 @@
 from pathlib import Path
 
 import eventlet
+import msgspec
 from eventlet.event import Event
 
 from bayglade import logs, platform
+from bayglade.beliefs import Beliefs, path_beliefs, server_beliefs
 from bayglade.callers.presence import CallerLeft, Presence
 from bayglade.calls import Call
 from bayglade.clock import now
@@ -30,6 +32,7 @@
 from bayglade.metrics import create_metrics
 from bayglade.paths import Paths
 from bayglade.relay import Peers
+from bayglade.responses import JSON_TYPE
 from bayglade.retries import BUDGET_FLOOR, spread_retry_after
 from bayglade.roster import MemberRow, join, read_members
 from bayglade.rows import Changes
@@ -40,6 +43,7 @@
 from bayglade.wholes import relay_whole
 
 METRICS_PATH = b"/metrics"
+BELIEFS_PATH = b"/beliefs"
 DOCUMENT_WAIT_OF_TRUST = 0.45
 """Part of the bound on old keys that the feed of the operator's document waits: what is known
 is up to one wait old, and a second answer may fail before keys are no longer trusted."""
@@ -162,6 +166,29 @@
             and self.intake.trusted()
         )
 
+    def beliefs(self) -> Beliefs:
+        """Return what this daemon takes for true at this moment."""
+        paths = [
+            path
+            for service, pipeline in self.intake.pipelines().items()
+            for path in self.peers.paths.all(service, pipeline)
+        ]
+        members = self.membership.live() if self.membership is not None else []
+        return Beliefs(
+            member=self.config.member,
+            ready=self.ready(),
+            draining=self.draining,
+            settings=self.intake.version,
+            settings_age=round(self.document_feed.age(), 2),
+            servers_age=round(self.servers_feed.age(), 2),
+            lease=self.loader.lease.state().value,
+            members=[member.id for member in members],
+            in_flight=len(self.active),
+            waiting=self.lines.waiting(),
+            servers=server_beliefs(self.fleet),
+            paths=path_beliefs(paths),
+        )
+
     def _answer_ready(self, connection: Connection, message: Message) -> None:
         if message.target != platform.READY_PATH:
             connection.answer(404, [], b"")
@@ -170,6 +197,9 @@
         connection.answer(200 if ready else 503, [], b"ready" if ready else b"not ready")
 
     def _answer_metrics(self, connection: Connection, message: Message) -> None:
+        if message.target == BELIEFS_PATH:
+            connection.answer(200, [("Content-Type", JSON_TYPE)], msgspec.json.encode(self.beliefs()))
+            return
         if message.target != METRICS_PATH:
             connection.answer(404, [], b"")
             return
@@ -343,9 +373,22 @@
         while True:
             eventlet.sleep(TIDY_SECONDS)
             self.links.forget(set(self.fleet.servers))
+            self._gauge()
             if _changed_at(self.path) != self.changed_at:
                 self.reload("the file changed")
 
+    def _gauge(self) -> None:
+        self.metrics.gauge("in_flight", len(self.active))
+        self.metrics.gauge("waiting", self.lines.waiting())
+        self.metrics.gauge("settings_version", self.intake.version)
+        self.metrics.gauge("settings_age_seconds", self.document_feed.age())
+        self.metrics.gauge("servers_age_seconds", self.servers_feed.age())
+        self.metrics.gauge("ready", float(self.ready()))
+        self.metrics.gauge("servers_listed", len(self.fleet.servers))
+        suspects = sum(1 for server in self.fleet.servers.values() if server.state() == "suspect")
+        self.metrics.gauge("servers_suspect", suspects)
+        self.metrics.gauge("connections_opened", self.links.opened)
+
     def reload(self, cause: str) -> None:
         """Read the daemon's own settings again; what makes no sense changes nothing.
 
--- a/bayglade/lines.py
+++ b/bayglade/lines.py
@@ -29,7 +29,11 @@
         self.queues: dict[ServiceName, ShareQueue[Event]] = {}
 
     def __repr__(self) -> str:
-        return f"<Lines {sum(len(queue) for queue in self.queues.values())} waiting>"
+        return f"<Lines {self.waiting()} waiting>"
+
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return sum(len(queue) for queue in self.queues.values())
 
     def wait(self, call: Call, until: float) -> bool:
         """Wait for a turn.
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -2,10 +2,13 @@
 
 import signal
 import socket
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Iterator
 
+import msgspec
 import pytest
 
 from standins.users import EVENTS, KEY, MODEL, PLAIN, Daemon, UsersSite, quietly
@@ -225,3 +228,37 @@
     text = ask(daemon.metrics, "/metrics").body.decode()
     assert "bayglade_requests_total " in text
     assert 'bayglade_request_seconds_bucket{le="+Inf"} ' in text
+
+
+def bayglade(*arguments: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "bayglade", *arguments]
+    return subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
+
+
+def test_commands_check_settings_and_show_what_a_daemon_takes_for_true(site: UsersSite) -> None:
+    daemon = site.start()
+    wait_for("streams are served", lambda: served(daemon))
+    shown = bayglade("beliefs", daemon.metrics)
+    assert shown.returncode == 0
+    assert "d0 ready" in shown.stdout
+    assert "path in hall-0" in shown.stdout
+    checked = bayglade("gateway", "check", str(daemon.file))
+    assert (checked.returncode, "member" in checked.stdout) == (0, True)
+    daemon.file.write_text('{"member": "d0", "hall": 3}', encoding="utf-8")
+    refused = bayglade("gateway", "check", str(daemon.file))
+    assert refused.returncode == 1
+    assert "hall" in refused.stderr
+    assert bayglade("beliefs", "127.0.0.1:1").returncode == 1
+
+
+def test_daemons_tell_each_other_of_their_load(site: UsersSite) -> None:
+    first, second = site.start(), site.start()
+    wait_for("they hear each other", lambda: all(len(members(d)) == 1 for d in (first, second)))
+    assert members(first) == ["d1"]
+    first.stop()
+    wait_for("its silence is noticed", lambda: members(second) == [])
+
+
+def members(daemon: Daemon) -> list[str]:
+    found: list[str] = msgspec.json.decode(ask(daemon.metrics, "/beliefs").body)["members"]
+    return found
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,186 @@
+"""The adapter of the users' platform: what it translates, and that only it knows their names."""
+
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+
+import bayglade
+from bayglade.endpoints import Endpoints
+from bayglade.exceptions import InvalidMessage, InvalidSettings, NotFound
+from bayglade.fleet import Fleet
+from bayglade.heads import Message
+from bayglade.ids import BackendId
+from bayglade.platform import decode_document, decode_server
+from bayglade.platform.calls import read_answer, read_call
+from standins.users import GROUP, KEY, MODEL, PLAIN, configuration
+
+ROOT = Path(bayglade.__file__).parent
+ADAPTER = ROOT / "platform"
+WIRE_NAMES = re.compile(
+    r"rows-(tx|get|feed|parts)|blob-|X-(Response-Seal|Not-Executed|Expect-Instance|Token-Counts|Prompt-Prefix"
+    r"|Deadline-Ms|Tenant|Key|Instance-Id|Model)\b|At-Server|targetVersion|expectedRev|afterRev"
+    r"|BAYGLADE_NODE_FILE|sloMs|maxAttempts|pathPrefix|apiKeys|healthPath|maxConns|kvCapacity|coldLeftMs"
+    r"|/api/(ready|report|order)",
+    re.IGNORECASE,
+)
+LARGEST_PART = 0.1
+"""The adapter's part of the product's lines, at most."""
+
+
+def sources(folder: Path) -> list[Path]:
+    return sorted(folder.rglob("*.py"))
+
+
+def test_nothing_outside_the_adapter_knows_names_of_the_wire() -> None:
+    outside = [path for path in sources(ROOT) if ADAPTER not in path.parents]
+    assert len(outside) > 50
+    found = {path.name: WIRE_NAMES.findall(path.read_text(encoding="utf-8")) for path in outside}
+    assert {name: names for name, names in found.items() if names} == {}
+
+
+def test_the_adapter_is_small() -> None:
+    lines = {path: len(path.read_text(encoding="utf-8").splitlines()) for path in sources(ROOT)}
+    adapter = sum(count for path, count in lines.items() if ADAPTER in path.parents)
+    assert adapter < LARGEST_PART * sum(lines.values())
+
+
+def document(**changes: object) -> msgspec.Raw:
+    return msgspec.Raw(msgspec.json.encode(configuration(7, (KEY, "second"), changes)))
+
+
+def test_a_document_becomes_settings() -> None:
+    version, tree = decode_document(document())
+    assert version == 7
+    kinds = {e.name: (e.streamed, e.repeatable, e.resumable, e.public) for e in tree.endpoints}
+    assert kinds == {
+        "s": (True, False, True, False),
+        "r": (False, True, False, False),
+        "o": (False, False, False, False),
+        "p": (False, True, False, True),
+    }
+    endpoint = tree.endpoints[1]
+    assert (endpoint.timeout, endpoint.aim, endpoint.max_attempts, endpoint.priority) == (1.5, 0.3, 2, -1)
+    assert tree.services[MODEL].pipeline is not None  # type: ignore[index]
+    assert tree.services[PLAIN].pipeline is None  # type: ignore[index]
+    assert {account.group for account in tree.accounts.values()} == {GROUP}
+    assert len(tree.accounts) == 2
+    assert (tree.caller_limits.head_bytes, tree.caller_limits.head_seconds) == (4096, 0.7)
+
+
+@pytest.mark.parametrize("content", [b"{", b"[]", b'{"version": 1}', b'{"version": "x", "routes": []}'])
+def test_a_document_that_makes_no_sense_is_refused_whole(content: bytes) -> None:
+    with pytest.raises(InvalidSettings):
+        decode_document(msgspec.Raw(content))
+
+
+def test_a_server_becomes_facts() -> None:
+    row = {
+        "service": "s",
+        "addr": "10.0.0.1:1",
+        "zone": "hall",
+        "slots": 96,
+        "state": "draining",
+        "kind": "card",
+        "layers": {"from": 3, "targetVersion": 9, "version": 2},
+        "more": "passed over",
+    }
+    facts = decode_server("i-1", msgspec.Raw(msgspec.json.encode(row)))
+    assert (facts.first, facts.last, facts.weights, facts.leaving) == (3, 9, 2, True)
+    with pytest.raises(InvalidSettings):
+        decode_server("i-1", msgspec.Raw(b'{"service": 1}'))
+
+
+def message(**headers: str) -> Message:
+    made = Message()
+    made.headers = [(name.replace("_", "-"), value) for name, value in headers.items()]
+    return made
+
+
+def test_a_request_head_is_read() -> None:
+    head = read_call(
+        message(
+            Host="h",
+            X_Request_Id="r",
+            X_Key="k",
+            X_Deadline_Ms="1500",
+            X_Token_Counts="800,160",
+            last_event_id="7",
+        )
+    )
+    assert (head.id, head.key, head.seconds) == ("r", "k", 1.5)
+    assert (head.prompt_tokens, head.answer_tokens, head.last_event) == (800, 160, 7)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {"Host": "h"},
+        {"X_Request_Id": "r"},
+        {"Host": "h", "X_Request_Id": "r", "X_Deadline_Ms": "soon"},
+        {"Host": "h", "X_Request_Id": "r", "X_Token_Counts": "many"},
+    ],
+)
+def test_a_request_head_that_makes_no_sense_is_refused(headers: dict[str, str]) -> None:
+    with pytest.raises(InvalidMessage):
+        read_call(message(**headers))
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run", "genuine"),
+    [
+        (200, {"X_Request_Id": "r", "X_Response_Seal": "s"}, False, True),
+        (500, {"X_Request_Id": "r", "X_Response_Seal": "s"}, False, True),
+        (503, {"X_Request_Id": "r"}, False, False),
+        (503, {"X_Request_Id": "r", "X_Not_Executed": "1"}, True, False),
+        (421, {"X_Instance_Id": "other"}, True, False),
+    ],
+)
+def test_only_the_servers_own_word_says_that_it_did_not_run(
+    status: int, headers: dict[str, str], not_run: bool, genuine: bool
+) -> None:
+    answer = message(**headers)
+    answer.status = status
+    head = read_answer(answer)
+    assert (head.not_run, head.genuine) == (not_run, genuine)
+
+
+@pytest.mark.parametrize(
+    ("target", "name"),
+    [("/a/b/c", "ab"), ("/a/x", "a"), ("/a/b/", "ab"), ("/a/b", "a"), ("/a/?q=/a/b/", "a")],
+)
+def test_the_longest_prefix_of_a_path_wins(target: str, name: str) -> None:
+    _, tree = decode_document(document())
+    first = tree.endpoints[0]
+    replace = msgspec.structs.replace
+    endpoints = Endpoints(
+        [replace(first, name="a", prefix="/a/"), replace(first, name="ab", prefix="/a/b/")]
+    )
+    assert endpoints.find("site.example:80", target).name == name
+    for host, path in (("site.example", "/b/a/"), ("other", "/a/")):
+        with pytest.raises(NotFound):
+            endpoints.find(host, path)
+
+
+def test_a_common_cause_does_not_make_all_servers_suspect() -> None:
+    fleet = Fleet()
+    row = {"service": "s", "addr": "a:1", "zone": "hall", "slots": 1}
+    listed = [decode_server(f"i-{n}", msgspec.Raw(msgspec.json.encode(row))) for n in range(6)]
+    fleet.take(listed, [], outage=False)
+    said = [fleet.suspect(server, "silent") for server in list(fleet.servers.values())]
+    assert said == [True, True, True, False, False, False]
+
+
+def test_rows_that_vanish_in_an_outage_are_kept_for_a_while() -> None:
+    fleet = Fleet()
+    row = {"service": "s", "addr": "a:1", "zone": "hall", "slots": 1}
+    listed = [decode_server(f"i-{n}", msgspec.Raw(msgspec.json.encode(row))) for n in range(3)]
+    fleet.take(listed, [], outage=False)
+    fleet.replace(listed[:1], outage=True)
+    assert len(fleet.servers) == 3
+    fleet.take([listed[1]], [], outage=True)
+    fleet.drop_lapsed()
+    assert set(fleet.servers) == {BackendId("i-0"), BackendId("i-1")}
+    fleet.replace(listed[:1], outage=False)
+    assert set(fleet.servers) == {BackendId("i-0")}
