--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -16,13 +16,11 @@
 from bayglade.clock import now
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
 from bayglade.diagnosis import Diagnosis
-from bayglade.entries.membership import Membership
-from bayglade.entries.wire import Heartbeat, PathLoad
 from bayglade.exceptions import BaygladeError, InvalidSettings, Stopping
 from bayglade.feeds import Feed
-from bayglade.fleet import LAPSE_GRACE, Fleet, Server, ServerFacts
+from bayglade.fleet import LAPSE_GRACE, Fleet, ServerFacts
 from bayglade.heads import Message
-from bayglade.ids import BackendId, MemberId, RequestId
+from bayglade.ids import BackendId, RequestId
 from bayglade.intake import ELSEWHERE_SECONDS, Intake
 from bayglade.leases import Lease
 from bayglade.lines import Lines
@@ -31,10 +29,10 @@
 from bayglade.logs import event
 from bayglade.metrics import create_metrics
 from bayglade.paths import Paths
+from bayglade.peering import Peering
 from bayglade.relay import Peers
 from bayglade.responses import JSON_TYPE
-from bayglade.retries import BUDGET_FLOOR, spread_retry_after
-from bayglade.roster import MemberRow, join, read_members
+from bayglade.retries import spread_retry_after
 from bayglade.rows import Changes
 from bayglade.settings import CallerLimits
 from bayglade.streams import relay_stream
@@ -51,12 +49,6 @@
 SERVERS_PAUSE = 0.25
 """Seconds between calls of the servers' feed: many rows change together, and each call is paid for."""
 TIDY_SECONDS = 0.5
-ROSTER_WAIT = 20.0
-ROSTER_PAUSE = 1.0
-"""Seconds between calls of the roster's feed: nobody waits for it."""
-MEMBERS_SECONDS = 0.25
-BUDGET_PART = 0.5
-"""Part of the users' bound on repeated sendings that all daemons together allow themselves."""
 DRAIN_POLL = 0.05
 BALANCER_SECONDS = 3.5
 """The balancer asks each second and takes a daemon out after two misses; then connections
@@ -106,7 +98,7 @@
             diagnosis=self.diagnosis,
             check=self.intake.check,
             lines=self.lines,
-            budget_floor=self._budget_floor,
+            new_budget=lambda: self.peering.new_budget(),
             metrics=self.metrics,
             rng=self.rng,
         )
@@ -118,11 +110,9 @@
             self.metrics,
             self.rng,
         )
-        self.membership: Membership | None = None
-        self.roster_feed = Feed(
-            self.store, platform.OWN_TABLE, ROSTER_WAIT, self._take_roster, ROSTER_PAUSE
+        self.peering = Peering(
+            config, self.store, platform.OWN_TABLE, self.intake, self.usage, self.peers, self.rng
         )
-        self.roster: dict[MemberId, MemberRow] = {}
         self.presence = Presence(self.metrics)
         self.active: set[RequestId] = set()
         self.draining = False
@@ -144,8 +134,8 @@
         self._listen(self.config.callers, self.intake.limits, self._answer_caller)
         self.document_feed.start()
         self.servers_feed.start()
-        eventlet.spawn_n(self._join)
         for task in (
+            self.peering.run,
             self.loader.run,
             self.diagnosis.recheck,
             self.presence.run,
@@ -173,7 +163,6 @@
             for service, pipeline in self.intake.pipelines().items()
             for path in self.peers.paths.all(service, pipeline)
         ]
-        members = self.membership.live() if self.membership is not None else []
         return Beliefs(
             member=self.config.member,
             ready=self.ready(),
@@ -182,7 +171,7 @@
             settings_age=round(self.document_feed.age(), 2),
             servers_age=round(self.servers_feed.age(), 2),
             lease=self.loader.lease.state().value,
-            members=[member.id for member in members],
+            members=self.peering.live(),
             in_flight=len(self.active),
             waiting=self.lines.waiting(),
             servers=server_beliefs(self.fleet),
@@ -307,67 +296,6 @@
         elif self.fleet.lapsed:
             eventlet.spawn_after(max(TIDY_SECONDS, self._grace_left()), self._drop_lapsed)
 
-    def _join(self) -> None:
-        """Meet the other daemons; serving does not wait for it."""
-        if not self.config.peer_ports:
-            return
-        host = parse_address(self.config.callers).host
-        port = int(self.config.peer_ports.partition(",")[0])
-        address = f"{host}:{port}"
-        secret = join(self.store, self.config.member, address, self.config.hall)
-        membership = Membership(
-            self.config.member,
-            secret,
-            self.intake,
-            self.usage,
-            self.metrics,
-            list,
-            list,
-            self._heard,
-            self.rng,
-        )
-        membership.loads = self._loads
-        self.membership = membership
-        self.peers.paths.elsewhere = membership.elsewhere
-        self.diagnosis.on_dead = self._tell_dead
-        eventlet.spawn_n(membership.serve, listen(host, port))
-        self.roster_feed.start()
-        event("INFO", "joined", address=address)
-        while True:
-            eventlet.sleep(MEMBERS_SECONDS)
-            membership.draining = self.draining
-            membership.watch()
-
-    def _take_roster(self, changes: Changes, whole: bool) -> None:
-        members = read_members(changes.rows)
-        if not members.keys() - self.roster.keys() and not whole:
-            # Most changes are renewals of the lease.
-            return
-        self.roster |= members
-        if self.membership is not None:
-            self.membership.sync({name: row.address for name, row in self.roster.items()})
-
-    def _loads(self) -> list[PathLoad]:
-        busy = (s for s in self.fleet.servers.values() if s.facts.held and s.in_flight)
-        return [PathLoad(server.facts.id, server.in_flight) for server in busy]
-
-    def _tell_dead(self, server: Server) -> None:
-        if self.membership is not None:
-            self.membership.dead.append(server.facts.id)
-            self.membership.beat()
-
-    def _heard(self, beat: Heartbeat) -> None:
-        """Look at stages that another daemon found silent, before own streams stand still."""
-        told = [self.fleet.servers[b] for b in beat.dead if b in self.fleet.servers]
-        fresh = [server for server in told if not server.suspect]
-        if fresh:
-            eventlet.spawn_n(self.diagnosis.examine, fresh)
-
-    def _budget_floor(self) -> float:
-        """Return this daemon's part of the sendings that may be repeated beyond the fraction."""
-        members = self.membership.count() if self.membership is not None else len(self.roster) or 1
-        return min(BUDGET_FLOOR, BUDGET_PART * self.config.retry_floor / max(1, members))
-
     def _tidy(self) -> None:
         """Do what is due now and then, for ever."""
         while True:
@@ -420,6 +348,7 @@
         if not self.draining:
             self.draining_since = now()
         self.draining = True
+        self.peering.leave()
         if not self.stopping.ready():
             self.stopping.send()
 
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -54,7 +54,7 @@
         diagnosis: Diagnosis,
         check: Callable[[Call], None],
         lines: Lines,
-        budget_floor: Callable[[], float],
+        new_budget: Callable[[], RetryBudget],
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
@@ -70,8 +70,8 @@
         self.metrics = metrics
         self.rng = rng
         self.lines = lines
-        self.budget_floor = budget_floor
-        """Returns how many sendings in a row of time this daemon may repeat beyond the fraction."""
+        self.new_budget = new_budget
+        """Makes the budget of a service, this daemon's part of the bound on all of them."""
 
         self.budgets: dict[str, RetryBudget] = {}
 
@@ -81,10 +81,8 @@
     def budget(self, service: str) -> RetryBudget:
         """Return the budget for sending calls of a service again."""
         if service not in self.budgets:
-            self.budgets[service] = RetryBudget()
-        budget = self.budgets[service]
-        budget.floor = self.budget_floor()
-        return budget
+            self.budgets[service] = self.new_budget()
+        return self.budgets[service]
 
 
 class Attempts:
--- a/bayglade/retries.py
+++ b/bayglade/retries.py
@@ -1,10 +1,11 @@
 """Budgets for retries, and when callers should come back."""
 
 import random
+from collections import deque
 
 from bayglade.clock import Decayed, now
 
-BUDGET_TAU = 10.0
+BUDGET_WINDOW = 10.0
 BUDGET_FRACTION = 0.1
 BUDGET_FLOOR = 10.0
 SPREAD = 0.5
@@ -16,20 +17,30 @@
 class RetryBudget:
     """Allows retries up to a fraction of recent requests, plus a small floor.
 
+    Retries are counted in a sliding window: a sum that decays would let twice
+    as many through within one window.
+
     :param fraction: part of the recent requests.
     :param floor: retries that are allowed besides; may change as daemons come and go.
+    :param window: seconds over which both are counted.
     """
 
-    __slots__ = ("floor", "fraction", "requests", "retries")
+    __slots__ = ("floor", "fraction", "requests", "retries", "window")
 
-    def __init__(self, fraction: float = BUDGET_FRACTION, floor: float = BUDGET_FLOOR) -> None:
+    def __init__(
+        self,
+        fraction: float = BUDGET_FRACTION,
+        floor: float = BUDGET_FLOOR,
+        window: float = BUDGET_WINDOW,
+    ) -> None:
         self.fraction = fraction
         self.floor = floor
-        self.requests = Decayed(BUDGET_TAU)
-        self.retries = Decayed(BUDGET_TAU)
+        self.window = window
+        self.requests = Decayed(window)
+        self.retries: deque[float] = deque()
 
     def __repr__(self) -> str:
-        return f"<RetryBudget {self.retries.value:.1f} of {self.requests.value:.1f}>"
+        return f"<RetryBudget {len(self.retries)} of {self.requests.value:.1f}>"
 
     def request(self) -> None:
         """Count a first try."""
@@ -41,10 +52,11 @@
         :return: false when the budget is spent.
         """
         at = now()
-        allowed = self.floor + self.fraction * self.requests.read(at)
-        if self.retries.read(at) + 1.0 > allowed:
+        while self.retries and self.retries[0] <= at - self.window:
+            self.retries.popleft()
+        if len(self.retries) + 1.0 > self.floor + self.fraction * self.requests.read(at):
             return False
-        self.retries.add(1.0, at)
+        self.retries.append(at)
         return True
 
 
--- a/bayglade/rows.py
+++ b/bayglade/rows.py
@@ -85,6 +85,10 @@
         """
 
 
+class Table(RowStore, ChangeFeed, Protocol):
+    """Whoever keeps rows and tells of their changes."""
+
+
 def raw(value: object) -> msgspec.Raw:
     """Encode a value as it lies in a row."""
     return msgspec.Raw(msgspec.json.encode(value))
