Ask the store less while much changes; search only halls that changed

At 1,000 servers a search for paths held the loop for 0.2 s. Ruled out: the wait of the document's feed (a fifth of the calls). Change: pauses of 0.5 s (servers) and 0.2 s (document) after changes, 1 s between looks at a lease of others; paths are kept by hall and searched with pauses between.

--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -46,8 +46,11 @@
 """Part of the bound on old keys that the feed of the operator's document waits: what is known
 is up to one wait old, and a second answer may fail before keys are no longer trusted."""
 SERVERS_WAIT = 8.0
-SERVERS_PAUSE = 0.25
-"""Seconds between calls of the servers' feed: many rows change together, and each call is paid for."""
+DOCUMENT_PAUSE = 0.2
+"""Seconds after a change of the document before the next call: changes come in storms, each call
+is paid for, and a tenth of the time in which a change must be in force is spent at most."""
+SERVERS_PAUSE = 0.5
+"""The same for the list of servers: a quarter of the time in which a leaving server must be known."""
 TIDY_SECONDS = 0.5
 DRAIN_POLL = 0.05
 BALANCER_SECONDS = 3.5
@@ -78,7 +81,11 @@
         self.diagnosis = Diagnosis(self.fleet, self.control)
         key_trust = config.key_trust_ms / 1000
         self.document_feed = Feed(
-            self.store, platform.OPERATOR_TABLE, DOCUMENT_WAIT_OF_TRUST * key_trust, self._take_document
+            self.store,
+            platform.OPERATOR_TABLE,
+            DOCUMENT_WAIT_OF_TRUST * key_trust,
+            self._take_document,
+            DOCUMENT_PAUSE,
         )
         self.servers_feed = Feed(
             self.store, platform.SERVERS_TABLE, SERVERS_WAIT, self._take_servers, SERVERS_PAUSE
--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -29,6 +29,8 @@
 LEASE_MARGIN = 0.7
 """Short: the lease is held only while there is something to order."""
 LOOK_SECONDS = 0.4
+OTHERS_SECONDS = 1.0
+"""Time between looks at a lease that another daemon has: each is a call of the store, paid for."""
 SETTLE_SECONDS = 1.5
 """An empty fleet is laid out once no server was listed for so long: the list fills slowly at a start."""
 MEND_SECONDS = 0.8
@@ -75,16 +77,20 @@
 
     def run(self) -> None:
         """Look for missing layers now and then, for ever."""
+        pause = LOOK_SECONDS
         while True:
-            eventlet.sleep(LOOK_SECONDS * self.rng.uniform(0.8, 1.2))
+            eventlet.sleep(pause * self.rng.uniform(0.8, 1.2))
+            pause = LOOK_SECONDS
             try:
-                self.step()
+                if not self.step():
+                    pause = OTHERS_SECONDS
             except PlatformUnavailable as error:
                 event("INFO", "lease not kept", error=repr(error))
 
-    def step(self) -> None:
+    def step(self) -> bool:
         """Order what is missing, if this daemon gets the lease.
 
+        :return: false when something is missing and another daemon has the lease.
         :raises PlatformUnavailable: when the lease cannot be read or written.
         """
         for service, pipeline in self.pipelines().items():
@@ -92,14 +98,15 @@
             if not wanted:
                 continue
             if not self.lease.keep():
-                return
+                return False
             pool = eventlet.GreenPool(ORDERS_AT_ONCE)
             for backend, span in wanted.items():
                 pool.spawn_n(self._order, backend, span)
             pool.waitall()
-            return
+            return True
         if not self.given:
             self.lease.release()
+        return True
 
     def wanted(self, service: ServiceName, pipeline: Pipeline) -> Spans:
         """Work out the spans to be ordered now.
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Callable, Iterable, Sequence
 
+import eventlet
+
 from bayglade.engines.wire import Stage
 from bayglade.fleet import Fleet, Server
 from bayglade.ids import BackendId, HallName, ServiceName
@@ -82,6 +84,9 @@
         self.fleet = fleet
         self.hall = hall
         self.known: dict[ServiceName, list[Path]] = {}
+        self.halls: dict[tuple[ServiceName, HallName], tuple[object, list[Path]]] = {}
+        """Paths of each hall, with what they were found for."""
+
         self.valid: tuple[int, int] = (-1, -1)
         self.elsewhere: Callable[[], dict[BackendId, int]] = dict
         """Returns the requests that other daemons have under way, by first stage."""
@@ -128,9 +133,23 @@
             self.known.clear()
             self.valid = valid
         if service not in self.known:
-            self.known[service] = find_paths(usable, pipeline)
+            self.known[service] = self._find(service, usable, pipeline)
         return self.known[service]
 
+    def _find(self, service: ServiceName, usable: list[Server], pipeline: Pipeline) -> list[Path]:
+        """Find the paths anew, hall by hall, only where something has changed."""
+        paths: list[Path] = []
+        for hall, servers in by_hall(usable).items():
+            # Servers are compared by identity: those of an earlier listing are other objects.
+            mark = (pipeline, [(server, server.facts, server.pace) for server in servers])
+            if self.halls.get((service, hall), (None, []))[0] != mark:
+                self.halls[service, hall] = (mark, hall_paths(servers, pipeline))
+                # A hall takes some ten milliseconds: streams pass events in between.
+                eventlet.sleep(0)
+            paths += self.halls[service, hall][1]
+        mixed = mixed_path(usable, paths, pipeline)
+        return sorted([*paths, mixed] if mixed is not None else paths, key=lambda path: path.cost)
+
     def detour(
         self, path: Path, service: ServiceName, pipeline: Pipeline, without: frozenset[BackendId]
     ) -> Path | None:
@@ -155,30 +174,55 @@
         return _path(rest, pipeline) if rest is not None else None
 
 
+def hall_paths(servers: Sequence[Server], pipeline: Pipeline) -> list[Path]:
+    """Find the paths inside one hall, no two over the same server.
+
+    :param servers: the servers of the hall that may be used.
+    :param pipeline: facts of the model.
+    :return: paths, cheapest first; none when they do not hold all layers.
+    """
+    paths: list[Path] = []
+    left = list(servers)
+    while len(paths) < MAX_PATHS:
+        path = find_path(left, pipeline)
+        if path is None:
+            break
+        paths.append(path)
+        left = [server for server in left if server not in path.servers]
+    return paths
+
+
+def mixed_path(servers: Sequence[Server], paths: Sequence[Path], pipeline: Pipeline) -> Path | None:
+    """Find a path over halls that do not hold the model alone.
+
+    :param servers: all servers that may be used.
+    :param paths: the paths inside halls.
+    :param pipeline: facts of the model.
+    :return: the path, or nothing.
+    """
+    served = {path.hall for path in paths}
+    others = [server for server in servers if server.facts.hall not in served]
+    return find_path(others, pipeline) or (None if paths else find_path(servers, pipeline))
+
+
 def find_paths(servers: Sequence[Server], pipeline: Pipeline) -> list[Path]:
     """Find the paths of a fleet: those inside each hall, and one over halls that have none.
 
     :param servers: the servers that may be used.
     :param pipeline: facts of the model.
-    :return: paths without a common server inside a hall, cheapest first.
+    :return: paths, cheapest first.
     """
-    paths: list[Path] = []
-    without: list[Server] = []
-    for hall in sorted({server.facts.hall for server in servers}):
-        left = [server for server in servers if server.facts.hall == hall]
-        for _ in range(MAX_PATHS):
-            path = find_path(left, pipeline)
-            if path is None:
-                break
-            paths.append(path)
-            left = [server for server in left if server not in path.servers]
-        if not any(path.hall == hall for path in paths):
-            without += left
-    # Halls that do not hold the model alone may do so together.
-    mixed = find_path(without, pipeline) or (None if paths else find_path(servers, pipeline))
-    if mixed is not None:
-        paths.append(mixed)
-    return sorted(paths, key=lambda path: path.cost)
+    paths = [path for hall in by_hall(servers).values() for path in hall_paths(hall, pipeline)]
+    mixed = mixed_path(servers, paths, pipeline)
+    return sorted([*paths, mixed] if mixed is not None else paths, key=lambda path: path.cost)
+
+
+def by_hall(servers: Iterable[Server]) -> dict[HallName, list[Server]]:
+    """Group servers by their data hall."""
+    halls: dict[HallName, list[Server]] = {}
+    for server in servers:
+        halls.setdefault(server.facts.hall, []).append(server)
+    return halls
 
 
 def find_path(servers: Iterable[Server], pipeline: Pipeline) -> Path | None:
--- a/standins/users.py
+++ b/standins/users.py
@@ -362,7 +362,7 @@
                     return
                 time.sleep(0.01)
             self.site.check_path(self.paths[request])
-            data = f"id: {number}\ndata: {request} {number}\n\n".encode()
+            data = f"id: {number}\ndata: {request} {number} {time.monotonic():.6f}\n\n".encode()
             if self.faults.take("partial"):
                 handler.wfile.write(b"%x\r\n%b\r\n" % (9, data[:9]))
                 handler.reset()
--- a/tests/test_tiling.py
+++ b/tests/test_tiling.py
@@ -1,15 +1,17 @@
 """Tiling and paths: all layers once and in order, inside memory, also when servers are lost."""
 
 import time
+from collections.abc import Sequence
 
 import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bayglade.fleet import Server, ServerFacts
+from bayglade import paths as paths_module
+from bayglade.fleet import Fleet, Server, ServerFacts
 from bayglade.ids import BackendId, HallName, ModelName, ServiceName
-from bayglade.paths import find_path, find_paths
+from bayglade.paths import Path, Paths, find_path, find_paths, hall_paths
 from bayglade.pipelines import Accelerator, Pipeline
 from bayglade.tiling import Span, fill, groups, mend, missing, tile
 
@@ -183,3 +185,65 @@
     model = pipeline()
     held = [s.facts for s in placed(servers(a={"big": 3, "middle": 3, "small": 5}), model)]
     assert mend(held, model) == {}
+
+
+def test_only_the_hall_that_changed_is_searched_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    model = pipeline()
+    fleet = Fleet()
+    held = placed(
+        servers(a={"big": 3, "middle": 3, "small": 5}, b={"big": 1, "middle": 5, "small": 8}), model
+    )
+    fleet.take([server.facts for server in held], [], outage=False)
+    searched: list[str] = []
+
+    def search(found: Sequence[Server], _: Pipeline) -> list[Path]:
+        searched.append(found[0].facts.hall)
+        return hall_paths(found, model)
+
+    monkeypatch.setattr(paths_module, "hall_paths", search)
+    paths = Paths(fleet, HallName("a"))
+    assert len(paths.all(SERVICE, model)) == 2
+    paths.all(SERVICE, model)
+    assert sorted(searched) == ["a", "b"]
+    fleet.suspect(fleet.servers[BackendId("b-small-0")], "silent")
+    paths.all(SERVICE, model)
+    assert sorted(searched) == ["a", "b", "b"]
+
+
+def test_a_path_of_the_own_hall_is_taken_while_it_has_room() -> None:
+    model = pipeline()
+    fleet = Fleet()
+    held = placed(
+        servers(a={"big": 3, "middle": 3, "small": 5}, b={"big": 1, "middle": 5, "small": 8}), model
+    )
+    fleet.take([server.facts for server in held], [], outage=False)
+    paths = Paths(fleet, HallName("b"))
+    own = paths.choose(SERVICE, model)
+    assert own is not None
+    assert own.hall == "b"
+    # Full by what other daemons tell: the quicker hall takes it.
+    paths.elsewhere = lambda: {own.servers[0].facts.id: int(own.capacity) + 1}
+    other = paths.choose(SERVICE, model)
+    assert other is not None
+    assert other.hall == "a"
+
+
+def test_a_detour_keeps_the_first_stage_and_the_hall() -> None:
+    model = pipeline()
+    fleet = Fleet()
+    held = placed(
+        servers(a={"big": 3, "middle": 3, "small": 5}, b={"big": 1, "middle": 5, "small": 8}), model
+    )
+    fleet.take([server.facts for server in held], [], outage=False)
+    paths = Paths(fleet, HallName("a"))
+    path = paths.choose(SERVICE, model)
+    assert path is not None
+    for server in path.servers[1:]:
+        detour = paths.detour(path, SERVICE, model, frozenset({server.facts.id}))
+        if detour is None:
+            # Nobody else in this hall holds its layers: no stage of another hall steps in.
+            continue
+        assert detour.route.stages[0] == path.route.stages[0]
+        assert {s.facts.hall for s in detour.servers} == {"a"}
+        assert server not in detour.servers
+    assert paths.detour(path, SERVICE, model, frozenset({path.servers[0].facts.id})) is None
