Keep what a feed knows from ageing after a late change

A change that comes late in a feed's wait confirms only the state at its start, and the next call waited in full: 4.7 s, where 3.8 s is the bound. Ruled out: the store's forgetting (it was back at 2.3 s). Change: the next call waits for no more than keeps the age within 1.3 waits.

--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -19,6 +19,11 @@
 MAX_PAUSE = 0.4
 """Seconds between calls that fail: short against the bounds on news, long for a store in trouble."""
 
+OLDEST_OF_WAIT = 1.3
+"""Age that knowledge reaches at most while the store answers, in waits: after a change that
+came late in its wait the next call waits for less."""
+LEAST_WAIT = 0.1
+
 Apply = Callable[[Changes, bool], None]
 """Takes changes in; the flag tells that they are the whole table."""
 
@@ -85,23 +90,28 @@
                 pause = FIRST_PAUSE
 
     def _step(self) -> None:
-        asked = now()
+        asked, wait = now(), 0.0
         whole = self.version is None
         if self.version is None:
             changes = self.store.snapshot(self.table)
         else:
-            changes = self.store.changes(self.table, self.version, self.wait)
+            wait = self._next_wait()
+            changes = self.store.changes(self.table, self.version, wait)
         if self.failing_since is not None:
             event("INFO", "store regained", table=self.table, out=round(now() - self.failing_since, 2))
             self.failing_since = None
             self.recovered_at = now()
         self.version = changes.version
-        quiet = not whole and not changes.rows and now() - asked >= self.wait
-        self.known_at = asked + self.wait if quiet else asked
+        quiet = not whole and not changes.rows and now() - asked >= wait
+        self.known_at = asked + wait if quiet else asked
         if whole or changes.rows:
             self.apply(changes, whole)
             eventlet.sleep(self.pause)
 
+    def _next_wait(self) -> float:
+        """Return how long the next call may wait for a change."""
+        return min(self.wait, max(LEAST_WAIT, OLDEST_OF_WAIT * self.wait - self.age()))
+
     def _failed(self, error: PlatformUnavailable) -> None:
         if self.failing_since is None:
             self.failing_since = now()
--- /dev/null
+++ b/tests/test_feeds.py
@@ -0,0 +1,97 @@
+"""Feeds: how old what they know may be, and how they go on after trouble."""
+
+import msgspec
+import pytest
+
+from bayglade import feeds
+from bayglade.exceptions import HistoryGone, PlatformUnavailable
+from bayglade.feeds import OLDEST_OF_WAIT, Feed
+from bayglade.rows import Changes
+
+WAIT = 2.0
+ROUND_TRIP = 0.001
+ROW = {"key": msgspec.Raw(b"1")}
+
+
+class Script:
+    """A store that answers as told, and the clock that its answers move.
+
+    An answer is the seconds it takes (nothing: the whole wait), and what it brings.
+    """
+
+    def __init__(self, *answers: tuple[float | None, object]) -> None:
+        self.at = 100.0
+        self.answers = list(answers)
+        self.waits: list[float] = []
+        self.whole = 0
+
+    def now(self) -> float:
+        return self.at
+
+    def snapshot(self, table: str) -> Changes:
+        self.whole += 1
+        return Changes({}, 1)
+
+    def changes(self, table: str, after: int, wait: float) -> Changes:
+        self.waits.append(wait)
+        seconds, brought = self.answers.pop(0)
+        self.at += wait + ROUND_TRIP if seconds is None else seconds
+        if isinstance(brought, Exception):
+            raise brought
+        return Changes(brought, after + 1)  # type: ignore[arg-type]
+
+
+@pytest.fixture
+def follow(monkeypatch: pytest.MonkeyPatch):  # type: ignore[no-untyped-def]
+    def start(*answers: tuple[float | None, object]) -> tuple[Feed, Script]:
+        script = Script(*answers)
+        monkeypatch.setattr(feeds, "now", script.now)
+        feed = Feed(script, "t", WAIT, lambda changes, whole: None)
+        feed._step()
+        for _ in answers:
+            try:
+                feed._step()
+            except PlatformUnavailable as error:
+                feed._failed(error)
+            except HistoryGone:
+                feed.version = None
+        return feed, script
+
+    return start
+
+
+def test_a_quiet_wait_confirms_what_is_known_up_to_its_end(follow) -> None:  # type: ignore[no-untyped-def]
+    feed, _ = follow((None, {}))
+    assert feed.age() == pytest.approx(ROUND_TRIP)
+
+
+def test_an_answer_that_comes_early_confirms_only_from_when_it_was_asked(follow) -> None:  # type: ignore[no-untyped-def]
+    feed, _ = follow((0.5, {}))
+    assert feed.age() == pytest.approx(0.5)
+
+
+def test_after_a_late_change_the_next_call_waits_for_less(follow) -> None:  # type: ignore[no-untyped-def]
+    # On khangai scale-1 the settings were too old for keys after each such change.
+    feed, script = follow((1.9, ROW), (None, {}))
+    assert script.waits[1] == pytest.approx(OLDEST_OF_WAIT * WAIT - 1.9)
+    assert feed.age() == pytest.approx(ROUND_TRIP)
+
+
+def test_knowledge_does_not_age_beyond_its_bound_while_the_store_answers(follow) -> None:  # type: ignore[no-untyped-def]
+    answers = [(seconds, ROW) for seconds in (1.9, 0.6, 0.05, 1.8, 0.7, 1.99, 0.5)]
+    for count in range(1, len(answers) + 1):
+        feed, script = follow(*answers[:count])
+        assert all(wait <= WAIT for wait in script.waits)
+        assert feed.age() <= OLDEST_OF_WAIT * WAIT
+
+
+def test_failures_do_not_make_knowledge_younger(follow) -> None:  # type: ignore[no-untyped-def]
+    feed, _ = follow((1.0, PlatformUnavailable("busy")), (1.0, PlatformUnavailable("busy")))
+    assert feed.age() == pytest.approx(2.0)
+    assert feed.failing_since is not None
+
+
+def test_a_forgotten_history_is_read_whole(follow) -> None:  # type: ignore[no-untyped-def]
+    feed, script = follow((0.1, HistoryGone("gone")), (0.1, {}))
+    assert script.whole == 2
+    assert feed.version == 1
