--- a/bayglade/config.py
+++ b/bayglade/config.py
@@ -74,10 +74,7 @@
     """The platform's metadata store."""
 
     peer_ports: str = ""
-    memory_mb: float = 0.0
-    max_descriptors: int = 1024
-    drain_ms: float = 2000.0
-    """How soon a backend server that leaves must get nothing new."""
+    """Ports for streams of other gateways, the first and the last; the first is used."""
 
     grace_seconds: float = 8.0
     """Time between the signal to stop and the end by force."""
@@ -88,7 +85,6 @@
     retry_fraction: float = 0.1
     retry_window_seconds: float = 10.0
     retry_floor: float = 10.0
-    event_pass_ms: float = 120.0
     log_level: str = "INFO"
 
     def __repr__(self) -> str:
--- a/bayglade/operators/changes.py
+++ b/bayglade/operators/changes.py
@@ -150,7 +150,7 @@
 
     name = "settings explain"
     description = "Tell which level a value comes from."
-    help = "  bayglade settings explain khangai/gates limits.in_flight"
+    help = "  bayglade settings explain clinics/gates limits.in_flight"
     arguments: ClassVar[list[Argument]] = [
         argument("group", "A group, names joined by '/'."),
         argument("field", "share, priority, deadline_seconds, limits.NAME or versions.MODEL."),
