Do not call a request not run when an earlier sending may have run

Cause: found while reading: a repeatable call that one server cut and the next refused ended with the refusal's own words, outcome not_run. Its status, 502, promised nothing. Ruled out: calls that may not be repeated (they end at the first sending in doubt). Change: the end of such a call says unknown. Figures: test_a_refusal_after_a_sending_that_may_have_run_promises_nothing, red without the change.

--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -151,7 +151,9 @@
         if self.call.seconds_left() <= 0:
             return DeadlinePassed("no whole answer in time", step="relay", outcome=self.outcome())
         if self.unknown:
-            return self.failure or BackendError("no whole answer", step="relay")
+            # The last failure alone may be a refusal, which says nothing of the sendings before.
+            last = f": {self.failure.message}" if self.failure is not None else ""
+            return BackendError(f"no whole answer{last}", step="relay")
         if isinstance(self.failure, BackendRefused):
             again = spread_retry_after(FULL_SECONDS, rng)
             return Overloaded("the servers are full", step="relay", retry_after=again)
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -7,7 +7,7 @@
 
 from standins.users import EVENTS, KEY, MODEL, PLAIN, Daemon, UsersSite, exchange
 from standins.world import wait_for
-from tests.gateway_callers import ask, read_answer, request_bytes
+from tests.gateway_callers import Answer, ask, read_answer, request_bytes
 
 HEAD = f"Host: site.example\r\nX-Request-Id: bad\r\nX-Key: {KEY}\r\n"
 
@@ -142,6 +142,25 @@
     recover(site, daemon)
 
 
+def test_a_refusal_after_a_sending_that_may_have_run_promises_nothing(
+    site: UsersSite, daemon: Daemon
+) -> None:
+    def refused_last() -> Answer | None:
+        # Which server is tried first is drawn; servers listed anew have no failures to their name.
+        recover(site, daemon)
+        first, second = site.of(PLAIN)
+        first.faults.set("cut")
+        second.faults.set("refuse")
+        answer = ask(daemon.callers, "/safe/x")
+        failed = [line for line in daemon.lines("attempt failed") if line["request"] == answer.request]
+        return answer if [line["peer"] for line in failed] == [first.id, second.id] else None
+
+    refused = wait_for("it is cut, then refused", refused_last)
+    assert refused.status == 502
+    assert b'"outcome":"unknown"' in refused.body
+    recover(site, daemon)
+
+
 def test_a_server_whose_address_another_one_has_gets_nothing_more(site: UsersSite, daemon: Daemon) -> None:
     first, _ = site.of(PLAIN)
     first.faults.set("elsewhere")
