Move running streams off leaving stages before they end

Change: once a stage behind the first is known to leave, each stream on it is moved within a second, spread; one that cannot be moved stays.

--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -30,6 +30,9 @@
 LEAST_PATIENCE = 0.06
 WAIT_SECONDS = 1.5
 """How long a call waits for room: callers of a stream leave after two seconds without an event."""
+LEAVE_SPREAD_SECONDS = 1.0
+"""Streams are moved off a leaving stage over this time, not all at once: each has its tokens
+read anew. A server that leaves serves on for two seconds and more."""
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -88,12 +91,17 @@
 class Run:
     """One attempt at a stream: the path it is on and the exchange with its first stage."""
 
-    __slots__ = ("avoided", "exchange", "path")
+    __slots__ = ("avoided", "exchange", "fleet_seen", "leave_at", "path")
 
     def __init__(self, path: Path, exchange: Exchange) -> None:
         self.path = path
         self.exchange = exchange
         self.avoided: frozenset[BackendId] = frozenset()
+        self.fleet_seen = -1
+        """State of the fleet for which leaving stages were looked for."""
+
+        self.leave_at: float | None = None
+        """When the request is moved off stages that leave."""
 
     def __repr__(self) -> str:
         return f"<Run on {self.path!r}>"
@@ -222,11 +230,41 @@
         if piece is None:
             break
         delivery.deliver(message, splitter.feed(piece))
+        _leave_stages(peers, call, pipeline, run)
     if splitter.rest:
         raise BackendError("the stream ended inside an event", step="stream", peer=run.exchange.backend)
     delivery.end(message)
 
 
+def _leave_stages(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> None:
+    """Move a running stream off stages that leave, before they end.
+
+    A stream that cannot be moved stays: such a stage serves on for a while.
+    """
+    if run.fleet_seen != peers.fleet.changed:
+        run.fleet_seen = peers.fleet.changed
+        if run.leave_at is None and _leaving(run):
+            run.leave_at = now() + peers.rng.uniform(0.0, LEAVE_SPREAD_SECONDS)
+    if run.leave_at is None or now() < run.leave_at:
+        return
+    run.leave_at = None
+    run.avoided |= _leaving(run)
+    path = peers.paths.detour(run.path, call.service, pipeline, run.avoided)
+    if path is None:
+        return
+    head = run.path.servers[0].facts
+    outcome = peers.control.reroute(head.id, head.address, call.head.id, path.route)
+    event("INFO", "rerouted", request=call.head.id, leaving=True, moved=outcome.moved, route=path.text())
+    if outcome.moved:
+        run.path = path
+
+
+def _leaving(run: Run) -> frozenset[BackendId]:
+    """Return the stages behind the first that leave and were not tried to be left before."""
+    behind = run.path.servers[1:]
+    return frozenset(s.facts.id for s in behind if s.leaving and s.facts.id not in run.avoided)
+
+
 def _look_into(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> None:
     """Find out why a stream stands still, and move it away from a dead stage.
 
