Have a few daemons of a large hall read the store and tell the others

Ruled out: longer waits alone (the age of keys bounds them). Change: in halls of more than six daemons two readers follow the store, all others ask both and are told at once; own tables are one a matter; joining takes two calls. When one feed finds the store lost all feeds look again.

--- a/bayglade/config.py
+++ b/bayglade/config.py
@@ -79,6 +79,9 @@
     grace_seconds: float = 8.0
     """Time between the signal to stop and the end by force."""
 
+    drain_ms: float = 2000.0
+    """Time in which it must be known here that a backend server leaves."""
+
     key_trust_ms: float = 5000.0
     """How old the knowledge of keys may be for requests that carry one."""
 
--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -4,11 +4,16 @@
 history it needs is gone. ``known_at`` is a time before which everything that was
 acknowledged is known here: the time just before the last answered call was sent,
 or, when its whole wait passed without a change, the end of that wait.
+
+While another daemon tells of the table (see :mod:`bayglade.news`) and what it
+tells is fresh, a feed makes no calls of its own.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from functools import partial
 
 import eventlet
+import msgspec
 
 from bayglade.clock import now
 from bayglade.exceptions import HistoryGone, PlatformUnavailable
@@ -24,6 +29,12 @@
 came late in its wait the next call waits for less."""
 LEAST_WAIT = 0.1
 
+MAX_REMOVED = 1000
+"""Removed rows that are remembered, so that others can be told of them."""
+
+Rows = dict[str, msgspec.Raw | None]
+"""Rows by key; nothing for one that was removed."""
+
 Apply = Callable[[Changes, bool], None]
 """Takes changes in; the flag tells that they are the whole table."""
 
@@ -53,6 +64,21 @@
         self.on_lost: Callable[[], None] | None = None
         """Told when the store stops answering here."""
 
+        self.on_answer: Callable[[], None] | None = None
+        """Told after each answer of the store."""
+
+        self.rest_seconds = 0.0
+        """For how long what another daemon told is fresh enough to make no call; 0 for never."""
+
+        self.told_at = 0.0
+        """When the daemon that told of the table had an answer of the store, at the earliest."""
+
+        self.rows: dict[str, tuple[int, msgspec.Raw | None]] = {}
+        """The table as known here, rows that were removed among them, by the version they came with."""
+
+        self.complete_from = 0
+        """The version from which on all rows that were removed are remembered."""
+
         self.task: eventlet.greenthread.GreenThread | None = None
 
     def __repr__(self) -> str:
@@ -70,13 +96,17 @@
 
     def interrupt(self) -> None:
         """Start the present call anew: another feed found the store lost."""
-        self.failing_since = self.failing_since or now()
-        self.start()
+        if self.failing_since is None and self.task is not None:
+            self.failing_since = now()
+            self.start()
 
     def run(self) -> None:
         """Follow the table for ever."""
         pause = FIRST_PAUSE
         while True:
+            if (rest := self._rest_left()) > 0:
+                eventlet.sleep(rest)
+                continue
             try:
                 self._step()
             except HistoryGone:
@@ -101,13 +131,75 @@
             event("INFO", "store regained", table=self.table, out=round(now() - self.failing_since, 2))
             self.failing_since = None
             self.recovered_at = now()
-        self.version = changes.version
         quiet = not whole and not changes.rows and now() - asked >= wait
-        self.known_at = asked + wait if quiet else asked
-        if whole or changes.rows:
-            self.apply(changes, whole)
+        self.known_at = max(self.known_at, asked + wait if quiet else asked)
+        taken = self._take(changes, whole)
+        if self.on_answer is not None:
+            self.on_answer()
+        if taken:
             eventlet.sleep(self.pause)
 
+    def hear(self, changes: Changes, after: int | None, known_at: float, told_at: float) -> None:
+        """Take in what another daemon knows of the table.
+
+        :param changes: rows that changed, as of the other's version.
+        :param after: the version they changed after; nothing when it is the whole table.
+        :param known_at: a time before which everything acknowledged is in it.
+        :param told_at: a time after which the other had an answer of the store.
+        """
+        if self.failing_since is not None:
+            # Only an answer of the store itself ends an outage: entries that lapsed
+            # meanwhile are judged by when it came.
+            return
+        gap = after is not None and (self.version is None or after > self.version)
+        if gap:
+            return
+        self.known_at = max(self.known_at, known_at)
+        self.told_at = max(self.told_at, told_at)
+        self._take(changes, after is None)
+
+    def since(self, after: int | None) -> tuple[Changes, bool]:
+        """Return what changed after a version, or the whole table where that is not known.
+
+        :param after: the version; nothing for the whole table.
+        :return: rows, and whether they are the whole table.
+        """
+        version = self.version or 0
+        if after is not None and after >= self.complete_from:
+            changed: Rows = {key: value for key, (at, value) in self.rows.items() if at > after}
+            return Changes(changed, version), False
+        whole: Rows = {key: value for key, (_, value) in self.rows.items() if value is not None}
+        return Changes(whole, version), True
+
+    def _take(self, changes: Changes, whole: bool) -> bool:
+        """Take in rows, unless newer ones came another way meanwhile; tell whether there were any."""
+        if self.version is not None and changes.version < self.version:
+            return False
+        if self.version == changes.version and (whole or not changes.rows):
+            return False
+        self.version = changes.version
+        self._remember(changes, whole)
+        if not whole and not changes.rows:
+            return False
+        self.apply(changes, whole)
+        return True
+
+    def _remember(self, changes: Changes, whole: bool) -> None:
+        if whole:
+            self.rows.clear()
+            self.complete_from = changes.version
+        self.rows.update((key, (changes.version, value)) for key, value in changes.rows.items())
+        removed = sorted((at, key) for key, (at, value) in self.rows.items() if value is None)
+        for at, key in removed[: max(0, len(removed) - MAX_REMOVED)]:
+            del self.rows[key]
+            self.complete_from = max(self.complete_from, at)
+
+    def _rest_left(self) -> float:
+        """Return for how long no call is needed, by what another daemon tells."""
+        if self.version is None or self.failing_since is not None:
+            return 0.0
+        return self.told_at + self.rest_seconds - now()
+
     def _next_wait(self) -> float:
         """Return how long the next call may wait for a change."""
         return min(self.wait, max(LEAST_WAIT, OLDEST_OF_WAIT * self.wait - self.age()))
@@ -118,3 +210,19 @@
             event("WARNING", "store lost", table=self.table, error=repr(error))
             if self.on_lost is not None:
                 self.on_lost()
+
+
+def look_together(feeds: Iterable[Feed]) -> None:
+    """Have all feeds of one store look at it anew when one of them finds it lost.
+
+    :param feeds: the feeds.
+    """
+    joined = list(feeds)
+
+    def tell_others(lost: Feed) -> None:
+        for feed in joined:
+            if feed is not lost:
+                feed.interrupt()
+
+    for feed in joined:
+        feed.on_lost = partial(tell_others, feed)
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -17,7 +17,7 @@
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
 from bayglade.diagnosis import Diagnosis
 from bayglade.exceptions import BaygladeError, InvalidSettings, Stopping
-from bayglade.feeds import Feed
+from bayglade.feeds import Feed, look_together
 from bayglade.fleet import LAPSE_GRACE, Fleet, ServerFacts
 from bayglade.heads import Message
 from bayglade.ids import BackendId, RequestId
@@ -78,7 +78,7 @@
         self.fleet = Fleet()
         self.links = Links()
         self.control = platform.Engines(self.links)
-        self.diagnosis = Diagnosis(self.fleet, self.control)
+        self.diagnosis = Diagnosis(self.fleet, self.control, self.rng)
         key_trust = config.key_trust_ms / 1000
         self.document_feed = Feed(
             self.store,
@@ -90,7 +90,6 @@
         self.servers_feed = Feed(
             self.store, platform.SERVERS_TABLE, SERVERS_WAIT, self._take_servers, SERVERS_PAUSE
         )
-        self.document_feed.on_lost = self.servers_feed.interrupt
         dialect = platform.create_dialect()
         self.intake = Intake(dialect, self.document_feed.age, key_trust, self.rng)
         self.intake.decode = platform.decode_document
@@ -118,8 +117,17 @@
             self.rng,
         )
         self.peering = Peering(
-            config, self.store, platform.OWN_TABLE, self.intake, self.usage, self.peers, self.rng
+            config,
+            self.store,
+            {platform.OPERATOR_TABLE: self.document_feed, platform.SERVERS_TABLE: self.servers_feed},
+            self.document_feed,
+            platform.MEMBERS_TABLE,
+            self.intake,
+            self.usage,
+            self.peers,
+            self.rng,
         )
+        look_together((self.document_feed, self.servers_feed, self.peering.feed))
         self.presence = Presence(self.metrics)
         self.active: set[RequestId] = set()
         self.draining = False
--- a/bayglade/platform/__init__.py
+++ b/bayglade/platform/__init__.py
@@ -11,12 +11,12 @@
     decode_server,
 )
 from bayglade.platform.engines import Engines
-from bayglade.platform.store import OWN_TABLE, Store
+from bayglade.platform.store import MEMBERS_TABLE, Store
 
 __all__ = [
     "DOCUMENT_KEY",
+    "MEMBERS_TABLE",
     "OPERATOR_TABLE",
-    "OWN_TABLE",
     "READY_PATH",
     "SERVERS_TABLE",
     "SETTINGS_VARIABLE",
--- a/bayglade/platform/store.py
+++ b/bayglade/platform/store.py
@@ -15,7 +15,10 @@
 """Seconds that an answer may take beside the wait that was asked for."""
 POOL_SIZE = 4
 PAGE_ROWS = 500
-OWN_TABLE = "bayglade"
+OWN_TABLES = "bayglade-"
+"""Begins the names of bayglade's own tables; each matter has one, so that a feed of one wakes
+nobody for another."""
+MEMBERS_TABLE = OWN_TABLES + "members"
 
 
 class StoredRow(msgspec.Struct):
@@ -40,7 +43,7 @@
 
     key: str
     ver: int
-    table: str = OWN_TABLE
+    table: str
     part: str = ""
 
 
@@ -49,7 +52,7 @@
 
     key: str
     value: str
-    table: str = OWN_TABLE
+    table: str
     part: str = ""
 
 
@@ -91,20 +94,20 @@
         return Changes({row.key: _value(row) for row in page.rows}, page.ver)
 
     def read(self, keys: list[str]) -> dict[str, Row]:
-        """Read rows of bayglade's own table; see :class:`bayglade.rows.RowStore`."""
+        """Read rows of bayglade's own tables; see :class:`bayglade.rows.RowStore`."""
         found: dict[str, Row] = {}
         for key in keys:
-            page = self._page(f"/api/rows-get?table={OWN_TABLE}&part=&from={key}&limit=1")
+            page = self._page(f"/api/rows-get?table={_table(key)}&part=&from={key}&limit=1")
             for row in page.rows:
                 if row.key == key:
                     found[key] = Row(row.ver, msgspec.Raw(base64.b64decode(row.value)))
         return found
 
     def transact(self, transaction: Transaction) -> TransactionResult:
-        """Write rows of bayglade's own table; see :class:`bayglade.rows.RowStore`."""
+        """Write rows of bayglade's own tables; see :class:`bayglade.rows.RowStore`."""
         message = Write(
-            expected=[Expected(condition.key, condition.version) for condition in transaction.conditions],
-            put=[Put(w.key, base64.b64encode(w.value).decode()) for w in transaction.writes],
+            expected=[Expected(c.key, c.version, _table(c.key)) for c in transaction.conditions],
+            put=[Put(w.key, base64.b64encode(w.value).decode(), _table(w.key)) for w in transaction.writes],
         )
         status, body = self._call(
             "transact", "POST", "/api/rows-tx", msgspec.json.encode(message), READ_TIMEOUT
@@ -154,5 +157,10 @@
         return response.status, response.data
 
 
+def _table(key: str) -> str:
+    """Return the table of one of bayglade's own rows, whose key begins with its matter."""
+    return OWN_TABLES + key.partition("/")[0]
+
+
 def _value(row: StoredRow) -> msgspec.Raw | None:
     return None if row.gone else msgspec.Raw(base64.b64decode(row.value))
--- a/bayglade/roster.py
+++ b/bayglade/roster.py
@@ -40,23 +40,32 @@
     """
     while True:
         try:
-            found = store.read([SECRET_KEY, MEMBER_PREFIX + member])
-            if SECRET_KEY not in found:
-                _put(store, SECRET_KEY, ABSENT, secrets.token_hex(SECRET_BYTES))
-                continue
-            own = found.get(MEMBER_PREFIX + member)
-            row = raw(MemberRow(address, hall))
-            if own is None or bytes(own.value) != bytes(row):
-                _put(
-                    store, MEMBER_PREFIX + member, own.version if own else ABSENT, MemberRow(address, hall)
-                )
-                continue
-            return msgspec.json.decode(found[SECRET_KEY].value, type=str).encode()
+            _write_own(store, MEMBER_PREFIX + member, MemberRow(address, hall))
+            return _read_secret(store)
         except PlatformUnavailable as error:
             event("INFO", "roster not written", error=repr(error))
             eventlet.sleep(RETRY_SECONDS)
 
 
+def _write_own(store: RowStore, key: str, row: MemberRow) -> None:
+    """Write the own row; at a first start nothing has to be read before."""
+    version = ABSENT
+    while not _put(store, key, version, row):
+        found = store.read([key]).get(key)
+        if found is not None and bytes(found.value) == bytes(raw(row)):
+            return
+        version = found.version if found is not None else ABSENT
+
+
+def _read_secret(store: RowStore) -> bytes:
+    """Read the secret, or write it when nobody has."""
+    while True:
+        found = store.read([SECRET_KEY]).get(SECRET_KEY)
+        if found is not None:
+            return msgspec.json.decode(found.value, type=str).encode()
+        _put(store, SECRET_KEY, ABSENT, secrets.token_hex(SECRET_BYTES))
+
+
 def read_members(rows: dict[str, msgspec.Raw | None]) -> dict[MemberId, MemberRow]:
     """Pick the daemons out of rows of the table.
 
@@ -74,6 +83,6 @@
     return members
 
 
-def _put(store: RowStore, key: str, version: int, value: object) -> None:
-    """Write a row; whether it took effect shows at the next read."""
-    store.transact(Transaction([Condition(key, version)], [Write(key, raw(value))]))
+def _put(store: RowStore, key: str, version: int, value: object) -> bool:
+    """Write a row that has a version; tell whether it took effect."""
+    return store.transact(Transaction([Condition(key, version)], [Write(key, raw(value))])).committed
