--- a/bayglade/daemon.py
+++ b/bayglade/daemon.py
@@ -19,7 +19,7 @@
 from bayglade.entries.membership import LOST_AFTER
 from bayglade.entries.wire import Heartbeat
 from bayglade.exceptions import BaygladeError
-from bayglade.ids import BackendId
+from bayglade.ids import BackendId, MemberId
 from bayglade.leases import Lease
 from bayglade.logs import event
 from bayglade.metrics import create_metrics
@@ -245,7 +245,7 @@
         """List the servers that said here that they leave, for the other daemons."""
         return sorted(self.own_leaving)
 
-    def _heard(self, beat: Heartbeat) -> None:
+    def _heard(self, member: MemberId, beat: Heartbeat) -> None:
         """Take in what another daemon says of backend servers."""
         states = self.router.backends.states
         for backend in beat.leaving:
--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -5,6 +5,7 @@
 others do is suspect, and stays so until it answers again.
 """
 
+import random
 from collections.abc import Callable, Iterable
 
 import eventlet
@@ -20,7 +21,11 @@
 FRESH_SECONDS = 0.15
 """How long an answer serves all streams that ask; reports lag by more than that."""
 RECHECK_SECONDS = 0.4
-"""Time between questions to a suspect stage."""
+"""Time between questions to a suspect stage while few daemons ask."""
+RECHECK_DAEMONS = 8
+"""With more daemons than this each asks less often, and whoever finds a stage back tells the others."""
+SPREAD = 0.2
+"""Part by which the time between questions varies, so that daemons do not ask all at once."""
 MAX_SILENT_PART = 0.5
 """When more stages than this are silent, the fault is more likely on this side."""
 
@@ -41,13 +46,20 @@
 class Diagnosis:
     """What stages said lately, and the questions under way."""
 
-    def __init__(self, fleet: Fleet, control: Control) -> None:
+    def __init__(self, fleet: Fleet, control: Control, rng: random.Random) -> None:
         self.fleet = fleet
+        self.rng = rng
         self.control = control
         self.findings: dict[BackendId, Finding] = {}
         self.on_dead: Callable[[Server], None] | None = None
         """Told of each stage that is found silent."""
 
+        self.on_back: Callable[[Server], None] | None = None
+        """Told of each stage that answers again."""
+
+        self.daemons: Callable[[], int] = lambda: 1
+        """Returns how many daemons ask."""
+
         self.asking: dict[BackendId, eventlet.greenthread.GreenThread] = {}
 
     def __repr__(self) -> str:
@@ -73,14 +85,23 @@
     def recheck(self) -> None:
         """Ask suspect stages now and then whether they are back, for ever."""
         while True:
-            eventlet.sleep(RECHECK_SECONDS)
-            suspects = [s for s in self.fleet.servers.values() if s.suspect and s.facts.held]
-            if not suspects:
+            crowd = max(1.0, self.daemons() / RECHECK_DAEMONS)
+            eventlet.sleep(RECHECK_SECONDS * crowd * self.rng.uniform(1 - SPREAD, 1 + SPREAD))
+            self.look_again(s for s in self.fleet.servers.values() if s.suspect and s.facts.held)
+
+    def look_again(self, servers: Iterable[Server]) -> None:
+        """Ask suspect stages whether they are back.
+
+        :param servers: stages that are suspect.
+        """
+        suspects = list(servers)
+        findings = self._ask_all(suspects)
+        for server in suspects:
+            if findings[server.facts.id].report is None or not server.suspect:
                 continue
-            findings = self._ask_all(suspects)
-            for server in suspects:
-                if findings[server.facts.id].report is not None:
-                    self.fleet.trust(server, "answers again")
+            self.fleet.trust(server, "answers again")
+            if self.on_back is not None:
+                self.on_back(server)
 
     def _ask_all(self, servers: list[Server]) -> dict[BackendId, Finding]:
         at = now()
--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -34,6 +34,8 @@
 ROW_BYTES = 32
 REDIAL_MIN = 0.1
 REDIAL_MAX = 2.0
+MAX_OUTBOX = 32
+"""Messages that wait for a daemon which cannot be reached; whoever needs an answer asks again."""
 
 
 class Offered(Protocol):
@@ -48,16 +50,30 @@
 class Member:
     """Another daemon as known here; times are monotonic seconds."""
 
-    __slots__ = ("address", "draining", "heard_at", "id", "loads", "outbox", "revision", "task", "wake")
+    __slots__ = (
+        "address",
+        "ahead_since",
+        "beat_due",
+        "draining",
+        "heard_at",
+        "id",
+        "outbox",
+        "revision",
+        "task",
+        "wake",
+    )
 
     def __init__(self, member: MemberId, address: Address) -> None:
         self.id = member
         self.address = address
         self.heard_at = 0.0
         self.revision = Revision(0)
+        self.ahead_since: float | None = None
+        """Since when it is known to have newer settings than this daemon."""
+
         self.draining = False
-        self.loads: list[wire.PathLoad] = []
         self.outbox: list[wire.Message] = []
+        self.beat_due = True
         self.wake = Event()
         self.task: eventlet.greenthread.GreenThread | None = None
 
@@ -69,8 +85,10 @@
         return at - self.heard_at < LOST_AFTER
 
     def push(self, message: wire.Message | None = None) -> None:
-        """Have the sending task send a message, or just a heartbeat, at once."""
-        if message is not None:
+        """Have the sending task send a message, or a heartbeat when there is none, at once."""
+        if message is None:
+            self.beat_due = True
+        elif len(self.outbox) < MAX_OUTBOX:
             self.outbox.append(message)
         if not self.wake.ready():
             self.wake.send()
@@ -88,7 +106,7 @@
         metrics: Metrics,
         leaving: Callable[[], list[BackendId]],
         held: Callable[[], list[wire.Held]],
-        on_beat: Callable[[wire.Heartbeat], None],
+        on_beat: Callable[[MemberId, wire.Heartbeat], None],
         rng: random.Random,
     ) -> None:
         self.me = me
@@ -106,12 +124,27 @@
         self.loads: Callable[[], list[wire.PathLoad]] = list
         """Returns what this daemon tells of its requests under way."""
 
+        self.sums: Callable[[], tuple[list[wire.PathLoad], list[wire.PathLoad]]] = lambda: ([], [])
+        """Returns what a reader tells of its hall, and of all halls."""
+
         self.dead: list[BackendId] = []
         """Stages found silent since the last heartbeat."""
 
+        self.back: list[BackendId] = []
+        """Stages found to answer again since the last heartbeat."""
+
+        self.on_ask: Callable[[MemberId, wire.Ask], None] = lambda member, ask: None
+        self.on_news: Callable[[MemberId, wire.News], None] = lambda member, news: None
+        self.on_borrow: Callable[[MemberId, wire.Borrow], None] = lambda member, message: None
+        self.on_lent: Callable[[MemberId, wire.Lent], None] = lambda member, message: None
+        self.fetch_after = 0.0
+        """Seconds for which another daemon must be known to have newer settings before they are
+        asked for: more than nothing where they come by another way too."""
+
         self.last_patch: wire.Patch | None = None
         self.beat_at = 0.0
         self.rows: list[GroupUsage] = []
+        self.told_sums: tuple[list[wire.PathLoad], list[wire.PathLoad]] = ([], [])
         self.bytes_out = 0
         self.bytes_in = 0
 
@@ -128,25 +161,18 @@
         everybody_near = len(self.members) >= len(self.listed) - 1
         return len(self.live()) + 1 if everybody_near else len(self.listed)
 
-    def elsewhere(self) -> dict[BackendId, int]:
-        """Sum up what the other daemons have under way, by first stage."""
-        loads: dict[BackendId, int] = {}
-        for member in self.live():
-            for load in member.loads:
-                loads[load.head] = loads.get(load.head, 0) + load.in_flight
-        return loads
-
     def heard_at(self) -> float:
         """Return when any other daemon was heard last; zero when never."""
         return max((member.heard_at for member in self.members.values()), default=0.0)
 
-    def sync(self, listed: dict[MemberId, str]) -> None:
+    def sync(self, listed: dict[MemberId, str], also: frozenset[MemberId] = frozenset()) -> None:
         """Take in the host list: dial new neighbours and drop those gone.
 
         :param listed: peer addresses of all entry daemons, this one included.
+        :param also: daemons to keep a stream to besides the neighbours; the relation is mutual.
         """
         self.listed = set(listed) | {self.me}
-        wanted = neighbours(self.me, sorted(self.listed))
+        wanted = neighbours(self.me, sorted(self.listed)) | also
         for member_id in wanted:
             known = self.members.get(member_id)
             address = parse_address(listed[member_id])
@@ -165,6 +191,16 @@
         self.last_patch = _make_patch(before, after)
         self.beat()
 
+    def push(self, member_id: MemberId, message: wire.Message) -> None:
+        """Send a message to one of the daemons that this one has a stream to.
+
+        :param member_id: the daemon; nothing is sent to one that is not known.
+        :param message: the message.
+        """
+        member = self.members.get(member_id)
+        if member is not None:
+            member.push(message)
+
     def beat(self) -> None:
         """Send a heartbeat to every neighbour at once."""
         for member in self.members.values():
@@ -192,6 +228,8 @@
         if at - self.beat_at >= BEAT_INTERVAL:
             self.beat_at = at
             self.dead = []
+            self.back = []
+            self.told_sums = self.sums()
             self.rows = self.usage.tell(rows_a_beat(len(self.members)))
             self.beat()
         for member in self.members.values():
@@ -220,6 +258,7 @@
                 pause = min(REDIAL_MAX, pause * 2)
                 continue
             pause = REDIAL_MIN
+            member.beat_due = True
             try:
                 self._send_on(member, stream)
             except OSError as error:
@@ -231,8 +270,11 @@
         while True:
             member.wake = Event()
             messages, member.outbox = member.outbox, []
+            if member.beat_due:
+                member.beat_due = False
+                messages = [*messages, self._heartbeat()]
             before = stream.sent_bytes
-            for message in (*messages, self._heartbeat()):
+            for message in messages:
                 stream.send(message)
             self.bytes_out += stream.sent_bytes - before
             member.wake.wait()
@@ -246,6 +288,9 @@
             held=self.held(),
             loads=self.loads(),
             dead=self.dead,
+            back=self.back,
+            hall_loads=self.told_sums[0],
+            all_loads=self.told_sums[1],
         )
 
     def _receive(self, connection: socket.socket) -> None:
@@ -271,6 +316,14 @@
         elif isinstance(message, wire.Fetch):
             if member is not None:
                 member.push(self._settings_for(message.have))
+        elif isinstance(message, wire.Ask):
+            self.on_ask(sender, message)
+        elif isinstance(message, wire.News):
+            self.on_news(sender, message)
+        elif isinstance(message, wire.Borrow):
+            self.on_borrow(sender, message)
+        elif isinstance(message, wire.Lent):
+            self.on_lent(sender, message)
         elif isinstance(message, wire.Document):
             self.revisions.offer(message.revision, message.digest, message.document)
         else:
@@ -280,10 +333,13 @@
         member.heard_at = now()
         member.revision = beat.revision
         member.draining = beat.draining
-        member.loads = beat.loads
         self.usage.hear(member.id, beat.usage)
-        self.on_beat(beat)
-        if beat.revision > self.revisions.current.revision:
+        self.on_beat(member.id, beat)
+        if beat.revision <= self.revisions.current.revision:
+            member.ahead_since = None
+            return
+        member.ahead_since = member.ahead_since or now()
+        if now() - member.ahead_since >= self.fetch_after:
             member.push(wire.Fetch(self.me, self.revisions.current.revision))
 
     def _settings_for(self, have: Revision) -> wire.Message:
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -60,6 +60,15 @@
     dead: list[BackendId] = []
     """Stages that were found silent just now; others look for themselves."""
 
+    back: list[BackendId] = []
+    """Stages that were silent and answer again; others look for themselves."""
+
+    hall_loads: list[PathLoad] = []
+    """The same as ``loads`` for all daemons of the sender's hall; told by its readers."""
+
+    all_loads: list[PathLoad] = []
+    """The same for all halls."""
+
 
 class Fetch(msgspec.Struct, frozen=True, tag="f", array_like=True):
     """Asks for the settings in force, newer than a revision."""
@@ -84,7 +93,59 @@
     patch: bytes
 
 
-Message = Heartbeat | Fetch | Document | Patch
+class Ask(msgspec.Struct, frozen=True, tag="a", array_like=True):
+    """Asks a reader of the platform's tables for news, to be answered when there is any."""
+
+    number: int
+    have: dict[str, int]
+    """Version known of each table; a table that is left out is wanted whole."""
+
+
+class TableNews(msgspec.Struct, frozen=True, array_like=True):
+    """Rows of one table."""
+
+    after: int | None
+    """The version they changed after; nothing when they are the whole table."""
+
+    version: int
+    age: float
+    """Seconds since they were surely the newest, when this was written."""
+
+    rows: bytes
+    """Packed."""
+
+
+class News(msgspec.Struct, frozen=True, tag="n", array_like=True):
+    """Answers a question for news."""
+
+    number: int
+    """That of the question."""
+
+    waited: float
+    """Seconds for which the question lay here."""
+
+    proof_age: float
+    """Seconds since the reader asked the store for something that it has an answer to."""
+
+    tables: dict[str, TableNews]
+
+
+class Borrow(msgspec.Struct, frozen=True, tag="w", array_like=True):
+    """Asks a reader for retries that are left in its hall."""
+
+    number: int
+    service: str
+    wanted: int
+
+
+class Lent(msgspec.Struct, frozen=True, tag="l", array_like=True):
+    """Answers a wish to borrow; the number is that of the wish."""
+
+    number: int
+    amount: int
+
+
+Message = Heartbeat | Fetch | Document | Patch | Ask | News | Borrow | Lent
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -11,6 +11,9 @@
 SUSPECT_SECONDS = 1.0
 """First time that a server which failed gets nothing; doubled at each failure in a row."""
 MAX_SUSPECT_SECONDS = 8.0
+SURE_SECONDS = 1.0
+"""A stage that was silent for so long, though asked again, is taken to have ended. A link that is
+busy with a large document holds answers up for some tenths of a second."""
 MAX_SUSPECT_PART = 0.5
 """Part of a service's servers that may be suspect at once: a common cause must not take all."""
 PACE_STEP = 0.2
@@ -48,7 +51,16 @@
 class Server:
     """One backend server as this daemon knows it; times are monotonic seconds."""
 
-    __slots__ = ("facts", "failures", "in_flight", "leaving", "pace", "suspect", "suspect_until")
+    __slots__ = (
+        "facts",
+        "failures",
+        "in_flight",
+        "leaving",
+        "pace",
+        "suspect",
+        "suspect_since",
+        "suspect_until",
+    )
 
     def __init__(self, facts: ServerFacts) -> None:
         self.facts = facts
@@ -57,6 +69,7 @@
         self.suspect = False
         """Set for a stage until it answers again."""
 
+        self.suspect_since = 0.0
         self.suspect_until = 0.0
         """Set for a server of a plain service, which has no report to ask for."""
 
@@ -71,6 +84,10 @@
         """Tell whether new work may go there."""
         return not self.leaving and not self.suspect and at >= self.suspect_until
 
+    def ended(self, at: float) -> bool:
+        """Tell whether it is surely gone, and not just out of reach for a moment."""
+        return self.leaving or (self.suspect and at - self.suspect_since >= SURE_SECONDS)
+
     def state(self) -> str:
         """Return in a word how it stands."""
         if self.leaving:
@@ -148,6 +165,8 @@
         if others + 1 > max(1.0, len(peers) * MAX_SUSPECT_PART):
             return False
         if server.facts.held:
+            if not server.suspect:
+                server.suspect_since = at
             server.suspect = True
         else:
             seconds = min(MAX_SUSPECT_SECONDS, SUSPECT_SECONDS * 2.0 ** (server.failures - 1))
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -29,6 +29,9 @@
 """Cost of a stage whose free memory holds half of the tokens that it should."""
 FULL_COST = 3.0
 """How many times as costly a path counts that is full by what all daemons tell."""
+FULL_USE = 1.15
+"""Part of the usual requests that fit from which on a path counts as full: what runs is on average
+half-way through its answer, and takes that much less than a whole request."""
 LEAST_REQUEST = 100.0
 """Tokens that a request takes at least, where the operator does not say what is usual."""
 MAX_PATHS = 4
@@ -63,13 +66,20 @@
         """Write the stages in short."""
         return " ".join(f"{s.backend}[{s.first},{s.last})" for s in self.route.stages)
 
+    def used(self, elsewhere: int) -> float:
+        """Return which part of what fits is under way.
+
+        :param elsewhere: requests that other daemons have under way here.
+        """
+        return (self.servers[0].in_flight + elsewhere) / self.capacity
+
     def score(self, own: HallName, elsewhere: int) -> float:
         """Return what one more request here costs.
 
         :param own: the daemon's hall.
         :param elsewhere: requests that other daemons have under way here.
         """
-        used = (self.servers[0].in_flight + elsewhere) / self.capacity
+        used = self.used(elsewhere)
         cost = self.cost + (ABROAD_MS if self.hall != own else 0.0)
         return cost * (1.0 + used) * (FULL_COST if used >= 1.0 else 1.0)
 
@@ -136,6 +146,10 @@
         usable = [s for s in self.fleet.usable(service) if s.facts.id not in without]
         return find_path(usable, pipeline)
 
+    def full(self, path: Path) -> bool:
+        """Tell whether a path holds more requests than fit, by what all daemons tell."""
+        return path.used(self.elsewhere().get(path.servers[0].facts.id, 0)) >= FULL_USE
+
     def all(self, service: ServiceName, pipeline: Pipeline) -> list[Path]:
         """List the paths of a service that are worth using now."""
         usable = self.fleet.usable(service)
@@ -219,7 +233,48 @@
             break
         paths.append(path)
         left = [server for server in left if server not in path.servers]
-    return paths
+    if len(paths) >= _most_paths(servers, pipeline):
+        return paths
+    # The cheapest paths took servers that others cannot do without.
+    found = [find_path(group, pipeline) for group in _disjoint_groups(servers, pipeline)]
+    return sorted((path for path in found if path is not None), key=lambda path: path.cost)
+
+
+def _most_paths(servers: Sequence[Server], pipeline: Pipeline) -> int:
+    """Return how many paths there can be without a common server: the least times a layer is held."""
+    holders = [0] * pipeline.layers
+    for server in _fitting(servers, pipeline):
+        for layer in range(server.facts.first, min(server.facts.last, pipeline.layers)):
+            holders[layer] += 1
+    return min(MAX_PATHS, *holders)
+
+
+def _disjoint_groups(servers: Sequence[Server], pipeline: Pipeline) -> list[list[Server]]:
+    """Divide servers into as many groups as can each hold all layers.
+
+    The group that has come least far takes the free server that brings it
+    furthest, until all have come to the last layer; that finds the largest
+    number of groups, since a stage may run any part of what its server holds.
+    Servers that are left over join the group of one that holds the same layers.
+    """
+    free = sorted(_fitting(servers, pipeline), key=lambda s: (-s.facts.last, s.facts.first, s.facts.id))
+    groups: list[list[Server]] = [[] for _ in range(_most_paths(servers, pipeline))]
+    ends = [0] * len(groups)
+    while groups and min(ends) < pipeline.layers:
+        last = min(ends)
+        at = ends.index(last)
+        taken = next((s for s in free if s.facts.first <= last < s.facts.last), None)
+        if taken is None:
+            # Not to be had: the number of groups is the least number of holders of a layer.
+            return []
+        free.remove(taken)
+        groups[at].append(taken)
+        ends[at] = taken.facts.last
+    for server in free:
+        span = (server.facts.first, server.facts.last)
+        twins = [g for g in groups if any((s.facts.first, s.facts.last) == span for s in g)]
+        min(twins or groups, key=len).append(server)
+    return groups
 
 
 def mixed_path(servers: Sequence[Server], paths: Sequence[Path], pipeline: Pipeline) -> Path | None:
@@ -290,7 +345,7 @@
     Servers are taken in the order of their last layers, so that no way comes
     back to a server that it has left.
     """
-    fitting = [s for s in servers if s.facts.held > 0 and s.facts.accelerator in pipeline.accelerators]
+    fitting = _fitting(servers, pipeline)
     fitting.sort(key=lambda s: (s.facts.last, s.facts.first, s.facts.id))
     reached: dict[int, dict[HallName | None, _Reach]] = {}
     hall = start.server.facts.hall if start.server is not None else None
@@ -301,6 +356,11 @@
     return min(ends.values(), key=lambda reach: reach.cost, default=None)
 
 
+def _fitting(servers: Iterable[Server], pipeline: Pipeline) -> list[Server]:
+    """Return the servers that hold layers, on kinds of accelerators that are known."""
+    return [s for s in servers if s.facts.held > 0 and s.facts.accelerator in pipeline.accelerators]
+
+
 def _extend(reached: dict[int, dict[HallName | None, _Reach]], server: Server, pipeline: Pipeline) -> None:
     """Extend the known ways by one stage on a server."""
     facts = server.facts
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from bayglade.calls import AnswerHead, Call, Dialect, Sending
+from bayglade.clock import now
 from bayglade.control import Control
 from bayglade.diagnosis import Diagnosis
 from bayglade.exceptions import (
@@ -73,6 +74,8 @@
         """Makes the budget of a service, this daemon's part of the bound on all of them."""
 
         self.budgets: dict[str, RetryBudget] = {}
+        self.borrow: Callable[[str, RetryBudget], None] = lambda service, budget: None
+        """Borrows for a budget that is spent."""
 
     def __repr__(self) -> str:
         return f"<Peers {self.fleet!r}>"
@@ -104,25 +107,36 @@
     def __repr__(self) -> str:
         return f"<Attempts {self.sent} sent, {self.unreached} unreached>"
 
+    def open(self) -> bool:
+        """Tell whether there is time left for the call, and reason to try."""
+        return self.call.seconds_left() > 0 and self.unreached <= MAX_UNREACHED and self.sent < MAX_SENDINGS
+
+    def wants_room(self) -> bool:
+        """Tell whether the call may as well wait for room: nothing ran, and only room is lacking."""
+        return not self.sent or isinstance(self.failure, BackendRefused)
+
     def may_send(self, peers: Peers) -> bool:
         """Tell whether the call may be sent once more, and take that from the budget."""
-        if self.call.seconds_left() <= 0 or self.unreached > MAX_UNREACHED or self.sent >= MAX_SENDINGS:
+        if not self.open():
             return False
-        if self.sent == 0 or peers.budget(self.call.service).retry():
+        budget = peers.budget(self.call.service)
+        if self.sent == 0 or budget.retry():
             return True
-        event(
-            "INFO", "retry budget spent", request=self.call.head.id, budget=peers.budget(self.call.service)
-        )
+        peers.borrow(self.call.service, budget)
+        if budget.retry():
+            return True
+        event("INFO", "retry budget spent", request=self.call.head.id, budget=budget)
         peers.metrics.count("retry_budget_spent")
         return False
 
     def only(self) -> frozenset[BackendId] | None:
         """Return the servers to which the call may still go; nothing when any may be new.
 
-        Servers that have ended or fell silent meanwhile do not count towards the
-        bound on servers that one call may be sent to.
+        Servers that have ended meanwhile do not count towards the bound on servers
+        that one call may be sent to; one that is out of reach just now does.
         """
-        alive = frozenset(head.facts.id for head in self.heads if not head.suspect and not head.leaving)
+        at = now()
+        alive = frozenset(head.facts.id for head in self.heads if not head.ended(at))
         return alive if len(alive) >= self.call.endpoint.max_attempts else None
 
     def note(self, server: Server) -> None:
--- a/bayglade/retries.py
+++ b/bayglade/retries.py
@@ -25,7 +25,7 @@
     :param window: seconds over which both are counted.
     """
 
-    __slots__ = ("floor", "fraction", "requests", "retries", "window")
+    __slots__ = ("floor", "fraction", "loan", "loan_until", "requests", "retries", "window")
 
     def __init__(
         self,
@@ -38,6 +38,10 @@
         self.window = window
         self.requests = Decayed(window)
         self.retries: deque[float] = deque()
+        self.loan = 0
+        """Retries that another daemon lent; they count there."""
+
+        self.loan_until = 0.0
 
     def __repr__(self) -> str:
         return f"<RetryBudget {len(self.retries)} of {self.requests.value:.1f}>"
@@ -55,10 +59,26 @@
         while self.retries and self.retries[0] <= at - self.window:
             self.retries.popleft()
         if len(self.retries) + 1.0 > self.floor + self.fraction * self.requests.read(at):
-            return False
+            return self._use_loan(at)
         self.retries.append(at)
         return True
 
+    def borrowed(self, amount: int, until: float) -> None:
+        """Take in a loan; what was left of an earlier one that still holds is kept.
+
+        :param amount: how many retries.
+        :param until: when the loan ends, in monotonic seconds.
+        """
+        left = self.loan if now() < self.loan_until else 0
+        self.loan = left + amount
+        self.loan_until = min(until, self.loan_until) if left else until
+
+    def _use_loan(self, at: float) -> bool:
+        if not self.loan or at >= self.loan_until:
+            return False
+        self.loan -= 1
+        return True
+
 
 def retry_pause(attempt: int, rng: random.Random) -> float:
     """Return how long to wait before servers that failed are tried again.
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -28,8 +28,16 @@
 """Part of the longest good pause after which a stream is looked into: time is left to move it
 and read its tokens anew. On a calm day 1 stream in 30 pauses for longer."""
 LEAST_PATIENCE = 0.06
+LOOK_FACTOR = 2.0
+MAX_LOOK_SECONDS = 0.8
+"""Time between questions to the stages of one stream that stands still though all of them answer:
+doubled each time up to this bound. Each question is paid for, and a stage that other streams find
+dead in the meantime is noticed without one."""
 WAIT_SECONDS = 1.5
 """How long a call waits for room: callers of a stream leave after two seconds without an event."""
+FIRST_WAIT_OF_AIM = 0.2
+"""Part of the aim that a call waits before it is offered to a path which seems full: a refusal
+takes from the budget for repeats, and a place may become free."""
 LEAVE_SPREAD_SECONDS = 1.0
 """Streams are moved off a leaving stage over this time, not all at once: each has its tokens
 read anew. A server that leaves serves on for two seconds and more."""
@@ -91,7 +99,7 @@
 class Run:
     """One attempt at a stream: the path it is on and the exchange with its first stage."""
 
-    __slots__ = ("avoided", "exchange", "fleet_seen", "leave_at", "path")
+    __slots__ = ("avoided", "exchange", "fleet_seen", "leave_at", "look_at", "look_pause", "path")
 
     def __init__(self, path: Path, exchange: Exchange) -> None:
         self.path = path
@@ -103,9 +111,27 @@
         self.leave_at: float | None = None
         """When the request is moved off stages that leave."""
 
+        self.look_at = 0.0
+        """Stages that answered are not asked again before this time."""
+
+        self.look_pause = 0.0
+
     def __repr__(self) -> str:
         return f"<Run on {self.path!r}>"
 
+    def moved_on(self) -> None:
+        """Note that the stream goes on."""
+        self.look_at = 0.0
+        self.look_pause = 0.0
+
+    def looked(self, patience: float) -> None:
+        """Note that all stages answered though the stream stands still.
+
+        :param patience: seconds without an event after which it was looked into.
+        """
+        self.look_pause = min(MAX_LOOK_SECONDS, max(patience, LOOK_FACTOR * self.look_pause))
+        self.look_at = now() + self.look_pause
+
 
 def relay_stream(peers: Peers, call: Call, pipeline: Pipeline, connection: Connection) -> None:
     """Serve a call to a model.
@@ -122,7 +148,7 @@
     peers.budget(call.service).request()
     peers.lines.charge(call)
     avoided: frozenset[BackendId] = frozenset()
-    while attempts.may_send(peers):
+    while attempts.open():
         path = peers.paths.choose(call.service, pipeline, avoided, attempts.only())
         if path is None:
             # Full servers may have room by now; dead ones are left out by the fleet.
@@ -130,6 +156,12 @@
                 break
             avoided = frozenset()
             continue
+        full = attempts.wants_room() and peers.paths.full(path)
+        if full and _wait_for_room(peers, call, attempts, delivery):
+            avoided = frozenset()
+            continue
+        if not attempts.may_send(peers):
+            break
         try:
             _attempt(peers, call, pipeline, path, delivery, attempts)
             _note_answer(peers, call, delivery, attempts)
@@ -150,8 +182,23 @@
     """
     if not isinstance(attempts.failure, BackendRefused):
         return attempts.failure is not None
+    return _wait(peers, call, delivery, WAIT_SECONDS)
+
+
+def _wait_for_room(peers: Peers, call: Call, attempts: Attempts, delivery: Delivery) -> bool:
+    """Wait while all paths are full by what the daemons tell; false when it has to be tried all the same.
+
+    A call that was not offered yet waits for a short while only: what is told is
+    some seconds old.
+    """
+    seconds = WAIT_SECONDS if attempts.sent else FIRST_WAIT_OF_AIM * call.endpoint.aim
+    return _wait(peers, call, delivery, seconds)
+
+
+def _wait(peers: Peers, call: Call, delivery: Delivery, seconds: float) -> bool:
+    """Wait for a turn, some seconds at most after the caller last got something."""
     since = delivery.sent_at if delivery.begun else call.arrived
-    return peers.lines.wait(call, min(call.deadline, since + WAIT_SECONDS))
+    return peers.lines.wait(call, min(call.deadline, since + seconds))
 
 
 def _note_answer(peers: Peers, call: Call, delivery: Delivery, attempts: Attempts) -> None:
@@ -198,11 +245,11 @@
 
 def _await_head(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> tuple[Message, AnswerHead]:
     while True:
-        until = min(call.deadline, now() + _first_patience(call))
+        patience = _first_patience(call)
         try:
-            return answer_head(peers, call, run.exchange, until)
+            return answer_head(peers, call, run.exchange, min(call.deadline, now() + patience))
         except BackendSilent:
-            _look_into(peers, call, pipeline, run)
+            _look_into(peers, call, pipeline, run, patience)
 
 
 def _pass_on(call: Call, exchange: Exchange, message: Message, delivery: Delivery) -> None:
@@ -225,10 +272,11 @@
         try:
             piece = run.exchange.piece(min(call.deadline, now() + patience))
         except BackendSilent:
-            _look_into(peers, call, pipeline, run)
+            _look_into(peers, call, pipeline, run, patience)
             continue
         if piece is None:
             break
+        run.moved_on()
         delivery.deliver(message, splitter.feed(piece))
         _leave_stages(peers, call, pipeline, run)
     if splitter.rest:
@@ -265,14 +313,15 @@
     return frozenset(s.facts.id for s in behind if s.leaving and s.facts.id not in run.avoided)
 
 
-def _look_into(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> None:
+def _look_into(peers: Peers, call: Call, pipeline: Pipeline, run: Run, patience: float) -> None:
     """Find out why a stream stands still, and move it away from a dead stage.
 
+    :param patience: seconds without an event after which it is looked into.
     :raises BackendError: when it has to be sent anew, or its time is over.
     """
     if call.seconds_left() <= 0:
         raise BackendSilent("no whole answer in time", step="stream", peer=run.exchange.backend)
-    dead = peers.diagnosis.examine(run.path.servers)
+    dead = _dead_stages(peers, run, patience)
     if not dead:
         return
     head = run.path.servers[0]
@@ -294,6 +343,17 @@
     run.path = path
 
 
+def _dead_stages(peers: Peers, run: Run, patience: float) -> frozenset[BackendId]:
+    """Return the stages of a stream that are dead, by what is known or else by asking them."""
+    known = frozenset(s.facts.id for s in run.path.servers if s.suspect)
+    if known or now() < run.look_at:
+        return known
+    dead = peers.diagnosis.examine(run.path.servers)
+    if not dead:
+        run.looked(patience)
+    return dead
+
+
 def _first_patience(call: Call) -> float:
     return max(LEAST_PATIENCE, FIRST_PATIENCE_OF_AIM * call.endpoint.aim)
 
--- a/bayglade/tiling.py
+++ b/bayglade/tiling.py
@@ -23,9 +23,9 @@
 """Where the model does not fit otherwise, the room for tokens shrinks in these steps, to this part."""
 SAME_SPEED = 1.3
 """Kinds whose step times differ by less than this share layers evenly."""
-UNCOVERED_GAIN = 100.0
-SPARE_GAIN = 1.0
-"""Gain of holding a layer that nobody, or just one server, holds."""
+HOLDER_GAINS = (100.0, 1.0, 0.03, 0.001)
+"""Gain of holding a layer that nobody, one, two or three servers hold: a layer with fewer holders
+goes first, whatever the length of a span."""
 
 
 class Span(msgspec.Struct, frozen=True):
@@ -273,7 +273,7 @@
 
 def _gain(counts: Sequence[int], first: int, length: int) -> float:
     window = counts[first : first + length]
-    return UNCOVERED_GAIN * window.count(0) + SPARE_GAIN * window.count(1)
+    return sum(gain * window.count(holders) for holders, gain in enumerate(HOLDER_GAINS))
 
 
 def _count(counts: list[int], span: Span, by: int = 1) -> None:
--- /dev/null
+++ b/bayglade/totals.py
@@ -0,0 +1,124 @@
+"""Totals: how many requests all daemons have under way, by the first stage they run on.
+
+Daemons tell their own counts with each heartbeat. Where there are too many for
+everybody to hear everybody, the readers of a hall (see :mod:`bayglade.news`)
+add up what they hear of it and tell each other and their hall the sums. A sum
+is some seconds old at most; whoever was not heard lately is left out.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from bayglade.clock import now
+from bayglade.entries.wire import Heartbeat, PathLoad
+from bayglade.ids import BackendId, HallName, MemberId
+from bayglade.news import readers_of
+
+FRESH_SECONDS = 3.5
+"""How long what a daemon told counts: as long as it is taken to live."""
+
+Counts = dict[BackendId, int]
+
+
+class Told:
+    """What one daemon told last; the time is monotonic."""
+
+    __slots__ = ("at", "everywhere", "hall", "own")
+
+    def __init__(self, beat: Heartbeat) -> None:
+        self.at = now()
+        self.own = beat.loads
+        self.hall = beat.hall_loads
+        self.everywhere = beat.all_loads
+
+    def __repr__(self) -> str:
+        return f"<Told {now() - self.at:.1f} s ago>"
+
+
+class Totals:
+    """The counts as one daemon hears and tells them.
+
+    :param me: this daemon.
+    """
+
+    def __init__(self, me: MemberId) -> None:
+        self.me = me
+        self.halls: dict[MemberId, HallName] = {}
+        self.readers: dict[HallName, list[MemberId]] = {}
+        self.told: dict[MemberId, Told] = {}
+
+    def __repr__(self) -> str:
+        return f"<Totals of {len(self.told)} daemons>"
+
+    def assign(self, daemons: Mapping[MemberId, HallName]) -> None:
+        """Take in who the daemons are."""
+        self.halls = dict(daemons)
+        self.readers = readers_of(daemons)
+        self.told = {member: told for member, told in self.told.items() if member in daemons}
+
+    def hear(self, member: MemberId, beat: Heartbeat) -> None:
+        """Take in what a daemon tells."""
+        self.told[member] = Told(beat)
+
+    def reading(self) -> bool:
+        """Tell whether this daemon adds up the counts of its hall."""
+        return self.me in self.readers.get(self.halls.get(self.me, HallName("")), [])
+
+    def hall_sum(self, own: Iterable[PathLoad]) -> list[PathLoad]:
+        """Return the sum over this daemon's hall, its own counts among it.
+
+        :param own: the counts of this daemon.
+        """
+        hall = self.halls.get(self.me)
+        counts = _add({}, own)
+        for member, told in self._fresh().items():
+            if self.halls.get(member) == hall:
+                _add(counts, told.own)
+        return [PathLoad(head, count) for head, count in counts.items()]
+
+    def everywhere(self, own: Iterable[PathLoad]) -> list[PathLoad]:
+        """Return the sum over all halls, as far as readers tell of them.
+
+        :param own: the counts of this daemon.
+        """
+        counts = _add({}, self.hall_sum(own))
+        fresh = self._fresh()
+        for hall, readers in self.readers.items():
+            if hall == self.halls.get(self.me):
+                continue
+            # Readers of one hall tell of the same daemons: one of them is enough.
+            heard = next((fresh[reader] for reader in readers if reader in fresh), None)
+            if heard is not None:
+                _add(counts, heard.hall)
+        return [PathLoad(head, count) for head, count in counts.items()]
+
+    def elsewhere(self, own: Iterable[PathLoad]) -> Counts:
+        """Return what the other daemons have under way.
+
+        :param own: the counts of this daemon, which the sums of its readers contain.
+        """
+        fresh = self._fresh()
+        mine = _add({}, own)
+        if self.reading():
+            return _without(_add({}, self.everywhere(own)), mine)
+        readers = self.readers.get(self.halls.get(self.me, HallName("")), [])
+        sums = next((fresh[r].everywhere for r in readers if r in fresh), None)
+        if sums is not None:
+            return _without(_add({}, sums), mine)
+        counts: Counts = {}
+        for told in fresh.values():
+            _add(counts, told.own)
+        return counts
+
+    def _fresh(self) -> dict[MemberId, Told]:
+        oldest = now() - FRESH_SECONDS
+        return {member: told for member, told in self.told.items() if told.at >= oldest}
+
+
+def _add(counts: Counts, loads: Iterable[PathLoad]) -> Counts:
+    for load in loads:
+        counts[load.head] = counts.get(load.head, 0) + load.in_flight
+    return counts
+
+
+def _without(counts: Counts, own: Counts) -> Counts:
+    return {head: max(0, count - own.get(head, 0)) for head, count in counts.items()}
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,128 @@
+"""Runs seeds of the soak, one after the other; ends with status 1 when a promise is broken."""
+
+import argparse
+import shutil
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+
+from soak.callers import Callers
+from soak.checks import check
+from soak.faults import Faults
+from soak.records import Journal, Kind
+from soak.site import SoakSite
+from standins.users import KEY
+from standins.world import wait_for
+
+RECOVER_SECONDS = 15.0
+"""After the last fault everything has to be served again in this time."""
+SETTLE_SECONDS = 0.5
+
+
+class Result(msgspec.Struct):
+    """What came of one seed."""
+
+    seed: int
+    broken: list[str]
+    requests: int
+    statuses: dict[str, int]
+    faults: dict[str, int]
+
+
+def run(seed: int, seconds: float, daemons: int, callers: int, keep: Path | None = None) -> Result:
+    """Run one seed.
+
+    :param seed: of all choices of faults and requests.
+    :param seconds: how long new faults begin.
+    :param daemons: how many daemons there are.
+    :param callers: how many callers there are.
+    :param keep: where the logs go when a promise is broken.
+    :return: what was broken, and figures.
+    """
+    journal = Journal(key_versions={KEY: 0})
+    with SoakSite(daemons) as site:
+        for daemon in site.fleet:
+            daemon.process.wait_ready()
+        site.wait_placed()
+        asking = Callers(journal, site.choose, lambda: list(site.keys), seed)
+        wait_for("all is served", lambda: _served(asking, site), RECOVER_SECONDS)
+        asking.start(callers)
+        Faults(site, journal, seed).run(seconds)
+        time.sleep(SETTLE_SECONDS)
+        asking.stop()
+        journal.broken += _end(asking, site)
+        broken = check(journal, site)
+        if broken and keep is not None:
+            _keep(keep / str(seed), site, journal, broken)
+    return Result(
+        seed=seed,
+        broken=broken,
+        requests=len(journal.records),
+        statuses=dict(Counter(str(r.status or r.error) for r in journal.records)),
+        faults=dict(Counter(fault.name for fault in journal.faults)),
+    )
+
+
+def _served(asking: Callers, site: SoakSite) -> bool:
+    """Tell whether each daemon serves each kind of request."""
+    import http.client
+
+    for daemon in site.fleet:
+        host, _, port = daemon.callers.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=2.0)
+        for kind in Kind:
+            record = asking.ask(connection, daemon.incarnation, kind, site.keys[-1])
+            if record.status != 200 or not record.whole:
+                connection.close()
+                return False
+        connection.close()
+    return True
+
+
+def _end(asking: Callers, site: SoakSite) -> list[str]:
+    """Look at what is left once all faults have ended."""
+    broken = []
+    try:
+        wait_for("all is served", lambda: _served(asking, site), RECOVER_SECONDS)
+    except TimeoutError:
+        broken.append("recovery: not all is served after the last fault")
+    for daemon in site.fleet:
+        if daemon.process.popen.poll() is not None:
+            broken.append(f"exit: {daemon.incarnation} ended by itself")
+    for log in site.folder.glob("*.log"):
+        if b"Traceback" in log.read_bytes():
+            broken.append(f"traceback in {log.name}")
+    return broken
+
+
+def _keep(folder: Path, site: SoakSite, journal: Journal, broken: list[str]) -> None:
+    shutil.copytree(site.folder, folder, dirs_exist_ok=True)
+    lines = [*broken, "", *map(repr, journal.faults), "", *map(repr, journal.records)]
+    (folder / "soak.txt").write_text("\n".join(lines), encoding="utf-8")
+
+
+def main() -> int:
+    """Run the seeds that the command line names."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("--seed", type=int, help="the first seed; the time of day when left out")
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
+    parser.add_argument("--seconds", type=float, default=20.0, help="how long faults begin in each")
+    parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--callers", type=int, default=8)
+    parser.add_argument("--keep", type=Path, default=Path("build/soak"), help="where logs of failures go")
+    options = parser.parse_args()
+    first = options.seed if options.seed is not None else int(time.time())
+    failed = 0
+    for seed in range(first, first + options.seeds):
+        result = run(seed, options.seconds, options.daemons, options.callers, options.keep)
+        failed += bool(result.broken)
+        print(msgspec.json.encode(result).decode(), flush=True)
+    print(f"{options.seeds - failed} passed, {failed} failed", flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,127 @@
+"""The promises as a soak checks them, from what callers and servers saw."""
+
+from collections.abc import Iterable, Iterator
+
+from soak.records import Journal, Kind, Record
+from standins.users import EVENTS, UsersSite
+
+NOT_RUN = (408, 421, 429, 503)
+"""Statuses that promise that the request has not run and never will."""
+KEY_SECONDS = 5.0
+"""Bound on old keys, as the daemons' settings say it."""
+DRAIN_SECONDS = 2.0
+CONTACT_SECONDS = 3.0
+"""How long all must have been well before a bound on time holds."""
+SLACK_SECONDS = 0.3
+"""What a run may be noted late on a busy machine."""
+GRACE_SECONDS = 8.0
+
+
+def check(journal: Journal, site: UsersSite) -> list[str]:
+    """Check all promises.
+
+    :param journal: what was done and seen.
+    :param site: the stand-in, which recorded what ran.
+    :return: what is broken, a line each.
+    """
+    return [
+        *journal.broken,
+        *_answers(journal.records),
+        *_runs(journal.records, site),
+        *_keys(journal, site),
+        *_never_back(journal),
+        *_leaving(journal, site),
+        *_planned_stops(journal),
+        *(f"layers: {path}" for path in site.wrong_paths),
+    ]
+
+
+def _answers(records: Iterable[Record]) -> Iterator[str]:
+    """Check that each answer is the request's own, and whole when it says so."""
+    for record in records:
+        if record.status != 200:
+            continue
+        if record.kind is Kind.STREAM:
+            yield from _events(record)
+        elif record.whole and record.body != f"answer to {record.request}".encode():
+            yield f"answer: {record.request} got {record.body[:60]!r}"
+
+
+def _events(record: Record) -> Iterator[str]:
+    complete = [item for item in record.body.split(b"\n\n") if item.endswith(b"\n") or b"\ndata: " in item]
+    numbers = []
+    for item in complete:
+        first, _, data = item.partition(b"\ndata: ")
+        words = data.split()
+        # The last event of a cut answer may lack its end.
+        if len(words) < 3 and not record.whole:
+            continue
+        numbers.append(int(first.removeprefix(b"id: ")))
+        if words[0].decode() != record.request:
+            yield f"answer: {record.request} got an event of {words[0].decode()}"
+    if numbers != list(range(1, len(numbers) + 1)):
+        yield f"order: {record.request} got events {numbers}"
+    if record.whole and len(numbers) != EVENTS:
+        yield f"answer: {record.request} ended as whole after {len(numbers)} events"
+
+
+def _runs(records: Iterable[Record], site: UsersSite) -> Iterator[str]:
+    for record in records:
+        runs = site.runs(record.request)
+        if record.kind is Kind.ONCE and runs > 1:
+            yield f"once: {record.request} ran {runs} times"
+        if record.status in NOT_RUN and runs:
+            yield f"not run: {record.request} got {record.status} and ran"
+
+
+def _keys(journal: Journal, site: UsersSite) -> Iterator[str]:
+    keys = {record.request: record.key for record in journal.records}
+    for replica in site.every_replica:
+        for request, at in replica.ran_at:
+            revoked = journal.revoked.get(keys.get(request, ""))
+            if revoked is not None and at > revoked + KEY_SECONDS + SLACK_SECONDS:
+                yield f"keys: {request} ran {at - revoked:.2f} s after its key was taken away"
+
+
+def _never_back(journal: Journal) -> Iterator[str]:
+    """Check that a daemon which knew settings does not act by older ones."""
+    known: dict[str, tuple[int, float]] = {}
+    for record in sorted(journal.records, key=lambda r: r.ended_at):
+        version = journal.key_versions.get(record.key, 0)
+        if record.status == 200:
+            before = known.get(record.daemon, (0, 0.0))
+            if version > before[0]:
+                known[record.daemon] = (version, record.ended_at)
+        elif record.status == 401:
+            newest, since = known.get(record.daemon, (0, 0.0))
+            revoked = journal.revoked.get(record.key)
+            if (
+                version <= newest
+                and record.sent_at > since
+                and (revoked is None or record.ended_at < revoked)
+            ):
+                yield f"settings: {record.daemon} refused {record.request} by settings older than {newest}"
+
+
+def _leaving(journal: Journal, site: UsersSite) -> Iterator[str]:
+    for replica in site.every_replica:
+        said = journal.leaving.get(replica.id)
+        if said is None or not journal.calm(said - CONTACT_SECONDS, said + DRAIN_SECONDS):
+            continue
+        for request, at in replica.ran_at:
+            sent = next((r.sent_at for r in journal.records if r.request == request), 0.0)
+            late = at > said + DRAIN_SECONDS + SLACK_SECONDS
+            if late and journal.calm(said, at) and sent > said:
+                yield f"leaving: {request} reached {replica.id} {at - said:.2f} s after its word"
+
+
+def _planned_stops(journal: Journal) -> Iterator[str]:
+    """Check that nobody is cut by a stop around which nothing else happened."""
+    for record in journal.records:
+        stopped = journal.stopped.get(record.daemon)
+        if stopped is None or record.whole or record.error != "cut":
+            continue
+        until = min(record.ended_at, stopped + GRACE_SECONDS)
+        near = record.ended_at >= stopped and record.sent_at < stopped + GRACE_SECONDS
+        if near and journal.calm(min(stopped, record.sent_at) - CONTACT_SECONDS, until):
+            yield f"stop: {record.request} was cut {record.ended_at - stopped:.2f} s after the signal"
--- a/standins/users.py
+++ b/standins/users.py
@@ -250,13 +250,14 @@
         """Headers of requests that ran, in lower case."""
 
         self.paths: dict[str, list[tuple[str, int, int]]] = {}
+        self.ran_at: list[tuple[str, float]] = []
+        """Requests that ran, with the monotonic time at which they began."""
+
         self.server = Server(self)
-        self.register()
+        self.address = site.front(self.server.address)
+        """Where daemons reach it."""
 
-    @property
-    def address(self) -> str:
-        """Return where it listens."""
-        return self.server.address
+        self.register()
 
     def register(self) -> None:
         """Write the own row."""
@@ -316,6 +317,7 @@
             handler.answer(503, b"", {"X-Request-Id": request, "X-Not-Executed": "1"})
             return
         self.ran[request] += 1
+        self.ran_at.append((request, time.monotonic()))
         self.seen.append({name.lower(): value for name, value in handler.headers.items()})
         head = {"X-Request-Id": request, "X-Response-Seal": f"seal-of-{self.id}"}
         if self.kind:
@@ -376,15 +378,27 @@
 
     def _stalled(self, request: str) -> bool:
         stages = [address for address, _, _ in self.paths[request]]
-        return any(r.faults.left["stall"] for r in self.site.replicas if r.address in stages)
+        return any(r.faults.left["stall"] for r in self.site.every_replica if r.address in stages)
 
 
 class UsersSite:
     """A site: the store, its backend servers, and the daemons under test."""
 
-    def __init__(self, halls: int = 1, stages: int = 4, plain: int = 2) -> None:
+    def __init__(
+        self,
+        halls: int = 1,
+        stages: int = 4,
+        plain: int = 2,
+        front: Callable[[str], str] = lambda address: address,
+    ) -> None:
         self.store = MetadataStore()
+        self.front = front
+        """Puts something before the address of a server, and returns where it is reached then."""
+
         self.replicas: list[Replica] = []
+        self.leaving: list[Replica] = []
+        """Servers that are on their way out or gone."""
+
         self.daemons: list[Daemon] = []
         self.wrong_paths: list[str] = []
         self.folder = Path(tempfile.mkdtemp(prefix="bayglade-"))
@@ -402,13 +416,22 @@
     def __exit__(self, *_: object) -> None:
         self.stop()
 
+    @property
+    def every_replica(self) -> list[Replica]:
+        """Return all backend servers there ever were."""
+        return [*self.replicas, *self.leaving]
+
+    def add(self, replica: Replica) -> None:
+        """Have a backend server come."""
+        self.replicas.append(replica)
+
     def of(self, service: str) -> list[Replica]:
         """List the backend servers of a service."""
         return [r for r in self.replicas if bool(r.kind) == (service == MODEL)]
 
     def runs(self, request: str) -> int:
         """Count the runs of a request on all servers."""
-        return sum(replica.ran[request] for replica in self.replicas)
+        return sum(replica.ran[request] for replica in self.every_replica)
 
     def configure(self, keys: tuple[str, ...] = (KEY,), version: int | None = None, **changes: Any) -> None:
         """Write a configuration as the operator does; ``changes`` go into every route."""
@@ -428,7 +451,7 @@
 
     def check_path(self, path: list[tuple[str, int, int]]) -> None:
         """Note a path that does not run every layer once and in order, on servers that hold them."""
-        held = {replica.address: replica.held for replica in self.replicas}
+        held = {replica.address: replica.held for replica in self.every_replica}
         position = 0
         for address, first, last in path:
             inside = held[address][0] <= first < last <= held[address][1]
@@ -442,7 +465,7 @@
         """End all that was started here."""
         for daemon in self.daemons:
             daemon.stop()
-        for replica in self.replicas:
+        for replica in self.every_replica:
             replica.server.end()
         self.store.server.end()
         shutil.rmtree(self.folder, ignore_errors=True)
@@ -458,7 +481,9 @@
 class Daemon:
     """A daemon under test, as a process of its own."""
 
-    def __init__(self, site: UsersSite, name: str, hall: str, settings: dict[str, Any]) -> None:
+    def __init__(
+        self, site: UsersSite, name: str, hall: str, settings: dict[str, Any], file: str = ""
+    ) -> None:
         self.callers = f"{HOST}:{free_port()}"
         self.ready = f"{HOST}:{free_port()}"
         self.metrics = f"{HOST}:{free_port()}"
@@ -472,8 +497,10 @@
             "peer_ports": f"{free_port()},0",
             **settings,
         }
-        self.file = site.folder / f"{name}.yaml"
-        self.log = site.folder / f"{name}.log"
+        self.callers, self.ready = self.settings["callers"], self.settings["ready"]
+        self.metrics = self.settings["metrics"]
+        self.file = site.folder / f"{file or name}.yaml"
+        self.log = site.folder / f"{file or name}.log"
         self.write()
         self.popen = subprocess.Popen(
             [sys.executable, "-m", "bayglade", "gateway"],
--- /dev/null
+++ b/tests/test_diagnosis.py
@@ -0,0 +1,150 @@
+"""Diagnosis: which stages are asked, how often, and what others are told."""
+
+import random
+
+import pytest
+
+from bayglade import streams
+from bayglade.control import RerouteOutcome, StageReport
+from bayglade.diagnosis import Diagnosis
+from bayglade.fleet import Fleet, Server, ServerFacts
+from bayglade.ids import BackendId, HallName, RequestId, ServiceName
+from bayglade.models import Route
+from bayglade.streams import MAX_LOOK_SECONDS, Run
+
+PATIENCE = 0.1
+ALIVE = StageReport(
+    orders_taken=0,
+    loading=False,
+    first=0,
+    last=4,
+    running=0,
+    queued=0,
+    used=0,
+    total=1,
+    pace=1.0,
+    stalled={},
+)
+
+
+class Stages:
+    """Stages that answer or do not, as told."""
+
+    def __init__(self, silent: set[str]) -> None:
+        self.silent = silent
+        self.asked: list[str] = []
+
+    def report(self, backend: BackendId, address: str, timeout: float) -> StageReport | None:
+        self.asked.append(backend)
+        return None if backend in self.silent else ALIVE
+
+    def reroute(self, backend: BackendId, address: str, request: RequestId, route: Route) -> RerouteOutcome:
+        raise AssertionError("no stream is moved here")
+
+
+def diagnose(silent: set[str], count: int = 4) -> tuple[Diagnosis, Stages, list[Server]]:
+    fleet = Fleet()
+    facts = [
+        ServerFacts(
+            id=BackendId(f"s{n}"),
+            service=ServiceName("model"),
+            address=f"10.0.0.{n}:1",
+            hall=HallName("h"),
+            slots=8,
+            first=0,
+            last=4,
+        )
+        for n in range(count)
+    ]
+    fleet.take(facts, [], False)
+    stages = Stages(silent)
+    return Diagnosis(fleet, stages, random.Random(1)), stages, list(fleet.servers.values())  # type: ignore[arg-type]
+
+
+def test_a_stage_that_answers_again_is_told_of_once() -> None:
+    diagnosis, stages, servers = diagnose({"s1"})
+    told: list[str] = []
+    diagnosis.on_back = lambda server: told.append(server.facts.id)
+    assert diagnosis.examine(servers) == {"s1"}
+    diagnosis.findings.clear()
+    stages.silent.clear()
+    diagnosis.look_again([servers[1]])
+    diagnosis.look_again([servers[1]])
+    assert told == ["s1"]
+    assert not servers[1].suspect
+
+
+def test_a_stage_that_stays_silent_is_not_told_of() -> None:
+    diagnosis, _, servers = diagnose({"s1"})
+    told: list[str] = []
+    diagnosis.on_back = lambda server: told.append(server.facts.id)
+    diagnosis.examine(servers)
+    diagnosis.findings.clear()
+    diagnosis.look_again([servers[1]])
+    assert told == []
+    assert servers[1].suspect
+
+
+@pytest.mark.parametrize(("daemons", "slowest"), [(1, 0.5), (8, 0.5), (64, 4.0)])
+def test_many_daemons_ask_suspect_stages_less_often_each(
+    daemons: int, slowest: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    diagnosis, _, _ = diagnose(set())
+    diagnosis.daemons = lambda: daemons
+    pauses: list[float] = []
+
+    def sleep(seconds: float) -> None:
+        pauses.append(seconds)
+        if len(pauses) > 20:
+            raise InterruptedError
+
+    monkeypatch.setattr("bayglade.diagnosis.eventlet.sleep", sleep)
+    with pytest.raises(InterruptedError):
+        diagnosis.recheck()
+    assert max(pauses) <= slowest
+    assert min(pauses) >= slowest / 2
+
+
+class Path:
+    """As much of a path as is looked at here."""
+
+    def __init__(self, servers: list[Server]) -> None:
+        self.servers = servers
+
+
+class Peers:
+    """As much of the relay's peers as is looked at here."""
+
+    def __init__(self, diagnosis: Diagnosis) -> None:
+        self.diagnosis = diagnosis
+
+
+def test_stages_that_answer_are_asked_less_and_less(monkeypatch: pytest.MonkeyPatch) -> None:
+    diagnosis, stages, servers = diagnose(set())
+    run = Run(Path(servers), None)  # type: ignore[arg-type]
+    at = 100.0
+    monkeypatch.setattr(streams, "now", lambda: at)
+    looks = []
+    for step in range(40):
+        at = 100.0 + step * PATIENCE
+        before = len(stages.asked)
+        diagnosis.findings.clear()
+        assert streams._dead_stages(Peers(diagnosis), run, PATIENCE) == frozenset()  # type: ignore[arg-type]
+        if len(stages.asked) > before:
+            looks.append(step)
+    assert looks[:3] == [0, 1, 3]
+    assert len(looks) <= 4 + 40 * PATIENCE / MAX_LOOK_SECONDS
+    run.moved_on()
+    before = len(stages.asked)
+    diagnosis.findings.clear()
+    streams._dead_stages(Peers(diagnosis), run, PATIENCE)  # type: ignore[arg-type]
+    assert len(stages.asked) == before + len(servers)
+
+
+def test_a_stage_that_others_found_dead_is_noticed_without_a_question() -> None:
+    diagnosis, stages, servers = diagnose(set())
+    run = Run(Path(servers), None)  # type: ignore[arg-type]
+    run.look_at = float("inf")
+    servers[2].suspect = True
+    assert streams._dead_stages(Peers(diagnosis), run, PATIENCE) == {"s2"}  # type: ignore[arg-type]
+    assert stages.asked == []
--- /dev/null
+++ b/tests/test_lending.py
@@ -0,0 +1,104 @@
+"""Lending of retries: no more than the bound in any window, whoever borrows and whenever readers come."""
+
+import random
+
+import pytest
+
+from bayglade import lending, news, retries
+from bayglade.entries.wire import Borrow, Lent, Message
+from bayglade.ids import HallName, MemberId
+from bayglade.lending import LOAN, LOAN_SECONDS, Pools
+from bayglade.news import FEW_DAEMONS, Newsroom
+from bayglade.retries import RetryBudget
+
+WINDOW = 10.0
+FLOOR = 20.0
+SERVICE = "model"
+
+
+class Clock:
+    """A clock that moves only as told."""
+
+    def __init__(self) -> None:
+        self.at = 100.0
+
+    def now(self) -> float:
+        return self.at
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    made = Clock()
+    for module in (lending, news, retries):
+        monkeypatch.setattr(module, "now", made.now)
+    return made
+
+
+def a_reader(clock: Clock) -> tuple[Pools, list[Message]]:
+    sent: list[Message] = []
+    newsroom = Newsroom({}, None, lambda m, message: None)  # type: ignore[arg-type]
+    daemons = {MemberId(f"d{n}"): HallName("h") for n in range(FEW_DAEMONS + 1)}
+    newsroom.assign(MemberId("d0"), daemons)
+    pools = Pools(newsroom, lambda m, message: sent.append(message), WINDOW)
+    pools.assign(FLOOR)
+    return pools, sent
+
+
+def test_a_new_reader_lends_nothing_until_older_loans_are_over(clock: Clock) -> None:
+    pools, _ = a_reader(clock)
+    assert pools.lend(SERVICE, LOAN) == 0
+    clock.at += WINDOW + LOAN_SECONDS - 0.1
+    assert pools.lend(SERVICE, LOAN) == 0
+    clock.at += 0.2
+    assert pools.lend(SERVICE, LOAN) == LOAN
+
+
+def test_a_daemon_that_was_no_reader_for_a_while_begins_anew(clock: Clock) -> None:
+    pools, _ = a_reader(clock)
+    clock.at += WINDOW + LOAN_SECONDS + 0.1
+    pools.assign(0.0)
+    pools.assign(FLOOR)
+    assert pools.lend(SERVICE, LOAN) == 0
+
+
+def test_a_wish_to_borrow_is_answered_with_what_is_left(clock: Clock) -> None:
+    pools, sent = a_reader(clock)
+    clock.at += WINDOW + LOAN_SECONDS + 0.1
+    for number in range(8):
+        pools.heard_borrow(MemberId("d5"), Borrow(number, SERVICE, LOAN))
+    assert [message.amount for message in sent if isinstance(message, Lent)] == [LOAN] * 5 + [0] * 3
+
+
+def test_a_loan_is_used_after_the_own_budget_and_ends(clock: Clock) -> None:
+    budget = RetryBudget(0.0, 1.0, WINDOW)
+    assert budget.retry()
+    assert not budget.retry()
+    budget.borrowed(2, clock.at + LOAN_SECONDS)
+    assert budget.retry()
+    clock.at += LOAN_SECONDS
+    assert not budget.retry()
+
+
+def test_an_answer_that_nobody_waits_for_is_passed_over(clock: Clock) -> None:
+    pools, _ = a_reader(clock)
+    pools.heard_lent(MemberId("d1"), Lent(99, LOAN))
+    assert pools.waiting == {}
+
+
+def test_no_window_sees_more_loans_than_the_floor(clock: Clock) -> None:
+    rng = random.Random(5)
+    pools, _ = a_reader(clock)
+    clock.at += WINDOW + LOAN_SECONDS + 0.1
+    used: list[float] = []
+    loans: list[tuple[float, int]] = []
+    for _ in range(2000):
+        clock.at += rng.expovariate(20.0)
+        loans.append((clock.at, pools.lend(SERVICE, rng.randint(1, 6))))
+        # The worst borrower uses each loan at the very end of its life.
+        used += [clock.at + LOAN_SECONDS] * loans[-1][1]
+        early = rng.random() < 0.5
+        if early and loans[-1][1]:
+            used[-1] = clock.at
+    used.sort()
+    for first, at in enumerate(used):
+        assert sum(1 for other in used[first:] if other < at + WINDOW) <= FLOOR
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,94 @@
+"""The relay's count of servers that one call went to."""
+
+import pytest
+
+from bayglade import fleet, relay
+from bayglade.calls import Call, CallHead
+from bayglade.endpoints import Endpoint, Target
+from bayglade.fleet import SURE_SECONDS, Fleet, Server, ServerFacts
+from bayglade.ids import BackendId, HallName, RequestId, ServiceName
+from bayglade.relay import Attempts
+
+SERVICE = ServiceName("model")
+
+
+def a_call(max_attempts: int) -> Call:
+    endpoint = Endpoint(
+        name="r",
+        host="h",
+        prefix="/",
+        targets=(Target(SERVICE),),
+        timeout=9.0,
+        aim=0.5,
+        max_attempts=max_attempts,
+        streamed=True,
+        resumable=True,
+    )
+    return Call(
+        head=CallHead(id=RequestId("q"), host="h"),
+        endpoint=endpoint,
+        service=SERVICE,
+        group=None,
+        priority=0,
+        arrived=0.0,
+        deadline=float("inf"),
+        method="POST",
+        target=b"/",
+        headers=[],
+        body=b"",
+    )
+
+
+@pytest.fixture
+def servers() -> tuple[Fleet, list[Server]]:
+    listed = Fleet()
+    listed.take(
+        [
+            ServerFacts(
+                id=BackendId(f"s{n}"),
+                service=SERVICE,
+                address=f"10.0.0.{n}:1",
+                hall=HallName("h"),
+                slots=8,
+                first=0,
+                last=4,
+            )
+            for n in range(6)
+        ],
+        [],
+        False,
+    )
+    return listed, list(listed.servers.values())
+
+
+def test_a_server_out_of_reach_for_a_moment_counts_towards_the_bound(
+    servers: tuple[Fleet, list[Server]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    at = 100.0
+    monkeypatch.setattr(relay, "now", lambda: at)
+    monkeypatch.setattr(fleet, "now", lambda: at)
+    listed, (first, second, *_) = servers
+    attempts = Attempts(a_call(max_attempts=2))
+    attempts.note(first)
+    assert attempts.only() is None
+    listed.suspect(first, "silent")
+    attempts.note(second)
+    assert attempts.only() == {"s0", "s1"}
+    at += SURE_SECONDS / 2
+    listed.suspect(first, "silent")
+    assert attempts.only() == {"s0", "s1"}
+    at += SURE_SECONDS / 2
+    assert attempts.only() is None
+
+
+@pytest.mark.parametrize("how", ["leaving", "gone"])
+def test_a_server_that_has_ended_does_not_count(servers: tuple[Fleet, list[Server]], how: str) -> None:
+    listed, (first, second, *_) = servers
+    attempts = Attempts(a_call(max_attempts=2))
+    attempts.note(first)
+    attempts.note(second)
+    if how == "leaving":
+        listed.mark_leaving(first, "it says so")
+    else:
+        listed.take([], [first.facts.id], False)
+    assert attempts.only() is None
--- a/tests/test_tiling.py
+++ b/tests/test_tiling.py
@@ -247,3 +247,58 @@
         assert {s.facts.hall for s in detour.servers} == {"a"}
         assert server not in detour.servers
     assert paths.detour(path, SERVICE, model, frozenset({path.servers[0].facts.id})) is None
+
+
+def holding(spans: Sequence[tuple[int, int]], kind: str = "big") -> list[Server]:
+    """Return servers of one hall that hold these layers."""
+    listed = servers(a={kind: len(spans)})
+    return [
+        Server(msgspec.structs.replace(facts, first=first, last=last))
+        for facts, (first, last) in zip(listed, spans, strict=True)
+    ]
+
+
+def tiles(path: Path, layers: int) -> bool:
+    ends = [0, *(stage.last for stage in path.route.stages)]
+    return [stage.first for stage in path.route.stages] == ends[:-1] and ends[-1] == layers
+
+
+def test_a_hall_has_as_many_paths_as_its_layers_have_holders() -> None:
+    # The cheapest path by far takes both quick servers, but the slow ones alone do not hold layers 3 to 5.
+    quick = holding([(0, 6), (3, 12)])
+    slow = holding([(0, 3), (6, 12)], "middle")
+    model = pipeline(layers=12)
+    paths = hall_paths([*quick, *slow], model)
+    assert len(paths) == 2
+    used = [server.facts.id for path in paths for server in path.servers]
+    assert len(used) == len(set(used))
+    assert all(tiles(path, 12) for path in paths)
+
+
+span_lists = st.lists(st.tuples(st.integers(0, 11), st.integers(1, 12)), max_size=12)
+
+
+@given(span_lists, span_lists)
+def test_paths_of_a_hall_share_no_server_and_reach_the_bound(
+    quick: list[tuple[int, int]], slow: list[tuple[int, int]]
+) -> None:
+    model = pipeline(layers=12)
+    found = [
+        server
+        for kind, spans in (("big", quick), ("middle", slow))
+        for server in holding([(first, min(12, first + length)) for first, length in spans], kind)
+    ]
+    paths = hall_paths(found, model)
+    used = [server.facts.id for path in paths for server in path.servers]
+    assert len(used) == len(set(used))
+    assert all(tiles(path, 12) for path in paths)
+    holders = [sum(s.facts.first <= n < s.facts.last for s in found) for n in range(12)]
+    assert len(paths) == min(paths_module.MAX_PATHS, *holders)
+
+
+def test_an_empty_server_goes_where_fewest_hold() -> None:
+    model = pipeline(layers=60)
+    held = [server.facts for server in holding([(0, 60)] * 3 + [(0, 30)])]
+    empty = servers(b={"small": 1})[0]
+    span = fill(held, [empty], model)[empty.id]
+    assert span.first >= 30
