Spread several chains of a hall over all its servers; ask the stage that a refusal names

Change: where a hall holds several chains each server holds as few layers as the model allows, up to 2.5 times the wanted room, and no two are paired; a path counts no more requests than its first stage has slots; an empty server takes no more layers than its kind holds. A stage that turned a call away counts as full for 0.25 s, and one behind the first is asked whether it lives.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BINARY := dist/bayglade
 SOURCES := $(shell find bayglade -name '*.py')
 
-.PHONY: setup demo check test binary bench clean
+.PHONY: setup demo check test binary bench soak clean
 
 setup: $(STAMP)
 
@@ -41,5 +41,12 @@
 	$(BIN)/python -m benches.slopes
 	$(BIN)/python -m benches.policies
 
+SEED ?= 1
+SEEDS ?= 1
+SECONDS ?= 20
+
+soak: setup  ## daemons under random faults, by seed; see docs/design/soak.md
+	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 clean:
 	rm -rf .venv dist build
--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -57,6 +57,7 @@
         "in_flight",
         "leaving",
         "pace",
+        "short_until",
         "suspect",
         "suspect_since",
         "suspect_until",
@@ -73,6 +74,9 @@
         self.suspect_until = 0.0
         """Set for a server of a plain service, which has no report to ask for."""
 
+        self.short_until = 0.0
+        """Until when it is taken to have no room, after it turned a request away."""
+
         self.leaving = facts.leaving
         self.pace = 1.0
         """How many times slower than usual it said it is."""
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -11,6 +11,7 @@
 
 import eventlet
 
+from bayglade.clock import now
 from bayglade.engines.wire import Stage
 from bayglade.fleet import Fleet, Server
 from bayglade.ids import BackendId, HallName, ServiceName
@@ -73,13 +74,17 @@
         """
         return (self.servers[0].in_flight + elsewhere) / self.capacity
 
+    def short(self, at: float) -> bool:
+        """Tell whether a stage turned requests away just now."""
+        return any(server.short_until > at for server in self.servers)
+
     def score(self, own: HallName, elsewhere: int) -> float:
         """Return what one more request here costs.
 
         :param own: the daemon's hall.
         :param elsewhere: requests that other daemons have under way here.
         """
-        used = self.used(elsewhere)
+        used = FULL_USE if self.short(now()) else self.used(elsewhere)
         cost = self.cost + (ABROAD_MS if self.hall != own else 0.0)
         return cost * (1.0 + used) * (FULL_COST if used >= 1.0 else 1.0)
 
@@ -147,8 +152,9 @@
         return find_path(usable, pipeline)
 
     def full(self, path: Path) -> bool:
-        """Tell whether a path holds more requests than fit, by what all daemons tell."""
-        return path.used(self.elsewhere().get(path.servers[0].facts.id, 0)) >= FULL_USE
+        """Tell whether a path holds more requests than fit, by its stages or by all daemons."""
+        elsewhere = self.elsewhere().get(path.servers[0].facts.id, 0)
+        return path.short(now()) or path.used(elsewhere) >= FULL_USE
 
     def all(self, service: ServiceName, pipeline: Pipeline) -> list[Path]:
         """List the paths of a service that are worth using now."""
@@ -405,4 +411,6 @@
         step = step.before
     usual = max(LEAST_REQUEST, float(pipeline.typical_prompt + pipeline.typical_answer))
     route = Route(tuple(reversed(stages)))
-    return Path(route, tuple(reversed(servers)), cost, max(1.0, room / usual))
+    # The first stage takes no more requests than it has slots for.
+    capacity = min(room / usual, float(servers[-1].facts.slots))
+    return Path(route, tuple(reversed(servers)), cost, max(1.0, capacity))
--- a/bayglade/platform/engines.py
+++ b/bayglade/platform/engines.py
@@ -116,11 +116,12 @@
         status, answer = self._ask(backend, address, "POST", ORDER_PATH, body, REROUTE_SECONDS)
         if status in (200, 202):
             return RerouteOutcome(True)
-        if status == 409:
+        if status == 409 and answer:
             try:
                 return RerouteOutcome(False, True, msgspec.json.decode(answer, type=Refusal).addr)
             except msgspec.DecodeError as error:
                 event("WARNING", "refusal makes no sense", peer=backend, error=str(error))
+        # Without a body: some part has no room.
         return RerouteOutcome(False, status == 409)
 
     def _ask(
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Iterable
 
+import eventlet
+
 from bayglade.calls import AnswerHead, Call
 from bayglade.clock import now
 from bayglade.events import EventSplitter, event_id
@@ -35,6 +37,9 @@
 dead in the meantime is noticed without one."""
 WAIT_SECONDS = 1.5
 """How long a call waits for room: callers of a stream leave after two seconds without an event."""
+SHORT_SECONDS = 0.25
+"""How long a stage that turned a request away counts as full: a request ends there every few
+hundredths of a second, and the next one that is turned away says so again."""
 FIRST_WAIT_OF_AIM = 0.2
 """Part of the aim that a call waits before it is offered to a path which seems full: a refusal
 takes from the budget for repeats, and a place may become free."""
@@ -366,6 +371,11 @@
         server = _at_fault(path, error.at_fault)
         if error.misdirected:
             peers.fleet.mark_leaving(head, "another server has its address")
+            return frozenset({server.facts.id})
+        server.short_until = now() + SHORT_SECONDS
+        if server is not head:
+            # The head says which stage did not take part, not why: one that is dead has to be known.
+            eventlet.spawn_n(peers.diagnosis.examine, [server])
         return frozenset({server.facts.id})
     if isinstance(error, BackendUnreachable):
         peers.fleet.suspect(head, error.code)
--- a/bayglade/tiling.py
+++ b/bayglade/tiling.py
@@ -21,6 +21,10 @@
 TIGHTER = 0.75
 LEAST_ROOM = 0.1
 """Where the model does not fit otherwise, the room for tokens shrinks in these steps, to this part."""
+MOST_ROOM = 2.5
+"""Most room, as a part of the wanted one, that is kept by spreading a chain over more servers: each
+layer that a quick server leaves to a slow one makes every token slower."""
+ROOM_STEP = 0.95
 SAME_SPEED = 1.3
 """Kinds whose step times differ by less than this share layers evenly."""
 HOLDER_GAINS = (100.0, 1.0, 0.03, 0.001)
@@ -82,9 +86,12 @@
     room = _room_for(servers, pipeline)
     if room is None:
         return {}
+    chains = _chains(servers, pipeline, room)
     spans: Spans = {}
-    for chain in _chains(servers, pipeline, room):
-        spans.update(_lay(chain, pipeline, room))
+    for chain in chains:
+        # Where there are several, each can do without any one server: the others take its requests.
+        units = _pairs(chain, pipeline, room) if len(chains) == 1 else _spread(chain, pipeline)
+        spans.update(_lay(units, pipeline))
     return spans
 
 
@@ -100,9 +107,12 @@
     counts = [0] * pipeline.layers
     for server in servers:
         _count(counts, Span(server.first, server.last))
+    # Where most layers have several holders, chains were spread: what is longer would have least room.
+    spread = sorted(counts)[len(counts) // 2] > 1
+    usual = _usual_lengths(servers) if spread else {}
     spans: Spans = {}
     for server in sorted(empty, key=lambda s: (-_most(s, pipeline, SPARE_ROOM), s.id)):
-        length = _most(server, pipeline, SPARE_ROOM)
+        length = min(_most(server, pipeline, SPARE_ROOM), usual.get(server.accelerator, pipeline.layers))
         if length == 0:
             continue
         starts = range(pipeline.layers - length + 1)
@@ -112,6 +122,14 @@
     return spans
 
 
+def _usual_lengths(servers: Sequence[ServerFacts]) -> dict[str | None, int]:
+    """Return the most layers that a server of each kind holds."""
+    lengths: dict[str | None, int] = {}
+    for server in servers:
+        lengths[server.accelerator] = max(lengths.get(server.accelerator, 0), server.held)
+    return lengths
+
+
 def mend(servers: Sequence[ServerFacts], pipeline: Pipeline) -> Spans:
     """Choose new spans for few servers so that missing layers are held again.
 
@@ -199,7 +217,15 @@
         return sum(s.first + s.last for s in self.servers) / (2 * len(self.servers))
 
 
-def _units(chain: Sequence[ServerFacts], pipeline: Pipeline, room: float) -> list[_Unit]:
+def _spread(chain: Sequence[ServerFacts], pipeline: Pipeline) -> list[_Unit]:
+    """Have all servers of a chain hold as few layers as the model allows, so that most requests fit."""
+    part = MOST_ROOM
+    while part > LEAST_ROOM and sum(_most(s, pipeline, part) for s in chain) < pipeline.layers:
+        part *= ROOM_STEP
+    return [_Unit((server,), _most(server, pipeline, part)) for server in chain]
+
+
+def _pairs(chain: Sequence[ServerFacts], pipeline: Pipeline, room: float) -> list[_Unit]:
     """Pair as many servers of a chain as the memory left allows, cheapest kinds first."""
     by_kind: dict[str, list[ServerFacts]] = {}
     for server in sorted(chain, key=lambda s: ((s.first + s.last) / 2, s.id)):
@@ -218,9 +244,8 @@
     return units
 
 
-def _lay(chain: Sequence[ServerFacts], pipeline: Pipeline, room: float) -> Spans:
+def _lay(units: Sequence[_Unit], pipeline: Pipeline) -> Spans:
     """Lay the units of a chain side by side over all layers."""
-    units = _units(chain, pipeline, room)
     lengths = _lengths(units, pipeline)
     # In the order of what they hold already, so that few layers move.
     order = sorted(range(len(units)), key=lambda i: (units[i].middle(), i))
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """Runs seeds of the soak, one after the other; ends with status 1 when a promise is broken."""
 
 import argparse
+import http.client
 import shutil
 import sys
 import time
@@ -68,8 +69,6 @@
 
 def _served(asking: Callers, site: SoakSite) -> bool:
     """Tell whether each daemon serves each kind of request."""
-    import http.client
-
     for daemon in site.fleet:
         host, _, port = daemon.callers.rpartition(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=2.0)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,6 +15,8 @@
 """How long a caller waits for more of an answer; the stand-in's longest route takes 5 s."""
 REQUESTS_A_CONNECTION = 12
 PAUSE_SECONDS = 0.05
+LEAVE_EVERY = 11
+"""Of so many requests one is left by its caller when it is a stream."""
 METHODS = {Kind.STREAM: "POST", Kind.REPEATABLE: "GET", Kind.ONCE: "POST"}
 
 _numbers = itertools.count(1)
@@ -79,8 +81,13 @@
             connection.request(METHODS[kind], f"/{kind.value}/x", body, headers)
             answer = connection.getresponse()
             record.status = answer.status
-            record.body = answer.read()
-            record.whole = True
+            if self.leaves(record):
+                answer.read(1)
+                record.error = "left"
+                connection.close()
+            else:
+                record.body = answer.read()
+                record.whole = True
         except TimeoutError:
             record.error = "silent"
         except (OSError, http.client.HTTPException) as error:
@@ -90,6 +97,11 @@
         record.ended_at = time.monotonic()
         return record
 
+    def leaves(self, record: Record) -> bool:
+        """Tell whether the caller hangs up in the middle of this answer."""
+        number = int(record.request.rpartition("-")[2])
+        return record.kind is Kind.STREAM and number % LEAVE_EVERY == 0
+
     def _run(self, rng: random.Random) -> None:
         while not self.stopping.is_set():
             chosen = self.choose()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -39,7 +39,7 @@
 def _answers(records: Iterable[Record]) -> Iterator[str]:
     """Check that each answer is the request's own, and whole when it says so."""
     for record in records:
-        if record.status != 200:
+        if record.status != 200 or record.error == "left":
             continue
         if record.kind is Kind.STREAM:
             yield from _events(record)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,14 +8,15 @@
 
 from soak.records import Fault, Journal
 from soak.site import SoakSite
-from standins.users import Replica
+from standins.users import MODEL, PLAIN, Replica
 
 Act = Callable[["Faults"], None]
 
 PAUSES = (0.2, 1.2)
 """Seconds between the starts of two faults."""
 LASTS = (0.3, 4.0)
-ANSWER_FAULTS = (
+STREAM_FAULTS = ("refuse", "elsewhere", "partial", "reset")
+WHOLE_FAULTS = (
     "refuse",
     "elsewhere",
     "error",
@@ -28,7 +29,6 @@
     "garbage",
     "unsealed",
     "mute",
-    "partial",
 )
 STORE_FAULTS = ("busy", "silent", "lost", "forgotten")
 LINK_FAULTS = ("delay", "reset", "silence", "upwards", "downwards")
@@ -191,8 +191,10 @@
 
 def answers(faults: Faults) -> None:
     """Have a server spoil some answers."""
-    server = faults.rng.choice(faults.site.replicas)
-    how, times = faults.rng.choice(ANSWER_FAULTS), faults.rng.randint(1, 6)
+    service = faults.site.of(faults.rng.choice((MODEL, PLAIN)))
+    server = faults.rng.choice(service)
+    how = faults.rng.choice(STREAM_FAULTS if server.kind else WHOLE_FAULTS)
+    times = faults.rng.randint(2, 12)
 
     def work() -> None:
         server.faults.set(how, times)
@@ -262,12 +264,9 @@
     stop,
     pause,
     reload,
-    link,
-    link,
-    link,
+    *[link] * 3,
     store,
-    answers,
-    answers,
+    *[answers] * 5,
     crash,
     leave,
     change,
--- a/standins/users.py
+++ b/standins/users.py
@@ -21,7 +21,7 @@
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -410,7 +410,7 @@
             self.replicas.append(Replica(self, f"plain-{number}", "hall-0", None))
         self.configure()
 
-    def __enter__(self) -> "UsersSite":
+    def __enter__(self) -> Self:
         return self
 
     def __exit__(self, *_: object) -> None:
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,112 @@
+"""The soak: a short run that must find nothing, and broken promises that its checks must find."""
+
+import pytest
+
+from soak.__main__ import run
+from soak.checks import CONTACT_SECONDS, DRAIN_SECONDS, KEY_SECONDS, check
+from soak.records import Fault, Journal, Kind, Record
+from standins.users import EVENTS
+
+SECONDS = 8.0
+KEY, GONE_KEY = "key", "gone-key"
+
+
+def test_a_short_run_finds_nothing_broken() -> None:
+    result = run(seed=1, seconds=SECONDS, daemons=3, callers=4)
+    assert result.broken == []
+    assert result.statuses.get("200", 0) > 50
+    assert sum(result.faults.values()) >= 5
+
+
+class Server:
+    """As much of a stand-in's server as the checks look at."""
+
+    def __init__(self, ran: list[tuple[str, float]]) -> None:
+        self.id = "i-1"
+        self.ran_at = ran
+
+
+class Site:
+    """As much of a stand-in's site as the checks look at."""
+
+    def __init__(self, *ran: tuple[str, float]) -> None:
+        self.every_replica = [Server(list(ran))]
+        self.wrong_paths: list[str] = []
+
+    def runs(self, request: str) -> int:
+        return sum(name == request for server in self.every_replica for name, _ in server.ran_at)
+
+
+def a_record(kind: Kind = Kind.REPEATABLE, **changes: object) -> Record:
+    record = Record("q", kind, KEY, "d0.1", 100.0, 200, True, b"answer to q", 100.1)
+    for name, value in changes.items():
+        setattr(record, name, value)
+    return record
+
+
+def events(count: int, request: str = "q", skip: int = 0) -> bytes:
+    return b"".join(
+        f"id: {n}\ndata: {request} {n} 1.0\n\n".encode() for n in range(1, count + 1) if n != skip
+    )
+
+
+def broken(record: Record, *ran: tuple[str, float], **journal: object) -> list[str]:
+    made = Journal(records=[record])
+    for name, value in journal.items():
+        setattr(made, name, value)
+    return check(made, Site(*ran))  # type: ignore[arg-type]
+
+
+def test_what_is_well_is_not_reported() -> None:
+    assert broken(a_record(), ("q", 100.0)) == []
+    assert broken(a_record(Kind.STREAM, body=events(EVENTS))) == []
+    assert broken(a_record(Kind.STREAM, body=events(3) + b"id: 4\nda", whole=False, error="cut")) == []
+    assert broken(a_record(status=503, body=b"")) == []
+    assert broken(a_record(status=502), ("q", 100.0)) == []
+
+
+@pytest.mark.parametrize(
+    ("record", "ran", "word"),
+    [
+        (a_record(body=b"answer to another"), [], "answer"),
+        (a_record(body=b"answer t"), [], "answer"),
+        (a_record(Kind.STREAM, body=events(EVENTS, skip=4)), [], "order"),
+        (a_record(Kind.STREAM, body=events(3) + events(3), whole=False), [], "order"),
+        (a_record(Kind.STREAM, body=events(EVENTS - 1)), [], "answer"),
+        (a_record(Kind.STREAM, body=events(EVENTS, "another")), [], "answer"),
+        (a_record(Kind.ONCE), [("q", 100.0), ("q", 100.2)], "once"),
+        (a_record(status=503), [("q", 100.0)], "not run"),
+        (a_record(status=429), [("q", 101.0)], "not run"),
+    ],
+)
+def test_a_broken_promise_is_found(record: Record, ran: list[tuple[str, float]], word: str) -> None:
+    assert any(line.startswith(word) for line in broken(record, *ran))
+
+
+def test_a_key_that_was_taken_away_long_ago_must_not_run() -> None:
+    record = a_record(key=GONE_KEY)
+    late = 90.0 + KEY_SECONDS + 1.0
+    assert broken(record, ("q", late), revoked={GONE_KEY: 90.0})
+    assert not broken(record, ("q", 90.0 + KEY_SECONDS - 1.0), revoked={GONE_KEY: 90.0})
+
+
+def test_settings_must_not_go_back() -> None:
+    newer = a_record(key="new", ended_at=99.0)
+    refused = a_record(status=401, key="new", sent_at=99.5)
+    journal = Journal(records=[newer, refused], key_versions={"new": 4})
+    assert any(line.startswith("settings") for line in check(journal, Site()))  # type: ignore[arg-type]
+
+
+def test_a_server_that_leaves_must_get_nothing_new_when_all_is_calm() -> None:
+    late = 100.0 + DRAIN_SECONDS + 1.0
+    record = a_record(sent_at=late - 0.01)
+    assert broken(record, ("q", late), leaving={"i-1": 100.0})
+    fault = Fault("pause", "d0", 100.5, 101.0)
+    assert not broken(record, ("q", late), leaving={"i-1": 100.0}, faults=[fault])
+
+
+def test_a_planned_stop_must_cut_nobody_when_all_is_calm() -> None:
+    record = a_record(status=None, whole=False, error="cut", ended_at=101.0)
+    assert broken(record, stopped={"d0.1": 100.5})
+    kill = Fault("kill", "d1", 100.0 - CONTACT_SECONDS / 2, 100.0)
+    assert not broken(record, stopped={"d0.1": 100.5}, faults=[kill])
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,12 +6,14 @@
 
 import pytest
 
+from bayglade import paths as paths_module
 from bayglade import streams
 from bayglade.control import RerouteOutcome
+from bayglade.exceptions import BackendRefused
 from bayglade.fleet import Fleet
 from bayglade.ids import HallName
 from bayglade.paths import Paths
-from bayglade.streams import LEAVE_SPREAD_SECONDS, Run, _leave_stages
+from bayglade.streams import LEAVE_SPREAD_SECONDS, SHORT_SECONDS, Run, _leave_stages, _note_failure
 from tests.test_tiling import SERVICE, pipeline, placed, servers
 
 
@@ -89,3 +91,46 @@
     scene.look()
     scene.look(LEAVE_SPREAD_SECONDS)
     assert scene.rerouted == []
+
+
+class Refused:
+    """A call whose sending was turned away by a stage of its path."""
+
+    def __init__(self, scene: Scene, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.scene = scene
+        self.examined: list[Any] = []
+        diagnosis = SimpleNamespace(examine=self.examined.append)
+        scene.peers.diagnosis = diagnosis
+        monkeypatch.setattr(streams.eventlet, "spawn_n", lambda act, *arguments: act(*arguments))
+        monkeypatch.setattr(paths_module, "now", lambda: scene.at)
+
+    def by(self, server: Any) -> frozenset[Any]:
+        error = BackendRefused("full", step="answer", peer="p", at_fault=server.facts.address)
+        return _note_failure(self.scene.peers, self.scene.call, self.scene.run.path, error)
+
+
+def test_a_stage_that_did_not_take_part_is_asked_whether_it_lives(monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = Scene(monkeypatch)
+    refused = Refused(scene, monkeypatch)
+    behind = scene.run.path.servers[2]
+    assert refused.by(behind) == {behind.facts.id}
+    assert refused.examined == [[behind]]
+
+
+def test_a_first_stage_that_refuses_has_answered_and_is_not_asked(monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = Scene(monkeypatch)
+    refused = Refused(scene, monkeypatch)
+    refused.by(scene.run.path.servers[0])
+    assert refused.examined == []
+
+
+def test_a_path_whose_stage_turned_a_call_away_counts_as_full_for_a_moment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scene = Scene(monkeypatch)
+    refused = Refused(scene, monkeypatch)
+    assert not scene.peers.paths.full(scene.run.path)
+    refused.by(scene.run.path.servers[2])
+    assert scene.peers.paths.full(scene.run.path)
+    scene.at += SHORT_SECONDS
+    assert not scene.peers.paths.full(scene.run.path)
--- a/tests/test_tiling.py
+++ b/tests/test_tiling.py
@@ -302,3 +302,28 @@
     empty = servers(b={"small": 1})[0]
     span = fill(held, [empty], model)[empty.id]
     assert span.first >= 30
+
+
+def test_several_chains_of_a_hall_hold_few_layers_a_server_and_many_requests() -> None:
+    model = msgspec.structs.replace(pipeline(), typical_prompt=770, typical_answer=140)
+    held = placed(servers(a={"big": 4, "middle": 9, "small": 14}), model)
+    paths = hall_paths(held, model)
+    assert len(paths) >= 2
+    for path in paths:
+        rooms = [
+            model.room(s.facts.accelerator or "", s.facts.held, stage.last - stage.first)
+            for s, stage in zip(path.servers, path.route.stages, strict=True)
+        ]
+        # Pairs would leave less than the wanted room on the quick ones.
+        assert min(rooms) > 1.5 * model.token_capacity
+        assert path.capacity <= 96
+
+
+def test_a_server_that_comes_back_holds_no_more_than_its_kind_does() -> None:
+    model = pipeline()
+    held = placed(servers(a={"big": 4, "middle": 9, "small": 14}), model)
+    lost = held[0].facts
+    length = lost.held
+    empty = msgspec.structs.replace(lost, id=BackendId("new"), first=0, last=0)
+    span = fill([s.facts for s in held[1:]], [empty], model)[empty.id]
+    assert span.length <= length
