--- a/bayglade/beliefs.py
+++ b/bayglade/beliefs.py
@@ -9,7 +9,7 @@
 
 from bayglade.fleet import Fleet, Server
 from bayglade.ids import BackendId, HallName, MemberId, ServiceName
-from bayglade.paths import Path
+from bayglade.pathfinding import Path
 
 
 class ServerBelief(msgspec.Struct, frozen=True):
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -28,7 +28,8 @@
 from bayglade.lines import Lines
 from bayglade.logs import event
 from bayglade.metrics import Metrics
-from bayglade.paths import Path, Paths
+from bayglade.pathfinding import Path
+from bayglade.paths import Paths
 from bayglade.retries import RetryBudget, spread_retry_after
 from bayglade.upstream import FRESH_SECONDS, IDLE_SECONDS, Exchange, Links, open_exchange
 
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -19,7 +19,7 @@
 from bayglade.ids import BackendId
 from bayglade.listener import Connection
 from bayglade.logs import event
-from bayglade.paths import Path
+from bayglade.pathfinding import Path
 from bayglade.pipelines import Pipeline
 from bayglade.relay import Attempts, Peers, answer_head, send
 from bayglade.upstream import Exchange
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from bayglade import pathfinding, streams
 from bayglade import paths as paths_module
-from bayglade import streams
 from bayglade.control import RerouteOutcome
 from bayglade.exceptions import BackendRefused
 from bayglade.fleet import Fleet
@@ -103,6 +103,7 @@
         scene.peers.diagnosis = diagnosis
         monkeypatch.setattr(streams.eventlet, "spawn_n", lambda act, *arguments: act(*arguments))
         monkeypatch.setattr(paths_module, "now", lambda: scene.at)
+        monkeypatch.setattr(pathfinding, "now", lambda: scene.at)
 
     def by(self, server: Any) -> frozenset[Any]:
         error = BackendRefused("full", step="answer", peer="p", at_fault=server.facts.address)
--- a/tests/test_tiling.py
+++ b/tests/test_tiling.py
@@ -11,7 +11,8 @@
 from bayglade import paths as paths_module
 from bayglade.fleet import Fleet, Server, ServerFacts
 from bayglade.ids import BackendId, HallName, ModelName, ServiceName
-from bayglade.paths import Path, Paths, find_path, find_paths, hall_paths
+from bayglade.pathfinding import MAX_PATHS, Path, find_path, find_paths, hall_paths
+from bayglade.paths import Paths
 from bayglade.pipelines import Accelerator, Pipeline
 from bayglade.tiling import Span, fill, groups, mend, missing, tile
 
@@ -293,7 +294,7 @@
     assert len(used) == len(set(used))
     assert all(tiles(path, 12) for path in paths)
     holders = [sum(s.facts.first <= n < s.facts.last for s in found) for n in range(12)]
-    assert len(paths) == min(paths_module.MAX_PATHS, *holders)
+    assert len(paths) == min(MAX_PATHS, *holders)
 
 
 def test_an_empty_server_goes_where_fewest_hold() -> None:
