--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -48,7 +48,7 @@
         for daemon in site.fleet:
             daemon.process.wait_ready()
         site.wait_placed()
-        asking = Callers(journal, site.choose, lambda: list(site.keys), seed)
+        asking = Callers(journal, site.choose, lambda: list(site.keys), lambda: list(site.old_keys), seed)
         wait_for("all is served", lambda: _served(asking, site), RECOVER_SECONDS)
         asking.start(callers)
         Faults(site, journal, seed).run(seconds)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,6 +15,7 @@
 """How long a caller waits for more of an answer; the stand-in's longest route takes 5 s."""
 REQUESTS_A_CONNECTION = 12
 PAUSE_SECONDS = 0.05
+OLD_KEY_PART = 0.25
 LEAVE_EVERY = 11
 """Of so many requests one is left by its caller when it is a stream."""
 METHODS = {Kind.STREAM: "POST", Kind.REPEATABLE: "GET", Kind.ONCE: "POST"}
@@ -31,13 +32,22 @@
     :param journal: takes what they see.
     :param choose: the balancer.
     :param keys: returns the keys that callers may use now.
+    :param old_keys: returns keys that were taken away, which some callers still use.
     :param seed: of their choices.
     """
 
-    def __init__(self, journal: Journal, choose: Choose, keys: Callable[[], list[str]], seed: int) -> None:
+    def __init__(
+        self,
+        journal: Journal,
+        choose: Choose,
+        keys: Callable[[], list[str]],
+        old_keys: Callable[[], list[str]],
+        seed: int,
+    ) -> None:
         self.journal = journal
         self.choose = choose
         self.keys = keys
+        self.old_keys = old_keys
         self.seed = seed
         self.stopping = threading.Event()
         self.threads: list[threading.Thread] = []
@@ -122,7 +132,9 @@
             time.sleep(PAUSE_SECONDS)
             return
         for _ in range(REQUESTS_A_CONNECTION):
-            kind, key = rng.choice(list(Kind)), rng.choice(self.keys())
+            old = self.old_keys()
+            keys = old if old and rng.random() < OLD_KEY_PART else self.keys()
+            kind, key = rng.choice(list(Kind)), rng.choice(keys)
             record = self.ask(connection, daemon, kind, key)
             if self.stopping.is_set() or not record.whole or connection.sock is None:
                 break
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,8 @@
 PAUSES = (0.2, 1.2)
 """Seconds between the starts of two faults."""
 LASTS = (0.3, 4.0)
+LINK_LASTS = (0.3, 9.0)
+"""Long enough that what a daemon knows of keys may grow too old."""
 STREAM_FAULTS = ("refuse", "elsewhere", "partial", "reset")
 WHOLE_FAULTS = (
     "refuse",
@@ -158,7 +160,8 @@
 
 def link(faults: Faults) -> None:
     """Harm a connection between two sides, one way or both."""
-    rng, lasts = faults.rng, faults.lasts()
+    rng = faults.rng
+    lasts = rng.uniform(*LINK_LASTS)
     target = rng.choice(list(faults.site.proxies.links.values()))
     how = rng.choice(LINK_FAULTS)
     delay = rng.uniform(0.02, 0.6)
--- a/soak/site.py
+++ b/soak/site.py
@@ -3,6 +3,7 @@
 import itertools
 import threading
 import time
+from collections import deque
 
 from soak.proxy import Proxies
 from standins.users import KEY, Daemon, Replica, UsersSite, quietly
@@ -10,6 +11,7 @@
 SPARE_SERVERS = 3
 """Servers of each service that must be left when one is taken."""
 KEYS_KEPT = 3
+OLD_KEYS = 2
 
 
 class SoakDaemon:
@@ -77,6 +79,9 @@
         self.proxies = Proxies()
         self.numbers = itertools.count(100)
         self.keys = [KEY]
+        self.old_keys: deque[str] = deque(maxlen=OLD_KEYS)
+        """Keys that were taken away lately; callers go on using them now and then."""
+
         super().__init__(halls=2, stages=6, plain=5, front=self.proxies.front)
         self.fleet = [SoakDaemon(self, number) for number in range(daemons)]
 
@@ -112,6 +117,7 @@
         if len(self.keys) <= KEYS_KEPT:
             return None
         key = self.keys.pop(0)
+        self.old_keys.append(key)
         self.configure(tuple(self.keys))
         return key
 
