--- a/bayglade/news.py
+++ b/bayglade/news.py
@@ -189,11 +189,6 @@
         else:
             self._ask(member)
 
-    def forget(self, member: MemberId) -> None:
-        """Drop what is under way with a daemon that is gone."""
-        self.asked.pop(member, None)
-        self.waiting.pop(member, None)
-
     def _ask(self, reader: MemberId) -> None:
         self.numbers += 1
         self.asked[reader] = Asked(self.numbers)
