Name the sharing of updates by the usual term: fan-out

The module, its class and messages were called news, newsroom, ask; readers of the code know fan-out, poll and update.

--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -133,8 +133,8 @@
         self.back: list[BackendId] = []
         """Stages found to answer again since the last heartbeat."""
 
-        self.on_ask: Callable[[MemberId, wire.Ask], None] = lambda member, ask: None
-        self.on_news: Callable[[MemberId, wire.News], None] = lambda member, news: None
+        self.on_poll: Callable[[MemberId, wire.Poll], None] = lambda member, poll: None
+        self.on_updates: Callable[[MemberId, wire.Updates], None] = lambda member, updates: None
         self.on_borrow: Callable[[MemberId, wire.Borrow], None] = lambda member, message: None
         self.on_lent: Callable[[MemberId, wire.Lent], None] = lambda member, message: None
         self.fetch_after = 0.0
@@ -316,10 +316,10 @@
         elif isinstance(message, wire.Fetch):
             if member is not None:
                 member.push(self._settings_for(message.have))
-        elif isinstance(message, wire.Ask):
-            self.on_ask(sender, message)
-        elif isinstance(message, wire.News):
-            self.on_news(sender, message)
+        elif isinstance(message, wire.Poll):
+            self.on_poll(sender, message)
+        elif isinstance(message, wire.Updates):
+            self.on_updates(sender, message)
         elif isinstance(message, wire.Borrow):
             self.on_borrow(sender, message)
         elif isinstance(message, wire.Lent):
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -93,15 +93,15 @@
     patch: bytes
 
 
-class Ask(msgspec.Struct, frozen=True, tag="a", array_like=True):
-    """Asks a reader of the platform's tables for news, to be answered when there is any."""
+class Poll(msgspec.Struct, frozen=True, tag="a", array_like=True):
+    """Asks a reader of the platform's tables for updates, to be answered when there is any."""
 
     number: int
     have: dict[str, int]
     """Version known of each table; a table that is left out is wanted whole."""
 
 
-class TableNews(msgspec.Struct, frozen=True, array_like=True):
+class TableUpdate(msgspec.Struct, frozen=True, array_like=True):
     """Rows of one table."""
 
     after: int | None
@@ -115,8 +115,8 @@
     """Packed."""
 
 
-class News(msgspec.Struct, frozen=True, tag="n", array_like=True):
-    """Answers a question for news."""
+class Updates(msgspec.Struct, frozen=True, tag="n", array_like=True):
+    """Answers a poll."""
 
     number: int
     """That of the question."""
@@ -127,7 +127,7 @@
     proof_age: float
     """Seconds since the reader asked the store for something that it has an answer to."""
 
-    tables: dict[str, TableNews]
+    tables: dict[str, TableUpdate]
 
 
 class Borrow(msgspec.Struct, frozen=True, tag="w", array_like=True):
@@ -145,7 +145,7 @@
     amount: int
 
 
-Message = Heartbeat | Fetch | Document | Patch | Ask | News | Borrow | Lent
+Message = Heartbeat | Fetch | Document | Patch | Poll | Updates | Borrow | Lent
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/bayglade/news.py
+++ b/bayglade/fanout.py
@@ -1,4 +1,4 @@
-"""News: what daemons of one data hall tell each other of the platform's tables.
+"""Fan-out: what daemons of one data hall tell each other of the platform's tables.
 
 Every call of the platform's store is paid for and draws on a rate that all
 daemons share. In a hall of many daemons a few of them, its readers, follow the
@@ -6,7 +6,7 @@
 follower asks all readers of its hall, so that one that is lost or cut off from
 the store delays nobody. A follower that hears too little reads the store itself.
 
-How old the news is, is never taken from another daemon's clock: a reader tells
+How old an update is, is never taken from another daemon's clock: a reader tells
 how long the question lay there and how old its knowledge was when it answered,
 and the follower counts from when it asked.
 """
@@ -17,7 +17,7 @@
 import msgspec
 
 from bayglade.clock import now
-from bayglade.entries.wire import Ask, Message, News, TableNews
+from bayglade.entries.wire import Message, Poll, TableUpdate, Updates
 from bayglade.exceptions import PeerError
 from bayglade.feeds import Feed
 from bayglade.ids import HallName, MemberId
@@ -29,7 +29,7 @@
 READERS = 2
 """Readers of a hall: the second serves while the first is lost."""
 READER_WAIT_PART = 0.4
-"""Part of the bound on news of leaving servers that a reader's call waits: its followers hear
+"""Part of the bound on word of leaving servers that a reader's call waits: its followers hear
 from it that often at least."""
 FOLLOWER_REST_PART = 0.7
 """Part of that bound after which a follower that heard nothing reads the store."""
@@ -71,20 +71,20 @@
 
 
 class Waiting:
-    """A question of another daemon that waits here for news; the time is monotonic."""
+    """A question of another daemon that waits here for updates; the time is monotonic."""
 
-    __slots__ = ("ask", "since")
+    __slots__ = ("poll", "since")
 
-    def __init__(self, ask: Ask) -> None:
-        self.ask = ask
+    def __init__(self, poll: Poll) -> None:
+        self.poll = poll
         self.since = now()
 
     def __repr__(self) -> str:
-        return f"<Waiting {self.ask.number}>"
+        return f"<Waiting {self.poll.number}>"
 
 
-class Newsroom:
-    """The news as one daemon asks for it and tells it.
+class Fanout:
+    """Updates of tables, as one daemon polls for them and passes them on.
 
     :param feeds: the tables, by name.
     :param proof: the feed whose answers show that a reader reaches the store.
@@ -104,21 +104,21 @@
         self.numbers = 0
         self.asked: dict[MemberId, Asked] = {}
         self.waiting: dict[MemberId, Waiting] = {}
-        self.packed: dict[tuple[str, int | None], tuple[int, TableNews]] = {}
+        self.packed: dict[tuple[str, int | None], tuple[int, TableUpdate]] = {}
         """What was packed last, by table and the version asked from, with its own version."""
 
         for feed in feeds.values():
             feed.on_answer = self.tell
 
     def __repr__(self) -> str:
-        return f"<Newsroom reading={self.reading} readers={self.readers}>"
+        return f"<Fanout reading={self.reading} readers={self.readers}>"
 
     def assign(self, me: MemberId, daemons: Mapping[MemberId, HallName]) -> set[MemberId]:
         """Take in who the daemons are.
 
         :param me: this daemon.
         :param daemons: all daemons with their halls.
-        :return: the daemons to which this one needs a stream for news.
+        :return: the daemons to which this one needs a stream for updates.
         """
         hall = daemons.get(me)
         readers = readers_of(daemons).get(hall, []) if hall is not None else []
@@ -135,7 +135,7 @@
         return (followers | all_readers) - {me}
 
     def rest(self, seconds: float) -> None:
-        """Set for how long news from readers is enough, in seconds."""
+        """Set for how long updates from readers are enough, in seconds."""
         for feed in self.feeds.values():
             feed.rest_seconds = seconds if self.readers else 0.0
 
@@ -154,31 +154,31 @@
         for member in list(self.waiting):
             self._answer(member)
 
-    def heard_ask(self, member: MemberId, ask: Ask) -> None:
+    def heard_poll(self, member: MemberId, poll: Poll) -> None:
         """Take in a question; it waits until there is something to tell.
 
         :param member: who asks.
-        :param ask: the question.
+        :param poll: the question.
         """
         if not self.reading:
             return
-        self.waiting[member] = Waiting(ask)
-        if any((feed.version or 0) > ask.have.get(name, 0) for name, feed in self.feeds.items()):
+        self.waiting[member] = Waiting(poll)
+        if any((feed.version or 0) > poll.have.get(name, 0) for name, feed in self.feeds.items()):
             self._answer(member)
 
-    def heard_news(self, member: MemberId, news: News) -> None:
+    def heard_updates(self, member: MemberId, updates: Updates) -> None:
         """Take in an answer, and ask again.
 
         :param member: the reader.
-        :param news: what it tells.
+        :param updates: what it tells.
         """
         asked = self.asked.get(member)
-        if asked is None or asked.number != news.number:
+        if asked is None or asked.number != updates.number:
             # The answer to an earlier question: how old it is, is not known.
             return
-        answered = asked.at + news.waited
-        told_at = answered - news.proof_age
-        for name, table in news.tables.items():
+        answered = asked.at + updates.waited
+        told_at = answered - updates.proof_age
+        for name, table in updates.tables.items():
             feed = self.feeds.get(name)
             if feed is not None:
                 changes = Changes(unpack(table.rows), table.version)
@@ -193,23 +193,23 @@
         self.numbers += 1
         self.asked[reader] = Asked(self.numbers)
         have = {name: feed.version for name, feed in self.feeds.items() if feed.version is not None}
-        self.push(reader, Ask(self.numbers, have))
+        self.push(reader, Poll(self.numbers, have))
 
     def _answer(self, member: MemberId) -> None:
         if any(feed.failing_since is not None or feed.version is None for feed in self.feeds.values()):
             # The question keeps waiting; its sender reads the store itself after a while.
             return
         waiting = self.waiting.pop(member)
-        have = waiting.ask.have
+        have = waiting.poll.have
         tables = {name: self._table(name, feed, have.get(name)) for name, feed in self.feeds.items()}
-        self.push(member, News(waiting.ask.number, now() - waiting.since, self.proof.age(), tables))
+        self.push(member, Updates(waiting.poll.number, now() - waiting.since, self.proof.age(), tables))
 
-    def _table(self, name: str, feed: Feed, have: int | None) -> TableNews:
-        """Return the news of one table; packed once for all that ask from one version."""
+    def _table(self, name: str, feed: Feed, have: int | None) -> TableUpdate:
+        """Return the update of one table; packed once for all that ask from one version."""
         version, packed = self.packed.get((name, have), (-1, None))
         if packed is None or version != feed.version:
             changes, whole = feed.since(have)
-            packed = TableNews(None if whole else have, changes.version, 0.0, pack(changes.rows))
+            packed = TableUpdate(None if whole else have, changes.version, 0.0, pack(changes.rows))
             if len(self.packed) > len(self.feeds) * 8:
                 self.packed.clear()
             self.packed[name, have] = (changes.version, packed)
@@ -236,5 +236,5 @@
     try:
         plain = msgspec.msgpack.decode(zlib.decompress(data), type=dict[str, bytes | None])
     except (zlib.error, msgspec.DecodeError) as error:
-        raise PeerError(f"news make no sense: {error}", step="news") from error
+        raise PeerError(f"an update makes no sense: {error}", step="update") from error
     return {key: None if value is None else msgspec.Raw(value) for key, value in plain.items()}
--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -5,7 +5,7 @@
 acknowledged is known here: the time just before the last answered call was sent,
 or, when its whole wait passed without a change, the end of that wait.
 
-While another daemon tells of the table (see :mod:`bayglade.news`) and what it
+While another daemon tells of the table (see :mod:`bayglade.fanout`) and what it
 tells is fresh, a feed makes no calls of its own.
 """
 
@@ -22,7 +22,7 @@
 
 FIRST_PAUSE = 0.05
 MAX_PAUSE = 0.4
-"""Seconds between calls that fail: short against the bounds on news, long for a store in trouble."""
+"""Seconds between calls that fail: short against the bounds on updates, long for a store in trouble."""
 
 OLDEST_OF_WAIT = 1.3
 """Age that knowledge reaches at most while the store answers, in waits: after a change that
--- a/bayglade/lending.py
+++ b/bayglade/lending.py
@@ -3,7 +3,7 @@
 The users bound the repeated sendings of all daemons together. Divided among
 many daemons that is a few for each, while a lost backend server hits the
 requests of some. So most of the bound lies with the readers of the halls (see
-:mod:`bayglade.news`), and daemons borrow from theirs. What is lent counts as
+:mod:`bayglade.fanout`), and daemons borrow from theirs. What is lent counts as
 used at once, for as long as the bound's window and the life of the loan.
 """
 
@@ -12,8 +12,8 @@
 
 from bayglade.clock import now
 from bayglade.entries.wire import Borrow, Lent
+from bayglade.fanout import Fanout, Push
 from bayglade.ids import MemberId
-from bayglade.news import Newsroom, Push
 from bayglade.retries import RetryBudget
 
 POOLED_PART = 0.7
@@ -29,13 +29,13 @@
 class Pools:
     """The retries that this daemon lends, as a reader, and those it borrows.
 
-    :param newsroom: tells whether this daemon is a reader, and who its readers are.
+    :param fanout: tells whether this daemon is a reader, and who its readers are.
     :param push: sends a message to another daemon.
     :param window: seconds over which the bound counts.
     """
 
-    def __init__(self, newsroom: Newsroom, push: Push, window: float) -> None:
-        self.newsroom = newsroom
+    def __init__(self, fanout: Fanout, push: Push, window: float) -> None:
+        self.fanout = fanout
         self.push = push
         self.window = window
         self.floor = 0.0
@@ -95,7 +95,7 @@
         :param budget: this daemon's own for that service.
         """
         amount = self.lend(service, LOAN)
-        if not amount and self.newsroom.readers:
+        if not amount and self.fanout.readers:
             amount = self._ask(service)
         if amount:
             budget.borrowed(amount, now() + LOAN_SECONDS)
@@ -104,7 +104,7 @@
         self.numbers += 1
         number = self.numbers
         event = self.waiting[number] = Event()
-        reader = self.newsroom.readers[number % len(self.newsroom.readers)]
+        reader = self.fanout.readers[number % len(self.fanout.readers)]
         self.push(reader, Borrow(number, service, LOAN))
         try:
             with eventlet.Timeout(BORROW_SECONDS, False):
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -12,6 +12,7 @@
 from bayglade.entries import wire
 from bayglade.entries.membership import Membership
 from bayglade.entries.wire import Heartbeat, PathLoad
+from bayglade.fanout import FOLLOWER_REST_PART, READER_WAIT_PART, Fanout
 from bayglade.feeds import Feed
 from bayglade.fleet import Server
 from bayglade.ids import MemberId
@@ -19,7 +20,6 @@
 from bayglade.lending import POOLED_PART, Pools
 from bayglade.listener import listen
 from bayglade.logs import event
-from bayglade.news import FOLLOWER_REST_PART, READER_WAIT_PART, Newsroom
 from bayglade.relay import Peers
 from bayglade.retries import BUDGET_FLOOR, RetryBudget
 from bayglade.roster import MemberRow, join, read_members
@@ -63,10 +63,10 @@
         self.roster: dict[MemberId, MemberRow] = {}
         self.feed = Feed(store, table, ROSTER_WAIT, self._take_roster, ROSTER_PAUSE)
         self.membership: Membership | None = None
-        self.newsroom = Newsroom({**feeds, table: self.feed}, proof, self._push)
+        self.fanout = Fanout({**feeds, table: self.feed}, proof, self._push)
         self.proof_wait = proof.wait
         self.totals = Totals(config.member)
-        self.pools = Pools(self.newsroom, self._push, config.retry_window_seconds)
+        self.pools = Pools(self.fanout, self._push, config.retry_window_seconds)
         peers.borrow = self.pools.borrow
 
     def __repr__(self) -> str:
@@ -87,7 +87,7 @@
         while True:
             eventlet.sleep(WATCH_SECONDS)
             membership.watch()
-            self.newsroom.watch()
+            self.fanout.watch()
             for budget in self.peers.budgets.values():
                 budget.floor = self._floor()
 
@@ -117,7 +117,7 @@
 
     def _pooled(self) -> float:
         """Return the part of the bound that this gateway lends, as a reader."""
-        if not self.newsroom.reading:
+        if not self.fanout.reading:
             return 0.0
         readers = sum(len(names) for names in self.totals.readers.values())
         return POOLED_PART * BUDGET_PART * self.config.retry_floor / readers
@@ -135,8 +135,8 @@
             self.rng,
         )
         membership.loads = self._loads
-        membership.on_ask = self.newsroom.heard_ask
-        membership.on_news = self.newsroom.heard_news
+        membership.on_poll = self.fanout.heard_poll
+        membership.on_updates = self.fanout.heard_updates
         membership.on_borrow = self.pools.heard_borrow
         membership.on_lent = self.pools.heard_lent
         membership.fetch_after = FETCH_AFTER_SECONDS
@@ -155,13 +155,13 @@
         if self.membership is None:
             return
         halls = {name: row.hall for name, row in self.roster.items()}
-        also = self.newsroom.assign(self.config.member, halls)
+        also = self.fanout.assign(self.config.member, halls)
         self.totals.assign(halls)
         self.pools.assign(self._pooled())
         drain = self.config.drain_ms / 1000
-        self.newsroom.rest(FOLLOWER_REST_PART * drain)
-        reader_wait = READER_WAIT_PART * drain if self.newsroom.reading else self.proof_wait
-        self.newsroom.proof.wait = min(self.proof_wait, reader_wait)
+        self.fanout.rest(FOLLOWER_REST_PART * drain)
+        reader_wait = READER_WAIT_PART * drain if self.fanout.reading else self.proof_wait
+        self.fanout.proof.wait = min(self.proof_wait, reader_wait)
         self.membership.sync({name: row.address for name, row in self.roster.items()}, frozenset(also))
 
     def _push(self, member: MemberId, message: wire.Message) -> None:
--- a/bayglade/totals.py
+++ b/bayglade/totals.py
@@ -1,7 +1,7 @@
 """Totals: how many requests all daemons have under way, by the first stage they run on.
 
 Daemons tell their own counts with each heartbeat. Where there are too many for
-everybody to hear everybody, the readers of a hall (see :mod:`bayglade.news`)
+everybody to hear everybody, the readers of a hall (see :mod:`bayglade.fanout`)
 add up what they hear of it and tell each other and their hall the sums. A sum
 is some seconds old at most; whoever was not heard lately is left out.
 """
@@ -10,8 +10,8 @@
 
 from bayglade.clock import now
 from bayglade.entries.wire import Heartbeat, PathLoad
+from bayglade.fanout import readers_of
 from bayglade.ids import BackendId, HallName, MemberId
-from bayglade.news import readers_of
 
 FRESH_SECONDS = 3.5
 """How long what a daemon told counts: as long as it is taken to live."""
--- a/tests/test_news.py
+++ b/tests/test_fanout.py
@@ -1,16 +1,16 @@
-"""News between daemons of a hall: who reads, how old news is, and what happens when readers fall silent."""
+"""Fan-out of updates: who reads, how old an update is, and what happens when readers fall silent."""
 
 from collections.abc import Iterator
 
 import msgspec
 import pytest
 
-from bayglade import feeds, news
-from bayglade.entries.wire import Ask, News
+from bayglade import fanout, feeds
+from bayglade.entries.wire import Poll, Updates
 from bayglade.exceptions import PeerError, PlatformUnavailable
+from bayglade.fanout import FEW_DAEMONS, READERS, Fanout, pack, readers_of, unpack
 from bayglade.feeds import Feed, look_together
 from bayglade.ids import HallName, MemberId
-from bayglade.news import FEW_DAEMONS, READERS, Newsroom, pack, readers_of, unpack
 from bayglade.rows import Changes
 
 REST = 2.0
@@ -54,13 +54,13 @@
 
 
 class Daemon:
-    """One daemon: a feed of one table, what it took in, and its part in the news."""
+    """One daemon: a feed of one table, what it took in, and its part in passing updates on."""
 
     def __init__(self, table: Table) -> None:
         self.taken: dict[str, bytes | None] = {}
-        self.outbox: list[tuple[MemberId, Ask | News]] = []
+        self.outbox: list[tuple[MemberId, Poll | Updates]] = []
         self.feed = Feed(table, "t", 1.0, self._apply)
-        self.newsroom = Newsroom(
+        self.fanout = Fanout(
             {"t": self.feed}, self.feed, lambda m, message: self.outbox.append((m, message))
         )
 
@@ -69,7 +69,7 @@
             self.taken.clear()
         self.taken |= {k: None if v is None else bytes(v) for k, v in changes.rows.items()}
 
-    def sent(self) -> Ask | News:
+    def sent(self) -> Poll | Updates:
         return self.outbox.pop(0)[1]
 
 
@@ -77,7 +77,7 @@
 def clock(monkeypatch: pytest.MonkeyPatch) -> Iterator[Clock]:
     made = Clock()
     monkeypatch.setattr(feeds, "now", made.now)
-    monkeypatch.setattr(news, "now", made.now)
+    monkeypatch.setattr(fanout, "now", made.now)
     yield made
 
 
@@ -87,10 +87,10 @@
     table = Table()
     reader, follower = Daemon(table), Daemon(table)
     daemons = {MemberId(f"d{n}"): HallName("h") for n in range(FEW_DAEMONS + 1)}
-    reader.newsroom.assign(MemberId("d0"), daemons)
-    follower.newsroom.assign(MemberId("d5"), daemons)
-    follower.newsroom.readers = [MemberId("d0")]
-    follower.newsroom.rest(REST)
+    reader.fanout.assign(MemberId("d0"), daemons)
+    follower.fanout.assign(MemberId("d5"), daemons)
+    follower.fanout.readers = [MemberId("d0")]
+    follower.fanout.rest(REST)
     table.put("a", b"1")
     reader.feed._step()
     return table, reader, follower
@@ -98,13 +98,13 @@
 
 def exchange(reader: Daemon, follower: Daemon) -> None:
     """Carry one question and its answer over."""
-    follower.newsroom.watch()
+    follower.fanout.watch()
     ask = follower.sent()
-    assert isinstance(ask, Ask)
-    reader.newsroom.heard_ask(MemberId("d5"), ask)
+    assert isinstance(ask, Poll)
+    reader.fanout.heard_poll(MemberId("d5"), ask)
     answer = reader.sent()
-    assert isinstance(answer, News)
-    follower.newsroom.heard_news(MemberId("d0"), answer)
+    assert isinstance(answer, Updates)
+    follower.fanout.heard_updates(MemberId("d0"), answer)
 
 
 @pytest.mark.parametrize(
@@ -115,9 +115,9 @@
     assert len(readers_of(daemons).get(HallName("h"), [])) == readers
 
 
-def test_streams_for_news_are_mutual() -> None:
+def test_streams_for_updates_are_mutual() -> None:
     daemons = {MemberId(f"d{n}"): HallName(f"h{n % 2}") for n in range(20)}
-    wanted = {name: Daemon(Table()).newsroom.assign(name, daemons) for name in daemons}
+    wanted = {name: Daemon(Table()).fanout.assign(name, daemons) for name in daemons}
     assert all(name in wanted[other] for name in daemons for other in wanted[name])
     readers = {name for names in readers_of(daemons).values() for name in names}
     for name in daemons:
@@ -134,27 +134,27 @@
     table.put("a", b"2")
     table.put("b", b"3")
     clock.at += 1.0
-    follower.newsroom.watch()
-    reader.newsroom.heard_ask(MemberId("d5"), follower.sent())  # type: ignore[arg-type]
+    follower.fanout.watch()
+    reader.fanout.heard_poll(MemberId("d5"), follower.sent())  # type: ignore[arg-type]
     assert reader.outbox == []
     reader.feed._step()
-    follower.newsroom.heard_news(MemberId("d0"), reader.sent())  # type: ignore[arg-type]
+    follower.fanout.heard_updates(MemberId("d0"), reader.sent())  # type: ignore[arg-type]
     assert follower.taken == {"a": b"2", "b": b"3"}
     assert table.calls == 2
 
 
-def test_the_age_of_news_is_counted_from_the_question(
+def test_the_age_of_an_update_is_counted_from_the_question(
     hall: tuple[Table, Daemon, Daemon], clock: Clock
 ) -> None:
     _, reader, follower = hall
     clock.at += 0.5
-    follower.newsroom.watch()
+    follower.fanout.watch()
     ask = follower.sent()
     clock.at += 3.0
-    reader.newsroom.heard_ask(MemberId("d5"), ask)  # type: ignore[arg-type]
+    reader.fanout.heard_poll(MemberId("d5"), ask)  # type: ignore[arg-type]
     answer = reader.sent()
     clock.at += 4.0
-    follower.newsroom.heard_news(MemberId("d0"), answer)  # type: ignore[arg-type]
+    follower.fanout.heard_updates(MemberId("d0"), answer)  # type: ignore[arg-type]
     # Only the time between the question and the answer is known to have passed at the reader:
     # none, and its own knowledge was 3.5 seconds old.
     assert follower.feed.age() == pytest.approx(7.0 + 3.5)
@@ -165,21 +165,21 @@
     hall: tuple[Table, Daemon, Daemon], clock: Clock
 ) -> None:
     _, reader, follower = hall
-    follower.newsroom.watch()
-    reader.newsroom.heard_ask(MemberId("d5"), follower.sent())  # type: ignore[arg-type]
+    follower.fanout.watch()
+    reader.fanout.heard_poll(MemberId("d5"), follower.sent())  # type: ignore[arg-type]
     late = reader.sent()
     clock.at += 2.0
-    follower.newsroom.watch()
-    follower.newsroom.heard_news(MemberId("d0"), late)  # type: ignore[arg-type]
+    follower.fanout.watch()
+    follower.fanout.heard_updates(MemberId("d0"), late)  # type: ignore[arg-type]
     assert follower.taken == {}
 
 
 def test_a_reader_without_the_store_tells_nothing(hall: tuple[Table, Daemon, Daemon], clock: Clock) -> None:
     _, reader, follower = hall
     reader.feed.failing_since = clock.at
-    follower.newsroom.watch()
-    reader.newsroom.heard_ask(MemberId("d5"), follower.sent())  # type: ignore[arg-type]
-    reader.newsroom.tell()
+    follower.fanout.watch()
+    reader.fanout.heard_poll(MemberId("d5"), follower.sent())  # type: ignore[arg-type]
+    reader.fanout.tell()
     assert reader.outbox == []
 
 
@@ -194,23 +194,23 @@
     assert follower.feed._rest_left() <= 0
 
 
-def test_news_do_not_end_an_outage(hall: tuple[Table, Daemon, Daemon], clock: Clock) -> None:
+def test_updates_do_not_end_an_outage(hall: tuple[Table, Daemon, Daemon], clock: Clock) -> None:
     _, reader, follower = hall
     exchange(reader, follower)
     follower.feed.failing_since = clock.at
     reader.feed.store.put("a", None)  # type: ignore[attr-defined]
     reader.feed._step()
     clock.at += 1.0
-    follower.newsroom.watch()
+    follower.fanout.watch()
     exchange_again = follower.sent()
-    reader.newsroom.heard_ask(MemberId("d5"), exchange_again)  # type: ignore[arg-type]
-    follower.newsroom.heard_news(MemberId("d0"), reader.sent())  # type: ignore[arg-type]
+    reader.fanout.heard_poll(MemberId("d5"), exchange_again)  # type: ignore[arg-type]
+    follower.fanout.heard_updates(MemberId("d0"), reader.sent())  # type: ignore[arg-type]
     assert follower.taken == {"a": b"1"}
     # What cannot be taken in is not asked for again at once.
     assert follower.outbox == []
 
 
-def test_an_answer_of_the_store_older_than_the_news_changes_nothing(
+def test_an_answer_of_the_store_older_than_an_update_changes_nothing(
     hall: tuple[Table, Daemon, Daemon], clock: Clock
 ) -> None:
     table, reader, follower = hall
@@ -265,6 +265,6 @@
 
 
 @pytest.mark.parametrize("data", [b"x", pack({"a": None})[:-2]], ids=["no zlib", "cut"])
-def test_news_that_make_no_sense_are_an_error(data: bytes) -> None:
+def test_updates_that_make_no_sense_are_an_error(data: bytes) -> None:
     with pytest.raises(PeerError):
         unpack(data)
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from bayglade import lending, news, retries
+from bayglade import fanout, lending, retries
 from bayglade.entries.wire import Borrow, Lent, Message
+from bayglade.fanout import FEW_DAEMONS, Fanout
 from bayglade.ids import HallName, MemberId
 from bayglade.lending import LOAN, LOAN_SECONDS, Pools
-from bayglade.news import FEW_DAEMONS, Newsroom
 from bayglade.retries import RetryBudget
 
 WINDOW = 10.0
@@ -29,17 +29,17 @@
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     made = Clock()
-    for module in (lending, news, retries):
+    for module in (fanout, lending, retries):
         monkeypatch.setattr(module, "now", made.now)
     return made
 
 
 def a_reader(clock: Clock) -> tuple[Pools, list[Message]]:
     sent: list[Message] = []
-    newsroom = Newsroom({}, None, lambda m, message: None)  # type: ignore[arg-type]
+    fanout = Fanout({}, None, lambda m, message: None)  # type: ignore[arg-type]
     daemons = {MemberId(f"d{n}"): HallName("h") for n in range(FEW_DAEMONS + 1)}
-    newsroom.assign(MemberId("d0"), daemons)
-    pools = Pools(newsroom, lambda m, message: sent.append(message), WINDOW)
+    fanout.assign(MemberId("d0"), daemons)
+    pools = Pools(fanout, lambda m, message: sent.append(message), WINDOW)
     pools.assign(FLOOR)
     return pools, sent
 
--- a/tests/test_totals.py
+++ b/tests/test_totals.py
@@ -4,8 +4,8 @@
 
 from bayglade import totals
 from bayglade.entries.wire import Heartbeat, PathLoad
+from bayglade.fanout import readers_of
 from bayglade.ids import BackendId, HallName, MemberId, Revision
-from bayglade.news import readers_of
 from bayglade.totals import FRESH_SECONDS, Totals
 
 HALLS = {MemberId(f"{hall}{n:02}"): HallName(hall) for hall in "ab" for n in range(10)}
