--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -14,6 +14,7 @@
 
 import eventlet
 import msgspec
+from eventlet.event import Event
 
 from bayglade.clock import now
 from bayglade.exceptions import HistoryGone, PlatformUnavailable
@@ -70,6 +71,12 @@
         self.rest_seconds = 0.0
         """For how long what another daemon told is fresh enough to make no call; 0 for never."""
 
+        self.max_pause = MAX_PAUSE
+        """Longest time between calls that fail, in seconds."""
+
+        self.back = Event()
+        """Sent when another daemon has an answer of the store while this one has none."""
+
         self.told_at = 0.0
         """When the daemon that told of the table had an answer of the store, at the earliest."""
 
@@ -114,8 +121,8 @@
                 self.version = None
             except PlatformUnavailable as error:
                 self._failed(error)
-                eventlet.sleep(pause)
-                pause = min(MAX_PAUSE, 2 * pause)
+                self._wait_for_store(pause)
+                pause = min(self.max_pause, 2 * pause)
             else:
                 pause = FIRST_PAUSE
 
@@ -149,7 +156,9 @@
         """
         if self.failing_since is not None:
             # Only an answer of the store itself ends an outage: entries that lapsed
-            # meanwhile are judged by when it came.
+            # meanwhile are judged by when it came. But now it is worth asking.
+            if not self.back.ready():
+                self.back.send()
             return
         gap = after is not None and (self.version is None or after > self.version)
         if gap:
@@ -200,6 +209,12 @@
             return 0.0
         return self.told_at + self.rest_seconds - now()
 
+    def _wait_for_store(self, seconds: float) -> None:
+        """Wait before a call is tried again, less when another daemon has an answer."""
+        self.back = Event()
+        with eventlet.Timeout(seconds, False):
+            self.back.wait()
+
     def _next_wait(self) -> float:
         """Return how long the next call may wait for a change."""
         return min(self.wait, max(LEAST_WAIT, OLDEST_OF_WAIT * self.wait - self.age()))
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -1,14 +1,16 @@
 """Fan-out of updates: who reads, how old an update is, and what happens when readers fall silent."""
 
+import time
 from collections.abc import Iterator
 
+import eventlet
 import msgspec
 import pytest
 
 from bayglade import fanout, feeds
 from bayglade.entries.wire import Poll, Updates
 from bayglade.exceptions import PeerError, PlatformUnavailable
-from bayglade.fanout import FEW_DAEMONS, READERS, Fanout, pack, readers_of, unpack
+from bayglade.fanout import FEW_DAEMONS, FOLLOWER_PAUSE, READERS, Fanout, pack, readers_of, unpack
 from bayglade.feeds import Feed, look_together
 from bayglade.ids import HallName, MemberId
 from bayglade.rows import Changes
@@ -206,6 +208,7 @@
     reader.fanout.heard_poll(MemberId("d5"), exchange_again)  # type: ignore[arg-type]
     follower.fanout.heard_updates(MemberId("d0"), reader.sent())  # type: ignore[arg-type]
     assert follower.taken == {"a": b"1"}
+    assert follower.feed.back.ready()
     # What cannot be taken in is not asked for again at once.
     assert follower.outbox == []
 
@@ -268,3 +271,21 @@
 def test_updates_that_make_no_sense_are_an_error(data: bytes) -> None:
     with pytest.raises(PeerError):
         unpack(data)
+
+
+def test_a_follower_asks_a_lost_store_seldom_until_a_reader_has_an_answer() -> None:
+    table = Table()
+    follower = Daemon(table)
+    follower.fanout.readers = [MemberId("d0")]
+    follower.fanout.rest(REST)
+    assert follower.feed.max_pause == FOLLOWER_PAUSE
+    started = time.monotonic()
+    waiting = eventlet.spawn(follower.feed._wait_for_store, 30.0)
+    eventlet.sleep(0)
+    follower.feed.failing_since = started
+    follower.feed.hear(Changes({}, 1), None, started, started)
+    waiting.wait()
+    assert time.monotonic() - started < 10.0
+    follower.fanout.readers = []
+    follower.fanout.rest(REST)
+    assert follower.feed.max_pause == feeds.MAX_PAUSE
