--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,8 +11,16 @@
 KEY, GONE_KEY = "key", "gone-key"
 
 
-def test_a_short_run_finds_nothing_broken() -> None:
-    result = run(seed=1, seconds=SECONDS, daemons=3, callers=4)
+SEEDS = {
+    1: "the short run of each CI",
+    5021: "layers ordered away under running streams: the stand-in dropped them at once",
+}
+"""Each seed that ever failed stays here, with its cause."""
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_short_run_finds_nothing_broken(seed: int) -> None:
+    result = run(seed=seed, seconds=SECONDS, daemons=3, callers=4)
     assert result.broken == []
     assert result.statuses.get("200", 0) > 50
     assert sum(result.faults.values()) >= 5
