--- a/standins/world.py
+++ b/standins/world.py
@@ -29,7 +29,9 @@
 """Seconds that a process may take to come up: with 30 tasks waiting for 8 cores one took more than
 15. How long it takes is not what is tested."""
 STOP_TIMEOUT = 60.0
+"""Seconds that a process may take to end once it was killed; not tested either."""
 WAIT_TIMEOUT = 15.0
+"""Seconds in which a condition that a test waits for has to hold."""
 POLL = 0.02
 PROGRAM = ("-m", "bayglade")
 CALLER_KEY = "caller-key"
