--- a/bayglade/beliefs.py
+++ b/bayglade/beliefs.py
@@ -26,12 +26,13 @@
 
 
 class PathBelief(msgspec.Struct, frozen=True):
-    """A path that requests may take."""
+    """The path that a usual request would take in a hall."""
 
-    number: int
     hall: HallName
     cost_ms: float
-    capacity: float
+    use: float
+    """Part of the KV cache of its fullest stage that is taken."""
+
     route: str
 
 
@@ -63,14 +64,13 @@
 def path_beliefs(paths: Sequence[Path]) -> list[PathBelief]:
     """Describe paths.
 
-    :param paths: the paths in use.
+    :param paths: the path of each hall.
     """
     return [
         PathBelief(
-            number=path.number,
             hall=path.hall,
             cost_ms=round(path.cost, 2),
-            capacity=round(path.capacity, 1),
+            use=round(path.use, 2),
             route=path.text(),
         )
         for path in paths
--- a/bayglade/calls.py
+++ b/bayglade/calls.py
@@ -9,6 +9,7 @@
 from bayglade.heads import Headers, Message
 from bayglade.ids import BackendId, GroupPath, RequestId, ServiceName
 from bayglade.models import Route
+from bayglade.pipelines import Demand, Pipeline
 
 
 class CallHead(msgspec.Struct, frozen=True, kw_only=True):
@@ -22,6 +23,11 @@
 
     prompt_tokens: int = 0
     answer_tokens: int = 0
+    """Tokens that the answer has at most."""
+
+    answer_hint: int | None = None
+    """Tokens that the caller expects; right in the median, and often far off."""
+
     last_event: int | None = None
     """The event after which a stream goes on."""
 
@@ -54,6 +60,19 @@
         return self.deadline - now()
 
 
+def demand_of(call: Call, pipeline: Pipeline) -> Demand:
+    """Return what a call asks of a model, as far as it is known before its answer.
+
+    :param call: the call.
+    :param pipeline: facts of the model, with the usual size of requests.
+    """
+    head = call.head
+    if not head.prompt_tokens:
+        return pipeline.usual()
+    expected = head.answer_hint if head.answer_hint is not None else pipeline.typical_answer
+    return Demand(float(head.prompt_tokens), float(min(head.answer_tokens, expected)))
+
+
 class Sending(msgspec.Struct, frozen=True, kw_only=True):
     """One sending of a call to a backend server."""
 
--- a/bayglade/commands.py
+++ b/bayglade/commands.py
@@ -165,7 +165,9 @@
             layers = f"[{server.first},{server.last})"
             self.line(f"  {server.backend} {server.hall} {layers:<9} {server.state} {server.in_flight}")
         for path in found.paths:
-            self.line(f"  path {path.number} in {path.hall}, {path.cost_ms} ms a token: {path.route}")
+            self.line(
+                f"  path in {path.hall}, {path.cost_ms} ms a token, {path.use:.0%} full: {path.route}"
+            )
 
 
 class ShowVersion(Command):
--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -1,19 +1,20 @@
 """Diagnosis: which stage of a path that stands still is dead, slow or cut off.
 
-A stalled stream tells only that some stage is missing. All stages of its path
-are asked for their reports at once; a stage that does not answer while the
-others do is suspect, and stays so until it answers again.
+A stalled stream tells only that some stage is missing or slow. Its first stage
+is asked, which names the stage that a request stands still for, and by turns
+the others; a stage that does not answer while others do is suspect, and stays
+so until it answers again.
 """
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import eventlet
 
 from bayglade.clock import now
 from bayglade.control import Control, StageReport
-from bayglade.fleet import Fleet, Server
-from bayglade.ids import BackendId
+from bayglade.fleet import SLOW_PACE, Fleet, Server
+from bayglade.ids import BackendId, RequestId
 from bayglade.logs import event
 
 ANSWER_SECONDS = 0.08
@@ -26,6 +27,9 @@
 """With more daemons than this each asks less often, and whoever finds a stage back tells the others."""
 SPREAD = 0.2
 """Part by which the time between questions varies, so that daemons do not ask all at once."""
+ASKED_BY_TURNS = 2
+"""Stages behind the first that are asked at each look. Each question is paid for, and a stream that
+stands still for a slow stage, which the first does not name, has found it after a few looks."""
 MAX_SILENT_PART = 0.5
 """When more stages than this are silent, the fault is more likely on this side."""
 
@@ -65,10 +69,28 @@
     def __repr__(self) -> str:
         return f"<Diagnosis {len(self.findings)} findings>"
 
-    def examine(self, servers: Iterable[Server]) -> frozenset[BackendId]:
-        """Ask all stages of a path, and suspect those that are silent.
+    def look(self, servers: Sequence[Server], request: RequestId) -> frozenset[BackendId]:
+        """Find out which stage of a path a request stands still for.
 
         :param servers: the servers of the path.
+        :param request: the request.
+        :return: the stages that are dead, as far as can be told.
+        """
+        behind = sorted(servers[1:], key=lambda server: self._asked_at(server.facts.id))
+        dead = self.examine([servers[0], *behind[:ASKED_BY_TURNS]])
+        report = self.findings[servers[0].facts.id].report
+        address = report.stalled.get(request) if report is not None else None
+        named = [server for server in behind[ASKED_BY_TURNS:] if server.facts.address == address]
+        return dead | self.examine(named) if named else dead
+
+    def _asked_at(self, backend: BackendId) -> float:
+        finding = self.findings.get(backend)
+        return finding.asked_at if finding is not None else 0.0
+
+    def examine(self, servers: Iterable[Server]) -> frozenset[BackendId]:
+        """Ask stages, and suspect those that are silent.
+
+        :param servers: the servers to ask.
         :return: the stages that are dead, as far as can be told.
         """
         stages = list(servers)
@@ -83,16 +105,18 @@
         return frozenset(server.facts.id for server in silent)
 
     def recheck(self) -> None:
-        """Ask suspect stages now and then whether they are back, for ever."""
+        """Ask suspect and slow stages now and then whether they are back, for ever."""
         while True:
             crowd = max(1.0, self.daemons() / RECHECK_DAEMONS)
             eventlet.sleep(RECHECK_SECONDS * crowd * self.rng.uniform(1 - SPREAD, 1 + SPREAD))
-            self.look_again(s for s in self.fleet.servers.values() if s.suspect and s.facts.held)
+            stages = [s for s in self.fleet.servers.values() if s.facts.held]
+            # Requests go round a slow stage, so none would notice that it is quick again.
+            self.look_again(s for s in stages if s.suspect or s.pace > SLOW_PACE)
 
     def look_again(self, servers: Iterable[Server]) -> None:
-        """Ask suspect stages whether they are back.
+        """Ask stages whether they are back.
 
-        :param servers: stages that are suspect.
+        :param servers: stages that are suspect or slow.
         """
         suspects = list(servers)
         findings = self._ask_all(suspects)
--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -121,10 +121,10 @@
         self.listed: set[MemberId] = {me}
         self.members: dict[MemberId, Member] = {}
         self.draining = False
-        self.loads: Callable[[], list[wire.PathLoad]] = list
+        self.loads: Callable[[], list[wire.ServerLoad]] = list
         """Returns what this daemon tells of its requests under way."""
 
-        self.sums: Callable[[], tuple[list[wire.PathLoad], list[wire.PathLoad]]] = lambda: ([], [])
+        self.sums: Callable[[], tuple[list[wire.ServerLoad], list[wire.ServerLoad]]] = lambda: ([], [])
         """Returns what a reader tells of its hall, and of all halls."""
 
         self.dead: list[BackendId] = []
@@ -144,7 +144,7 @@
         self.last_patch: wire.Patch | None = None
         self.beat_at = 0.0
         self.rows: list[GroupUsage] = []
-        self.told_sums: tuple[list[wire.PathLoad], list[wire.PathLoad]] = ([], [])
+        self.told_sums: tuple[list[wire.ServerLoad], list[wire.ServerLoad]] = ([], [])
         self.bytes_out = 0
         self.bytes_in = 0
 
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -38,11 +38,15 @@
     version: Version
 
 
-class PathLoad(msgspec.Struct, frozen=True, array_like=True):
-    """How many requests a daemon has under way whose first stage is a server."""
+class ServerLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon has under way on a server that holds layers."""
 
-    head: BackendId
-    in_flight: int
+    backend: BackendId
+    heads: int
+    """Requests whose first stage it is."""
+
+    cached: int
+    """What all its requests have in the KV cache there, in tokens times layers."""
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="b", array_like=True, kw_only=True):
@@ -56,17 +60,17 @@
     usage: list[GroupUsage]
     leaving: list[BackendId]
     held: list[Held]
-    loads: list[PathLoad] = []
+    loads: list[ServerLoad] = []
     dead: list[BackendId] = []
     """Stages that were found silent just now; others look for themselves."""
 
     back: list[BackendId] = []
     """Stages that were silent and answer again; others look for themselves."""
 
-    hall_loads: list[PathLoad] = []
+    hall_loads: list[ServerLoad] = []
     """The same as ``loads`` for all daemons of the sender's hall; told by its readers."""
 
-    all_loads: list[PathLoad] = []
+    all_loads: list[ServerLoad] = []
     """The same for all halls."""
 
 
--- a/bayglade/fairness.py
+++ b/bayglade/fairness.py
@@ -122,6 +122,16 @@
         _count(nodes, -1, -waiting.cost)
         return waiting
 
+    def restore(self, waiting: Waiting[EntryT]) -> None:
+        """Put an entry back that was taken out in vain, at the end where it was taken."""
+        nodes = self._nodes(waiting.group)
+        entries = nodes[-1].entries.setdefault(waiting.priority, deque())
+        if entries and waiting.queued_at > entries[0].queued_at:
+            entries.append(waiting)
+        else:
+            entries.appendleft(waiting)
+        _count(nodes, 1, waiting.cost)
+
     def all(self) -> list[Waiting[EntryT]]:
         """List every entry."""
         found: list[Waiting[EntryT]] = []
--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -16,6 +16,8 @@
 busy with a large document holds answers up for some tenths of a second."""
 MAX_SUSPECT_PART = 0.5
 """Part of a service's servers that may be suspect at once: a common cause must not take all."""
+SLOW_PACE = 1.5
+"""A server that says it is so many times slower than usual is asked again whether it still is."""
 PACE_STEP = 0.2
 """Changes of a server's pace below this are noise."""
 LAPSE_GRACE = 1.9
@@ -52,6 +54,7 @@
     """One backend server as this daemon knows it; times are monotonic seconds."""
 
     __slots__ = (
+        "cached",
         "facts",
         "failures",
         "in_flight",
@@ -66,6 +69,11 @@
     def __init__(self, facts: ServerFacts) -> None:
         self.facts = facts
         self.in_flight = 0
+        """Own requests whose first stage it is; for a plain service, all own requests."""
+
+        self.cached = 0.0
+        """What own requests have in its KV cache, in tokens times layers, as far as can be told."""
+
         self.failures = 0
         self.suspect = False
         """Set for a stage until it answers again."""
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -176,7 +176,7 @@
         paths = [
             path
             for service, pipeline in self.intake.pipelines().items()
-            for path in self.peers.paths.all(service, pipeline)
+            for path in self.peers.paths.of_halls(service, pipeline)
         ]
         return Beliefs(
             member=self.config.member,
--- a/bayglade/lines.py
+++ b/bayglade/lines.py
@@ -1,19 +1,39 @@
-"""Lines: requests that found the servers full wait here, in the order of their shares."""
+"""Lines: requests that found no room wait here, in the order of their shares.
+
+Whoever waits is given a place and not just a turn to look for one: places
+are sought for the request whose turn it is, and it stays first until there is one.
+"""
+
+from collections.abc import Callable
 
 import eventlet
 from eventlet.event import Event
 
 from bayglade.calls import Call
-from bayglade.clock import now
+from bayglade.clock import Decayed, now
 from bayglade.fairness import ShareOf, ShareQueue, Waiting
 from bayglade.ids import ServiceName
+from bayglade.pathfinding import Path
 from bayglade.settings import ROOT
 from bayglade.usage import Usage
 
 TURN_SECONDS = 0.06
-"""Time between turns while no own request ends: places become free on other daemons' requests too."""
-TURNS = 2
-"""Requests that get a turn at once: more would find the place of the first taken."""
+"""Time between looks while no own request ends: places become free on other daemons' requests too."""
+RATE_SECONDS = 3.0
+"""Time constant of the rate at which requests end: about as long as one runs."""
+
+Seek = Callable[[], Path | None]
+"""Returns a path with room that the request has taken, if there is one."""
+
+
+class Turn:
+    """A request that waits: how a place is sought for it, and who is told."""
+
+    __slots__ = ("granted", "seek")
+
+    def __init__(self, seek: Seek) -> None:
+        self.seek = seek
+        self.granted = Event()
 
 
 class Lines:
@@ -26,7 +46,8 @@
     def __init__(self, usage: Usage, share_of: ShareOf) -> None:
         self.usage = usage
         self.share_of = share_of
-        self.queues: dict[ServiceName, ShareQueue[Event]] = {}
+        self.queues: dict[ServiceName, ShareQueue[Turn]] = {}
+        self.ended: dict[ServiceName, Decayed] = {}
 
     def __repr__(self) -> str:
         return f"<Lines {self.waiting()} waiting>"
@@ -35,36 +56,62 @@
         """Return how many requests wait."""
         return sum(len(queue) for queue in self.queues.values())
 
-    def wait(self, call: Call, until: float) -> bool:
-        """Wait for a turn.
+    def busy(self, service: ServiceName) -> bool:
+        """Tell whether requests wait already, so that a new one goes behind them."""
+        return len(self._queue(service)) > 0
+
+    def expected_seconds(self, service: ServiceName) -> float:
+        """Return how long a new request would wait, as requests of this daemon end now."""
+        ended = self.ended.get(service)
+        rate = ended.rate(now()) if ended is not None else 0.0
+        return len(self._queue(service)) / rate if rate > 0 else 0.0
+
+    def wait(self, call: Call, seek: Seek, until: float) -> Path | None:
+        """Wait for a place.
 
         :param call: the request.
+        :param seek: looks for a place.
         :param until: when waiting ends, in monotonic seconds.
-        :return: whether its turn came.
+        :return: the path, taken; nothing when there was none in time.
         """
         queue = self._queue(call.service)
-        turn = Event()
+        turn = Turn(seek)
         waiting = Waiting(call.group or ROOT, call.priority, cost(call), until, turn)
         queue.push(waiting)
+        granted: Path | None = None
         try:
             with eventlet.Timeout(max(0.0, until - now()), False):
-                turn.wait()
-                return True
-            return False
-        finally:
-            queue.remove(waiting)
+                granted = turn.granted.wait()
+        except BaseException:
+            # The caller left: a place that was found in the same moment is given back.
+            if not queue.remove(waiting) and turn.granted.ready():
+                turn.granted.wait().release()
+                self.wake(call.service)
+            raise
+        if granted is None and not queue.remove(waiting):
+            # The place was found in the same moment as the time ended.
+            granted = turn.granted.wait()
+        return granted
+
+    def note_end(self, service: ServiceName) -> None:
+        """Note that a request has ended, and give its place to who waits."""
+        if service not in self.ended:
+            self.ended[service] = Decayed(RATE_SECONDS)
+        self.ended[service].add(1.0, now())
+        self.wake(service)
 
     def wake(self, service: ServiceName) -> None:
-        """Give turns: a place may be free."""
-        queue = self.queues.get(service)
-        for _ in range(TURNS):
-            waiting = queue.pop() if queue is not None else None
-            if waiting is None:
+        """Give places to those who wait, in their order, while there are any."""
+        queue = self._queue(service)
+        while (waiting := queue.pop()) is not None:
+            path = waiting.entry.seek()
+            if path is None:
+                queue.restore(waiting)
                 return
-            waiting.entry.send(None)
+            waiting.entry.granted.send(path)
 
     def run(self) -> None:
-        """Give turns now and then, for ever."""
+        """Look for places now and then, for ever."""
         while True:
             eventlet.sleep(TURN_SECONDS)
             for service, queue in self.queues.items():
@@ -75,7 +122,7 @@
         """Count the service of a call to its group."""
         self.usage.charge(call.group or ROOT, cost(call))
 
-    def _queue(self, service: ServiceName) -> ShareQueue[Event]:
+    def _queue(self, service: ServiceName) -> ShareQueue[Turn]:
         if service not in self.queues:
             self.queues[service] = ShareQueue(self.usage, self.share_of)
         return self.queues[service]
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -1,113 +1,104 @@
-"""Paths: those that one daemon uses, and which of them a request takes.
+"""Paths: which way through the model a request takes.
 
-A path inside one data hall is cheapest by far: every hop to another hall takes
-the pipe between them for each token. So paths are sought hall by hall, and only
-when no hall holds the whole model over all halls together; see
-:mod:`bayglade.pathfinding`.
+A path inside the caller's data hall comes first. When that hall is short of
+room or slow, the others are compared with it; only where no hall has a whole
+way, stages of several halls make up one. See :mod:`bayglade.pathfinding`.
 """
 
-from collections.abc import Callable, Iterable
-
-import eventlet
+from collections.abc import Callable
 
 from bayglade.clock import now
-from bayglade.fleet import Fleet, Server
+from bayglade.entries.wire import ServerLoad
+from bayglade.fleet import SLOW_PACE, Fleet, Server
 from bayglade.ids import BackendId, HallName, ServiceName
-from bayglade.logs import event
-from bayglade.pathfinding import (
-    FULL_USE,
-    Path,
-    by_hall,
-    find_detour,
-    find_path,
-    hall_paths,
-    mixed_path,
-)
-from bayglade.pipelines import Pipeline
+from bayglade.pathfinding import Path, Search, by_hall, find_detour, find_path
+from bayglade.pipelines import Demand, Pipeline
+from bayglade.pipes import Pipes
+
+SPILL_USE = 0.75
+"""How full the fullest stage of the own hall may be before other halls are compared with it."""
+ABROAD_FACTOR = 2.0
+"""How many times as costly the own hall must be before another one is taken, and a hall before a way
+over several: what is known of the others is a second old, and all daemons would move to the same one."""
+NO_LOAD = ServerLoad(BackendId(""), 0, 0)
 
 
 class Paths:
-    """The paths of one daemon, sought anew when the fleet has changed."""
+    """The paths of one daemon's requests."""
 
     def __init__(self, fleet: Fleet, hall: HallName) -> None:
         self.fleet = fleet
         self.hall = hall
-        self.known: dict[ServiceName, list[Path]] = {}
-        self.halls: dict[tuple[ServiceName, HallName], tuple[object, list[Path]]] = {}
-        """Paths of each hall, with what they were found for."""
-
-        self.valid: tuple[int, int] = (-1, -1)
-        self.elsewhere: Callable[[], dict[BackendId, int]] = dict
-        """Returns the requests that other daemons have under way, by first stage."""
+        self.pipes = Pipes()
+        self.elsewhere: Callable[[], dict[BackendId, ServerLoad]] = dict
+        """Returns what other daemons have under way on servers."""
 
     def __repr__(self) -> str:
-        return f"<Paths {self.known!r}>"
+        return f"<Paths in {self.hall}>"
 
     def choose(
         self,
         service: ServiceName,
         pipeline: Pipeline,
+        demand: Demand,
         without: frozenset[BackendId] = frozenset(),
         heads: frozenset[BackendId] | None = None,
     ) -> Path | None:
-        """Choose a path for one request.
+        """Choose a path for one request, with room on all its servers.
 
         :param service: the service whose servers hold the model.
         :param pipeline: facts of the model.
+        :param demand: the request.
         :param without: servers not to use.
         :param heads: the only servers that may be the first stage; any when left out.
-        :return: the path, or nothing when there is none.
+        :return: the path, not taken yet; nothing when there is none with room.
         """
-        paths = self.all(service, pipeline)
-        fitting = [
-            path
-            for path in paths
-            if without.isdisjoint(s.facts.id for s in path.servers)
-            and (heads is None or path.servers[0].facts.id in heads)
+        loads = self.elsewhere()
+        at = now()
+        usable = [
+            s
+            for s in self.fleet.usable(service)
+            if s.facts.id not in without
+            and s.short_until <= at
+            and _may_begin(s, loads.get(s.facts.id, NO_LOAD), heads)
         ]
-        if fitting:
-            loads = self.elsewhere()
-            return min(fitting, key=lambda p: p.score(self.hall, loads.get(p.servers[0].facts.id, 0)))
-        if not without or heads is not None:
-            return None
+        search = Search(pipeline, demand, _taken(loads))
+        halls = by_hall(usable)
+        own = find_path(halls.pop(self.hall, []), search)
+        if own is not None and own.use <= SPILL_USE and not any(s.pace > SLOW_PACE for s in own.servers):
+            return own
+        others = [path for servers in halls.values() if (path := find_path(servers, search)) is not None]
+        whole = _cheapest(own, min(others, key=lambda path: path.cost, default=None))
+        if whole is None or any(s.pace > SLOW_PACE for s in whole.servers):
+            return _cheapest(whole, self._crossing(usable, search))
+        return whole
+
+    def take(self, path: Path, pipeline: Pipeline) -> None:
+        """Count a request on the servers of its path and on the pipes that it crosses.
+
+        :param path: a path that was found just now; released when the request leaves it.
+        :param pipeline: facts of the model.
+        """
+        path.take()
+        self.pipes.sends((server.facts.hall for server in path.servers), pipeline, path.demand)
+
+    def covered(
+        self, service: ServiceName, pipeline: Pipeline, without: frozenset[BackendId] = frozenset()
+    ) -> bool:
+        """Tell whether servers hold all layers, whether or not they have room.
+
+        :param service: the service whose servers hold the model.
+        :param pipeline: facts of the model.
+        :param without: servers not to use.
+        """
         usable = [s for s in self.fleet.usable(service) if s.facts.id not in without]
-        return find_path(usable, pipeline)
-
-    def full(self, path: Path) -> bool:
-        """Tell whether a path holds more requests than fit, by its stages or by all daemons."""
-        elsewhere = self.elsewhere().get(path.servers[0].facts.id, 0)
-        return path.short(now()) or path.used(elsewhere) >= FULL_USE
-
-    def all(self, service: ServiceName, pipeline: Pipeline) -> list[Path]:
-        """List the paths of a service that are worth using now."""
-        usable = self.fleet.usable(service)
-        # Suspicion ends by time alone, which changes the number of usable servers.
-        valid = (self.fleet.changed, len(usable))
-        if valid != self.valid:
-            self.known.clear()
-            self.valid = valid
-        if service not in self.known:
-            self.known[service] = self._find(service, usable, pipeline)
-        return self.known[service]
-
-    def _find(self, service: ServiceName, usable: list[Server], pipeline: Pipeline) -> list[Path]:
-        """Find the paths anew, hall by hall, only where something has changed."""
-        paths: list[Path] = []
-        for hall, servers in by_hall(usable).items():
-            # Servers are compared by identity: those of an earlier listing are other objects.
-            mark = (pipeline, [(server, server.facts, server.pace) for server in servers])
-            if self.halls.get((service, hall), (None, []))[0] != mark:
-                found = hall_paths(servers, pipeline)
-                self.halls[service, hall] = (mark, found)
-                _tell(found)
-                # A hall takes some ten milliseconds: streams pass events in between.
-                eventlet.sleep(0)
-            paths += self.halls[service, hall][1]
-        mixed = mixed_path(usable, paths, pipeline)
-        if mixed is not None:
-            _tell([mixed])
-            paths.append(mixed)
-        return sorted(paths, key=lambda path: path.cost)
+        return find_path(usable, _unlimited(pipeline)) is not None
+
+    def of_halls(self, service: ServiceName, pipeline: Pipeline) -> list[Path]:
+        """List the path that a usual request would take in each hall now, cheapest first."""
+        search = Search(pipeline, pipeline.usual(), _taken(self.elsewhere()), limited=False)
+        found = [find_path(servers, search) for servers in by_hall(self.fleet.usable(service)).values()]
+        return sorted((path for path in found if path is not None), key=lambda path: path.cost)
 
     def detour(
         self, path: Path, service: ServiceName, pipeline: Pipeline, without: frozenset[BackendId]
@@ -118,27 +109,52 @@
         :param service: the service whose servers hold the model.
         :param pipeline: facts of the model.
         :param without: servers to avoid.
-        :return: the path, or nothing when the halls of the path have none.
+        :return: the path, not taken yet; nothing when there is none with room.
         """
         head = path.servers[0]
         if head.facts.id in without:
             return None
         usable = [s for s in self.fleet.usable(service) if s.facts.id not in without and s is not head]
-        # A detour over another hall moves all tokens so far through the pipe between them,
-        # which takes longer than reading them anew on a path of that hall.
+        search = Search(pipeline, path.demand, _taken(self.elsewhere()))
         halls = {server.facts.hall for server in path.servers}
-        here = [s for s in usable if s.facts.hall in halls]
-        return find_detour(path, here, pipeline)
-
-
-def _tell(paths: Iterable[Path]) -> None:
-    for path in paths:
-        event(
-            "INFO",
-            "path found",
-            path=path.number,
-            hall=path.hall,
-            cost_ms=round(path.cost, 1),
-            capacity=round(path.capacity),
-            route=path.text(),
-        )
+        here = find_detour(path, [s for s in usable if s.facts.hall in halls], search)
+        return here or self._crossing(usable, search, path)
+
+    def _crossing(self, usable: list[Server], search: Search, path: Path | None = None) -> Path | None:
+        """Find a path over several halls, or such a way behind the first stage of a path."""
+        pipeline, demand = search.pipeline, search.demand
+
+        def crossing(one: HallName, other: HallName) -> float:
+            return self.pipes.crossing_ms(one, other, pipeline, demand)
+
+        wide = Search(pipeline, demand, search.taken, crossing, search.limited)
+        return find_path(usable, wide) if path is None else find_detour(path, usable, wide)
+
+
+def _cheapest(near: Path | None, far: Path | None) -> Path | None:
+    """Return the near one of two paths, unless the far one is a good deal cheaper."""
+    if near is None or far is None:
+        return near or far
+    return near if near.cost <= ABROAD_FACTOR * far.cost else far
+
+
+def _taken(loads: dict[BackendId, ServerLoad]) -> Callable[[Server], float]:
+    def taken(server: Server) -> float:
+        load = loads.get(server.facts.id)
+        return server.cached + (load.cached if load is not None else 0.0)
+
+    return taken
+
+
+def _unlimited(pipeline: Pipeline) -> Search:
+    """Return a search that looks at nothing but which layers are held."""
+    return Search(pipeline, pipeline.usual(), lambda _: 0.0, lambda one, other: 0.0, limited=False)
+
+
+def _may_begin(server: Server, load: ServerLoad, heads: frozenset[BackendId] | None) -> bool:
+    """Tell whether a server may be used, given that it would be the first stage."""
+    if server.facts.first > 0:
+        return True
+    if heads is not None and server.facts.id not in heads:
+        return False
+    return server.in_flight + load.heads < server.facts.slots
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -11,7 +11,7 @@
 from bayglade.config import GatewayConfig, parse_address
 from bayglade.entries import wire
 from bayglade.entries.membership import Membership
-from bayglade.entries.wire import Heartbeat, PathLoad
+from bayglade.entries.wire import Heartbeat, ServerLoad
 from bayglade.fanout import FOLLOWER_REST_PART, READER_WAIT_PART, Fanout
 from bayglade.feeds import Feed
 from bayglade.fleet import Server
@@ -145,6 +145,7 @@
         self.peers.diagnosis.on_dead = self._tell_dead
         self.peers.diagnosis.on_back = self._tell_back
         self.peers.diagnosis.daemons = membership.count
+        self.peers.paths.pipes.daemons = membership.count
         return membership
 
     def _take_roster(self, changes: Changes, whole: bool) -> None:
@@ -168,11 +169,15 @@
         if self.membership is not None:
             self.membership.push(member, message)
 
-    def _loads(self) -> list[PathLoad]:
+    def _loads(self) -> list[ServerLoad]:
         servers = self.peers.fleet.servers.values()
-        return [PathLoad(s.facts.id, s.in_flight) for s in servers if s.facts.held and s.in_flight]
+        return [
+            ServerLoad(s.facts.id, s.in_flight, int(s.cached))
+            for s in servers
+            if s.facts.held and (s.in_flight or s.cached >= 1)
+        ]
 
-    def _sums(self) -> tuple[list[PathLoad], list[PathLoad]]:
+    def _sums(self) -> tuple[list[ServerLoad], list[ServerLoad]]:
         if not self.totals.reading():
             return [], []
         own = self._loads()
--- a/bayglade/pipelines.py
+++ b/bayglade/pipelines.py
@@ -2,7 +2,10 @@
 
 import msgspec
 
-from bayglade.ids import ModelName
+from bayglade.ids import HallName, ModelName
+
+LEAST_REQUEST = 100.0
+"""Tokens that a request takes at least, where the operator does not say what is usual."""
 
 
 class Accelerator(msgspec.Struct, frozen=True, kw_only=True):
@@ -18,6 +21,19 @@
     read_factor: float
 
 
+class Demand(msgspec.Struct, frozen=True):
+    """What a request asks of a model, in tokens."""
+
+    prompt: float
+    answer: float
+    """Tokens that its answer is expected to have."""
+
+    @property
+    def cached(self) -> float:
+        """Return the tokens in the KV cache on average while it runs: half of the answer is there."""
+        return self.prompt + self.answer / 2
+
+
 class Pipeline(msgspec.Struct, frozen=True, kw_only=True):
     """A model whose layers are spread over backend servers.
 
@@ -40,6 +56,41 @@
     accelerators: dict[str, Accelerator]
     typical_prompt: int = 0
     typical_answer: int = 0
+    request_ms: float = 0.0
+    """Time that each request of the usual size adds to a token step of all that run with it."""
+
+    hop_mb: float = 0.0
+    """What each token sends from one stage to the next."""
+
+    pipe_mbps: float = 0.0
+    """Rate of the pipe between two data halls; zero when it is not known."""
+
+    delays: dict[frozenset[HallName], float] = {}
+    """One way between two halls, in milliseconds."""
+
+    def delay_ms(self, one: HallName, other: HallName) -> float:
+        """Return the time of one way between two halls."""
+        return self.delays.get(frozenset((one, other)), 0.0)
+
+    def usual(self) -> Demand:
+        """Return a request of the usual size."""
+        if not self.typical_prompt and not self.typical_answer:
+            return Demand(LEAST_REQUEST, 0.0)
+        return Demand(float(self.typical_prompt), float(self.typical_answer))
+
+    def cache_size(self, accelerator: str, held: int) -> float:
+        """Return how much fits into the KV cache of a server.
+
+        :param accelerator: the kind.
+        :param held: how many layers lie there.
+        :return: tokens times layers.
+        """
+        return self.room(accelerator, held, 1)
+
+    @property
+    def usual_tokens(self) -> float:
+        """Return the tokens of a usual request at its end, prompt and answer."""
+        return max(LEAST_REQUEST, float(self.typical_prompt + self.typical_answer))
 
     def free_mb(self, accelerator: str, held: int) -> float:
         """Return the memory that is left for the KV cache.
--- a/bayglade/platform/calls.py
+++ b/bayglade/platform/calls.py
@@ -10,6 +10,7 @@
 DEADLINE = "X-Deadline-Ms"
 KEY = "X-Key"
 TOKENS = "X-Token-Counts"
+ANSWER_HINT = "Length-Hint"
 LAST_EVENT = "Last-Event-Id"
 GROUP = "X-Tenant"
 INSTANCE = "X-Expect-Instance"
@@ -47,6 +48,7 @@
             seconds=None if deadline is None else float(deadline) / 1000,
             prompt_tokens=prompt,
             answer_tokens=answer,
+            answer_hint=_hint(found.get(ANSWER_HINT.lower())),
             last_event=_event_id(found.get(LAST_EVENT.lower())),
         )
     except ValueError as error:
@@ -111,6 +113,11 @@
     return int(prompt), int(answer or 0)
 
 
+def _hint(text: str | None) -> int | None:
+    """Read the client's estimate of the tokens out; one that makes no sense is as good as none."""
+    return int(text) if text and text.isdigit() else None
+
+
 def _event_id(text: str | None) -> int | None:
     return int(text) if text and text.isdigit() else None
 
--- a/bayglade/platform/documents.py
+++ b/bayglade/platform/documents.py
@@ -58,6 +58,14 @@
     load_s: float = 0.0
 
 
+class DelayEntry(msgspec.Struct):
+    """Time of one way between two zones; the second name is a zone, not a version."""
+
+    one: str = msgspec.field(name="from")
+    other: str = msgspec.field(name="targetVersion")
+    delay_ms: float = 0.0
+
+
 class EngineEntry(msgspec.Struct):
     """Facts of the servers of a model."""
 
@@ -65,6 +73,11 @@
     kv_capacity: int = msgspec.field(name="kvCapacity", default=0)
     kv_token_bytes: float = msgspec.field(name="kvTokenBytes", default=0.0)
     step_ms: float = 0.0
+    per_seq_ms: float = 0.0  # a request that writes adds this to each step
+    context_per_k: float = 0.0  # and this for each 1,000 tokens of its context, in ms
+    act_bytes: float = 0.0  # a token's bytes from one stage to the next
+    pipe_mbps: float = 0.0  # between two zones, shared by all
+    delays: list[DelayEntry] = []
     read_per_s: float = 0.0
     loads_at_once: int = 1
     usual: dict[str, float] = {}
@@ -211,6 +224,8 @@
 
 def _pipeline(engine: EngineEntry) -> Pipeline:
     model = engine.models[0]
+    prompt, answer = engine.usual.get("prompt", 0.0), engine.usual.get("answer", 0.0)
+    context = prompt + answer / 2
     return Pipeline(
         model=ModelName(model.name),
         layers=engine.layers,
@@ -225,8 +240,15 @@
             kind.name: Accelerator(memory_mb=kind.mb, step_factor=kind.pace, read_factor=kind.read_x)
             for kind in engine.kinds
         },
-        typical_prompt=int(engine.usual.get("prompt", 0)),
-        typical_answer=int(engine.usual.get("answer", 0)),
+        typical_prompt=int(prompt),
+        typical_answer=int(answer),
+        request_ms=engine.per_seq_ms + engine.context_per_k * context / 1000,
+        hop_mb=engine.act_bytes / 1e6,
+        pipe_mbps=engine.pipe_mbps,
+        delays={
+            frozenset((HallName(entry.one), HallName(entry.other))): entry.delay_ms
+            for entry in engine.delays
+        },
     )
 
 
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -91,7 +91,7 @@
 class Attempts:
     """What has come of one call so far."""
 
-    __slots__ = ("call", "failure", "heads", "sent", "tried", "unknown", "unreached")
+    __slots__ = ("call", "failure", "full_for", "heads", "sent", "tried", "unknown", "unreached")
 
     def __init__(self, call: Call) -> None:
         self.call = call
@@ -102,6 +102,9 @@
         """Servers that the call was sent to, each once."""
 
         self.failure: BackendError | None = None
+        self.full_for: float | None = None
+        """Seconds until there may be room; nothing unless the call found none."""
+
         self.unknown = False
         """Whether one of the sendings may have run."""
 
@@ -112,10 +115,6 @@
         """Tell whether there is time left for the call, and reason to try."""
         return self.call.seconds_left() > 0 and self.unreached <= MAX_UNREACHED and self.sent < MAX_SENDINGS
 
-    def wants_room(self) -> bool:
-        """Tell whether the call may as well wait for room: nothing ran, and only room is lacking."""
-        return not self.sent or isinstance(self.failure, BackendRefused)
-
     def may_send(self, peers: Peers) -> bool:
         """Tell whether the call may be sent once more, and take that from the budget."""
         if not self.open():
@@ -169,8 +168,8 @@
             # The last failure alone may be a refusal, which says nothing of the sendings before.
             last = f": {self.failure.message}" if self.failure is not None else ""
             return BackendError(f"no whole answer{last}", step="relay")
-        if isinstance(self.failure, BackendRefused):
-            again = spread_retry_after(FULL_SECONDS, rng)
+        if isinstance(self.failure, BackendRefused) or self.full_for is not None:
+            again = spread_retry_after(max(FULL_SECONDS, self.full_for or 0.0), rng)
             return Overloaded("the servers are full", step="relay", retry_after=again)
         again = spread_retry_after(NO_ROUTE_SECONDS, rng)
         return NoRoute("no server can run this now", step="relay", retry_after=again)
@@ -217,7 +216,8 @@
         "sent",
         request=call.head.id,
         peer=facts.id,
-        path=path.number if path is not None else None,
+        path=path.text() if path is not None else None,
+        use=round(path.use, 2) if path is not None else None,
         after=last_event,
         left=round(call.seconds_left(), 3),
     )
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -10,11 +10,11 @@
 
 import eventlet
 
-from bayglade.calls import AnswerHead, Call
+from bayglade.calls import AnswerHead, Call, demand_of
 from bayglade.clock import now
 from bayglade.events import EventSplitter, event_id
 from bayglade.exceptions import BackendError, BackendRefused, BackendSilent, BackendUnreachable
-from bayglade.fleet import Server
+from bayglade.fleet import SLOW_PACE, Server
 from bayglade.heads import Message, end_to_end
 from bayglade.ids import BackendId
 from bayglade.listener import Connection
@@ -40,9 +40,6 @@
 SHORT_SECONDS = 0.25
 """How long a stage that turned a request away counts as full: a request ends there every few
 hundredths of a second, and the next one that is turned away says so again."""
-FIRST_WAIT_OF_AIM = 0.2
-"""Part of the aim that a call waits before it is offered to a path which seems full: a refusal
-takes from the budget for repeats, and a place may become free."""
 LEAVE_SPREAD_SECONDS = 1.0
 """Streams are moved off a leaving stage over this time, not all at once: each has its tokens
 read anew. A server that leaves serves on for two seconds and more."""
@@ -102,13 +99,31 @@
 
 
 class Run:
-    """One attempt at a stream: the path it is on and the exchange with its first stage."""
-
-    __slots__ = ("avoided", "exchange", "fleet_seen", "leave_at", "look_at", "look_pause", "path")
+    """One attempt at a stream: the path that it has taken and the exchange with its first stage."""
+
+    __slots__ = (
+        "avoided",
+        "begun",
+        "exchange",
+        "fleet_seen",
+        "leave_at",
+        "look_at",
+        "look_pause",
+        "path",
+        "slow_before",
+    )
 
-    def __init__(self, path: Path, exchange: Exchange) -> None:
+    def __init__(self, path: Path) -> None:
         self.path = path
-        self.exchange = exchange
+        self.exchange: Exchange
+        """Set once the request is sent."""
+
+        self.slow_before = _slow(path)
+        """Stages that were known to be slow when the path was taken."""
+
+        self.begun = False
+        """Whether an event has come of this attempt."""
+
         self.avoided: frozenset[BackendId] = frozenset()
         self.fleet_seen = -1
         """State of the fleet for which leaving stages were looked for."""
@@ -124,8 +139,15 @@
     def __repr__(self) -> str:
         return f"<Run on {self.path!r}>"
 
+    def move(self, path: Path) -> None:
+        """Leave the path for another one, which has been taken."""
+        self.path.release()
+        self.path = path
+        self.slow_before |= _slow(path)
+
     def moved_on(self) -> None:
         """Note that the stream goes on."""
+        self.begun = True
         self.look_at = 0.0
         self.look_pause = 0.0
 
@@ -154,56 +176,69 @@
     peers.lines.charge(call)
     avoided: frozenset[BackendId] = frozenset()
     while attempts.open():
-        path = peers.paths.choose(call.service, pipeline, avoided, attempts.only())
+        path = _find_place(peers, call, pipeline, attempts, delivery, avoided)
         if path is None:
-            # Full servers may have room by now; dead ones are left out by the fleet.
-            if not avoided or not _wait_for_turn(peers, call, attempts, delivery):
+            # Servers that failed may do by now; dead ones are left out by the fleet.
+            if not avoided or attempts.full_for is not None:
                 break
             avoided = frozenset()
             continue
-        full = attempts.wants_room() and peers.paths.full(path)
-        if full and _wait_for_room(peers, call, attempts, delivery):
-            avoided = frozenset()
-            continue
-        if not attempts.may_send(peers):
-            break
+        run = Run(path)
         try:
-            _attempt(peers, call, pipeline, path, delivery, attempts)
+            if not attempts.may_send(peers):
+                break
+            _attempt(peers, call, pipeline, run, delivery, attempts)
             _note_answer(peers, call, delivery, attempts)
             return
         except BackendError as error:
-            avoided |= _note_failure(peers, call, path, error)
+            avoided |= _note_failure(peers, call, run.path, error)
             if not attempts.failed(error):
                 break
         finally:
-            peers.lines.wake(call.service)
+            run.path.release()
+            peers.lines.note_end(call.service)
     raise attempts.error(peers.rng)
 
 
-def _wait_for_turn(peers: Peers, call: Call, attempts: Attempts, delivery: Delivery) -> bool:
-    """Wait until a server that was full may have room; tell whether to offer the call again.
+def _find_place(
+    peers: Peers,
+    call: Call,
+    pipeline: Pipeline,
+    attempts: Attempts,
+    delivery: Delivery,
+    avoided: frozenset[BackendId],
+) -> Path | None:
+    """Take a place on a path, at once or after a wait.
 
-    After another failure than a refusal there is nothing to wait for.
+    :return: the path, taken; nothing when there is none, or no room in time.
     """
-    if not isinstance(attempts.failure, BackendRefused):
-        return attempts.failure is not None
-    return _wait(peers, call, delivery, WAIT_SECONDS)
-
-
-def _wait_for_room(peers: Peers, call: Call, attempts: Attempts, delivery: Delivery) -> bool:
-    """Wait while all paths are full by what the daemons tell; false when it has to be tried all the same.
-
-    A call that was not offered yet waits for a short while only: what is told is
-    some seconds old.
-    """
-    seconds = WAIT_SECONDS if attempts.sent else FIRST_WAIT_OF_AIM * call.endpoint.aim
-    return _wait(peers, call, delivery, seconds)
-
-
-def _wait(peers: Peers, call: Call, delivery: Delivery, seconds: float) -> bool:
-    """Wait for a turn, some seconds at most after the caller last got something."""
+    demand = demand_of(call, pipeline)
+    attempts.full_for = None
+
+    def seek() -> Path | None:
+        path = peers.paths.choose(call.service, pipeline, demand, avoided, attempts.only())
+        if path is not None:
+            peers.paths.take(path, pipeline)
+        return path
+
+    if not peers.lines.busy(call.service):
+        path = seek()
+        if path is not None:
+            return path
+    if not peers.paths.covered(call.service, pipeline, avoided):
+        return None
     since = delivery.sent_at if delivery.begun else call.arrived
-    return peers.lines.wait(call, min(call.deadline, since + seconds))
+    until = min(call.deadline, since + WAIT_SECONDS)
+    expected = peers.lines.expected_seconds(call.service)
+    if now() + expected <= until:
+        path = peers.lines.wait(call, seek, until)
+        if path is not None:
+            return path
+    attempts.full_for = expected
+    event(
+        "INFO", "no room", request=call.head.id, expected=round(expected, 2), waited=round(now() - since, 3)
+    )
+    return None
 
 
 def _note_answer(peers: Peers, call: Call, delivery: Delivery, attempts: Attempts) -> None:
@@ -222,28 +257,22 @@
 
 
 def _attempt(
-    peers: Peers, call: Call, pipeline: Pipeline, path: Path, delivery: Delivery, attempts: Attempts
+    peers: Peers, call: Call, pipeline: Pipeline, run: Run, delivery: Delivery, attempts: Attempts
 ) -> None:
     """Make one attempt, to the end of the stream."""
-    head = path.servers[0]
-    head.in_flight += 1
-    run: Run | None = None
+    head = run.path.servers[0]
     keep_seconds = None
+    exchange = run.exchange = send(peers, call, head, run.path, delivery.last_event)
+    attempts.note(head)
     try:
-        exchange = send(peers, call, head, path, delivery.last_event)
-        attempts.note(head)
-        run = Run(path, exchange)
-        try:
-            message, answer = _await_head(peers, call, pipeline, run)
-            if message.status != 200:
-                _pass_on(call, exchange, message, delivery)
-            else:
-                _pass_events(peers, call, pipeline, run, message, delivery)
-            keep_seconds = answer.keep_seconds
-        finally:
-            exchange.close(keep_seconds)
+        message, answer = _await_head(peers, call, pipeline, run)
+        if message.status != 200:
+            _pass_on(call, exchange, message, delivery)
+        else:
+            _pass_events(peers, call, pipeline, run, message, delivery)
+        keep_seconds = answer.keep_seconds
     finally:
-        head.in_flight -= 1
+        exchange.close(keep_seconds)
     for server in run.path.servers:
         peers.fleet.succeeded(server)
 
@@ -302,14 +331,33 @@
         return
     run.leave_at = None
     run.avoided |= _leaving(run)
+    _move(peers, call, pipeline, run, "leaving")
+
+
+def _move(peers: Peers, call: Call, pipeline: Pipeline, run: Run, reason: str) -> bool:
+    """Move a stream off the stages that it avoids, if others have room.
+
+    :param reason: what is wrong with them, for the log.
+    :return: whether it was moved.
+    """
     path = peers.paths.detour(run.path, call.service, pipeline, run.avoided)
     if path is None:
-        return
+        return False
     head = run.path.servers[0].facts
     outcome = peers.control.reroute(head.id, head.address, call.head.id, path.route)
-    event("INFO", "rerouted", request=call.head.id, leaving=True, moved=outcome.moved, route=path.text())
+    event(
+        "INFO",
+        "rerouted",
+        request=call.head.id,
+        reason=reason,
+        off=sorted(run.avoided),
+        moved=outcome.moved,
+        route=path.text(),
+    )
     if outcome.moved:
-        run.path = path
+        peers.paths.take(path, pipeline)
+        run.move(path)
+    return outcome.moved
 
 
 def _leaving(run: Run) -> frozenset[BackendId]:
@@ -326,34 +374,58 @@
     """
     if call.seconds_left() <= 0:
         raise BackendSilent("no whole answer in time", step="stream", peer=run.exchange.backend)
-    dead = _dead_stages(peers, run, patience)
+    dead = _dead_stages(peers, call, run, patience)
     if not dead:
+        _leave_slow(peers, call, pipeline, run)
         return
     head = run.path.servers[0]
     if head.facts.id in dead:
         raise BackendError("the first stage is dead", step="stream", peer=head.facts.id)
     run.avoided |= dead
-    path = peers.paths.detour(run.path, call.service, pipeline, run.avoided)
-    if path is None:
-        raise BackendError(
-            "no other stages for the layers of a dead one", step="stream", peer=head.facts.id
-        )
-    outcome = peers.control.reroute(head.facts.id, head.facts.address, call.head.id, path.route)
-    event(
-        "INFO", "rerouted", request=call.head.id, dead=sorted(dead), moved=outcome.moved, route=path.route
-    )
-    peers.metrics.count("streams.rerouted" if outcome.moved else "streams.reroute_failed")
-    if not outcome.moved:
-        raise BackendError("the stream could not be moved", step="stream", peer=head.facts.id)
-    run.path = path
+    moved = _move(peers, call, pipeline, run, "dead")
+    peers.metrics.count("streams.rerouted" if moved else "streams.reroute_failed")
+    if not moved:
+        raise BackendError("no other stages for those of a dead one", step="stream", peer=head.facts.id)
+
 
+def _leave_slow(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> None:
+    """Move a stream that is waited for off stages that turned slow, if there are others with room.
 
-def _dead_stages(peers: Peers, run: Run, patience: float) -> frozenset[BackendId]:
+    Stages that were known to be slow when the path was chosen were the best there were.
+
+    :raises BackendError: when its first stage is one, and another can begin the answer.
+    """
+    head = run.path.servers[0]
+    slow = _slow(run.path) - run.slow_before
+    if (
+        head.facts.id in slow
+        and not run.begun
+        and not call.once
+        and _elsewhere(peers, call, pipeline, head)
+    ):
+        raise BackendError("the first stage has turned slow", step="stream", peer=head.facts.id)
+    fresh = slow - run.avoided - {head.facts.id}
+    if fresh:
+        run.avoided |= fresh
+        _move(peers, call, pipeline, run, "slow")
+
+
+def _slow(path: Path) -> frozenset[BackendId]:
+    return frozenset(s.facts.id for s in path.servers if s.pace > SLOW_PACE)
+
+
+def _elsewhere(peers: Peers, call: Call, pipeline: Pipeline, head: Server) -> bool:
+    """Tell whether a call has a path with room that does not begin at a server."""
+    demand = demand_of(call, pipeline)
+    return peers.paths.choose(call.service, pipeline, demand, frozenset({head.facts.id})) is not None
+
+
+def _dead_stages(peers: Peers, call: Call, run: Run, patience: float) -> frozenset[BackendId]:
     """Return the stages of a stream that are dead, by what is known or else by asking them."""
     known = frozenset(s.facts.id for s in run.path.servers if s.suspect)
     if known or now() < run.look_at:
         return known
-    dead = peers.diagnosis.examine(run.path.servers)
+    dead = peers.diagnosis.look(run.path.servers, call.head.id)
     if not dead:
         run.looked(patience)
     return dead
@@ -366,9 +438,16 @@
 def _note_failure(peers: Peers, call: Call, path: Path, error: BackendError) -> frozenset[BackendId]:
     """Judge the servers of a failed attempt; return those to avoid now."""
     head = path.servers[0]
-    event("INFO", "attempt failed", request=call.head.id, peer=head.facts.id, error=repr(error))
+    server = _at_fault(path, error.at_fault) if isinstance(error, BackendRefused) else head
+    event(
+        "INFO",
+        "attempt failed",
+        request=call.head.id,
+        peer=head.facts.id,
+        at_fault=server.facts.id,
+        error=repr(error),
+    )
     if isinstance(error, BackendRefused):
-        server = _at_fault(path, error.at_fault)
         if error.misdirected:
             peers.fleet.mark_leaving(head, "another server has its address")
             return frozenset({server.facts.id})
--- a/bayglade/tiling.py
+++ b/bayglade/tiling.py
@@ -6,7 +6,7 @@
 is gone. Plain functions; see ``docs/design/placement.md``.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 import msgspec
 
@@ -17,13 +17,12 @@
 SPARE_ROOM = 0.72
 """Part of the wanted room for tokens that a server which runs all its layers must have left."""
 PAIR_ROOM = 0.5
-"""The same for one of a pair, which runs all its layers only when the other is gone."""
+"""The same for one that holds more than usual since layers beside its own are missing."""
+PAIR_LEFT = 0.5
+"""Part of the requests of a pair that each of the two runs, and that fits when the other is gone."""
 TIGHTER = 0.75
 LEAST_ROOM = 0.1
 """Where the model does not fit otherwise, the room for tokens shrinks in these steps, to this part."""
-MOST_ROOM = 2.5
-"""Most room, as a part of the wanted one, that is kept by spreading a chain over more servers: each
-layer that a quick server leaves to a slow one makes every token slower."""
 ROOM_STEP = 0.95
 SAME_SPEED = 1.3
 """Kinds whose step times differ by less than this share layers evenly."""
@@ -87,11 +86,12 @@
     if room is None:
         return {}
     chains = _chains(servers, pipeline, room)
+    if len(chains) == 1:
+        return _lay(_best_pairs(chains[0], pipeline), pipeline)
     spans: Spans = {}
     for chain in chains:
-        # Where there are several, each can do without any one server: the others take its requests.
-        units = _pairs(chain, pipeline, room) if len(chains) == 1 else _spread(chain, pipeline)
-        spans.update(_lay(units, pipeline))
+        # Each can do without any one server: the others take its requests.
+        spans.update(_lay(_spread(chain, pipeline), pipeline))
     return spans
 
 
@@ -219,20 +219,54 @@
 
 def _spread(chain: Sequence[ServerFacts], pipeline: Pipeline) -> list[_Unit]:
     """Have all servers of a chain hold as few layers as the model allows, so that most requests fit."""
-    part = MOST_ROOM
-    while part > LEAST_ROOM and sum(_most(s, pipeline, part) for s in chain) < pipeline.layers:
+    for part in _rooms(chain, pipeline):
+        most = [_most(server, pipeline, part) for server in chain]
+        if sum(most) >= pipeline.layers:
+            return [_Unit((server,), bound) for server, bound in zip(chain, most, strict=True)]
+    return []
+
+
+def _best_pairs(chain: Sequence[ServerFacts], pipeline: Pipeline) -> list[_Unit]:
+    """Choose the room that a chain keeps, and pair as many of its servers as that room allows.
+
+    More room means fewer pairs. What is compared is the room while all servers
+    live together with the room that is left, on average, when any one is lost.
+    """
+    found: list[_Unit] = []
+    best = 0.0
+    for part in _rooms(chain, pipeline):
+        units = _pairs(chain, pipeline, part)
+        if not units:
+            continue
+        paired = sum(len(unit.servers) for unit in units if len(unit.servers) > 1)
+        worth = part * (1.0 + PAIR_LEFT * paired / len(chain))
+        if worth > best:
+            best, found = worth, units
+    return found
+
+
+def _rooms(chain: Sequence[ServerFacts], pipeline: Pipeline) -> Iterator[float]:
+    """Go through rooms for tokens, as parts of the wanted one, from the most that can be used down."""
+    slots = min(server.slots for server in chain)
+    part = max(1.0, slots * pipeline.usual_tokens / pipeline.token_capacity)
+    while part > LEAST_ROOM:
+        yield part
         part *= ROOM_STEP
-    return [_Unit((server,), _most(server, pipeline, part)) for server in chain]
 
 
 def _pairs(chain: Sequence[ServerFacts], pipeline: Pipeline, room: float) -> list[_Unit]:
-    """Pair as many servers of a chain as the memory left allows, cheapest kinds first."""
+    """Pair as many servers of a chain as the memory left allows, cheapest kinds first.
+
+    :return: the units; none when the chain does not hold the model with this room.
+    """
     by_kind: dict[str, list[ServerFacts]] = {}
     for server in sorted(chain, key=lambda s: ((s.first + s.last) / 2, s.id)):
         by_kind.setdefault(server.accelerator or "", []).append(server)
-    alone = {kind: _most(servers[0], pipeline, room * SPARE_ROOM) for kind, servers in by_kind.items()}
-    paired = {kind: _most(servers[0], pipeline, room * PAIR_ROOM) for kind, servers in by_kind.items()}
+    alone = {kind: _most(servers[0], pipeline, room) for kind, servers in by_kind.items()}
+    paired = {kind: _most(servers[0], pipeline, room * PAIR_LEFT) for kind, servers in by_kind.items()}
     slack = sum(alone[kind] * len(servers) for kind, servers in by_kind.items()) - pipeline.layers
+    if slack < 0:
+        return []
     units: list[_Unit] = []
     for kind in sorted(by_kind, key=lambda kind: (2 * alone[kind] - paired[kind], kind)):
         servers = by_kind[kind]
--- a/bayglade/totals.py
+++ b/bayglade/totals.py
@@ -1,6 +1,6 @@
-"""Totals: how many requests all daemons have under way, by the first stage they run on.
+"""Totals: what all daemons have under way on each server that holds layers.
 
-Daemons tell their own counts with each heartbeat. Where there are too many for
+Daemons tell their own sums with each heartbeat. Where there are too many for
 everybody to hear everybody, the readers of a hall (see :mod:`bayglade.fanout`)
 add up what they hear of it and tell each other and their hall the sums. A sum
 is some seconds old at most; whoever was not heard lately is left out.
@@ -9,14 +9,14 @@
 from collections.abc import Iterable, Mapping
 
 from bayglade.clock import now
-from bayglade.entries.wire import Heartbeat, PathLoad
+from bayglade.entries.wire import Heartbeat, ServerLoad
 from bayglade.fanout import readers_of
 from bayglade.ids import BackendId, HallName, MemberId
 
 FRESH_SECONDS = 3.5
-"""How long what a daemon told counts: as long as it is taken to live."""
+"""How long what a daemon told sums: as long as it is taken to live."""
 
-Counts = dict[BackendId, int]
+Loads = dict[BackendId, ServerLoad]
 
 
 class Told:
@@ -35,7 +35,7 @@
 
 
 class Totals:
-    """The counts as one daemon hears and tells them.
+    """The sums as one daemon hears and tells them.
 
     :param me: this daemon.
     """
@@ -60,27 +60,27 @@
         self.told[member] = Told(beat)
 
     def reading(self) -> bool:
-        """Tell whether this daemon adds up the counts of its hall."""
+        """Tell whether this daemon adds up the sums of its hall."""
         return self.me in self.readers.get(self.halls.get(self.me, HallName("")), [])
 
-    def hall_sum(self, own: Iterable[PathLoad]) -> list[PathLoad]:
-        """Return the sum over this daemon's hall, its own counts among it.
+    def hall_sum(self, own: Iterable[ServerLoad]) -> list[ServerLoad]:
+        """Return the sum over this daemon's hall, its own sums among it.
 
-        :param own: the counts of this daemon.
+        :param own: the sums of this daemon.
         """
         hall = self.halls.get(self.me)
-        counts = _add({}, own)
+        sums = _add({}, own)
         for member, told in self._fresh().items():
             if self.halls.get(member) == hall:
-                _add(counts, told.own)
-        return [PathLoad(head, count) for head, count in counts.items()]
+                _add(sums, told.own)
+        return list(sums.values())
 
-    def everywhere(self, own: Iterable[PathLoad]) -> list[PathLoad]:
+    def everywhere(self, own: Iterable[ServerLoad]) -> list[ServerLoad]:
         """Return the sum over all halls, as far as readers tell of them.
 
-        :param own: the counts of this daemon.
+        :param own: the sums of this daemon.
         """
-        counts = _add({}, self.hall_sum(own))
+        sums = _add({}, self.hall_sum(own))
         fresh = self._fresh()
         for hall, readers in self.readers.items():
             if hall == self.halls.get(self.me):
@@ -88,13 +88,13 @@
             # Readers of one hall tell of the same daemons: one of them is enough.
             heard = next((fresh[reader] for reader in readers if reader in fresh), None)
             if heard is not None:
-                _add(counts, heard.hall)
-        return [PathLoad(head, count) for head, count in counts.items()]
+                _add(sums, heard.hall)
+        return list(sums.values())
 
-    def elsewhere(self, own: Iterable[PathLoad]) -> Counts:
+    def elsewhere(self, own: Iterable[ServerLoad]) -> Loads:
         """Return what the other daemons have under way.
 
-        :param own: the counts of this daemon, which the sums of its readers contain.
+        :param own: the sums of this daemon, which the sums of its readers contain.
         """
         fresh = self._fresh()
         mine = _add({}, own)
@@ -104,21 +104,33 @@
         sums = next((fresh[r].everywhere for r in readers if r in fresh), None)
         if sums is not None:
             return _without(_add({}, sums), mine)
-        counts: Counts = {}
+        heard: Loads = {}
         for told in fresh.values():
-            _add(counts, told.own)
-        return counts
+            _add(heard, told.own)
+        return heard
 
     def _fresh(self) -> dict[MemberId, Told]:
         oldest = now() - FRESH_SECONDS
         return {member: told for member, told in self.told.items() if told.at >= oldest}
 
 
-def _add(counts: Counts, loads: Iterable[PathLoad]) -> Counts:
+def _add(sums: Loads, loads: Iterable[ServerLoad]) -> Loads:
     for load in loads:
-        counts[load.head] = counts.get(load.head, 0) + load.in_flight
-    return counts
-
-
-def _without(counts: Counts, own: Counts) -> Counts:
-    return {head: max(0, count - own.get(head, 0)) for head, count in counts.items()}
+        known = sums.get(load.backend)
+        if known is not None:
+            load = ServerLoad(load.backend, known.heads + load.heads, known.cached + load.cached)
+        sums[load.backend] = load
+    return sums
+
+
+def _without(sums: Loads, own: Loads) -> Loads:
+    """Take the own part out of sums, which may be older than it."""
+    left: Loads = {}
+    for backend, total in sums.items():
+        mine = own.get(backend)
+        if mine is None:
+            left[backend] = total
+            continue
+        heads, cached = max(0, total.heads - mine.heads), max(0, total.cached - mine.cached)
+        left[backend] = ServerLoad(backend, heads, cached)
+    return left
--- a/tests/test_diagnosis.py
+++ b/tests/test_diagnosis.py
@@ -1,12 +1,14 @@
 """Diagnosis: which stages are asked, how often, and what others are told."""
 
 import random
+from types import SimpleNamespace
 
+import msgspec
 import pytest
 
 from bayglade import streams
 from bayglade.control import RerouteOutcome, StageReport
-from bayglade.diagnosis import Diagnosis
+from bayglade.diagnosis import ASKED_BY_TURNS, FRESH_SECONDS, Diagnosis, Finding
 from bayglade.fleet import Fleet, Server, ServerFacts
 from bayglade.ids import BackendId, HallName, RequestId, ServiceName
 from bayglade.models import Route
@@ -33,10 +35,13 @@
     def __init__(self, silent: set[str]) -> None:
         self.silent = silent
         self.asked: list[str] = []
+        self.stalled: dict[RequestId, str] = {}
 
     def report(self, backend: BackendId, address: str, timeout: float) -> StageReport | None:
         self.asked.append(backend)
-        return None if backend in self.silent else ALIVE
+        if backend in self.silent:
+            return None
+        return msgspec.structs.replace(ALIVE, stalled=self.stalled)
 
     def reroute(self, backend: BackendId, address: str, request: RequestId, route: Route) -> RerouteOutcome:
         raise AssertionError("no stream is moved here")
@@ -119,9 +124,50 @@
         self.diagnosis = diagnosis
 
 
+CALL = SimpleNamespace(head=SimpleNamespace(id=RequestId("r")))
+
+
+def test_looks_ask_the_first_stage_and_all_others_by_turns() -> None:
+    diagnosis, stages, servers = diagnose(set(), 8)
+    for _ in range(4):
+        before = len(stages.asked)
+        for finding in diagnosis.findings.values():
+            finding.asked_at -= FRESH_SECONDS
+        assert diagnosis.look(servers, RequestId("r")) == frozenset()
+        assert len(stages.asked) == before + 1 + ASKED_BY_TURNS
+    assert stages.asked.count("s0") == 4
+    assert set(stages.asked) == {server.facts.id for server in servers}
+
+
+def test_a_stage_that_the_first_one_names_is_asked_at_once() -> None:
+    diagnosis, stages, servers = diagnose({"s7"}, 8)
+    # Asked last of all, if it were by turns.
+    diagnosis.findings[servers[7].facts.id] = Finding(ALIVE)
+    diagnosis.findings[servers[7].facts.id].asked_at -= FRESH_SECONDS
+    stages.stalled = {RequestId("r"): servers[7].facts.address}
+    assert diagnosis.look(servers, RequestId("r")) == {"s7"}
+    assert servers[7].suspect
+
+
+def test_a_slow_stage_is_asked_again_until_it_is_quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    diagnosis, stages, servers = diagnose(set())
+    diagnosis.fleet.pace(servers[2], 12.0)
+    rounds = iter(range(3))
+
+    def sleep(seconds: float) -> None:
+        if next(rounds, None) is None:
+            raise InterruptedError
+
+    monkeypatch.setattr("bayglade.diagnosis.eventlet.sleep", sleep)
+    with pytest.raises(InterruptedError):
+        diagnosis.recheck()
+    assert stages.asked == ["s2"]
+    assert servers[2].pace == 1.0
+
+
 def test_stages_that_answer_are_asked_less_and_less(monkeypatch: pytest.MonkeyPatch) -> None:
     diagnosis, stages, servers = diagnose(set())
-    run = Run(Path(servers), None)  # type: ignore[arg-type]
+    run = Run(Path(servers))  # type: ignore[arg-type]
     at = 100.0
     monkeypatch.setattr(streams, "now", lambda: at)
     looks = []
@@ -129,7 +175,7 @@
         at = 100.0 + step * PATIENCE
         before = len(stages.asked)
         diagnosis.findings.clear()
-        assert streams._dead_stages(Peers(diagnosis), run, PATIENCE) == frozenset()  # type: ignore[arg-type]
+        assert streams._dead_stages(Peers(diagnosis), CALL, run, PATIENCE) == frozenset()  # type: ignore[arg-type]
         if len(stages.asked) > before:
             looks.append(step)
     assert looks[:3] == [0, 1, 3]
@@ -137,14 +183,14 @@
     run.moved_on()
     before = len(stages.asked)
     diagnosis.findings.clear()
-    streams._dead_stages(Peers(diagnosis), run, PATIENCE)  # type: ignore[arg-type]
-    assert len(stages.asked) == before + len(servers)
+    streams._dead_stages(Peers(diagnosis), CALL, run, PATIENCE)  # type: ignore[arg-type]
+    assert len(stages.asked) == before + 1 + ASKED_BY_TURNS
 
 
 def test_a_stage_that_others_found_dead_is_noticed_without_a_question() -> None:
     diagnosis, stages, servers = diagnose(set())
-    run = Run(Path(servers), None)  # type: ignore[arg-type]
+    run = Run(Path(servers))  # type: ignore[arg-type]
     run.look_at = float("inf")
     servers[2].suspect = True
-    assert streams._dead_stages(Peers(diagnosis), run, PATIENCE) == {"s2"}  # type: ignore[arg-type]
+    assert streams._dead_stages(Peers(diagnosis), CALL, run, PATIENCE) == {"s2"}  # type: ignore[arg-type]
     assert stages.asked == []
--- /dev/null
+++ b/tests/test_paths.py
@@ -0,0 +1,269 @@
+"""Paths: each request gets one with room on every server, near before far."""
+
+from collections.abc import Sequence
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bayglade import paths as paths_module
+from bayglade.entries.wire import ServerLoad
+from bayglade.fleet import Fleet, Server
+from bayglade.ids import BackendId, HallName
+from bayglade.pathfinding import MOST_USE, Path, Search, find_path
+from bayglade.paths import SPILL_USE, Paths
+from bayglade.pipelines import Demand, Pipeline
+from bayglade.pipes import MOST_PIPE_USE, UNKNOWN_CROSSING_MS, Pipes
+from tests.test_tiling import SERVICE, holding, pipeline, placed, servers
+
+TWO_HALLS = {"a": {"big": 3, "middle": 3, "small": 5}, "b": {"big": 1, "middle": 5, "small": 8}}
+USUAL = Demand(770.0, 140.0)
+
+
+def model_with_pipes() -> Pipeline:
+    return msgspec.structs.replace(
+        pipeline(),
+        typical_prompt=770,
+        typical_answer=140,
+        request_ms=0.02,
+        hop_mb=0.05,
+        pipe_mbps=8000.0,
+        delays={frozenset((HallName("a"), HallName("b"))): 0.3},
+    )
+
+
+class Site:
+    """A fleet as it is laid out, and the paths of one daemon."""
+
+    def __init__(self, hall: str, **halls: dict[str, int]) -> None:
+        self.model = model_with_pipes()
+        self.fleet = Fleet()
+        held = placed(servers(**(halls or TWO_HALLS)), self.model)
+        self.fleet.take([server.facts for server in held], [], outage=False)
+        self.paths = Paths(self.fleet, HallName(hall))
+
+    def choose(self, demand: Demand = USUAL, without: frozenset[BackendId] = frozenset()) -> Path | None:
+        return self.paths.choose(SERVICE, self.model, demand, without)
+
+    def serve(self, demand: Demand = USUAL) -> Path:
+        path = self.choose(demand)
+        assert path is not None
+        self.paths.take(path, self.model)
+        return path
+
+    def use(self, server: Server) -> float:
+        facts = server.facts
+        return server.cached / self.model.cache_size(facts.accelerator or "", facts.held)
+
+
+def tiles(path: Path, layers: int) -> bool:
+    ends = [0, *(stage.last for stage in path.route.stages)]
+    return [stage.first for stage in path.route.stages] == ends[:-1] and ends[-1] == layers
+
+
+def test_requests_spread_over_servers_that_hold_the_same_layers() -> None:
+    site = Site("a", a={"big": 4, "middle": 9, "small": 14})
+    for _ in range(40):
+        site.serve()
+    holders = [s for s in site.fleet.of(SERVICE) if s.facts.held]
+    used = [s for s in holders if s.cached]
+    assert len(used) == len(holders)
+    for server in holders:
+        twins = [
+            s for s in holders if (s.facts.first, s.facts.last) == (server.facts.first, server.facts.last)
+        ]
+        uses = [site.use(s) for s in twins]
+        assert max(uses) - min(uses) < 0.1
+
+
+def test_a_request_takes_room_on_each_stage_and_gives_it_back() -> None:
+    site = Site("a")
+    path = site.serve()
+    for server, stage in zip(path.servers, path.route.stages, strict=True):
+        assert server.cached == USUAL.cached * (stage.last - stage.first)
+    assert [s.in_flight for s in path.servers] == [1, *[0] * (len(path.servers) - 1)]
+    path.release()
+    assert all(s.cached == 0 and s.in_flight == 0 for s in site.fleet.of(SERVICE))
+
+
+def test_no_server_is_filled_beyond_its_cache_and_a_full_fleet_has_no_path() -> None:
+    site = Site("a")
+    served = 0
+    while (path := site.choose()) is not None:
+        site.paths.take(path, site.model)
+        served += 1
+        assert served < 1000
+    assert served > 100
+    assert all(site.use(s) <= MOST_USE for s in site.fleet.of(SERVICE) if s.facts.held)
+    assert site.paths.covered(SERVICE, site.model)
+
+
+def test_what_other_daemons_have_under_way_counts() -> None:
+    site = Site("a")
+    path = site.choose()
+    assert path is not None
+    crowded = path.servers[1]
+    facts = crowded.facts
+    full = site.model.cache_size(facts.accelerator or "", facts.held)
+    site.paths.elsewhere = lambda: {facts.id: ServerLoad(facts.id, 0, int(full))}
+    other = site.choose()
+    assert other is not None
+    assert crowded not in other.servers
+
+
+def test_a_first_stage_takes_no_more_requests_than_it_has_slots() -> None:
+    site = Site("a")
+    path = site.choose()
+    assert path is not None
+    head = path.servers[0].facts
+    site.paths.elsewhere = lambda: {head.id: ServerLoad(head.id, head.slots, 0)}
+    other = site.choose()
+    assert other is not None
+    assert other.servers[0].facts.id != head.id
+
+
+def test_a_path_of_the_own_hall_is_taken_while_it_has_room() -> None:
+    site = Site("b")
+    halls = [site.serve().hall for _ in range(30)]
+    assert set(halls) == {"b"}
+    path = site.serve()
+    while path.hall == "b":
+        last, path = path, site.serve()
+    assert path.hall == "a"
+    assert last.use > SPILL_USE - 0.05
+
+
+def test_other_halls_are_not_searched_while_the_own_one_has_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    site = Site("a")
+    searched: list[set[HallName]] = []
+
+    def find(found: Sequence[Server], search: Search) -> Path | None:
+        searched.append({server.facts.hall for server in found})
+        return find_path(found, search)
+
+    monkeypatch.setattr(paths_module, "find_path", find)
+    site.choose()
+    assert searched == [{HallName("a")}]
+
+
+def test_stages_of_another_hall_step_in_where_no_hall_has_all_layers() -> None:
+    site = Site("a")
+    whole = site.choose()
+    assert whole is not None
+    lost = [
+        next(
+            s
+            for s in site.fleet.of(SERVICE)
+            if s.facts.hall == hall and s.facts.first <= layer < s.facts.last
+        )
+        for hall, layer in (("a", 20), ("b", 60))
+    ]
+    twins = {
+        s.facts.id
+        for s in site.fleet.of(SERVICE)
+        for gone in lost
+        if s.facts.hall == gone.facts.hall
+        and s.facts.first < gone.facts.last
+        and s.facts.last > gone.facts.first
+    }
+    path = site.choose(without=frozenset(twins))
+    assert path is not None
+    assert tiles(path, site.model.layers)
+    assert {s.facts.hall for s in path.servers} == {"a", "b"}
+    assert not twins & {s.facts.id for s in path.servers}
+
+
+def test_a_slow_server_is_passed_round_where_another_way_is_much_quicker() -> None:
+    site = Site("a")
+    path = site.choose()
+    assert path is not None
+    slow = path.servers[2]
+    site.fleet.pace(slow, 40.0)
+    other = site.choose()
+    assert other is not None
+    assert slow not in other.servers
+
+
+def test_a_detour_keeps_the_first_stage_and_stays_in_the_hall_where_it_can() -> None:
+    site = Site("a")
+    path = site.choose()
+    assert path is not None
+    in_hall = 0
+    for server in path.servers[1:]:
+        detour = site.paths.detour(path, SERVICE, site.model, frozenset({server.facts.id}))
+        assert detour is not None
+        assert detour.route.stages[0] == path.route.stages[0]
+        assert tiles(detour, site.model.layers)
+        assert server not in detour.servers
+        others = [
+            s
+            for s in site.fleet.of(SERVICE)
+            if s.facts.hall == "a" and s is not server and s is not path.servers[0]
+        ]
+        held = {n for s in others for n in range(s.facts.first, s.facts.last)}
+        if held >= set(range(path.route.stages[0].last, site.model.layers)):
+            in_hall += 1
+            assert {s.facts.hall for s in detour.servers} == {"a"}
+    assert in_hall
+    assert site.paths.detour(path, SERVICE, site.model, frozenset({path.servers[0].facts.id})) is None
+
+
+def test_a_busy_pipe_takes_no_more_requests(monkeypatch: pytest.MonkeyPatch) -> None:
+    model = model_with_pipes()
+    pipes = Pipes()
+    one, other = HallName("a"), HallName("b")
+    free = pipes.crossing_ms(one, other, model, USUAL)
+    assert free < UNKNOWN_CROSSING_MS
+    pipes.daemons = lambda: 4
+    sent = 0
+    while pipes.crossing_ms(one, other, model, USUAL) < float("inf"):
+        pipes.sends([one, one, other, other], model, USUAL)
+        sent += 1
+        assert sent < 1000
+    assert pipes.use(frozenset((one, other)), model) >= MOST_PIPE_USE
+    assert pipes.crossing_ms(one, HallName("c"), model, USUAL) < float("inf")
+
+
+def test_nothing_crosses_cheaply_where_no_pipe_is_known() -> None:
+    assert Pipes().crossing_ms(HallName("a"), HallName("b"), pipeline(), USUAL) == UNKNOWN_CROSSING_MS
+
+
+span_lists = st.lists(st.tuples(st.integers(0, 11), st.integers(1, 12)), max_size=12)
+
+
+@given(span_lists, span_lists)
+def test_requests_are_served_as_long_as_every_layer_has_room(
+    quick: list[tuple[int, int]], slow: list[tuple[int, int]]
+) -> None:
+    model = pipeline(layers=12)
+    found = [
+        server
+        for kind, spans in (("big", quick), ("middle", slow))
+        for server in holding([(first, min(12, first + length)) for first, length in spans], kind)
+    ]
+    demand = Demand(4000.0, 0.0)
+    search = Search(model, demand, lambda server: server.cached)
+    path = find_path(found, search)
+    held = {layer for s in found for layer in range(s.facts.first, s.facts.last)}
+    assert (path is not None) == (held == set(range(12)))
+    served = 0
+    while path is not None and served < 50:
+        assert tiles(path, 12)
+        path.take()
+        served += 1
+        path = find_path(found, search)
+    for server in found:
+        size = model.cache_size(server.facts.accelerator or "", server.facts.held)
+        assert server.cached <= MOST_USE * size
+    if path is None and served:
+        # Some layer has no holder left with room for one more request on all its layers.
+        assert any(
+            all(
+                s.cached + demand.cached * s.facts.held
+                > MOST_USE * model.cache_size(s.facts.accelerator or "", s.facts.held)
+                for s in found
+                if s.facts.first <= layer < s.facts.last
+            )
+            for layer in range(12)
+        )
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,12 +6,13 @@
 
 import pytest
 
-from bayglade import pathfinding, streams
 from bayglade import paths as paths_module
+from bayglade import streams
+from bayglade.calls import CallHead
 from bayglade.control import RerouteOutcome
-from bayglade.exceptions import BackendRefused
+from bayglade.exceptions import BackendError, BackendRefused
 from bayglade.fleet import Fleet
-from bayglade.ids import HallName
+from bayglade.ids import HallName, RequestId
 from bayglade.paths import Paths
 from bayglade.streams import LEAVE_SPREAD_SECONDS, SHORT_SECONDS, Run, _leave_stages, _note_failure
 from tests.test_tiling import SERVICE, pipeline, placed, servers
@@ -35,9 +36,10 @@
         )
         self.call: Any = SimpleNamespace(service=SERVICE, head=SimpleNamespace(id="r"))
         self.moved = moved
-        path = paths.choose(SERVICE, self.model)
+        path = paths.choose(SERVICE, self.model, self.model.usual())
         assert path is not None
-        self.run = Run(path, exchange=None)  # type: ignore[arg-type]
+        paths.take(path, self.model)
+        self.run = Run(path)
 
     def _reroute(self, *arguments: Any) -> RerouteOutcome:
         self.rerouted.append(arguments)
@@ -103,7 +105,6 @@
         scene.peers.diagnosis = diagnosis
         monkeypatch.setattr(streams.eventlet, "spawn_n", lambda act, *arguments: act(*arguments))
         monkeypatch.setattr(paths_module, "now", lambda: scene.at)
-        monkeypatch.setattr(pathfinding, "now", lambda: scene.at)
 
     def by(self, server: Any) -> frozenset[Any]:
         error = BackendRefused("full", step="answer", peer="p", at_fault=server.facts.address)
@@ -125,13 +126,62 @@
     assert refused.examined == []
 
 
-def test_a_path_whose_stage_turned_a_call_away_counts_as_full_for_a_moment(
+def test_a_stage_that_turned_a_call_away_counts_as_full_for_a_moment(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     scene = Scene(monkeypatch)
     refused = Refused(scene, monkeypatch)
-    assert not scene.peers.paths.full(scene.run.path)
-    refused.by(scene.run.path.servers[2])
-    assert scene.peers.paths.full(scene.run.path)
+    full = scene.run.path.servers[-1]
+
+    def chosen() -> Any:
+        return scene.peers.paths.choose(SERVICE, scene.model, scene.model.usual())
+
+    assert full in chosen().servers
+    refused.by(full)
+    path = chosen()
+    assert path is None or full not in path.servers
     scene.at += SHORT_SECONDS
-    assert not scene.peers.paths.full(scene.run.path)
+    assert full in chosen().servers
+
+
+def test_a_stream_leaves_a_stage_that_turned_slow_and_gives_its_place_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scene = Scene(monkeypatch)
+    slow = scene.paired_stage()
+    scene.fleet.pace(slow, 12.0)
+    streams._leave_slow(scene.peers, scene.call, scene.model, scene.run)
+    assert slow not in scene.run.path.servers
+    assert slow.cached == 0
+    assert all(server.cached > 0 for server in scene.run.path.servers)
+    scene.run.path.release()
+    assert all(server.cached == 0 and server.in_flight == 0 for server in scene.fleet.of(SERVICE))
+
+
+def test_a_stream_stays_on_a_stage_that_was_slow_when_it_came(monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = Scene(monkeypatch)
+    scene.fleet.pace(scene.paired_stage(), 12.0)
+    scene.run = Run(scene.run.path)
+    streams._leave_slow(scene.peers, scene.call, scene.model, scene.run)
+    assert scene.rerouted == []
+
+
+@pytest.mark.parametrize(
+    ("begun", "once", "leaves"), [(False, False, True), (True, False, False), (False, True, False)]
+)
+def test_a_request_leaves_a_first_stage_that_turned_slow_only_before_its_first_event(
+    begun: bool, once: bool, leaves: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    scene = Scene(monkeypatch)
+    # Another hall can begin the answer.
+    held = placed(servers(b={"big": 3, "middle": 3, "small": 5}), scene.model)
+    scene.fleet.take([server.facts for server in held], [], outage=False)
+    scene.call.once = once
+    scene.call.head = CallHead(id=RequestId("r"), host="h", prompt_tokens=700, answer_tokens=100)
+    scene.run.begun = begun
+    scene.fleet.pace(scene.run.path.servers[0], 12.0)
+    if leaves:
+        with pytest.raises(BackendError):
+            streams._leave_slow(scene.peers, scene.call, scene.model, scene.run)
+    else:
+        streams._leave_slow(scene.peers, scene.call, scene.model, scene.run)
--- a/tests/test_tiling.py
+++ b/tests/test_tiling.py
@@ -8,11 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bayglade import paths as paths_module
-from bayglade.fleet import Fleet, Server, ServerFacts
+from bayglade.fleet import Server, ServerFacts
 from bayglade.ids import BackendId, HallName, ModelName, ServiceName
-from bayglade.pathfinding import MAX_PATHS, Path, find_path, find_paths, hall_paths
-from bayglade.paths import Paths
+from bayglade.pathfinding import Path, Search, by_hall, find_path
 from bayglade.pipelines import Accelerator, Pipeline
 from bayglade.tiling import Span, fill, groups, mend, missing, tile
 
@@ -55,6 +53,31 @@
     ]
 
 
+def search(model: Pipeline) -> Search:
+    """Search for a usual request while nothing else runs."""
+    return Search(model, model.usual(), lambda server: server.cached)
+
+
+def paths_of(held: Sequence[Server], model: Pipeline) -> list[Path]:
+    """Return the path of each hall, and one over halls that have none of their own."""
+    halls = by_hall(held)
+    found = {hall: find_path(each, search(model)) for hall, each in halls.items()}
+    others = [server for hall, each in halls.items() if found[hall] is None for server in each]
+    over = Search(model, model.usual(), lambda server: server.cached, lambda one, other: 1.0)
+    paths = [path for path in found.values() if path is not None]
+    mixed = find_path(others, over)
+    return [*paths, mixed] if mixed is not None else paths
+
+
+def holding(spans: Sequence[tuple[int, int]], kind: str = "big") -> list[Server]:
+    """Return servers of one hall that hold these layers."""
+    listed = servers(a={kind: len(spans)})
+    return [
+        Server(msgspec.structs.replace(facts, first=first, last=last))
+        for facts, (first, last) in zip(listed, spans, strict=True)
+    ]
+
+
 def placed(listed: list[ServerFacts], model: Pipeline) -> list[Server]:
     spans = tile(listed, model)
     return [
@@ -83,7 +106,7 @@
     model = pipeline()
     listed = servers(**HALLS[name])
     held = placed(listed, model)
-    paths = find_paths(held, model)
+    paths = paths_of(held, model)
     assert paths
     for path in paths:
         stages = path.route.stages
@@ -124,7 +147,7 @@
     model = pipeline()
     for kinds in ({"big": 3, "middle": 3, "small": 5}, {"big": 1, "middle": 5, "small": 8}):
         held = placed(servers(a=kinds), model)
-        spared = [s for s in held if find_path([o for o in held if o is not s], model)]
+        spared = [s for s in held if find_path([o for o in held if o is not s], search(model))]
         assert len(spared) >= len(held) / 2
 
 
@@ -146,7 +169,7 @@
     halls = {f"h{n}": {"big": each, "middle": 2 * each, "small": 2 * each} for n in range(10)}
     began = time.process_time()
     held = placed(servers(**halls), model)
-    paths = find_paths(held, model)
+    paths = paths_of(held, model)
     assert time.process_time() - began < limit
     assert len({path.hall for path in paths}) == 10
 
@@ -188,115 +211,6 @@
     assert mend(held, model) == {}
 
 
-def test_only_the_hall_that_changed_is_searched_again(monkeypatch: pytest.MonkeyPatch) -> None:
-    model = pipeline()
-    fleet = Fleet()
-    held = placed(
-        servers(a={"big": 3, "middle": 3, "small": 5}, b={"big": 1, "middle": 5, "small": 8}), model
-    )
-    fleet.take([server.facts for server in held], [], outage=False)
-    searched: list[str] = []
-
-    def search(found: Sequence[Server], _: Pipeline) -> list[Path]:
-        searched.append(found[0].facts.hall)
-        return hall_paths(found, model)
-
-    monkeypatch.setattr(paths_module, "hall_paths", search)
-    paths = Paths(fleet, HallName("a"))
-    assert len(paths.all(SERVICE, model)) == 2
-    paths.all(SERVICE, model)
-    assert sorted(searched) == ["a", "b"]
-    fleet.suspect(fleet.servers[BackendId("b-small-0")], "silent")
-    paths.all(SERVICE, model)
-    assert sorted(searched) == ["a", "b", "b"]
-
-
-def test_a_path_of_the_own_hall_is_taken_while_it_has_room() -> None:
-    model = pipeline()
-    fleet = Fleet()
-    held = placed(
-        servers(a={"big": 3, "middle": 3, "small": 5}, b={"big": 1, "middle": 5, "small": 8}), model
-    )
-    fleet.take([server.facts for server in held], [], outage=False)
-    paths = Paths(fleet, HallName("b"))
-    own = paths.choose(SERVICE, model)
-    assert own is not None
-    assert own.hall == "b"
-    # Full by what other daemons tell: the quicker hall takes it.
-    paths.elsewhere = lambda: {own.servers[0].facts.id: int(own.capacity) + 1}
-    other = paths.choose(SERVICE, model)
-    assert other is not None
-    assert other.hall == "a"
-
-
-def test_a_detour_keeps_the_first_stage_and_the_hall() -> None:
-    model = pipeline()
-    fleet = Fleet()
-    held = placed(
-        servers(a={"big": 3, "middle": 3, "small": 5}, b={"big": 1, "middle": 5, "small": 8}), model
-    )
-    fleet.take([server.facts for server in held], [], outage=False)
-    paths = Paths(fleet, HallName("a"))
-    path = paths.choose(SERVICE, model)
-    assert path is not None
-    for server in path.servers[1:]:
-        detour = paths.detour(path, SERVICE, model, frozenset({server.facts.id}))
-        if detour is None:
-            # Nobody else in this hall holds its layers: no stage of another hall steps in.
-            continue
-        assert detour.route.stages[0] == path.route.stages[0]
-        assert {s.facts.hall for s in detour.servers} == {"a"}
-        assert server not in detour.servers
-    assert paths.detour(path, SERVICE, model, frozenset({path.servers[0].facts.id})) is None
-
-
-def holding(spans: Sequence[tuple[int, int]], kind: str = "big") -> list[Server]:
-    """Return servers of one hall that hold these layers."""
-    listed = servers(a={kind: len(spans)})
-    return [
-        Server(msgspec.structs.replace(facts, first=first, last=last))
-        for facts, (first, last) in zip(listed, spans, strict=True)
-    ]
-
-
-def tiles(path: Path, layers: int) -> bool:
-    ends = [0, *(stage.last for stage in path.route.stages)]
-    return [stage.first for stage in path.route.stages] == ends[:-1] and ends[-1] == layers
-
-
-def test_a_hall_has_as_many_paths_as_its_layers_have_holders() -> None:
-    # The cheapest path by far takes both quick servers, but the slow ones alone do not hold layers 3 to 5.
-    quick = holding([(0, 6), (3, 12)])
-    slow = holding([(0, 3), (6, 12)], "middle")
-    model = pipeline(layers=12)
-    paths = hall_paths([*quick, *slow], model)
-    assert len(paths) == 2
-    used = [server.facts.id for path in paths for server in path.servers]
-    assert len(used) == len(set(used))
-    assert all(tiles(path, 12) for path in paths)
-
-
-span_lists = st.lists(st.tuples(st.integers(0, 11), st.integers(1, 12)), max_size=12)
-
-
-@given(span_lists, span_lists)
-def test_paths_of_a_hall_share_no_server_and_reach_the_bound(
-    quick: list[tuple[int, int]], slow: list[tuple[int, int]]
-) -> None:
-    model = pipeline(layers=12)
-    found = [
-        server
-        for kind, spans in (("big", quick), ("middle", slow))
-        for server in holding([(first, min(12, first + length)) for first, length in spans], kind)
-    ]
-    paths = hall_paths(found, model)
-    used = [server.facts.id for path in paths for server in path.servers]
-    assert len(used) == len(set(used))
-    assert all(tiles(path, 12) for path in paths)
-    holders = [sum(s.facts.first <= n < s.facts.last for s in found) for n in range(12)]
-    assert len(paths) == min(MAX_PATHS, *holders)
-
-
 def test_an_empty_server_goes_where_fewest_hold() -> None:
     model = pipeline(layers=60)
     held = [server.facts for server in holding([(0, 60)] * 3 + [(0, 30)])]
@@ -305,19 +219,40 @@
     assert span.first >= 30
 
 
+def room_of_layers(held: Sequence[Server], model: Pipeline) -> list[float]:
+    """Return the usual requests that all holders of each layer have room for."""
+    rooms = [0.0] * model.layers
+    for server in held:
+        facts = server.facts
+        for layer in range(facts.first, facts.last):
+            rooms[layer] += model.room(facts.accelerator or "", facts.held, facts.held) / model.usual_tokens
+    return rooms
+
+
 def test_several_chains_of_a_hall_hold_few_layers_a_server_and_many_requests() -> None:
     model = msgspec.structs.replace(pipeline(), typical_prompt=770, typical_answer=140)
     held = placed(servers(a={"big": 4, "middle": 9, "small": 14}), model)
-    paths = hall_paths(held, model)
-    assert len(paths) >= 2
-    for path in paths:
-        rooms = [
-            model.room(s.facts.accelerator or "", s.facts.held, stage.last - stage.first)
-            for s, stage in zip(path.servers, path.route.stages, strict=True)
-        ]
-        # Pairs would leave less than the wanted room on the quick ones.
-        assert min(rooms) > 1.5 * model.token_capacity
-        assert path.capacity <= 96
+    holders = [sum(s.facts.first <= layer < s.facts.last for s in held) for layer in range(model.layers)]
+    assert min(holders) >= 2
+    # Pairs would leave less than the wanted room on the quick ones.
+    assert min(room_of_layers(held, model)) > 2 * 1.5 * model.token_capacity / model.usual_tokens
+
+
+@pytest.mark.parametrize(
+    "kinds",
+    [
+        {"big": 3, "middle": 3, "small": 5},
+        {"big": 1, "middle": 5, "small": 8},
+        {"big": 1, "middle": 10, "small": 4},
+    ],
+)
+def test_no_layer_of_a_hall_has_much_less_room_than_memory_allows(kinds: dict[str, int]) -> None:
+    model = msgspec.structs.replace(pipeline(), typical_prompt=770, typical_answer=140)
+    held = placed(servers(a=kinds), model)
+    memory = sum(model.accelerators[s.facts.accelerator or ""].memory_mb for s in held)
+    # What one copy of all layers leaves, if it could be shared out evenly.
+    ideal = (memory - model.layers * model.layer_mb) / model.token_mb / model.usual_tokens
+    assert min(room_of_layers(held, model)) >= 0.6 * min(ideal, 96.0)
 
 
 def test_a_server_that_comes_back_holds_no_more_than_its_kind_does() -> None:
