Do not end a stream for a moment of silence; ask stages and the store less

It took live first stages for dead, broke off their streams in the middle, and had no retries left to send them anew.

Ruled out: a cut by the server (its run ended 7 ms after this side closed).

--- a/bayglade/config.py
+++ b/bayglade/config.py
@@ -14,6 +14,7 @@
 
 from bayglade.exceptions import InvalidSettings
 from bayglade.ids import HallName, MemberId
+from bayglade.mechanisms import Mechanism
 
 MAX_CONFIG_BYTES = 64 * 1024
 
@@ -89,6 +90,8 @@
     retry_window_seconds: float = 10.0
     retry_floor: float = 10.0
     log_level: str = "INFO"
+    without: frozenset[Mechanism] = frozenset()
+    """Mechanisms that are switched off, to measure what they are worth."""
 
     def __repr__(self) -> str:
         return f"<GatewayConfig {self.member} in {self.hall} at {self.callers}>"
--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -32,6 +32,11 @@
 stands still for a slow stage, which the first does not name, has found it after a few looks."""
 MAX_SILENT_PART = 0.5
 """When more stages than this are silent, the fault is more likely on this side."""
+LATELY_SECONDS = 0.4
+"""Looks of all streams count together for so long: a link that is busy with a large document holds
+up answers by some tenths of a second, and each look alone asks too few stages to tell."""
+MANY_SILENT = 3
+"""Silent stages of all looks together that are more than one stage's end."""
 
 
 class Finding:
@@ -64,6 +69,9 @@
         self.daemons: Callable[[], int] = lambda: 1
         """Returns how many daemons ask."""
 
+        self.by_turns = True
+        """Whether a look asks a few stages of a path only."""
+
         self.asking: dict[BackendId, eventlet.greenthread.GreenThread] = {}
 
     def __repr__(self) -> str:
@@ -77,6 +85,8 @@
         :return: the stages that are dead, as far as can be told.
         """
         behind = sorted(servers[1:], key=lambda server: self._asked_at(server.facts.id))
+        if not self.by_turns:
+            return self.examine(servers)
         dead = self.examine([servers[0], *behind[:ASKED_BY_TURNS]])
         report = self.findings[servers[0].facts.id].report
         address = report.stalled.get(request) if report is not None else None
@@ -96,7 +106,7 @@
         stages = list(servers)
         findings = self._ask_all(stages)
         silent = [server for server in stages if findings[server.facts.id].report is None]
-        if len(silent) > max(1.0, len(stages) * MAX_SILENT_PART):
+        if self._own_fault(len(silent), len(stages)):
             event("WARNING", "stages silent", silent=len(silent), of=len(stages), outcome="own fault")
             return frozenset()
         for server in silent:
@@ -104,6 +114,20 @@
                 self.on_dead(server)
         return frozenset(server.facts.id for server in silent)
 
+    def _own_fault(self, silent: int, asked: int) -> bool:
+        """Tell whether so much is silent that the fault is likely on this side.
+
+        :param silent: stages of one look that did not answer.
+        :param asked: stages of that look.
+        """
+        if not silent:
+            return False
+        lately = [f for f in self.findings.values() if now() - f.asked_at < LATELY_SECONDS]
+        none = sum(1 for finding in lately if finding.report is None)
+        if none >= MANY_SILENT and none > len(lately) * MAX_SILENT_PART:
+            return True
+        return silent > max(1.0, asked * MAX_SILENT_PART)
+
     def recheck(self) -> None:
         """Ask suspect and slow stages now and then whether they are back, for ever."""
         while True:
--- a/bayglade/fanout.py
+++ b/bayglade/fanout.py
@@ -19,7 +19,7 @@
 from bayglade.clock import now
 from bayglade.entries.wire import Message, Poll, TableUpdate, Updates
 from bayglade.exceptions import PeerError
-from bayglade.feeds import MAX_PAUSE, Feed
+from bayglade.feeds import FIRST_PAUSE, MAX_PAUSE, Feed
 from bayglade.ids import HallName, MemberId
 from bayglade.logs import event
 from bayglade.rows import Changes
@@ -33,9 +33,10 @@
 from it that often at least."""
 FOLLOWER_REST_PART = 0.7
 """Part of that bound after which a follower that heard nothing reads the store."""
-FOLLOWER_PAUSE = 2.0
-"""Longest time between a follower's calls to a store that fails: each is paid for, and its readers,
-who ask more often, tell when the store is back."""
+FOLLOWER_FIRST_PAUSE = 0.4
+FOLLOWER_PAUSE = 3.0
+"""First and longest time between a follower's calls to a store that fails: each is paid for, and its
+readers, who ask more often, tell when the store is back."""
 ASK_AGAIN_SECONDS = 1.0
 """A question is repeated after this time: the stream it went on may have broken."""
 LEAST_ASK_SECONDS = 0.1
@@ -90,7 +91,8 @@
     """Updates of tables, as one daemon polls for them and passes them on.
 
     :param feeds: the tables, by name.
-    :param proof: the feed whose answers show that a reader reaches the store.
+    :param proof: the feed whose answers show that a reader reaches the store; of all feeds it
+        looks most often whether a lost store is back.
     :param push: sends a message to another daemon.
     """
 
@@ -141,7 +143,8 @@
         """Set for how long updates from readers are enough, in seconds."""
         for feed in self.feeds.values():
             feed.rest_seconds = seconds if self.readers else 0.0
-            feed.max_pause = FOLLOWER_PAUSE if self.readers else MAX_PAUSE
+        self.proof.first_pause = FOLLOWER_FIRST_PAUSE if self.readers else FIRST_PAUSE
+        self.proof.max_pause = FOLLOWER_PAUSE if self.readers else MAX_PAUSE
 
     def watch(self) -> None:
         """Ask readers that were not asked, or did not answer for long; called often."""
--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -25,6 +25,9 @@
 MAX_PAUSE = 0.4
 """Seconds between calls that fail: short against the bounds on updates, long for a store in trouble."""
 
+OTHERS_PAUSE = 1.5
+"""The same for feeds that another one tells when the store is back: it may be lost for some tables only."""
+
 OLDEST_OF_WAIT = 1.3
 """Age that knowledge reaches at most while the store answers, in waits: after a change that
 came late in its wait the next call waits for less."""
@@ -71,11 +74,17 @@
         self.rest_seconds = 0.0
         """For how long what another daemon told is fresh enough to make no call; 0 for never."""
 
+        self.first_pause = FIRST_PAUSE
+        """Time before the first call after one that failed, in seconds; doubled up to the longest."""
+
         self.max_pause = MAX_PAUSE
         """Longest time between calls that fail, in seconds."""
 
+        self.on_regained: Callable[[], None] | None = None
+        """Told when the store answers here again."""
+
         self.back = Event()
-        """Sent when another daemon has an answer of the store while this one has none."""
+        """Sent when another daemon or feed has an answer of the store while this one has none."""
 
         self.told_at = 0.0
         """When the daemon that told of the table had an answer of the store, at the earliest."""
@@ -109,7 +118,7 @@
 
     def run(self) -> None:
         """Follow the table for ever."""
-        pause = FIRST_PAUSE
+        pause = self.first_pause
         while True:
             if (rest := self._rest_left()) > 0:
                 eventlet.sleep(rest)
@@ -124,7 +133,7 @@
                 self._wait_for_store(pause)
                 pause = min(self.max_pause, 2 * pause)
             else:
-                pause = FIRST_PAUSE
+                pause = self.first_pause
 
     def _step(self) -> None:
         asked, wait = now(), 0.0
@@ -138,6 +147,8 @@
             event("INFO", "store regained", table=self.table, out=round(now() - self.failing_since, 2))
             self.failing_since = None
             self.recovered_at = now()
+            if self.on_regained is not None:
+                self.on_regained()
         quiet = not whole and not changes.rows and now() - asked >= wait
         self.known_at = max(self.known_at, asked + wait if quiet else asked)
         taken = self._take(changes, whole)
@@ -157,8 +168,7 @@
         if self.failing_since is not None:
             # Only an answer of the store itself ends an outage: entries that lapsed
             # meanwhile are judged by when it came. But now it is worth asking.
-            if not self.back.ready():
-                self.back.send()
+            self.ask_now()
             return
         gap = after is not None and (self.version is None or after > self.version)
         if gap:
@@ -209,6 +219,11 @@
             return 0.0
         return self.told_at + self.rest_seconds - now()
 
+    def ask_now(self) -> None:
+        """Call a store that failed without more delay: it answers elsewhere."""
+        if not self.back.ready():
+            self.back.send()
+
     def _wait_for_store(self, seconds: float) -> None:
         """Wait before a call is tried again, less when another daemon has an answer."""
         self.back = Event()
@@ -228,16 +243,25 @@
 
 
 def look_together(feeds: Iterable[Feed]) -> None:
-    """Have all feeds of one store look at it anew when one of them finds it lost.
+    """Have all feeds of one store look at it anew when one of them finds it lost, or back.
 
-    :param feeds: the feeds.
+    :param feeds: the feeds; the first looks most often.
     """
     joined = list(feeds)
+    # One of them looks often whether the store is back, and tells the others: each call is paid for.
+    for feed in joined[1:]:
+        feed.first_pause = feed.max_pause = OTHERS_PAUSE
 
     def tell_others(lost: Feed) -> None:
         for feed in joined:
             if feed is not lost:
                 feed.interrupt()
 
+    def ask_others(regained: Feed) -> None:
+        for feed in joined:
+            if feed is not regained and feed.failing_since is not None:
+                feed.ask_now()
+
     for feed in joined:
         feed.on_lost = partial(tell_others, feed)
+        feed.on_regained = partial(ask_others, feed)
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -27,6 +27,7 @@
 from bayglade.listener import Connection, Handler, listen, serve
 from bayglade.loading import LEASE_MARGIN, LEASE_NAME, LEASE_SECONDS, Loader
 from bayglade.logs import event
+from bayglade.mechanisms import Mechanism
 from bayglade.metrics import create_metrics
 from bayglade.paths import Paths
 from bayglade.peering import Peering
@@ -79,6 +80,7 @@
         self.links = Links()
         self.control = platform.Engines(self.links)
         self.diagnosis = Diagnosis(self.fleet, self.control, self.rng)
+        self.diagnosis.by_turns = Mechanism.TURNS not in config.without
         key_trust = config.key_trust_ms / 1000
         self.document_feed = Feed(
             self.store,
@@ -97,7 +99,7 @@
         self.lines = Lines(self.usage, self.intake.share_of)
         self.peers = Peers(
             fleet=self.fleet,
-            paths=Paths(self.fleet, config.hall),
+            paths=Paths(self.fleet, config.hall, config.without),
             links=self.links,
             dialect=dialect,
             control=self.control,
@@ -107,6 +109,7 @@
             new_budget=lambda: self.peering.new_budget(),
             metrics=self.metrics,
             rng=self.rng,
+            without=config.without,
         )
         self.loader = Loader(
             self.fleet,
@@ -115,6 +118,8 @@
             self.intake.pipelines,
             self.metrics,
             self.rng,
+            pairs=Mechanism.PAIRS not in config.without,
+            first=lambda: self.peering.reads() and self.document_feed.failing_since is None,
         )
         self.peering = Peering(
             config,
--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -31,6 +31,8 @@
 LOOK_SECONDS = 0.4
 OTHERS_SECONDS = 1.0
 """Time between looks at a lease that another daemon has: each is a call of the store, paid for."""
+OTHERS_BEGIN_SECONDS = 3.0
+"""Something that has to be ordered for so long was left by the daemons that try first: all others try."""
 SETTLE_SECONDS = 1.5
 """An empty fleet is laid out once no server was listed for so long: the list fills slowly at a start."""
 MEND_SECONDS = 0.8
@@ -62,6 +64,8 @@
         pipelines: Callable[[], dict[ServiceName, Pipeline]],
         metrics: Metrics,
         rng: random.Random,
+        pairs: bool = True,
+        first: Callable[[], bool] = lambda: True,
     ) -> None:
         self.fleet = fleet
         self.control = control
@@ -69,8 +73,16 @@
         self.pipelines = pipelines
         self.metrics = metrics
         self.rng = rng
+        self.pairs = pairs
+        """Whether servers are paired where memory allows."""
+
+        self.first = first
+        """Tells whether this daemon is one of those that try for the lease at once."""
+
         self.given: dict[BackendId, Given] = {}
         self.missing_since: dict[str, float] = {}
+        self.wanting_since: float | None = None
+        """Since when there has been something to order."""
 
     def __repr__(self) -> str:
         return f"<Loader {self.lease!r} {len(self.given)} orders>"
@@ -97,17 +109,27 @@
             wanted = self.wanted(service, pipeline)
             if not wanted:
                 continue
-            if not self.lease.keep():
+            if not self._may_try() or not self.lease.keep():
                 return False
             pool = eventlet.GreenPool(ORDERS_AT_ONCE)
             for backend, span in wanted.items():
                 pool.spawn_n(self._order, backend, span)
             pool.waitall()
             return True
+        self.wanting_since = None
         if not self.given:
             self.lease.release()
         return True
 
+    def _may_try(self) -> bool:
+        """Tell whether to look at the lease: few daemons do so at once, each look is paid for."""
+        at = now()
+        if self.wanting_since is None:
+            self.wanting_since = at
+        return (
+            self.first() or self.lease.seconds_left() > 0 or at - self.wanting_since > OTHERS_BEGIN_SECONDS
+        )
+
     def wanted(self, service: ServiceName, pipeline: Pipeline) -> Spans:
         """Work out the spans to be ordered now.
 
@@ -128,7 +150,7 @@
         empty = [facts for facts in group if not facts.held]
         holding = [facts for facts in group if facts.held]
         if not holding:
-            return tile_group(group, pipeline) if self._settled(at) else {}
+            return tile_group(group, pipeline, self.pairs) if self._settled(at) else {}
         spans = fill(holding, empty, pipeline)
         filled = [
             msgspec.structs.replace(f, first=spans[f.id].first, last=spans[f.id].last)
@@ -161,7 +183,7 @@
         if any(facts.id in self.given for facts in group):
             # The layout would be reckoned from a state that is about to change.
             return {}
-        return tile_group(group, pipeline)
+        return tile_group(group, pipeline, self.pairs)
 
     def _settled(self, at: float) -> bool:
         return at - self.fleet.grown_at > SETTLE_SECONDS
--- a/bayglade/pathfinding.py
+++ b/bayglade/pathfinding.py
@@ -75,7 +75,7 @@
     :param limited: whether full servers are left out.
     """
 
-    __slots__ = ("crossing", "demand", "limited", "pipeline", "taken")
+    __slots__ = ("crossing", "crowding", "demand", "limited", "pipeline", "taken")
 
     def __init__(
         self,
@@ -90,6 +90,8 @@
         self.taken = taken
         self.crossing = crossing
         self.limited = limited
+        self.crowding = True
+        """Whether a stage costs more the fuller its cache is."""
 
     def hop_ms(self, one: HallName | None, other: HallName) -> float:
         """Return the cost of handing a token on; nothing before the first stage."""
@@ -170,10 +172,12 @@
         if search.limited and taken > 0:
             return float("inf"), use
         use = MOST_USE
-    step = pipeline.step_ms * layers + pipeline.request_ms * taken / pipeline.usual().cached
     kind = pipeline.accelerators[accelerator]
-    time = step * kind.step_factor * server.pace / pipeline.layers
-    return time / (1.0 - use**CROWDING_POWER), use
+    passing = taken / pipeline.usual().cached
+    work = kind.step_factor * (pipeline.step_ms * layers + pipeline.request_ms * passing)
+    work += kind.read_factor * pipeline.reading_ms * passing
+    time = work * server.pace / pipeline.layers
+    return time / (1.0 - use**CROWDING_POWER) if search.crowding else time, use
 
 
 Ways = dict[int, dict[HallName | None, _Reach]]
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -11,6 +11,7 @@
 from bayglade.entries.wire import ServerLoad
 from bayglade.fleet import SLOW_PACE, Fleet, Server
 from bayglade.ids import BackendId, HallName, ServiceName
+from bayglade.mechanisms import Mechanism, Without
 from bayglade.pathfinding import Path, Search, by_hall, find_detour, find_path
 from bayglade.pipelines import Demand, Pipeline
 from bayglade.pipes import Pipes
@@ -26,9 +27,10 @@
 class Paths:
     """The paths of one daemon's requests."""
 
-    def __init__(self, fleet: Fleet, hall: HallName) -> None:
+    def __init__(self, fleet: Fleet, hall: HallName, without: Without = frozenset()) -> None:
         self.fleet = fleet
         self.hall = hall
+        self.without = without
         self.pipes = Pipes()
         self.elsewhere: Callable[[], dict[BackendId, ServerLoad]] = dict
         """Returns what other daemons have under way on servers."""
@@ -62,16 +64,20 @@
             and s.short_until <= at
             and _may_begin(s, loads.get(s.facts.id, NO_LOAD), heads)
         ]
-        search = Search(pipeline, demand, _taken(loads))
+        search = self._search(pipeline, demand, loads)
         halls = by_hall(usable)
         own = find_path(halls.pop(self.hall, []), search)
-        if own is not None and own.use <= SPILL_USE and not any(s.pace > SLOW_PACE for s in own.servers):
+        if own is not None and not self._compared(own):
             return own
         others = [path for servers in halls.values() if (path := find_path(servers, search)) is not None]
         whole = _cheapest(own, min(others, key=lambda path: path.cost, default=None))
-        if whole is None or any(s.pace > SLOW_PACE for s in whole.servers):
-            return _cheapest(whole, self._crossing(usable, search))
-        return whole
+        return _cheapest(whole, self._crossing(usable, search))
+
+    def _compared(self, own: Path) -> bool:
+        """Tell whether other halls are compared with a path of the own one."""
+        if Mechanism.SPILL in self.without:
+            return False
+        return own.use > SPILL_USE or any(s.pace > SLOW_PACE for s in own.servers)
 
     def take(self, path: Path, pipeline: Pipeline) -> None:
         """Count a request on the servers of its path and on the pipes that it crosses.
@@ -115,19 +121,27 @@
         if head.facts.id in without:
             return None
         usable = [s for s in self.fleet.usable(service) if s.facts.id not in without and s is not head]
-        search = Search(pipeline, path.demand, _taken(self.elsewhere()))
+        search = self._search(pipeline, path.demand, self.elsewhere())
         halls = {server.facts.hall for server in path.servers}
         here = find_detour(path, [s for s in usable if s.facts.hall in halls], search)
         return here or self._crossing(usable, search, path)
 
+    def _search(self, pipeline: Pipeline, demand: Demand, loads: dict[BackendId, ServerLoad]) -> Search:
+        search = Search(pipeline, demand, _taken(loads))
+        search.crowding = Mechanism.CROWDING not in self.without
+        return search
+
     def _crossing(self, usable: list[Server], search: Search, path: Path | None = None) -> Path | None:
         """Find a path over several halls, or such a way behind the first stage of a path."""
+        if Mechanism.CROSSING in self.without:
+            return None
         pipeline, demand = search.pipeline, search.demand
 
         def crossing(one: HallName, other: HallName) -> float:
             return self.pipes.crossing_ms(one, other, pipeline, demand)
 
         wide = Search(pipeline, demand, search.taken, crossing, search.limited)
+        wide.crowding = search.crowding
         return find_path(usable, wide) if path is None else find_detour(path, usable, wide)
 
 
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -95,6 +95,10 @@
         """List the other gateways heard lately."""
         return [member.id for member in self.membership.live()] if self.membership is not None else []
 
+    def reads(self) -> bool:
+        """Tell whether this gateway reads the store for others, or there are no others that do."""
+        return self.fanout.reading or not self.fanout.readers
+
     def leave(self) -> None:
         """Tell the others that this gateway stops."""
         if self.membership is not None:
--- a/bayglade/pipelines.py
+++ b/bayglade/pipelines.py
@@ -78,6 +78,11 @@
             return Demand(LEAST_REQUEST, 0.0)
         return Demand(float(self.typical_prompt), float(self.typical_answer))
 
+    @property
+    def reading_ms(self) -> float:
+        """Return the time that a usual request's prompt adds to each token step, spread over its answer."""
+        return self.read_ms * self.typical_prompt / max(1, self.typical_answer)
+
     def cache_size(self, accelerator: str, held: int) -> float:
         """Return how much fits into the KV cache of a server.
 
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -27,9 +27,11 @@
 from bayglade.ids import BackendId
 from bayglade.lines import Lines
 from bayglade.logs import event
+from bayglade.mechanisms import Mechanism, Without
 from bayglade.metrics import Metrics
 from bayglade.pathfinding import Path
 from bayglade.paths import Paths
+from bayglade.patience import Patience
 from bayglade.retries import RetryBudget, spread_retry_after
 from bayglade.upstream import FRESH_SECONDS, IDLE_SECONDS, Exchange, Links, open_exchange
 
@@ -58,6 +60,7 @@
         new_budget: Callable[[], RetryBudget],
         metrics: Metrics,
         rng: random.Random,
+        without: Without = frozenset(),
     ) -> None:
         self.fleet = fleet
         self.paths = paths
@@ -70,6 +73,8 @@
 
         self.metrics = metrics
         self.rng = rng
+        self.without = without
+        self.patience = Patience(Mechanism.PATIENCE not in without)
         self.lines = lines
         self.new_budget = new_budget
         """Makes the budget of a service, this daemon's part of the bound on all of them."""
@@ -122,13 +127,23 @@
         budget = peers.budget(self.call.service)
         if self.sent == 0 or budget.retry():
             return True
-        peers.borrow(self.call.service, budget)
-        if budget.retry():
-            return True
+        if Mechanism.LENDING not in peers.without:
+            peers.borrow(self.call.service, budget)
+            if budget.retry():
+                return True
         event("INFO", "retry budget spent", request=self.call.head.id, budget=budget)
         peers.metrics.count("retry_budget_spent")
         return False
 
+    def may_repeat(self, peers: Peers) -> bool:
+        """Tell whether the call could be sent once more, without taking that from the budget."""
+        if self.sent >= MAX_SENDINGS:
+            return False
+        budget = peers.budget(self.call.service)
+        if not budget.left() and Mechanism.LENDING not in peers.without:
+            peers.borrow(self.call.service, budget)
+        return budget.left()
+
     def only(self) -> frozenset[BackendId] | None:
         """Return the servers to which the call may still go; nothing when any may be new.
 
--- a/bayglade/retries.py
+++ b/bayglade/retries.py
@@ -56,13 +56,24 @@
         :return: false when the budget is spent.
         """
         at = now()
-        while self.retries and self.retries[0] <= at - self.window:
-            self.retries.popleft()
-        if len(self.retries) + 1.0 > self.floor + self.fraction * self.requests.read(at):
+        if not self._own_left(at):
             return self._use_loan(at)
         self.retries.append(at)
         return True
 
+    def left(self) -> bool:
+        """Tell whether a retry could be taken now."""
+        at = now()
+        return self._own_left(at) or self._loan_left(at)
+
+    def _own_left(self, at: float) -> bool:
+        while self.retries and self.retries[0] <= at - self.window:
+            self.retries.popleft()
+        return len(self.retries) + 1.0 <= self.floor + self.fraction * self.requests.read(at)
+
+    def _loan_left(self, at: float) -> bool:
+        return self.loan > 0 and at < self.loan_until
+
     def borrowed(self, amount: int, until: float) -> None:
         """Take in a loan; what was left of an earlier one that still holds is kept.
 
@@ -74,7 +85,7 @@
         self.loan_until = min(until, self.loan_until) if left else until
 
     def _use_loan(self, at: float) -> bool:
-        if not self.loan or at >= self.loan_until:
+        if not self._loan_left(at):
             return False
         self.loan -= 1
         return True
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -19,17 +19,12 @@
 from bayglade.ids import BackendId
 from bayglade.listener import Connection
 from bayglade.logs import event
+from bayglade.mechanisms import Mechanism
 from bayglade.pathfinding import Path
 from bayglade.pipelines import Pipeline
 from bayglade.relay import Attempts, Peers, answer_head, send
 from bayglade.upstream import Exchange
 
-FIRST_PATIENCE_OF_AIM = 0.2
-"""Part of the aim after which a stream without an event is looked into."""
-GAP_PATIENCE_OF_AIM = 0.375
-"""Part of the longest good pause after which a stream is looked into: time is left to move it
-and read its tokens anew. On a calm day 1 stream in 30 pauses for longer."""
-LEAST_PATIENCE = 0.06
 LOOK_FACTOR = 2.0
 MAX_LOOK_SECONDS = 0.8
 """Time between questions to the stages of one stream that stands still though all of them answer:
@@ -40,6 +35,8 @@
 SHORT_SECONDS = 0.25
 """How long a stage that turned a request away counts as full: a request ends there every few
 hundredths of a second, and the next one that is turned away says so again."""
+MOVE_PAUSE = 0.3
+"""Seconds between two moves of one stream: each has its tokens read anew by the new stages."""
 LEAVE_SPREAD_SECONDS = 1.0
 """Streams are moved off a leaving stage over this time, not all at once: each has its tokens
 read anew. A server that leaves serves on for two seconds and more."""
@@ -102,25 +99,32 @@
     """One attempt at a stream: the path that it has taken and the exchange with its first stage."""
 
     __slots__ = (
+        "attempts",
         "avoided",
         "begun",
+        "event_at",
         "exchange",
         "fleet_seen",
         "leave_at",
         "look_at",
         "look_pause",
+        "move_at",
         "path",
         "slow_before",
     )
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path, attempts: Attempts) -> None:
         self.path = path
+        self.attempts = attempts
         self.exchange: Exchange
         """Set once the request is sent."""
 
         self.slow_before = _slow(path)
         """Stages that were known to be slow when the path was taken."""
 
+        self.event_at = now()
+        """When the last event came, or else when the run began."""
+
         self.begun = False
         """Whether an event has come of this attempt."""
 
@@ -131,6 +135,9 @@
         self.leave_at: float | None = None
         """When the request is moved off stages that leave."""
 
+        self.move_at = 0.0
+        """Not moved again before this time."""
+
         self.look_at = 0.0
         """Stages that answered are not asked again before this time."""
 
@@ -148,6 +155,7 @@
     def moved_on(self) -> None:
         """Note that the stream goes on."""
         self.begun = True
+        self.event_at = now()
         self.look_at = 0.0
         self.look_pause = 0.0
 
@@ -183,7 +191,7 @@
                 break
             avoided = frozenset()
             continue
-        run = Run(path)
+        run = Run(path, attempts)
         try:
             if not attempts.may_send(peers):
                 break
@@ -230,7 +238,7 @@
     since = delivery.sent_at if delivery.begun else call.arrived
     until = min(call.deadline, since + WAIT_SECONDS)
     expected = peers.lines.expected_seconds(call.service)
-    if now() + expected <= until:
+    if now() + expected <= until and Mechanism.WAITING not in peers.without:
         path = peers.lines.wait(call, seek, until)
         if path is not None:
             return path
@@ -279,7 +287,7 @@
 
 def _await_head(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> tuple[Message, AnswerHead]:
     while True:
-        patience = _first_patience(call)
+        patience = peers.patience.first(call.endpoint.aim)
         try:
             return answer_head(peers, call, run.exchange, min(call.deadline, now() + patience))
         except BackendSilent:
@@ -300,9 +308,11 @@
     peers: Peers, call: Call, pipeline: Pipeline, run: Run, message: Message, delivery: Delivery
 ) -> None:
     splitter = EventSplitter()
-    gap = max(LEAST_PATIENCE, GAP_PATIENCE_OF_AIM * call.endpoint.gap_aim)
     while True:
-        patience = gap if delivery.begun else _first_patience(call)
+        if delivery.begun:
+            patience = peers.patience.gap(call.endpoint.gap_aim)
+        else:
+            patience = peers.patience.first(call.endpoint.aim)
         try:
             piece = run.exchange.piece(min(call.deadline, now() + patience))
         except BackendSilent:
@@ -310,6 +320,7 @@
             continue
         if piece is None:
             break
+        peers.patience.note(now() - run.event_at, run.begun)
         run.moved_on()
         delivery.deliver(message, splitter.feed(piece))
         _leave_stages(peers, call, pipeline, run)
@@ -327,7 +338,7 @@
         run.fleet_seen = peers.fleet.changed
         if run.leave_at is None and _leaving(run):
             run.leave_at = now() + peers.rng.uniform(0.0, LEAVE_SPREAD_SECONDS)
-    if run.leave_at is None or now() < run.leave_at:
+    if run.leave_at is None or now() < run.leave_at or Mechanism.LEAVE_PLANNED in peers.without:
         return
     run.leave_at = None
     run.avoided |= _leaving(run)
@@ -340,9 +351,14 @@
     :param reason: what is wrong with them, for the log.
     :return: whether it was moved.
     """
+    if reason == "dead" and Mechanism.LEAVE_DEAD in peers.without:
+        return False
+    if now() < run.move_at:
+        return False
     path = peers.paths.detour(run.path, call.service, pipeline, run.avoided)
     if path is None:
         return False
+    run.move_at = now() + MOVE_PAUSE
     head = run.path.servers[0].facts
     outcome = peers.control.reroute(head.id, head.address, call.head.id, path.route)
     event(
@@ -375,17 +391,43 @@
     if call.seconds_left() <= 0:
         raise BackendSilent("no whole answer in time", step="stream", peer=run.exchange.backend)
     dead = _dead_stages(peers, call, run, patience)
+    if not dead and Mechanism.LEAVE_SLOW in peers.without:
+        return
     if not dead:
         _leave_slow(peers, call, pipeline, run)
         return
     head = run.path.servers[0]
     if head.facts.id in dead:
-        raise BackendError("the first stage is dead", step="stream", peer=head.facts.id)
+        _leave(peers, call, pipeline, run, head, "the first stage is dead")
+        return
     run.avoided |= dead
-    moved = _move(peers, call, pipeline, run, "dead")
-    peers.metrics.count("streams.rerouted" if moved else "streams.reroute_failed")
-    if not moved:
-        raise BackendError("no other stages for those of a dead one", step="stream", peer=head.facts.id)
+    if _move(peers, call, pipeline, run, "dead"):
+        return
+    silent = next(server for server in run.path.servers if server.facts.id in dead)
+    _leave(peers, call, pipeline, run, silent, "no other stages for those of a dead one")
+
+
+def _leave(peers: Peers, call: Call, pipeline: Pipeline, run: Run, stage: Server, reason: str) -> None:
+    """End a run that a stage keeps from going on, if the call can go on elsewhere.
+
+    A stage that is silent may be out of reach for a moment, so a stream that cannot
+    go on elsewhere stays until the stage is surely gone: ended by this daemon, it
+    would be lost although its server lives.
+
+    :raises BackendError: when the run is to end.
+    """
+    if stage.ended(now()) or _can_resend(peers, call, pipeline, run):
+        raise BackendError(reason, step="stream", peer=stage.facts.id)
+
+
+def _can_resend(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> bool:
+    """Tell whether a call may be sent anew, and has a place elsewhere."""
+    if call.once or not run.attempts.may_repeat(peers):
+        return False
+    silent = frozenset(s.facts.id for s in run.path.servers if s.suspect)
+    avoided = silent | {run.path.servers[0].facts.id}
+    demand = demand_of(call, pipeline)
+    return peers.paths.choose(call.service, pipeline, demand, avoided, run.attempts.only()) is not None
 
 
 def _leave_slow(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> None:
@@ -397,16 +439,12 @@
     """
     head = run.path.servers[0]
     slow = _slow(run.path) - run.slow_before
-    if (
-        head.facts.id in slow
-        and not run.begun
-        and not call.once
-        and _elsewhere(peers, call, pipeline, head)
-    ):
+    if head.facts.id in slow and not run.begun and _can_resend(peers, call, pipeline, run):
         raise BackendError("the first stage has turned slow", step="stream", peer=head.facts.id)
-    fresh = slow - run.avoided - {head.facts.id}
-    if fresh:
-        run.avoided |= fresh
+    behind = slow - {head.facts.id}
+    if behind:
+        # Others may have no room now and have some at the next look.
+        run.avoided |= behind
         _move(peers, call, pipeline, run, "slow")
 
 
@@ -414,12 +452,6 @@
     return frozenset(s.facts.id for s in path.servers if s.pace > SLOW_PACE)
 
 
-def _elsewhere(peers: Peers, call: Call, pipeline: Pipeline, head: Server) -> bool:
-    """Tell whether a call has a path with room that does not begin at a server."""
-    demand = demand_of(call, pipeline)
-    return peers.paths.choose(call.service, pipeline, demand, frozenset({head.facts.id})) is not None
-
-
 def _dead_stages(peers: Peers, call: Call, run: Run, patience: float) -> frozenset[BackendId]:
     """Return the stages of a stream that are dead, by what is known or else by asking them."""
     known = frozenset(s.facts.id for s in run.path.servers if s.suspect)
@@ -431,10 +463,6 @@
     return dead
 
 
-def _first_patience(call: Call) -> float:
-    return max(LEAST_PATIENCE, FIRST_PATIENCE_OF_AIM * call.endpoint.aim)
-
-
 def _note_failure(peers: Peers, call: Call, path: Path, error: BackendError) -> frozenset[BackendId]:
     """Judge the servers of a failed attempt; return those to avoid now."""
     head = path.servers[0]
--- a/bayglade/tiling.py
+++ b/bayglade/tiling.py
@@ -75,18 +75,19 @@
     return [*able, rest] if rest else able
 
 
-def tile_group(servers: Sequence[ServerFacts], pipeline: Pipeline) -> Spans:
+def tile_group(servers: Sequence[ServerFacts], pipeline: Pipeline, pairs: bool = True) -> Spans:
     """Lay out one group of servers as chains.
 
     :param servers: the group.
     :param pipeline: facts of the model.
+    :param pairs: whether servers of a chain that is alone are paired.
     :return: the span of each server; empty when they cannot hold the model.
     """
     room = _room_for(servers, pipeline)
     if room is None:
         return {}
     chains = _chains(servers, pipeline, room)
-    if len(chains) == 1:
+    if pairs and len(chains) == 1:
         return _lay(_best_pairs(chains[0], pipeline), pipeline)
     spans: Spans = {}
     for chain in chains:
--- a/tests/test_diagnosis.py
+++ b/tests/test_diagnosis.py
@@ -2,16 +2,18 @@
 
 import random
 from types import SimpleNamespace
+from typing import Any
 
 import msgspec
 import pytest
 
 from bayglade import streams
 from bayglade.control import RerouteOutcome, StageReport
-from bayglade.diagnosis import ASKED_BY_TURNS, FRESH_SECONDS, Diagnosis, Finding
+from bayglade.diagnosis import ASKED_BY_TURNS, FRESH_SECONDS, MANY_SILENT, Diagnosis, Finding
 from bayglade.fleet import Fleet, Server, ServerFacts
 from bayglade.ids import BackendId, HallName, RequestId, ServiceName
 from bayglade.models import Route
+from bayglade.relay import Attempts
 from bayglade.streams import MAX_LOOK_SECONDS, Run
 
 PATIENCE = 0.1
@@ -124,7 +126,7 @@
         self.diagnosis = diagnosis
 
 
-CALL = SimpleNamespace(head=SimpleNamespace(id=RequestId("r")))
+CALL: Any = SimpleNamespace(head=SimpleNamespace(id=RequestId("r")))
 
 
 def test_looks_ask_the_first_stage_and_all_others_by_turns() -> None:
@@ -167,7 +169,7 @@
 
 def test_stages_that_answer_are_asked_less_and_less(monkeypatch: pytest.MonkeyPatch) -> None:
     diagnosis, stages, servers = diagnose(set())
-    run = Run(Path(servers))  # type: ignore[arg-type]
+    run = Run(Path(servers), Attempts(CALL))  # type: ignore[arg-type]
     at = 100.0
     monkeypatch.setattr(streams, "now", lambda: at)
     looks = []
@@ -189,8 +191,24 @@
 
 def test_a_stage_that_others_found_dead_is_noticed_without_a_question() -> None:
     diagnosis, stages, servers = diagnose(set())
-    run = Run(Path(servers))  # type: ignore[arg-type]
+    run = Run(Path(servers), Attempts(CALL))  # type: ignore[arg-type]
     run.look_at = float("inf")
     servers[2].suspect = True
     assert streams._dead_stages(Peers(diagnosis), CALL, run, PATIENCE) == {"s2"}  # type: ignore[arg-type]
     assert stages.asked == []
+
+
+def test_many_silent_stages_of_several_looks_are_a_fault_of_this_side() -> None:
+    diagnosis, _, servers = diagnose({f"s{n}" for n in range(8)}, 8)
+    for server in servers:
+        diagnosis.look([server], RequestId("r"))
+    suspects = [server for server in servers if server.suspect]
+    # The first ones could as well have ended themselves.
+    assert len(suspects) < MANY_SILENT
+
+
+def test_silent_stages_among_many_that_answer_are_suspect() -> None:
+    diagnosis, _, servers = diagnose({"s1", "s4", "s7"}, 12)
+    for server in servers:
+        diagnosis.look([server], RequestId("r"))
+    assert {server.facts.id for server in servers if server.suspect} == {"s1", "s4", "s7"}
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -11,9 +11,11 @@
 from bayglade.calls import CallHead
 from bayglade.control import RerouteOutcome
 from bayglade.exceptions import BackendError, BackendRefused
-from bayglade.fleet import Fleet
+from bayglade.fleet import SURE_SECONDS, Fleet
 from bayglade.ids import HallName, RequestId
 from bayglade.paths import Paths
+from bayglade.relay import Attempts
+from bayglade.retries import RetryBudget
 from bayglade.streams import LEAVE_SPREAD_SECONDS, SHORT_SECONDS, Run, _leave_stages, _note_failure
 from tests.test_tiling import SERVICE, pipeline, placed, servers
 
@@ -28,18 +30,28 @@
         self.fleet = Fleet()
         held = placed(servers(a={"big": 1, "middle": 5, "small": 8}), self.model)
         self.fleet.take([server.facts for server in held], [], outage=False)
+        self.budget = RetryBudget(floor=100.0)
         self.rerouted: list[Any] = []
         control = SimpleNamespace(reroute=self._reroute)
         paths = Paths(self.fleet, HallName("a"))
         self.peers: Any = SimpleNamespace(
-            fleet=self.fleet, paths=paths, control=control, rng=random.Random(1)
+            fleet=self.fleet,
+            paths=paths,
+            control=control,
+            rng=random.Random(1),
+            without=frozenset(),
+            budget=lambda service: self.budget,
+            borrow=lambda service, budget: None,
+            metrics=SimpleNamespace(count=lambda name: None),
         )
-        self.call: Any = SimpleNamespace(service=SERVICE, head=SimpleNamespace(id="r"))
+        self.call: Any = SimpleNamespace(service=SERVICE, endpoint=SimpleNamespace(max_attempts=2))
         self.moved = moved
         path = paths.choose(SERVICE, self.model, self.model.usual())
         assert path is not None
         paths.take(path, self.model)
-        self.run = Run(path)
+        self.call.once = False
+        self.call.head = CallHead(id=RequestId("r"), host="h", prompt_tokens=700, answer_tokens=100)
+        self.run = Run(path, Attempts(self.call))
 
     def _reroute(self, *arguments: Any) -> RerouteOutcome:
         self.rerouted.append(arguments)
@@ -161,7 +173,7 @@
 def test_a_stream_stays_on_a_stage_that_was_slow_when_it_came(monkeypatch: pytest.MonkeyPatch) -> None:
     scene = Scene(monkeypatch)
     scene.fleet.pace(scene.paired_stage(), 12.0)
-    scene.run = Run(scene.run.path)
+    scene.run = Run(scene.run.path, Attempts(scene.call))
     streams._leave_slow(scene.peers, scene.call, scene.model, scene.run)
     assert scene.rerouted == []
 
@@ -177,7 +189,6 @@
     held = placed(servers(b={"big": 3, "middle": 3, "small": 5}), scene.model)
     scene.fleet.take([server.facts for server in held], [], outage=False)
     scene.call.once = once
-    scene.call.head = CallHead(id=RequestId("r"), host="h", prompt_tokens=700, answer_tokens=100)
     scene.run.begun = begun
     scene.fleet.pace(scene.run.path.servers[0], 12.0)
     if leaves:
@@ -185,3 +196,63 @@
             streams._leave_slow(scene.peers, scene.call, scene.model, scene.run)
     else:
         streams._leave_slow(scene.peers, scene.call, scene.model, scene.run)
+
+
+def dead_head(scene: Scene, begun: bool = True) -> None:
+    """Let the first stage of the stream be found silent."""
+    held = placed(servers(b={"big": 3, "middle": 3, "small": 5}), scene.model)
+    scene.fleet.take([server.facts for server in held], [], outage=False)
+    scene.call.seconds_left = lambda: 10.0
+    scene.run.begun = begun
+    head = scene.run.path.servers[0]
+    assert scene.fleet.suspect(head, "silent")
+    head.suspect_since = scene.at
+
+
+def look_into(scene: Scene) -> None:
+    streams._look_into(scene.peers, scene.call, scene.model, scene.run, 0.1)
+
+
+def test_a_stream_whose_first_stage_is_silent_goes_on_elsewhere(monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = Scene(monkeypatch)
+    dead_head(scene)
+    with pytest.raises(BackendError):
+        look_into(scene)
+
+
+def test_a_stream_that_cannot_be_sent_again_is_not_ended_for_a_moment_of_silence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scene = Scene(monkeypatch)
+    dead_head(scene)
+    scene.budget.floor = scene.budget.fraction = 0.0
+    look_into(scene)
+    scene.at += SURE_SECONDS
+    with pytest.raises(BackendError):
+        look_into(scene)
+
+
+def test_a_stream_with_no_room_elsewhere_is_not_ended_for_a_moment_of_silence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scene = Scene(monkeypatch)
+    dead_head(scene)
+    for server in scene.fleet.of(SERVICE):
+        server.cached += 1e9
+    look_into(scene)
+
+
+def test_a_stream_that_no_other_stage_can_take_is_not_ended_for_a_moment_of_silence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scene = Scene(monkeypatch, moved=False)
+    scene.call.seconds_left = lambda: 10.0
+    scene.budget.floor = scene.budget.fraction = 0.0
+    silent = scene.paired_stage()
+    assert scene.fleet.suspect(silent, "silent")
+    silent.suspect_since = scene.at
+    look_into(scene)
+    assert len(scene.rerouted) == 1
+    scene.at += SURE_SECONDS
+    with pytest.raises(BackendError):
+        look_into(scene)
