Keep more pairs, and send streams anew before they cross between halls

Streams moved over the pipe stayed slow to their end, and those that were still running at the last fault were cut.

Changes: a layout has as many pairs as leave 0.57 of the room that it can have; a way over several halls is sought only where no hall has a whole one or a stage is slow; a stream whose dead stage nobody in the hall replaces is sent anew, and crosses only when it cannot be.

--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -71,7 +71,9 @@
             return own
         others = [path for servers in halls.values() if (path := find_path(servers, search)) is not None]
         whole = _cheapest(own, min(others, key=lambda path: path.cost, default=None))
-        return _cheapest(whole, self._crossing(usable, search))
+        if whole is None or any(s.pace > SLOW_PACE for s in whole.servers):
+            return _cheapest(whole, self._crossing(usable, search))
+        return whole
 
     def _compared(self, own: Path) -> bool:
         """Tell whether other halls are compared with a path of the own one."""
@@ -107,7 +109,12 @@
         return sorted((path for path in found if path is not None), key=lambda path: path.cost)
 
     def detour(
-        self, path: Path, service: ServiceName, pipeline: Pipeline, without: frozenset[BackendId]
+        self,
+        path: Path,
+        service: ServiceName,
+        pipeline: Pipeline,
+        without: frozenset[BackendId],
+        across: bool = False,
     ) -> Path | None:
         """Find a path with the same first stage that avoids some servers.
 
@@ -115,6 +122,7 @@
         :param service: the service whose servers hold the model.
         :param pipeline: facts of the model.
         :param without: servers to avoid.
+        :param across: whether stages of other halls may step in; all tokens so far cross the pipe then.
         :return: the path, not taken yet; nothing when there is none with room.
         """
         head = path.servers[0]
@@ -124,7 +132,7 @@
         search = self._search(pipeline, path.demand, self.elsewhere())
         halls = {server.facts.hall for server in path.servers}
         here = find_detour(path, [s for s in usable if s.facts.hall in halls], search)
-        return here or self._crossing(usable, search, path)
+        return here or (self._crossing(usable, search, path) if across else None)
 
     def _search(self, pipeline: Pipeline, demand: Demand, loads: dict[BackendId, ServerLoad]) -> Search:
         search = Search(pipeline, demand, _taken(loads))
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -345,17 +345,20 @@
     _move(peers, call, pipeline, run, "leaving")
 
 
-def _move(peers: Peers, call: Call, pipeline: Pipeline, run: Run, reason: str) -> bool:
+def _move(
+    peers: Peers, call: Call, pipeline: Pipeline, run: Run, reason: str, across: bool = False
+) -> bool:
     """Move a stream off the stages that it avoids, if others have room.
 
     :param reason: what is wrong with them, for the log.
+    :param across: whether stages of other halls may step in.
     :return: whether it was moved.
     """
     if reason == "dead" and Mechanism.LEAVE_DEAD in peers.without:
         return False
     if now() < run.move_at:
         return False
-    path = peers.paths.detour(run.path, call.service, pipeline, run.avoided)
+    path = peers.paths.detour(run.path, call.service, pipeline, run.avoided, across)
     if path is None:
         return False
     run.move_at = now() + MOVE_PAUSE
@@ -403,6 +406,8 @@
     run.avoided |= dead
     if _move(peers, call, pipeline, run, "dead"):
         return
+    if not _can_resend(peers, call, pipeline, run) and _move(peers, call, pipeline, run, "dead", True):
+        return
     silent = next(server for server in run.path.servers if server.facts.id in dead)
     _leave(peers, call, pipeline, run, silent, "no other stages for those of a dead one")
 
--- a/bayglade/tiling.py
+++ b/bayglade/tiling.py
@@ -20,6 +20,10 @@
 """The same for one that holds more than usual since layers beside its own are missing."""
 PAIR_LEFT = 0.5
 """Part of the requests of a pair that each of the two runs, and that fits when the other is gone."""
+KEPT_ROOM = 0.57
+"""Part of the room of a layout without pairs that one with pairs keeps. A loss stops all streams of
+a hall on a server that is alone, and half of them on one of a pair; with less room a hall turns
+requests away."""
 TIGHTER = 0.75
 LEAST_ROOM = 0.1
 """Where the model does not fit otherwise, the room for tokens shrinks in these steps, to this part."""
@@ -228,21 +232,19 @@
 
 
 def _best_pairs(chain: Sequence[ServerFacts], pipeline: Pipeline) -> list[_Unit]:
-    """Choose the room that a chain keeps, and pair as many of its servers as that room allows.
-
-    More room means fewer pairs. What is compared is the room while all servers
-    live together with the room that is left, on average, when any one is lost.
-    """
+    """Pair as many servers of a chain as leave enough of the room that it can have."""
     found: list[_Unit] = []
-    best = 0.0
+    most_paired, least = -1, 0.0
     for part in _rooms(chain, pipeline):
         units = _pairs(chain, pipeline, part)
         if not units:
             continue
-        paired = sum(len(unit.servers) for unit in units if len(unit.servers) > 1)
-        worth = part * (1.0 + PAIR_LEFT * paired / len(chain))
-        if worth > best:
-            best, found = worth, units
+        least = least or KEPT_ROOM * part
+        if part < least:
+            break
+        paired = sum(len(unit.servers) > 1 for unit in units)
+        if paired > most_paired:
+            most_paired, found = paired, units
     return found
 
 
