--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -1,11 +1,14 @@
 """Feeds: how old what they know may be, and how they go on after trouble."""
 
+from collections import Counter
+
+import eventlet
 import msgspec
 import pytest
 
 from bayglade import feeds
 from bayglade.exceptions import HistoryGone, PlatformUnavailable
-from bayglade.feeds import OLDEST_OF_WAIT, Feed
+from bayglade.feeds import MAX_PAUSE, OLDEST_OF_WAIT, OTHERS_PAUSE, Feed, look_together
 from bayglade.rows import Changes
 
 WAIT = 2.0
@@ -95,3 +98,39 @@
     feed, script = follow((0.1, HistoryGone("gone")), (0.1, {}))
     assert script.whole == 2
     assert feed.version == 1
+
+
+class LostStore:
+    """A store that is away, then back."""
+
+    def __init__(self) -> None:
+        self.lost = True
+        self.calls: Counter[str] = Counter()
+
+    def snapshot(self, table: str) -> Changes:
+        self.calls[table] += 1
+        if self.lost:
+            raise PlatformUnavailable("no answer", step="read", peer="store")
+        return Changes({}, 1)
+
+    def changes(self, table: str, after: int, wait: float) -> Changes:
+        eventlet.sleep(wait)
+        return Changes({}, after)
+
+
+def test_one_feed_looks_for_a_lost_store_and_tells_the_others() -> None:
+    store = LostStore()
+    joined = [Feed(store, name, WAIT, lambda changes, whole: None) for name in ("first", "b", "c")]
+    look_together(joined)
+    for feed in joined:
+        feed.start()
+    eventlet.sleep(OTHERS_PAUSE * 0.6)
+    assert store.calls["first"] >= 4
+    # Each asked when the store was lost, and once more since another feed found it lost too.
+    assert max(store.calls["b"], store.calls["c"]) <= 3
+    store.lost = False
+    eventlet.sleep(MAX_PAUSE + 0.2)
+    assert [feed.failing_since for feed in joined] == [None] * 3
+    for feed in joined:
+        assert feed.task is not None
+        feed.task.kill()
--- /dev/null
+++ b/tests/test_lines.py
@@ -0,0 +1,132 @@
+"""Lines: who waits is given a place in the order of shares, and gives it back when its caller leaves."""
+
+import random
+from types import SimpleNamespace
+from typing import Any
+
+import eventlet
+import pytest
+
+from bayglade import lines as lines_module
+from bayglade.callers.presence import CallerLeft
+from bayglade.calls import CallHead
+from bayglade.clock import now
+from bayglade.ids import RequestId, ServiceName
+from bayglade.lines import Lines
+from bayglade.usage import Usage
+
+SERVICE = ServiceName("model")
+LONG = 5.0
+
+
+class Place:
+    """A path as far as a line knows it."""
+
+    def __init__(self) -> None:
+        self.released = 0
+
+    def release(self) -> None:
+        self.released += 1
+
+
+class Scene:
+    """A line, and places that become free as told."""
+
+    def __init__(self) -> None:
+        self.lines = Lines(Usage(), lambda group: (0, 1.0))
+        self.free: list[Any] = []
+        self.served: list[str] = []
+
+    def enter(self, name: str, seconds: float = LONG, priority: int = 0) -> Any:
+        call: Any = SimpleNamespace(
+            service=SERVICE,
+            group=None,
+            priority=priority,
+            head=CallHead(id=RequestId(name), host="h", prompt_tokens=10, answer_tokens=10),
+        )
+
+        def wait() -> Any:
+            path = self.lines.wait(call, self.seek, now() + seconds)
+            if path is not None:
+                self.served.append(name)
+            return path
+
+        task = eventlet.spawn(wait)
+        eventlet.sleep(0)
+        return task
+
+    def seek(self) -> Any:
+        return self.free.pop(0) if self.free else None
+
+    def end(self, places: int = 1) -> None:
+        self.free += [Place() for _ in range(places)]
+        self.lines.note_end(SERVICE)
+        eventlet.sleep(0)
+
+
+def test_places_are_given_in_order_and_nobody_loses_its_place_by_a_look_in_vain() -> None:
+    scene = Scene()
+    tasks = [scene.enter(name) for name in "abc"]
+    for _ in range(3):
+        scene.lines.wake(SERVICE)
+        eventlet.sleep(0)
+    assert scene.served == []
+    scene.end()
+    assert scene.served == ["a"]
+    scene.end(2)
+    assert scene.served == ["a", "b", "c"]
+    assert all(task.wait() is not None for task in tasks)
+
+
+def test_a_more_urgent_request_goes_first() -> None:
+    scene = Scene()
+    scene.enter("usual")
+    scene.enter("urgent", priority=1)
+    scene.lines.wake(SERVICE)
+    scene.end()
+    assert scene.served == ["urgent"]
+
+
+def test_waiting_ends_without_a_place_in_time() -> None:
+    scene = Scene()
+    assert scene.enter("a", 0.01).wait() is None
+    assert not scene.lines.busy(SERVICE)
+    scene.end()
+    assert len(scene.free) == 1
+
+
+def test_a_caller_that_leaves_gives_up_its_turn() -> None:
+    scene = Scene()
+    first, _ = scene.enter("a"), scene.enter("b")
+    eventlet.kill(first, CallerLeft())
+    eventlet.sleep(0)
+    scene.end()
+    assert scene.served == ["b"]
+
+
+def test_a_place_that_came_as_the_caller_left_goes_to_the_next() -> None:
+    scene = Scene()
+    first, _ = scene.enter("a"), scene.enter("b")
+    place = Place()
+    scene.free.append(place)
+    # Granted, but its task has not run yet when the caller leaves.
+    scene.lines.wake(SERVICE)
+    scene.free.append(Place())
+    eventlet.kill(first, CallerLeft())
+    eventlet.sleep(0)
+    assert place.released == 1
+    assert scene.served == ["b"]
+
+
+def test_the_expected_wait_follows_the_rate_at_which_requests_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = Scene()
+    at = now()
+    monkeypatch.setattr(lines_module, "now", lambda: at)
+    assert scene.lines.expected_seconds(SERVICE) == 0.0
+    for _ in range(100):
+        at += 0.1
+        scene.lines.note_end(SERVICE)
+    rng = random.Random(1)
+    for number in range(20):
+        scene.enter(f"r{number}", 4 * LONG + rng.random())
+    assert scene.lines.expected_seconds(SERVICE) == pytest.approx(2.0, rel=0.2)
--- /dev/null
+++ b/tests/test_loading.py
@@ -0,0 +1,76 @@
+"""Loading: which daemons look at the placement lease, and when."""
+
+import random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from bayglade import loading
+from bayglade.fleet import Fleet
+from bayglade.loading import OTHERS_BEGIN_SECONDS, Loader
+from bayglade.metrics import create_metrics
+from tests.test_tiling import SERVICE, pipeline, servers
+
+
+class Site:
+    """Empty servers, and a lease that others hold."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, first: bool) -> None:
+        self.at = 100.0
+        monkeypatch.setattr(loading, "now", lambda: self.at)
+        self.looks = 0
+        self.left = 0.0
+        fleet = Fleet()
+        fleet.take(servers(a={"big": 3, "middle": 3, "small": 5}), [], outage=False)
+        fleet.grown_at = 0.0
+        lease: Any = SimpleNamespace(keep=self._keep, seconds_left=lambda: self.left, release=lambda: None)
+        self.loader = Loader(
+            fleet,
+            SimpleNamespace(),  # type: ignore[arg-type]
+            lease,
+            lambda: {SERVICE: pipeline()},
+            create_metrics(None, "d"),  # type: ignore[arg-type]
+            random.Random(1),
+            first=lambda: first,
+        )
+
+    def _keep(self) -> bool:
+        self.looks += 1
+        return False
+
+
+def test_a_daemon_that_reads_the_store_tries_for_the_lease_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    site = Site(monkeypatch, first=True)
+    site.loader.step()
+    assert site.looks == 1
+
+
+def test_other_daemons_try_once_it_was_left_undone(monkeypatch: pytest.MonkeyPatch) -> None:
+    site = Site(monkeypatch, first=False)
+    site.loader.step()
+    site.at += OTHERS_BEGIN_SECONDS
+    site.loader.step()
+    assert site.looks == 0
+    site.at += 0.1
+    site.loader.step()
+    assert site.looks == 1
+
+
+def test_a_daemon_that_has_the_lease_keeps_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    site = Site(monkeypatch, first=False)
+    site.left = 1.0
+    site.loader.step()
+    assert site.looks == 1
+
+
+def test_the_wait_counts_anew_once_nothing_was_to_be_done(monkeypatch: pytest.MonkeyPatch) -> None:
+    site = Site(monkeypatch, first=False)
+    site.loader.step()
+    wanted = site.loader.wanted
+    site.loader.wanted = lambda service, model: {}  # type: ignore[method-assign]
+    site.loader.step()
+    site.loader.wanted = wanted  # type: ignore[method-assign]
+    site.at += OTHERS_BEGIN_SECONDS + 0.1
+    site.loader.step()
+    assert site.looks == 0
--- /dev/null
+++ b/tests/test_patience.py
@@ -0,0 +1,47 @@
+"""Patience: learned from what is usual, between bounds that the aim sets."""
+
+import random
+
+import pytest
+
+from bayglade.patience import FIRST_OF_AIM, GAP_OF_AIM, LEAST_PATIENCE, Patience
+
+AIM = 0.5
+GAP = 0.2
+
+
+def learned(mean: float, begun: bool, learns: bool = True) -> Patience:
+    patience = Patience(learns)
+    rng = random.Random(1)
+    for _ in range(2000):
+        patience.note(rng.uniform(0.8, 1.2) * mean, begun)
+    return patience
+
+
+def test_quick_streams_leave_the_least_patience() -> None:
+    assert learned(0.02, begun=True).gap(GAP) == GAP_OF_AIM[0] * GAP
+    assert learned(0.02, begun=False).first(AIM) == FIRST_OF_AIM[0] * AIM
+
+
+def test_slow_streams_leave_the_most_patience() -> None:
+    assert learned(0.4, begun=True).gap(GAP) == pytest.approx(GAP_OF_AIM[1] * GAP)
+    assert learned(0.9, begun=False).first(AIM) == pytest.approx(FIRST_OF_AIM[1] * AIM)
+
+
+def test_in_between_nearly_no_usual_stream_is_looked_into() -> None:
+    mean = 0.08
+    patience = learned(mean, begun=True).gap(GAP)
+    assert 1.2 * mean < patience < GAP_OF_AIM[1] * GAP
+
+
+def test_first_events_and_gaps_are_learned_apart() -> None:
+    patience = learned(0.4, begun=True)
+    assert patience.first(AIM) == FIRST_OF_AIM[0] * AIM
+
+
+def test_an_entry_host_late_by_itself_is_no_reason_to_look() -> None:
+    assert Patience().gap(0.01) == LEAST_PATIENCE
+
+
+def test_patience_that_does_not_learn_stays_the_least() -> None:
+    assert learned(0.4, begun=True, learns=False).gap(GAP) == GAP_OF_AIM[0] * GAP
