Split streams and tiling; name what their parts do

Changes: runs.py (an attempt, and what keeps one going that stands still), mending.py (fill, mend, missing); constants stand where they are used. No change of behaviour; tests name the new places.

--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -20,9 +20,10 @@
 from bayglade.ids import BackendId, ServiceName
 from bayglade.leases import Lease
 from bayglade.logs import event
+from bayglade.mending import fill, mend, missing
 from bayglade.metrics import Metrics
 from bayglade.pipelines import Pipeline
-from bayglade.tiling import Span, Spans, fill, groups, mend, missing, tile_group
+from bayglade.tiling import Span, Spans, groups, tile_group
 
 LEASE_NAME = "placement"
 LEASE_SECONDS = 2.5
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -1,9 +1,8 @@
-"""Streams of a model: events pass as they come, over a path of stages that may change.
+"""Streams of a model: events pass as they come, from one run or from several.
 
-A stream that stands still is looked into at once. When a stage is dead, its
-layers go to another one while the first stage keeps the request; when the
-first stage itself is gone, the stream goes on at another one after the last
-event that was delivered, inside the same answer.
+A request gets a path with room, or waits for one while its caller does. When a
+run ends before the stream does (see :mod:`bayglade.runs`), the stream goes on
+in another one after the last event that was delivered, inside the same answer.
 """
 
 from collections.abc import Iterable
@@ -14,7 +13,7 @@
 from bayglade.clock import now
 from bayglade.events import EventSplitter, event_id
 from bayglade.exceptions import BackendError, BackendRefused, BackendSilent, BackendUnreachable
-from bayglade.fleet import SLOW_PACE, Server
+from bayglade.fleet import Server
 from bayglade.heads import Message, end_to_end
 from bayglade.ids import BackendId
 from bayglade.listener import Connection
@@ -23,23 +22,14 @@
 from bayglade.pathfinding import Path
 from bayglade.pipelines import Pipeline
 from bayglade.relay import Attempts, Peers, answer_head, send
+from bayglade.runs import Run, leave_planned, look_into
 from bayglade.upstream import Exchange
 
-LOOK_FACTOR = 2.0
-MAX_LOOK_SECONDS = 0.8
-"""Time between questions to the stages of one stream that stands still though all of them answer:
-doubled each time up to this bound. Each question is paid for, and a stage that other streams find
-dead in the meantime is noticed without one."""
 WAIT_SECONDS = 1.5
 """How long a call waits for room: callers of a stream leave after two seconds without an event."""
 SHORT_SECONDS = 0.25
 """How long a stage that turned a request away counts as full: a request ends there every few
 hundredths of a second, and the next one that is turned away says so again."""
-MOVE_PAUSE = 0.3
-"""Seconds between two moves of one stream: each has its tokens read anew by the new stages."""
-LEAVE_SPREAD_SECONDS = 1.0
-"""Streams are moved off a leaving stage over this time, not all at once: each has its tokens
-read anew. A server that leaves serves on for two seconds and more."""
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -95,79 +85,6 @@
         self.connection.send(self.begin(message) + LAST_CHUNK)
 
 
-class Run:
-    """One attempt at a stream: the path that it has taken and the exchange with its first stage."""
-
-    __slots__ = (
-        "attempts",
-        "avoided",
-        "begun",
-        "event_at",
-        "exchange",
-        "fleet_seen",
-        "leave_at",
-        "look_at",
-        "look_pause",
-        "move_at",
-        "path",
-        "slow_before",
-    )
-
-    def __init__(self, path: Path, attempts: Attempts) -> None:
-        self.path = path
-        self.attempts = attempts
-        self.exchange: Exchange
-        """Set once the request is sent."""
-
-        self.slow_before = _slow(path)
-        """Stages that were known to be slow when the path was taken."""
-
-        self.event_at = now()
-        """When the last event came, or else when the run began."""
-
-        self.begun = False
-        """Whether an event has come of this attempt."""
-
-        self.avoided: frozenset[BackendId] = frozenset()
-        self.fleet_seen = -1
-        """State of the fleet for which leaving stages were looked for."""
-
-        self.leave_at: float | None = None
-        """When the request is moved off stages that leave."""
-
-        self.move_at = 0.0
-        """Not moved again before this time."""
-
-        self.look_at = 0.0
-        """Stages that answered are not asked again before this time."""
-
-        self.look_pause = 0.0
-
-    def __repr__(self) -> str:
-        return f"<Run on {self.path!r}>"
-
-    def move(self, path: Path) -> None:
-        """Leave the path for another one, which has been taken."""
-        self.path.release()
-        self.path = path
-        self.slow_before |= _slow(path)
-
-    def moved_on(self) -> None:
-        """Note that the stream goes on."""
-        self.begun = True
-        self.event_at = now()
-        self.look_at = 0.0
-        self.look_pause = 0.0
-
-    def looked(self, patience: float) -> None:
-        """Note that all stages answered though the stream stands still.
-
-        :param patience: seconds without an event after which it was looked into.
-        """
-        self.look_pause = min(MAX_LOOK_SECONDS, max(patience, LOOK_FACTOR * self.look_pause))
-        self.look_at = now() + self.look_pause
-
-
 def relay_stream(peers: Peers, call: Call, pipeline: Pipeline, connection: Connection) -> None:
     """Serve a call to a model.
 
@@ -291,7 +208,7 @@
         try:
             return answer_head(peers, call, run.exchange, min(call.deadline, now() + patience))
         except BackendSilent:
-            _look_into(peers, call, pipeline, run, patience)
+            look_into(peers, call, pipeline, run, patience)
 
 
 def _pass_on(call: Call, exchange: Exchange, message: Message, delivery: Delivery) -> None:
@@ -316,158 +233,19 @@
         try:
             piece = run.exchange.piece(min(call.deadline, now() + patience))
         except BackendSilent:
-            _look_into(peers, call, pipeline, run, patience)
+            look_into(peers, call, pipeline, run, patience)
             continue
         if piece is None:
             break
         peers.patience.note(now() - run.event_at, run.begun)
         run.moved_on()
         delivery.deliver(message, splitter.feed(piece))
-        _leave_stages(peers, call, pipeline, run)
+        leave_planned(peers, call, pipeline, run)
     if splitter.rest:
         raise BackendError("the stream ended inside an event", step="stream", peer=run.exchange.backend)
     delivery.end(message)
 
 
-def _leave_stages(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> None:
-    """Move a running stream off stages that leave, before they end.
-
-    A stream that cannot be moved stays: such a stage serves on for a while.
-    """
-    if run.fleet_seen != peers.fleet.changed:
-        run.fleet_seen = peers.fleet.changed
-        if run.leave_at is None and _leaving(run):
-            run.leave_at = now() + peers.rng.uniform(0.0, LEAVE_SPREAD_SECONDS)
-    if run.leave_at is None or now() < run.leave_at or Mechanism.LEAVE_PLANNED in peers.without:
-        return
-    run.leave_at = None
-    run.avoided |= _leaving(run)
-    _move(peers, call, pipeline, run, "leaving")
-
-
-def _move(
-    peers: Peers, call: Call, pipeline: Pipeline, run: Run, reason: str, across: bool = False
-) -> bool:
-    """Move a stream off the stages that it avoids, if others have room.
-
-    :param reason: what is wrong with them, for the log.
-    :param across: whether stages of other halls may step in.
-    :return: whether it was moved.
-    """
-    if reason == "dead" and Mechanism.LEAVE_DEAD in peers.without:
-        return False
-    if now() < run.move_at:
-        return False
-    path = peers.paths.detour(run.path, call.service, pipeline, run.avoided, across)
-    if path is None:
-        return False
-    run.move_at = now() + MOVE_PAUSE
-    head = run.path.servers[0].facts
-    outcome = peers.control.reroute(head.id, head.address, call.head.id, path.route)
-    event(
-        "INFO",
-        "rerouted",
-        request=call.head.id,
-        reason=reason,
-        off=sorted(run.avoided),
-        moved=outcome.moved,
-        route=path.text(),
-    )
-    if outcome.moved:
-        peers.paths.take(path, pipeline)
-        run.move(path)
-    return outcome.moved
-
-
-def _leaving(run: Run) -> frozenset[BackendId]:
-    """Return the stages behind the first that leave and were not tried to be left before."""
-    behind = run.path.servers[1:]
-    return frozenset(s.facts.id for s in behind if s.leaving and s.facts.id not in run.avoided)
-
-
-def _look_into(peers: Peers, call: Call, pipeline: Pipeline, run: Run, patience: float) -> None:
-    """Find out why a stream stands still, and move it away from a dead stage.
-
-    :param patience: seconds without an event after which it is looked into.
-    :raises BackendError: when it has to be sent anew, or its time is over.
-    """
-    if call.seconds_left() <= 0:
-        raise BackendSilent("no whole answer in time", step="stream", peer=run.exchange.backend)
-    dead = _dead_stages(peers, call, run, patience)
-    if not dead and Mechanism.LEAVE_SLOW in peers.without:
-        return
-    if not dead:
-        _leave_slow(peers, call, pipeline, run)
-        return
-    head = run.path.servers[0]
-    if head.facts.id in dead:
-        _leave(peers, call, pipeline, run, head, "the first stage is dead")
-        return
-    run.avoided |= dead
-    if _move(peers, call, pipeline, run, "dead"):
-        return
-    if not _can_resend(peers, call, pipeline, run) and _move(peers, call, pipeline, run, "dead", True):
-        return
-    silent = next(server for server in run.path.servers if server.facts.id in dead)
-    _leave(peers, call, pipeline, run, silent, "no other stages for those of a dead one")
-
-
-def _leave(peers: Peers, call: Call, pipeline: Pipeline, run: Run, stage: Server, reason: str) -> None:
-    """End a run that a stage keeps from going on, if the call can go on elsewhere.
-
-    A stage that is silent may be out of reach for a moment, so a stream that cannot
-    go on elsewhere stays until the stage is surely gone: ended by this daemon, it
-    would be lost although its server lives.
-
-    :raises BackendError: when the run is to end.
-    """
-    if stage.ended(now()) or _can_resend(peers, call, pipeline, run):
-        raise BackendError(reason, step="stream", peer=stage.facts.id)
-
-
-def _can_resend(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> bool:
-    """Tell whether a call may be sent anew, and has a place elsewhere."""
-    if call.once or not run.attempts.may_repeat(peers):
-        return False
-    silent = frozenset(s.facts.id for s in run.path.servers if s.suspect)
-    avoided = silent | {run.path.servers[0].facts.id}
-    demand = demand_of(call, pipeline)
-    return peers.paths.choose(call.service, pipeline, demand, avoided, run.attempts.only()) is not None
-
-
-def _leave_slow(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> None:
-    """Move a stream that is waited for off stages that turned slow, if there are others with room.
-
-    Stages that were known to be slow when the path was chosen were the best there were.
-
-    :raises BackendError: when its first stage is one, and another can begin the answer.
-    """
-    head = run.path.servers[0]
-    slow = _slow(run.path) - run.slow_before
-    if head.facts.id in slow and not run.begun and _can_resend(peers, call, pipeline, run):
-        raise BackendError("the first stage has turned slow", step="stream", peer=head.facts.id)
-    behind = slow - {head.facts.id}
-    if behind:
-        # Others may have no room now and have some at the next look.
-        run.avoided |= behind
-        _move(peers, call, pipeline, run, "slow")
-
-
-def _slow(path: Path) -> frozenset[BackendId]:
-    return frozenset(s.facts.id for s in path.servers if s.pace > SLOW_PACE)
-
-
-def _dead_stages(peers: Peers, call: Call, run: Run, patience: float) -> frozenset[BackendId]:
-    """Return the stages of a stream that are dead, by what is known or else by asking them."""
-    known = frozenset(s.facts.id for s in run.path.servers if s.suspect)
-    if known or now() < run.look_at:
-        return known
-    dead = peers.diagnosis.look(run.path.servers, call.head.id)
-    if not dead:
-        run.looked(patience)
-    return dead
-
-
 def _note_failure(peers: Peers, call: Call, path: Path, error: BackendError) -> frozenset[BackendId]:
     """Judge the servers of a failed attempt; return those to avoid now."""
     head = path.servers[0]
--- a/bayglade/tiling.py
+++ b/bayglade/tiling.py
@@ -3,10 +3,11 @@
 In each data hall the servers form chains that hold all layers, so that no
 token crosses to another hall. Where memory allows, two servers of a kind hold
 the same layers: each usually runs half of them, and all of them when the other
-is gone. Plain functions; see ``docs/design/placement.md``.
+is gone. Losses are made good in :mod:`bayglade.mending`. Plain functions; see
+``docs/design/placement.md``.
 """
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 
 import msgspec
 
@@ -14,10 +15,6 @@
 from bayglade.ids import BackendId, HallName
 from bayglade.pipelines import Pipeline
 
-SPARE_ROOM = 0.72
-"""Part of the wanted room for tokens that a server which runs all its layers must have left."""
-PAIR_ROOM = 0.5
-"""The same for one that holds more than usual since layers beside its own are missing."""
 PAIR_LEFT = 0.5
 """Part of the requests of a pair that each of the two runs, and that fits when the other is gone."""
 KEPT_ROOM = 0.57
@@ -30,9 +27,6 @@
 ROOM_STEP = 0.95
 SAME_SPEED = 1.3
 """Kinds whose step times differ by less than this share layers evenly."""
-HOLDER_GAINS = (100.0, 1.0, 0.03, 0.001)
-"""Gain of holding a layer that nobody, one, two or three servers hold: a layer with fewer holders
-goes first, whatever the length of a span."""
 
 
 class Span(msgspec.Struct, frozen=True):
@@ -100,82 +94,13 @@
     return spans
 
 
-def fill(servers: Sequence[ServerFacts], empty: Iterable[ServerFacts], pipeline: Pipeline) -> Spans:
-    """Choose spans for empty servers beside those that hold layers.
+def most_layers(server: ServerFacts, pipeline: Pipeline, part: float) -> int:
+    """Return how many layers a server may hold.
 
-    :param servers: the servers of the group that hold layers.
-    :param empty: servers that hold none.
+    :param server: the server, of a kind that the model runs on.
     :param pipeline: facts of the model.
-    :return: a span for each empty server: where layers are missing first, then where
-        just one server holds them.
+    :param part: the room for tokens to keep, as a part of the wanted one.
     """
-    counts = [0] * pipeline.layers
-    for server in servers:
-        _count(counts, Span(server.first, server.last))
-    # Where most layers have several holders, chains were spread: what is longer would have least room.
-    spread = sorted(counts)[len(counts) // 2] > 1
-    usual = _usual_lengths(servers) if spread else {}
-    spans: Spans = {}
-    for server in sorted(empty, key=lambda s: (-_most(s, pipeline, SPARE_ROOM), s.id)):
-        length = min(_most(server, pipeline, SPARE_ROOM), usual.get(server.accelerator, pipeline.layers))
-        if length == 0:
-            continue
-        starts = range(pipeline.layers - length + 1)
-        first = max(starts, key=lambda start: (_gain(counts, start, length), -start))
-        spans[server.id] = Span(first, first + length)
-        _count(counts, spans[server.id])
-    return spans
-
-
-def _usual_lengths(servers: Sequence[ServerFacts]) -> dict[str | None, int]:
-    """Return the most layers that a server of each kind holds."""
-    lengths: dict[str | None, int] = {}
-    for server in servers:
-        lengths[server.accelerator] = max(lengths.get(server.accelerator, 0), server.held)
-    return lengths
-
-
-def mend(servers: Sequence[ServerFacts], pipeline: Pipeline) -> Spans:
-    """Choose new spans for few servers so that missing layers are held again.
-
-    First servers move of which every layer is held by another one too; then
-    neighbours hold more than they otherwise would. Nothing else changes, so
-    that paths in use stay.
-
-    :param servers: the servers of a group that hold layers.
-    :param pipeline: facts of the model.
-    :return: the spans that change; they may not bring all layers back.
-    """
-    held = {server.id: Span(server.first, server.last) for server in servers}
-    counts = [0] * pipeline.layers
-    for span in held.values():
-        _count(counts, span)
-    changed: Spans = {}
-    while 0 in counts:
-        hole = _first_hole(counts)
-        server = _spare_for(hole, servers, held, changed, counts, pipeline)
-        if server is None:
-            break
-        changed[server.id] = _over(hole, counts, _most(server, pipeline, SPARE_ROOM))
-        _count(counts, held[server.id], -1)
-        _count(counts, changed[server.id])
-    _stretch(servers, held, changed, counts, pipeline)
-    return changed
-
-
-def missing(servers: Iterable[ServerFacts], layers: int) -> int:
-    """Count the layers that no server holds.
-
-    :param servers: the servers.
-    :param layers: layers of the model.
-    """
-    counts = [0] * layers
-    for server in servers:
-        _count(counts, Span(server.first, server.last))
-    return counts.count(0)
-
-
-def _most(server: ServerFacts, pipeline: Pipeline, part: float) -> int:
     assert server.accelerator is not None
     return pipeline.most_layers(server.accelerator, part * pipeline.token_capacity)
 
@@ -184,7 +109,7 @@
     """Return the largest room for tokens, as a part of the wanted one, with which the model fits."""
     part = 1.0
     while part >= LEAST_ROOM:
-        if sum(_most(server, pipeline, part) for server in servers) >= pipeline.layers:
+        if sum(most_layers(server, pipeline, part) for server in servers) >= pipeline.layers:
             return part
         part *= TIGHTER
     return None
@@ -192,7 +117,7 @@
 
 def _chains(servers: Sequence[ServerFacts], pipeline: Pipeline, room: float) -> list[list[ServerFacts]]:
     """Divide a group into as many chains as hold the model, of about equal size."""
-    most = {server.id: _most(server, pipeline, room) for server in servers}
+    most = {server.id: most_layers(server, pipeline, room) for server in servers}
     ordered = sorted((s for s in servers if most[s.id]), key=lambda s: (-most[s.id], s.id))
     count = sum(most.values()) // pipeline.layers
     while count > 1:
@@ -225,7 +150,7 @@
 def _spread(chain: Sequence[ServerFacts], pipeline: Pipeline) -> list[_Unit]:
     """Have all servers of a chain hold as few layers as the model allows, so that most requests fit."""
     for part in _rooms(chain, pipeline):
-        most = [_most(server, pipeline, part) for server in chain]
+        most = [most_layers(server, pipeline, part) for server in chain]
         if sum(most) >= pipeline.layers:
             return [_Unit((server,), bound) for server, bound in zip(chain, most, strict=True)]
     return []
@@ -265,8 +190,10 @@
     by_kind: dict[str, list[ServerFacts]] = {}
     for server in sorted(chain, key=lambda s: ((s.first + s.last) / 2, s.id)):
         by_kind.setdefault(server.accelerator or "", []).append(server)
-    alone = {kind: _most(servers[0], pipeline, room) for kind, servers in by_kind.items()}
-    paired = {kind: _most(servers[0], pipeline, room * PAIR_LEFT) for kind, servers in by_kind.items()}
+    alone = {kind: most_layers(servers[0], pipeline, room) for kind, servers in by_kind.items()}
+    paired = {
+        kind: most_layers(servers[0], pipeline, room * PAIR_LEFT) for kind, servers in by_kind.items()
+    }
     slack = sum(alone[kind] * len(servers) for kind, servers in by_kind.items()) - pipeline.layers
     if slack < 0:
         return []
@@ -333,87 +260,12 @@
     return parts
 
 
-def _gain(counts: Sequence[int], first: int, length: int) -> float:
-    window = counts[first : first + length]
-    return sum(gain * window.count(holders) for holders, gain in enumerate(HOLDER_GAINS))
-
+def count_holders(counts: list[int], span: Span, by: int = 1) -> None:
+    """Add the holders of a span to the number of holders of each layer.
 
-def _count(counts: list[int], span: Span, by: int = 1) -> None:
+    :param counts: holders by layer; changed in place.
+    :param span: the layers.
+    :param by: how many more hold them; negative for fewer.
+    """
     for layer in range(span.first, min(span.last, len(counts))):
         counts[layer] += by
-
-
-def _first_hole(counts: Sequence[int]) -> Span:
-    first = counts.index(0)
-    last = first
-    while last < len(counts) and counts[last] == 0:
-        last += 1
-    return Span(first, last)
-
-
-def _spare_for(
-    hole: Span,
-    servers: Sequence[ServerFacts],
-    held: Spans,
-    changed: Spans,
-    counts: Sequence[int],
-    pipeline: Pipeline,
-) -> ServerFacts | None:
-    """Choose a server that can leave its layers: the smallest that fills the hole, else the largest."""
-    spare = [
-        server
-        for server in servers
-        if server.id not in changed
-        and _most(server, pipeline, SPARE_ROOM)
-        and min(counts[held[server.id].first : held[server.id].last], default=0) > 1
-    ]
-    if not spare:
-        return None
-
-    def fit(server: ServerFacts) -> tuple[bool, int, str]:
-        most = _most(server, pipeline, SPARE_ROOM)
-        return most < hole.length, most if most >= hole.length else -most, server.id
-
-    return min(spare, key=fit)
-
-
-def _over(hole: Span, counts: Sequence[int], length: int) -> Span:
-    """Lay a span over as much of a hole as it covers, and over layers held just once beside it."""
-    if length <= hole.length:
-        return Span(hole.first, hole.first + length)
-    starts = range(max(0, hole.last - length), min(hole.first, len(counts) - length) + 1)
-    first = max(starts, key=lambda start: (_gain(counts, start, length), -start))
-    return Span(first, first + length)
-
-
-def _stretch(
-    servers: Sequence[ServerFacts],
-    held: Spans,
-    changed: Spans,
-    counts: list[int],
-    pipeline: Pipeline,
-) -> None:
-    """Have neighbours of the holes that are left hold more, down to the room of a pair."""
-    for server in servers:
-        if 0 not in counts:
-            return
-        span = changed.get(server.id, held[server.id])
-        free = _most(server, pipeline, PAIR_ROOM) - span.length
-        if free <= 0:
-            continue
-        after = _zeros(counts, range(span.last, len(counts)), free)
-        before = _zeros(counts, range(span.first - 1, -1, -1), free - after)
-        if after + before:
-            changed[server.id] = Span(span.first - before, span.last + after)
-            _count(counts, Span(span.last, span.last + after))
-            _count(counts, Span(span.first - before, span.first))
-
-
-def _zeros(counts: Sequence[int], layers: range, most: int) -> int:
-    """Count the layers held by nobody from the start of a range on, up to a number."""
-    found = 0
-    for layer in layers:
-        if found >= most or counts[layer]:
-            break
-        found += 1
-    return found
--- a/tests/test_diagnosis.py
+++ b/tests/test_diagnosis.py
@@ -7,14 +7,14 @@
 import msgspec
 import pytest
 
-from bayglade import streams
+from bayglade import runs
 from bayglade.control import RerouteOutcome, StageReport
 from bayglade.diagnosis import ASKED_BY_TURNS, FRESH_SECONDS, MANY_SILENT, Diagnosis, Finding
 from bayglade.fleet import Fleet, Server, ServerFacts
 from bayglade.ids import BackendId, HallName, RequestId, ServiceName
 from bayglade.models import Route
 from bayglade.relay import Attempts
-from bayglade.streams import MAX_LOOK_SECONDS, Run
+from bayglade.runs import MAX_LOOK_SECONDS, Run
 
 PATIENCE = 0.1
 ALIVE = StageReport(
@@ -171,13 +171,13 @@
     diagnosis, stages, servers = diagnose(set())
     run = Run(Path(servers), Attempts(CALL))  # type: ignore[arg-type]
     at = 100.0
-    monkeypatch.setattr(streams, "now", lambda: at)
+    monkeypatch.setattr(runs, "now", lambda: at)
     looks = []
     for step in range(40):
         at = 100.0 + step * PATIENCE
         before = len(stages.asked)
         diagnosis.findings.clear()
-        assert streams._dead_stages(Peers(diagnosis), CALL, run, PATIENCE) == frozenset()  # type: ignore[arg-type]
+        assert runs.dead_stages(Peers(diagnosis), CALL, run, PATIENCE) == frozenset()  # type: ignore[arg-type]
         if len(stages.asked) > before:
             looks.append(step)
     assert looks[:3] == [0, 1, 3]
@@ -185,7 +185,7 @@
     run.moved_on()
     before = len(stages.asked)
     diagnosis.findings.clear()
-    streams._dead_stages(Peers(diagnosis), CALL, run, PATIENCE)  # type: ignore[arg-type]
+    runs.dead_stages(Peers(diagnosis), CALL, run, PATIENCE)  # type: ignore[arg-type]
     assert len(stages.asked) == before + 1 + ASKED_BY_TURNS
 
 
@@ -194,7 +194,7 @@
     run = Run(Path(servers), Attempts(CALL))  # type: ignore[arg-type]
     run.look_at = float("inf")
     servers[2].suspect = True
-    assert streams._dead_stages(Peers(diagnosis), CALL, run, PATIENCE) == {"s2"}  # type: ignore[arg-type]
+    assert runs.dead_stages(Peers(diagnosis), CALL, run, PATIENCE) == {"s2"}  # type: ignore[arg-type]
     assert stages.asked == []
 
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bayglade import paths as paths_module
-from bayglade import streams
+from bayglade import runs, streams
 from bayglade.calls import CallHead
 from bayglade.control import RerouteOutcome
 from bayglade.exceptions import BackendError, BackendRefused
@@ -16,7 +16,8 @@
 from bayglade.paths import Paths
 from bayglade.relay import Attempts
 from bayglade.retries import RetryBudget
-from bayglade.streams import LEAVE_SPREAD_SECONDS, SHORT_SECONDS, Run, _leave_stages, _note_failure
+from bayglade.runs import LEAVE_SPREAD_SECONDS, Run, leave_planned
+from bayglade.streams import SHORT_SECONDS, _note_failure
 from tests.test_tiling import SERVICE, pipeline, placed, servers
 
 
@@ -25,6 +26,7 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch, moved: bool = True) -> None:
         self.at = 100.0
+        monkeypatch.setattr(runs, "now", lambda: self.at)
         monkeypatch.setattr(streams, "now", lambda: self.at)
         self.model = pipeline()
         self.fleet = Fleet()
@@ -59,7 +61,7 @@
 
     def look(self, seconds: float = 0.0) -> None:
         self.at += seconds
-        _leave_stages(self.peers, self.call, self.model, self.run)
+        leave_planned(self.peers, self.call, self.model, self.run)
 
     def paired_stage(self) -> Any:
         """Return a stage behind the first whose layers another server holds as well."""
@@ -162,7 +164,7 @@
     scene = Scene(monkeypatch)
     slow = scene.paired_stage()
     scene.fleet.pace(slow, 12.0)
-    streams._leave_slow(scene.peers, scene.call, scene.model, scene.run)
+    runs.leave_slow(scene.peers, scene.call, scene.model, scene.run)
     assert slow not in scene.run.path.servers
     assert slow.cached == 0
     assert all(server.cached > 0 for server in scene.run.path.servers)
@@ -174,7 +176,7 @@
     scene = Scene(monkeypatch)
     scene.fleet.pace(scene.paired_stage(), 12.0)
     scene.run = Run(scene.run.path, Attempts(scene.call))
-    streams._leave_slow(scene.peers, scene.call, scene.model, scene.run)
+    runs.leave_slow(scene.peers, scene.call, scene.model, scene.run)
     assert scene.rerouted == []
 
 
@@ -193,9 +195,9 @@
     scene.fleet.pace(scene.run.path.servers[0], 12.0)
     if leaves:
         with pytest.raises(BackendError):
-            streams._leave_slow(scene.peers, scene.call, scene.model, scene.run)
+            runs.leave_slow(scene.peers, scene.call, scene.model, scene.run)
     else:
-        streams._leave_slow(scene.peers, scene.call, scene.model, scene.run)
+        runs.leave_slow(scene.peers, scene.call, scene.model, scene.run)
 
 
 def dead_head(scene: Scene, begun: bool = True) -> None:
@@ -210,7 +212,7 @@
 
 
 def look_into(scene: Scene) -> None:
-    streams._look_into(scene.peers, scene.call, scene.model, scene.run, 0.1)
+    runs.look_into(scene.peers, scene.call, scene.model, scene.run, 0.1)
 
 
 def test_a_stream_whose_first_stage_is_silent_goes_on_elsewhere(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_tiling.py
+++ b/tests/test_tiling.py
@@ -10,9 +10,10 @@
 
 from bayglade.fleet import Server, ServerFacts
 from bayglade.ids import BackendId, HallName, ModelName, ServiceName
+from bayglade.mending import fill, mend, missing
 from bayglade.pathfinding import Path, Search, by_hall, find_path
 from bayglade.pipelines import Accelerator, Pipeline
-from bayglade.tiling import Span, fill, groups, mend, missing, tile
+from bayglade.tiling import Span, groups, tile
 
 SERVICE = ServiceName("s")
 KINDS = {"big": (36000.0, 3.0), "middle": (21600.0, 16.0), "small": (14400.0, 15.0)}
