--- a/bayglade/mending.py
+++ b/bayglade/mending.py
@@ -13,7 +13,7 @@
 SPARE_ROOM = 0.72
 """Part of the operator's wanted room for tokens that a server which fills a hole keeps."""
 STRETCHED_ROOM = 0.5
-"""The same for a server that holds more than it otherwise would, since layers beside its own are missing."""
+"""The same for a server that holds more than it otherwise would, as layers beside its own are missing."""
 HOLDER_GAINS = (100.0, 1.0, 0.03, 0.001)
 """Gain of holding a layer that nobody, one, two or three servers hold: a layer with fewer holders
 goes first, whatever the length of a span."""
