Show what requests hold of each server, and test that no place is lost

Cause: a place that is not given back would fill a server for good, and only parts of that were tested.

The test fails when a moved stream keeps its old path's places (tried).

--- a/bayglade/beliefs.py
+++ b/bayglade/beliefs.py
@@ -23,6 +23,8 @@
     state: str
     in_flight: int
     pace: float
+    cached: float
+    """What own requests have in its KV cache, in tokens times layers."""
 
 
 class PathBelief(msgspec.Struct, frozen=True):
@@ -88,4 +90,5 @@
         state=server.state(),
         in_flight=server.in_flight,
         pace=server.pace,
+        cached=round(server.cached, 1),
     )
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from typing import Any
 
 import msgspec
 import pytest
@@ -273,3 +274,41 @@
 def members(daemon: Daemon) -> list[str]:
     found: list[str] = msgspec.json.decode(ask(daemon.metrics, "/beliefs").body)["members"]
     return found
+
+
+def test_no_place_is_lost_whatever_ends_a_request(site: UsersSite) -> None:
+    daemon = site.start()
+    site.wait_placed()
+    wait_for("streams are served", lambda: served(daemon))
+    heads = [replica for replica in site.of(MODEL) if replica.held[0] == 0]
+    for fault in ("refuse", "partial", "reset", "error"):
+        for head in heads:
+            head.faults.left[fault] = 1
+        ask(daemon.callers, "/stream/x")
+    # A caller that leaves while its stream runs.
+    with socket.create_connection(parse(daemon.callers)) as caller:
+        caller.sendall(request_bytes("/stream/x", "one-that-leaves"))
+        caller.recv(64)
+    known = {request for replica in site.of(MODEL) for request in replica.paths}
+    answers, thread = start_stream(daemon)
+    head = wait_for("a stream runs", lambda: next((r for r in heads if r.paths.keys() - known), None))
+    last = head.paths[next(iter(head.paths.keys() - known))][-1][0]
+    next(r for r in site.of(MODEL) if r.address == last).die()
+    thread.join(10)
+    assert answers[0].whole
+    assert daemon.lines("rerouted")[-1]["moved"]
+
+    def free() -> bool:
+        return all(server["in_flight"] == 0 and server["cached"] == 0 for server in believed(daemon))
+
+    wait_for("all places are given back", free)
+
+
+def believed(daemon: Daemon) -> list[dict[str, Any]]:
+    found: list[dict[str, Any]] = msgspec.json.decode(ask(daemon.metrics, "/beliefs").body)["servers"]
+    return found
+
+
+def parse(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
