--- a/bayglade/pathfinding.py
+++ b/bayglade/pathfinding.py
@@ -73,6 +73,7 @@
     :param taken: what all daemons have in the cache of a server.
     :param crossing: cost of a hop to another hall; none crosses when left out.
     :param limited: whether full servers are left out.
+    :param crowding: whether a stage costs more the fuller its cache is.
     """
 
     __slots__ = ("crossing", "crowding", "demand", "limited", "pipeline", "taken")
@@ -84,14 +85,14 @@
         taken: Taken,
         crossing: CrossingCost | None = None,
         limited: bool = True,
+        crowding: bool = True,
     ) -> None:
         self.pipeline = pipeline
         self.demand = demand
         self.taken = taken
         self.crossing = crossing
         self.limited = limited
-        self.crowding = True
-        """Whether a stage costs more the fuller its cache is."""
+        self.crowding = crowding
 
     def hop_ms(self, one: HallName | None, other: HallName) -> float:
         """Return the cost of handing a token on; nothing before the first stage."""
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -135,9 +135,8 @@
         return here or (self._crossing(usable, search, path) if across else None)
 
     def _search(self, pipeline: Pipeline, demand: Demand, loads: dict[BackendId, ServerLoad]) -> Search:
-        search = Search(pipeline, demand, _taken(loads))
-        search.crowding = Mechanism.CROWDING not in self.without
-        return search
+        """Return a search that goes by what is under way here and at other daemons."""
+        return Search(pipeline, demand, _taken(loads), crowding=Mechanism.CROWDING not in self.without)
 
     def _crossing(self, usable: list[Server], search: Search, path: Path | None = None) -> Path | None:
         """Find a path over several halls, or such a way behind the first stage of a path."""
@@ -148,8 +147,7 @@
         def crossing(one: HallName, other: HallName) -> float:
             return self.pipes.crossing_ms(one, other, pipeline, demand)
 
-        wide = Search(pipeline, demand, search.taken, crossing, search.limited)
-        wide.crowding = search.crowding
+        wide = Search(pipeline, demand, search.taken, crossing, search.limited, search.crowding)
         return find_path(usable, wide) if path is None else find_detour(path, usable, wide)
 
 
