--- a/bayglade/patience.py
+++ b/bayglade/patience.py
@@ -11,9 +11,9 @@
 left to begin anew elsewhere."""
 GAP_OF_AIM = (0.375, 0.75)
 """The same for later events, as parts of the longest good pause: a stream that has to be moved is
-late in any case, and with the least, 1 look in 3 streams was for none."""
+late in any case, so a later look costs little."""
 DEVIATIONS = 4.0
-"""Mean deviations above the mean that still are usual: 1 event in some hundred is later."""
+"""Mean deviations above the mean that still are usual; a choice, not measured by itself."""
 WEIGHT = 0.02
 """Of the newest event in what is usual: some fifty events are remembered."""
 
