--- a/bayglade/callers/presence.py
+++ b/bayglade/callers/presence.py
@@ -10,7 +10,9 @@
 
 from bayglade.metrics import Metrics
 
-CHECK_INTERVAL = 0.1
+CHECK_INTERVAL = 0.2
+"""Seconds between looks at the connections of callers: servers must know within half a second that
+a caller has left, and each look wakes the process."""
 
 
 class CallerLeft(greenlet.GreenletExit):
--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -7,7 +7,7 @@
 
 import random
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from typing import Protocol
 
 import eventlet
@@ -23,6 +23,7 @@
 from bayglade.logs import event
 from bayglade.metrics import Metrics
 from bayglade.revisions import Current
+from bayglade.totals import Sums
 from bayglade.usage import GroupUsage, Usage
 
 BEAT_INTERVAL = 1.0
@@ -51,6 +52,7 @@
     """Another daemon as known here; times are monotonic seconds."""
 
     __slots__ = (
+        "added_at",
         "address",
         "ahead_since",
         "beat_due",
@@ -66,6 +68,7 @@
     def __init__(self, member: MemberId, address: Address) -> None:
         self.id = member
         self.address = address
+        self.added_at = now()
         self.heard_at = 0.0
         self.revision = Revision(0)
         self.ahead_since: float | None = None
@@ -121,20 +124,24 @@
         self.listed: set[MemberId] = {me}
         self.members: dict[MemberId, Member] = {}
         self.draining = False
-        self.loads: Callable[[], list[wire.ServerLoad]] = list
-        """Returns what this daemon tells of its requests under way."""
+        self.sums_for: Callable[[MemberId], Sums] = lambda member: Sums()
+        """Returns what another daemon is told of requests under way."""
 
-        self.sums: Callable[[], tuple[list[wire.ServerLoad], list[wire.ServerLoad]]] = lambda: ([], [])
-        """Returns what a reader tells of its hall, and of all halls."""
+        self.on_due: Callable[[], None] = lambda: None
+        """Told before the heartbeats of each turn."""
 
-        self.dead: list[BackendId] = []
-        """Stages found silent since the last heartbeat."""
+        self.heard: dict[MemberId, float] = {}
+        """When each daemon was heard last, on whatever message."""
 
-        self.back: list[BackendId] = []
-        """Stages found to answer again since the last heartbeat."""
+        self.dead: list[wire.Finding] = []
+        """Stages found silent since the last turn of heartbeats."""
+
+        self.back: list[wire.Finding] = []
+        """Stages found to answer again since the last turn."""
 
         self.on_poll: Callable[[MemberId, wire.Poll], None] = lambda member, poll: None
         self.on_updates: Callable[[MemberId, wire.Updates], None] = lambda member, updates: None
+        self.on_unable: Callable[[MemberId, wire.Unable], None] = lambda member, message: None
         self.on_borrow: Callable[[MemberId, wire.Borrow], None] = lambda member, message: None
         self.on_lent: Callable[[MemberId, wire.Lent], None] = lambda member, message: None
         self.fetch_after = 0.0
@@ -144,7 +151,6 @@
         self.last_patch: wire.Patch | None = None
         self.beat_at = 0.0
         self.rows: list[GroupUsage] = []
-        self.told_sums: tuple[list[wire.ServerLoad], list[wire.ServerLoad]] = ([], [])
         self.bytes_out = 0
         self.bytes_in = 0
 
@@ -161,18 +167,30 @@
         everybody_near = len(self.members) >= len(self.listed) - 1
         return len(self.live()) + 1 if everybody_near else len(self.listed)
 
+    def silent(self, seconds: float) -> list[MemberId]:
+        """List the daemons that this one has a stream to and has not heard for some time.
+
+        :param seconds: the time; a stream that is younger does not count.
+        """
+        oldest = now() - seconds
+        return [
+            member.id
+            for member in self.members.values()
+            if max(member.added_at, self.heard.get(member.id, 0.0)) < oldest
+        ]
+
     def heard_at(self) -> float:
         """Return when any other daemon was heard last; zero when never."""
         return max((member.heard_at for member in self.members.values()), default=0.0)
 
-    def sync(self, listed: dict[MemberId, str], also: frozenset[MemberId] = frozenset()) -> None:
+    def sync(self, listed: dict[MemberId, str], streams_to: Set[MemberId] | None = None) -> None:
         """Take in the host list: dial new neighbours and drop those gone.
 
         :param listed: peer addresses of all entry daemons, this one included.
-        :param also: daemons to keep a stream to besides the neighbours; the relation is mutual.
+        :param streams_to: the daemons to keep a stream to; the neighbours when left out.
         """
         self.listed = set(listed) | {self.me}
-        wanted = neighbours(self.me, sorted(self.listed)) | also
+        wanted = neighbours(self.me, sorted(self.listed)) if streams_to is None else streams_to
         for member_id in wanted:
             known = self.members.get(member_id)
             address = parse_address(listed[member_id])
@@ -229,7 +247,7 @@
             self.beat_at = at
             self.dead = []
             self.back = []
-            self.told_sums = self.sums()
+            self.on_due()
             self.rows = self.usage.tell(rows_a_beat(len(self.members)))
             self.beat()
         for member in self.members.values():
@@ -272,25 +290,26 @@
             messages, member.outbox = member.outbox, []
             if member.beat_due:
                 member.beat_due = False
-                messages = [*messages, self._heartbeat()]
+                messages = [*messages, self._heartbeat(member.id)]
             before = stream.sent_bytes
             for message in messages:
                 stream.send(message)
             self.bytes_out += stream.sent_bytes - before
             member.wake.wait()
 
-    def _heartbeat(self) -> wire.Heartbeat:
+    def _heartbeat(self, member_id: MemberId) -> wire.Heartbeat:
+        sums = self.sums_for(member_id)
         return wire.Heartbeat(
             revision=self.revisions.current.revision,
             draining=self.draining,
             usage=self.rows,
             leaving=self.leaving(),
             held=self.held(),
-            loads=self.loads(),
+            loads=sums.own,
             dead=self.dead,
             back=self.back,
-            hall_loads=self.told_sums[0],
-            all_loads=self.told_sums[1],
+            hall_loads=sums.hall,
+            all_loads=sums.everywhere,
         )
 
     def _receive(self, connection: socket.socket) -> None:
@@ -309,6 +328,7 @@
             connection.close()
 
     def _handle(self, sender: MemberId, message: wire.Message) -> None:
+        self.heard[sender] = now()
         member = self.members.get(sender)
         if isinstance(message, wire.Heartbeat):
             if member is not None:
@@ -320,6 +340,8 @@
             self.on_poll(sender, message)
         elif isinstance(message, wire.Updates):
             self.on_updates(sender, message)
+        elif isinstance(message, wire.Unable):
+            self.on_unable(sender, message)
         elif isinstance(message, wire.Borrow):
             self.on_borrow(sender, message)
         elif isinstance(message, wire.Lent):
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -19,7 +19,7 @@
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 NONCE_BYTES = 16
 SEAL_BYTES = 16
-PROTOCOL = 2
+PROTOCOL = 3
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
@@ -49,6 +49,13 @@
     """What all its requests have in the KV cache there, in tokens times layers."""
 
 
+class Finding(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon found out about a server, by asking it."""
+
+    backend: BackendId
+    finder: MemberId
+
+
 class Heartbeat(msgspec.Struct, frozen=True, tag="b", array_like=True, kw_only=True):
     """Tells that a daemon lives and what it knows; sent at once on a change.
 
@@ -61,11 +68,11 @@
     leaving: list[BackendId]
     held: list[Held]
     loads: list[ServerLoad] = []
-    dead: list[BackendId] = []
-    """Stages that were found silent just now; others look for themselves."""
+    dead: list[Finding] = []
+    """Stages that were found silent just now, by the sender or by others."""
 
-    back: list[BackendId] = []
-    """Stages that were silent and answer again; others look for themselves."""
+    back: list[Finding] = []
+    """Stages that were silent and answer again."""
 
     hall_loads: list[ServerLoad] = []
     """The same as ``loads`` for all daemons of the sender's hall; told by its readers."""
@@ -104,6 +111,9 @@
     have: dict[str, int]
     """Version known of each table; a table that is left out is wanted whole."""
 
+    address: str
+    """Where the sender takes streams: it may have started so lately that nobody knows of it."""
+
 
 class TableUpdate(msgspec.Struct, frozen=True, array_like=True):
     """Rows of one table."""
@@ -118,6 +128,9 @@
     rows: bytes
     """Packed."""
 
+    recovered_age: float | None = None
+    """Seconds since the store was back for whoever read the rows; nothing when it was never lost."""
+
 
 class Updates(msgspec.Struct, frozen=True, tag="n", array_like=True):
     """Answers a poll."""
@@ -132,6 +145,15 @@
     """Seconds since the reader asked the store for something that it has an answer to."""
 
     tables: dict[str, TableUpdate]
+    turned_away: bool = False
+    """Whether the store does not answer the sender itself, which has all this from others."""
+
+
+class Unable(msgspec.Struct, frozen=True, tag="u", array_like=True):
+    """Says that the sender lives and gets no answer of the store itself; the poll keeps waiting."""
+
+    number: int
+    """That of the question."""
 
 
 class Borrow(msgspec.Struct, frozen=True, tag="w", array_like=True):
@@ -149,7 +171,7 @@
     amount: int
 
 
-Message = Heartbeat | Fetch | Document | Patch | Poll | Updates | Borrow | Lent
+Message = Heartbeat | Fetch | Document | Patch | Poll | Updates | Unable | Borrow | Lent
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/bayglade/fanout.py
+++ b/bayglade/fanout.py
@@ -1,47 +1,44 @@
-"""Fan-out: what daemons of one data hall tell each other of the platform's tables.
+"""Fan-out: what daemons tell each other of the platform's tables.
 
-Every call of the platform's store is paid for and draws on a rate that all
-daemons share. In a hall of many daemons a few of them, its readers, follow the
-store; the others ask the readers and get what changed, when it changed. Each
-follower asks all readers of its hall, so that one that is lost or cut off from
-the store delays nobody. A follower that hears too little reads the store itself.
+A few daemons follow the store; the others ask these, or ask daemons that ask
+these (see :mod:`bayglade.readers`), and get what changed, when it changed. Each
+asks two, so that one that is lost or cut off from the store delays nobody. A
+daemon that hears too little reads the store itself.
 
-How old an update is, is never taken from another daemon's clock: a reader tells
-how long the question lay there and how old its knowledge was when it answered,
-and the follower counts from when it asked.
+How old an update is, is never taken from another daemon's clock: whoever answers
+tells how long the question lay there and how old its knowledge was when it
+answered, and the asker counts from when it asked. Over two steps the ages add up.
 """
 
 import zlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Container, Mapping
 
 import msgspec
 
 from bayglade.clock import now
-from bayglade.entries.wire import Message, Poll, TableUpdate, Updates
+from bayglade.entries.wire import Message, Poll, TableUpdate, Unable, Updates
 from bayglade.exceptions import PeerError
 from bayglade.feeds import FIRST_PAUSE, MAX_PAUSE, Feed
-from bayglade.ids import HallName, MemberId
-from bayglade.logs import event
+from bayglade.ids import MemberId
 from bayglade.rows import Changes
 
-FEW_DAEMONS = 6
-"""In a hall of no more daemons than this all of them read the store."""
-READERS = 2
-"""Readers of a hall: the second serves while the first is lost."""
 READER_WAIT_PART = 0.4
 """Part of the bound on word of leaving servers that a reader's call waits: its followers hear
 from it that often at least."""
 FOLLOWER_REST_PART = 0.7
-"""Part of that bound after which a follower that heard nothing reads the store."""
+"""Part of that bound after which a daemon that heard nothing reads the store."""
 FOLLOWER_FIRST_PAUSE = 0.4
-FOLLOWER_PAUSE = 3.0
-"""First and longest time between a follower's calls to a store that fails: each is paid for, and its
-readers, who ask more often, tell when the store is back."""
+FOLLOWER_PAUSE = 5.0
+"""First and longest time between the calls of a daemon that asks others to a store that fails: each
+is paid for, and its readers, who call more often, tell when the store is back."""
 ASK_AGAIN_SECONDS = 1.0
 """A question is repeated after this time: the stream it went on may have broken."""
 LEAST_ASK_SECONDS = 0.1
-"""Least time between two questions to one reader: a follower that cannot take in what it is told
+"""Least time between two questions to one reader: a daemon that cannot take in what it is told
 would be told again at once."""
+LEAST_TELL_SECONDS = 0.5
+"""Least time between two answers that tell only how fresh the tables are. A daemon that asks two
+readers hears each of these twice, and would pass on all of them."""
 PACK_LEVEL = 1
 """Level of compression: a document of 2,000 routes takes some milliseconds."""
 
@@ -49,18 +46,6 @@
 """Sends a message to another daemon."""
 
 
-def readers_of(daemons: Mapping[MemberId, HallName]) -> dict[HallName, list[MemberId]]:
-    """Choose the readers of each hall; all daemons come to the same result.
-
-    :param daemons: all daemons with their halls.
-    :return: the readers; halls of few daemons have none.
-    """
-    halls: dict[HallName, list[MemberId]] = {}
-    for member, hall in daemons.items():
-        halls.setdefault(hall, []).append(member)
-    return {hall: sorted(names)[:READERS] for hall, names in halls.items() if len(names) > FEW_DAEMONS}
-
-
 class Asked:
     """A question of this daemon that is under way; the time is monotonic."""
 
@@ -94,72 +79,66 @@
     :param proof: the feed whose answers show that a reader reaches the store; of all feeds it
         looks most often whether a lost store is back.
     :param push: sends a message to another daemon.
+    :param address: where this daemon takes streams of others.
     """
 
-    def __init__(self, feeds: Mapping[str, Feed], proof: Feed, push: Push) -> None:
+    def __init__(self, feeds: Mapping[str, Feed], proof: Feed, push: Push, address: str) -> None:
         self.feeds = feeds
         self.proof = proof
         self.push = push
-        self.readers: list[MemberId] = []
-        """The readers that this daemon asks; none when it is one or its hall is small."""
-
-        self.reading = False
-        """Whether this daemon is a reader of its hall."""
+        self.address = address
+        self.asks: tuple[MemberId, ...] = ()
+        """The readers that this daemon asks; none when it follows the store."""
 
         self.numbers = 0
         self.asked: dict[MemberId, Asked] = {}
         self.waiting: dict[MemberId, Waiting] = {}
+        self.told: dict[MemberId, float] = {}
+        """What each asker was told last: a time up to which the proof was known, monotonic."""
+
+        self.unable: set[MemberId] = set()
+        """Daemons that were asked and get no answer of the store themselves."""
+
         self.packed: dict[tuple[str, int | None], tuple[int, TableUpdate]] = {}
         """What was packed last, by table and the version asked from, with its own version."""
 
         for feed in feeds.values():
             feed.on_answer = self.tell
+        self.proof.on_failing = self.refuse
 
     def __repr__(self) -> str:
-        return f"<Fanout reading={self.reading} readers={self.readers}>"
+        return f"<Fanout asks={self.asks} {len(self.waiting)} waiting>"
 
-    def assign(self, me: MemberId, daemons: Mapping[MemberId, HallName]) -> set[MemberId]:
-        """Take in who the daemons are.
+    def assign(self, asks: tuple[MemberId, ...], rest_seconds: float) -> None:
+        """Take in whom to ask.
 
-        :param me: this daemon.
-        :param daemons: all daemons with their halls.
-        :return: the daemons to which this one needs a stream for updates.
+        :param asks: the daemons; none when this one follows the store.
+        :param rest_seconds: for how long what they tell is enough.
         """
-        hall = daemons.get(me)
-        readers = readers_of(daemons).get(hall, []) if hall is not None else []
-        reading, others = me in readers, [name for name in readers if name != me]
-        if (reading, others) != (self.reading, self.readers):
-            event("INFO", "readers chosen", reading=reading, readers=others)
-        self.reading = reading
-        self.readers = [] if reading else others
-        if not reading:
-            return set(self.readers)
-        followers = {name for name, other in daemons.items() if other == hall}
-        # Readers of all halls tell each other how many requests their halls have under way.
-        all_readers = {name for names in readers_of(daemons).values() for name in names}
-        return (followers | all_readers) - {me}
-
-    def rest(self, seconds: float) -> None:
-        """Set for how long updates from readers are enough, in seconds."""
+        self.asks = asks
         for feed in self.feeds.values():
-            feed.rest_seconds = seconds if self.readers else 0.0
-        self.proof.first_pause = FOLLOWER_FIRST_PAUSE if self.readers else FIRST_PAUSE
-        self.proof.max_pause = FOLLOWER_PAUSE if self.readers else MAX_PAUSE
+            feed.rest(rest_seconds if asks else 0.0)
+        self.proof.first_pause = FOLLOWER_FIRST_PAUSE if asks else FIRST_PAUSE
+        self.proof.max_pause = FOLLOWER_PAUSE if asks else MAX_PAUSE
 
     def watch(self) -> None:
         """Ask readers that were not asked, or did not answer for long; called often."""
         at = now()
-        for reader in self.readers:
+        for reader in self.asks:
             asked = self.asked.get(reader)
             if asked is None or at - asked.at >= ASK_AGAIN_SECONDS:
                 self._ask(reader)
 
     def tell(self) -> None:
-        """Answer all questions that wait here: the store has answered."""
-        if not self.reading:
-            return
+        """Answer the questions that wait here, as far as there is something to tell."""
         for member in list(self.waiting):
-            self._answer(member)
+            if self._news(member):
+                self._answer(member)
+
+    def refuse(self) -> None:
+        """Tell all who wait here that the store does not answer."""
+        for member, waiting in self.waiting.items():
+            self.push(member, Unable(waiting.poll.number))
 
     def heard_poll(self, member: MemberId, poll: Poll) -> None:
         """Take in a question; it waits until there is something to tell.
@@ -167,18 +146,27 @@
         :param member: who asks.
         :param poll: the question.
         """
-        if not self.reading:
-            return
         self.waiting[member] = Waiting(poll)
-        if any((feed.version or 0) > poll.have.get(name, 0) for name, feed in self.feeds.items()):
+        if self.proof.lost_at:
+            self.push(member, Unable(poll.number))
+        if self._news(member):
             self._answer(member)
 
+    def heard_unable(self, member: MemberId, message: Unable) -> None:
+        """Take in that a daemon gets no answer of the store; it answers once it does."""
+        if member in self.asked:
+            self.unable.add(member)
+
     def heard_updates(self, member: MemberId, updates: Updates) -> None:
-        """Take in an answer, and ask again.
+        """Take in an answer, ask again, and pass on what is new.
 
         :param member: the reader.
         :param updates: what it tells.
         """
+        if updates.turned_away:
+            self.unable.add(member)
+        else:
+            self.unable.discard(member)
         asked = self.asked.get(member)
         if asked is None or asked.number != updates.number:
             # The answer to an earlier question: how old it is, is not known.
@@ -189,27 +177,58 @@
             feed = self.feeds.get(name)
             if feed is not None:
                 changes = Changes(unpack(table.rows), table.version)
-                feed.hear(changes, table.after, answered - table.age, told_at)
-        if now() - asked.at < LEAST_ASK_SECONDS:
-            # The next watch asks.
+                recovered = 0.0 if table.recovered_age is None else answered - table.recovered_age
+                feed.hear(changes, table.after, answered - table.age, told_at, recovered)
+        if member not in self.asks or now() - asked.at < LEAST_ASK_SECONDS:
+            # The next watch asks, if it is still one of those to be asked.
             del self.asked[member]
         else:
             self._ask(member)
+        self.tell()
+
+    def without_store(self, me: MemberId) -> set[MemberId]:
+        """Return the daemons that get no answer of the store, as far as known here.
+
+        :param me: this daemon; one of them when its own call failed lately.
+        """
+        return self.unable | {me} if self.proof.turned_away() else self.unable
+
+    def forget(self, members: Container[MemberId]) -> None:
+        """Drop what is known of daemons that are gone.
+
+        :param members: those that there are.
+        """
+        for known in (self.asked, self.waiting, self.told):
+            for member in [member for member in known if member not in members]:
+                del known[member]
+        self.unable = {member for member in self.unable if member in members}
 
     def _ask(self, reader: MemberId) -> None:
         self.numbers += 1
         self.asked[reader] = Asked(self.numbers)
         have = {name: feed.version for name, feed in self.feeds.items() if feed.version is not None}
-        self.push(reader, Poll(self.numbers, have))
+        self.push(reader, Poll(self.numbers, have, self.address))
+
+    def _failing(self) -> bool:
+        return any(feed.failing_since is not None for feed in self.feeds.values())
+
+    def _news(self, member: MemberId) -> bool:
+        """Tell whether the tables are newer here than whoever waits has them, or surely fresh later."""
+        if self.proof.known_at - self.told.get(member, 0.0) >= LEAST_TELL_SECONDS:
+            return True
+        have = self.waiting[member].poll.have
+        return any((feed.version or 0) > have.get(name, 0) for name, feed in self.feeds.items())
 
     def _answer(self, member: MemberId) -> None:
-        if any(feed.failing_since is not None or feed.version is None for feed in self.feeds.values()):
+        if self._failing() or any(feed.version is None for feed in self.feeds.values()):
             # The question keeps waiting; its sender reads the store itself after a while.
             return
         waiting = self.waiting.pop(member)
+        self.told[member] = self.proof.known_at
         have = waiting.poll.have
         tables = {name: self._table(name, feed, have.get(name)) for name, feed in self.feeds.items()}
-        self.push(member, Updates(waiting.poll.number, now() - waiting.since, self.proof.age(), tables))
+        waited, turned_away = now() - waiting.since, self.proof.lost_at > 0
+        self.push(member, Updates(waiting.poll.number, waited, self.proof.age(), tables, turned_away))
 
     def _table(self, name: str, feed: Feed, have: int | None) -> TableUpdate:
         """Return the update of one table; packed once for all that ask from one version."""
@@ -220,7 +239,8 @@
             if len(self.packed) > len(self.feeds) * 8:
                 self.packed.clear()
             self.packed[name, have] = (changes.version, packed)
-        return msgspec.structs.replace(packed, age=feed.age())
+        recovered = now() - feed.recovered_at if feed.recovered_at else None
+        return msgspec.structs.replace(packed, age=feed.age(), recovered_age=recovered)
 
 
 def pack(rows: Mapping[str, msgspec.Raw | None]) -> bytes:
--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -9,6 +9,7 @@
 tells is fresh, a feed makes no calls of its own.
 """
 
+import random
 from collections.abc import Callable, Iterable
 from functools import partial
 
@@ -25,9 +26,21 @@
 MAX_PAUSE = 0.4
 """Seconds between calls that fail: short against the bounds on updates, long for a store in trouble."""
 
-OTHERS_PAUSE = 1.5
+OTHERS_PAUSE = 4.0
+OTHERS_MAX_PAUSE = 10.0
 """The same for feeds that another one tells when the store is back: it may be lost for some tables only."""
 
+PAUSE_SPREAD = 0.3
+"""Part by which these pauses vary: daemons that lost the store together must not call it together."""
+
+TURNED_AWAY_SECONDS = 4.0
+"""For how long after a failed call a daemon leaves it to others to read the store, if they can."""
+
+START_REST = 1.0
+"""Seconds after the first reading of a table in which another daemon may begin to tell of it. Without
+this, daemons that start together all follow the table until they have found each other: some five
+calls more for each."""
+
 OLDEST_OF_WAIT = 1.3
 """Age that knowledge reaches at most while the store answers, in waits: after a change that
 came late in its wait the next call waits for less."""
@@ -64,6 +77,9 @@
         self.version: int | None = None
         self.known_at = 0.0
         self.failing_since: float | None = None
+        self.lost_at = 0.0
+        """When an own call of the store failed last, unless one was answered since."""
+
         self.recovered_at = 0.0
         self.on_lost: Callable[[], None] | None = None
         """Told when the store stops answering here."""
@@ -71,9 +87,15 @@
         self.on_answer: Callable[[], None] | None = None
         """Told after each answer of the store."""
 
+        self.on_failing: Callable[[], None] | None = None
+        """Told as well when the store stops answering here."""
+
         self.rest_seconds = 0.0
         """For how long what another daemon told is fresh enough to make no call; 0 for never."""
 
+        self.rests_until = 0.0
+        """No call is made before this time, whatever was told."""
+
         self.first_pause = FIRST_PAUSE
         """Time before the first call after one that failed, in seconds; doubled up to the longest."""
 
@@ -84,7 +106,7 @@
         """Told when the store answers here again."""
 
         self.back = Event()
-        """Sent when another daemon or feed has an answer of the store while this one has none."""
+        """Sent when it is worth looking at once whether to call the store."""
 
         self.told_at = 0.0
         """When the daemon that told of the table had an answer of the store, at the earliest."""
@@ -95,6 +117,7 @@
         self.complete_from = 0
         """The version from which on all rows that were removed are remembered."""
 
+        self.rng = random.Random()
         self.task: eventlet.greenthread.GreenThread | None = None
 
     def __repr__(self) -> str:
@@ -121,7 +144,7 @@
         pause = self.first_pause
         while True:
             if (rest := self._rest_left()) > 0:
-                eventlet.sleep(rest)
+                self._wait(rest)
                 continue
             try:
                 self._step()
@@ -130,7 +153,7 @@
                 self.version = None
             except PlatformUnavailable as error:
                 self._failed(error)
-                self._wait_for_store(pause)
+                self._wait(pause * self.rng.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD))
                 pause = min(self.max_pause, 2 * pause)
             else:
                 pause = self.first_pause
@@ -143,6 +166,7 @@
         else:
             wait = self._next_wait()
             changes = self.store.changes(self.table, self.version, wait)
+        self.lost_at = 0.0
         if self.failing_since is not None:
             event("INFO", "store regained", table=self.table, out=round(now() - self.failing_since, 2))
             self.failing_since = None
@@ -151,32 +175,54 @@
                 self.on_regained()
         quiet = not whole and not changes.rows and now() - asked >= wait
         self.known_at = max(self.known_at, asked + wait if quiet else asked)
+        if whole:
+            self.rests_until = now() + START_REST if self.rest_seconds else 0.0
         taken = self._take(changes, whole)
         if self.on_answer is not None:
             self.on_answer()
         if taken:
             eventlet.sleep(self.pause)
 
-    def hear(self, changes: Changes, after: int | None, known_at: float, told_at: float) -> None:
+    def hear(
+        self,
+        changes: Changes,
+        after: int | None,
+        known_at: float,
+        told_at: float,
+        recovered_at: float = 0.0,
+    ) -> None:
         """Take in what another daemon knows of the table.
 
         :param changes: rows that changed, as of the other's version.
         :param after: the version they changed after; nothing when it is the whole table.
         :param known_at: a time before which everything acknowledged is in it.
         :param told_at: a time after which the other had an answer of the store.
+        :param recovered_at: when the store was back for whoever read it, if it was lost.
         """
-        if self.failing_since is not None:
-            # Only an answer of the store itself ends an outage: entries that lapsed
-            # meanwhile are judged by when it came. But now it is worth asking.
-            self.ask_now()
-            return
         gap = after is not None and (self.version is None or after > self.version)
         if gap:
             return
+        # Entries that lapsed in an outage are judged by when the store came back.
+        self.recovered_at = max(self.recovered_at, recovered_at)
+        if self.failing_since is not None:
+            event("INFO", "store told of", table=self.table, out=round(now() - self.failing_since, 2))
+            self.failing_since = None
         self.known_at = max(self.known_at, known_at)
         self.told_at = max(self.told_at, told_at)
         self._take(changes, after is None)
 
+    def rest(self, seconds: float) -> None:
+        """Set for how long what other daemons tell is enough.
+
+        :param seconds: the time; 0 to follow the store whatever others tell.
+        """
+        if seconds == self.rest_seconds:
+            return
+        self.rest_seconds = seconds
+        if not seconds:
+            self.rests_until = 0.0
+            self.ask_now()
+
     def since(self, after: int | None) -> tuple[Changes, bool]:
         """Return what changed after a version, or the whole table where that is not known.
 
@@ -215,17 +261,17 @@
 
     def _rest_left(self) -> float:
         """Return for how long no call is needed, by what another daemon tells."""
-        if self.version is None or self.failing_since is not None:
+        if self.version is None or not self.rest_seconds:
             return 0.0
-        return self.told_at + self.rest_seconds - now()
+        return max(self.rests_until, self.told_at + self.rest_seconds) - now()
 
     def ask_now(self) -> None:
-        """Call a store that failed without more delay: it answers elsewhere."""
+        """Look again without more delay whether to call the store: it answers elsewhere."""
         if not self.back.ready():
             self.back.send()
 
-    def _wait_for_store(self, seconds: float) -> None:
-        """Wait before a call is tried again, less when another daemon has an answer."""
+    def _wait(self, seconds: float) -> None:
+        """Wait before the next call, less when it is worth looking sooner."""
         self.back = Event()
         with eventlet.Timeout(seconds, False):
             self.back.wait()
@@ -234,12 +280,19 @@
         """Return how long the next call may wait for a change."""
         return min(self.wait, max(LEAST_WAIT, OLDEST_OF_WAIT * self.wait - self.age()))
 
+    def turned_away(self) -> bool:
+        """Tell whether the store did not answer an own call lately, though others may tell of it."""
+        return self.lost_at > 0 and now() - self.lost_at < TURNED_AWAY_SECONDS
+
     def _failed(self, error: PlatformUnavailable) -> None:
+        self.lost_at = now()
         if self.failing_since is None:
             self.failing_since = now()
             event("WARNING", "store lost", table=self.table, error=repr(error))
             if self.on_lost is not None:
                 self.on_lost()
+            if self.on_failing is not None:
+                self.on_failing()
 
 
 def look_together(feeds: Iterable[Feed]) -> None:
@@ -250,7 +303,7 @@
     joined = list(feeds)
     # One of them looks often whether the store is back, and tells the others: each call is paid for.
     for feed in joined[1:]:
-        feed.first_pause = feed.max_pause = OTHERS_PAUSE
+        feed.first_pause, feed.max_pause = OTHERS_PAUSE, OTHERS_MAX_PAUSE
 
     def tell_others(lost: Feed) -> None:
         for feed in joined:
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -52,7 +52,8 @@
 is paid for, and a tenth of the time in which a change must be in force is spent at most."""
 SERVERS_PAUSE = 0.5
 """The same for the list of servers: a quarter of the time in which a leaving server must be known."""
-TIDY_SECONDS = 0.5
+TIDY_SECONDS = 1.0
+"""Seconds between looks at the own settings file and at connections that rested too long."""
 DRAIN_POLL = 0.05
 BALANCER_SECONDS = 3.5
 """The balancer asks each second and takes a daemon out after two misses; then connections
--- a/bayglade/lending.py
+++ b/bayglade/lending.py
@@ -3,16 +3,18 @@
 The users bound the repeated sendings of all daemons together. Divided among
 many daemons that is a few for each, while a lost backend server hits the
 requests of some. So most of the bound lies with the readers of the halls (see
-:mod:`bayglade.fanout`), and daemons borrow from theirs. What is lent counts as
+:mod:`bayglade.readers`), and daemons borrow from theirs. What is lent counts as
 used at once, for as long as the bound's window and the life of the loan.
 """
 
+from collections.abc import Callable, Sequence
+
 import eventlet
 from eventlet.event import Event
 
 from bayglade.clock import now
 from bayglade.entries.wire import Borrow, Lent
-from bayglade.fanout import Fanout, Push
+from bayglade.fanout import Push
 from bayglade.ids import MemberId
 from bayglade.retries import RetryBudget
 
@@ -29,13 +31,13 @@
 class Pools:
     """The retries that this daemon lends, as a reader, and those it borrows.
 
-    :param fanout: tells whether this daemon is a reader, and who its readers are.
+    :param readers: returns the readers that this daemon may borrow from.
     :param push: sends a message to another daemon.
     :param window: seconds over which the bound counts.
     """
 
-    def __init__(self, fanout: Fanout, push: Push, window: float) -> None:
-        self.fanout = fanout
+    def __init__(self, readers: Callable[[], Sequence[MemberId]], push: Push, window: float) -> None:
+        self.readers = readers
         self.push = push
         self.window = window
         self.floor = 0.0
@@ -95,16 +97,16 @@
         :param budget: this daemon's own for that service.
         """
         amount = self.lend(service, LOAN)
-        if not amount and self.fanout.readers:
-            amount = self._ask(service)
+        if not amount and (readers := self.readers()):
+            amount = self._ask(readers, service)
         if amount:
             budget.borrowed(amount, now() + LOAN_SECONDS)
 
-    def _ask(self, service: str) -> int:
+    def _ask(self, readers: Sequence[MemberId], service: str) -> int:
         self.numbers += 1
         number = self.numbers
         event = self.waiting[number] = Event()
-        reader = self.fanout.readers[number % len(self.fanout.readers)]
+        reader = readers[number % len(readers)]
         self.push(reader, Borrow(number, service, LOAN))
         try:
             with eventlet.Timeout(BORROW_SECONDS, False):
--- a/bayglade/lines.py
+++ b/bayglade/lines.py
@@ -48,6 +48,8 @@
         self.share_of = share_of
         self.queues: dict[ServiceName, ShareQueue[Turn]] = {}
         self.ended: dict[ServiceName, Decayed] = {}
+        self.begun = Event()
+        """Sent when a request waits while none did."""
 
     def __repr__(self) -> str:
         return f"<Lines {self.waiting()} waiting>"
@@ -78,6 +80,8 @@
         turn = Turn(seek)
         waiting = Waiting(call.group or ROOT, call.priority, cost(call), until, turn)
         queue.push(waiting)
+        if not self.begun.ready():
+            self.begun.send()
         granted: Path | None = None
         try:
             with eventlet.Timeout(max(0.0, until - now()), False):
@@ -111,12 +115,18 @@
             waiting.entry.granted.send(path)
 
     def run(self) -> None:
-        """Look for places now and then, for ever."""
+        """Look for places now and then while requests wait, for ever."""
         while True:
-            eventlet.sleep(TURN_SECONDS)
-            for service, queue in self.queues.items():
-                if len(queue):
-                    self.wake(service)
+            self.begun.wait()
+            self.begun = Event()
+            while self.waiting():
+                eventlet.sleep(TURN_SECONDS)
+                self._look()
+
+    def _look(self) -> None:
+        for service, queue in list(self.queues.items()):
+            if len(queue):
+                self.wake(service)
 
     def charge(self, call: Call) -> None:
         """Count the service of a call to its group."""
--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -85,6 +85,9 @@
         self.wanting_since: float | None = None
         """Since when there has been something to order."""
 
+        self.whole_at: tuple[int, dict[ServiceName, Pipeline]] | None = None
+        """State of the fleet, and the models, when nothing was missing or wanted."""
+
     def __repr__(self) -> str:
         return f"<Loader {self.lease!r} {len(self.given)} orders>"
 
@@ -106,7 +109,11 @@
         :return: false when something is missing and another daemon has the lease.
         :raises PlatformUnavailable: when the lease cannot be read or written.
         """
-        for service, pipeline in self.pipelines().items():
+        pipelines = self.pipelines()
+        state = (self.fleet.changed, pipelines)
+        if state == self.whole_at:
+            return True
+        for service, pipeline in pipelines.items():
             wanted = self.wanted(service, pipeline)
             if not wanted:
                 continue
@@ -120,6 +127,8 @@
         self.wanting_since = None
         if not self.given:
             self.lease.release()
+            if not self.missing_since and self._settled(now()):
+                self.whole_at = state
         return True
 
     def _may_try(self) -> bool:
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -1,28 +1,33 @@
 """Peering: what gateways tell each other, and what a gateway does with it.
 
 Addresses come from the roster; the streams are those of :mod:`bayglade.entries`.
+Few gateways all have streams to each other; of many, each has streams to those it
+asks for the platform's tables and to those that ask it (:mod:`bayglade.readers`).
 Serving waits for none of this: a gateway that hears nobody goes by its own counts.
 """
 
 import random
+from collections.abc import Iterable, Sequence
 
 import eventlet
 
 from bayglade.config import GatewayConfig, parse_address
 from bayglade.entries import wire
-from bayglade.entries.membership import Membership
-from bayglade.entries.wire import Heartbeat, ServerLoad
+from bayglade.entries.membership import FULL_MESH, Membership
+from bayglade.entries.wire import Finding, Heartbeat, ServerLoad
 from bayglade.fanout import FOLLOWER_REST_PART, READER_WAIT_PART, Fanout
 from bayglade.feeds import Feed
 from bayglade.fleet import Server
-from bayglade.ids import MemberId
+from bayglade.ids import BackendId, MemberId
 from bayglade.intake import Intake
 from bayglade.lending import POOLED_PART, Pools
 from bayglade.listener import listen
 from bayglade.logs import event
+from bayglade.readers import LOST_SECONDS, Duty, Lost, Order, Plan, make_plan, streams_of
 from bayglade.relay import Peers
+from bayglade.reports import LOOKERS, Reports
 from bayglade.retries import BUDGET_FLOOR, RetryBudget
-from bayglade.roster import MemberRow, join, read_members
+from bayglade.roster import MemberRow, Roster, join, read_roster
 from bayglade.rows import Changes, Table
 from bayglade.totals import Totals
 from bayglade.usage import Usage
@@ -33,7 +38,7 @@
 FETCH_AFTER_SECONDS = 0.5
 """How long another gateway must be ahead before its settings are asked for: they come from the
 store or a reader at about the same time, and a large document is dear to send."""
-WATCH_SECONDS = 0.25
+WATCH_SECONDS = 0.5
 """Time between looks at who is silent; heartbeats go out each second."""
 BUDGET_PART = 0.85
 """Part of the users' bound on repeated sendings that all gateways together allow themselves."""
@@ -60,36 +65,45 @@
         self.usage = usage
         self.peers = peers
         self.rng = rng
-        self.roster: dict[MemberId, MemberRow] = {}
+        self.roster = Roster()
+        self.order = Order({})
+        self.plan = Plan(Duty.SITE)
+        self.lost = Lost()
         self.feed = Feed(store, table, ROSTER_WAIT, self._take_roster, ROSTER_PAUSE)
         self.membership: Membership | None = None
-        self.fanout = Fanout({**feeds, table: self.feed}, proof, self._push)
+        host = parse_address(config.callers).host
+        self.address = f"{host}:{config.peer_ports.partition(',')[0]}"
+        self.fanout = Fanout({**feeds, table: self.feed}, proof, self._push, self.address)
         self.proof_wait = proof.wait
         self.totals = Totals(config.member)
-        self.pools = Pools(self.fanout, self._push, config.retry_window_seconds)
+        self.pools = Pools(self._readers, self._push, config.retry_window_seconds)
+        self.dead = Reports()
+        self.back = Reports()
         peers.borrow = self.pools.borrow
+        if config.peer_ports:
+            # Others may tell of the tables before the roster is known here.
+            self.fanout.assign((config.member,), self._rest_seconds())
 
     def __repr__(self) -> str:
-        return f"<Peering {self.membership!r}>"
+        return f"<Peering {self.plan.duty.value} {self.membership!r}>"
 
     def run(self) -> None:
         """Join the other gateways, then watch them for ever."""
         if not self.config.peer_ports:
             return
-        host = parse_address(self.config.callers).host
-        port = int(self.config.peer_ports.partition(",")[0])
-        listening = listen(host, port)
-        secret = join(self.store, self.config.member, f"{host}:{port}", self.config.hall)
-        membership = self.membership = self._membership(secret)
-        eventlet.spawn_n(membership.serve, listening)
+        where = parse_address(self.address)
+        listening = listen(where.host, where.port)
+        row = MemberRow(self.address, self.config.hall)
+        self.roster = join(self.store, self.feed.table, self.config.member, row)
+        assert self.roster.secret is not None
+        self.membership = self._membership(self.roster.secret)
+        eventlet.spawn_n(self.membership.serve, listening)
+        event("INFO", "joined", address=self.address, members=len(self.roster.members))
+        self._assign()
         self.feed.start()
-        event("INFO", "joined", address=f"{host}:{port}")
         while True:
             eventlet.sleep(WATCH_SECONDS)
-            membership.watch()
-            self.fanout.watch()
-            for budget in self.peers.budgets.values():
-                budget.floor = self._floor()
+            self._watch()
 
     def live(self) -> list[MemberId]:
         """List the other gateways heard lately."""
@@ -97,7 +111,7 @@
 
     def reads(self) -> bool:
         """Tell whether this gateway reads the store for others, or there are no others that do."""
-        return self.fanout.reading or not self.fanout.readers
+        return self.plan.duty is Duty.SITE
 
     def leave(self) -> None:
         """Tell the others that this gateway stops."""
@@ -110,6 +124,16 @@
         fraction = BUDGET_PART * self.config.retry_fraction
         return RetryBudget(fraction, self._floor(), self.config.retry_window_seconds)
 
+    def _watch(self) -> None:
+        """Notice who fell silent and who is back, and do what is due."""
+        assert self.membership is not None
+        self.membership.watch()
+        self.lost.update(self.membership.silent(LOST_SECONDS), self.membership.heard)
+        self._make_plan()
+        self.fanout.watch()
+        for budget in self.peers.budgets.values():
+            budget.floor = self._floor()
+
     def _floor(self) -> float:
         members = self.membership.count() if self.membership is not None else 0
         bound = BUDGET_PART * self.config.retry_floor
@@ -121,11 +145,18 @@
 
     def _pooled(self) -> float:
         """Return the part of the bound that this gateway lends, as a reader."""
-        if not self.fanout.reading:
+        if not self.totals.reading():
             return 0.0
         readers = sum(len(names) for names in self.totals.readers.values())
         return POOLED_PART * BUDGET_PART * self.config.retry_floor / readers
 
+    def _readers(self) -> Sequence[MemberId]:
+        """Return the readers from whom retries are borrowed: those of the own hall."""
+        return () if self.totals.reading() else self.totals.readers.get(self.config.hall, ())
+
+    def _rest_seconds(self) -> float:
+        return FOLLOWER_REST_PART * self.config.drain_ms / 1000
+
     def _membership(self, secret: bytes) -> Membership:
         membership = Membership(
             self.config.member,
@@ -138,13 +169,14 @@
             self._heard,
             self.rng,
         )
-        membership.loads = self._loads
-        membership.on_poll = self.fanout.heard_poll
+        membership.on_due = lambda: self.totals.add_up(self._loads())
+        membership.sums_for = self.totals.for_member
+        membership.on_poll = self._heard_poll
         membership.on_updates = self.fanout.heard_updates
+        membership.on_unable = self.fanout.heard_unable
         membership.on_borrow = self.pools.heard_borrow
         membership.on_lent = self.pools.heard_lent
         membership.fetch_after = FETCH_AFTER_SECONDS
-        membership.sums = self._sums
         self.peers.paths.elsewhere = lambda: self.totals.elsewhere(self._loads())
         self.peers.diagnosis.on_dead = self._tell_dead
         self.peers.diagnosis.on_back = self._tell_back
@@ -153,21 +185,56 @@
         return membership
 
     def _take_roster(self, changes: Changes, whole: bool) -> None:
-        members = read_members(changes.rows)
-        if not members and not whole:
-            return
-        self.roster |= members
-        if self.membership is None:
+        self.roster = read_roster(changes.rows, Roster() if whole else self.roster)
+        if self.membership is not None:
+            self._assign()
+
+    def _assign(self) -> None:
+        """Take in who the other gateways are."""
+        self.order = Order({name: row.hall for name, row in self.roster.members.items()})
+        self.fanout.forget(self.order.halls)
+        self._make_plan(True)
+
+    def _make_plan(self, always: bool = False) -> None:
+        """Work out who reads, and act on it where it changed.
+
+        :param always: whether to act on it though it is the same: the roster changed.
+        """
+        assert self.membership is not None
+        me = self.config.member
+        plan = make_plan(me, self.order, self.lost.since, self.fanout.without_store(me))
+        if plan == self.plan and not always:
             return
-        halls = {name: row.hall for name, row in self.roster.items()}
-        also = self.fanout.assign(self.config.member, halls)
-        self.totals.assign(halls)
+        if (plan.duty, plan.asks) != (self.plan.duty, self.plan.asks):
+            event("INFO", "readers chosen", duty=plan.duty.value, asks=plan.asks)
+        self.plan = plan
+        mesh = len(self.order.site) <= FULL_MESH
+        self.totals.assign(self.order.halls, {} if mesh else plan.readers)
         self.pools.assign(self._pooled())
-        drain = self.config.drain_ms / 1000
-        self.fanout.rest(FOLLOWER_REST_PART * drain)
-        reader_wait = READER_WAIT_PART * drain if self.fanout.reading else self.proof_wait
+        self.fanout.assign(plan.asks, self._rest_seconds())
+        reader_wait = READER_WAIT_PART * self.config.drain_ms / 1000
         self.fanout.proof.wait = min(self.proof_wait, reader_wait)
-        self.membership.sync({name: row.address for name, row in self.roster.items()}, frozenset(also))
+        self._keep_streams()
+
+    def _keep_streams(self) -> None:
+        """Keep streams to those whom this gateway asks, and to those who ask it."""
+        assert self.membership is not None
+        addresses = {name: row.address for name, row in self.roster.members.items()}
+        if len(self.order.site) <= FULL_MESH:
+            self.membership.sync(addresses)
+            return
+        wanted = streams_of(self.config.member, self.order, self.plan)
+        wanted |= self.fanout.waiting.keys() & addresses.keys()
+        self.membership.sync(addresses, wanted)
+
+    def _heard_poll(self, member: MemberId, poll: wire.Poll) -> None:
+        if member not in self.roster.members:
+            # It started just now. Its hall matters for sums only, and comes with its row.
+            known = {**self.roster.members, member: MemberRow(poll.address, self.config.hall)}
+            self.roster = Roster(known, self.roster.secret)
+        self.fanout.heard_poll(member, poll)
+        if self.membership is not None and member not in self.membership.members:
+            self._keep_streams()
 
     def _push(self, member: MemberId, message: wire.Message) -> None:
         if self.membership is not None:
@@ -181,31 +248,48 @@
             if s.facts.held and (s.in_flight or s.cached >= 1)
         ]
 
-    def _sums(self) -> tuple[list[ServerLoad], list[ServerLoad]]:
-        if not self.totals.reading():
-            return [], []
-        own = self._loads()
-        return self.totals.hall_sum(own), self.totals.everywhere(own)
-
     def _tell_dead(self, server: Server) -> None:
-        if self.membership is not None:
-            self.membership.dead.append(server.facts.id)
-            self.membership.beat()
+        self.back.forget(server.facts.id)
+        self._pass_on(self.dead.add([Finding(server.facts.id, self.config.member)]), [])
 
     def _tell_back(self, server: Server) -> None:
-        if self.membership is not None:
-            self.membership.back.append(server.facts.id)
-            self.membership.beat()
+        self.dead.forget(server.facts.id)
+        self._pass_on([], self.back.add([Finding(server.facts.id, self.config.member)]))
+
+    def _pass_on(self, dead: list[Finding], back: list[Finding]) -> None:
+        """Tell the gateways that this one has streams to."""
+        if self.membership is None or not (dead or back):
+            return
+        self.membership.dead += dead
+        self.membership.back += back
+        self.membership.beat()
 
     def _heard(self, member: MemberId, beat: Heartbeat) -> None:
-        """Look at stages that another gateway found silent or back, before own streams stand still."""
+        """Take in what another gateway tells, and pass on which stages were found silent or back."""
         self.totals.hear(member, beat)
+        if not beat.dead and not beat.back:
+            return
+        dead, back = self.dead.add(beat.dead), self.back.add(beat.back)
+        if self.plan.duty is not Duty.FOLLOWER:
+            self._pass_on(dead, back)
+        self._take_dead([finding.backend for finding in dead])
+        self._take_back([finding.backend for finding in back])
+
+    def _take_dead(self, backends: Iterable[BackendId]) -> None:
+        """Believe what enough gateways found, else look with some likelihood."""
+        servers = self.peers.fleet.servers
+        told = [servers[b] for b in backends if b in servers and not servers[b].suspect]
+        for server in told:
+            self.back.forget(server.facts.id)
+            if self.dead.enough(server.facts.id):
+                self.peers.fleet.suspect(server, "others found it silent")
+        likely = LOOKERS / max(1, len(self.order.site))
+        looked_at = [server for server in told if not server.suspect and self.rng.random() < likely]
+        if looked_at:
+            eventlet.spawn_n(self.peers.diagnosis.examine, looked_at)
+
+    def _take_back(self, backends: Iterable[BackendId]) -> None:
         servers = self.peers.fleet.servers
-        told = [servers[backend] for backend in beat.dead if backend in servers]
-        fresh = [server for server in told if not server.suspect]
-        if fresh:
-            eventlet.spawn_n(self.peers.diagnosis.examine, fresh)
-        back = [servers[backend] for backend in beat.back if backend in servers]
-        suspects = [server for server in back if server.suspect]
-        if suspects:
-            eventlet.spawn_n(self.peers.diagnosis.look_again, suspects)
+        for server in [servers[b] for b in backends if b in servers and servers[b].suspect]:
+            self.dead.forget(server.facts.id)
+            self.peers.fleet.trust(server, "answers others again")
--- /dev/null
+++ b/bayglade/reports.py
@@ -0,0 +1,55 @@
+"""Reports of stages found silent, or answering again, as daemons pass them on.
+
+One daemon finds a stage, and all have to know of it; if each then looked for
+itself, one dead server would be asked once a daemon. So a report names who found
+it: a few daemons look for themselves, and what two of them found alone is taken
+for true by the others.
+"""
+
+from collections.abc import Iterable
+
+from bayglade.clock import now
+from bayglade.entries.wire import Finding
+from bayglade.ids import BackendId, MemberId
+
+LOOKERS = 6
+"""Daemons that look for themselves at a stage that one other found silent, on average."""
+ENOUGH = 2
+"""Daemons that have to find a stage silent before it is believed unseen: the link of one may be full."""
+REPORT_SECONDS = 2.5
+"""How long a report counts; heartbeats repeat it for a second."""
+
+
+class Reports:
+    """The reports of one kind that a daemon has heard or made; times are monotonic."""
+
+    def __init__(self) -> None:
+        self.heard: dict[BackendId, dict[MemberId, float]] = {}
+
+    def __repr__(self) -> str:
+        return f"<Reports of {len(self.heard)} servers>"
+
+    def add(self, findings: Iterable[Finding]) -> list[Finding]:
+        """Take in reports.
+
+        :param findings: the reports.
+        :return: those that are new here.
+        """
+        at = now()
+        fresh = []
+        for finding in findings:
+            finders = self.heard.setdefault(finding.backend, {})
+            if at - finders.get(finding.finder, float("-inf")) >= REPORT_SECONDS:
+                finders[finding.finder] = at
+                fresh.append(finding)
+        return fresh
+
+    def enough(self, backend: BackendId) -> bool:
+        """Tell whether so many daemons found the same of a server that it is believed."""
+        oldest = now() - REPORT_SECONDS
+        finders = self.heard.get(backend, {})
+        return sum(1 for at in finders.values() if at >= oldest) >= ENOUGH
+
+    def forget(self, backend: BackendId) -> None:
+        """Drop the reports of a server: the contrary was found."""
+        self.heard.pop(backend, None)
--- a/bayglade/roster.py
+++ b/bayglade/roster.py
@@ -1,11 +1,13 @@
 """The roster: which daemons there are, kept as rows of the platform's table.
 
-Each daemon writes one row when it starts; who still lives is told by their
-heartbeats, not by the rows. The secret of the streams between daemons lies in
-a row as well, written once by whoever comes first.
+Each daemon writes one row when it starts, unless it is there; who still lives is
+told by their heartbeats, not by the rows. The secret of the streams between daemons
+lies in a row of the same table, written once by whoever comes first. A start costs
+one read and one write.
 """
 
 import secrets
+from collections.abc import Mapping
 
 import eventlet
 import msgspec
@@ -13,13 +15,14 @@
 from bayglade.exceptions import PlatformUnavailable
 from bayglade.ids import HallName, MemberId
 from bayglade.logs import event
-from bayglade.rows import ABSENT, Condition, RowStore, Transaction, Write, raw
+from bayglade.rows import ABSENT, Condition, RowStore, Table, Transaction, Write, raw
 
-SECRET_KEY = "peers/secret"
 MEMBER_PREFIX = "members/"
+SECRET_KEY = MEMBER_PREFIX + "#secret"
+"""Among the rows of the daemons, so that one read brings both; no daemon's name begins so."""
 SECRET_BYTES = 32
 RETRY_SECONDS = 1.0
-"""Pause after a failed write: nothing waits for it but sharing."""
+"""Pause after a call that failed: nothing waits for it but sharing."""
 
 
 class MemberRow(msgspec.Struct, frozen=True):
@@ -29,60 +32,69 @@
     hall: HallName
 
 
-def join(store: RowStore, member: MemberId, address: str, hall: HallName) -> bytes:
-    """Write the own row and learn the secret; tries until both are done.
+class Roster(msgspec.Struct, frozen=True):
+    """All daemons, and the secret of their streams; nothing before somebody has written it."""
+
+    members: dict[MemberId, MemberRow] = {}
+    secret: bytes | None = None
+
+
+def join(store: Table, table: str, member: MemberId, row: MemberRow) -> Roster:
+    """Read the roster and write what is missing of it; tries until both are done.
 
     :param store: the platform's table.
+    :param table: where the roster lies.
     :param member: the daemon's name.
-    :param address: where it takes streams of other daemons.
-    :param hall: its data hall.
-    :return: the secret that all daemons share.
+    :param row: where it takes streams of other daemons, and its data hall.
+    :return: the roster, with this daemon and the secret.
     """
     while True:
         try:
-            _write_own(store, MEMBER_PREFIX + member, MemberRow(address, hall))
-            return _read_secret(store)
+            known = read_roster(store.snapshot(table).rows, Roster())
+            if (joined := _write_missing(store, member, row, known)) is not None:
+                return joined
         except PlatformUnavailable as error:
             event("INFO", "roster not written", error=repr(error))
             eventlet.sleep(RETRY_SECONDS)
 
 
-def _write_own(store: RowStore, key: str, row: MemberRow) -> None:
-    """Write the own row; at a first start nothing has to be read before."""
-    version = ABSENT
-    while not _put(store, key, version, row):
-        found = store.read([key]).get(key)
-        if found is not None and bytes(found.value) == bytes(raw(row)):
-            return
-        version = found.version if found is not None else ABSENT
-
-
-def _read_secret(store: RowStore) -> bytes:
-    """Read the secret, or write it when nobody has."""
-    while True:
-        found = store.read([SECRET_KEY]).get(SECRET_KEY)
-        if found is not None:
-            return msgspec.json.decode(found.value, type=str).encode()
-        _put(store, SECRET_KEY, ABSENT, secrets.token_hex(SECRET_BYTES))
+def _write_missing(store: RowStore, member: MemberId, row: MemberRow, known: Roster) -> Roster | None:
+    """Write the own row and the secret where they are not in the roster.
 
-
-def read_members(rows: dict[str, msgspec.Raw | None]) -> dict[MemberId, MemberRow]:
-    """Pick the daemons out of rows of the table.
-
-    :param rows: rows by key.
-    :return: the daemons; rows of other matters are passed over.
+    :return: the roster afterwards; nothing when another daemon wrote meanwhile.
     """
-    members: dict[MemberId, MemberRow] = {}
+    conditions, writes, secret = [], [], known.secret
+    if known.members.get(member) != row:
+        key = MEMBER_PREFIX + member
+        found = store.read([key]).get(key) if member in known.members else None
+        conditions.append(Condition(key, found.version if found is not None else ABSENT))
+        writes.append(Write(key, raw(row)))
+    if secret is None:
+        text = secrets.token_hex(SECRET_BYTES)
+        secret = text.encode()
+        conditions.append(Condition(SECRET_KEY, ABSENT))
+        writes.append(Write(SECRET_KEY, raw(text)))
+    if writes and not store.transact(Transaction(conditions, writes)).committed:
+        return None
+    return Roster({**known.members, member: row}, secret)
+
+
+def read_roster(rows: Mapping[str, msgspec.Raw | None], before: Roster) -> Roster:
+    """Take rows of the table in.
+
+    :param rows: rows by key; nothing for those that were removed.
+    :param before: the roster before.
+    """
+    members, secret = dict(before.members), before.secret
     for key, value in rows.items():
-        if not key.startswith(MEMBER_PREFIX) or value is None:
-            continue
+        member = MemberId(key.removeprefix(MEMBER_PREFIX))
         try:
-            members[MemberId(key.removeprefix(MEMBER_PREFIX))] = msgspec.json.decode(value, type=MemberRow)
+            if key == SECRET_KEY:
+                secret = secret if value is None else msgspec.json.decode(value, type=str).encode()
+            elif value is None:
+                members.pop(member, None)
+            else:
+                members[member] = msgspec.json.decode(value, type=MemberRow)
         except msgspec.DecodeError as error:
             event("ERROR", "member row ignored", peer=key, error=str(error))
-    return members
-
-
-def _put(store: RowStore, key: str, version: int, value: object) -> bool:
-    """Write a row that has a version; tell whether it took effect."""
-    return store.transact(Transaction([Condition(key, version)], [Write(key, raw(value))])).committed
+    return Roster(members, secret)
--- a/bayglade/totals.py
+++ b/bayglade/totals.py
@@ -1,16 +1,17 @@
 """Totals: what all daemons have under way on each server that holds layers.
 
 Daemons tell their own sums with each heartbeat. Where there are too many for
-everybody to hear everybody, the readers of a hall (see :mod:`bayglade.fanout`)
+everybody to hear everybody, the readers of a hall (see :mod:`bayglade.readers`)
 add up what they hear of it and tell each other and their hall the sums. A sum
 is some seconds old at most; whoever was not heard lately is left out.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
+
+import msgspec
 
 from bayglade.clock import now
 from bayglade.entries.wire import Heartbeat, ServerLoad
-from bayglade.fanout import readers_of
 from bayglade.ids import BackendId, HallName, MemberId
 
 FRESH_SECONDS = 3.5
@@ -19,6 +20,17 @@
 Loads = dict[BackendId, ServerLoad]
 
 
+class Sums(msgspec.Struct, frozen=True):
+    """What one daemon tells of requests under way, as of one moment."""
+
+    own: list[ServerLoad] = []
+    hall: list[ServerLoad] = []
+    """Over its hall, from a reader."""
+
+    everywhere: list[ServerLoad] = []
+    """Over all halls, from a reader."""
+
+
 class Told:
     """What one daemon told last; the time is monotonic."""
 
@@ -43,16 +55,25 @@
     def __init__(self, me: MemberId) -> None:
         self.me = me
         self.halls: dict[MemberId, HallName] = {}
-        self.readers: dict[HallName, list[MemberId]] = {}
+        self.readers: Mapping[HallName, Sequence[MemberId]] = {}
+        self.sums = Sums()
+        """What was told with the last heartbeat."""
+
         self.told: dict[MemberId, Told] = {}
 
     def __repr__(self) -> str:
         return f"<Totals of {len(self.told)} daemons>"
 
-    def assign(self, daemons: Mapping[MemberId, HallName]) -> None:
-        """Take in who the daemons are."""
+    def assign(
+        self, daemons: Mapping[MemberId, HallName], readers: Mapping[HallName, Sequence[MemberId]]
+    ) -> None:
+        """Take in who the daemons are.
+
+        :param daemons: all daemons with their halls.
+        :param readers: the readers of each hall; none where everybody hears everybody.
+        """
         self.halls = dict(daemons)
-        self.readers = readers_of(daemons)
+        self.readers = readers
         self.told = {member: told for member, told in self.told.items() if member in daemons}
 
     def hear(self, member: MemberId, beat: Heartbeat) -> None:
@@ -63,6 +84,29 @@
         """Tell whether this daemon adds up the sums of its hall."""
         return self.me in self.readers.get(self.halls.get(self.me, HallName("")), [])
 
+    def add_up(self, own: list[ServerLoad]) -> None:
+        """Work out what to tell until the next time.
+
+        :param own: the sums of this daemon.
+        """
+        if self.reading():
+            self.sums = Sums(own, self.hall_sum(own), self.everywhere(own))
+        else:
+            self.sums = Sums(own)
+
+    def for_member(self, member: MemberId) -> Sums:
+        """Return what another daemon needs of the sums.
+
+        :param member: the daemon.
+        """
+        if not self.readers:
+            return Sums(self.sums.own)
+        hall = self.halls.get(member, HallName(""))
+        if hall == self.halls.get(self.me):
+            own = self.sums.own if member in self.readers.get(hall, ()) else []
+            return Sums(own, [], self.sums.everywhere)
+        return Sums([], self.sums.hall, [])
+
     def hall_sum(self, own: Iterable[ServerLoad]) -> list[ServerLoad]:
         """Return the sum over this daemon's hall, its own sums among it.
 
