Find connections that fall silent; prefer warm first stages; vary costs by chance

Cause: an open connection may fall silent for good while new ones work. A stream between daemons is only ever sent on, and had no bound at all; three connections to the store at rest each cost a whole time-out; a stage asked on a kept connection was taken for dead. Ruled out: the kernel's bound alone (a proxy acknowledges and says nothing).

Change: heartbeats say how long ago their receiver was heard, and a stream that is not heard is dialled anew; TCP_USER_TIMEOUT on these streams; a time-out of one store connection drops those at rest; a stage that is silent on a kept connection is asked on a new one. First stages with a connection at rest are preferred, and costs vary by up to 0.15 by chance. Documents are asked of other daemons after 1.5 s, not 0.5: the fan-out brings them.

--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -69,6 +69,12 @@
         self.daemons: Callable[[], int] = lambda: 1
         """Returns how many daemons ask."""
 
+        self.rests: Callable[[BackendId], bool] = lambda backend: False
+        """Tells whether a connection to a server rests here."""
+
+        self.drop: Callable[[BackendId], None] = lambda backend: None
+        """Closes all connections that rest to a server."""
+
         self.by_turns = True
         """Whether a look asks a few stages of a path only."""
 
@@ -169,7 +175,12 @@
     def _ask(self, server: Server) -> None:
         facts = server.facts
         try:
+            kept = self.rests(facts.id)
             report = self.control.report(facts.id, facts.address, ANSWER_SECONDS)
+            if report is None and kept:
+                # A connection that rested may have fallen silent though the server is well.
+                self.drop(facts.id)
+                report = self.control.report(facts.id, facts.address, ANSWER_SECONDS)
             self.findings[facts.id] = Finding(report)
             if report is not None:
                 self.fleet.pace(server, report.pace)
--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -33,6 +33,8 @@
 """What a daemon allows itself for heartbeats to all neighbours together."""
 BEAT_BYTES = 32
 ROW_BYTES = 32
+UNHEARD_SECONDS = 3.0
+"""A stream on which the other side says to have heard nothing for so long is dialled anew."""
 REDIAL_MIN = 0.1
 REDIAL_MAX = 2.0
 MAX_OUTBOX = 32
@@ -61,6 +63,8 @@
         "id",
         "outbox",
         "revision",
+        "stream",
+        "stream_since",
         "task",
         "wake",
     )
@@ -78,6 +82,10 @@
         self.outbox: list[wire.Message] = []
         self.beat_due = True
         self.wake = Event()
+        self.stream: streams.OutStream | None = None
+        """The stream on which this daemon sends, while there is one."""
+
+        self.stream_since = 0.0
         self.task: eventlet.greenthread.GreenThread | None = None
 
     def __repr__(self) -> str:
@@ -277,11 +285,13 @@
                 continue
             pause = REDIAL_MIN
             member.beat_due = True
+            member.stream, member.stream_since = stream, now()
             try:
                 self._send_on(member, stream)
             except OSError as error:
                 event("INFO", "stream to daemon broke", peer=member.id, error=repr(error))
             finally:
+                member.stream = None
                 stream.close()
 
     def _send_on(self, member: Member, stream: streams.OutStream) -> None:
@@ -310,6 +320,7 @@
             back=self.back,
             hall_loads=sums.hall,
             all_loads=sums.everywhere,
+            heard_age=round(now() - self.heard[member_id], 2) if member_id in self.heard else 0.0,
         )
 
     def _receive(self, connection: socket.socket) -> None:
@@ -355,6 +366,7 @@
         member.heard_at = now()
         member.revision = beat.revision
         member.draining = beat.draining
+        self._check_heard(member, beat.heard_age)
         self.usage.hear(member.id, beat.usage)
         self.on_beat(member.id, beat)
         if beat.revision <= self.revisions.current.revision:
@@ -364,6 +376,18 @@
         if now() - member.ahead_since >= self.fetch_after:
             member.push(wire.Fetch(self.me, self.revisions.current.revision))
 
+    def _check_heard(self, member: Member, age: float) -> None:
+        """Give up a stream on which the other side hears nothing, though nothing else shows it.
+
+        :param age: seconds since it heard this daemon.
+        """
+        if age < UNHEARD_SECONDS or member.stream is None:
+            return
+        if now() - member.stream_since >= UNHEARD_SECONDS:
+            event("INFO", "stream to daemon silent", peer=member.id, age=age)
+            member.stream.broken = True
+            member.push()
+
     def _settings_for(self, have: Revision) -> wire.Message:
         current = self.revisions.current
         if self.last_patch is not None and have == current.revision - 1:
--- a/bayglade/entries/streams.py
+++ b/bayglade/entries/streams.py
@@ -15,6 +15,9 @@
 CONNECT_TIMEOUT = 1.0
 HANDSHAKE_TIMEOUT = 2.0
 SEND_TIMEOUT = 2.0
+USER_TIMEOUT_MS = 2500
+"""After this time without an acknowledgement the kernel gives a stream up: a link that drops all
+packets of an open connection says nothing, and heartbeats are only ever sent on it."""
 READ_BYTES = 64 * 1024
 HANDSHAKE_BYTES = 4096
 
@@ -26,6 +29,8 @@
         self.sock = sock
         self.sealer = sealer
         self.sent_bytes = 0
+        self.broken = False
+        """Set when the other side is known to hear nothing: the next message fails."""
 
     def __repr__(self) -> str:
         return f"<OutStream {self.sent_bytes} bytes sent>"
@@ -36,6 +41,8 @@
         :param message: the message.
         :raises OSError: when the stream broke or does not take it in time.
         """
+        if self.broken:
+            raise ConnectionError("the other side hears nothing")
         frame = self.sealer.seal(message)
         self.sock.sendall(frame)
         self.sent_bytes += len(frame)
@@ -91,6 +98,7 @@
     sock = socket.create_connection((address.host, address.port), timeout=CONNECT_TIMEOUT)
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         with eventlet.Timeout(HANDSHAKE_TIMEOUT, PeerError("greeting took too long", step="hello")):
             key = _greet(sock, me, secret)
         sock.settimeout(SEND_TIMEOUT)
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -80,6 +80,10 @@
     all_loads: list[ServerLoad] = []
     """The same for all halls."""
 
+    heard_age: float = 0.0
+    """Seconds since the sender heard the receiver; 0 when it never did. A stream whose connection
+    fell silent takes what is sent on it without an error, and only the other side can tell."""
+
 
 class Fetch(msgspec.Struct, frozen=True, tag="f", array_like=True):
     """Asks for the settings in force, newer than a revision."""
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -81,6 +81,8 @@
         self.links = Links()
         self.control = platform.Engines(self.links)
         self.diagnosis = Diagnosis(self.fleet, self.control, self.rng)
+        self.diagnosis.rests = self.links.rests
+        self.diagnosis.drop = self.links.drop
         self.diagnosis.by_turns = Mechanism.TURNS not in config.without
         key_trust = config.key_trust_ms / 1000
         self.document_feed = Feed(
@@ -100,7 +102,7 @@
         self.lines = Lines(self.usage, self.intake.share_of)
         self.peers = Peers(
             fleet=self.fleet,
-            paths=Paths(self.fleet, config.hall, config.without),
+            paths=Paths(self.fleet, config.hall, config.without, self.rng),
             links=self.links,
             dialect=dialect,
             control=self.control,
@@ -112,6 +114,7 @@
             rng=self.rng,
             without=config.without,
         )
+        self.peers.paths.warm = self.links.rests
         self.loader = Loader(
             self.fleet,
             self.control,
--- a/bayglade/mechanisms.py
+++ b/bayglade/mechanisms.py
@@ -43,6 +43,12 @@
     LENDING = "lending"
     """Retries that are left in a hall go to the daemon that needs them."""
 
+    WARM = "warm"
+    """First stages to which a connection rests are preferred."""
+
+    CHANCE = "chance"
+    """Costs of stages vary by chance, so that daemons do not all choose the same one."""
+
 
 Without = frozenset[Mechanism]
 """The mechanisms that are switched off."""
--- a/bayglade/pathfinding.py
+++ b/bayglade/pathfinding.py
@@ -24,6 +24,7 @@
 
 Taken = Callable[[Server], float]
 """Returns what all daemons have in the KV cache of a server: tokens times layers."""
+CostOf = Callable[[Server], float]
 CrossingCost = Callable[[HallName, HallName], float]
 """Returns the milliseconds that a hop to another hall adds to each token."""
 
@@ -74,9 +75,11 @@
     :param crossing: cost of a hop to another hall; none crosses when left out.
     :param limited: whether full servers are left out.
     :param crowding: whether a stage costs more the fuller its cache is.
+    :param begin_ms: returns what a server costs a token more as the first stage.
+    :param factor: returns by how much the cost of a server is taken higher than reckoned.
     """
 
-    __slots__ = ("crossing", "crowding", "demand", "limited", "pipeline", "taken")
+    __slots__ = ("begin_ms", "crossing", "crowding", "demand", "factor", "limited", "pipeline", "taken")
 
     def __init__(
         self,
@@ -86,6 +89,8 @@
         crossing: CrossingCost | None = None,
         limited: bool = True,
         crowding: bool = True,
+        begin_ms: CostOf | None = None,
+        factor: CostOf | None = None,
     ) -> None:
         self.pipeline = pipeline
         self.demand = demand
@@ -93,6 +98,8 @@
         self.crossing = crossing
         self.limited = limited
         self.crowding = crowding
+        self.begin_ms = begin_ms
+        self.factor = factor
 
     def hop_ms(self, one: HallName | None, other: HallName) -> float:
         """Return the cost of handing a token on; nothing before the first stage."""
@@ -212,6 +219,7 @@
     if not begins:
         return
     taken = search.taken(server)
+    factor = 1.0 if search.factor is None else search.factor(server)
     ends = [bound for bound in bounds if begins[0] < bound <= facts.last]
     found: list[_Reach] = []
     for begin in begins:
@@ -219,10 +227,13 @@
             ((way.cost + search.hop_ms(hall, facts.hall), way) for hall, way in ways[begin].items()),
             key=lambda entry: entry[0],
         )
+        if before.server is None and search.begin_ms is not None:
+            cost += search.begin_ms(server)
         for end in ends:
             if end <= begin:
                 continue
             more, use = stage_cost(server, search, end - begin, taken)
+            more *= factor
             if cost + more < float("inf"):
                 found.append(_Reach(cost + more, server, begin, end, before, max(use, before.use)))
     for reach in found:
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -5,6 +5,7 @@
 way, stages of several halls make up one. See :mod:`bayglade.pathfinding`.
 """
 
+import random
 from collections.abc import Callable
 
 from bayglade.clock import now
@@ -21,13 +22,29 @@
 ABROAD_FACTOR = 2.0
 """How many times as costly the own hall must be before another one is taken, and a hall before a way
 over several: what is known of the others is a second old, and all daemons would move to the same one."""
+COLD_BEGIN_MS = 2.0
+"""What a first stage to which no connection rests costs more. Each new connection is paid for, and
+by cost alone a daemon goes round all first stages of its hall: nearly a new one a request."""
+CHANCE = 0.15
+"""Part by which costs vary by chance: what is known of other daemons is seconds old, and without this
+all of them find the same server the best one and fill it at once."""
 NO_LOAD = ServerLoad(BackendId(""), 0, 0)
 
 
 class Paths:
     """The paths of one daemon's requests."""
 
-    def __init__(self, fleet: Fleet, hall: HallName, without: Without = frozenset()) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        hall: HallName,
+        without: Without = frozenset(),
+        rng: random.Random | None = None,
+    ) -> None:
+        self.rng = rng
+        self.warm: Callable[[BackendId], bool] = lambda backend: True
+        """Tells whether a connection to a server rests here."""
+
         self.fleet = fleet
         self.hall = hall
         self.without = without
@@ -136,7 +153,20 @@
 
     def _search(self, pipeline: Pipeline, demand: Demand, loads: dict[BackendId, ServerLoad]) -> Search:
         """Return a search that goes by what is under way here and at other daemons."""
-        return Search(pipeline, demand, _taken(loads), crowding=Mechanism.CROWDING not in self.without)
+        return Search(
+            pipeline,
+            demand,
+            _taken(loads),
+            crowding=Mechanism.CROWDING not in self.without,
+            begin_ms=None if Mechanism.WARM in self.without else self._begin_ms,
+            factor=None if Mechanism.CHANCE in self.without else self._chance,
+        )
+
+    def _begin_ms(self, server: Server) -> float:
+        return 0.0 if self.warm(server.facts.id) else COLD_BEGIN_MS
+
+    def _chance(self, server: Server) -> float:
+        return 1.0 if self.rng is None else self.rng.uniform(1.0, 1.0 + CHANCE)
 
     def _crossing(self, usable: list[Server], search: Search, path: Path | None = None) -> Path | None:
         """Find a path over several halls, or such a way behind the first stage of a path."""
@@ -147,7 +177,16 @@
         def crossing(one: HallName, other: HallName) -> float:
             return self.pipes.crossing_ms(one, other, pipeline, demand)
 
-        wide = Search(pipeline, demand, search.taken, crossing, search.limited, search.crowding)
+        wide = Search(
+            pipeline,
+            demand,
+            search.taken,
+            crossing,
+            search.limited,
+            search.crowding,
+            search.begin_ms,
+            search.factor,
+        )
         return find_path(usable, wide) if path is None else find_detour(path, usable, wide)
 
 
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -35,7 +35,7 @@
 ROSTER_WAIT = 20.0
 ROSTER_PAUSE = 1.0
 """Seconds between calls of the roster's feed: nobody waits for it."""
-FETCH_AFTER_SECONDS = 0.5
+FETCH_AFTER_SECONDS = 1.5
 """How long another gateway must be ahead before its settings are asked for: they come from the
 store or a reader at about the same time, and a large document is dear to send."""
 WATCH_SECONDS = 0.5
--- a/bayglade/platform/store.py
+++ b/bayglade/platform/store.py
@@ -69,11 +69,15 @@
 
     def __init__(self, address: Address) -> None:
         self.address = address
-        self.pool = urllib3.HTTPConnectionPool(address.host, address.port, maxsize=POOL_SIZE, retries=False)
+        self.pool = self._new_pool()
 
     def __repr__(self) -> str:
         return f"<Store {self.address}>"
 
+    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+        where = self.address
+        return urllib3.HTTPConnectionPool(where.host, where.port, maxsize=POOL_SIZE, retries=False)
+
     def snapshot(self, table: str) -> Changes:
         """Read all rows of a table; see :class:`bayglade.rows.ChangeFeed`."""
         found: dict[str, msgspec.Raw | None] = {}
@@ -153,6 +157,10 @@
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise PlatformUnavailable("the store cannot be reached", step=step, peer="store") from error
         except (HTTPError, OSError) as error:
+            # The other connections at rest may have fallen silent with this one, each of which
+            # would cost a whole time-out to find out.
+            self.pool, silent = self._new_pool(), self.pool
+            silent.close()
             raise lost("the store's answer was lost", step=step, peer="store") from error
         return response.status, response.data
 
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -55,6 +55,11 @@
     def __repr__(self) -> str:
         return f"<Links {sum(len(links) for links in self.idle.values())} idle>"
 
+    def rests(self, backend: BackendId) -> bool:
+        """Tell whether a connection to a server rests that is not past its time."""
+        links = self.idle.get(backend)
+        return links is not None and len(links) > 0 and now() < links[-1].expires_at
+
     def take(
         self,
         backend: BackendId,
@@ -92,6 +97,11 @@
         link.expires_at = link.used_at + seconds
         self.idle.setdefault(backend, deque()).append(link)
 
+    def drop(self, backend: BackendId) -> None:
+        """Close all connections that rest to a server: one of them was silent."""
+        for link in self.idle.pop(backend, ()):
+            link.sock.close()
+
     def forget(self, backends: set[BackendId]) -> None:
         """Close connections that rest to servers that are gone, and those past their time.
 
--- a/tests/test_diagnosis.py
+++ b/tests/test_diagnosis.py
@@ -212,3 +212,20 @@
     for server in servers:
         diagnosis.look([server], RequestId("r"))
     assert {server.facts.id for server in servers if server.suspect} == {"s1", "s4", "s7"}
+
+
+def test_a_stage_that_is_silent_on_a_kept_connection_is_asked_on_a_new_one() -> None:
+    diagnosis, stages, servers = diagnose(set(), 4)
+    kept = {servers[1].facts.id}
+    dropped: list[BackendId] = []
+
+    def drop(backend: BackendId) -> None:
+        dropped.append(backend)
+        stages.silent.discard(backend)
+
+    diagnosis.rests = kept.__contains__
+    diagnosis.drop = drop
+    stages.silent = {servers[1].facts.id}
+    assert diagnosis.examine(servers) == frozenset()
+    assert dropped == [servers[1].facts.id]
+    assert not servers[1].suspect
--- /dev/null
+++ b/tests/test_silent_connections.py
@@ -0,0 +1,163 @@
+"""Open connections that fall silent for good, without a reset: each kind is found by a bound of ours."""
+
+import random
+import socket
+import threading
+from contextlib import suppress
+
+import pytest
+
+from bayglade.config import Address
+from bayglade.entries import membership, streams
+from bayglade.entries.membership import UNHEARD_SECONDS, Member, Membership
+from bayglade.entries.wire import Heartbeat, Sealer
+from bayglade.exceptions import PlatformUnavailable
+from bayglade.ids import MemberId, Revision
+from bayglade.metrics import Metrics
+from bayglade.platform import store
+from bayglade.revisions import EMPTY
+from bayglade.usage import Usage
+
+AT_REST = 3
+PAGE = b'{"rows":[],"ver":7,"more":false}'
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b" % (
+    len(PAGE),
+    PAGE,
+)
+
+
+class FallsSilent:
+    """A store whose connections answer one call each and take further ones without a word."""
+
+    def __init__(self) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(*self.sock.getsockname())
+        self.all_open = threading.Barrier(AT_REST)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self.sock.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            connection.recv(4096)
+            self.all_open.wait(10)
+            connection.sendall(ANSWER)
+            while connection.recv(4096):
+                pass
+
+
+def calls_at_once(client: store.Store, count: int) -> list[int]:
+    """Make calls at the same moment; return the versions of those that were answered."""
+    versions: list[int] = []
+
+    def call() -> None:
+        with suppress(PlatformUnavailable):
+            versions.append(client.snapshot("t").version)
+
+    threads = [threading.Thread(target=call) for _ in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return versions
+
+
+def test_one_silent_connection_to_the_store_ends_all_that_rest(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(store, "READ_TIMEOUT", 0.3)
+    server = FallsSilent()
+    client = store.Store(server.address)
+    # Several connections rest at once, as the feeds of a daemon have them.
+    assert calls_at_once(client, AT_REST) == [7] * AT_REST
+    with pytest.raises(PlatformUnavailable):
+        client.snapshot("t")
+    assert calls_at_once(client, AT_REST) == [7] * AT_REST
+    server.sock.close()
+
+
+class Settings:
+    """No settings in force."""
+
+    current = EMPTY
+
+    def offer(self, *_: object) -> None:
+        raise AssertionError("nothing is offered here")
+
+
+def hearing(monkeypatch: pytest.MonkeyPatch, stream_age: float) -> tuple[Membership, Member]:
+    at = 100.0
+    monkeypatch.setattr(membership, "now", lambda: at)
+    me = Membership(
+        MemberId("a"),
+        b"s",
+        Settings(),
+        Usage(),
+        Metrics(None),
+        list,
+        list,
+        lambda m, b: None,
+        random.Random(1),
+    )
+    other = Member(MemberId("b"), Address("127.0.0.1", 1))
+    near, _ = socket.socketpair()
+    other.stream = streams.OutStream(near, Sealer(b"k" * 32))
+    other.stream_since = at - stream_age
+    me.members[other.id] = other
+    return me, other
+
+
+def beat(heard_age: float) -> Heartbeat:
+    return Heartbeat(
+        revision=Revision(0), draining=False, usage=[], leaving=[], held=[], heard_age=heard_age
+    )
+
+
+@pytest.mark.parametrize(
+    ("heard_age", "stream_age", "broken"),
+    [
+        (0.0, 60.0, False),
+        (UNHEARD_SECONDS - 0.5, 60.0, False),
+        (UNHEARD_SECONDS + 0.5, 60.0, True),
+        (UNHEARD_SECONDS + 0.5, 1.0, False),
+    ],
+    ids=["never heard", "heard lately", "not heard", "a new stream"],
+)
+def test_a_stream_on_which_the_other_side_hears_nothing_is_given_up(
+    monkeypatch: pytest.MonkeyPatch, heard_age: float, stream_age: float, broken: bool
+) -> None:
+    me, other = hearing(monkeypatch, stream_age)
+    me._handle(other.id, beat(heard_age))
+    assert other.stream is not None
+    assert other.stream.broken is broken
+    if broken:
+        with pytest.raises(OSError, match="hears nothing"):
+            other.stream.send(beat(0.0))
+
+
+def test_a_heartbeat_says_how_long_ago_its_receiver_was_heard(monkeypatch: pytest.MonkeyPatch) -> None:
+    me, other = hearing(monkeypatch, 60.0)
+    me.heard[other.id] = 97.5
+    assert me._heartbeat(other.id).heard_age == pytest.approx(2.5)
+    assert me._heartbeat(MemberId("c")).heard_age == 0.0
+
+
+def test_the_kernel_gives_a_stream_up_that_is_not_acknowledged() -> None:
+    secret = b"a secret"
+    listening = socket.create_server(("127.0.0.1", 0))
+
+    def accept() -> None:
+        connection, _ = listening.accept()
+        list(streams.accept(connection, secret).messages(5.0))
+
+    thread = threading.Thread(target=accept, daemon=True)
+    thread.start()
+    stream = streams.dial(Address(*listening.getsockname()), MemberId("a"), secret)
+    timeout = stream.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    stream.close()
+    thread.join(5)
+    assert timeout == streams.USER_TIMEOUT_MS
