Take gone daemons out of the roster; end silent streams; measure daemons at rest

Cause: rows of daemons that are gone stayed for ever, so every daemon that starts would first ask those; a stream whose own connection fell silent, while its server lives, stood still until its caller left.

Change: the first reader of a hall marks rows of daemons of its hall that were silent for 20 s; a daemon that finds itself marked writes its row anew. A stream that stood still for 1.2 s, though its first stage neither queues nor lets it wait, is sent anew where it may be. benches/at_rest counts wake-ups, processor time and calls of the store.

--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -96,7 +96,7 @@
         pause = LOOK_SECONDS
         while True:
             eventlet.sleep(pause * self.rng.uniform(0.8, 1.2))
-            pause = LOOK_SECONDS
+            pause = LOOK_SECONDS if self.first() else OTHERS_SECONDS
             try:
                 if not self.step():
                     pause = OTHERS_SECONDS
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -10,11 +10,14 @@
 from collections.abc import Iterable, Sequence
 
 import eventlet
+import msgspec
 
+from bayglade.clock import now
 from bayglade.config import GatewayConfig, parse_address
 from bayglade.entries import wire
 from bayglade.entries.membership import FULL_MESH, Membership
 from bayglade.entries.wire import Finding, Heartbeat, ServerLoad
+from bayglade.exceptions import PlatformUnavailable
 from bayglade.fanout import FOLLOWER_REST_PART, READER_WAIT_PART, Fanout
 from bayglade.feeds import Feed
 from bayglade.fleet import Server
@@ -27,7 +30,7 @@
 from bayglade.relay import Peers
 from bayglade.reports import LOOKERS, Reports
 from bayglade.retries import BUDGET_FLOOR, RetryBudget
-from bayglade.roster import MemberRow, Roster, join, read_roster
+from bayglade.roster import MemberRow, Roster, join, mark_gone, read_roster
 from bayglade.rows import Changes, Table
 from bayglade.totals import Totals
 from bayglade.usage import Usage
@@ -40,6 +43,10 @@
 store or a reader at about the same time, and a large document is dear to send."""
 WATCH_SECONDS = 0.5
 """Time between looks at who is silent; heartbeats go out each second."""
+GONE_SECONDS = 20.0
+"""A gateway that was silent for so long is taken out of the roster: restarts take a few seconds."""
+CLEAN_SECONDS = 5.0
+"""Time between looks for these."""
 BUDGET_PART = 0.85
 """Part of the users' bound on repeated sendings that all gateways together allow themselves."""
 
@@ -69,6 +76,7 @@
         self.order = Order({})
         self.plan = Plan(Duty.SITE)
         self.lost = Lost()
+        self.clean_at = 0.0
         self.feed = Feed(store, table, ROSTER_WAIT, self._take_roster, ROSTER_PAUSE)
         self.membership: Membership | None = None
         host = parse_address(config.callers).host
@@ -130,10 +138,37 @@
         self.membership.watch()
         self.lost.update(self.membership.silent(LOST_SECONDS), self.membership.heard)
         self._make_plan()
+        self._clean_roster()
         self.fanout.watch()
         for budget in self.peers.budgets.values():
             budget.floor = self._floor()
 
+    def _clean_roster(self) -> None:
+        """Take gateways of the own hall that are gone out of the roster, as its first reader."""
+        assert self.membership is not None
+        readers = self.plan.readers.get(self.config.hall, ())
+        if now() < self.clean_at or readers[:1] != (self.config.member,):
+            return
+        self.clean_at = now() + CLEAN_SECONDS
+        for member in self.membership.silent(GONE_SECONDS):
+            row = self.roster.members.get(member)
+            if row is not None and row.hall == self.config.hall:
+                eventlet.spawn_n(self._mark_gone, member)
+                return
+
+    def _mark_gone(self, member: MemberId) -> None:
+        try:
+            mark_gone(self.store, member)
+        except PlatformUnavailable as error:
+            event("INFO", "roster not written", error=repr(error))
+
+    def _rejoin(self) -> None:
+        """Write the own row anew: others took this gateway for gone."""
+        event("WARNING", "own row is gone")
+        row = MemberRow(self.address, self.config.hall)
+        self.roster = join(self.store, self.feed.table, self.config.member, row)
+        self._assign()
+
     def _floor(self) -> float:
         members = self.membership.count() if self.membership is not None else 0
         bound = BUDGET_PART * self.config.retry_floor
@@ -186,8 +221,11 @@
 
     def _take_roster(self, changes: Changes, whole: bool) -> None:
         self.roster = read_roster(changes.rows, Roster() if whole else self.roster)
-        if self.membership is not None:
-            self._assign()
+        if self.membership is None:
+            return
+        if self.config.member not in self.roster.members:
+            eventlet.spawn_n(self._rejoin)
+        self._assign()
 
     def _assign(self) -> None:
         """Take in who the other gateways are."""
@@ -231,7 +269,7 @@
         if member not in self.roster.members:
             # It started just now. Its hall matters for sums only, and comes with its row.
             known = {**self.roster.members, member: MemberRow(poll.address, self.config.hall)}
-            self.roster = Roster(known, self.roster.secret)
+            self.roster = msgspec.structs.replace(self.roster, members=known)
         self.fanout.heard_poll(member, poll)
         if self.membership is not None and member not in self.membership.members:
             self._keep_streams()
--- a/bayglade/roster.py
+++ b/bayglade/roster.py
@@ -30,6 +30,8 @@
 
     address: str
     hall: HallName
+    gone: bool = False
+    """Set by others when it was silent for long; a daemon that finds itself so writes its row anew."""
 
 
 class Roster(msgspec.Struct, frozen=True):
@@ -37,6 +39,8 @@
 
     members: dict[MemberId, MemberRow] = {}
     secret: bytes | None = None
+    marked: frozenset[MemberId] = frozenset()
+    """Daemons whose rows say that they are gone."""
 
 
 def join(store: Table, table: str, member: MemberId, row: MemberRow) -> Roster:
@@ -58,6 +62,27 @@
             eventlet.sleep(RETRY_SECONDS)
 
 
+def mark_gone(store: RowStore, member: MemberId) -> None:
+    """Take a daemon out of the roster, unless its row has changed meanwhile.
+
+    Rows of daemons that are gone would be asked first by every daemon that starts.
+
+    :param store: the platform's table.
+    :param member: the daemon.
+    :raises PlatformUnavailable: when the table does not answer.
+    """
+    key = MEMBER_PREFIX + member
+    found = store.read([key]).get(key)
+    if found is None:
+        return
+    row = msgspec.json.decode(found.value, type=MemberRow)
+    if row.gone:
+        return
+    gone = Write(key, raw(msgspec.structs.replace(row, gone=True)))
+    committed = store.transact(Transaction([Condition(key, found.version)], [gone])).committed
+    event("INFO", "daemon taken out of the roster", peer=member, committed=committed)
+
+
 def _write_missing(store: RowStore, member: MemberId, row: MemberRow, known: Roster) -> Roster | None:
     """Write the own row and the secret where they are not in the roster.
 
@@ -66,7 +91,8 @@
     conditions, writes, secret = [], [], known.secret
     if known.members.get(member) != row:
         key = MEMBER_PREFIX + member
-        found = store.read([key]).get(key) if member in known.members else None
+        written = member in known.members or member in known.marked
+        found = store.read([key]).get(key) if written else None
         conditions.append(Condition(key, found.version if found is not None else ABSENT))
         writes.append(Write(key, raw(row)))
     if secret is None:
@@ -85,16 +111,20 @@
     :param rows: rows by key; nothing for those that were removed.
     :param before: the roster before.
     """
-    members, secret = dict(before.members), before.secret
+    members, secret, marked = dict(before.members), before.secret, set(before.marked)
     for key, value in rows.items():
         member = MemberId(key.removeprefix(MEMBER_PREFIX))
         try:
             if key == SECRET_KEY:
                 secret = secret if value is None else msgspec.json.decode(value, type=str).encode()
-            elif value is None:
-                members.pop(member, None)
-            else:
-                members[member] = msgspec.json.decode(value, type=MemberRow)
+                continue
+            members.pop(member, None)
+            marked.discard(member)
+            row = msgspec.json.decode(value, type=MemberRow) if value is not None else None
+            if row is not None and row.gone:
+                marked.add(member)
+            elif row is not None:
+                members[member] = row
         except msgspec.DecodeError as error:
             event("ERROR", "member row ignored", peer=key, error=str(error))
-    return Roster(members, secret)
+    return Roster(members, secret, frozenset(marked))
--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -25,6 +25,9 @@
 dead in the meantime is noticed without one."""
 MOVE_PAUSE = 0.3
 """Seconds between two moves of one stream: each has its tokens read anew by the new stages."""
+SILENT_SECONDS = 1.2
+"""A stream that stood still for so long, though nothing at its first stage explains it, is taken to
+have lost its connection: an open one may fall silent without a reset. Callers leave after 2 s."""
 LEAVE_SPREAD_SECONDS = 1.0
 """Streams are moved off a leaving stage over this time, not all at once: each has its tokens
 read anew. A server that leaves serves on for two seconds and more."""
@@ -168,6 +171,8 @@
     if call.seconds_left() <= 0:
         raise BackendSilent("no whole answer in time", step="stream", peer=run.exchange.backend)
     dead = dead_stages(peers, call, run, patience)
+    if not dead and connection_silent(peers, call, run) and _can_resend(peers, call, pipeline, run):
+        raise BackendError("the connection is silent", step="stream", peer=run.exchange.backend)
     if not dead and Mechanism.LEAVE_SLOW in peers.without:
         return
     if not dead:
@@ -229,6 +234,15 @@
         _move(peers, call, pipeline, run, "slow")
 
 
+def connection_silent(peers: Peers, call: Call, run: Run) -> bool:
+    """Tell whether a stream stands still though its first stage neither waits nor lets it wait."""
+    if now() - run.event_at < SILENT_SECONDS:
+        return False
+    finding = peers.diagnosis.findings.get(run.path.servers[0].facts.id)
+    report = finding.report if finding is not None else None
+    return report is not None and report.queued == 0 and call.head.id not in report.stalled
+
+
 def slow_stages(path: Path) -> frozenset[BackendId]:
     """Return the stages of a path that say they are a good deal slower than usual."""
     return frozenset(s.facts.id for s in path.servers if s.pace > SLOW_PACE)
--- /dev/null
+++ b/benches/at_rest.py
@@ -0,0 +1,63 @@
+"""What a gateway at rest costs: wake-ups, processor time and calls of the store.
+
+``python -m benches.at_rest [daemons] [halls] [seconds]`` starts gateways before the
+stand-in of the users' platform, sends them nothing, and prints a line for each duty.
+"""
+
+import sys
+import time
+from collections import defaultdict
+
+import msgspec
+import psutil
+
+from bayglade.readers import Order, make_plan
+from standins.users import UsersSite
+
+SETTLE_SECONDS = 8.0
+"""Time in which layers are loaded and the daemons find each other."""
+
+
+class Figures(msgspec.Struct):
+    """What one daemon has used up so far."""
+
+    wakeups: int
+    cpu_seconds: float
+
+
+def figures(pid: int) -> Figures:
+    """Read what a process has used up so far."""
+    process = psutil.Process(pid)
+    times = process.cpu_times()
+    return Figures(process.num_ctx_switches().voluntary, times.user + times.system)
+
+
+def main() -> None:
+    """Run the measurement."""
+    numbers = [int(text) for text in sys.argv[1:]]
+    daemons, halls, seconds = (numbers + [20, 2, 20][len(numbers) :])[:3]
+    with UsersSite(halls=halls, plain=1) as site:
+        started = [site.start(f"hall-{n % halls}") for n in range(daemons)]
+        site.wait_placed()
+        time.sleep(SETTLE_SECONDS)
+        calls = sum(site.store.calls.values())
+        before = [figures(daemon.popen.pid) for daemon in started]
+        time.sleep(seconds)
+        after = [figures(daemon.popen.pid) for daemon in started]
+        calls = sum(site.store.calls.values()) - calls
+    print(f"{daemons} daemons in {halls} halls, {seconds} s: {calls / seconds:.1f} calls a second")
+    print("duty       daemons  wake-ups/s  CPU %")
+    order = Order({daemon.settings["member"]: daemon.settings["hall"] for daemon in started})
+    rows = defaultdict(list)
+    for daemon, old, new in zip(started, before, after, strict=True):
+        duty = make_plan(daemon.settings["member"], order, (), ()).duty
+        rows[duty.value].append(
+            ((new.wakeups - old.wakeups) / seconds, 100 * (new.cpu_seconds - old.cpu_seconds) / seconds)
+        )
+    for name, found in rows.items():
+        wakeups, cpu = (sum(column) / len(found) for column in zip(*found, strict=True))
+        print(f"{name:<9} {len(found):>8} {wakeups:>11.1f} {cpu:>6.2f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_diagnosis.py
+++ b/tests/test_diagnosis.py
@@ -229,3 +229,25 @@
     assert diagnosis.examine(servers) == frozenset()
     assert dropped == [servers[1].facts.id]
     assert not servers[1].suspect
+
+
+@pytest.mark.parametrize(
+    ("still_for", "queued", "stalled", "silent"),
+    [
+        (runs.SILENT_SECONDS + 0.1, 0, False, True),
+        (runs.SILENT_SECONDS - 0.1, 0, False, False),
+        (runs.SILENT_SECONDS + 0.1, 3, False, False),
+        (runs.SILENT_SECONDS + 0.1, 0, True, False),
+    ],
+    ids=["nothing explains it", "too early", "requests queue there", "a stage behind is waited for"],
+)
+def test_a_stream_that_nothing_holds_up_has_a_silent_connection(
+    still_for: float, queued: int, stalled: bool, silent: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    diagnosis, _, servers = diagnose(set())
+    run = Run(Path(servers), Attempts(CALL))  # type: ignore[arg-type]
+    waits_for = {CALL.head.id: servers[2].facts.address} if stalled else {}
+    report = msgspec.structs.replace(ALIVE, queued=queued, stalled=waits_for)
+    diagnosis.findings[servers[0].facts.id] = Finding(report)
+    monkeypatch.setattr(runs, "now", lambda: run.event_at + still_for)
+    assert runs.connection_silent(Peers(diagnosis), CALL, run) is silent  # type: ignore[arg-type]
