--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 import eventlet
 import msgspec
@@ -16,22 +16,21 @@
 from bayglade.config import GatewayConfig, parse_address
 from bayglade.entries import wire
 from bayglade.entries.membership import FULL_MESH, Membership
-from bayglade.entries.wire import Finding, Findings, ServerLoad
+from bayglade.entries.wire import Findings, ServerLoad
 from bayglade.exceptions import PlatformUnavailable
 from bayglade.fanout import FOLLOWER_REST_PART, READER_WAIT_PART, Fanout
 from bayglade.feeds import Feed
-from bayglade.fleet import Server
-from bayglade.ids import BackendId, MemberId
+from bayglade.ids import MemberId
 from bayglade.intake import Intake
 from bayglade.lending import POOLED_PART, Pools
 from bayglade.listener import listen
 from bayglade.logs import event
 from bayglade.readers import LOST_SECONDS, Duty, Lost, Order, Plan, make_plan, streams_of
 from bayglade.relay import Peers
-from bayglade.reports import LOOKERS, Reports
 from bayglade.retries import BUDGET_FLOOR, RetryBudget
 from bayglade.roster import MemberRow, Roster, join, mark_gone, read_roster
 from bayglade.rows import Changes, Table
+from bayglade.spreading import Spreading
 from bayglade.totals import Totals
 from bayglade.usage import Usage
 
@@ -85,8 +84,15 @@
         self.proof_wait = proof.wait
         self.totals = Totals(config.member)
         self.pools = Pools(self._readers, self._push, config.retry_window_seconds)
-        self.dead = Reports()
-        self.back = Reports()
+        self.spreading = Spreading(
+            config.member,
+            peers.fleet,
+            peers.diagnosis,
+            self._tell,
+            lambda: self.plan.duty is not Duty.FOLLOWER,
+            self.count,
+            rng,
+        )
         peers.borrow = self.pools.borrow
         if config.peer_ports:
             # Others may tell of the tables before the roster is known here.
@@ -214,13 +220,11 @@
         membership.on_poll = self._heard_poll
         membership.on_updates = self.fanout.heard_updates
         membership.on_unable = self.fanout.heard_unable
-        membership.on_findings = self._heard_findings
+        membership.on_findings = self.spreading.heard
         membership.on_borrow = self.pools.heard_borrow
         membership.on_lent = self.pools.heard_lent
         membership.fetch_after = FETCH_AFTER_SECONDS
         self.peers.paths.elsewhere = lambda: self.totals.elsewhere(self._loads())
-        self.peers.diagnosis.on_dead = self._tell_dead
-        self.peers.diagnosis.on_back = self._tell_back
         self.peers.diagnosis.daemons = membership.count
         self.peers.paths.pipes.daemons = membership.count
         return membership
@@ -286,6 +290,10 @@
         if self.membership is not None:
             self.membership.push(member, message)
 
+    def _tell(self, findings: Findings, but: MemberId | None) -> None:
+        if self.membership is not None:
+            self.membership.push_all(findings, but)
+
     def _loads(self) -> list[ServerLoad]:
         servers = self.peers.fleet.servers.values()
         return [
@@ -293,43 +301,3 @@
             for s in servers
             if s.facts.held and (s.in_flight or s.cached >= 1)
         ]
-
-    def _tell_dead(self, server: Server) -> None:
-        self.back.forget(server.facts.id)
-        self._pass_on(self.dead.add([Finding(server.facts.id, self.config.member)]), [])
-
-    def _tell_back(self, server: Server) -> None:
-        self.dead.forget(server.facts.id)
-        self._pass_on([], self.back.add([Finding(server.facts.id, self.config.member)]))
-
-    def _pass_on(self, dead: list[Finding], back: list[Finding], but: MemberId | None = None) -> None:
-        """Tell the gateways that this one has streams to."""
-        if self.membership is not None and (dead or back):
-            self.membership.push_all(Findings(dead, back), but)
-
-    def _heard_findings(self, member: MemberId, found: Findings) -> None:
-        """Take in which stages were found silent or back, and pass that on as a reader."""
-        dead, back = self.dead.add(found.dead), self.back.add(found.back)
-        if self.plan.duty is not Duty.FOLLOWER:
-            self._pass_on(dead, back, member)
-        self._take_dead([finding.backend for finding in dead])
-        self._take_back([finding.backend for finding in back])
-
-    def _take_dead(self, backends: Iterable[BackendId]) -> None:
-        """Believe what enough gateways found, else look with some likelihood."""
-        servers = self.peers.fleet.servers
-        told = [servers[b] for b in backends if b in servers and not servers[b].suspect]
-        for server in told:
-            self.back.forget(server.facts.id)
-            if self.dead.enough(server.facts.id):
-                self.peers.fleet.suspect(server, "others found it silent")
-        likely = LOOKERS / self.count()
-        looked_at = [server for server in told if not server.suspect and self.rng.random() < likely]
-        if looked_at:
-            eventlet.spawn_n(self.peers.diagnosis.examine, looked_at)
-
-    def _take_back(self, backends: Iterable[BackendId]) -> None:
-        servers = self.peers.fleet.servers
-        for server in [servers[b] for b in backends if b in servers and servers[b].suspect]:
-            self.dead.forget(server.facts.id)
-            self.peers.fleet.trust(server, "answers others again")
--- /dev/null
+++ b/bayglade/spreading.py
@@ -0,0 +1,98 @@
+"""Spreading: what one daemon found out of a stage reaches all, and few look for themselves.
+
+See :mod:`bayglade.reports` for how often something has to be found to be believed.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+
+import eventlet
+
+from bayglade.diagnosis import Diagnosis
+from bayglade.entries.wire import Finding, Findings
+from bayglade.fleet import Fleet, Server
+from bayglade.ids import BackendId, MemberId
+from bayglade.reports import LOOKERS, Reports
+
+Tell = Callable[[Findings, MemberId | None], None]
+"""Tells the daemons that this one has streams to, but for the one that is named."""
+
+
+class Spreading:
+    """The findings that one daemon makes, hears and passes on.
+
+    :param me: this daemon.
+    :param fleet: the servers, whose state follows from findings.
+    :param diagnosis: asks stages, and tells of what it found.
+    :param tell: tells other daemons.
+    :param passes_on: tells whether this daemon passes on what it hears.
+    :param daemons: returns how many daemons there are.
+    :param rng: source of chance.
+    """
+
+    def __init__(
+        self,
+        me: MemberId,
+        fleet: Fleet,
+        diagnosis: Diagnosis,
+        tell: Tell,
+        passes_on: Callable[[], bool],
+        daemons: Callable[[], int],
+        rng: random.Random,
+    ) -> None:
+        self.me = me
+        self.fleet = fleet
+        self.diagnosis = diagnosis
+        self.tell = tell
+        self.passes_on = passes_on
+        self.daemons = daemons
+        self.rng = rng
+        self.dead = Reports()
+        self.back = Reports()
+        diagnosis.on_dead = self._found_dead
+        diagnosis.on_back = self._found_back
+
+    def __repr__(self) -> str:
+        return f"<Spreading {self.dead!r} {self.back!r}>"
+
+    def heard(self, member: MemberId, found: Findings) -> None:
+        """Take in what another daemon tells, and pass on what is new.
+
+        :param member: the daemon.
+        :param found: the findings.
+        """
+        dead, back = self.dead.add(found.dead), self.back.add(found.back)
+        if self.passes_on() and (dead or back):
+            self.tell(Findings(dead, back), member)
+        self._take_dead(finding.backend for finding in dead)
+        self._take_back(finding.backend for finding in back)
+
+    def _found_dead(self, server: Server) -> None:
+        self.back.forget(server.facts.id)
+        if new := self.dead.add([Finding(server.facts.id, self.me)]):
+            self.tell(Findings(dead=new), None)
+
+    def _found_back(self, server: Server) -> None:
+        self.dead.forget(server.facts.id)
+        if new := self.back.add([Finding(server.facts.id, self.me)]):
+            self.tell(Findings(back=new), None)
+
+    def _take_dead(self, backends: Iterable[BackendId]) -> None:
+        """Believe what enough daemons found, else look with some likelihood."""
+        known = self.fleet.servers
+        told = [known[backend] for backend in backends if backend in known and not known[backend].suspect]
+        for server in told:
+            self.back.forget(server.facts.id)
+            if self.dead.enough(server.facts.id):
+                self.fleet.suspect(server, "others found it silent")
+        likely = LOOKERS / self.daemons()
+        looked_at = [server for server in told if not server.suspect and self.rng.random() < likely]
+        if looked_at:
+            eventlet.spawn_n(self.diagnosis.examine, looked_at)
+
+    def _take_back(self, backends: Iterable[BackendId]) -> None:
+        """Believe that a stage answers again: whoever says so had an answer."""
+        known = self.fleet.servers
+        for server in [known[b] for b in backends if b in known and known[b].suspect]:
+            self.dead.forget(server.facts.id)
+            self.fleet.trust(server, "answers others again")
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -8,12 +8,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bayglade import fanout, feeds, readers, reports
-from bayglade.entries.wire import Finding, Poll, Unable, Updates
+from bayglade import fanout, feeds, readers
+from bayglade.entries.wire import Poll, Unable, Updates
 from bayglade.exceptions import PlatformUnavailable
 from bayglade.fanout import FOLLOWER_REST_PART, Fanout
 from bayglade.feeds import Feed
-from bayglade.ids import BackendId, HallName, MemberId
+from bayglade.ids import HallName, MemberId
 from bayglade.readers import (
     LOST_SECONDS,
     MOST_UNABLE,
@@ -25,7 +25,6 @@
     make_plan,
     streams_of,
 )
-from bayglade.reports import ENOUGH, MOST_TOLD, REPORT_SECONDS, Reports
 from bayglade.rows import Changes
 
 DRAIN_SECONDS = 4.0
@@ -303,28 +302,3 @@
     order = Order(halls, {name: 100.0 if name in quick else 10.0 for name in halls})
     plan = make_plan(order.site[-1], order, (), ())
     assert {name for names in plan.readers.values() for name in names} <= quick
-
-
-def test_findings_beyond_those_believed_are_not_passed_on() -> None:
-    heard = Reports()
-    passed = [n for n in range(20) if heard.add([finding(f"d{n}")])]
-    assert len(passed) == MOST_TOLD
-
-
-def finding(finder: str) -> Finding:
-    return Finding(BackendId("s"), MemberId(finder))
-
-
-def test_what_enough_daemons_found_is_believed_for_a_while(monkeypatch: pytest.MonkeyPatch) -> None:
-    at = 100.0
-    monkeypatch.setattr(reports, "now", lambda: at)
-    heard = Reports()
-    assert heard.add([finding("a")]) == [finding("a")]
-    assert heard.add([finding("a")]) == []
-    assert not heard.enough(BackendId("s"))
-    for n in range(ENOUGH):
-        heard.add([finding(f"b{n}")])
-    assert heard.enough(BackendId("s"))
-    at += REPORT_SECONDS + 0.1
-    assert not heard.enough(BackendId("s"))
-    assert heard.add([finding("a")]) == [finding("a")]
--- /dev/null
+++ b/tests/test_spreading.py
@@ -0,0 +1,115 @@
+"""Findings of stages: passed on, believed when enough daemons made them, looked into by few."""
+
+import random
+
+import pytest
+
+from bayglade import reports, spreading
+from bayglade.entries.wire import Finding, Findings
+from bayglade.ids import BackendId, MemberId
+from bayglade.reports import ENOUGH, LOOKERS, MOST_TOLD, REPORT_SECONDS, Reports
+from bayglade.spreading import Spreading
+from tests.test_diagnosis import Stages, diagnose
+
+OTHER = MemberId("other")
+
+
+def finding(finder: str) -> Finding:
+    return Finding(BackendId("s"), MemberId(finder))
+
+
+def test_what_enough_daemons_found_is_believed_for_a_while(monkeypatch: pytest.MonkeyPatch) -> None:
+    at = 100.0
+    monkeypatch.setattr(reports, "now", lambda: at)
+    heard = Reports()
+    assert heard.add([finding("a")]) == [finding("a")]
+    assert heard.add([finding("a")]) == []
+    assert not heard.enough(BackendId("s"))
+    for n in range(ENOUGH):
+        heard.add([finding(f"b{n}")])
+    assert heard.enough(BackendId("s"))
+    at += REPORT_SECONDS + 0.1
+    assert not heard.enough(BackendId("s"))
+    assert heard.add([finding("a")]) == [finding("a")]
+
+
+def test_findings_beyond_those_believed_are_not_passed_on() -> None:
+    heard = Reports()
+    passed = [n for n in range(20) if heard.add([finding(f"d{n}")])]
+    assert len(passed) == MOST_TOLD
+
+
+def spread(
+    silent: set[str], daemons: int, passes_on: bool = True
+) -> tuple[Spreading, list[Findings], Stages]:
+    told: list[Findings] = []
+    diagnosis, stages, _ = diagnose(silent)
+    made = Spreading(
+        MemberId("me"),
+        diagnosis.fleet,
+        diagnosis,
+        lambda findings, but: told.append(findings),
+        lambda: passes_on,
+        lambda: daemons,
+        random.Random(1),
+    )
+    return made, told, stages
+
+
+def dead(backend: str, finder: str) -> Findings:
+    return Findings(dead=[Finding(BackendId(backend), MemberId(finder))])
+
+
+def test_what_one_daemon_found_is_passed_on_once_and_believed_from_two() -> None:
+    made, told, _ = spread(set(), 10_000)
+    server = made.fleet.servers[BackendId("s1")]
+    made.heard(OTHER, dead("s1", "a"))
+    made.heard(OTHER, dead("s1", "a"))
+    assert told == [dead("s1", "a")]
+    assert not server.suspect
+    made.heard(OTHER, dead("s1", "b"))
+    assert server.suspect
+
+
+def test_a_follower_passes_nothing_on() -> None:
+    made, told, _ = spread(set(), 10, passes_on=False)
+    made.heard(OTHER, dead("s1", "a"))
+    assert told == []
+
+
+@pytest.mark.parametrize(("daemons", "looks"), [(LOOKERS, 200), (10 * LOOKERS, 20)])
+def test_few_of_many_daemons_look_for_themselves(
+    daemons: int, looks: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    made, _, _ = spread(set(), daemons)
+    asked: list[object] = []
+    monkeypatch.setattr(spreading.eventlet, "spawn_n", lambda act, servers: asked.append(servers))
+    for _ in range(200):
+        made.dead.forget(BackendId("s1"))
+        made.heard(OTHER, dead("s1", "a"))
+    assert looks / 2 <= len(asked) <= looks * 2
+
+
+def test_that_a_stage_answers_again_is_believed_at_once() -> None:
+    made, told, _ = spread({"s1"}, 10)
+    server = made.fleet.servers[BackendId("s1")]
+    made.diagnosis.examine(list(made.fleet.servers.values()))
+    assert server.suspect
+    assert told == [dead("s1", "me")]
+    back = Findings(back=[Finding(server.facts.id, OTHER)])
+    made.heard(OTHER, back)
+    assert not server.suspect
+    assert told[-1] == back
+
+
+def test_a_stage_that_went_silent_once_more_is_told_of_again() -> None:
+    made, told, stages = spread({"s1"}, 10)
+    servers = list(made.fleet.servers.values())
+    for _ in range(2):
+        stages.silent = {"s1"}
+        made.diagnosis.findings.clear()
+        made.diagnosis.examine(servers)
+        stages.silent = set()
+        made.diagnosis.findings.clear()
+        made.diagnosis.look_again(servers)
+    assert [bool(findings.dead) for findings in told] == [True, False, True, False]
