--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -32,8 +32,8 @@
 hundredths of a second, and the next one that is turned away says so again."""
 GLANCE_SECONDS = 0.08
 """How long a stream waits before it looks whether a stage of its path is known to be dead by now: a
-little more than the usual time between events. With the whole patience, streams were moved 0.19 to
-0.34 s after a crash that all daemons knew of after 0.06 to 0.2 s (nine of 218 servers, logs)."""
+little more than the usual time between events. Median pause of streams that were moved off a dead
+stage: 0.388 s with the whole patience, 0.353 s with this (one play each, nine of 218 servers lost)."""
 LAST_CHUNK = b"0\r\n\r\n"
 
 
