Log each failed call of the store, and when a feed is woken

Cause: the logs of the incident name only the first failure of a feed in a row, so they cannot tell a feed that pauses from one whose call hangs. Ruled out: nothing yet; this is what the two hypotheses need to be told apart. Change: a line for each failed call with how long it took and the pause that follows, a line when a feed without the store is woken and whether it was pausing. Volume: a line a call, which the pauses bound. No decision changed.

--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -76,6 +76,9 @@
         self.pause = pause
         self.version: int | None = None
         self.known_at = 0.0
+        self.asked_at = 0.0
+        """When the last own call was sent."""
+
         self.failing_since: float | None = None
         self.lost_at = 0.0
         """When an own call of the store failed last, unless one was answered since."""
@@ -153,13 +156,18 @@
                 self.version = None
             except PlatformUnavailable as error:
                 self._failed(error)
-                self._wait(pause * self.rng.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD))
+                seconds = pause * self.rng.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
+                # Which table is behind, and for how long still, cannot be told from the first failure.
+                took, rest = round(now() - self.asked_at, 2), round(seconds, 2)
+                event("INFO", "store call failed", table=self.table, took=took, pause=rest)
+                self._wait(seconds)
                 pause = min(self.max_pause, 2 * pause)
             else:
                 pause = self.first_pause
 
     def _step(self) -> None:
         asked, wait = now(), 0.0
+        self.asked_at = asked
         whole = self.version is None
         if self.version is None:
             changes = self.store.snapshot(self.table)
@@ -267,6 +275,8 @@
 
     def ask_now(self) -> None:
         """Look again without more delay whether to call the store: it answers elsewhere."""
+        if self.failing_since is not None:
+            event("INFO", "feed woken", table=self.table, pausing=not self.back.ready())
         if not self.back.ready():
             self.back.send()
 
