Give each table its own bound, and look at the store's state, not for a wake-up

Cause: after a failed call the feed of servers paused 4 to 10 s and relied on one wake-up by another feed. A wake-up that came during a call was lost, and one whose loss ended by another daemon's word was never sent. Beside it, times did not add up to the bound: calls for servers waited 8 s and 1 s for an answer, and daemons took the list of servers for fresh because the document's feed was. Class: what is known of one table is taken for fresh because another one is, or because an event should have told. Ruled out: a call that hangs until then (by logs: failed at 14.21 s, 3 s before); word that came and was not taken in.

Change: the times of each table follow from its own bound in one place (freshness.py): wait, answer, gathering, rest. A long pause ends as soon as the scout finds the store back, by whatever way. Each table's word is trusted for as long as its own age allows, and a table that a reader lacks holds up no other. An outage ends for lapsed entries when the first feed had an answer, not when the feed of servers had. The document's bound is that on configurations.

--- a/bayglade/config.py
+++ b/bayglade/config.py
@@ -17,6 +17,9 @@
 from bayglade.mechanisms import Mechanism
 
 MAX_CONFIG_BYTES = 64 * 1024
+KEY_TRUST_PART = 0.9
+"""Part of the trust in old keys within which a change of the document must be known: a call that fails
+then leaves time for another before keys are no longer trusted."""
 
 ConfigT = TypeVar("ConfigT")
 
@@ -83,6 +86,9 @@
     drain_ms: float = 2000.0
     """Time in which it must be known here that a backend server leaves."""
 
+    config_ms: float = 2000.0
+    """Time in which a change of the operator's document must be in force here."""
+
     key_trust_ms: float = 5000.0
     """How old the knowledge of keys may be for requests that carry one."""
 
@@ -96,6 +102,10 @@
     without: frozenset[Mechanism] = frozenset()
     """Mechanisms that are switched off, to measure what they are worth."""
 
+    def document_bound(self) -> float:
+        """Return within how many seconds a change of the operator's document must be known here."""
+        return min(self.config_ms, KEY_TRUST_PART * self.key_trust_ms) / 1000
+
     def __repr__(self) -> str:
         return f"<GatewayConfig {self.member} in {self.hall} at {self.callers}>"
 
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -153,10 +153,9 @@
     waited: float
     """Seconds for which the question lay here."""
 
-    proof_age: float
-    """Seconds since the reader asked the store for something that it has an answer to."""
-
     tables: dict[str, TableUpdate]
+    """Those that the sender has; one that the store does not answer for is not among them."""
+
     turned_away: bool = False
     """Whether the store does not answer the sender itself, which has all this from others."""
 
--- a/bayglade/fanout.py
+++ b/bayglade/fanout.py
@@ -8,6 +8,7 @@
 How old an update is, is never taken from another daemon's clock: whoever answers
 tells how long the question lay there and how old its knowledge was when it
 answered, and the asker counts from when it asked. Over two steps the ages add up.
+Each table has an age of its own: that one is fresh says nothing of another.
 """
 
 import zlib
@@ -22,11 +23,6 @@
 from bayglade.ids import MemberId
 from bayglade.rows import Changes
 
-READER_WAIT_PART = 0.4
-"""Part of the bound on word of leaving servers that a reader's call waits: its followers hear
-from it that often at least."""
-FOLLOWER_REST_PART = 0.7
-"""Part of that bound after which a daemon that heard nothing reads the store."""
 FOLLOWER_FIRST_PAUSE = 0.4
 FOLLOWER_PAUSE = 5.0
 """First and longest time between the calls of a daemon that asks others to a store that fails: each
@@ -36,9 +32,9 @@
 LEAST_ASK_SECONDS = 0.1
 """Least time between two questions to one reader: a daemon that cannot take in what it is told
 would be told again at once."""
-LEAST_TELL_SECONDS = 0.5
-"""Least time between two answers that tell only how fresh the tables are. A daemon that asks two
-readers hears each of these twice, and would pass on all of them."""
+LEAST_TELL_PART = 0.85
+"""Part of the wait of a table's calls by which it must be surely newer to be told for that alone. A
+daemon that asks two readers hears of each table twice in a wait, and would pass on all of it."""
 PACK_LEVEL = 1
 """Level of compression: a document of 2,000 routes takes some milliseconds."""
 
@@ -93,8 +89,8 @@
         self.numbers = 0
         self.asked: dict[MemberId, Asked] = {}
         self.waiting: dict[MemberId, Waiting] = {}
-        self.told: dict[MemberId, float] = {}
-        """What each asker was told last: a time up to which the proof was known, monotonic."""
+        self.told: dict[MemberId, dict[str, float]] = {}
+        """What each asker was told last: a time up to which each table was known, monotonic."""
 
         self.unable: set[MemberId] = set()
         """Daemons that were asked and get no answer of the store themselves."""
@@ -109,17 +105,16 @@
     def __repr__(self) -> str:
         return f"<Fanout asks={self.asks} {len(self.waiting)} waiting>"
 
-    def assign(self, asks: tuple[MemberId, ...], rest_seconds: float) -> None:
+    def assign(self, asks: tuple[MemberId, ...]) -> None:
         """Take in whom to ask.
 
         :param asks: the daemons; none when this one follows the store.
-        :param rest_seconds: for how long what they tell is enough.
         """
         self.asks = asks
         for feed in self.feeds.values():
-            feed.rest(rest_seconds if asks else 0.0)
-        self.proof.first_pause = FOLLOWER_FIRST_PAUSE if asks else FIRST_PAUSE
-        self.proof.max_pause = FOLLOWER_PAUSE if asks else MAX_PAUSE
+            feed.rest(bool(asks))
+            feed.first_pause = FOLLOWER_FIRST_PAUSE if asks else FIRST_PAUSE
+            feed.max_pause = FOLLOWER_PAUSE if asks else MAX_PAUSE
 
     def watch(self) -> None:
         """Ask readers that were not asked, or did not answer for long; called often."""
@@ -172,13 +167,12 @@
             # The answer to an earlier question: how old it is, is not known.
             return
         answered = asked.at + updates.waited
-        told_at = answered - updates.proof_age
         for name, table in updates.tables.items():
             feed = self.feeds.get(name)
             if feed is not None:
                 changes = Changes(unpack(table.rows), table.version)
                 recovered = 0.0 if table.recovered_age is None else answered - table.recovered_age
-                feed.hear(changes, table.after, answered - table.age, told_at, recovered)
+                feed.hear(changes, table.after, answered - table.age, recovered)
         if member not in self.asks or now() - asked.at < LEAST_ASK_SECONDS:
             # The next watch asks, if it is still one of those to be asked.
             del self.asked[member]
@@ -209,26 +203,28 @@
         have = {name: feed.version for name, feed in self.feeds.items() if feed.version is not None}
         self.push(reader, Poll(self.numbers, have, self.address))
 
-    def _failing(self) -> bool:
-        return any(feed.failing_since is not None for feed in self.feeds.values())
+    def _known(self) -> dict[str, Feed]:
+        """Return the tables of which there is something to tell. One that the store does not answer for
+        holds up no other: its askers read the store themselves, for that table, after a while."""
+        feeds = self.feeds.items()
+        return {n: feed for n, feed in feeds if feed.failing_since is None and feed.version is not None}
 
     def _news(self, member: MemberId) -> bool:
-        """Tell whether the tables are newer here than whoever waits has them, or surely fresh later."""
-        if self.proof.known_at - self.told.get(member, 0.0) >= LEAST_TELL_SECONDS:
-            return True
-        have = self.waiting[member].poll.have
-        return any((feed.version or 0) > have.get(name, 0) for name, feed in self.feeds.items())
+        """Tell whether a table is newer here than whoever waits has it, or was surely the newest later."""
+        have, told = self.waiting[member].poll.have, self.told.get(member, {})
+        return any(
+            (feed.version or 0) > have.get(name, 0)
+            or feed.known_at - told.get(name, 0.0) >= LEAST_TELL_PART * feed.wait
+            for name, feed in self._known().items()
+        )
 
     def _answer(self, member: MemberId) -> None:
-        if self._failing() or any(feed.version is None for feed in self.feeds.values()):
-            # The question keeps waiting; its sender reads the store itself after a while.
-            return
-        waiting = self.waiting.pop(member)
-        self.told[member] = self.proof.known_at
+        waiting, known = self.waiting.pop(member), self._known()
+        self.told[member] = {name: feed.known_at for name, feed in known.items()}
         have = waiting.poll.have
-        tables = {name: self._table(name, feed, have.get(name)) for name, feed in self.feeds.items()}
+        tables = {name: self._table(name, feed, have.get(name)) for name, feed in known.items()}
         waited, turned_away = now() - waiting.since, self.proof.lost_at > 0
-        self.push(member, Updates(waiting.poll.number, waited, self.proof.age(), tables, turned_away))
+        self.push(member, Updates(waiting.poll.number, waited, tables, turned_away))
 
     def _table(self, name: str, feed: Feed, have: int | None) -> TableUpdate:
         """Return the update of one table; packed once for all that ask from one version."""
--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -19,6 +19,7 @@
 
 from bayglade.clock import now
 from bayglade.exceptions import HistoryGone, PlatformUnavailable
+from bayglade.freshness import rest_after
 from bayglade.logs import event
 from bayglade.rows import ChangeFeed, Changes
 
@@ -28,7 +29,7 @@
 
 OTHERS_PAUSE = 4.0
 OTHERS_MAX_PAUSE = 10.0
-"""The same for feeds that another one tells when the store is back: it may be lost for some tables only."""
+"""The same while another feed, which looks more often, finds the store lost too."""
 
 PAUSE_SPREAD = 0.3
 """Part by which these pauses vary: daemons that lost the store together must not call it together."""
@@ -84,6 +85,11 @@
         """When an own call of the store failed last, unless one was answered since."""
 
         self.recovered_at = 0.0
+        """When the store was back after it was last lost here."""
+
+        self.scout: Feed | None = None
+        """The feed that looks most often whether a lost store is back; nothing when it is this one."""
+
         self.on_lost: Callable[[], None] | None = None
         """Told when the store stops answering here."""
 
@@ -105,6 +111,9 @@
         self.max_pause = MAX_PAUSE
         """Longest time between calls that fail, in seconds."""
 
+        self.failures = 0
+        """Calls in a row that failed."""
+
         self.on_regained: Callable[[], None] | None = None
         """Told when the store answers here again."""
 
@@ -112,7 +121,7 @@
         """Sent when it is worth looking at once whether to call the store."""
 
         self.told_at = 0.0
-        """When the daemon that told of the table had an answer of the store, at the earliest."""
+        """A time up to which what another daemon told of the table was surely the newest."""
 
         self.rows: dict[str, tuple[int, msgspec.Raw | None]] = {}
         """The table as known here, rows that were removed among them, by the version they came with."""
@@ -137,14 +146,13 @@
         self.task = eventlet.spawn(self.run)
 
     def interrupt(self) -> None:
-        """Start the present call anew: another feed found the store lost."""
-        if self.failing_since is None and self.task is not None:
+        """Start the present call anew: another feed found the store lost, and nobody tells of it."""
+        if self.failing_since is None and self.task is not None and self._rest_left() <= 0:
             self.failing_since = now()
             self.start()
 
     def run(self) -> None:
         """Follow the table for ever."""
-        pause = self.first_pause
         while True:
             if (rest := self._rest_left()) > 0:
                 self._wait(rest)
@@ -156,14 +164,7 @@
                 self.version = None
             except PlatformUnavailable as error:
                 self._failed(error)
-                seconds = pause * self.rng.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
-                # Which table is behind, and for how long still, cannot be told from the first failure.
-                took, rest = round(now() - self.asked_at, 2), round(seconds, 2)
-                event("INFO", "store call failed", table=self.table, took=took, pause=rest)
-                self._wait(seconds)
-                pause = min(self.max_pause, 2 * pause)
-            else:
-                pause = self.first_pause
+                self._pause()
 
     def _step(self) -> None:
         asked, wait = now(), 0.0
@@ -174,11 +175,11 @@
         else:
             wait = self._next_wait()
             changes = self.store.changes(self.table, self.version, wait)
-        self.lost_at = 0.0
+        self.lost_at, self.failures = 0.0, 0
         if self.failing_since is not None:
             event("INFO", "store regained", table=self.table, out=round(now() - self.failing_since, 2))
+            self.recovered_at = self._store_returned(self.failing_since)
             self.failing_since = None
-            self.recovered_at = now()
             if self.on_regained is not None:
                 self.on_regained()
         quiet = not whole and not changes.rows and now() - asked >= wait
@@ -196,7 +197,6 @@
         changes: Changes,
         after: int | None,
         known_at: float,
-        told_at: float,
         recovered_at: float = 0.0,
     ) -> None:
         """Take in what another daemon knows of the table.
@@ -204,7 +204,6 @@
         :param changes: rows that changed, as of the other's version.
         :param after: the version they changed after; nothing when it is the whole table.
         :param known_at: a time before which everything acknowledged is in it.
-        :param told_at: a time after which the other had an answer of the store.
         :param recovered_at: when the store was back for whoever read it, if it was lost.
         """
         gap = after is not None and (self.version is None or after > self.version)
@@ -215,15 +214,18 @@
         if self.failing_since is not None:
             event("INFO", "store told of", table=self.table, out=round(now() - self.failing_since, 2))
             self.failing_since = None
+            # A pause after a call that failed may last longer than the word of others is enough.
+            self.ask_now()
         self.known_at = max(self.known_at, known_at)
-        self.told_at = max(self.told_at, told_at)
+        self.told_at = max(self.told_at, known_at)
         self._take(changes, after is None)
 
-    def rest(self, seconds: float) -> None:
-        """Set for how long what other daemons tell is enough.
+    def rest(self, told: bool) -> None:
+        """Set whether what other daemons tell is enough, for as long as the table's bound allows.
 
-        :param seconds: the time; 0 to follow the store whatever others tell.
+        :param told: whether others tell; else the store is followed.
         """
+        seconds = rest_after(self.wait) if told else 0.0
         if seconds == self.rest_seconds:
             return
         self.rest_seconds = seconds
@@ -276,10 +278,41 @@
     def ask_now(self) -> None:
         """Look again without more delay whether to call the store: it answers elsewhere."""
         if self.failing_since is not None:
-            event("INFO", "feed woken", table=self.table, pausing=not self.back.ready())
+            event("INFO", "feed woken", table=self.table)
         if not self.back.ready():
             self.back.send()
 
+    def _store_returned(self, lost_at: float) -> float:
+        """Return when the store was back, by whichever feed noticed first.
+
+        :param lost_at: when this feed lost it.
+        """
+        if self.scout is not None and self.scout.recovered_at > lost_at:
+            return self.scout.recovered_at
+        return now()
+
+    def _pause(self) -> None:
+        """Wait after a call that failed, longer after each in a row."""
+        lost = self._lost_everywhere()
+        first, longest = (OTHERS_PAUSE, OTHERS_MAX_PAUSE) if lost else (self.first_pause, self.max_pause)
+        seconds = min(longest, first * 2.0 ** (self.failures - 1))
+        seconds *= self.rng.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
+        # Which table is behind, and for how long still, cannot be told from the first failure.
+        took = round(now() - self.asked_at, 2)
+        event("INFO", "store call failed", table=self.table, took=took, pause=round(seconds, 2))
+        if not lost:
+            self._wait(seconds)
+            return
+        until = now() + seconds
+        while self._lost_everywhere() and now() < until:
+            # The scout wakes this feed, but for when another daemon tells the scout of the store: found
+            # out so, a list of servers is not 4 to 10 s behind.
+            self._wait(min(MAX_PAUSE, until - now()))
+
+    def _lost_everywhere(self) -> bool:
+        """Tell whether the scout finds the store lost too."""
+        return self.scout is not None and self.scout.failing_since is not None
+
     def _wait(self, seconds: float) -> None:
         """Wait before the next call, less when it is worth looking sooner."""
         self.back = Event()
@@ -296,6 +329,7 @@
 
     def _failed(self, error: PlatformUnavailable) -> None:
         self.lost_at = now()
+        self.failures += 1
         if self.failing_since is None:
             self.failing_since = now()
             event("WARNING", "store lost", table=self.table, error=repr(error))
@@ -308,12 +342,9 @@
 def look_together(feeds: Iterable[Feed]) -> None:
     """Have all feeds of one store look at it anew when one of them finds it lost, or back.
 
-    :param feeds: the feeds; the first looks most often.
+    :param feeds: the feeds; the first is the scout, which looks most often.
     """
     joined = list(feeds)
-    # One of them looks often whether the store is back, and tells the others: each call is paid for.
-    for feed in joined[1:]:
-        feed.first_pause, feed.max_pause = OTHERS_PAUSE, OTHERS_MAX_PAUSE
 
     def tell_others(lost: Feed) -> None:
         for feed in joined:
@@ -326,5 +357,6 @@
                 feed.ask_now()
 
     for feed in joined:
+        feed.scout = joined[0] if feed is not joined[0] else None
         feed.on_lost = partial(tell_others, feed)
         feed.on_regained = partial(ask_others, feed)
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -19,6 +19,7 @@
 from bayglade.exceptions import BaygladeError, InvalidSettings, Stopping
 from bayglade.feeds import Feed, look_together
 from bayglade.fleet import LAPSE_GRACE, Fleet, ServerFacts
+from bayglade.freshness import answer_within, gather_within, wait_within
 from bayglade.heads import Message
 from bayglade.ids import BackendId, RequestId
 from bayglade.intake import ELSEWHERE_SECONDS, Intake
@@ -43,15 +44,9 @@
 
 METRICS_PATH = b"/metrics"
 BELIEFS_PATH = b"/beliefs"
-DOCUMENT_WAIT_OF_TRUST = 0.45
-"""Part of the bound on old keys that the feed of the operator's document waits: what is known
-is up to one wait old, and a second answer may fail before keys are no longer trusted."""
-SERVERS_WAIT = 8.0
 DOCUMENT_PAUSE = 0.2
 """Seconds after a change of the document before the next call: changes come in storms, each call
 is paid for, and a tenth of the time in which a change must be in force is spent at most."""
-SERVERS_PAUSE = 0.5
-"""The same for the list of servers: a quarter of the time in which a leaving server must be known."""
 TIDY_SECONDS = 1.0
 """Seconds between looks at the own settings file and at connections that rested too long."""
 DRAIN_POLL = 0.05
@@ -76,7 +71,9 @@
         self.changed_at = _changed_at(path)
         self.rng = random.Random()
         self.metrics = create_metrics(None, config.member)
-        self.store = platform.Store(parse_address(config.store))
+        document_bound, servers_bound = config.document_bound(), config.drain_ms / 1000
+        answer_seconds = answer_within(min(document_bound, servers_bound))
+        self.store = platform.Store(parse_address(config.store), answer_seconds)
         self.fleet = Fleet()
         self.links = Links()
         self.control = platform.Engines(self.links)
@@ -88,12 +85,16 @@
         self.document_feed = Feed(
             self.store,
             platform.OPERATOR_TABLE,
-            DOCUMENT_WAIT_OF_TRUST * key_trust,
+            wait_within(document_bound),
             self._take_document,
             DOCUMENT_PAUSE,
         )
         self.servers_feed = Feed(
-            self.store, platform.SERVERS_TABLE, SERVERS_WAIT, self._take_servers, SERVERS_PAUSE
+            self.store,
+            platform.SERVERS_TABLE,
+            wait_within(servers_bound),
+            self._take_servers,
+            gather_within(servers_bound),
         )
         dialect = platform.create_dialect()
         self.intake = Intake(dialect, self.document_feed.age, key_trust, self.rng)
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -18,8 +18,9 @@
 from bayglade.entries.membership import FULL_MESH, Membership
 from bayglade.entries.wire import Findings, ServerLoad
 from bayglade.exceptions import PlatformUnavailable
-from bayglade.fanout import FOLLOWER_REST_PART, READER_WAIT_PART, Fanout
+from bayglade.fanout import Fanout
 from bayglade.feeds import Feed
+from bayglade.freshness import wait_within
 from bayglade.ids import MemberId
 from bayglade.intake import Intake
 from bayglade.lending import POOLED_PART, Pools
@@ -34,9 +35,10 @@
 from bayglade.totals import Totals
 from bayglade.usage import Usage
 
-ROSTER_WAIT = 20.0
+ROSTER_BOUND = 50.0
+"""Seconds within which a new daemon must be known to all: heartbeats and questions tell of it sooner."""
 ROSTER_PAUSE = 1.0
-"""Seconds between calls of the roster's feed: nobody waits for it."""
+"""Seconds between calls of the roster's feed after a change: nobody waits for it."""
 FETCH_AFTER_SECONDS = 1.5
 """How long another gateway must be ahead before its settings are asked for: they come from the
 store or a reader at about the same time, and a large document is dear to send."""
@@ -76,12 +78,11 @@
         self.plan = Plan(Duty.SITE)
         self.lost = Lost()
         self.clean_at = 0.0
-        self.feed = Feed(store, table, ROSTER_WAIT, self._take_roster, ROSTER_PAUSE)
+        self.feed = Feed(store, table, wait_within(ROSTER_BOUND), self._take_roster, ROSTER_PAUSE)
         self.membership: Membership | None = None
         host = parse_address(config.callers).host
         self.address = f"{host}:{config.peer_ports.partition(',')[0]}"
         self.fanout = Fanout({**feeds, table: self.feed}, proof, self._push, self.address)
-        self.proof_wait = proof.wait
         self.totals = Totals(config.member)
         self.pools = Pools(self._readers, self._push, config.retry_window_seconds)
         self.spreading = Spreading(
@@ -96,7 +97,7 @@
         peers.borrow = self.pools.borrow
         if config.peer_ports:
             # Others may tell of the tables before the roster is known here.
-            self.fanout.assign((config.member,), self._rest_seconds())
+            self.fanout.assign((config.member,))
 
     def __repr__(self) -> str:
         return f"<Peering {self.plan.duty.value} {self.membership!r}>"
@@ -200,9 +201,6 @@
         """Return the readers from whom retries are borrowed: those of the own hall."""
         return () if self.totals.reading() else self.totals.readers.get(self.config.hall, ())
 
-    def _rest_seconds(self) -> float:
-        return FOLLOWER_REST_PART * self.config.drain_ms / 1000
-
     def _membership(self, secret: bytes) -> Membership:
         membership = Membership(
             self.config.member,
@@ -261,9 +259,7 @@
         mesh = len(self.order.site) <= FULL_MESH
         self.totals.assign(self.order.halls, {} if mesh else plan.readers)
         self.pools.assign(self._pooled())
-        self.fanout.assign(plan.asks, self._rest_seconds())
-        reader_wait = READER_WAIT_PART * self.config.drain_ms / 1000
-        self.fanout.proof.wait = min(self.proof_wait, reader_wait)
+        self.fanout.assign(plan.asks)
         self._keep_streams()
 
     def _keep_streams(self) -> None:
--- a/bayglade/platform/store.py
+++ b/bayglade/platform/store.py
@@ -12,7 +12,7 @@
 
 CONNECT_TIMEOUT = 0.5
 READ_TIMEOUT = 1.0
-"""Seconds that an answer may take beside the wait that was asked for."""
+"""Seconds that an answer may take at most, beside the wait that was asked for."""
 POOL_SIZE = 4
 PAGE_ROWS = 500
 OWN_TABLES = "bayglade-"
@@ -65,10 +65,15 @@
 
 
 class Store:
-    """The store as seen by one daemon; holds only pooled connections."""
+    """The store as seen by one daemon; holds only pooled connections.
 
-    def __init__(self, address: Address) -> None:
+    :param address: where it answers.
+    :param answer_seconds: how long an answer to a reading call may take beside the wait asked for.
+    """
+
+    def __init__(self, address: Address, answer_seconds: float = READ_TIMEOUT) -> None:
         self.address = address
+        self.answer_seconds = answer_seconds
         self.pool = self._new_pool()
 
     def __repr__(self) -> str:
@@ -123,7 +128,7 @@
         return TransactionResult(True)
 
     def _page(self, path: str, wait: float = 0.0) -> Page:
-        status, body = self._call("read", "GET", path, None, wait + READ_TIMEOUT)
+        status, body = self._call("read", "GET", path, None, wait + min(READ_TIMEOUT, self.answer_seconds))
         if status == 410:
             raise HistoryGone("the history after this version is gone", step="read", peer="store")
         if status != 200:
--- /dev/null
+++ b/tests/fleets.py
@@ -0,0 +1,193 @@
+"""Many daemons in virtual time: each follows three tables of one store and tells the others of them.
+
+Feeds and fan-out are the product's own and run as they do there; the store, the streams
+between daemons and what a daemon notices of others are simulated, with faults.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import eventlet
+import pytest
+
+from bayglade import fanout, feeds, readers
+from bayglade.entries.wire import Poll, Unable, Updates
+from bayglade.exceptions import HistoryGone, PlatformUnavailable
+from bayglade.fanout import Fanout
+from bayglade.feeds import Feed, look_together
+from bayglade.freshness import answer_within, gather_within, wait_within
+from bayglade.ids import HallName, MemberId
+from bayglade.readers import LOST_SECONDS, Lost, Order, Plan, make_plan, streams_of
+from bayglade.rows import Changes, raw
+from tests.virtual_time import now
+
+BOUND = 2.0
+"""Seconds within which a leaving server must be known."""
+BOUNDS = {"document": BOUND, "servers": BOUND, "members": 50.0}
+ROUND_TRIP = 0.004
+STREAM_SECONDS = 0.001
+WATCH_SECONDS = 0.5
+"""Time between a daemon's looks at who is silent, as in the product."""
+
+Refuses = Callable[[MemberId, str], float | None]
+"""Says what becomes of a call of a daemon for a table: nothing for an answer, else the seconds after
+which it fails; more than an answer may take for silence."""
+
+SILENCE = 1e9
+
+
+class Store:
+    """A store whose calls fail as told."""
+
+    def __init__(self) -> None:
+        self.versions = dict.fromkeys(BOUNDS, 1)
+        self.refuses: Refuses = lambda member, table: None
+        self.forgets_before = 0
+        self.mute_before = 0.0
+        """Calls that were sent before this time are never answered, though later ones are."""
+
+        self.mute_tables = frozenset(BOUNDS)
+        self.answer_seconds = ROUND_TRIP
+        self.calls: Counter[tuple[MemberId, str]] = Counter()
+
+
+class Client:
+    """The store as one daemon calls it."""
+
+    def __init__(self, store: Store, member: MemberId) -> None:
+        self.store = store
+        self.member = member
+
+    def snapshot(self, table: str) -> Changes:
+        return self._call(table, 0, 0.0)
+
+    def changes(self, table: str, after: int, wait: float) -> Changes:
+        if after < self.store.forgets_before:
+            eventlet.sleep(self.store.answer_seconds)
+            raise HistoryGone("gone", step="read", peer="store")
+        return self._call(table, after, wait)
+
+    def _call(self, table: str, after: int, wait: float) -> Changes:
+        self.store.calls[self.member, table] += 1
+        sent, until = now(), now() + wait
+        patience = wait + answer_within(BOUND)
+        while (fails := self._fails(table, sent)) is None and self.store.versions[table] <= after:
+            if now() >= until:
+                break
+            eventlet.sleep(min(0.02, until - now()))
+        if fails is not None:
+            eventlet.sleep(max(0.0, min(fails, sent + patience - now())))
+            raise PlatformUnavailable("no answer", step="read", peer="store")
+        eventlet.sleep(self.store.answer_seconds)
+        version = self.store.versions[table]
+        return Changes({"row": raw(version)} if version > after else {}, version)
+
+    def _fails(self, table: str, sent: float) -> float | None:
+        if sent < self.store.mute_before <= now() and table in self.store.mute_tables:
+            return SILENCE
+        return self.store.refuses(self.member, table)
+
+
+class Daemon:
+    """One daemon: its feeds, its part in passing updates on, and how it finds out who reads."""
+
+    def __init__(self, name: MemberId, fleet: "Fleet") -> None:
+        self.name = name
+        self.fleet = fleet
+        client = Client(fleet.store, name)
+        self.feeds = {
+            table: Feed(client, table, wait_within(bound), lambda *_: None, gather_within(bound))
+            for table, bound in BOUNDS.items()
+        }
+        self.fanout = Fanout(self.feeds, self.feeds["document"], self.push, "x:1")
+        self.fanout.assign((name,))
+        look_together(self.feeds.values())
+        self.lost = Lost()
+        self.plan = Plan(readers.Duty.SITE)
+        self.heard: dict[MemberId, float] = {}
+        self.streams: dict[MemberId, float] = {}
+
+    def start(self) -> None:
+        for feed in self.feeds.values():
+            feed.rng = random.Random(self.fleet.rng.random())
+            feed.start()
+        eventlet.spawn_n(self.watch)
+
+    def push(self, member: MemberId, message: object) -> None:
+        if self.name not in self.fleet.mute and member in self.streams:
+            eventlet.spawn_after(STREAM_SECONDS, self.fleet.daemons[member].hear, self.name, message)
+
+    def hear(self, sender: MemberId, message: object) -> None:
+        if self.name in self.fleet.mute:
+            return
+        self.heard[sender] = now()
+        if isinstance(message, Poll):
+            self.streams.setdefault(sender, now())
+            self.fanout.heard_poll(sender, message)
+        elif isinstance(message, Updates):
+            self.fanout.heard_updates(sender, message)
+        elif isinstance(message, Unable):
+            self.fanout.heard_unable(sender, message)
+
+    def watch(self) -> None:
+        eventlet.sleep(self.fleet.rng.random() * WATCH_SECONDS)
+        beats = 0
+        while True:
+            beats += 1
+            self.look()
+            if beats % 2:
+                for member in self.streams:
+                    self.push(member, "heartbeat")
+            eventlet.sleep(WATCH_SECONDS)
+
+    def look(self) -> None:
+        oldest = now() - LOST_SECONDS
+        silent = [m for m, since in self.streams.items() if max(since, self.heard.get(m, 0.0)) < oldest]
+        self.lost.update(silent, self.heard)
+        unable = self.fanout.without_store(self.name)
+        plan = make_plan(self.name, self.fleet.order, self.lost.since, unable)
+        if plan != self.plan:
+            self.plan = plan
+            self.fanout.assign(plan.asks)
+        wanted = streams_of(self.name, self.fleet.order, plan) | self.fanout.waiting.keys()
+        self.streams = {member: self.streams.get(member, now()) for member in wanted}
+        self.fanout.watch()
+
+
+class Fleet:
+    """Daemons and their store."""
+
+    def __init__(self, daemons: int, halls: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.store = Store()
+        self.mute: set[MemberId] = set()
+        """Daemons that say and hear nothing, though they seem to run."""
+
+        names = {MemberId(f"front-{n}"): HallName(f"h{n % halls}") for n in range(daemons)}
+        self.order = Order(names)
+        self.daemons = {name: Daemon(name, self) for name in self.order.site}
+
+    def start(self) -> None:
+        for daemon in self.daemons.values():
+            daemon.start()
+
+    def leave(self) -> float:
+        """Have a server leave; return when."""
+        self.store.versions["servers"] += 1
+        return now()
+
+    def unaware(self) -> list[MemberId]:
+        """List the daemons that are heard and do not know yet that the last server leaves."""
+        version = self.store.versions["servers"]
+        return [
+            name
+            for name, daemon in self.daemons.items()
+            if name not in self.mute and daemon.feeds["servers"].version != version
+        ]
+
+
+def patch_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have the product's modules that a fleet runs go by virtual time."""
+    for module in (fanout, feeds, readers):
+        monkeypatch.setattr(module, "now", now)
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -10,12 +10,14 @@
 from bayglade import fanout, feeds
 from bayglade.entries.wire import Poll, Unable, Updates
 from bayglade.exceptions import PeerError, PlatformUnavailable
-from bayglade.fanout import FOLLOWER_PAUSE, LEAST_TELL_SECONDS, Fanout, pack, unpack
+from bayglade.fanout import FOLLOWER_PAUSE, LEAST_TELL_PART, Fanout, pack, unpack
 from bayglade.feeds import Feed, look_together
+from bayglade.freshness import rest_after
 from bayglade.ids import MemberId
 from bayglade.rows import Changes
 
-REST = 2.0
+WAIT = 1.0
+REST = rest_after(WAIT)
 
 
 class Clock:
@@ -61,7 +63,7 @@
     def __init__(self, table: Table) -> None:
         self.taken: dict[str, bytes | None] = {}
         self.outbox: list[tuple[MemberId, Poll | Updates | Unable]] = []
-        self.feed = Feed(table, "t", 1.0, self._apply)
+        self.feed = Feed(table, "t", WAIT, self._apply)
         self.fanout = Fanout(
             {"t": self.feed}, self.feed, lambda m, message: self.outbox.append((m, message)), "x:1"
         )
@@ -88,8 +90,8 @@
     """Return a table, a reader that has read it, and a follower that knows nothing."""
     table = Table()
     reader, follower = Daemon(table), Daemon(table)
-    reader.fanout.assign((), REST)
-    follower.fanout.assign((MemberId("d0"),), REST)
+    reader.fanout.assign(())
+    follower.fanout.assign((MemberId("d0"),))
     table.put("a", b"1")
     reader.feed._step()
     return table, reader, follower
@@ -194,7 +196,7 @@
 def test_what_is_heard_is_passed_on_with_its_age(hall: tuple[Table, Daemon, Daemon], clock: Clock) -> None:
     table, reader, middle = hall
     last = Daemon(table)
-    last.fanout.assign((MemberId("d5"),), REST)
+    last.fanout.assign((MemberId("d5"),))
     last.fanout.watch()
     middle.fanout.heard_poll(MemberId("d9"), last.sent())  # type: ignore[arg-type]
     assert middle.outbox == []
@@ -215,15 +217,15 @@
 ) -> None:
     _, reader, follower = hall
     exchange(reader, follower)
-    clock.at += LEAST_TELL_SECONDS / 2
+    clock.at += LEAST_TELL_PART * WAIT / 2
     follower.fanout.watch()
     clock.at += 1.0
     follower.fanout.watch()
     reader.fanout.heard_poll(MemberId("d5"), follower.sent())  # type: ignore[arg-type]
-    reader.feed.known_at += LEAST_TELL_SECONDS / 2
+    reader.feed.known_at += LEAST_TELL_PART * WAIT / 2
     reader.fanout.tell()
     assert reader.outbox == []
-    reader.feed.known_at += LEAST_TELL_SECONDS
+    reader.feed.known_at += LEAST_TELL_PART * WAIT
     reader.fanout.tell()
     assert isinstance(reader.sent(), Updates)
 
@@ -339,12 +341,12 @@
 def test_a_follower_asks_a_lost_store_seldom_until_a_reader_has_an_answer() -> None:
     table = Table()
     follower = Daemon(table)
-    follower.fanout.assign((MemberId("d0"),), REST)
+    follower.fanout.assign((MemberId("d0"),))
     assert follower.feed.max_pause == FOLLOWER_PAUSE
     started = time.monotonic()
     waiting = eventlet.spawn(follower.feed._wait, 30.0)
     eventlet.sleep(0)
-    follower.fanout.assign((), REST)
+    follower.fanout.assign(())
     waiting.wait()
     assert time.monotonic() - started < 10.0
     assert follower.feed.max_pause == feeds.MAX_PAUSE
@@ -353,9 +355,9 @@
 def test_a_daemon_at_its_start_waits_a_moment_for_others_to_tell_it(clock: Clock) -> None:
     table = Table()
     daemon = Daemon(table)
-    daemon.fanout.assign((MemberId("d0"),), REST)
+    daemon.fanout.assign((MemberId("d0"),))
     assert daemon.feed._rest_left() <= 0
     daemon.feed._step()
     assert daemon.feed._rest_left() == pytest.approx(feeds.START_REST)
-    daemon.fanout.assign((), REST)
+    daemon.fanout.assign(())
     assert daemon.feed._rest_left() <= 0
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -11,6 +11,8 @@
 """
 
 import random
+from collections import Counter
+from collections.abc import Callable, Iterator
 from functools import partial
 
 import eventlet
@@ -19,7 +21,12 @@
 from bayglade import feeds
 from bayglade.exceptions import PlatformUnavailable
 from bayglade.feeds import Feed, look_together
+from bayglade.freshness import wait_within
+from bayglade.ids import MemberId
+from bayglade.readers import READERS
 from bayglade.rows import Changes, raw
+from tests import fleets
+from tests.fleets import SILENCE, Fleet
 from tests.virtual_time import START, now, run_virtually
 
 BOUND = 2.0
@@ -89,3 +96,192 @@
         for seed in range(SEEDS)
     }
     assert {case: after for case, after in found.items() if after > BOUND} == {}
+
+
+CONTACT_SECONDS = 3.0
+"""A daemon that something hit has so long to know again all that it must know."""
+
+FAULT_AT = 6.0
+LEAVES_AFTER = (0.05, 0.6, 1.3, 2.5)
+"""Seconds from the end of a fault to when a server leaves."""
+
+SIZES = ((1, 1), (6, 3), (23, 5))
+"""Daemons and halls; daemons of the last ask daemons that ask others."""
+
+Fault = Callable[[Fleet], Iterator[float]]
+"""Does its harm to a fleet, and yields the seconds for which it lasts."""
+
+
+def store_away(fleet: Fleet, after: float, seconds: float, *tables: str) -> Iterator[float]:
+    fleet.store.refuses = lambda member, table: after if not tables or table in tables else None
+    yield seconds
+    fleet.store.refuses = lambda member, table: None
+
+
+def store_turns_away(fleet: Fleet, after: float, seconds: float, places: slice) -> Iterator[float]:
+    turned = set(fleet.order.site[places])
+    fleet.store.refuses = lambda member, table: after if member in turned else None
+    yield seconds
+    fleet.store.refuses = lambda member, table: None
+
+
+def connections_fall_silent(fleet: Fleet, *tables: str) -> Iterator[float]:
+    fleet.store.mute_before = now()
+    fleet.store.mute_tables = frozenset(tables or fleets.BOUNDS)
+    yield 0.0
+
+
+def history_gone(fleet: Fleet) -> Iterator[float]:
+    fleet.store.versions = dict.fromkeys(fleet.store.versions, 50)
+    fleet.store.forgets_before = 50
+    yield 0.0
+
+
+def store_slow(fleet: Fleet) -> Iterator[float]:
+    fleet.store.answer_seconds = 0.3
+    yield 5.0
+    fleet.store.answer_seconds = fleets.ROUND_TRIP
+
+
+FAULTS: dict[str, Fault] = {
+    **{f"silent for {s} s": partial(store_away, after=SILENCE, seconds=s) for s in (0.5, 2.0, 4.3, 6.77)},
+    **{f"refuses for {s} s": partial(store_away, after=0.01, seconds=s) for s in (0.1, 0.6, 3.0, 7.0)},
+    **{
+        f"servers silent for {s} s": partial(
+            lambda fleet, seconds: store_away(fleet, SILENCE, seconds, "servers"), seconds=s
+        )
+        for s in (1.0, 2.5, 6.0, 12.0)
+    },
+    **{
+        f"servers refused for {s} s": partial(
+            lambda fleet, seconds: store_away(fleet, 0.01, seconds, "servers"), seconds=s
+        )
+        for s in (0.02, 0.1, 0.5, 5.0, 12.0)
+    },
+    "document refused": lambda fleet: store_away(fleet, 0.01, 5.0, "document"),
+    "members refused": lambda fleet: store_away(fleet, 0.01, 5.0, "members"),
+    "some refused": partial(store_turns_away, after=0.01, seconds=6.0, places=slice(0, 2)),
+    "some not answered": partial(store_turns_away, after=SILENCE, seconds=6.0, places=slice(1, 9)),
+    "all connections silent": connections_fall_silent,
+    "connections of servers silent": lambda fleet: connections_fall_silent(fleet, "servers"),
+    "connections of documents silent": lambda fleet: connections_fall_silent(fleet, "document"),
+    "history gone": history_gone,
+    "slow": store_slow,
+}
+
+
+def known_after_fault(fault: Fault, size: tuple[int, int], leaves_after: float, seed: int) -> float:
+    """Return by how many seconds the last daemon is late to know of a server that leaves after a fault."""
+    fleet = Fleet(*size, seed)
+    fleet.start()
+    eventlet.sleep(FAULT_AT + fleet.rng.random())
+    for seconds in fault(fleet):
+        eventlet.sleep(seconds)
+    over = now()
+    eventlet.sleep(leaves_after)
+    left = fleet.leave()
+    while fleet.unaware():
+        eventlet.sleep(0.01)
+    return round(now() - max(left + BOUND, over + CONTACT_SECONDS), 2)
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_every_daemon_knows_of_a_leaving_server_in_time_after(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleets.patch_clock(monkeypatch)
+    late = {
+        (size, after, seed): run_virtually(partial(known_after_fault, FAULTS[name], size, after, seed))
+        for size in SIZES
+        for after in LEAVES_AFTER
+        for seed in range(2)
+    }
+    assert {case: seconds for case, seconds in late.items() if seconds > 0} == {}
+
+
+def known_though_mute(places: tuple[int, ...], leaves_after: float, seed: int) -> float:
+    """Return how long after a server left all daemons know it, when some fell silent just before."""
+    fleet = Fleet(23, 5, seed)
+    fleet.start()
+    eventlet.sleep(FAULT_AT + fleet.rng.random())
+    fleet.mute = {fleet.order.site[place] for place in places}
+    eventlet.sleep(leaves_after)
+    left = fleet.leave()
+    while fleet.unaware():
+        eventlet.sleep(0.01)
+    return round(now() - left, 2)
+
+
+@pytest.mark.parametrize("places", [(0,), (1,), (0, 1), (2, 3), (0, 5), (0, 1, 2, 3)])
+def test_every_daemon_knows_of_a_leaving_server_though_readers_fall_silent(
+    places: tuple[int, ...], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleets.patch_clock(monkeypatch)
+    found = {
+        (after, seed): run_virtually(partial(known_though_mute, places, after, seed))
+        for after in (0.01, 0.5, 1.0, 2.0)
+        for seed in range(3)
+    }
+    assert {case: after for case, after in found.items() if after > BOUND} == {}
+
+
+def refuse_readers(fleet: Fleet, table: str) -> list[MemberId]:
+    """Have the store refuse one table to the readers of the site; return the other daemons."""
+    turned = set(fleet.order.site[:READERS])
+    fleet.store.refuses = lambda member, asked: 0.01 if member in turned and asked == table else None
+    return fleet.order.site[READERS:]
+
+
+def known_by_others(seed: int) -> float:
+    fleet = Fleet(23, 5, seed)
+    fleet.start()
+    eventlet.sleep(FAULT_AT)
+    others = refuse_readers(fleet, "servers")
+    eventlet.sleep(CONTACT_SECONDS)
+    left = fleet.leave()
+    while set(others) & set(fleet.unaware()):
+        eventlet.sleep(0.01)
+    return round(now() - left, 2)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_table_that_its_readers_lack_is_read_by_those_who_need_it(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The readers' other tables are fresh all the while.
+    fleets.patch_clock(monkeypatch)
+    assert run_virtually(partial(known_by_others, seed)) <= BOUND
+
+
+def calls_of_others(seed: int) -> int:
+    fleet = Fleet(23, 5, seed)
+    fleet.start()
+    eventlet.sleep(FAULT_AT)
+    others = refuse_readers(fleet, "members")
+    before = fleet.store.calls.copy()
+    eventlet.sleep(10.0)
+    made = fleet.store.calls - before
+    return sum(made[member, "servers"] for member in others)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_table_that_a_reader_lacks_holds_up_no_other(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    fleets.patch_clock(monkeypatch)
+    assert run_virtually(partial(calls_of_others, seed)) == 0
+
+
+def test_calls_at_rest_do_not_grow_with_daemons(monkeypatch: pytest.MonkeyPatch) -> None:
+    fleets.patch_clock(monkeypatch)
+
+    def calls() -> Counter[tuple[MemberId, str]]:
+        fleet = Fleet(23, 5, 1)
+        fleet.start()
+        eventlet.sleep(FAULT_AT)
+        before = fleet.store.calls.copy()
+        eventlet.sleep(20.0)
+        return fleet.store.calls - before
+
+    made = run_virtually(calls)
+    # Two readers follow three tables; each call for two of these waits 0.8 s.
+    assert len({member for member, _ in made}) == READERS
+    assert made.total() <= READERS * (2 * 20.0 / wait_within(BOUND) + 4)
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -11,8 +11,9 @@
 from bayglade import fanout, feeds, readers
 from bayglade.entries.wire import Poll, Unable, Updates
 from bayglade.exceptions import PlatformUnavailable
-from bayglade.fanout import FOLLOWER_REST_PART, Fanout
+from bayglade.fanout import Fanout
 from bayglade.feeds import Feed
+from bayglade.freshness import wait_within
 from bayglade.ids import HallName, MemberId
 from bayglade.readers import (
     LOST_SECONDS,
@@ -31,7 +32,7 @@
 KEY_TRUST_SECONDS = 3.8
 """Age at which settings are no longer trusted with keys, at the users' bound of 5 s."""
 STEP = 0.1
-CALL_WAIT = 1.6
+CALL_WAIT = wait_within(DRAIN_SECONDS)
 
 
 def fleet(daemons: int, halls: int) -> dict[MemberId, HallName]:
@@ -149,7 +150,7 @@
         self.call_ends = 0.0
         self.call_pause = 0.0
         self.beat_at = world.at + world.rng.random()
-        self.fanout.assign((name,), FOLLOWER_REST_PART * DRAIN_SECONDS)
+        self.fanout.assign((name,))
 
     def snapshot(self, table: str) -> Changes:
         return self.changes(table, 0, 0.0)
@@ -182,7 +183,7 @@
         self.lost.update(silent, self.heard)
         unable = self.fanout.without_store(self.name)
         self.plan = make_plan(self.name, self.world.order, self.lost.since, unable)
-        self.fanout.assign(self.plan.asks, FOLLOWER_REST_PART * DRAIN_SECONDS)
+        self.fanout.assign(self.plan.asks)
         wanted = streams_of(self.name, self.world.order, self.plan) | self.fanout.waiting.keys()
         self.streams = {member: self.streams.get(member, at) for member in wanted}
         if at >= self.beat_at:
