Have a request of which nothing ran take the version that is served now

Cause: a request keeps the version that it was admitted with. When the last server that is known to hold it goes over to another one just then, it asks for a version that nobody holds for 2 s and fails as if there were no room. Ruled out: a request of which tokens were sent keeps its version, as before. Change: before each look for another route, a request of which nothing ran takes the version that its group would get now.

--- a/bayglade/completions.py
+++ b/bayglade/completions.py
@@ -25,7 +25,7 @@
     Overloaded,
     RetryBudgetSpent,
 )
-from bayglade.ids import AttemptNumber, BackendId
+from bayglade.ids import AttemptNumber, BackendId, ModelName
 from bayglade.logs import event
 from bayglade.metrics import Metrics
 from bayglade.models import Completion, EndReason, Route
@@ -269,17 +269,19 @@
         old, answer.route = answer.route, None
         assert old is not None
         self.admission.leave(old)
-        kind = (request.model, request.version)
-        if not self._others_cover(kind, avoid):
+        if not self._others_cover((request.model, request.version), avoid):
             # Only servers that failed are left: give them a moment.
             eventlet.sleep(min(retry_pause(attempt, self.rng), max(0.0, request.seconds_left())))
         until = now() + min(ROOM_WAIT, request.seconds_left())
         while answer.route is None:
+            if not answer.ran:
+                # Its version may have been rolled away meanwhile: asking on for it would find no room.
+                request.version = self.admission.serving_version(request.model, request.version)
             answer.route = self._take(request, avoid)
             if answer.route is not None:
                 return
             if now() > until:
-                raise self._no_room(kind, answer)
+                raise self._no_room(request.model, answer)
             eventlet.sleep(ROOM_POLL)
 
     def _take(self, request: Completion, avoid: frozenset[BackendId]) -> Route | None:
@@ -295,9 +297,9 @@
             return False
         return True
 
-    def _no_room(self, kind: Kind, answer: Answer) -> BaygladeError:
+    def _no_room(self, model: ModelName, answer: Answer) -> BaygladeError:
         return Overloaded(
-            f"no other route of {kind[0]} has room",
+            f"no other route of {model} has room",
             step="retry",
             outcome=answer.outcome(),
             retry_after=spread_retry_after(1.0, self.rng),
