Test tables and connections that fail alone before a whole gateway; say when the list is old

Cause: the incident's class was tested with feeds on a virtual clock only, and a proxy that falls silent in the middle of a whole gateway had not been played. Not proxied: daemons' own streams.

--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -141,6 +141,9 @@
         look_together((self.document_feed, self.servers_feed, self.peering.feed))
         self.presence = Presence(self.metrics)
         self.active: set[RequestId] = set()
+        self.behind = False
+        """Whether the list of servers is older than its bound, though the store answers."""
+
         self.draining = False
         self.draining_since = 0.0
         self.stopping = Event()
@@ -330,6 +333,7 @@
             eventlet.sleep(TIDY_SECONDS)
             self.links.forget(set(self.fleet.servers))
             self._gauge()
+            self._tell_behind()
             if _changed_at(self.path) != self.changed_at:
                 self.reload("the file changed")
 
@@ -345,6 +349,16 @@
         self.metrics.gauge("servers_suspect", suspects)
         self.metrics.gauge("connections_opened", self.links.opened)
 
+    def _tell_behind(self) -> None:
+        """Log when the list of servers gets too old while the store answers for the settings, and when
+        that is over: calls may go to servers that have said they leave."""
+        bound, age = self.config.drain_ms / 1000, self.servers_feed.age()
+        behind = age > bound and self.document_feed.age() <= bound
+        if behind != self.behind:
+            self.behind = behind
+            level, text = ("WARNING", "servers behind") if behind else ("INFO", "servers caught up")
+            event(level, text, age=round(age, 2), bound=bound, version=self.servers_feed.version)
+
     def reload(self, cause: str) -> None:
         """Read the daemon's own settings again; what makes no sense changes nothing.
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -24,13 +24,23 @@
         """Whether bytes towards the target stay where they are."""
 
         self.mute_down = False
+        self.opened = 0
+        """Connections so far."""
+
+        self.silenced = 0
+        """How many of them, the first ones, pass no byte any more though they stay open."""
+
         self.writers: set[asyncio.StreamWriter] = set()
 
     def __repr__(self) -> str:
         return f"<Link {self.address} to {self.target}>"
 
+    def silence(self) -> None:
+        """Have all connections that are open pass nothing any more, for good; new ones do."""
+        self.silenced = self.opened
+
     def heal(self) -> None:
-        """Have all bytes pass."""
+        """Have all bytes pass, but for those of connections that fell silent for good."""
         self.delay = 0.0
         self.mute_up = self.mute_down = False
 
@@ -84,11 +94,14 @@
     except OSError:
         _reset(writer)
         return
+    link.opened += 1
+    number = link.opened
     both = {writer, far_writer}
     link.writers |= both
     try:
         await asyncio.gather(
-            _pump(link, reader, far_writer, upwards=True), _pump(link, far_reader, writer, upwards=False)
+            _pump(link, number, reader, far_writer, upwards=True),
+            _pump(link, number, far_reader, writer, upwards=False),
         )
     except asyncio.CancelledError:
         # All proxies end; nobody waits for the outcome of this one.
@@ -100,13 +113,13 @@
 
 
 async def _pump(
-    link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, upwards: bool
+    link: Link, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, upwards: bool
 ) -> None:
     try:
         while data := await reader.read(READ_BYTES):
             if link.delay:
                 await asyncio.sleep(link.delay)
-            while link.mute_up if upwards else link.mute_down:
+            while number <= link.silenced or (link.mute_up if upwards else link.mute_down):
                 await asyncio.sleep(HOLD_POLL)
             writer.write(data)
             await writer.drain()
--- a/standins/users.py
+++ b/standins/users.py
@@ -132,7 +132,10 @@
 
 
 class MetadataStore:
-    """Rows with versions, conditional transactions and feeds; faults: busy, silent, lost, forgotten."""
+    """Rows with versions, conditional transactions and feeds; faults: busy, silent, lost, forgotten.
+
+    The first two with the name of a table after them harm calls for that table only.
+    """
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
@@ -161,9 +164,10 @@
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         self.calls[url.path] += 1
-        if self.faults.take("busy"):
+        table = query.get("table", "")
+        if self.faults.take("busy") or self.faults.take(f"busy {table}"):
             handler.json({}, 503)
-        elif self.faults.take("silent"):
+        elif self.faults.take("silent") or self.faults.take(f"silent {table}"):
             time.sleep(5)
             handler.reset()
         elif url.path == "/api/rows-get":
