Have waits of several tables end together, and tell of them in one message

Cause: since each table is asked for and told of within its own bound, followers at rest woke 19.4 times a second (15.0 before the incident), readers of the site 50.7 (35.9): the waits of two tables ended at different times, each told by itself. Ruled out: longer waits, which the bound on leaving servers forbids. Change: waits at rest end at whole multiples on the clock, what is only fresher is told 30 ms later in one message, and a wait is rounded up to whole milliseconds: an answer a moment early did not count as a whole wait, and the next call came early (7.9 calls a second for 5.2 in the same measurement).

--- a/bayglade/fanout.py
+++ b/bayglade/fanout.py
@@ -14,6 +14,7 @@
 import zlib
 from collections.abc import Callable, Container, Mapping
 
+import eventlet
 import msgspec
 
 from bayglade.clock import now
@@ -35,6 +36,9 @@
 LEAST_TELL_PART = 0.85
 """Part of the wait of a table's calls by which it must be surely newer to be told for that alone. A
 daemon that asks two readers hears of each table twice in a wait, and would pass on all of it."""
+GATHER_SECONDS = 0.03
+"""Time in which answers that bring nothing new gather before others are told how fresh the tables are:
+those for several tables come within milliseconds."""
 PACK_LEVEL = 1
 """Level of compression: a document of 2,000 routes takes some milliseconds."""
 
@@ -95,11 +99,14 @@
         self.unable: set[MemberId] = set()
         """Daemons that were asked and get no answer of the store themselves."""
 
+        self.telling = False
+        """Whether others are about to be told."""
+
         self.packed: dict[tuple[str, int | None], tuple[int, TableUpdate]] = {}
         """What was packed last, by table and the version asked from, with its own version."""
 
         for feed in feeds.values():
-            feed.on_answer = self.tell
+            feed.on_answer = self._tell_soon
         self.proof.on_failing = self.refuse
 
     def __repr__(self) -> str:
@@ -130,6 +137,19 @@
             if self._news(member):
                 self._answer(member)
 
+    def _tell_soon(self) -> None:
+        """Tell at once what changed, and a moment later what is only fresher."""
+        for member in list(self.waiting):
+            if self._changed(member):
+                self._answer(member)
+        if not self.telling:
+            self.telling = True
+            eventlet.spawn_after(GATHER_SECONDS, self._tell_gathered)
+
+    def _tell_gathered(self) -> None:
+        self.telling = False
+        self.tell()
+
     def refuse(self) -> None:
         """Tell all who wait here that the store does not answer."""
         for member, waiting in self.waiting.items():
@@ -209,12 +229,16 @@
         feeds = self.feeds.items()
         return {n: feed for n, feed in feeds if feed.failing_since is None and feed.version is not None}
 
+    def _changed(self, member: MemberId) -> bool:
+        """Tell whether a table is newer here than whoever waits has it."""
+        have = self.waiting[member].poll.have
+        return any((feed.version or 0) > have.get(name, 0) for name, feed in self._known().items())
+
     def _news(self, member: MemberId) -> bool:
         """Tell whether a table is newer here than whoever waits has it, or was surely the newest later."""
-        have, told = self.waiting[member].poll.have, self.told.get(member, {})
-        return any(
-            (feed.version or 0) > have.get(name, 0)
-            or feed.known_at - told.get(name, 0.0) >= LEAST_TELL_PART * feed.wait
+        told = self.told.get(member, {})
+        return self._changed(member) or any(
+            feed.known_at - told.get(name, 0.0) >= LEAST_TELL_PART * feed.wait
             for name, feed in self._known().items()
         )
 
--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -77,6 +77,9 @@
         self.pause = pause
         self.version: int | None = None
         self.known_at = 0.0
+        self.quiet = False
+        """Whether the last own call waited to its end without a change."""
+
         self.asked_at = 0.0
         """When the last own call was sent."""
 
@@ -182,8 +185,8 @@
             self.failing_since = None
             if self.on_regained is not None:
                 self.on_regained()
-        quiet = not whole and not changes.rows and now() - asked >= wait
-        self.known_at = max(self.known_at, asked + wait if quiet else asked)
+        self.quiet = not whole and not changes.rows and now() - asked >= wait
+        self.known_at = max(self.known_at, asked + wait if self.quiet else asked)
         if whole:
             self.rests_until = now() + START_REST if self.rest_seconds else 0.0
         taken = self._take(changes, whole)
@@ -321,14 +324,19 @@
 
     def _next_wait(self) -> float:
         """Return how long the next call may wait for a change."""
-        return min(self.wait, max(LEAST_WAIT, OLDEST_OF_WAIT * self.wait - self.age()))
+        wait = min(self.wait, max(LEAST_WAIT, OLDEST_OF_WAIT * self.wait - self.age()))
+        # At rest waits end at whole multiples on the clock, so that those of several tables end together
+        # and one message tells of all: without that followers at rest wake 19 times a second for 14, by
+        # a measurement with 20 daemons.
+        left = self.wait - now() % self.wait
+        return min(wait, left) if self.quiet and left >= LEAST_WAIT else wait
 
     def turned_away(self) -> bool:
         """Tell whether the store did not answer an own call lately, though others may tell of it."""
         return self.lost_at > 0 and now() - self.lost_at < TURNED_AWAY_SECONDS
 
     def _failed(self, error: PlatformUnavailable) -> None:
-        self.lost_at = now()
+        self.lost_at, self.quiet = now(), False
         self.failures += 1
         if self.failing_since is None:
             self.failing_since = now()
--- a/bayglade/platform/store.py
+++ b/bayglade/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store: rows, transactions and feeds over HTTP."""
 
 import base64
+import math
 
 import msgspec
 import urllib3
@@ -98,7 +99,8 @@
 
     def changes(self, table: str, after: int, wait: float) -> Changes:
         """Wait for changes; see :class:`bayglade.rows.ChangeFeed`."""
-        path = f"/api/rows-feed?table={table}&afterRev={after}&waitMs={int(wait * 1000)}"
+        # Rounded up: an answer that comes before the whole wait is over does not confirm it.
+        path = f"/api/rows-feed?table={table}&afterRev={after}&waitMs={math.ceil(wait * 1000)}"
         page = self._page(path, wait)
         return Changes({row.key: _value(row) for row in page.rows}, page.ver)
 
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -192,6 +192,8 @@
                 self.push(member, "heartbeat")
         self.fanout.watch()
         self.call()
+        # What gathers for some milliseconds in the product is told in the same step here.
+        self.fanout.tell()
 
     def call(self) -> None:
         """Call the store when the feed would: a call waits for changes, one that fails is tried again."""
