Trust no connection that rests since before another one fell silent

Cause: connections at rest to other servers were used though one had been found silent; each costs a stream 1.2 s, and the second one its whole time. Ruled out: dropping all that rest, which would also end those heard from since. Change: when a stream's connection, or one that a server was asked on, is found silent, connections last used before it was last heard are not used again. Preference for warm servers goes by the same rule. What it costs in new connections: one for each server used again after such a finding.

--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -75,6 +75,9 @@
         self.drop: Callable[[BackendId], None] = lambda backend: None
         """Closes all connections that rest to a server."""
 
+        self.distrust: Callable[[float], None] = lambda before: None
+        """Ends the use of connections that rest since before a time."""
+
         self.by_turns = True
         """Whether a look asks a few stages of a path only."""
 
@@ -176,12 +179,14 @@
     def _ask(self, server: Server) -> None:
         facts = server.facts
         try:
-            kept = self.rests(facts.id)
+            kept, asked_at = self.rests(facts.id), now()
             report = self.control.report(facts.id, facts.address, ANSWER_SECONDS)
             if report is None and kept:
                 # A connection that rested may have fallen silent though the server is well.
                 self.drop(facts.id)
                 report = self.control.report(facts.id, facts.address, ANSWER_SECONDS)
+                if report is not None:
+                    self.distrust(asked_at)
             self.findings[facts.id] = Finding(report)
             if report is not None:
                 self.fleet.pace(server, report.pace)
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -80,6 +80,7 @@
         self.diagnosis = Diagnosis(self.fleet, self.control, self.rng)
         self.diagnosis.rests = self.links.rests
         self.diagnosis.drop = self.links.drop
+        self.diagnosis.distrust = self.links.distrust
         self.diagnosis.by_turns = Mechanism.TURNS not in config.without
         key_trust = config.key_trust_ms / 1000
         self.document_feed = Feed(
--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -175,8 +175,10 @@
     if call.seconds_left() <= 0:
         raise BackendSilent("no whole answer in time", step="stream", peer=run.exchange.backend)
     dead = dead_stages(peers, call, run, patience)
-    if not dead and connection_silent(peers, call, run) and _can_resend(peers, call, pipeline, run):
-        raise BackendError("the connection is silent", step="stream", peer=run.exchange.backend)
+    if not dead and connection_silent(peers, call, run):
+        peers.links.distrust(run.event_at)
+        if _can_resend(peers, call, pipeline, run):
+            raise BackendError("the connection is silent", step="stream", peer=run.exchange.backend)
     if not dead and Mechanism.LEAVE_SLOW in peers.without:
         return
     if not dead:
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -51,14 +51,16 @@
     def __init__(self) -> None:
         self.idle: dict[BackendId, deque[Link]] = {}
         self.opened = 0
+        self.trusted_from = 0.0
+        """Connections that were used last before this time are not used again."""
 
     def __repr__(self) -> str:
         return f"<Links {sum(len(links) for links in self.idle.values())} idle>"
 
     def rests(self, backend: BackendId) -> bool:
-        """Tell whether a connection to a server rests that is not past its time."""
+        """Tell whether a connection to a server rests that may be used."""
         links = self.idle.get(backend)
-        return links is not None and len(links) > 0 and now() < links[-1].expires_at
+        return links is not None and len(links) > 0 and self._usable(links[-1])
 
     def take(
         self,
@@ -79,8 +81,7 @@
         links = self.idle.get(backend)
         while links:
             link = links.pop()
-            at = now()
-            if at < link.expires_at and at - link.used_at < max_idle and link.quiet():
+            if self._usable(link) and now() - link.used_at < max_idle and link.quiet():
                 return link
             link.sock.close()
         return self._open(backend, address, connect_seconds)
@@ -97,6 +98,20 @@
         link.expires_at = link.used_at + seconds
         self.idle.setdefault(backend, deque()).append(link)
 
+    def distrust(self, before: float) -> None:
+        """Use no connection any more that rests since before a time: another one fell silent then.
+
+        What makes one silent without an end, a middlebox that forgot them, say, hits others as well.
+        A stream sent anew onto the next silent one runs out of time: 2 of 9 runs with all open
+        connections silent lost streams so.
+
+        :param before: when the silent connection was heard last, in monotonic seconds.
+        """
+        self.trusted_from = max(self.trusted_from, before)
+
+    def _usable(self, link: Link) -> bool:
+        return now() < link.expires_at and link.used_at > self.trusted_from
+
     def drop(self, backend: BackendId) -> None:
         """Close all connections that rest to a server: one of them was silent."""
         for link in self.idle.pop(backend, ()):
