--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterator
 
 import pytest
+from eventlet.green import socket as green_socket
 
 from bayglade import upstream
 from bayglade.ids import BackendId
@@ -24,7 +25,9 @@
 
 
 @pytest.fixture
-def address() -> Iterator[str]:
+def address(monkeypatch: pytest.MonkeyPatch) -> Iterator[str]:
+    # The program's own sockets are all green.
+    monkeypatch.setattr(upstream, "socket", green_socket)
     listening = socket.create_server(("127.0.0.1", 0))
     taken: list[socket.socket] = []
 
