--- a/bayglade/config.py
+++ b/bayglade/config.py
@@ -17,9 +17,6 @@
 from bayglade.mechanisms import Mechanism
 
 MAX_CONFIG_BYTES = 64 * 1024
-KEY_TRUST_PART = 0.9
-"""Part of the trust in old keys within which a change of the document must be known: a call that fails
-then leaves time for another before keys are no longer trusted."""
 
 ConfigT = TypeVar("ConfigT")
 
@@ -102,10 +99,6 @@
     without: frozenset[Mechanism] = frozenset()
     """Mechanisms that are switched off, to measure what they are worth."""
 
-    def document_bound(self) -> float:
-        """Return within how many seconds a change of the operator's document must be known here."""
-        return min(self.config_ms, KEY_TRUST_PART * self.key_trust_ms) / 1000
-
     def __repr__(self) -> str:
         return f"<GatewayConfig {self.member} in {self.hall} at {self.callers}>"
 
--- a/bayglade/freshness.py
+++ b/bayglade/freshness.py
@@ -29,7 +29,21 @@
 """Part of the bound, and the longest time, in which changes gather after one: each call is paid for."""
 
 LEAST_BOUND_SECONDS = 0.7
-"""A shorter bound leaves no time for a pause and a second call beside the parts above."""
+"""A shorter bound leaves no time for a pause and a second call beside the parts above; it is taken for
+this one."""
+
+KEY_TRUST_PART = 0.9
+"""Part of the trust in old keys within which a change of the document must be known: a call that fails
+then leaves time for another before keys are no longer trusted."""
+
+
+def document_bound(config_seconds: float, key_trust_seconds: float) -> float:
+    """Return within how many seconds a change of the operator's document must be known.
+
+    :param config_seconds: time in which a change must be in force.
+    :param key_trust_seconds: how old the knowledge of keys may be.
+    """
+    return min(config_seconds, KEY_TRUST_PART * key_trust_seconds)
 
 
 def wait_within(bound: float) -> float:
@@ -37,7 +51,7 @@
 
     :param bound: seconds within which a change must be known.
     """
-    return WAIT_PART * bound
+    return WAIT_PART * max(LEAST_BOUND_SECONDS, bound)
 
 
 def answer_within(bound: float) -> float:
@@ -45,7 +59,7 @@
 
     :param bound: seconds within which a change must be known; the shortest of all tables.
     """
-    return min(LONGEST_ANSWER_SECONDS, ANSWER_PART * bound)
+    return min(LONGEST_ANSWER_SECONDS, ANSWER_PART * max(LEAST_BOUND_SECONDS, bound))
 
 
 def gather_within(bound: float) -> float:
@@ -53,7 +67,7 @@
 
     :param bound: seconds within which a change must be known.
     """
-    return min(LONGEST_GATHER_SECONDS, GATHER_PART * bound)
+    return min(LONGEST_GATHER_SECONDS, GATHER_PART * max(LEAST_BOUND_SECONDS, bound))
 
 
 def rest_after(wait: float) -> float:
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -19,7 +19,13 @@
 from bayglade.exceptions import BaygladeError, InvalidSettings, Stopping
 from bayglade.feeds import Feed, look_together
 from bayglade.fleet import LAPSE_GRACE, Fleet, ServerFacts
-from bayglade.freshness import answer_within, gather_within, wait_within
+from bayglade.freshness import (
+    LEAST_BOUND_SECONDS,
+    answer_within,
+    document_bound,
+    gather_within,
+    wait_within,
+)
 from bayglade.heads import Message
 from bayglade.ids import BackendId, RequestId
 from bayglade.intake import ELSEWHERE_SECONDS, Intake
@@ -71,8 +77,10 @@
         self.changed_at = _changed_at(path)
         self.rng = random.Random()
         self.metrics = create_metrics(None, config.member)
-        document_bound, servers_bound = config.document_bound(), config.drain_ms / 1000
-        answer_seconds = answer_within(min(document_bound, servers_bound))
+        key_trust, servers_bound = config.key_trust_ms / 1000, config.drain_ms / 1000
+        settings_bound = document_bound(config.config_ms / 1000, key_trust)
+        self.shortest_bound = min(settings_bound, servers_bound)
+        answer_seconds = answer_within(self.shortest_bound)
         self.store = platform.Store(parse_address(config.store), answer_seconds)
         self.fleet = Fleet()
         self.links = Links()
@@ -82,11 +90,10 @@
         self.diagnosis.drop = self.links.drop
         self.diagnosis.distrust = self.links.distrust
         self.diagnosis.by_turns = Mechanism.TURNS not in config.without
-        key_trust = config.key_trust_ms / 1000
         self.document_feed = Feed(
             self.store,
             platform.OPERATOR_TABLE,
-            wait_within(document_bound),
+            wait_within(settings_bound),
             self._take_document,
             DOCUMENT_PAUSE,
         )
@@ -158,6 +165,8 @@
         :raises OSError: when an address cannot be listened on.
         """
         logs.set_up(self.config.member, "json", self.config.log_level)
+        if self.shortest_bound < LEAST_BOUND_SECONDS:
+            event("WARNING", "bound too short", bound=self.shortest_bound, least=LEAST_BOUND_SECONDS)
         self._on_signals()
         self._listen(self.config.ready, lambda: LOCAL_LIMITS, self._answer_ready)
         self._listen(self.config.metrics, lambda: LOCAL_LIMITS, self._answer_metrics)
