Test servers that start again under their id, and entries of other writers: red

Cause: a server is told by its id alone, and a row that makes no sense is passed over, so that what was known of its server before stays in force. The stand-in of the users' platform restarts servers under the same id, and lets anybody write any bytes into a row.

--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -33,6 +33,10 @@
 
         self.orders = 0
         self.state = "ready"
+        self.born = int(time.time() * 1000)
+        """Unix millisecond of its start."""
+
+        self.writes = 0
         self.faults = Faults()
         self.ran: Counter[str] = Counter()
         """Runs by request id."""
@@ -55,16 +59,44 @@
 
     def register(self) -> None:
         """Write the own row."""
+        self.writes += 1
+        self.site.store.put("servers", self.id, self.row())
+
+    def row(self) -> dict[str, Any]:
+        """Return what its own row says."""
         row: dict[str, Any] = {
             "service": MODEL if self.kind else PLAIN,
             "addr": self.address,
             "zone": self.hall,
+            "version": "v1",
             "slots": 8,
             "state": self.state,
+            "coldLeftMs": 0,
+            "seq": self.writes,
+            "born": self.born,
         }
         if self.kind:
             row |= {"kind": self.kind, "layers": self._layers()}
-        self.site.store.put("servers", self.id, row)
+        return row
+
+    def leave(self) -> None:
+        """Say that it leaves."""
+        self.state = "draining"
+        self.register()
+
+    def restart(self, told: bool = True) -> None:
+        """End at once and start again under the same id: empty, and with counts from the start.
+
+        :param told: whether its row says so at once.
+        """
+        self.server.end()
+        self.born = max(self.born + 1, int(time.time() * 1000))
+        self.held, self.given_up, self.orders, self.writes = (0, 0), [], 0, 0
+        self.state = "ready"
+        self.server = Server(self)
+        self.address = self.site.front(self.server.address)
+        if told:
+            self.register()
 
     def die(self) -> None:
         """End at once: the address refuses connections."""
@@ -89,7 +121,13 @@
         return {"from": self.held[0], "targetVersion": self.held[1], "version": 1}
 
     def _report(self) -> Any:
-        return {"seq": self.orders, "busy": False, "layers": self._layers(), "pace": 1.0}
+        return {
+            "seq": self.orders,
+            "busy": False,
+            "layers": self._layers(),
+            "pace": 1.0,
+            "born": self.born,
+        }
 
     def _order(self, handler: Handler, order: Any) -> None:
         if order["op"] == "repath":
@@ -158,14 +196,16 @@
                 handler.answer(200, b"once more", head)
 
     def _stream(self, handler: Handler, request: str, head: dict[str, str]) -> None:
-        after = int(handler.headers.get("Last-Event-Id") or 0)
+        after, born = int(handler.headers.get("Last-Event-Id") or 0), self.born
         self._take_path(request, handler.headers["Path"])
         handler.wfile.write(_head(200, {**head, "Transfer-Encoding": "chunked"}))
         for number in range(after + 1, EVENTS + 1):
             while self._stalled(request):
-                if self.faults.left["stall"] or handler.connection.fileno() < 0:
+                if self.faults.left["stall"] or self.born != born or handler.connection.fileno() < 0:
                     return
                 time.sleep(0.01)
+            if self.born != born:
+                return
             self.site.check_path(self.paths[request], self.path_since[request])
             data = f"id: {number}\ndata: {request} {number} {time.monotonic():.6f}\n\n".encode()
             if self.faults.take("partial"):
@@ -184,8 +224,10 @@
         self.paths[request] = read_path(path)
 
     def _stalled(self, request: str) -> bool:
-        stages = [address for address, _, _ in self.paths[request]]
-        return any(r.faults.left["stall"] for r in self.site.every_replica if r.address in stages)
+        by_address = {replica.address: replica for replica in self.site.every_replica}
+        stages = [by_address.get(address) for address, _, _ in self.paths[request]]
+        # Nobody is at the address of a stage that started again elsewhere.
+        return any(replica is None or replica.faults.left["stall"] for replica in stages)
 
 
 def read_path(text: str) -> list[tuple[str, int, int]]:
--- a/standins/users/site.py
+++ b/standins/users/site.py
@@ -101,7 +101,10 @@
         """Tell whether all servers of a path hold their layers at this moment."""
         at = time.monotonic()
         by_address = {replica.address: replica for replica in self.every_replica}
-        return all(by_address[address].runs_layers(first, last, at) for address, first, last in path)
+        return all(
+            address in by_address and by_address[address].runs_layers(first, last, at)
+            for address, first, last in path
+        )
 
     def stop(self) -> None:
         """End all that was started here."""
--- a/standins/users/store.py
+++ b/standins/users/store.py
@@ -29,9 +29,13 @@
 
     def put(self, table: str, key: str, value: Any) -> None:
         """Write a row as the operator or a server does."""
+        self.put_bytes(table, key, msgspec.json.encode(value))
+
+    def put_bytes(self, table: str, key: str, value: bytes) -> None:
+        """Write a row as any writer may: bytes that need not make sense."""
         with self.changed:
             self.version += 1
-            self.rows[table, key] = (self.version, msgspec.json.encode(value))
+            self.rows[table, key] = (self.version, value)
             self.changed.notify_all()
 
     def drop(self, table: str, key: str) -> None:
--- /dev/null
+++ b/tests/server_rows.py
@@ -0,0 +1,44 @@
+"""Rows of servers as they write them, for tests of what is read from them."""
+
+from typing import Any
+
+import msgspec
+
+from bayglade.fleet import ServerFacts
+from bayglade.platform import decode_server
+
+BORN = 1_788_000_000_000
+"""Start of a server, in Unix milliseconds."""
+
+
+def server_row(**changes: Any) -> dict[str, Any]:
+    """Return a whole row of a server that holds layers, with some fields changed."""
+    return {
+        "service": "model",
+        "addr": "10.0.0.1:8080",
+        "zone": "hall",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "seq": 1,
+        "born": BORN,
+        "kind": "card",
+        "layers": {"from": 0, "targetVersion": 4, "version": 1},
+        **changes,
+    }
+
+
+def without(name: str) -> dict[str, Any]:
+    """Return a row that lacks a field."""
+    return {key: value for key, value in server_row().items() if key != name}
+
+
+def packed(row: Any) -> msgspec.Raw:
+    """Return a row as it lies in the store."""
+    return msgspec.Raw(msgspec.json.encode(row))
+
+
+def facts_of(server: str = "s", **changes: Any) -> ServerFacts:
+    """Return what a row with some fields changed says."""
+    return decode_server(server, packed(server_row(**changes)))
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,245 @@
+"""Entries that another writer left: they name no server to use, and harm no other entry.
+
+Of eleven strange entries for a server in use, ten left it in use by what was known before or by
+nonsense, and the eleventh took it out for good, even after its own entry was back.
+"""
+
+import msgspec
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from bayglade.entries.wire import Sealer, decode_hello
+from bayglade.exceptions import InvalidSettings, PeerError
+from bayglade.fleet import Fleet
+from bayglade.ids import BackendId, MemberId
+from bayglade.leases import Lease
+from bayglade.platform import decode_document, decode_report, decode_server
+from bayglade.roster import MEMBER_PREFIX, SECRET_KEY, MemberRow, Roster, join, read_roster
+from bayglade.rows import Changes, Condition, Row, Transaction, TransactionResult, raw
+from standins.users import configuration
+from tests.server_rows import facts_of, packed, server_row, without
+
+STRANGE = {
+    "cannot be read": b"\xff\x00not json",
+    "empty": b"",
+    "cut": b'{"service": "model"',
+    "text that is no text": b'{"service": "\xff"}',
+    "nested without end": b"[" * 100_000,
+    "a list": b"[]",
+    **{f"no {name}": without(name) for name in server_row() if name not in ("kind", "layers", "born")},
+    "service a number": server_row(service=7),
+    "service empty": server_row(service=""),
+    "zone a list": server_row(zone=[]),
+    "zone empty": server_row(zone=""),
+    "slots as text": server_row(slots="8"),
+    "slots negative": server_row(slots=-1),
+    "slots none": server_row(slots=0),
+    "slots a fraction": server_row(slots=8.5),
+    "seq as text": server_row(seq="1"),
+    "seq negative": server_row(seq=-1),
+    "cold time as text": server_row(coldLeftMs="0"),
+    "version a number": server_row(version=1),
+    "born as text": server_row(born="1788000000000"),
+    "born a fraction": server_row(born=1_788_000_000_000.5),
+    "born true": server_row(born=True),
+    "born nothing": server_row(born=None),
+    "born zero": server_row(born=0),
+    "born beyond numbers": server_row(born=2**70),
+    "address nothing": server_row(addr=None),
+    "address empty": server_row(addr=""),
+    "address without port": server_row(addr="10.0.0.1"),
+    "address a name": server_row(addr="host:8080"),
+    "address past numbers": server_row(addr="10.0.0.999:8080"),
+    "port none": server_row(addr="10.0.0.1:0"),
+    "port past numbers": server_row(addr="10.0.0.1:70000"),
+    "port odd digits": server_row(addr="10.0.0.1:\uff18080"),
+    "state not named": server_row(state="resting"),
+    "state a number": server_row(state=1),
+    "layers below zero": server_row(layers={"from": -1, "targetVersion": 4, "version": 1}),
+    "layers turned round": server_row(layers={"from": 4, "targetVersion": 0, "version": 1}),
+    "layers as text": server_row(layers={"from": "0", "targetVersion": "4", "version": 1}),
+    "layers a number": server_row(layers=4),
+    "layers without an end": server_row(layers={"from": 0, "version": 1}),
+    "kind a number": server_row(kind=4),
+}
+
+
+def entry(strange: object) -> msgspec.Raw:
+    return msgspec.Raw(strange) if isinstance(strange, bytes) else packed(strange)
+
+
+@pytest.mark.parametrize("name", STRANGE)
+def test_a_strange_entry_names_no_server(name: str) -> None:
+    with pytest.raises(InvalidSettings):
+        decode_server("s", entry(STRANGE[name]))
+
+
+def two_servers() -> Fleet:
+    fleet = Fleet()
+    fleet.take([facts_of("s"), facts_of("other")], [], outage=False)
+    return fleet
+
+
+def usable(fleet: Fleet) -> set[str]:
+    return {server.facts.id for server in fleet.usable(facts_of().service)}
+
+
+def test_a_server_whose_entry_is_strange_gets_no_new_work_until_its_own_is_back() -> None:
+    fleet = two_servers()
+    server = fleet.servers[BackendId("s")]
+    fleet.take([], [], outage=False, strange={BackendId("s"): "slots as text"})
+    assert usable(fleet) == {"other"}
+    # What runs there is let end.
+    assert not server.leaving
+    assert not server.suspect
+    fleet.take([facts_of("s")], [], outage=False)
+    assert usable(fleet) == {"s", "other"}
+    assert fleet.servers[BackendId("s")] is server
+
+
+def test_a_strange_entry_in_the_whole_list_drops_nobody() -> None:
+    fleet = two_servers()
+    server = fleet.servers[BackendId("s")]
+    fleet.replace([facts_of("other")], outage=False, strange={BackendId("s"): "cannot be read"})
+    assert usable(fleet) == {"other"}
+    assert fleet.servers[BackendId("s")] is server
+
+
+def test_a_strange_entry_of_nobody_known_lists_nobody() -> None:
+    fleet = two_servers()
+    fleet.take([], [], outage=False, strange={BackendId("new"): "cannot be read"})
+    assert set(fleet.servers) == {"s", "other"}
+
+
+def test_an_entry_that_lost_its_start_is_strange() -> None:
+    fleet = two_servers()
+    fleet.take([decode_server("s", packed(without("born")))], [], outage=False)
+    assert usable(fleet) == {"other"}
+
+
+def test_an_entry_without_a_start_is_used_where_none_ever_had_one() -> None:
+    fleet = Fleet()
+    fleet.take([decode_server("s", packed(without("born")))], [], outage=False)
+    assert usable(fleet) == {"s"}
+
+
+FOREIGN_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**70), 2**70) | st.floats(allow_nan=False) | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner, max_size=3),
+    max_leaves=6,
+)
+"""Anything that JSON can say."""
+
+
+def packed_message(value: object) -> bytes:
+    try:
+        return msgspec.msgpack.encode(value)
+    except OverflowError:
+        return b"\xc1"
+
+
+@seed(1)
+@settings(max_examples=300, deadline=None, database=None)
+@given(st.binary(max_size=60) | FOREIGN_VALUES.map(msgspec.json.encode))
+def test_no_bytes_break_a_decoder(data: bytes) -> None:
+    for decode in (
+        lambda: decode_server("s", msgspec.Raw(data)),
+        lambda: decode_document(msgspec.Raw(data)),
+    ):
+        with pytest.raises(InvalidSettings):
+            decode()
+    decode_report(data)
+    read_roster({MEMBER_PREFIX + "d": msgspec.Raw(data), SECRET_KEY: msgspec.Raw(data)}, Roster())
+
+
+@seed(2)
+@settings(max_examples=300, deadline=None, database=None)
+@given(st.sampled_from(sorted(server_row())), FOREIGN_VALUES)
+def test_a_field_of_anything_makes_no_nonsense_server(name: str, value: object) -> None:
+    try:
+        facts = decode_server("s", packed(server_row(**{name: value})))
+    except InvalidSettings:
+        return
+    assert 0 <= facts.first <= facts.last
+    assert facts.slots > 0
+    assert facts.hall
+    assert facts.incarnation >= 0
+
+
+@seed(3)
+@settings(max_examples=300, deadline=None, database=None)
+@given(st.sampled_from(sorted(configuration(7, ("k",), {}))), FOREIGN_VALUES)
+def test_a_document_with_anything_in_a_field_is_read_or_refused(name: str, value: object) -> None:
+    document = {**configuration(7, ("k",), {}), name: value}
+    with_engine = configuration(7, ("k",), {})
+    with_engine["services"][0]["engine"]["models"] = value
+    for each in (document, with_engine):
+        try:
+            decode_document(packed(each))
+        except InvalidSettings:
+            continue
+
+
+@seed(4)
+@settings(max_examples=300, deadline=None, database=None)
+@given(st.binary(max_size=60) | FOREIGN_VALUES.map(packed_message))
+def test_no_bytes_break_a_stream_of_another_daemon(data: bytes) -> None:
+    sealer = Sealer(b"k" * 32)
+    for frame in ([b"", data], [sealer._digest(data), data], data, [data]):
+        with pytest.raises(PeerError):
+            Sealer(b"k" * 32).open(frame)
+        with pytest.raises(PeerError):
+            decode_hello(frame)
+
+
+class Rows:
+    """A table whose rows anybody wrote."""
+
+    def __init__(self, **values: bytes) -> None:
+        self.rows = {key.replace("__", "/"): (1, msgspec.Raw(value)) for key, value in values.items()}
+
+    def read(self, keys: list[str]) -> dict[str, Row]:
+        return {key: Row(*self.rows[key]) for key in keys if key in self.rows}
+
+    def transact(self, transaction: Transaction) -> TransactionResult:
+        if any(self._version(c) != c.version for c in transaction.conditions):
+            return TransactionResult(False)
+        for write in transaction.writes:
+            version = self.rows.get(write.key, (0, raw("")))[0] + 1
+            self.rows[write.key] = (version, write.value)
+        return TransactionResult(True)
+
+    def snapshot(self, table: str) -> Changes:
+        return Changes({key: value for key, (_, value) in self.rows.items()}, 1)
+
+    def changes(self, table: str, after: int, wait: float) -> Changes:
+        raise AssertionError("nobody follows this table")
+
+    def _version(self, condition: Condition) -> int:
+        return self.rows.get(condition.key, (0, raw("")))[0]
+
+
+def test_a_lease_of_another_writer_is_waited_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    at = 100.0
+    monkeypatch.setattr("bayglade.leases.now", lambda: at)
+    lease = Lease(Rows(leases__placement=b"\xff"), "placement", MemberId("d"), 2.5, 0.7)
+    assert not lease.keep()
+    at += 3.3
+    assert lease.keep()
+    assert lease.seconds_left() > 0
+
+
+@pytest.mark.parametrize("strange", [b"\xff", b"[]", b'{"address": "nowhere", "hall": "h"}'])
+def test_a_daemon_writes_its_own_row_over_a_strange_one(strange: bytes) -> None:
+    rows = Rows(members__d=strange, **{SECRET_KEY.replace("/", "__"): b'"aa"'})
+    row = MemberRow("10.0.0.1:7000", facts_of().hall)
+    assert join(rows, "members", MemberId("d"), row).members == {MemberId("d"): row}
+
+
+def test_a_strange_secret_is_written_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("bayglade.roster.eventlet.sleep", lambda seconds: None)
+    rows = Rows(**{SECRET_KEY.replace("/", "__"): b"17"})
+    joined = join(rows, "members", MemberId("d"), MemberRow("10.0.0.1:7000", facts_of().hall))
+    assert joined.secret is not None
+    assert read_roster(rows.snapshot("members").rows, Roster()).secret == joined.secret
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -106,7 +106,7 @@
     crowded = path.servers[1]
     facts = crowded.facts
     full = site.model.cache_size(facts.accelerator or "", facts.held)
-    site.paths.elsewhere = lambda: {facts.id: ServerLoad(facts.id, 0, int(full))}
+    site.paths.elsewhere = lambda: {facts.key: ServerLoad(facts.id, 0, int(full))}
     other = site.choose()
     assert other is not None
     assert crowded not in other.servers
@@ -117,7 +117,7 @@
     path = site.choose()
     assert path is not None
     head = path.servers[0].facts
-    site.paths.elsewhere = lambda: {head.id: ServerLoad(head.id, head.slots, 0)}
+    site.paths.elsewhere = lambda: {head.key: ServerLoad(head.id, head.slots, 0)}
     other = site.choose()
     assert other is not None
     assert other.servers[0].facts.id != head.id
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,6 +15,7 @@
 from bayglade.platform import decode_document, decode_server
 from bayglade.platform.calls import read_answer, read_call
 from standins.users import GROUP, KEY, MODEL, PLAIN, configuration
+from tests.server_rows import facts_of
 
 ROOT = Path(bayglade.__file__).parent
 ADAPTER = ROOT / "platform"
@@ -76,17 +77,8 @@
 
 
 def test_a_server_becomes_facts() -> None:
-    row = {
-        "service": "s",
-        "addr": "10.0.0.1:1",
-        "zone": "hall",
-        "slots": 96,
-        "state": "draining",
-        "kind": "card",
-        "layers": {"from": 3, "targetVersion": 9, "version": 2},
-        "more": "passed over",
-    }
-    facts = decode_server("i-1", msgspec.Raw(msgspec.json.encode(row)))
+    layers = {"from": 3, "targetVersion": 9, "version": 2}
+    facts = facts_of("i-1", state="draining", layers=layers, more="passed over")
     assert (facts.first, facts.last, facts.weights, facts.leaving) == (3, 9, 2, True)
     with pytest.raises(InvalidSettings):
         decode_server("i-1", msgspec.Raw(b'{"service": 1}'))
@@ -165,8 +157,7 @@
 
 def test_a_common_cause_does_not_make_all_servers_suspect() -> None:
     fleet = Fleet()
-    row = {"service": "s", "addr": "a:1", "zone": "hall", "slots": 1}
-    listed = [decode_server(f"i-{n}", msgspec.Raw(msgspec.json.encode(row))) for n in range(6)]
+    listed = [facts_of(f"i-{n}", layers=None) for n in range(6)]
     fleet.take(listed, [], outage=False)
     said = [fleet.suspect(server, "silent") for server in list(fleet.servers.values())]
     assert said == [True, True, True, False, False, False]
@@ -174,8 +165,7 @@
 
 def test_rows_that_vanish_in_an_outage_are_kept_for_a_while() -> None:
     fleet = Fleet()
-    row = {"service": "s", "addr": "a:1", "zone": "hall", "slots": 1}
-    listed = [decode_server(f"i-{n}", msgspec.Raw(msgspec.json.encode(row))) for n in range(3)]
+    listed = [facts_of(f"i-{n}", layers=None) for n in range(3)]
     fleet.take(listed, [], outage=False)
     fleet.replace(listed[:1], outage=True)
     assert len(fleet.servers) == 3
--- a/tests/test_totals.py
+++ b/tests/test_totals.py
@@ -4,7 +4,7 @@
 
 from bayglade import totals
 from bayglade.entries.wire import Heartbeat, ServerLoad
-from bayglade.ids import BackendId, HallName, MemberId, Revision
+from bayglade.ids import BackendId, HallName, MemberId, Revision, ServerKey
 from bayglade.readers import Order, make_plan, streams_of
 from bayglade.totals import FRESH_SECONDS, Totals
 
@@ -19,8 +19,8 @@
     return [ServerLoad(BackendId(head), count, 100 * count) for head, count in counts.items()]
 
 
-def by_server(counts: dict[str, int]) -> dict[BackendId, ServerLoad]:
-    return {load.backend: load for load in loads(**counts)}
+def by_server(counts: dict[str, int]) -> dict[ServerKey, ServerLoad]:
+    return {load.key: load for load in loads(**counts)}
 
 
 PLANS = {name: make_plan(name, Order(HALLS), (), ()) for name in HALLS}
