Tell servers by id and start; use no server whose entry is not its own

Cause: a server was told by its id alone. One that started again under its id kept what was known of the earlier start: that it leaves, its layers, its count of orders, an order under way, requests, suspicion, pace, and connections that rest. And a row that could not be read was passed over with a log line, so that what was known before stayed in force; a value that is no base64 ended the feed of servers. Ruled out: putting the start into the id inside the adapter (the name that is sent to servers would be another one, and findings of other daemons could not be ordered). Change: facts, reports, sums and findings carry which start they tell of. A later start ends the earlier one: its requests are as on a dead server, and the loader, diagnosis, reports and resting connections forget it; word of an earlier start is dropped, of a later one has the server asked. Rows are checked field by field; a strange one excludes its server from new work until the server's own is back, keeps its layers in layouts for 3 s, and logs five lines a second at most. Lease and roster rows of other writers are waited out or written anew. Layers past the model are used by no path. Costs nine bytes for each server in the sums that daemons tell.

--- a/bayglade/config.py
+++ b/bayglade/config.py
@@ -111,7 +111,7 @@
     :raises InvalidSettings: when the text is not of that shape.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
+    if not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
         raise InvalidSettings(f"{text!r} is not an IP number, a colon and a port", step="config")
     return Address(host, int(port))
 
--- a/bayglade/control.py
+++ b/bayglade/control.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from bayglade.ids import BackendId, RequestId
+from bayglade.ids import UNKNOWN_INCARNATION, BackendId, Incarnation, RequestId
 from bayglade.models import Route
 
 
@@ -32,6 +32,9 @@
     stalled: dict[RequestId, str] = {}
     """Requests that stand still, and the address of the stage that each waits for."""
 
+    incarnation: Incarnation = UNKNOWN_INCARNATION
+    """Which start of the server speaks."""
+
 
 class OrderOutcome(Enum):
     """What came of an order."""
--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -82,6 +82,7 @@
         """Whether a look asks a few stages of a path only."""
 
         self.asking: dict[BackendId, eventlet.greenthread.GreenThread] = {}
+        fleet.on_restart.append(self._forget)
 
     def __repr__(self) -> str:
         return f"<Diagnosis {len(self.findings)} findings>"
@@ -97,11 +98,22 @@
         if not self.by_turns:
             return self.examine(servers)
         dead = self.examine([servers[0], *behind[:ASKED_BY_TURNS]])
-        report = self.findings[servers[0].facts.id].report
+        report = self.finding_of(servers[0]).report
         address = report.stalled.get(request) if report is not None else None
         named = [server for server in behind[ASKED_BY_TURNS:] if server.facts.address == address]
         return dead | self.examine(named) if named else dead
 
+    def finding_of(self, server: Server) -> "Finding":
+        """Return what a server said last; nothing when it has started again since, or was not asked."""
+        known = self.findings.get(server.facts.id)
+        if known is None or self.fleet.servers.get(server.facts.id, server) is not server:
+            return Finding(None)
+        return known
+
+    def _forget(self, backend: BackendId) -> None:
+        self.findings.pop(backend, None)
+        self.asking.pop(backend, None)
+
     def _asked_at(self, backend: BackendId) -> float:
         finding = self.findings.get(backend)
         return finding.asked_at if finding is not None else 0.0
@@ -166,6 +178,9 @@
         tasks = {}
         for server in servers:
             backend = server.facts.id
+            if self.fleet.servers.get(backend, server) is not server:
+                # What started again under its id says nothing of the earlier start, which is dead.
+                continue
             known = self.findings.get(backend)
             if known is not None and at - known.asked_at < FRESH_SECONDS:
                 continue
@@ -174,7 +189,7 @@
             tasks[backend] = self.asking[backend]
         for task in tasks.values():
             task.wait()
-        return {server.facts.id: self.findings[server.facts.id] for server in servers}
+        return {server.facts.id: self.finding_of(server) for server in servers}
 
     def _ask(self, server: Server) -> None:
         facts = server.facts
@@ -187,11 +202,18 @@
                 report = self.control.report(facts.id, facts.address, ANSWER_SECONDS)
                 if report is not None:
                     self.distrust(asked_at)
+            if report is not None and not self.fleet.reported(
+                server, report.incarnation, report.first, report.last
+            ):
+                report = None
+            if self.fleet.servers.get(facts.id, server) is not server:
+                return
             self.findings[facts.id] = Finding(report)
             if report is not None:
                 self.fleet.pace(server, report.pace)
         finally:
-            self.asking.pop(facts.id, None)
+            if self.asking.get(facts.id) is eventlet.getcurrent():
+                del self.asking[facts.id]
 
 
 def _as_listed(server: Server, report: StageReport) -> bool:
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -13,13 +13,22 @@
 import msgspec
 
 from bayglade.exceptions import PeerError
-from bayglade.ids import BackendId, Digest, MemberId, Revision, Version
+from bayglade.ids import (
+    UNKNOWN_INCARNATION,
+    BackendId,
+    Digest,
+    Incarnation,
+    MemberId,
+    Revision,
+    ServerKey,
+    Version,
+)
 from bayglade.usage import GroupUsage
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 NONCE_BYTES = 16
 SEAL_BYTES = 16
-PROTOCOL = 3
+PROTOCOL = 4
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
@@ -48,12 +57,25 @@
     cached: int
     """What all its requests have in the KV cache there, in tokens times layers."""
 
+    incarnation: Incarnation = UNKNOWN_INCARNATION
+
+    @property
+    def key(self) -> ServerKey:
+        """Return which start of which server this tells of."""
+        return ServerKey(self.backend, self.incarnation)
+
 
 class Finding(msgspec.Struct, frozen=True, array_like=True):
     """What a daemon found out about a server, by asking it."""
 
     backend: BackendId
     finder: MemberId
+    incarnation: Incarnation = UNKNOWN_INCARNATION
+
+    @property
+    def key(self) -> ServerKey:
+        """Return which start of which server this tells of."""
+        return ServerKey(self.backend, self.incarnation)
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="b", array_like=True, kw_only=True):
--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -1,12 +1,20 @@
 """The fleet: backend servers as the platform lists them and as calls find them."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
 from bayglade.clock import now
-from bayglade.ids import BackendId, HallName, ServiceName
+from bayglade.ids import (
+    UNKNOWN_INCARNATION,
+    BackendId,
+    HallName,
+    Incarnation,
+    ServerKey,
+    ServiceName,
+)
 from bayglade.logs import event
+from bayglade.pipelines import Pipeline
 
 SUSPECT_SECONDS = 1.0
 """First time that a server which failed gets nothing; doubled at each failure in a row."""
@@ -24,6 +32,13 @@
 """Seconds after the store's return in which a missing entry may come back: the users say two,
 and work that goes to a server that is gone must end by then."""
 
+EXCLUDED_SECONDS = 3.0
+"""For how long a server keeps its layers in layouts while its entry is not its own: it writes its entry
+anew within a heartbeat, 1.2 s on the users' platform, and a reload would take longer."""
+MAX_KNOWN_STARTS = 10_000
+"""Servers whose newest start is remembered, those that are gone among them: several times as many as
+the largest fleet has."""
+
 
 class ServerFacts(msgspec.Struct, frozen=True, kw_only=True):
     """What the platform's list says of a backend server.
@@ -44,17 +59,30 @@
     weights: int = 0
     """Version of the weights it holds."""
 
+    incarnation: Incarnation = UNKNOWN_INCARNATION
+
+    @property
+    def key(self) -> ServerKey:
+        """Return which start of which server these tell of."""
+        return ServerKey(self.id, self.incarnation)
+
     @property
     def held(self) -> int:
         """Return how many layers it holds."""
         return self.last - self.first
 
+    def fits(self, pipeline: Pipeline) -> bool:
+        """Tell whether its kind and its layers are those of a model."""
+        return self.accelerator in pipeline.accelerators and self.last <= pipeline.layers
+
 
 class Server:
     """One backend server as this daemon knows it; times are monotonic seconds."""
 
     __slots__ = (
         "cached",
+        "excluded",
+        "excluded_at",
         "facts",
         "failures",
         "in_flight",
@@ -74,6 +102,10 @@
         self.cached = 0.0
         """What own requests have in its KV cache, in tokens times layers, as far as can be told."""
 
+        self.excluded: str | None = None
+        """Why its entry names no server to use; nothing while the entry is its own."""
+
+        self.excluded_at = 0.0
         self.failures = 0
         self.suspect = False
         """Set for a stage until it answers again."""
@@ -94,7 +126,15 @@
 
     def usable(self, at: float) -> bool:
         """Tell whether new work may go there."""
-        return not self.leaving and not self.suspect and at >= self.suspect_until
+        if self.leaving or self.suspect or self.excluded is not None:
+            return False
+        return at >= self.suspect_until
+
+    def placed(self, at: float) -> bool:
+        """Tell whether a layout counts on it and its layers."""
+        if self.leaving or self.suspect:
+            return False
+        return self.excluded is None or at - self.excluded_at < EXCLUDED_SECONDS
 
     def ended(self, at: float) -> bool:
         """Tell whether it is surely gone, and not just out of reach for a moment."""
@@ -104,6 +144,8 @@
         """Return in a word how it stands."""
         if self.leaving:
             return "leaving"
+        if self.excluded is not None:
+            return "excluded"
         return "ready" if self.usable(now()) else "suspect"
 
 
@@ -114,6 +156,12 @@
         self.servers: dict[BackendId, Server] = {}
         self.by_service: dict[ServiceName, list[Server]] = {}
         self.lapsed: set[BackendId] = set()
+        self.starts: dict[BackendId, Incarnation] = {}
+        """The newest start known of each server, also of those that are gone."""
+
+        self.on_restart: list[Callable[[BackendId], None]] = []
+        """Told of each server that started again under its id: what is known of it no longer holds."""
+
         self.grown_at = 0.0
         """When a server was listed that was not known before."""
 
@@ -132,28 +180,83 @@
         at = now()
         return [server for server in self.of(service) if server.usable(at)]
 
-    def take(self, listed: Iterable[ServerFacts], gone: Iterable[BackendId], outage: bool) -> None:
+    def take(
+        self,
+        listed: Iterable[ServerFacts],
+        gone: Iterable[BackendId],
+        outage: bool,
+        strange: Mapping[BackendId, str] | None = None,
+    ) -> None:
         """Take in news of the list.
 
         :param listed: servers that are new or changed.
         :param gone: entries that were removed.
         :param outage: whether the store was away just now, so that entries lapsed of themselves.
+        :param strange: entries that no server wrote, with what is wrong: such an entry names no server
+            to use, and what runs on the server whose entry it was may end there.
         """
+        for backend, reason in (strange or {}).items():
+            self._exclude(backend, reason)
         for facts in listed:
             self._list(facts)
         for backend in gone:
             self._unlist(backend, outage)
         self._rebuild()
 
-    def replace(self, listed: Iterable[ServerFacts], outage: bool) -> None:
+    def replace(
+        self, listed: Iterable[ServerFacts], outage: bool, strange: Mapping[BackendId, str] | None = None
+    ) -> None:
         """Take in the whole list.
 
         :param listed: all entries.
         :param outage: whether the store was away just now.
+        :param strange: entries that no server wrote, with what is wrong.
         """
         entries = list(listed)
-        missing = self.servers.keys() - {facts.id for facts in entries}
-        self.take(entries, missing, outage)
+        missing = self.servers.keys() - {facts.id for facts in entries} - (strange or {}).keys()
+        self.take(entries, missing, outage, strange)
+
+    def reported(self, server: Server, incarnation: Incarnation, first: int, last: int) -> bool:
+        """Take in which start of a server a report comes from, and what that holds.
+
+        :param server: the server that was asked.
+        :param incarnation: the start that answered.
+        :param first: the first layer that it holds.
+        :param last: the layer after the last.
+        :return: whether the report is of the server that was asked. One of a later start ends what is
+            known of the earlier one; one of an earlier start, or that comes when the server has
+            started again, tells nothing.
+        """
+        current = self.servers.get(server.facts.id)
+        if current is not None and current is not server:
+            return False
+        known = server.facts.incarnation
+        if incarnation in (UNKNOWN_INCARNATION, known) or current is None:
+            return True
+        if incarnation < known:
+            return False
+        again = msgspec.structs.replace(
+            server.facts, incarnation=incarnation, first=first, last=last, leaving=False
+        )
+        self._restart(server, again, "its report")
+        self._rebuild()
+        return False
+
+    def current(self, key: ServerKey) -> Server | None:
+        """Return a server if word of it is of its present start.
+
+        :param key: the start that another daemon tells of.
+        """
+        server = self.servers.get(key.backend)
+        return server if server is not None and server.facts.key == key else None
+
+    def superseded(self, key: ServerKey) -> Server | None:
+        """Return a server if word of it is of a later start than the one known here.
+
+        :param key: the start that another daemon tells of.
+        """
+        server = self.servers.get(key.backend)
+        return server if server is not None and server.facts.incarnation < key.incarnation else None
 
     def drop_lapsed(self) -> None:
         """Drop entries that lapsed in an outage and did not come back in time."""
@@ -214,22 +317,70 @@
         server.failures = 0
 
     def _list(self, facts: ServerFacts) -> None:
+        newest = self.starts.get(facts.id, UNKNOWN_INCARNATION)
+        if facts.incarnation == UNKNOWN_INCARNATION < newest:
+            self._exclude(facts.id, "it does not say when it started, and did before")
+            return
+        if facts.incarnation < newest:
+            event("INFO", "older entry ignored", peer=facts.id, start=facts.incarnation, newest=newest)
+            return
         self.lapsed.discard(facts.id)
         server = self.servers.get(facts.id)
         if server is None:
-            self.servers[facts.id] = Server(facts)
-            self.grown_at = now()
+            self._add(facts)
             event("INFO", "server listed", peer=facts.id, hall=facts.hall, service=facts.service)
             return
+        if facts.incarnation > server.facts.incarnation:
+            self._restart(server, facts, "its entry")
+            return
+        if server.excluded is not None:
+            event("INFO", "server's own entry is back", peer=facts.id)
+            server.excluded = None
         if facts.leaving and not server.leaving:
             event("INFO", "server leaving", peer=facts.id, reason="listed")
-        # A server that left never comes back under the same id.
+        # What said that it leaves comes back by a new start alone.
         server.leaving = server.leaving or facts.leaving
         if server.suspect and (facts.first, facts.last) != (server.facts.first, server.facts.last):
             # It writes its row itself, so it lives and holds what that says.
             self.trust(server, "its row has changed")
         server.facts = facts
 
+    def _add(self, facts: ServerFacts) -> None:
+        self.servers[facts.id] = Server(facts)
+        self.grown_at = now()
+        if facts.incarnation == UNKNOWN_INCARNATION:
+            return
+        self.starts.pop(facts.id, None)
+        self.starts[facts.id] = facts.incarnation
+        if len(self.starts) > MAX_KNOWN_STARTS:
+            gone = (backend for backend in self.starts if backend not in self.servers)
+            self.starts.pop(next(gone, facts.id))
+
+    def _restart(self, before: Server, facts: ServerFacts, source: str) -> None:
+        """Put a server that started again in the place of its earlier start, which is dead."""
+        # Requests there are moved or sent anew at once, and it counts no longer towards their bound.
+        before.suspect, before.suspect_since = True, float("-inf")
+        self._add(facts)
+        self.changed += 1
+        event(
+            "INFO",
+            "server started again",
+            peer=facts.id,
+            before=before.facts.incarnation,
+            start=facts.incarnation,
+            source=source,
+        )
+        for forget in self.on_restart:
+            forget(facts.id)
+
+    def _exclude(self, backend: BackendId, reason: str) -> None:
+        """Use a server for nothing new until its own entry is back."""
+        server = self.servers.get(backend)
+        if server is not None and server.excluded is None:
+            server.excluded, server.excluded_at = reason, now()
+            self.changed += 1
+            event("WARNING", "server excluded", peer=backend, reason=reason)
+
     def _unlist(self, backend: BackendId, outage: bool) -> None:
         server = self.servers.get(backend)
         if server is None:
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -53,6 +53,8 @@
 DOCUMENT_PAUSE = 0.2
 """Seconds after a change of the document before the next call: changes come in storms, each call
 is paid for, and a tenth of the time in which a change must be in force is spent at most."""
+STRANGE_LINES_PER_SECOND = 5.0
+"""Log lines a second on entries that no server wrote; anybody may write any number of them."""
 TIDY_SECONDS = 1.0
 """Seconds between looks at the own settings file and at connections that rested too long."""
 DRAIN_POLL = 0.05
@@ -83,7 +85,9 @@
         answer_seconds = answer_within(self.shortest_bound)
         self.store = platform.Store(parse_address(config.store), answer_seconds)
         self.fleet = Fleet()
+        self.tell_strange = logs.limited(STRANGE_LINES_PER_SECOND)
         self.links = Links()
+        self.fleet.on_restart.append(self.links.drop)
         self.control = platform.Engines(self.links)
         self.diagnosis = Diagnosis(self.fleet, self.control, self.rng)
         self.diagnosis.rests = self.links.rests
@@ -310,6 +314,7 @@
     def _take_servers(self, changes: Changes, whole: bool) -> None:
         listed: list[ServerFacts] = []
         gone: list[BackendId] = []
+        strange: dict[BackendId, str] = {}
         for key, value in changes.rows.items():
             if value is None:
                 gone.append(BackendId(key))
@@ -317,12 +322,16 @@
             try:
                 listed.append(platform.decode_server(key, value))
             except InvalidSettings as error:
-                event("ERROR", "server row ignored", peer=key, error=repr(error))
+                strange[BackendId(key)] = error.message
+                self.metrics.count("strange_server_rows")
+                self.tell_strange(
+                    "WARNING", "entry is not the server's own", peer=key, reason=error.message
+                )
         outage = self._grace_left() > 0
         if whole:
-            self.fleet.replace(listed, outage)
+            self.fleet.replace(listed, outage, strange)
         else:
-            self.fleet.take(listed, gone, outage)
+            self.fleet.take(listed, gone, outage, strange)
         if self.fleet.lapsed:
             eventlet.spawn_after(max(0.0, self._grace_left()), self._drop_lapsed)
 
--- a/bayglade/ids.py
+++ b/bayglade/ids.py
@@ -1,6 +1,6 @@
 """Types of the identifiers used across the package."""
 
-from typing import NewType
+from typing import NamedTuple, NewType
 
 RequestId = NewType("RequestId", str)
 AttemptNumber = NewType("AttemptNumber", int)
@@ -9,6 +9,9 @@
 
 AccountName = NewType("AccountName", str)
 BackendId = NewType("BackendId", str)
+Incarnation = NewType("Incarnation", int)
+"""Which start of a backend server, as servers may start again under their id: the Unix millisecond
+of that start."""
 ModelName = NewType("ModelName", str)
 Version = NewType("Version", str)
 HallName = NewType("HallName", str)
@@ -19,3 +22,13 @@
 Revision = NewType("Revision", int)
 ChangeId = NewType("ChangeId", str)
 Digest = NewType("Digest", str)
+
+UNKNOWN_INCARNATION = Incarnation(0)
+"""That of a server which does not say when it started."""
+
+
+class ServerKey(NamedTuple):
+    """Names one start of a backend server."""
+
+    backend: BackendId
+    incarnation: Incarnation
--- a/bayglade/leases.py
+++ b/bayglade/leases.py
@@ -14,6 +14,7 @@
 from bayglade.clock import now
 from bayglade.exceptions import PlatformAnswerLost
 from bayglade.ids import MemberId
+from bayglade.logs import event
 from bayglade.rows import ABSENT, Condition, RowStore, Transaction, Write, raw
 
 DURATION = 6.0
@@ -81,15 +82,23 @@
         if self.seconds_left() > max(self.duration - RENEW_AFTER, self.duration / 2):
             return True
         row = self.platform.read([self.key]).get(self.key)
-        found = msgspec.json.decode(row.value, type=LeaseRow) if row is not None else None
+        found = self._decoded(row.value) if row is not None else None
         version = row.version if row is not None else ABSENT
         if found is not None and found.holder == self.me and found.epoch == self.epoch and self.epoch:
             return self._write(version, LeaseRow(self.me, self.epoch))
-        if found is None or found.released or self._unchanged(version):
-            epoch = found.epoch + 1 if found is not None else 1
-            return self._write(version, LeaseRow(self.me, epoch))
+        if row is None or (found is not None and found.released) or self._unchanged(version):
+            before = found.epoch if found is not None else self.epoch
+            return self._write(version, LeaseRow(self.me, before + 1))
         return False
 
+    def _decoded(self, value: msgspec.Raw) -> LeaseRow | None:
+        """Read the row; one that another writer left is a lease of nobody known, to be waited out."""
+        try:
+            return msgspec.json.decode(value, type=LeaseRow)
+        except (msgspec.DecodeError, RecursionError) as error:
+            event("WARNING", "lease makes no sense", key=self.key, error=str(error))
+            return None
+
     def release(self) -> None:
         """Give the lease back, so that the next daemon need not wait for its end.
 
--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -87,6 +87,7 @@
         """Returns how many daemons look for what is missing."""
 
         self.given: dict[BackendId, Given] = {}
+        fleet.on_restart.append(self._forget)
         self.missing_since: dict[str, float] = {}
         self.wanting_since: float | None = None
         """Since when there has been something to order."""
@@ -97,6 +98,9 @@
     def __repr__(self) -> str:
         return f"<Loader {self.lease!r} {len(self.given)} orders>"
 
+    def _forget(self, backend: BackendId) -> None:
+        self.given.pop(backend, None)
+
     def run(self) -> None:
         """Look for missing layers now and then, for ever."""
         pause = LOOK_SECONDS
@@ -156,13 +160,18 @@
         :return: spans by server, without those under way.
         """
         at = now()
-        servers = [s.facts for s in self.fleet.of(service) if not s.leaving and not s.suspect]
-        expected = [self._as_ordered(facts, at) for facts in servers]
+        servers = [s for s in self.fleet.of(service) if s.placed(at) and s.facts.last <= pipeline.layers]
+        excluded = {s.facts.id for s in servers if s.excluded is not None}
+        expected = [self._as_ordered(s.facts, at) for s in servers]
         wanted: Spans = {}
         for group in groups(expected, pipeline):
             wanted.update(self._wanted_of(group, pipeline, at))
         held = {facts.id: Span(facts.first, facts.last) for facts in expected}
-        return {backend: span for backend, span in wanted.items() if held[backend] != span}
+        return {
+            backend: span
+            for backend, span in wanted.items()
+            if held[backend] != span and backend not in excluded
+        }
 
     def _wanted_of(self, group: list[ServerFacts], pipeline: Pipeline, at: float) -> Spans:
         empty = [facts for facts in group if not facts.held]
@@ -225,7 +234,12 @@
             return
         address = server.facts.address
         report = self.control.report(backend, address, REPORT_SECONDS)
-        if report is None or report.loading:
+        if report is None:
+            return
+        if not self.fleet.reported(server, report.incarnation, report.first, report.last):
+            event("INFO", "order withheld", peer=backend, start=report.incarnation)
+            return
+        if report.loading:
             return
         if (report.first, report.last) != (server.facts.first, server.facts.last):
             # Its row is late: what was wanted came from an old view.
--- a/bayglade/logs.py
+++ b/bayglade/logs.py
@@ -7,6 +7,7 @@
 
 import os
 import sys
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -104,3 +105,28 @@
     """
     text = " ".join(f"{name}={value}" for name, value in fields.items())
     logger.bind(fields=text, **fields).log(level, message)
+
+
+def limited(per_second: float) -> Callable[..., None]:
+    """Return a form of :func:`event` for what others can cause at will, which logs a few lines only.
+
+    A flood of one event would use up the lines of all: of 3,000 entries of another writer, those that
+    tell of a leaving server were dropped.
+
+    :param per_second: lines a second, and at once after a pause.
+    :return: takes what :func:`event` takes; a line tells how many were left out before it.
+    """
+    allowance, at, left_out = per_second, now(), 0
+
+    def limited_event(level: str, message: str, **fields: object) -> None:
+        nonlocal allowance, at, left_out
+        allowance = min(per_second, allowance + (now() - at) * per_second)
+        at = now()
+        if allowance < 1:
+            left_out += 1
+            return
+        allowance -= 1
+        event(level, message, **fields, left_out=left_out)
+        left_out = 0
+
+    return limited_event
--- a/bayglade/pathfinding.py
+++ b/bayglade/pathfinding.py
@@ -198,8 +198,7 @@
     Servers are taken in the order of their last layers, so that no way comes
     back to a server that it has left.
     """
-    known = search.pipeline.accelerators
-    fitting = [s for s in servers if s.facts.held > 0 and s.facts.accelerator in known]
+    fitting = [s for s in servers if s.facts.held > 0 and s.facts.fits(search.pipeline)]
     fitting.sort(key=lambda s: (s.facts.last, s.facts.first, s.facts.id))
     hall = start.server.facts.hall if start.server is not None else None
     ways: Ways = {start.last: {hall: start}}
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -11,7 +11,7 @@
 from bayglade.clock import now
 from bayglade.entries.wire import ServerLoad
 from bayglade.fleet import SLOW_PACE, Fleet, Server
-from bayglade.ids import BackendId, HallName, ServiceName
+from bayglade.ids import BackendId, HallName, ServerKey, ServiceName
 from bayglade.mechanisms import Mechanism, Without
 from bayglade.pathfinding import Path, Search, by_hall, find_detour, find_path
 from bayglade.pipelines import Demand, Pipeline
@@ -49,7 +49,7 @@
         self.hall = hall
         self.without = without
         self.pipes = Pipes()
-        self.elsewhere: Callable[[], dict[BackendId, ServerLoad]] = dict
+        self.elsewhere: Callable[[], dict[ServerKey, ServerLoad]] = dict
         """Returns what other daemons have under way on servers."""
 
     def __repr__(self) -> str:
@@ -79,7 +79,7 @@
             for s in self.fleet.usable(service)
             if s.facts.id not in without
             and s.short_until <= at
-            and _may_begin(s, loads.get(s.facts.id, NO_LOAD), heads)
+            and _may_begin(s, loads.get(s.facts.key, NO_LOAD), heads)
         ]
         search = self._search(pipeline, demand, loads)
         halls = by_hall(usable)
@@ -151,7 +151,7 @@
         here = find_detour(path, [s for s in usable if s.facts.hall in halls], search)
         return here or (self._crossing(usable, search, path) if across else None)
 
-    def _search(self, pipeline: Pipeline, demand: Demand, loads: dict[BackendId, ServerLoad]) -> Search:
+    def _search(self, pipeline: Pipeline, demand: Demand, loads: dict[ServerKey, ServerLoad]) -> Search:
         """Return a search that goes by what is under way here and at other daemons."""
         return Search(
             pipeline,
@@ -197,9 +197,9 @@
     return near if near.cost <= ABROAD_FACTOR * far.cost else far
 
 
-def _taken(loads: dict[BackendId, ServerLoad]) -> Callable[[Server], float]:
+def _taken(loads: dict[ServerKey, ServerLoad]) -> Callable[[Server], float]:
     def taken(server: Server) -> float:
-        load = loads.get(server.facts.id)
+        load = loads.get(server.facts.key)
         return server.cached + (load.cached if load is not None else 0.0)
 
     return taken
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -210,7 +210,7 @@
             self.peers.metrics,
             list,
             list,
-            lambda member, beat: self.totals.hear(member, beat),
+            self._heard_beat,
             self.rng,
         )
         membership.on_due = lambda: self.totals.add_up(self._loads())
@@ -273,6 +273,10 @@
         wanted |= self.fanout.waiting.keys() & addresses.keys()
         self.membership.sync(addresses, wanted)
 
+    def _heard_beat(self, member: MemberId, beat: wire.Heartbeat) -> None:
+        self.totals.hear(member, beat)
+        self.spreading.heard_of(load.key for load in beat.loads)
+
     def _heard_poll(self, member: MemberId, poll: wire.Poll) -> None:
         if member not in self.roster.members:
             # It started just now. Its hall matters for sums only, and comes with its row.
@@ -293,7 +297,7 @@
     def _loads(self) -> list[ServerLoad]:
         servers = self.peers.fleet.servers.values()
         return [
-            ServerLoad(s.facts.id, s.in_flight, int(s.cached))
+            ServerLoad(s.facts.id, s.in_flight, int(s.cached), s.facts.incarnation)
             for s in servers
             if s.facts.held and (s.in_flight or s.cached >= 1)
         ]
--- a/bayglade/platform/__init__.py
+++ b/bayglade/platform/__init__.py
@@ -10,7 +10,7 @@
     decode_document,
     decode_server,
 )
-from bayglade.platform.engines import Engines
+from bayglade.platform.engines import Engines, decode_report
 from bayglade.platform.store import MEMBERS_TABLE, Store
 
 __all__ = [
@@ -24,6 +24,7 @@
     "Store",
     "create_dialect",
     "decode_document",
+    "decode_report",
     "decode_server",
     "settings_path",
 ]
--- a/bayglade/platform/documents.py
+++ b/bayglade/platform/documents.py
@@ -1,14 +1,25 @@
 """The operator's document and the rows of servers, decoded into bayglade's own types."""
 
 from hashlib import sha256
-from typing import Literal
+from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
+from bayglade.config import parse_address
 from bayglade.endpoints import Endpoint, Target
 from bayglade.exceptions import InvalidSettings
 from bayglade.fleet import ServerFacts
-from bayglade.ids import AccountName, BackendId, GroupPath, HallName, ModelName, ServiceName
+from bayglade.ids import (
+    UNKNOWN_INCARNATION,
+    AccountName,
+    BackendId,
+    GroupPath,
+    HallName,
+    Incarnation,
+    ModelName,
+    ServiceName,
+)
 from bayglade.pipelines import Accelerator, Pipeline
 from bayglade.settings import Account, CallerLimits, Level, Service, Tree
 
@@ -16,6 +27,11 @@
 DOCUMENT_KEY = "config"
 SERVERS_TABLE = "servers"
 
+Count = Annotated[int, msgspec.Meta(ge=0)]
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+UnixMilliseconds = Annotated[int, msgspec.Meta(gt=0, le=2**53)]
+DecodedT = TypeVar("DecodedT")
+
 
 class SplitEntry(msgspec.Struct):
     """Part of a route's requests."""
@@ -69,7 +85,7 @@
 class EngineEntry(msgspec.Struct):
     """Facts of the servers of a model."""
 
-    models: list[ModelEntry]
+    models: Annotated[list[ModelEntry], msgspec.Meta(min_length=1)]
     kv_capacity: int = msgspec.field(name="kvCapacity", default=0)
     kv_token_bytes: float = msgspec.field(name="kvTokenBytes", default=0.0)
     step_ms: float = 0.0
@@ -125,19 +141,31 @@
 class Layers(msgspec.Struct):
     """Layers that a server holds; the second bound is not a version, whatever its name."""
 
-    first: int = msgspec.field(name="from", default=0)
-    last: int = msgspec.field(name="targetVersion", default=0)
+    first: Count = msgspec.field(name="from")
+    last: Count = msgspec.field(name="targetVersion")
     version: int = 0
 
+    def __post_init__(self) -> None:
+        if self.last < self.first:
+            raise ValueError("layers end before they begin")
 
-class ServerRow(msgspec.Struct):
-    """A server's own row."""
 
-    service: str
+NO_LAYERS = Layers(0, 0)
+
+
+class ServerRow(msgspec.Struct, rename="camel"):
+    """A server's own row. Fields that are not used are checked too: where one is missing or of another
+    type, another writer left the row."""
+
+    service: Name
     addr: str
-    zone: str
-    slots: int = 1
-    state: str = "ready"
+    zone: Name
+    version: str  # of its software
+    slots: Annotated[int, msgspec.Meta(gt=0)]
+    state: Literal["ready", "draining"]
+    cold_left_ms: float
+    seq: Count  # writes of the row, not orders as in a report
+    born: UnixMilliseconds | msgspec.UnsetType = msgspec.UNSET
     kind: str | None = None
     layers: Layers | None = None
 
@@ -149,10 +177,7 @@
     :return: its version and the settings it stands for.
     :raises InvalidSettings: when it makes no sense.
     """
-    try:
-        document = msgspec.json.decode(value, type=Document)
-    except msgspec.DecodeError as error:
-        raise InvalidSettings(f"the operator's document: {error}", step="settings") from error
+    document = decode_strictly(value, Document, "the operator's document", "settings")
     tree = Tree(
         services={ServiceName(s.name): _service(s) for s in document.services},
         endpoints=[_endpoint(route) for route in document.routes],
@@ -170,13 +195,11 @@
     :param key: the row's key, which is the server's id.
     :param value: the row's value.
     :return: facts of the server.
-    :raises InvalidSettings: when it makes no sense.
+    :raises InvalidSettings: when no server wrote it so.
     """
-    try:
-        row = msgspec.json.decode(value, type=ServerRow)
-    except msgspec.DecodeError as error:
-        raise InvalidSettings(f"row of server {key}: {error}", step="fleet") from error
-    layers = row.layers or Layers()
+    row = decode_strictly(value, ServerRow, f"row of server {key}", "fleet")
+    _check_address(row.addr)
+    layers = row.layers or NO_LAYERS
     return ServerFacts(
         id=BackendId(key),
         service=ServiceName(row.service),
@@ -188,9 +211,44 @@
         first=layers.first,
         last=layers.last,
         weights=layers.version,
+        incarnation=incarnation_of(row.born),
     )
 
 
+def decode_strictly(value: bytes | msgspec.Raw, kind: type[DecodedT], what: str, step: str) -> DecodedT:
+    """Decode JSON that anybody may have written.
+
+    :param value: the bytes.
+    :param kind: the type that it has to have.
+    :param what: what it is, for the error.
+    :param step: what it is read for.
+    :raises InvalidSettings: when it cannot be read or is of another shape.
+    """
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise InvalidSettings(f"{what}: {error}", step=step) from error
+
+
+def _check_address(text: str) -> None:
+    """Check that an address can be dialled: an IP number and a port.
+
+    :raises InvalidSettings: when it cannot.
+    """
+    where = parse_address(text)
+    try:
+        IPv4Address(where.host)
+    except AddressValueError as error:
+        raise InvalidSettings(f"{text!r} is no IP number and port", step="fleet") from error
+    if where.port == 0:
+        raise InvalidSettings(f"{text!r} has no port", step="fleet")
+
+
+def incarnation_of(born: int | msgspec.UnsetType) -> Incarnation:
+    """Return which start of a server speaks, by the time of that start; unknown where it is not told."""
+    return UNKNOWN_INCARNATION if isinstance(born, msgspec.UnsetType) else Incarnation(born)
+
+
 def _endpoint(route: RouteEntry) -> Endpoint:
     targets = [Target(ServiceName(part.service), part.weight) for part in route.split]
     if route.service is not None:
--- a/bayglade/platform/engines.py
+++ b/bayglade/platform/engines.py
@@ -6,13 +6,19 @@
 
 from bayglade.clock import now
 from bayglade.control import OrderOutcome, RerouteOutcome, StageReport
-from bayglade.exceptions import BackendError
+from bayglade.exceptions import BackendError, InvalidSettings
 from bayglade.heads import write_head
 from bayglade.ids import BackendId, RequestId
 from bayglade.logs import event
 from bayglade.models import Route
 from bayglade.platform.calls import write_route
-from bayglade.platform.documents import Layers
+from bayglade.platform.documents import (
+    NO_LAYERS,
+    Layers,
+    UnixMilliseconds,
+    decode_strictly,
+    incarnation_of,
+)
 from bayglade.upstream import Links, open_exchange
 
 REPORT_PATH = "/api/report"
@@ -41,6 +47,7 @@
     kv_total: float = msgspec.field(name="kvTotal", default=0.0)
     pace: float = 1.0  # over 1: slow
     stalled: list[StalledEntry] = []
+    born: UnixMilliseconds | msgspec.UnsetType = msgspec.UNSET
 
 
 class PlaceOrder(msgspec.Struct):
@@ -67,6 +74,32 @@
     addr: str | None = None
 
 
+def decode_report(body: bytes) -> StageReport | None:
+    """Read a replica's report.
+
+    :param body: the answer's body.
+    :return: the report; nothing when it makes no sense.
+    """
+    try:
+        report = decode_strictly(body, Report, "a report", "report")
+    except InvalidSettings:
+        return None
+    layers = report.layers or NO_LAYERS
+    return StageReport(
+        orders_taken=report.seq,
+        loading=report.busy,
+        first=layers.first,
+        last=layers.last,
+        running=report.running,
+        queued=report.queued,
+        used=report.kv_used,
+        total=report.kv_total,
+        pace=report.pace,
+        stalled={RequestId(entry.id): entry.addr for entry in report.stalled},
+        incarnation=incarnation_of(report.born),
+    )
+
+
 class Engines:
     """The replicas as reached over the daemon's connections."""
 
@@ -81,24 +114,10 @@
         status, body = self._ask(backend, address, "GET", REPORT_PATH, b"", timeout)
         if status != 200:
             return None
-        try:
-            report = msgspec.json.decode(body, type=Report)
-        except msgspec.DecodeError as error:
-            event("WARNING", "report makes no sense", peer=backend, error=str(error))
-            return None
-        layers = report.layers or Layers()
-        return StageReport(
-            orders_taken=report.seq,
-            loading=report.busy,
-            first=layers.first,
-            last=layers.last,
-            running=report.running,
-            queued=report.queued,
-            used=report.kv_used,
-            total=report.kv_total,
-            pace=report.pace,
-            stalled={RequestId(entry.id): entry.addr for entry in report.stalled},
-        )
+        report = decode_report(body)
+        if report is None:
+            event("WARNING", "report makes no sense", peer=backend, body=body[:200])
+        return report
 
     def place(self, backend: BackendId, address: str, first: int, last: int, after: int) -> OrderOutcome:
         """Order a range of layers; see :class:`bayglade.control.Control`."""
--- a/bayglade/platform/store.py
+++ b/bayglade/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store: rows, transactions and feeds over HTTP."""
 
 import base64
+import binascii
 import math
 
 import msgspec
@@ -111,7 +112,7 @@
             page = self._page(f"/api/rows-get?table={_table(key)}&part=&from={key}&limit=1")
             for row in page.rows:
                 if row.key == key:
-                    found[key] = Row(row.ver, msgspec.Raw(base64.b64decode(row.value)))
+                    found[key] = Row(row.ver, _decoded(row.value))
         return found
 
     def transact(self, transaction: Transaction) -> TransactionResult:
@@ -178,4 +179,12 @@
 
 
 def _value(row: StoredRow) -> msgspec.Raw | None:
-    return None if row.gone else msgspec.Raw(base64.b64decode(row.value))
+    return None if row.gone else _decoded(row.value)
+
+
+def _decoded(text: str) -> msgspec.Raw:
+    """Decode a row's value; one that cannot be read comes out empty, which is no JSON either."""
+    try:
+        return msgspec.Raw(base64.b64decode(text, validate=True))
+    except (binascii.Error, ValueError):
+        return msgspec.Raw(b"")
--- a/bayglade/roster.py
+++ b/bayglade/roster.py
@@ -12,7 +12,8 @@
 import eventlet
 import msgspec
 
-from bayglade.exceptions import PlatformUnavailable
+from bayglade.config import parse_address
+from bayglade.exceptions import InvalidSettings, PlatformUnavailable
 from bayglade.ids import HallName, MemberId
 from bayglade.logs import event
 from bayglade.rows import ABSENT, Condition, RowStore, Table, Transaction, Write, raw
@@ -23,6 +24,8 @@
 SECRET_BYTES = 32
 RETRY_SECONDS = 1.0
 """Pause after a call that failed: nothing waits for it but sharing."""
+SECRET_TRIES = 3
+"""Readings after which a secret that makes no sense is written anew: whoever wrote it may mend it."""
 
 
 class MemberRow(msgspec.Struct, frozen=True):
@@ -45,6 +48,9 @@
     marked: frozenset[MemberId] = frozenset()
     """Daemons whose rows say that they are gone."""
 
+    strange: frozenset[str] = frozenset()
+    """Keys of rows that make no sense: another writer left them."""
+
 
 def join(store: Table, table: str, member: MemberId, row: MemberRow) -> Roster:
     """Read the roster and write what is missing of it; tries until both are done.
@@ -55,9 +61,14 @@
     :param row: where it takes streams of other daemons, and its data hall.
     :return: the roster, with this daemon and the secret.
     """
+    tries = 0
     while True:
         try:
             known = read_roster(store.snapshot(table).rows, Roster())
+            tries += 1
+            if SECRET_KEY in known.strange and tries < SECRET_TRIES:
+                eventlet.sleep(RETRY_SECONDS)
+                continue
             if (joined := _write_missing(store, member, row, known)) is not None:
                 return joined
         except PlatformUnavailable as error:
@@ -78,8 +89,8 @@
     found = store.read([key]).get(key)
     if found is None:
         return
-    row = msgspec.json.decode(found.value, type=MemberRow)
-    if row.gone:
+    row = read_roster({key: found.value}, Roster()).members.get(member)
+    if row is None:
         return
     gone = Write(key, raw(msgspec.structs.replace(row, gone=True)))
     committed = store.transact(Transaction([Condition(key, found.version)], [gone])).committed
@@ -94,20 +105,25 @@
     conditions, writes, secret = [], [], known.secret
     if known.members.get(member) != row:
         key = MEMBER_PREFIX + member
-        written = member in known.members or member in known.marked
-        found = store.read([key]).get(key) if written else None
-        conditions.append(Condition(key, found.version if found is not None else ABSENT))
+        written = member in known.members or member in known.marked or key in known.strange
+        conditions.append(Condition(key, _version(store, key) if written else ABSENT))
         writes.append(Write(key, raw(row)))
     if secret is None:
         text = secrets.token_hex(SECRET_BYTES)
         secret = text.encode()
-        conditions.append(Condition(SECRET_KEY, ABSENT))
+        written = SECRET_KEY in known.strange
+        conditions.append(Condition(SECRET_KEY, _version(store, SECRET_KEY) if written else ABSENT))
         writes.append(Write(SECRET_KEY, raw(text)))
     if writes and not store.transact(Transaction(conditions, writes)).committed:
         return None
     return Roster({**known.members, member: row}, secret)
 
 
+def _version(store: RowStore, key: str) -> int:
+    found = store.read([key]).get(key)
+    return found.version if found is not None else ABSENT
+
+
 def read_roster(rows: Mapping[str, msgspec.Raw | None], before: Roster) -> Roster:
     """Take rows of the table in.
 
@@ -115,8 +131,10 @@
     :param before: the roster before.
     """
     members, secret, marked = dict(before.members), before.secret, set(before.marked)
+    strange = set(before.strange)
     for key, value in rows.items():
         member = MemberId(key.removeprefix(MEMBER_PREFIX))
+        strange.discard(key)
         try:
             if key == SECRET_KEY:
                 secret = secret if value is None else msgspec.json.decode(value, type=str).encode()
@@ -127,7 +145,9 @@
             if row is not None and row.gone:
                 marked.add(member)
             elif row is not None:
+                parse_address(row.address)
                 members[member] = row
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError, InvalidSettings) as error:
+            strange.add(key)
             event("ERROR", "member row ignored", peer=key, error=str(error))
-    return Roster(members, secret, frozenset(marked))
+    return Roster(members, secret, frozenset(marked), frozenset(strange))
--- a/bayglade/spreading.py
+++ b/bayglade/spreading.py
@@ -11,7 +11,7 @@
 from bayglade.diagnosis import Diagnosis
 from bayglade.entries.wire import Finding, Findings
 from bayglade.fleet import Fleet, Server
-from bayglade.ids import BackendId, MemberId
+from bayglade.ids import BackendId, MemberId, ServerKey
 from bayglade.reports import LOOKERS, Reports
 
 Tell = Callable[[Findings, MemberId | None], None]
@@ -51,6 +51,7 @@
         self.back = Reports()
         diagnosis.on_dead = self._found_dead
         diagnosis.on_back = self._found_back
+        fleet.on_restart += [self.dead.forget, self.back.forget]
 
     def __repr__(self) -> str:
         return f"<Spreading {self.dead!r} {self.back!r}>"
@@ -61,22 +62,39 @@
         :param member: the daemon.
         :param found: the findings.
         """
-        dead, back = self.dead.add(found.dead), self.back.add(found.back)
+        self.heard_of(finding.key for finding in (*found.dead, *found.back))
+        dead = self.dead.add(finding for finding in found.dead if self._present(finding))
+        back = self.back.add(finding for finding in found.back if self._present(finding))
         if self.passes_on() and (dead or back):
             self.tell(Findings(dead, back), member)
         self._take_dead(finding.backend for finding in dead)
         self._take_back(finding.backend for finding in back)
 
+    def heard_of(self, starts: Iterable[ServerKey]) -> None:
+        """Ask servers that others know to have started later than is known here.
+
+        :param starts: the starts that another daemon tells of.
+        """
+        later = [server for key in starts if (server := self.fleet.superseded(key)) is not None]
+        if later:
+            eventlet.spawn_n(self.diagnosis.examine, later)
+
+    def _present(self, finding: Finding) -> bool:
+        return self.fleet.current(finding.key) is not None
+
     def _found_dead(self, server: Server) -> None:
         self.back.forget(server.facts.id)
-        if new := self.dead.add([Finding(server.facts.id, self.me)]):
+        if new := self.dead.add([self._finding(server)]):
             self.tell(Findings(dead=new), None)
 
     def _found_back(self, server: Server) -> None:
         self.dead.forget(server.facts.id)
-        if new := self.back.add([Finding(server.facts.id, self.me)]):
+        if new := self.back.add([self._finding(server)]):
             self.tell(Findings(back=new), None)
 
+    def _finding(self, server: Server) -> Finding:
+        return Finding(server.facts.id, self.me, server.facts.incarnation)
+
     def _take_dead(self, backends: Iterable[BackendId]) -> None:
         """Believe what enough daemons found, else look with some likelihood."""
         known = self.fleet.servers
--- a/bayglade/totals.py
+++ b/bayglade/totals.py
@@ -12,12 +12,13 @@
 
 from bayglade.clock import now
 from bayglade.entries.wire import Heartbeat, ServerLoad
-from bayglade.ids import BackendId, HallName, MemberId
+from bayglade.ids import HallName, MemberId, ServerKey
 
 FRESH_SECONDS = 3.5
 """How long what a daemon told sums: as long as it is taken to live."""
 
-Loads = dict[BackendId, ServerLoad]
+Loads = dict[ServerKey, ServerLoad]
+"""Sums by server; those of an earlier start of a server stand apart from those of the next."""
 
 
 class Sums(msgspec.Struct, frozen=True):
@@ -160,21 +161,25 @@
 
 def _add(sums: Loads, loads: Iterable[ServerLoad]) -> Loads:
     for load in loads:
-        known = sums.get(load.backend)
+        known = sums.get(load.key)
         if known is not None:
-            load = ServerLoad(load.backend, known.heads + load.heads, known.cached + load.cached)
-        sums[load.backend] = load
+            load = _with_counts(load, known.heads + load.heads, known.cached + load.cached)
+        sums[load.key] = load
     return sums
 
 
+def _with_counts(load: ServerLoad, heads: int, cached: int) -> ServerLoad:
+    return ServerLoad(load.backend, heads, cached, load.incarnation)
+
+
 def _without(sums: Loads, own: Loads) -> Loads:
     """Take the own part out of sums, which may be older than it."""
     left: Loads = {}
-    for backend, total in sums.items():
-        mine = own.get(backend)
+    for key, total in sums.items():
+        mine = own.get(key)
         if mine is None:
-            left[backend] = total
+            left[key] = total
             continue
         heads, cached = max(0, total.heads - mine.heads), max(0, total.cached - mine.cached)
-        left[backend] = ServerLoad(backend, heads, cached)
+        left[key] = _with_counts(total, heads, cached)
     return left
--- a/tests/test_restarting_servers.py
+++ b/tests/test_restarting_servers.py
@@ -4,9 +4,10 @@
 import time
 from collections.abc import Iterator
 
+import msgspec
 import pytest
 
-from standins.users import EVENTS, MODEL, PLAIN, Daemon, Replica, UsersSite
+from standins.users import EVENTS, MODEL, PLAIN, Daemon, Replica, UsersSite, exchange
 from standins.world import wait_for
 from tests.gateway_callers import Answer, ask
 
@@ -29,6 +30,12 @@
     return daemon
 
 
+def knows_what_stages_hold(daemon: Daemon) -> bool:
+    answer = exchange(daemon.metrics, b"GET /beliefs HTTP/1.1\r\nHost: x\r\n\r\n")
+    servers = msgspec.json.decode(answer.partition(b"\r\n\r\n")[2])["servers"]
+    return all(server["last"] > 0 for server in servers if server["service"] == MODEL)
+
+
 def used_again(daemon: Daemon, replica: Replica, path: str = "/safe/x") -> bool:
     before = sum(replica.ran.values())
     ask(daemon.callers, path)
@@ -76,6 +83,7 @@
 
 def test_a_stage_that_starts_again_while_the_store_is_away_is_not_sent_to(site: UsersSite) -> None:
     daemon = started(site)
+    wait_for("it knows what all stages hold", lambda: knows_what_stages_hold(daemon))
     site.store.faults.set("busy")
     stage = max(site.of(MODEL), key=lambda r: sum(r.ran.values()))
     stage.restart()
