Take an update that tells that its sender is gone

Ruled out: an answer to another question (its number is compared before). Change: a question that is already forgotten is passed over. Before: the new test fails with the same KeyError. After: it passes.

--- a/bayglade/fanout.py
+++ b/bayglade/fanout.py
@@ -194,8 +194,9 @@
                 recovered = 0.0 if table.recovered_age is None else answered - table.recovered_age
                 feed.hear(changes, table.after, answered - table.age, recovered)
         if member not in self.asks or now() - asked.at < LEAST_ASK_SECONDS:
-            # The next watch asks, if it is still one of those to be asked.
-            del self.asked[member]
+            # The next watch asks, if it is still one of those to be asked. The update may just have
+            # told that this daemon is gone.
+            self.asked.pop(member, None)
         else:
             self._ask(member)
         self.tell()
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -361,3 +361,14 @@
     assert daemon.feed._rest_left() == pytest.approx(feeds.START_REST)
     daemon.fanout.assign(())
     assert daemon.feed._rest_left() <= 0
+
+
+def test_an_update_that_takes_its_sender_out_of_the_roster_is_taken(
+    hall: tuple[Table, Daemon, Daemon],
+) -> None:
+    # 31.1447 fanout.py heard_updates: del self.asked[member]: KeyError: 'front-hall-c-20', in three
+    # daemons at once; the task that reads the stream of that daemon ended with it.
+    table, reader, follower = hall
+    follower.feed.apply = lambda changes, whole: follower.fanout.forget(())
+    exchange(reader, follower)
+    assert follower.feed.version == table.version
