Reckon with reading anew when requests leave a lost stage

Ruled out: late finding alone (streams moved 0.16 to 0.22 s after the crash). Change: a detour counts the time in which a stage that does not stay as it is reads the tokens of all requests that leave the lost one; stages may meet where they met before.

--- a/bayglade/pathfinding.py
+++ b/bayglade/pathfinding.py
@@ -25,6 +25,9 @@
 Taken = Callable[[Server], float]
 """Returns what all daemons have in the KV cache of a server: tokens times layers."""
 CostOf = Callable[[Server], float]
+ReadingCost = Callable[[Server, int, int], float]
+"""Returns what it costs a token more that a server has to read all tokens so far through the layers from
+one to another."""
 CrossingCost = Callable[[HallName, HallName], float]
 """Returns the milliseconds that a hop to another hall adds to each token."""
 
@@ -77,9 +80,20 @@
     :param crowding: whether a stage costs more the fuller its cache is.
     :param begin_ms: returns what a server costs a token more as the first stage.
     :param factor: returns by how much the cost of a server is taken higher than reckoned.
+    :param reading: cost of what is read anew, for a request that runs already.
     """
 
-    __slots__ = ("begin_ms", "crossing", "crowding", "demand", "factor", "limited", "pipeline", "taken")
+    __slots__ = (
+        "begin_ms",
+        "crossing",
+        "crowding",
+        "demand",
+        "factor",
+        "limited",
+        "pipeline",
+        "reading",
+        "taken",
+    )
 
     def __init__(
         self,
@@ -91,6 +105,7 @@
         crowding: bool = True,
         begin_ms: CostOf | None = None,
         factor: CostOf | None = None,
+        reading: ReadingCost | None = None,
     ) -> None:
         self.pipeline = pipeline
         self.demand = demand
@@ -100,6 +115,7 @@
         self.crowding = crowding
         self.begin_ms = begin_ms
         self.factor = factor
+        self.reading = reading
 
     def hop_ms(self, one: HallName | None, other: HallName) -> float:
         """Return the cost of handing a token on; nothing before the first stage."""
@@ -154,7 +170,9 @@
     """
     stage = path.route.stages[0]
     start = _Reach(0.0, path.servers[0], stage.first, stage.last, None, 0.0)
-    return _path(_search(servers, search, start), search)
+    # A stage that stays as it is keeps its memory of the request only with the same layers.
+    bounds = [stage.last for stage in path.route.stages]
+    return _path(_search(servers, search, start, bounds), search)
 
 
 def stage_cost(server: Server, search: Search, layers: int, taken: float) -> tuple[float, float]:
@@ -192,7 +210,9 @@
 """The cheapest ways to each layer, by the hall in which they end."""
 
 
-def _search(servers: Iterable[Server], search: Search, start: _Reach) -> _Reach | None:
+def _search(
+    servers: Iterable[Server], search: Search, start: _Reach, bounds: Iterable[int] = ()
+) -> _Reach | None:
     """Find the cheapest way from a start to the last layer.
 
     Servers are taken in the order of their last layers, so that no way comes
@@ -204,11 +224,12 @@
     ways: Ways = {start.last: {hall: start}}
     # Stages meet where some server's layers begin or end: requests spread over servers
     # that hold the same layers, so none of these has to be divided.
-    bounds = sorted({bound for s in fitting for bound in (s.facts.first, s.facts.last)} | {start.last})
+    ends = {bound for s in fitting for bound in (s.facts.first, s.facts.last)}
+    meeting = sorted(ends.union(bounds, {start.last}))
     for server in fitting:
-        _extend(ways, server, bounds, search)
-    ends = ways.get(search.pipeline.layers, {})
-    return min(ends.values(), key=lambda reach: reach.cost, default=None)
+        _extend(ways, server, meeting, search)
+    found = ways.get(search.pipeline.layers, {})
+    return min(found.values(), key=lambda reach: reach.cost, default=None)
 
 
 def _extend(ways: Ways, server: Server, bounds: Sequence[int], search: Search) -> None:
@@ -233,6 +254,8 @@
                 continue
             more, use = stage_cost(server, search, end - begin, taken)
             more *= factor
+            if search.reading is not None:
+                more += search.reading(server, begin, end)
             if cost + more < float("inf"):
                 found.append(_Reach(cost + more, server, begin, end, before, max(use, before.use)))
     for reach in found:
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -13,7 +13,7 @@
 from bayglade.fleet import SLOW_PACE, Fleet, Server
 from bayglade.ids import BackendId, HallName, ServerKey, ServiceName
 from bayglade.mechanisms import Mechanism, Without
-from bayglade.pathfinding import Path, Search, by_hall, find_detour, find_path
+from bayglade.pathfinding import Path, ReadingCost, Search, by_hall, find_detour, find_path
 from bayglade.pipelines import Demand, Pipeline
 from bayglade.pipes import Pipes
 
@@ -28,6 +28,9 @@
 CHANCE = 0.15
 """Part by which costs vary by chance: what is known of other daemons is seconds old, and without this
 all of them find the same server the best one and fill it at once."""
+PAUSE_TOKENS = 20
+"""Tokens over which a wait is set against the time of a token when stages are chosen: a wait makes an
+answer late, a slower token does not, so fewer than most answers have."""
 NO_LOAD = ServerLoad(BackendId(""), 0, 0)
 
 
@@ -147,6 +150,7 @@
             return None
         usable = [s for s in self.fleet.usable(service) if s.facts.id not in without and s is not head]
         search = self._search(pipeline, path.demand, self.elsewhere())
+        search.reading = _reading(path, search, without)
         halls = {server.facts.hall for server in path.servers}
         here = find_detour(path, [s for s in usable if s.facts.hall in halls], search)
         return here or (self._crossing(usable, search, path) if across else None)
@@ -187,9 +191,34 @@
             search.begin_ms,
             search.factor,
         )
+        wide.reading = search.reading
         return find_path(usable, wide) if path is None else find_detour(path, usable, wide)
 
 
+def _reading(path: Path, search: Search, without: frozenset[BackendId]) -> ReadingCost:
+    """Return the cost of reading a running request's tokens anew, where a stage does not stay as it is.
+
+    All requests on a lost stage move at once, and each server reads those of all that move to it. By the
+    cost of a token alone 39 streams of a hall moved to two quick servers and read 48 layers anew, to
+    replace one stage of five layers: pauses of 0.33 to 0.68 s, half of it for reading.
+    """
+    pipeline = search.pipeline
+    kept = {
+        server.facts.id: (stage.first, stage.last)
+        for server, stage in zip(path.servers, path.route.stages, strict=True)
+    }
+    left = [server for server in path.servers if server.facts.id in without]
+    moving = max([1.0, *(search.taken(s) / (pipeline.usual().cached * max(1, s.facts.held)) for s in left)])
+
+    def reading(server: Server, first: int, last: int) -> float:
+        if kept.get(server.facts.id) == (first, last):
+            return 0.0
+        kind = server.facts.accelerator or ""
+        return moving * pipeline.reading_time(kind, path.demand.cached, last - first) / PAUSE_TOKENS
+
+    return reading
+
+
 def _cheapest(near: Path | None, far: Path | None) -> Path | None:
     """Return the near one of two paths, unless the far one is a good deal cheaper."""
     if near is None or far is None:
--- a/bayglade/pipelines.py
+++ b/bayglade/pipelines.py
@@ -83,6 +83,16 @@
         """Return the time that a usual request's prompt adds to each token step, spread over its answer."""
         return self.read_ms * self.typical_prompt / max(1, self.typical_answer)
 
+    def reading_time(self, accelerator: str, tokens: float, layers: int) -> float:
+        """Return the milliseconds in which a server reads tokens through some of its layers.
+
+        :param accelerator: its kind.
+        :param tokens: how many tokens.
+        :param layers: how many layers.
+        """
+        factor = self.accelerators[accelerator].read_factor
+        return self.read_ms * factor * tokens * layers / self.layers
+
     def cache_size(self, accelerator: str, held: int) -> float:
         """Return how much fits into the KV cache of a server.
 
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -15,7 +15,7 @@
 from bayglade.paths import SPILL_USE, Paths
 from bayglade.pipelines import Demand, Pipeline
 from bayglade.pipes import MOST_PIPE_USE, UNKNOWN_CROSSING_MS, Pipes
-from tests.test_tiling import SERVICE, holding, pipeline, placed, servers
+from tests.test_tiling import SERVICE, holding, pipeline, placed, servers, three_speeds
 
 TWO_HALLS = {"a": {"big": 3, "middle": 3, "small": 5}, "b": {"big": 1, "middle": 5, "small": 8}}
 USUAL = Demand(770.0, 140.0)
@@ -271,3 +271,47 @@
             )
             for layer in range(12)
         )
+
+
+def three_speeds_site() -> Site:
+    site = Site("a")
+    site.model = three_speeds()
+    site.fleet = Fleet()
+    held = placed(servers(a={"quick": 3, "fair": 14, "slow": 16}), site.model)
+    site.fleet.take([server.facts for server in held], [], outage=False)
+    site.paths = Paths(site.fleet, HallName("a"))
+    return site
+
+
+def on_a_slow_way(site: Site, count: int) -> list[Path]:
+    """Have requests run on a way of many stages, while a quicker one with fewer is free again."""
+    quick = frozenset(s.facts.id for s in site.fleet.of(SERVICE) if s.facts.accelerator == "quick")
+    paths = []
+    for _ in range(count):
+        path = site.choose(without=quick)
+        assert path is not None
+        site.paths.take(path, site.model)
+        paths.append(path)
+    return paths
+
+
+def test_requests_leave_a_lost_stage_by_reading_few_layers_anew() -> None:
+    # 39 streams of a hall lost one stage of 5 layers at once, and each read 48 layers anew.
+    site = three_speeds_site()
+    paths = on_a_slow_way(site, 40)
+    lost = paths[0].servers[2]
+    hit = [path for path in paths if lost in path.servers]
+    assert len(hit) > 30
+    for path in hit:
+        moved = site.paths.detour(path, SERVICE, site.model, frozenset({lost.facts.id}))
+        assert moved is not None
+        kept = set(path.route.stages) & set(moved.route.stages)
+        assert sum(stage.last - stage.first for stage in kept) >= 0.8 * site.model.layers
+
+
+def test_one_request_leaves_a_lost_stage_for_a_quicker_way() -> None:
+    site = three_speeds_site()
+    (path,) = on_a_slow_way(site, 1)
+    moved = site.paths.detour(path, SERVICE, site.model, frozenset({path.servers[2].facts.id}))
+    assert moved is not None
+    assert moved.cost < path.cost
--- a/tests/test_tiling.py
+++ b/tests/test_tiling.py
@@ -295,14 +295,12 @@
     # With quick and slow servers in each chain a token took 9 to 19 ms.
     model = three_speeds()
     held = placed(servers(a=kinds), model)
-    costs = []
     for _ in range(USUAL_LOAD):
         path = find_path(held, search(model))
         assert path is not None
         path.take()
-        costs.append(path.cost)
-    assert max(costs) < most_ms
-    assert {s.facts.accelerator for s in path.servers} <= {"quick", "fair"}
+        assert path.cost < most_ms
+        assert {s.facts.accelerator for s in path.servers} <= {"quick", "fair"}
 
 
 def test_a_hall_that_loses_its_quickest_servers_still_holds_the_model() -> None:
