Spread prompts that come all at once over first stages

Ruled out: places (servers were empty but for these). Change: a first stage costs the time in which it reads the prompts that this daemon has sent there and not seen begun, but for one, times the daemons of the hall.

--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -92,6 +92,7 @@
         "suspect",
         "suspect_since",
         "suspect_until",
+        "unread",
     )
 
     def __init__(self, facts: ServerFacts) -> None:
@@ -106,6 +107,9 @@
         """Why its entry names no server to use; nothing while the entry is its own."""
 
         self.excluded_at = 0.0
+        self.unread = 0
+        """Own requests whose first stage it is, and which it has not begun to answer."""
+
         self.failures = 0
         self.suspect = False
         """Set for a stage until it answers again."""
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -223,6 +223,7 @@
         membership.on_lent = self.pools.heard_lent
         membership.fetch_after = FETCH_AFTER_SECONDS
         self.peers.paths.elsewhere = lambda: self.totals.elsewhere(self._loads())
+        self.peers.paths.daemons = lambda: self.totals.neighbours() + 1
         self.peers.diagnosis.daemons = membership.count
         self.peers.paths.pipes.daemons = membership.count
         return membership
--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -49,6 +49,7 @@
         "move_at",
         "path",
         "slow_before",
+        "unread_at",
     )
 
     def __init__(self, path: Path, attempts: Attempts) -> None:
@@ -60,6 +61,9 @@
         self.slow_before = slow_stages(path)
         """Stages that were known to be slow when the path was taken."""
 
+        self.unread_at: Server | None = None
+        """The first stage, until the stream has an event."""
+
         self.event_at = now()
         """When the last event came, or else when the run began."""
 
@@ -94,9 +98,22 @@
         """Tell whether a stage of the path is known to be dead, and the stream may be moved now."""
         return now() >= self.move_at and any(server.suspect for server in self.path.servers)
 
+    def sent(self, exchange: Exchange) -> None:
+        """Note that the request was sent; its first stage has it to read now."""
+        self.exchange = exchange
+        self.unread_at = self.path.servers[0]
+        self.unread_at.unread += 1
+
+    def was_read(self) -> None:
+        """Note that its first stage has read the request, or will not."""
+        if self.unread_at is not None:
+            self.unread_at.unread -= 1
+            self.unread_at = None
+
     def moved_on(self) -> None:
         """Note that the stream goes on."""
         self.begun = True
+        self.was_read()
         self.event_at = now()
         self.look_at = 0.0
         self.look_pause = 0.0
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -191,7 +191,8 @@
     """Make one attempt, to the end of the stream."""
     head = run.path.servers[0]
     keep_seconds = None
-    exchange = run.exchange = send(peers, call, head, run.path, delivery.last_event)
+    exchange = send(peers, call, head, run.path, delivery.last_event)
+    run.sent(exchange)
     attempts.note(head)
     try:
         message, answer = _await_head(peers, call, pipeline, run)
@@ -201,6 +202,7 @@
             _pass_events(peers, call, pipeline, run, message, delivery)
         keep_seconds = answer.keep_seconds
     finally:
+        run.was_read()
         exchange.close(keep_seconds)
     for server in run.path.servers:
         peers.fleet.succeeded(server)
--- a/bayglade/totals.py
+++ b/bayglade/totals.py
@@ -137,12 +137,12 @@
         """
         own = list(own)
         heard = self._heard(own)
-        neighbours = self._neighbours()
+        neighbours = self.neighbours()
         if neighbours and now() - self.started_at < UNHEARD_SECONDS:
             _raise_to(heard, own, neighbours)
         return heard
 
-    def _neighbours(self) -> int:
+    def neighbours(self) -> int:
         """Return how many other daemons the own hall has."""
         own = self.halls.get(self.me)
         return sum(1 for member, hall in self.halls.items() if hall == own and member != self.me)
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -315,3 +315,24 @@
     moved = site.paths.detour(path, SERVICE, site.model, frozenset({path.servers[2].facts.id}))
     assert moved is not None
     assert moved.cost < path.cost
+
+
+def test_prompts_that_come_all_at_once_are_spread_over_first_stages() -> None:
+    # All daemons of a hall are back after a loss of power, and four callers of each with them.
+    site = three_speeds_site()
+    site.paths.daemons = lambda: 20
+    firsts = []
+    for _ in range(4):
+        path = site.serve()
+        path.servers[0].unread += 1
+        firsts.append(path.servers[0].facts.accelerator)
+    assert firsts[:2] == ["quick", "quick"]
+    assert set(firsts) != {"quick"}
+
+
+def test_one_prompt_that_is_read_keeps_the_next_from_nowhere() -> None:
+    site = three_speeds_site()
+    site.paths.daemons = lambda: 20
+    first = site.serve().servers[0]
+    first.unread = 1
+    assert site.serve().servers[0] is first
