Ask a dark first stage again sooner, and look oftener at what others found

And streams moved up to 0.08 s after their daemon knew (25.145 to 25.224 s in the logs of one crash). Ruled out: words of other daemons (all 60 knew 10 ms after the second finder). Change: 0.03 s on a connection that rested; a stream looks each 0.04 s. Conclusion: to be measured.

--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -19,6 +19,10 @@
 
 ANSWER_SECONDS = 0.08
 """How long a stage may take to answer: some thirty times the usual."""
+KEPT_ANSWER_SECONDS = 0.03
+"""How long an answer may take on a connection that rested, before another one is opened: some ten times
+the usual. With the whole time for both, dark first stages were found 0.26 s after they went dark, other
+stages, to which no connection rests, after 0.14 s (logs of one crash, 60 daemons)."""
 FRESH_SECONDS = 0.15
 """How long an answer serves all streams that ask; reports lag by more than that."""
 RECHECK_SECONDS = 0.4
@@ -195,7 +199,8 @@
         facts = server.facts
         try:
             kept, asked_at = self.rests(facts.id), now()
-            report = self.control.report(facts.id, facts.address, ANSWER_SECONDS)
+            seconds = KEPT_ANSWER_SECONDS if kept else ANSWER_SECONDS
+            report = self.control.report(facts.id, facts.address, seconds)
             if report is None and kept:
                 # A connection that rested may have fallen silent though the server is well.
                 self.drop(facts.id)
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -30,10 +30,10 @@
 SHORT_SECONDS = 0.25
 """How long a stage that turned a request away counts as full: a request ends there every few
 hundredths of a second, and the next one that is turned away says so again."""
-GLANCE_SECONDS = 0.08
+GLANCE_SECONDS = 0.04
 """How long a stream waits before it looks whether a stage of its path is known to be dead by now: a
 little more than the usual time between events. Median pause of streams that were moved off a dead
-stage: 0.388 s with the whole patience, 0.353 s with this (one play each, nine of 218 servers lost)."""
+stage: 0.388 s with the whole patience, 0.353 s with 0.08 s (one play each, nine of 218 servers lost)."""
 LAST_CHUNK = b"0\r\n\r\n"
 
 
--- a/tests/test_diagnosis.py
+++ b/tests/test_diagnosis.py
@@ -9,7 +9,15 @@
 
 from bayglade import runs
 from bayglade.control import RerouteOutcome, StageReport
-from bayglade.diagnosis import ASKED_BY_TURNS, FRESH_SECONDS, MANY_SILENT, Diagnosis, Finding
+from bayglade.diagnosis import (
+    ANSWER_SECONDS,
+    ASKED_BY_TURNS,
+    FRESH_SECONDS,
+    KEPT_ANSWER_SECONDS,
+    MANY_SILENT,
+    Diagnosis,
+    Finding,
+)
 from bayglade.fleet import Fleet, Server, ServerFacts
 from bayglade.ids import BackendId, HallName, RequestId, ServiceName
 from bayglade.models import Route
@@ -268,3 +276,19 @@
     diagnosis.fleet.take([empty], [], False)
     assert not server.suspect
     assert not server.facts.held
+
+
+def test_a_connection_that_rested_gets_little_time_before_another_is_asked() -> None:
+    # A dark first stage, to which connections rest, was found 0.12 s later than other stages.
+    diagnosis, stages, servers = diagnose({"s1"})
+    asked: list[float] = []
+    report = stages.report
+
+    def timed(backend: BackendId, address: str, timeout: float) -> StageReport | None:
+        asked.append(timeout)
+        return report(backend, address, timeout)
+
+    diagnosis.control = SimpleNamespace(report=timed)  # type: ignore[assignment]
+    diagnosis.rests = lambda backend: True
+    assert diagnosis.examine([servers[1], servers[2]]) == {"s1"}
+    assert sorted(asked) == [KEPT_ANSWER_SECONDS, KEPT_ANSWER_SECONDS, ANSWER_SECONDS]
