Split how the list of servers is taken in, and the ring, out of two large modules

Change: listing.py takes rows of servers into the fleet (what is strange, what lapses in an outage, whether the list is behind), entries/ring.py chooses neighbours and their budget of bytes.

--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -18,6 +18,7 @@
 from bayglade.clock import now
 from bayglade.config import Address, parse_address
 from bayglade.entries import streams, wire
+from bayglade.entries.ring import BEAT_INTERVAL, neighbours, rows_a_beat
 from bayglade.exceptions import BaygladeError, PeerError
 from bayglade.ids import BackendId, Digest, MemberId, Revision
 from bayglade.logs import event
@@ -25,13 +26,7 @@
 from bayglade.revisions import Current
 from bayglade.usage import GroupUsage, Usage
 
-BEAT_INTERVAL = 1.0
 LOST_AFTER = 3.5
-FULL_MESH = 16
-BYTES_A_SECOND = 2000.0
-"""What a daemon allows itself for heartbeats to all neighbours together."""
-BEAT_BYTES = 32
-ROW_BYTES = 32
 UNHEARD_SECONDS = 3.0
 """A stream on which the other side says to have heard nothing for so long is dialled anew."""
 REDIAL_MIN = 0.1
@@ -409,32 +404,6 @@
             member.push(wire.Fetch(self.me, Revision(0)))
 
 
-def neighbours(me: MemberId, members: list[MemberId]) -> set[MemberId]:
-    """Choose whom a daemon exchanges heartbeats with; the relation is mutual.
-
-    :param me: the daemon.
-    :param members: all daemons, sorted, this one included.
-    :return: all others while few; those at powers of two on the ring beyond.
-    """
-    others = set(members) - {me}
-    if len(members) <= FULL_MESH:
-        return others
-    place, size = members.index(me), len(members)
-    chosen: set[MemberId] = set()
-    distance = 1
-    while distance <= size // 2:
-        chosen.add(members[(place + distance) % size])
-        chosen.add(members[(place - distance) % size])
-        distance *= 2
-    return chosen - {me}
-
-
-def rows_a_beat(neighbours: int) -> int:
-    """Return how many groups a heartbeat may tell of within the budget of bytes."""
-    allowed = BYTES_A_SECOND * BEAT_INTERVAL / max(1, neighbours) - BEAT_BYTES
-    return max(1, int(allowed / ROW_BYTES))
-
-
 def _make_patch(before: Current, after: Current) -> wire.Patch | None:
     if after.revision != before.revision + 1:
         return None
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -18,7 +18,7 @@
 from bayglade.diagnosis import Diagnosis
 from bayglade.exceptions import BaygladeError, InvalidSettings, Stopping
 from bayglade.feeds import Feed, look_together
-from bayglade.fleet import LAPSE_GRACE, Fleet, ServerFacts
+from bayglade.fleet import Fleet
 from bayglade.freshness import (
     LEAST_BOUND_SECONDS,
     answer_within,
@@ -27,11 +27,12 @@
     wait_within,
 )
 from bayglade.heads import Message
-from bayglade.ids import BackendId, RequestId
+from bayglade.ids import RequestId
 from bayglade.intake import ELSEWHERE_SECONDS, Intake
 from bayglade.leases import Lease
 from bayglade.lines import Lines
 from bayglade.listener import Connection, Handler, listen, serve
+from bayglade.listing import Listing
 from bayglade.loading import LEASE_MARGIN, LEASE_NAME, LEASE_SECONDS, Loader
 from bayglade.logs import event
 from bayglade.mechanisms import Mechanism
@@ -53,8 +54,6 @@
 DOCUMENT_PAUSE = 0.2
 """Seconds after a change of the document before the next call: changes come in storms, each call
 is paid for, and a tenth of the time in which a change must be in force is spent at most."""
-STRANGE_LINES_PER_SECOND = 5.0
-"""Log lines a second on entries that no server wrote; anybody may write any number of them."""
 TIDY_SECONDS = 1.0
 """Seconds between looks at the own settings file and at connections that rested too long."""
 DRAIN_POLL = 0.05
@@ -85,7 +84,6 @@
         answer_seconds = answer_within(self.shortest_bound)
         self.store = platform.Store(parse_address(config.store), answer_seconds)
         self.fleet = Fleet()
-        self.tell_strange = logs.limited(STRANGE_LINES_PER_SECOND)
         self.links = Links()
         self.fleet.on_restart.append(self.links.drop)
         self.control = platform.Engines(self.links)
@@ -101,13 +99,15 @@
             self._take_document,
             DOCUMENT_PAUSE,
         )
+        self.listing = Listing(self.fleet, platform.decode_server, servers_bound, self.metrics)
         self.servers_feed = Feed(
             self.store,
             platform.SERVERS_TABLE,
             wait_within(servers_bound),
-            self._take_servers,
+            self.listing.take,
             gather_within(servers_bound),
         )
+        self.listing.feed = self.servers_feed
         dialect = platform.create_dialect()
         self.intake = Intake(dialect, self.document_feed.age, key_trust, self.rng)
         self.intake.decode = platform.decode_document
@@ -153,9 +153,6 @@
         look_together((self.document_feed, self.servers_feed, self.peering.feed))
         self.presence = Presence(self.metrics)
         self.active: set[RequestId] = set()
-        self.behind = False
-        """Whether the list of servers is older than its bound, though the store answers."""
-
         self.draining = False
         self.draining_since = 0.0
         self.stopping = Event()
@@ -311,48 +308,13 @@
             return
         self.intake.take(version, tree, bytes(value))
 
-    def _take_servers(self, changes: Changes, whole: bool) -> None:
-        listed: list[ServerFacts] = []
-        gone: list[BackendId] = []
-        strange: dict[BackendId, str] = {}
-        for key, value in changes.rows.items():
-            if value is None:
-                gone.append(BackendId(key))
-                continue
-            try:
-                listed.append(platform.decode_server(key, value))
-            except InvalidSettings as error:
-                strange[BackendId(key)] = error.message
-                self.metrics.count("strange_server_rows")
-                self.tell_strange(
-                    "WARNING", "entry is not the server's own", peer=key, reason=error.message
-                )
-        outage = self._grace_left() > 0
-        if whole:
-            self.fleet.replace(listed, outage, strange)
-        else:
-            self.fleet.take(listed, gone, outage, strange)
-        if self.fleet.lapsed:
-            eventlet.spawn_after(max(0.0, self._grace_left()), self._drop_lapsed)
-
-    def _grace_left(self) -> float:
-        """Return for how long entries that lapsed in an outage may still come back."""
-        return self.servers_feed.recovered_at + LAPSE_GRACE - now()
-
-    def _drop_lapsed(self) -> None:
-        # The store may be lost again by now, and then back later.
-        if self.servers_feed.failing_since is None and self._grace_left() <= 0:
-            self.fleet.drop_lapsed()
-        elif self.fleet.lapsed:
-            eventlet.spawn_after(max(TIDY_SECONDS, self._grace_left()), self._drop_lapsed)
-
     def _tidy(self) -> None:
         """Do what is due now and then, for ever."""
         while True:
             eventlet.sleep(TIDY_SECONDS)
             self.links.forget(set(self.fleet.servers))
             self._gauge()
-            self._tell_behind()
+            self.listing.tell_behind(self.document_feed.age())
             if _changed_at(self.path) != self.changed_at:
                 self.reload("the file changed")
 
@@ -368,16 +330,6 @@
         self.metrics.gauge("servers_suspect", suspects)
         self.metrics.gauge("connections_opened", self.links.opened)
 
-    def _tell_behind(self) -> None:
-        """Log when the list of servers gets too old while the store answers for the settings, and when
-        that is over: calls may go to servers that have said they leave."""
-        bound, age = self.config.drain_ms / 1000, self.servers_feed.age()
-        behind = age > bound and self.document_feed.age() <= bound
-        if behind != self.behind:
-            self.behind = behind
-            level, text = ("WARNING", "servers behind") if behind else ("INFO", "servers caught up")
-            event(level, text, age=round(age, 2), bound=bound, version=self.servers_feed.version)
-
     def reload(self, cause: str) -> None:
         """Read the daemon's own settings again; what makes no sense changes nothing.
 
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -15,7 +15,8 @@
 from bayglade.clock import now
 from bayglade.config import GatewayConfig, parse_address
 from bayglade.entries import wire
-from bayglade.entries.membership import FULL_MESH, Membership
+from bayglade.entries.membership import Membership
+from bayglade.entries.ring import FULL_MESH
 from bayglade.entries.wire import Findings, ServerLoad
 from bayglade.exceptions import PlatformUnavailable
 from bayglade.fanout import Fanout
--- a/benches/slopes.py
+++ b/benches/slopes.py
@@ -19,7 +19,7 @@
 from bayglade.backends import Backends
 from bayglade.directory import Directory
 from bayglade.entries import wire as entries_wire
-from bayglade.entries.membership import neighbours
+from bayglade.entries.ring import neighbours
 from bayglade.exceptions import BaygladeError
 from bayglade.ids import GroupPath, MemberId, ModelName
 from bayglade.operators.client import Remote
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -9,7 +9,7 @@
 from bayglade.clock import now
 from bayglade.config import Address
 from bayglade.entries import streams, wire
-from bayglade.entries.membership import BYTES_A_SECOND, FULL_MESH, neighbours, rows_a_beat
+from bayglade.entries.ring import BYTES_A_SECOND, FULL_MESH, neighbours, rows_a_beat
 from bayglade.exceptions import PeerError
 from bayglade.ids import GroupPath, MemberId, Revision
 from bayglade.usage import Usage
