Reckon the cost of a stage once for each length

Cause: a search for a path reckoned each stage anew for each pair of bounds, and the usual request of the model with it; stages of several chains meet at many bounds. Ruled out: fewer bounds (requests would have fewer ways round a full server). Change: what does not depend on the length is reckoned once a server, and each length once.

--- a/bayglade/pathfinding.py
+++ b/bayglade/pathfinding.py
@@ -26,8 +26,9 @@
 """Returns what all daemons have in the KV cache of a server: tokens times layers."""
 CostOf = Callable[[Server], float]
 ReadingCost = Callable[[Server, int, int], float]
-"""Returns what it costs a token more that a server has to read all tokens so far through the layers from
-one to another."""
+"""Returns what it costs a token more that a server has something to read through the layers from one to
+another before it goes on."""
+StageCosts = Callable[[int], tuple[float, float]]
 CrossingCost = Callable[[HallName, HallName], float]
 """Returns the milliseconds that a hop to another hall adds to each token."""
 
@@ -80,7 +81,7 @@
     :param crowding: whether a stage costs more the fuller its cache is.
     :param begin_ms: returns what a server costs a token more as the first stage.
     :param factor: returns by how much the cost of a server is taken higher than reckoned.
-    :param reading: cost of what is read anew, for a request that runs already.
+    :param reading: cost of what a stage has to read first: prompts of others, or the request anew.
     """
 
     __slots__ = (
@@ -93,6 +94,7 @@
         "pipeline",
         "reading",
         "taken",
+        "usual_cached",
     )
 
     def __init__(
@@ -116,6 +118,7 @@
         self.begin_ms = begin_ms
         self.factor = factor
         self.reading = reading
+        self.usual_cached = pipeline.usual().cached
 
     def hop_ms(self, one: HallName | None, other: HallName) -> float:
         """Return the cost of handing a token on; nothing before the first stage."""
@@ -175,35 +178,48 @@
     return _path(_search(servers, search, start, bounds), search)
 
 
-def stage_cost(server: Server, search: Search, layers: int, taken: float) -> tuple[float, float]:
-    """Return the milliseconds a token takes on a stage, and how full its cache is then.
+def stage_costs(server: Server, search: Search, taken: float) -> StageCosts:
+    """Return what a server costs as a stage, by how many of its layers the stage runs.
 
     A pass of a server serves all its requests together, so each waits for the
     work of all of them.
 
-    :param server: the server.
+    :param server: the server, of a kind that the model runs on.
     :param search: the request.
-    :param layers: how many of its layers the stage runs.
     :param taken: what is in its cache already, in tokens times layers.
-    :return: cost and use; the cost is infinite when the request does not fit.
+    :return: takes a number of layers; returns the milliseconds a token takes there, and how full the
+        cache is then. The cost is infinite when the request does not fit.
     """
     facts, pipeline = server.facts, search.pipeline
     accelerator = facts.accelerator or ""
     size = pipeline.cache_size(accelerator, facts.held)
-    if size <= 0:
-        return float("inf"), 1.0
-    use = (taken + search.demand.cached * layers) / size
-    if use > MOST_USE:
-        # One that is larger than the whole cache may run alone.
-        if search.limited and taken > 0:
-            return float("inf"), use
-        use = MOST_USE
     kind = pipeline.accelerators[accelerator]
-    passing = taken / pipeline.usual().cached
-    work = kind.step_factor * (pipeline.step_ms * layers + pipeline.request_ms * passing)
-    work += kind.read_factor * pipeline.reading_ms * passing
-    time = work * server.pace / pipeline.layers
-    return time / (1.0 - use**CROWDING_POWER) if search.crowding else time, use
+    passing = taken / search.usual_cached
+    shared = kind.step_factor * pipeline.request_ms * passing
+    shared += kind.read_factor * pipeline.reading_ms * passing
+    each = kind.step_factor * pipeline.step_ms
+    pace = server.pace / pipeline.layers
+    cached = search.demand.cached
+    known: dict[int, tuple[float, float]] = {}
+
+    def cost(layers: int) -> tuple[float, float]:
+        use = (taken + cached * layers) / size if size > 0 else float("inf")
+        if use > MOST_USE:
+            # One that is larger than the whole cache may run alone.
+            if size <= 0 or (search.limited and taken > 0):
+                return float("inf"), use
+            use = MOST_USE
+        time = (each * layers + shared) * pace
+        return time / (1.0 - use**CROWDING_POWER) if search.crowding else time, use
+
+    def costs(layers: int) -> tuple[float, float]:
+        # Stages meet at many bounds, and many of them are as long as others.
+        found = known.get(layers)
+        if found is None:
+            found = known[layers] = cost(layers)
+        return found
+
+    return costs
 
 
 Ways = dict[int, dict[HallName | None, _Reach]]
@@ -240,6 +256,7 @@
         return
     taken = search.taken(server)
     factor = 1.0 if search.factor is None else search.factor(server)
+    costs = stage_costs(server, search, taken)
     ends = [bound for bound in bounds if begins[0] < bound <= facts.last]
     found: list[_Reach] = []
     for begin in begins:
@@ -252,7 +269,7 @@
         for end in ends:
             if end <= begin:
                 continue
-            more, use = stage_cost(server, search, end - begin, taken)
+            more, use = costs(end - begin)
             more *= factor
             if search.reading is not None:
                 more += search.reading(server, begin, end)
