--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -108,7 +108,7 @@
 
         self.excluded_at = 0.0
         self.unread = 0
-        """Own requests on ways over it that have no event yet: it may have their prompts to read."""
+        """Own requests whose first stage it is, and which it has not begun to answer."""
 
         self.failures = 0
         self.suspect = False
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -13,7 +13,7 @@
 from bayglade.fleet import SLOW_PACE, Fleet, Server
 from bayglade.ids import BackendId, HallName, ServerKey, ServiceName
 from bayglade.mechanisms import Mechanism, Without
-from bayglade.pathfinding import Path, ReadingCost, Search, by_hall, find_detour, find_path
+from bayglade.pathfinding import CostOf, Path, ReadingCost, Search, by_hall, find_detour, find_path
 from bayglade.pipelines import Demand, Pipeline
 from bayglade.pipes import Pipes
 
@@ -165,35 +165,28 @@
             demand,
             _taken(loads),
             crowding=Mechanism.CROWDING not in self.without,
-            begin_ms=None if Mechanism.WARM in self.without else self._begin_ms,
+            begin_ms=self._begin_ms(pipeline, demand),
             factor=None if Mechanism.CHANCE in self.without else self._chance,
-            reading=self._queue(pipeline, demand),
         )
 
-    def _begin_ms(self, server: Server) -> float:
-        return 0.0 if self.warm(server.facts.id) else COLD_BEGIN_MS
+    def _begin_ms(self, pipeline: Pipeline, demand: Demand) -> CostOf:
+        """Return what a server costs a token more as the first stage: a new connection, and prompts that
+        wait to be read there.
 
-    def _queue(self, pipeline: Pipeline, demand: Demand) -> ReadingCost:
-        """Return the cost of waiting for prompts that stages have to read before this one.
-
-        When a quick first stage goes dark or all daemons come back at once, prompts come in some tenths of
-        a second, and by room and speed alone all go the same way: 55 streams of a hall had pauses of 0.25
-        to 0.71 s, the last ones behind 50 prompts. A way waits about as long as its stages do, each
-        counted by the part of the layers that it holds. Other daemons are taken to have as much to read
-        as this one, but for one request: of those that come one by one, one in eight finds another one
-        unread.
+        After a loss of power of all, callers come back within some tenths of a second, and the quickest
+        first stage of a hall had 60 prompts to read: 0.45 s for the last one. Other daemons are taken to
+        have as much to read as this one, but for one request: of those that come one by one, one is
+        unread in one look of eight.
         """
 
-        def queue(server: Server, first: int, last: int) -> float:
+        def begin_ms(server: Server) -> float:
+            cold = Mechanism.WARM not in self.without and not self.warm(server.facts.id)
             ahead = max(0, server.unread - 1) * self.daemons()
-            if not ahead:
-                return 0.0
-            # The prompts ahead are read through all that it holds, however few layers this one needs.
-            held = server.facts.held
-            time = pipeline.reading_time(server.facts.accelerator or "", demand.prompt, held)
-            return ahead * time * held / pipeline.layers / PAUSE_TOKENS
-
-        return queue
+            kind = server.facts.accelerator or ""
+            reading = pipeline.reading_time(kind, demand.prompt, server.facts.held) if ahead else 0.0
+            return (COLD_BEGIN_MS if cold else 0.0) + ahead * reading / PAUSE_TOKENS
+
+        return begin_ms
 
     def _chance(self, server: Server) -> float:
         return 1.0 if self.rng is None else self.rng.uniform(1.0, 1.0 + CHANCE)
--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -61,8 +61,8 @@
         self.slow_before = slow_stages(path)
         """Stages that were known to be slow when the path was taken."""
 
-        self.unread_at: tuple[Server, ...] = ()
-        """The stages to which the request was sent, until the stream has an event."""
+        self.unread_at: Server | None = None
+        """The first stage, until the stream has an event."""
 
         self.event_at = now()
         """When the last event came, or else when the run began."""
@@ -99,17 +99,16 @@
         return now() >= self.move_at and any(server.suspect for server in self.path.servers)
 
     def sent(self, exchange: Exchange) -> None:
-        """Note that the request was sent; the stages of its path have it to read now."""
+        """Note that the request was sent; its first stage has it to read now."""
         self.exchange = exchange
-        self.unread_at = self.path.servers
-        for server in self.unread_at:
-            server.unread += 1
+        self.unread_at = self.path.servers[0]
+        self.unread_at.unread += 1
 
     def was_read(self) -> None:
-        """Note that the stages have read the request, or will not."""
-        for server in self.unread_at:
-            server.unread -= 1
-        self.unread_at = ()
+        """Note that its first stage has read the request, or will not."""
+        if self.unread_at is not None:
+            self.unread_at.unread -= 1
+            self.unread_at = None
 
     def moved_on(self) -> None:
         """Note that the stream goes on."""
