Tell other daemons which stages turned slow or quick again

Change: a stage that turns slow, or quick again, is told with the findings of dead ones, and passed on by readers.

--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -70,6 +70,9 @@
         self.on_back: Callable[[Server], None] | None = None
         """Told of each stage that answers again."""
 
+        self.on_pace: Callable[[Server], None] | None = None
+        """Told of each stage that has turned slow, or quick again."""
+
         self.daemons: Callable[[], int] = lambda: 1
         """Returns how many daemons ask."""
 
@@ -224,7 +227,9 @@
                 return
             self.findings[facts.id] = Finding(report)
             if report is not None:
-                self.fleet.pace(server, report.pace)
+                turned = self.fleet.pace(server, report.pace)
+                if turned and self.on_pace is not None:
+                    self.on_pace(server)
         finally:
             if self.asking.get(facts.id) is eventlet.getcurrent():
                 del self.asking[facts.id]
--- a/bayglade/spreading.py
+++ b/bayglade/spreading.py
@@ -9,7 +9,7 @@
 import eventlet
 
 from bayglade.diagnosis import Diagnosis
-from bayglade.entries.wire import Finding, Findings
+from bayglade.entries.wire import Finding, Findings, Pace
 from bayglade.fleet import Fleet, Server
 from bayglade.ids import BackendId, MemberId, ServerKey
 from bayglade.reports import LOOKERS, Reports
@@ -51,6 +51,7 @@
         self.back = Reports()
         diagnosis.on_dead = self._found_dead
         diagnosis.on_back = self._found_back
+        diagnosis.on_pace = self._found_pace
         fleet.on_restart += [self.dead.forget, self.back.forget]
 
     def __repr__(self) -> str:
@@ -63,10 +64,12 @@
         :param found: the findings.
         """
         self.heard_of(finding.key for finding in (*found.dead, *found.back))
+        self.heard_of(pace.key for pace in found.paces)
         dead = self.dead.add(finding for finding in found.dead if self._present(finding))
         back = self.back.add(finding for finding in found.back if self._present(finding))
-        if self.passes_on() and (dead or back):
-            self.tell(Findings(dead, back), member)
+        paces = [pace for pace in found.paces if self._take_pace(pace)]
+        if self.passes_on() and (dead or back or paces):
+            self.tell(Findings(dead, back, paces), member)
         self._take_dead(finding.backend for finding in dead)
         self._take_back(finding.backend for finding in back)
 
@@ -92,6 +95,16 @@
         if new := self.back.add([self._finding(server)]):
             self.tell(Findings(back=new), None)
 
+    def _found_pace(self, server: Server) -> None:
+        """Tell how slow a stage is: a daemon finds out by a stream that stands still, and half of 60
+        daemons sent requests to slow stages for 0.4 to 4.6 s after the first one knew."""
+        self.tell(Findings(paces=[Pace(server.facts.id, server.pace, server.facts.incarnation)]), None)
+
+    def _take_pace(self, pace: Pace) -> bool:
+        """Believe how slow a stage is; tell whether that is news worth passing on."""
+        server = self.fleet.current(pace.key)
+        return server is not None and self.fleet.pace(server, pace.pace)
+
     def _finding(self, server: Server) -> Finding:
         return Finding(server.facts.id, self.me, server.facts.incarnation)
 
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bayglade import reports, spreading
-from bayglade.entries.wire import Finding, Findings
+from bayglade.entries.wire import Finding, Findings, Pace
 from bayglade.ids import BackendId, MemberId
 from bayglade.reports import ENOUGH, LOOKERS, MOST_TOLD, REPORT_SECONDS, Reports
 from bayglade.spreading import Spreading
@@ -113,3 +113,20 @@
         made.diagnosis.findings.clear()
         made.diagnosis.look_again(servers)
     assert [bool(findings.dead) for findings in told] == [True, False, True, False]
+
+
+def test_that_a_stage_turned_slow_or_quick_is_told_of_once_and_passed_on() -> None:
+    # Half of 60 daemons sent requests to slow stages for seconds after the first one knew.
+    made, told, stages = spread(set(), 10)
+    server = made.fleet.servers[BackendId("s1")]
+    stages.pace = 12.0
+    made.diagnosis.examine([server])
+    slow = Findings(paces=[Pace(server.facts.id, 12.0)])
+    assert told == [slow]
+    other, passed_on, _ = spread(set(), 10)
+    for _ in range(2):
+        other.heard(OTHER, slow)
+    assert other.fleet.servers[BackendId("s1")].pace == 12.0
+    assert passed_on == [slow]
+    other.heard(OTHER, Findings(paces=[Pace(server.facts.id, 1.0)]))
+    assert other.fleet.servers[BackendId("s1")].pace == 1.0
