--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -93,6 +93,7 @@
     """How many times slower than usual a server said that it is."""
 
     backend: BackendId
+    finder: MemberId
     pace: float
     incarnation: Incarnation = UNKNOWN_INCARNATION
 
