Do not tell other daemons which stages turned slow

What it was busy with is not traced: likely each daemon that asks a slow server and finds another pace than it heard tells all again.

--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -70,9 +70,6 @@
         self.on_back: Callable[[Server], None] | None = None
         """Told of each stage that answers again."""
 
-        self.on_pace: Callable[[Server], None] | None = None
-        """Told of each stage that has turned slow, or quick again."""
-
         self.daemons: Callable[[], int] = lambda: 1
         """Returns how many daemons ask."""
 
@@ -227,9 +224,7 @@
                 return
             self.findings[facts.id] = Finding(report)
             if report is not None:
-                turned = self.fleet.pace(server, report.pace)
-                if turned and self.on_pace is not None:
-                    self.on_pace(server)
+                self.fleet.pace(server, report.pace)
         finally:
             if self.asking.get(facts.id) is eventlet.getcurrent():
                 del self.asking[facts.id]
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -89,20 +89,6 @@
         return ServerKey(self.backend, self.incarnation)
 
 
-class Pace(msgspec.Struct, frozen=True, array_like=True):
-    """How many times slower than usual a server said that it is."""
-
-    backend: BackendId
-    finder: MemberId
-    pace: float
-    incarnation: Incarnation = UNKNOWN_INCARNATION
-
-    @property
-    def key(self) -> ServerKey:
-        """Return which start of which server this tells of."""
-        return ServerKey(self.backend, self.incarnation)
-
-
 class Heartbeat(msgspec.Struct, frozen=True, tag="b", array_like=True, kw_only=True):
     """Tells that a daemon lives and what it knows; sent at once on a change.
 
@@ -139,9 +125,6 @@
     back: list[Finding] = []
     """Stages that were silent and answer again."""
 
-    paces: list[Pace] = []
-    """Stages that turned slow, or quick again."""
-
 
 class Fetch(msgspec.Struct, frozen=True, tag="f", array_like=True):
     """Asks for the settings in force, newer than a revision."""
--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -301,20 +301,12 @@
         self.changed += 1
         event("INFO", "server trusted", peer=server.facts.id, reason=reason)
 
-    def pace(self, server: Server, pace: float) -> bool:
-        """Note how slow a server says it is; a clear change makes other paths better.
-
-        :param server: the server.
-        :param pace: how many times slower than usual.
-        :return: whether it has turned slow, or quick again.
-        """
-        if abs(pace - server.pace) <= PACE_STEP:
-            return False
-        event("INFO", "server pace", peer=server.facts.id, before=server.pace, pace=pace)
-        turned = (pace > SLOW_PACE) != (server.pace > SLOW_PACE)
-        server.pace = pace
-        self.changed += 1
-        return turned
+    def pace(self, server: Server, pace: float) -> None:
+        """Note how slow a server says it is; a clear change makes other paths better."""
+        if abs(pace - server.pace) > PACE_STEP:
+            event("INFO", "server pace", peer=server.facts.id, before=server.pace, pace=pace)
+            server.pace = pace
+            self.changed += 1
 
     def mark_leaving(self, server: Server, reason: str) -> None:
         """Give a server nothing more: it said itself that it leaves, or another took its address."""
--- a/bayglade/reports.py
+++ b/bayglade/reports.py
@@ -7,10 +7,9 @@
 """
 
 from collections.abc import Iterable
-from typing import TypeVar
 
 from bayglade.clock import now
-from bayglade.entries.wire import Finding, Pace
+from bayglade.entries.wire import Finding
 from bayglade.ids import BackendId, MemberId
 
 LOOKERS = 6
@@ -22,8 +21,6 @@
 REPORT_SECONDS = 2.5
 """How long a report counts."""
 
-WordT = TypeVar("WordT", Finding, Pace)
-
 
 class Reports:
     """The reports of one kind that a daemon has heard or made; times are monotonic."""
@@ -34,7 +31,7 @@
     def __repr__(self) -> str:
         return f"<Reports of {len(self.heard)} servers>"
 
-    def add(self, findings: Iterable[WordT]) -> list[WordT]:
+    def add(self, findings: Iterable[Finding]) -> list[Finding]:
         """Take in reports.
 
         :param findings: the reports.
--- a/bayglade/spreading.py
+++ b/bayglade/spreading.py
@@ -9,7 +9,7 @@
 import eventlet
 
 from bayglade.diagnosis import Diagnosis
-from bayglade.entries.wire import Finding, Findings, Pace
+from bayglade.entries.wire import Finding, Findings
 from bayglade.fleet import Fleet, Server
 from bayglade.ids import BackendId, MemberId, ServerKey
 from bayglade.reports import LOOKERS, Reports
@@ -49,11 +49,9 @@
         self.rng = rng
         self.dead = Reports()
         self.back = Reports()
-        self.paces = Reports()
         diagnosis.on_dead = self._found_dead
         diagnosis.on_back = self._found_back
-        diagnosis.on_pace = self._found_pace
-        fleet.on_restart += [self.dead.forget, self.back.forget, self.paces.forget]
+        fleet.on_restart += [self.dead.forget, self.back.forget]
 
     def __repr__(self) -> str:
         return f"<Spreading {self.dead!r} {self.back!r}>"
@@ -65,16 +63,12 @@
         :param found: the findings.
         """
         self.heard_of(finding.key for finding in (*found.dead, *found.back))
-        self.heard_of(pace.key for pace in found.paces)
         dead = self.dead.add(finding for finding in found.dead if self._present(finding))
         back = self.back.add(finding for finding in found.back if self._present(finding))
-        paces = self.paces.add(pace for pace in found.paces if self.fleet.current(pace.key) is not None)
-        if self.passes_on() and (dead or back or paces):
-            self.tell(Findings(dead, back, paces), member)
+        if self.passes_on() and (dead or back):
+            self.tell(Findings(dead, back), member)
         self._take_dead(finding.backend for finding in dead)
         self._take_back(finding.backend for finding in back)
-        for pace in paces:
-            self.fleet.pace(self.fleet.servers[pace.backend], pace.pace)
 
     def heard_of(self, starts: Iterable[ServerKey]) -> None:
         """Ask servers that others know to have started later than is known here.
@@ -98,14 +92,6 @@
         if new := self.back.add([self._finding(server)]):
             self.tell(Findings(back=new), None)
 
-    def _found_pace(self, server: Server) -> None:
-        """Tell how slow a stage is: a daemon finds out by a stream that stands still, and half of 60
-        daemons sent requests to slow stages for 0.4 to 4.6 s after the first one knew."""
-        word = Pace(server.facts.id, self.me, server.pace, server.facts.incarnation)
-        # Two daemons that found it slow and quick at about the same time must not be passed on for ever.
-        if new := self.paces.add([word]):
-            self.tell(Findings(paces=new), None)
-
     def _finding(self, server: Server) -> Finding:
         return Finding(server.facts.id, self.me, server.facts.incarnation)
 
