--- a/tests/test_diagnosis.py
+++ b/tests/test_diagnosis.py
@@ -1,7 +1,6 @@
 """Diagnosis: which stages are asked, how often, and what others are told."""
 
 import random
-import time
 from types import SimpleNamespace
 from typing import Any
 
@@ -25,6 +24,7 @@
 from bayglade.models import Route
 from bayglade.relay import Attempts
 from bayglade.runs import MAX_LOOK_SECONDS, Run
+from tests import virtual_time
 
 PATIENCE = 0.1
 ALIVE = StageReport(
@@ -310,16 +310,26 @@
     ids=["answers", "slow", "kept one silent", "dark"],
 )
 def test_a_server_is_asked_on_a_new_connection_beside_one_that_rested(
-    after: dict[str, float], alive: bool, asked: list[str], distrusted: bool
+    after: dict[str, float],
+    alive: bool,
+    asked: list[str],
+    distrusted: bool,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Asked one after the other, dark first stages were found 0.12 s later than others.
-    diagnosis, _, servers = diagnose(set())
-    control = diagnosis.control = Connections(**after)  # type: ignore[assignment]
-    diagnosis.rests = lambda backend: True
+    monkeypatch.setattr("bayglade.diagnosis.now", virtual_time.now)
+    control = Connections(**after)
     told: list[float] = []
-    diagnosis.distrust = told.append
-    began = time.monotonic()
-    assert (not diagnosis.examine([servers[0]])) is alive
+
+    def examine() -> tuple[bool, float]:
+        diagnosis, _, servers = diagnose(set())
+        diagnosis.control = control  # type: ignore[assignment]
+        diagnosis.rests = lambda backend: True
+        diagnosis.distrust = told.append
+        return not diagnosis.examine([servers[0]]), virtual_time.now() - virtual_time.START
+
+    found, seconds = virtual_time.run_virtually(examine)
+    assert found is alive
     assert control.asked == asked
     assert bool(told) is distrusted
-    assert time.monotonic() - began < KEPT_ANSWER_SECONDS + ANSWER_SECONDS + 0.05
+    assert seconds < KEPT_ANSWER_SECONDS + ANSWER_SECONDS + 0.001
