Have tests of restarting servers wait until the daemon knows all stages

In a loop 11 of 24 failed, in all of them the daemon knew a single holder of some layers when the stage was restarted, so that its streams had nowhere to go on (logs: no whole answer, cannot connect). Ruled out: the product's moving of streams: with the wait 0 of 24 failed. Change: every test of the file waits for that when it starts, as one did already; what it checks stays.

--- a/tests/test_restarting_servers.py
+++ b/tests/test_restarting_servers.py
@@ -23,19 +23,22 @@
     return answer.whole and answer.status == 200
 
 
+def knows_what_stages_hold(daemon: Daemon) -> bool:
+    answer = exchange(daemon.metrics, b"GET /beliefs HTTP/1.1\r\nHost: x\r\n\r\n")
+    servers = msgspec.json.decode(answer.partition(b"\r\n\r\n")[2])["servers"]
+    return all(server["last"] > 0 for server in servers if server["service"] == MODEL)
+
+
 def started(site: UsersSite) -> Daemon:
     daemon = site.start()
     site.wait_placed()
     wait_for("streams are served", lambda: served(daemon))
+    # Streams are served as soon as it knows one holder of each layer: with no other one known, a stream
+    # whose stage ends has nowhere to go on.
+    wait_for("it knows what all stages hold", lambda: knows_what_stages_hold(daemon))
     return daemon
 
 
-def knows_what_stages_hold(daemon: Daemon) -> bool:
-    answer = exchange(daemon.metrics, b"GET /beliefs HTTP/1.1\r\nHost: x\r\n\r\n")
-    servers = msgspec.json.decode(answer.partition(b"\r\n\r\n")[2])["servers"]
-    return all(server["last"] > 0 for server in servers if server["service"] == MODEL)
-
-
 def used_again(daemon: Daemon, replica: Replica, path: str = "/safe/x") -> bool:
     before = sum(replica.ran.values())
     ask(daemon.callers, path)
@@ -83,7 +86,6 @@
 
 def test_a_stage_that_starts_again_while_the_store_is_away_is_not_sent_to(site: UsersSite) -> None:
     daemon = started(site)
-    wait_for("it knows what all stages hold", lambda: knows_what_stages_hold(daemon))
     site.store.faults.set("busy")
     stage = max(site.of(MODEL), key=lambda r: sum(r.ran.values()))
     stage.restart()
