Log what names a request that comes again under another id

Ruled out: an id of ours in the log alone; two daemons must name the same content alike, so the digest is keyed with the secret that they share. Change: 'attempt failed' has 'content', a keyed digest of account, method, host, path and body, and 'begun', seconds since the first event. Only failures pay for it. Conclusion: repeats of one request show as one value over all daemons.

--- a/bayglade/ids.py
+++ b/bayglade/ids.py
@@ -23,6 +23,9 @@
 ChangeId = NewType("ChangeId", str)
 Digest = NewType("Digest", str)
 
+Fingerprint = NewType("Fingerprint", str)
+"""Names what a request asks, whatever its id; see :mod:`bayglade.fingerprints`."""
+
 UNKNOWN_INCARNATION = Incarnation(0)
 """That of a server which does not say when it started."""
 
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -21,6 +21,7 @@
 from bayglade.exceptions import PlatformUnavailable
 from bayglade.fanout import Fanout
 from bayglade.feeds import Feed
+from bayglade.fingerprints import key_of
 from bayglade.freshness import wait_within
 from bayglade.ids import MemberId
 from bayglade.intake import Intake
@@ -112,6 +113,7 @@
         self.roster = join(self.store, self.feed.table, self.config.member, self._row())
         assert self.roster.secret is not None
         self.membership = self._membership(self.roster.secret)
+        self.peers.fingerprint_key = key_of(self.roster.secret)
         eventlet.spawn_n(self.membership.serve, listening)
         event("INFO", "joined", address=self.address, members=len(self.roster.members))
         self._assign()
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -6,6 +6,7 @@
 """
 
 import random
+import secrets
 from collections.abc import Callable
 
 from bayglade.calls import AnswerHead, Call, Dialect, Sending
@@ -24,7 +25,8 @@
 )
 from bayglade.fleet import Fleet, Server
 from bayglade.heads import Message, write_head
-from bayglade.ids import BackendId
+from bayglade.fingerprints import fingerprint_of
+from bayglade.ids import BackendId, Fingerprint
 from bayglade.lines import Lines
 from bayglade.logs import event
 from bayglade.mechanisms import Mechanism, Without
@@ -40,6 +42,7 @@
 NO_ROUTE_SECONDS = 0.5
 MAX_SENDINGS = 8
 """Sendings of one call, those included that a full server turned away."""
+FINGERPRINT_KEY_BYTES = 32
 FULL_SECONDS = 0.3
 """When to come back: about the time in which a place becomes free."""
 
@@ -79,6 +82,9 @@
         self.new_budget = new_budget
         """Makes the budget of a service, this daemon's part of the bound on all of them."""
 
+        self.fingerprint_key = secrets.token_bytes(FINGERPRINT_KEY_BYTES)
+        """Shared by all daemons once this one has joined them."""
+
         self.budgets: dict[str, RetryBudget] = {}
         self.borrow: Callable[[str, RetryBudget], None] = lambda service, budget: None
         """Borrows for a budget that is spent."""
@@ -239,6 +245,17 @@
     return exchange
 
 
+def content_of(peers: Peers, call: Call, error: BackendError) -> Fingerprint | None:
+    """Return what names a request that may have run on a server which broke off, for the log.
+
+    Ids are new with each try: without this, that one request comes again and again cannot be told from
+    many that fail once.
+    """
+    if error.outcome is Outcome.NOT_RUN:
+        return None
+    return fingerprint_of(call, peers.fingerprint_key)
+
+
 def answer_head(peers: Peers, call: Call, exchange: Exchange, until: float) -> tuple[Message, AnswerHead]:
     """Wait for the head of the own answer.
 
--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -40,6 +40,7 @@
         "attempts",
         "avoided",
         "begun",
+        "begun_at",
         "event_at",
         "exchange",
         "fleet_seen",
@@ -70,6 +71,9 @@
         self.begun = False
         """Whether an event has come of this attempt."""
 
+        self.begun_at: float | None = None
+        """When its first event came."""
+
         self.avoided: frozenset[BackendId] = frozenset()
         self.fleet_seen = -1
         """State of the fleet for which leaving stages were looked for."""
@@ -115,6 +119,8 @@
         self.begun = True
         self.was_read()
         self.event_at = now()
+        if self.begun_at is None:
+            self.begun_at = self.event_at
         self.look_at = 0.0
         self.look_pause = 0.0
 
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -21,7 +21,7 @@
 from bayglade.mechanisms import Mechanism
 from bayglade.pathfinding import Path
 from bayglade.pipelines import Pipeline
-from bayglade.relay import Attempts, Peers, answer_head, send
+from bayglade.relay import Attempts, Peers, answer_head, content_of, send
 from bayglade.runs import Run, leave_planned, look_into
 from bayglade.upstream import Exchange
 
@@ -120,7 +120,7 @@
             _note_answer(peers, call, delivery, attempts)
             return
         except BackendError as error:
-            avoided |= _note_failure(peers, call, run.path, error)
+            avoided |= _note_failure(peers, call, run, error)
             if not attempts.failed(error):
                 break
         finally:
@@ -274,9 +274,9 @@
     delivery.end(message)
 
 
-def _note_failure(peers: Peers, call: Call, path: Path, error: BackendError) -> frozenset[BackendId]:
+def _note_failure(peers: Peers, call: Call, run: Run, error: BackendError) -> frozenset[BackendId]:
     """Judge the servers of a failed attempt; return those to avoid now."""
-    head = path.servers[0]
+    path, head = run.path, run.path.servers[0]
     server = _at_fault(path, error.at_fault) if isinstance(error, BackendRefused) else head
     event(
         "INFO",
@@ -285,6 +285,8 @@
         peer=head.facts.id,
         at_fault=server.facts.id,
         error=repr(error),
+        content=content_of(peers, call, error),
+        begun=None if run.begun_at is None else round(now() - run.begun_at, 3),
     )
     if isinstance(error, BackendRefused):
         if error.misdirected:
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -7,7 +7,7 @@
 from bayglade.heads import Headers, Message, end_to_end
 from bayglade.listener import Connection
 from bayglade.logs import event
-from bayglade.relay import Attempts, Peers, answer_head, send
+from bayglade.relay import Attempts, Peers, answer_head, content_of, send
 
 PATIENCE_OF_AIM = 0.6
 """Part of the aim after which a repeatable call is tried at another server."""
@@ -108,7 +108,14 @@
 
 
 def _note_failure(peers: Peers, call: Call, server: Server, error: BackendError) -> None:
-    event("INFO", "attempt failed", request=call.head.id, peer=server.facts.id, error=repr(error))
+    event(
+        "INFO",
+        "attempt failed",
+        request=call.head.id,
+        peer=server.facts.id,
+        error=repr(error),
+        content=content_of(peers, call, error),
+    )
     if isinstance(error, BackendRefused):
         if error.misdirected:
             peers.fleet.mark_leaving(server, "another server has its address")
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -46,7 +46,9 @@
             borrow=lambda service, budget: None,
             metrics=SimpleNamespace(count=lambda name: None),
         )
+        self.peers.fingerprint_key = b"key"
         self.call: Any = SimpleNamespace(service=SERVICE, endpoint=SimpleNamespace(max_attempts=2))
+        self.call.group, self.call.method, self.call.target, self.call.body = "g", "POST", b"/x", b"prompt"
         self.moved = moved
         path = paths.choose(SERVICE, self.model, self.model.usual())
         assert path is not None
@@ -122,7 +124,7 @@
 
     def by(self, server: Any) -> frozenset[Any]:
         error = BackendRefused("full", step="answer", peer="p", at_fault=server.facts.address)
-        return _note_failure(self.scene.peers, self.scene.call, self.scene.run.path, error)
+        return _note_failure(self.scene.peers, self.scene.call, self.scene.run, error)
 
 
 def test_a_stage_that_did_not_take_part_is_asked_whether_it_lives(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -286,5 +288,5 @@
     scene.peers.diagnosis = SimpleNamespace(examine=asked.append)
     monkeypatch.setattr(streams.eventlet, "spawn_n", lambda act, servers: act(servers))
     error = BackendError("the connection broke", step="receive", peer="s")
-    _note_failure(scene.peers, scene.call, scene.run.path, error)
+    _note_failure(scene.peers, scene.call, scene.run, error)
     assert asked == [[scene.run.path.servers[0]]]
