Stop requests under which three servers ended, over all daemons and restarts

Cause: servers that end under a request were counted by its id, for each try and in each daemon anew. Class: a bound on one thing is counted by attempt or daemon, while the thing crosses attempts, daemons, restarts of daemons and starts of servers. Ruled out: counting each break of a connection (resets, lost answers and leaving servers break them too): only a start that has surely ended counts, as nobody listens at its address or a later start is there, and only under requests that had just begun. Change: ends are a set of (content, start of a server) that daemons tell each other and that only grows; at three the content is refused at once, by all, and before each sending; its row in the store outlasts all daemons; a whole answer clears it.

--- a/bayglade/beliefs.py
+++ b/bayglade/beliefs.py
@@ -7,9 +7,11 @@
 
 import msgspec
 
+from bayglade.clock import now
 from bayglade.fleet import Fleet, Server
-from bayglade.ids import BackendId, HallName, MemberId, ServiceName
+from bayglade.ids import BackendId, Fingerprint, HallName, MemberId, ServiceName
 from bayglade.pathfinding import Path
+from bayglade.quarantine import Quarantine
 
 
 class ServerBelief(msgspec.Struct, frozen=True):
@@ -38,6 +40,19 @@
     route: str
 
 
+class StopBelief(msgspec.Struct, frozen=True):
+    """A request that the daemon holds back."""
+
+    content: Fingerprint
+    ends: list[BackendId]
+    """Servers that ended under it."""
+
+    seconds: float
+    """For how long it is held back already."""
+
+    in_store: bool
+
+
 class Beliefs(msgspec.Struct, frozen=True, kw_only=True):
     """All that one daemon takes for true; ages are in seconds."""
 
@@ -59,6 +74,7 @@
     waiting: int
     servers: list[ServerBelief]
     paths: list[PathBelief]
+    stopped: list[StopBelief]
 
 
 def server_beliefs(fleet: Fleet) -> list[ServerBelief]:
@@ -69,6 +85,22 @@
     return [_server(server) for server in fleet.servers.values()]
 
 
+def stop_beliefs(quarantine: Quarantine) -> list[StopBelief]:
+    """Describe the requests that are held back.
+
+    :param quarantine: what the daemon knows of them.
+    """
+    return [
+        StopBelief(
+            content=name,
+            ends=sorted(start.backend for start in evidence.ends),
+            seconds=round(now() - (evidence.stopped_at or 0.0), 1),
+            in_store=evidence.in_store,
+        )
+        for name, evidence in quarantine.stopped()
+    ]
+
+
 def path_beliefs(paths: Sequence[Path]) -> list[PathBelief]:
     """Describe paths.
 
--- a/bayglade/calls.py
+++ b/bayglade/calls.py
@@ -7,7 +7,7 @@
 from bayglade.clock import now
 from bayglade.endpoints import Endpoint
 from bayglade.heads import Headers, Message
-from bayglade.ids import BackendId, GroupPath, RequestId, ServiceName
+from bayglade.ids import BackendId, Fingerprint, GroupPath, RequestId, ServiceName
 from bayglade.models import Route
 from bayglade.pipelines import Demand, Pipeline
 
@@ -46,6 +46,8 @@
     target: bytes
     headers: Headers
     body: bytes
+    fingerprint: Fingerprint | None = None
+    """Names what it asks; worked out when it is first needed."""
 
     def __repr__(self) -> str:
         return f"<Call {self.head.id} to {self.service}>"
--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -70,6 +70,9 @@
         self.on_back: Callable[[Server], None] | None = None
         """Told of each stage that answers again."""
 
+        self.on_answer: Callable[[Server], None] = lambda server: None
+        """Told of each stage that answered."""
+
         self.daemons: Callable[[], int] = lambda: 1
         """Returns how many daemons ask."""
 
@@ -224,6 +227,7 @@
                 return
             self.findings[facts.id] = Finding(report)
             if report is not None:
+                self.on_answer(server)
                 self.fleet.pace(server, report.pace)
         finally:
             if self.asking.get(facts.id) is eventlet.getcurrent():
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -17,6 +17,7 @@
     UNKNOWN_INCARNATION,
     BackendId,
     Digest,
+    Fingerprint,
     Incarnation,
     MemberId,
     Revision,
@@ -89,6 +90,19 @@
         return ServerKey(self.backend, self.incarnation)
 
 
+class Crash(msgspec.Struct, frozen=True, array_like=True):
+    """A start of a server that ended while it had just begun to run a request."""
+
+    fingerprint: Fingerprint
+    backend: BackendId
+    incarnation: Incarnation = UNKNOWN_INCARNATION
+
+    @property
+    def key(self) -> ServerKey:
+        """Return which start of which server ended."""
+        return ServerKey(self.backend, self.incarnation)
+
+
 class Heartbeat(msgspec.Struct, frozen=True, tag="b", array_like=True, kw_only=True):
     """Tells that a daemon lives and what it knows; sent at once on a change.
 
@@ -113,7 +127,7 @@
 
 
 class Findings(msgspec.Struct, frozen=True, tag="s", array_like=True):
-    """Passes on what was found out about stages, at once.
+    """Passes on what was found out about servers, at once.
 
     Small, beside the heartbeats: 40 of these with their sums fill a link of 10 Mbit/s for a tenth of
     a second, and a crash of nine servers is told in dozens of steps.
@@ -125,6 +139,12 @@
     back: list[Finding] = []
     """Stages that were silent and answer again."""
 
+    crashes: list[Crash] = []
+    """Servers that ended under requests."""
+
+    cleared: list[Fingerprint] = []
+    """Requests that were answered though servers had ended under them."""
+
 
 class Fetch(msgspec.Struct, frozen=True, tag="f", array_like=True):
     """Asks for the settings in force, newer than a revision."""
--- a/bayglade/exceptions.py
+++ b/bayglade/exceptions.py
@@ -132,6 +132,12 @@
     code, status, default_outcome = "cut_off", 503, Outcome.NOT_RUN
 
 
+class RequestStopped(BaygladeError):
+    """Backend servers ended each time that they ran this request: it is not sent to any more."""
+
+    code, status, default_outcome = "request_stopped", 503, Outcome.NOT_RUN
+
+
 class Stopping(BaygladeError):
     """This daemon stops and takes no new requests."""
 
--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -166,6 +166,12 @@
         self.on_restart: list[Callable[[BackendId], None]] = []
         """Told of each server that started again under its id: what is known of it no longer holds."""
 
+        self.on_ended: Callable[[ServerKey], None] = lambda start: None
+        """Told of each start of a server that has ended, as a later one is there."""
+
+        self.on_unlisted: Callable[[Server], None] = lambda server: None
+        """Told of each server that is no longer listed and did not say that it leaves; it may serve on."""
+
         self.grown_at = 0.0
         """When a server was listed that was not known before."""
 
@@ -364,6 +370,8 @@
         """Put a server that started again in the place of its earlier start, which is dead."""
         # Requests there are moved or sent anew at once, and it counts no longer towards their bound.
         before.suspect, before.suspect_since = True, float("-inf")
+        if not before.leaving:
+            self.on_ended(before.facts.key)
         self._add(facts)
         self.changed += 1
         event(
@@ -398,6 +406,8 @@
     def _drop(self, backend: BackendId) -> None:
         server = self.servers.pop(backend, None)
         if server is not None:
+            if not server.leaving:
+                self.on_unlisted(server)
             server.leaving = True
             event("INFO", "server gone", peer=backend)
 
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -1,6 +1,7 @@
 """The daemon on the users' platform: puts the parts together, runs their tasks, stops in order."""
 
 import random
+import secrets
 import signal
 from collections.abc import Callable
 from pathlib import Path
@@ -10,14 +11,14 @@
 from eventlet.event import Event
 
 from bayglade import logs, platform
-from bayglade.beliefs import Beliefs, path_beliefs, server_beliefs
+from bayglade.beliefs import Beliefs, path_beliefs, server_beliefs, stop_beliefs
 from bayglade.calls import Call
 from bayglade.clock import now
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
 from bayglade.diagnosis import Diagnosis
 from bayglade.exceptions import BaygladeError, InvalidSettings, Stopping
 from bayglade.feeds import Feed, look_together
-from bayglade.fleet import Fleet
+from bayglade.fleet import Fleet, Server
 from bayglade.freshness import (
     LEAST_BOUND_SECONDS,
     answer_within,
@@ -26,7 +27,7 @@
     wait_within,
 )
 from bayglade.heads import Message
-from bayglade.ids import RequestId
+from bayglade.ids import BackendId, RequestId
 from bayglade.intake import ELSEWHERE_SECONDS, Intake
 from bayglade.leases import Lease
 from bayglade.lines import Lines
@@ -39,6 +40,7 @@
 from bayglade.paths import Paths
 from bayglade.peering import Peering
 from bayglade.presence import CallerLeft, Presence
+from bayglade.quarantine import Quarantine
 from bayglade.relay import Peers
 from bayglade.responses import JSON_TYPE
 from bayglade.retries import spread_retry_after
@@ -65,6 +67,7 @@
 over in time for sure."""
 STOP_MARGIN = 0.6
 """Seconds before the end by force at which the daemon ends by itself."""
+FINGERPRINT_KEY_BYTES = 32
 LOCAL_LIMITS = CallerLimits()
 """Bounds for whoever asks for readiness and metrics."""
 
@@ -113,6 +116,11 @@
         self.intake.decode = platform.decode_document
         self.usage = Usage()
         self.lines = Lines(self.usage, self.intake.share_of)
+        self.quarantine = Quarantine(secrets.token_bytes(FINGERPRINT_KEY_BYTES), self.rng)
+        self.fleet.on_ended = self.quarantine.server_ended
+        self.diagnosis.on_answer = lambda server: self.quarantine.server_lives(server.facts.key)
+        self.fleet.on_unlisted = self._unlisted
+        self.links.on_refused = self._refused
         self.peers = Peers(
             fleet=self.fleet,
             paths=Paths(self.fleet, config.hall, config.without, self.rng),
@@ -122,6 +130,7 @@
             diagnosis=self.diagnosis,
             check=self.intake.check,
             lines=self.lines,
+            quarantine=self.quarantine,
             new_budget=lambda: self.peering.new_budget(),
             metrics=self.metrics,
             rng=self.rng,
@@ -217,6 +226,7 @@
             in_flight=len(self.active),
             waiting=self.lines.waiting(),
             servers=server_beliefs(self.fleet),
+            stopped=stop_beliefs(self.quarantine),
             paths=path_beliefs(paths),
         )
 
@@ -244,6 +254,7 @@
             call = self.intake.call(message)
             request = call.head.id
             self._check_stopping(call)
+            self.quarantine.check(call)
             self.active.add(request)
             with self.presence.watching(connection.sock):
                 self._relay(call, connection)
@@ -257,6 +268,24 @@
             self.active.discard(request)
             self.metrics.observe("request_seconds", now() - started)
 
+    def _refused(self, backend: BackendId, address: str) -> None:
+        """Take in that nobody listens for a server: its present start has ended."""
+        server = self.fleet.servers.get(backend)
+        if server is not None and server.facts.address == address and not server.leaving:
+            self.quarantine.server_ended(server.facts.key)
+
+    def _unlisted(self, server: Server) -> None:
+        """Look whether a server that is no longer listed has ended: some leave so, and serve on a while."""
+        facts = server.facts
+        if facts.key not in self.quarantine.unsure:
+            return
+
+        def look() -> None:
+            if not self.links.probe(facts.id, facts.address):
+                self.quarantine.server_ended(facts.key)
+
+        eventlet.spawn_n(look)
+
     def _check_stopping(self, call: Call) -> None:
         """Refuse a request that may not be over before this daemon ends."""
         if not self.draining or now() - self.draining_since < ACCEPT_SECONDS:
@@ -328,6 +357,7 @@
         self.metrics.gauge("servers_listed", len(self.fleet.servers))
         suspects = sum(1 for server in self.fleet.servers.values() if server.state() == "suspect")
         self.metrics.gauge("servers_suspect", suspects)
+        self.metrics.gauge("requests_stopped", len(self.quarantine.stopped()))
         self.metrics.gauge("connections_opened", self.links.opened)
 
     def reload(self, cause: str) -> None:
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -7,7 +7,8 @@
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from functools import partial
 
 import eventlet
 import msgspec
@@ -34,6 +35,7 @@
 from bayglade.roster import MemberRow, Roster, join, mark_gone, read_roster
 from bayglade.rows import Changes, Table
 from bayglade.spreading import Spreading
+from bayglade.stops import read_stops, remove_stop, write_stop
 from bayglade.totals import Totals
 from bayglade.usage import Usage
 
@@ -50,6 +52,8 @@
 """A gateway that was silent for so long is taken out of the roster: restarts take a few seconds."""
 CLEAN_SECONDS = 5.0
 """Time between looks for these."""
+STOP_RETRY_SECONDS = 3.0
+"""Time after which the row of a request that is held back is written once more, if it is not there."""
 BUDGET_PART = 0.85
 """Part of the users' bound on repeated sendings that all gateways together allow themselves."""
 
@@ -95,6 +99,7 @@
             lambda: self.plan.duty is not Duty.FOLLOWER,
             self.count,
             rng,
+            peers.quarantine,
         )
         peers.borrow = self.pools.borrow
         if config.peer_ports:
@@ -113,7 +118,7 @@
         self.roster = join(self.store, self.feed.table, self.config.member, self._row())
         assert self.roster.secret is not None
         self.membership = self._membership(self.roster.secret)
-        self.peers.fingerprint_key = key_of(self.roster.secret)
+        self.peers.quarantine.use_key(key_of(self.roster.secret))
         eventlet.spawn_n(self.membership.serve, listening)
         event("INFO", "joined", address=self.address, members=len(self.roster.members))
         self._assign()
@@ -152,6 +157,7 @@
         self.lost.update(self.membership.silent(LOST_SECONDS), self.membership.heard)
         self._make_plan()
         self._clean_roster()
+        self._keep_stops()
         self.fanout.watch()
         for budget in self.peers.budgets.values():
             budget.floor = self._floor()
@@ -175,6 +181,23 @@
         except PlatformUnavailable as error:
             event("INFO", "roster not written", error=repr(error))
 
+    def _keep_stops(self) -> None:
+        """Have requests that are held back lie in the store, and remove those that were for long."""
+        quarantine = self.peers.quarantine
+        quarantine.tidy()
+        for name, evidence in quarantine.unwritten():
+            evidence.write_at = now() + STOP_RETRY_SECONDS
+            eventlet.spawn_n(self._change_stop, partial(write_stop, self.store, name, set(evidence.ends)))
+        if self.plan.readers.get(self.config.hall, ())[:1] == (self.config.member,):
+            for name in quarantine.expired():
+                eventlet.spawn_n(self._change_stop, partial(remove_stop, self.store, name))
+
+    def _change_stop(self, change: Callable[[], None]) -> None:
+        try:
+            change()
+        except PlatformUnavailable as error:
+            event("INFO", "stop not written", error=repr(error))
+
     def _rejoin(self) -> None:
         """Write the own row anew: others took this gateway for gone."""
         event("WARNING", "own row is gone")
@@ -232,6 +255,7 @@
         return membership
 
     def _take_roster(self, changes: Changes, whole: bool) -> None:
+        self.peers.quarantine.take_stored(read_stops(changes.rows), whole)
         self.roster = read_roster(changes.rows, Roster() if whole else self.roster)
         if self.membership is None:
             return
--- a/bayglade/platform/store.py
+++ b/bayglade/platform/store.py
@@ -120,6 +120,11 @@
         message = Write(
             expected=[Expected(c.key, c.version, _table(c.key)) for c in transaction.conditions],
             put=[Put(w.key, base64.b64encode(w.value).decode(), _table(w.key)) for w in transaction.writes],
+            remove=[
+                Expected(c.key, c.version, _table(c.key))
+                for c in transaction.conditions
+                if c.key in transaction.removes
+            ],
         )
         status, body = self._call(
             "transact", "POST", "/api/rows-tx", msgspec.json.encode(message), READ_TIMEOUT
--- /dev/null
+++ b/bayglade/quarantine.py
@@ -0,0 +1,339 @@
+"""Quarantine: requests under which backend servers ended, each time that they were run.
+
+Such a request takes a server with all that runs there for seconds, and comes again
+under another id, at any daemon. So ends are counted by what was asked (see
+:mod:`bayglade.fingerprints`) and by start of a server, over all daemons: the set of
+(request, start) only grows, daemons tell each other of what is new in it, and may
+merge it in any order. A request is stopped once enough starts have ended under it.
+What is stopped also lies in the platform's store, for daemons that start anew.
+"""
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from bayglade.calls import Call
+from bayglade.clock import now
+from bayglade.entries.wire import Crash
+from bayglade.exceptions import RequestStopped
+from bayglade.fingerprints import fingerprint_of
+from bayglade.ids import BackendId, Fingerprint, ServerKey
+from bayglade.logs import event, limited
+from bayglade.retries import spread_retry_after
+
+MOST_ENDS = 3
+"""Starts of servers that end under a request before it is stopped whatever else ran there."""
+FRESH_SECONDS = 1.0
+"""A request whose first event is older when its server ends did not end it: such requests end servers
+35 to 110 ms after these begin to run them (one recorded day)."""
+GATHER_SECONDS = 0.15
+"""How long a request waits under which two servers have ended before it is sent once more: other daemons
+tell within some milliseconds what else was under way there, and a server is known to have ended within
+some ten."""
+TRIAL_SECONDS = 0.4
+"""How long another suspect is kept away from a server to which one was sent: some three times as long as
+servers last under requests that end them, and a third of the time after which callers leave."""
+UNSURE_SECONDS = 6.0
+"""How long a request whose server broke off waits for word that the server has ended: the entry of one
+that fell silent is gone after three of its heartbeats, 3.6 s on the users' platform."""
+SUSPECT_SECONDS = 600.0
+"""For how long ends count after the last one."""
+STOP_SECONDS = 3600.0
+"""For how long a request is stopped: servers get another version of the software or weights meanwhile."""
+WRITE_SECONDS = 2.0
+"""Within this time a daemon that was told of the last end writes a stop that nobody else has written."""
+MAX_SUSPECTS = 4096
+"""Requests that are remembered: each end of a server adds those that had just begun there, some ten."""
+LOGGED_A_SECOND = 5.0
+"""Refusals that are logged: callers may repeat a stopped request at will."""
+
+
+class Trial(msgspec.Struct, frozen=True):
+    """A suspect that has just been sent to a server."""
+
+    suspect: Fingerprint
+    until: float
+
+
+class Evidence:
+    """What is known against one request; times are monotonic seconds."""
+
+    __slots__ = ("ended_at", "ends", "in_store", "stopped_at", "void", "write_at")
+
+    def __init__(self) -> None:
+        self.ends: set[ServerKey] = set()
+        """Starts of servers that ended while they had just begun to run it."""
+
+        self.void: set[ServerKey] = set()
+        """Ends that no longer count: the request was answered since."""
+
+        self.ended_at = now()
+        self.stopped_at: float | None = None
+        self.write_at = 0.0
+        """When a stop is written to the store unless another daemon has written it."""
+
+        self.in_store = False
+
+    def __repr__(self) -> str:
+        return f"<Evidence {len(self.ends)} ends stopped_at={self.stopped_at}>"
+
+
+class Quarantine:
+    """The requests that one daemon holds back, and what it knows of others.
+
+    :param key: key of fingerprints; the same for all daemons once they have joined.
+    :param rng: source of chance.
+    """
+
+    def __init__(self, key: bytes, rng: random.Random) -> None:
+        self.key = key
+        self.rng = rng
+        self.evidence: OrderedDict[Fingerprint, Evidence] = OrderedDict()
+        """By request, the one heard of last at the end."""
+
+        self.unsure: dict[ServerKey, dict[Fingerprint, float]] = {}
+        """Requests that broke off on a server which may have ended, and since when."""
+
+        self.ended: dict[ServerKey, float] = {}
+        """Starts of servers that ended lately."""
+
+        self.trials: dict[BackendId, Trial] = {}
+        """The suspect that was sent last to each server."""
+
+        self.on_news: Callable[[list[Crash], list[Fingerprint]], None] = lambda crashes, cleared: None
+        """Told what other daemons do not know: ends, and requests that were answered."""
+
+        self.log_refusal = limited(LOGGED_A_SECOND)
+
+    def __repr__(self) -> str:
+        return f"<Quarantine {len(self.stopped())} stopped of {len(self.evidence)}>"
+
+    def use_key(self, key: bytes) -> None:
+        """Name requests as the other daemons do; what was named otherwise is forgotten."""
+        if key == self.key:
+            return
+        self.key = key
+        for known in (self.evidence, self.unsure):
+            known.clear()
+
+    def name(self, call: Call) -> Fingerprint:
+        """Return the fingerprint of a call, which is worked out once."""
+        if call.fingerprint is None:
+            call.fingerprint = fingerprint_of(call, self.key)
+        return call.fingerprint
+
+    def stopped(self) -> list[tuple[Fingerprint, Evidence]]:
+        """List the requests that are held back."""
+        return [(name, e) for name, e in self.evidence.items() if e.stopped_at is not None]
+
+    def holds(self, call: Call) -> bool:
+        """Tell whether a call must not be sent."""
+        evidence = self._of(call)
+        return evidence is not None and evidence.stopped_at is not None
+
+    def check(self, call: Call) -> None:
+        """Refuse a call that must not be sent.
+
+        :raises RequestStopped: when servers ended each time that it was run.
+        """
+        evidence = self._of(call)
+        if evidence is None or evidence.stopped_at is None:
+            return
+        name = self.name(call)
+        self.log_refusal("WARNING", "request held back", request=call.head.id, content=name)
+        left = max(0.0, evidence.stopped_at + STOP_SECONDS - now())
+        raise RequestStopped(
+            f"{len(evidence.ends)} servers ended when they ran this request ({name})",
+            step="quarantine",
+            retry_after=spread_retry_after(left, self.rng),
+        )
+
+    def suspects(self, call: Call) -> bool:
+        """Tell whether a server ended, or may have, when it had just begun to run a call."""
+        evidence = self._of(call)
+        if evidence is not None and evidence.ends:
+            return True
+        return bool(self.unsure) and any(self.name(call) in names for names in self.unsure.values())
+
+    def on_trial(self, call: Call) -> frozenset[BackendId]:
+        """Return the servers to which other suspects than a call were sent just now."""
+        at, name = now(), self.name(call)
+        return frozenset(b for b, t in self.trials.items() if t.until > at and t.suspect != name)
+
+    def sent(self, call: Call, backend: BackendId) -> None:
+        """Note that a call is sent to a server: a suspect is on trial there."""
+        if (self.evidence or self.unsure) and self.suspects(call):
+            self.trials[backend] = Trial(self.name(call), now() + TRIAL_SECONDS)
+
+    def gather_seconds(self, call: Call) -> float:
+        """Return how long to wait before a call is sent once more, for word of its servers' ends."""
+        evidence = self._of(call)
+        ends = len(evidence.ends) if evidence is not None else 0
+        name = self.name(call) if self.unsure else None
+        ends += sum(name in names for names in self.unsure.values())
+        return GATHER_SECONDS if ends >= MOST_ENDS - 1 else 0.0
+
+    def broke_off(self, call: Call, start: ServerKey, begun_at: float | None) -> None:
+        """Note that a server broke a call off, and may have ended.
+
+        :param call: the call.
+        :param start: the start of the server.
+        :param begun_at: when the first event of this run came, if one came.
+        """
+        if begun_at is not None and now() - begun_at > FRESH_SECONDS:
+            return
+        name = self.name(call)
+        if start in self.ended:
+            self._tell(self._count([Crash(name, *start)]))
+            return
+        self.unsure.setdefault(start, {})[name] = now()
+
+    def server_ended(self, start: ServerKey) -> None:
+        """Take in that a start of a server has surely ended."""
+        self.ended[start] = now()
+        names = self.unsure.pop(start, None)
+        if names:
+            self._tell(self._count(Crash(name, *start) for name in names))
+
+    def server_lives(self, start: ServerKey) -> None:
+        """Take in that a start of a server answers: what broke off there did not end it."""
+        self.unsure.pop(start, None)
+
+    def answered(self, call: Call) -> None:
+        """Note a whole answer: the request ends no server."""
+        if self._of(call) is not None and (cleared := self._clear([self.name(call)])):
+            self.on_news([], cleared)
+
+    def hear(
+        self, crashes: Iterable[Crash], cleared: Iterable[Fingerprint]
+    ) -> tuple[list[Crash], list[Fingerprint]]:
+        """Take in what another daemon tells.
+
+        :param crashes: ends under requests.
+        :param cleared: requests that were answered since.
+        :return: what of it was not known here.
+        """
+        told = list(crashes)
+        fresh = self._count(told, self.rng.uniform(0.0, WRITE_SECONDS))
+        for crash in told:
+            # Whoever tells of it knows that this start has ended.
+            self.server_ended(crash.key)
+        return fresh, self._clear(cleared)
+
+    def take_stored(self, rows: dict[Fingerprint, list[ServerKey] | None], whole: bool) -> None:
+        """Take in stops as they lie in the store.
+
+        :param rows: ends by request; nothing for a stop that was lifted.
+        :param whole: whether these are all there are.
+        """
+        lifted = {name for name, ends in rows.items() if ends is None}
+        if whole:
+            lifted |= {name for name, e in self.evidence.items() if e.in_store and name not in rows}
+        for name in lifted:
+            if name in self.evidence and self.evidence[name].in_store:
+                event("INFO", "request let go", content=name, reason="its row was removed")
+                self.evidence.pop(name)
+        for name, ends in rows.items():
+            if ends is not None:
+                evidence = self._known(name)
+                self._add(name, ends)
+                evidence.in_store = True
+                self._stop(name, evidence, "the store")
+
+    def unwritten(self) -> list[tuple[Fingerprint, Evidence]]:
+        """List the stops that are due to be written to the store."""
+        at = now()
+        return [(name, e) for name, e in self.stopped() if not e.in_store and at >= e.write_at]
+
+    def expired(self) -> list[Fingerprint]:
+        """List the stops in the store that have lasted long enough."""
+        oldest = now() - STOP_SECONDS
+        return [n for n, e in self.stopped() if e.in_store and (e.stopped_at or 0.0) < oldest]
+
+    def tidy(self) -> None:
+        """Forget what no longer counts; called now and then."""
+        at = now()
+        self.trials = {backend: trial for backend, trial in self.trials.items() if trial.until > at}
+        for start in [s for s, ended_at in self.ended.items() if at - ended_at > UNSURE_SECONDS]:
+            del self.ended[start]
+        for start, names in list(self.unsure.items()):
+            self.unsure[start] = {n: since for n, since in names.items() if at - since <= UNSURE_SECONDS}
+            if not self.unsure[start]:
+                del self.unsure[start]
+        old = [
+            name
+            for name, e in self.evidence.items()
+            if not e.in_store and at - max(e.ended_at, e.stopped_at or 0.0) > SUSPECT_SECONDS
+        ]
+        for name in old:
+            self.evidence.pop(name)
+
+    def _of(self, call: Call) -> Evidence | None:
+        """Return what is known against a call; costs nothing while nothing is known of any."""
+        return self.evidence.get(self.name(call)) if self.evidence else None
+
+    def _known(self, name: Fingerprint) -> Evidence:
+        evidence = self.evidence.get(name)
+        if evidence is None:
+            evidence = self.evidence[name] = Evidence()
+            if len(self.evidence) > MAX_SUSPECTS:
+                oldest = next(iter(self.evidence))
+                self.evidence.pop(
+                    next((n for n, e in self.evidence.items() if e.stopped_at is None), oldest)
+                )
+        self.evidence.move_to_end(name)
+        return evidence
+
+    def _count(self, crashes: Iterable[Crash], write_after: float = 0.0) -> list[Crash]:
+        """Count ends; return those that are new here.
+
+        :param write_after: seconds after which a stop that follows is written to the store.
+        """
+        fresh = [crash for crash in crashes if self._add(crash.fingerprint, [crash.key])]
+        for crash in fresh:
+            evidence = self.evidence[crash.fingerprint]
+            if evidence.stopped_at is None and len(evidence.ends) >= MOST_ENDS:
+                evidence.write_at = now() + write_after
+                self._stop(crash.fingerprint, evidence, "servers ended")
+        return fresh
+
+    def _add(self, name: Fingerprint, starts: Iterable[ServerKey]) -> bool:
+        """Add ends to the evidence; tell whether one of them is new."""
+        evidence = self._known(name)
+        new = set(starts) - evidence.ends - evidence.void
+        evidence.ends |= new
+        if new:
+            evidence.ended_at = now()
+        return bool(new)
+
+    def _stop(self, name: Fingerprint, evidence: Evidence, source: str) -> None:
+        if evidence.stopped_at is not None:
+            return
+        evidence.stopped_at = now()
+        event(
+            "WARNING",
+            "request stopped",
+            content=name,
+            source=source,
+            ends=sorted(start.backend for start in evidence.ends),
+        )
+
+    def _clear(self, names: Iterable[Fingerprint]) -> list[Fingerprint]:
+        """Let the ends of requests count no more; return those that counted here."""
+        cleared = []
+        for name in names:
+            evidence = self.evidence.get(name)
+            if evidence is None or not evidence.ends:
+                continue
+            evidence.void |= evidence.ends
+            evidence.ends = set()
+            evidence.stopped_at = None
+            cleared.append(name)
+            event("INFO", "request cleared", content=name, void=len(evidence.void))
+        return cleared
+
+    def _tell(self, crashes: list[Crash]) -> None:
+        if crashes:
+            self.on_news(crashes, [])
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -6,9 +6,10 @@
 """
 
 import random
-import secrets
 from collections.abc import Callable
 
+import eventlet
+
 from bayglade.calls import AnswerHead, Call, Dialect, Sending
 from bayglade.clock import now
 from bayglade.control import Control
@@ -22,10 +23,10 @@
     NoRoute,
     Outcome,
     Overloaded,
+    RequestStopped,
 )
 from bayglade.fleet import Fleet, Server
 from bayglade.heads import Message, write_head
-from bayglade.fingerprints import fingerprint_of
 from bayglade.ids import BackendId, Fingerprint
 from bayglade.lines import Lines
 from bayglade.logs import event
@@ -34,6 +35,7 @@
 from bayglade.pathfinding import Path
 from bayglade.paths import Paths
 from bayglade.patience import Patience
+from bayglade.quarantine import Quarantine
 from bayglade.retries import RetryBudget, spread_retry_after
 from bayglade.upstream import FRESH_SECONDS, IDLE_SECONDS, Exchange, Links, open_exchange
 
@@ -42,7 +44,6 @@
 NO_ROUTE_SECONDS = 0.5
 MAX_SENDINGS = 8
 """Sendings of one call, those included that a full server turned away."""
-FINGERPRINT_KEY_BYTES = 32
 FULL_SECONDS = 0.3
 """When to come back: about the time in which a place becomes free."""
 
@@ -60,6 +61,7 @@
         diagnosis: Diagnosis,
         check: Callable[[Call], None],
         lines: Lines,
+        quarantine: Quarantine,
         new_budget: Callable[[], RetryBudget],
         metrics: Metrics,
         rng: random.Random,
@@ -79,12 +81,10 @@
         self.without = without
         self.patience = Patience(Mechanism.PATIENCE not in without)
         self.lines = lines
+        self.quarantine = quarantine
         self.new_budget = new_budget
         """Makes the budget of a service, this daemon's part of the bound on all of them."""
 
-        self.fingerprint_key = secrets.token_bytes(FINGERPRINT_KEY_BYTES)
-        """Shared by all daemons once this one has joined them."""
-
         self.budgets: dict[str, RetryBudget] = {}
         self.borrow: Callable[[str, RetryBudget], None] = lambda service, budget: None
         """Borrows for a budget that is spent."""
@@ -102,7 +102,7 @@
 class Attempts:
     """What has come of one call so far."""
 
-    __slots__ = ("call", "failure", "full_for", "heads", "sent", "tried", "unknown", "unreached")
+    __slots__ = ("call", "failure", "full_for", "heads", "sent", "stopped", "tried", "unknown", "unreached")
 
     def __init__(self, call: Call) -> None:
         self.call = call
@@ -119,6 +119,9 @@
         self.unknown = False
         """Whether one of the sendings may have run."""
 
+        self.stopped: RequestStopped | None = None
+        """Set when the call must not be sent any more."""
+
     def __repr__(self) -> str:
         return f"<Attempts {self.sent} sent, {self.unreached} unreached>"
 
@@ -128,7 +131,7 @@
 
     def may_send(self, peers: Peers) -> bool:
         """Tell whether the call may be sent once more, and take that from the budget."""
-        if not self.open():
+        if not self.open() or self._held(peers):
             return False
         budget = peers.budget(self.call.service)
         if self.sent == 0 or budget.retry():
@@ -136,14 +139,23 @@
         if Mechanism.LENDING not in peers.without:
             peers.borrow(self.call.service, budget)
             if budget.retry():
-                return True
+                return not self._held(peers)
         event("INFO", "retry budget spent", request=self.call.head.id, budget=budget)
         peers.metrics.count("retry_budget_spent")
         return False
 
+    def _held(self, peers: Peers) -> bool:
+        """Tell whether servers ended under the call, here or elsewhere, so that it goes nowhere more."""
+        try:
+            peers.quarantine.check(self.call)
+        except RequestStopped as error:
+            self.stopped = error
+            return True
+        return False
+
     def may_repeat(self, peers: Peers) -> bool:
         """Tell whether the call could be sent once more, without taking that from the budget."""
-        if self.sent >= MAX_SENDINGS:
+        if self.sent >= MAX_SENDINGS or peers.quarantine.holds(self.call):
             return False
         budget = peers.budget(self.call.service)
         if not budget.left() and Mechanism.LENDING not in peers.without:
@@ -189,6 +201,8 @@
             # The last failure alone may be a refusal, which says nothing of the sendings before.
             last = f": {self.failure.message}" if self.failure is not None else ""
             return BackendError(f"no whole answer{last}", step="relay")
+        if self.stopped is not None:
+            return self.stopped
         if isinstance(self.failure, BackendRefused) or self.full_for is not None:
             again = spread_retry_after(max(FULL_SECONDS, self.full_for or 0.0), rng)
             return Overloaded("the servers are full", step="relay", retry_after=again)
@@ -215,6 +229,7 @@
     """
     facts = server.facts
     peers.check(call)
+    peers.quarantine.sent(call, facts.id)
     max_idle = FRESH_SECONDS if call.once else IDLE_SECONDS
     exchange = open_exchange(peers.links, facts.id, facts.address, max_idle)
     try:
@@ -245,6 +260,12 @@
     return exchange
 
 
+def await_word(peers: Peers, call: Call) -> None:
+    """Wait before a call is sent once more for word of whether its servers ended, if that would stop it."""
+    if (seconds := peers.quarantine.gather_seconds(call)) > 0:
+        eventlet.sleep(min(seconds, max(0.0, call.seconds_left())))
+
+
 def content_of(peers: Peers, call: Call, error: BackendError) -> Fingerprint | None:
     """Return what names a request that may have run on a server which broke off, for the log.
 
@@ -253,7 +274,7 @@
     """
     if error.outcome is Outcome.NOT_RUN:
         return None
-    return fingerprint_of(call, peers.fingerprint_key)
+    return peers.quarantine.name(call)
 
 
 def answer_head(peers: Peers, call: Call, exchange: Exchange, until: float) -> tuple[Message, AnswerHead]:
--- a/bayglade/roster.py
+++ b/bayglade/roster.py
@@ -21,6 +21,8 @@
 MEMBER_PREFIX = "members/"
 SECRET_KEY = MEMBER_PREFIX + "#secret"
 """Among the rows of the daemons, so that one read brings both; no daemon's name begins so."""
+STOP_PREFIX = MEMBER_PREFIX + "#stopped/"
+"""Keys of requests that are held back, see :mod:`bayglade.stops`."""
 SECRET_BYTES = 32
 RETRY_SECONDS = 1.0
 """Pause after a call that failed: nothing waits for it but sharing."""
@@ -133,6 +135,8 @@
     members, secret, marked = dict(before.members), before.secret, set(before.marked)
     strange = set(before.strange)
     for key, value in rows.items():
+        if key.startswith(STOP_PREFIX):
+            continue
         member = MemberId(key.removeprefix(MEMBER_PREFIX))
         strange.discard(key)
         try:
--- a/bayglade/rows.py
+++ b/bayglade/rows.py
@@ -34,6 +34,8 @@
 
     conditions: list[Condition]
     writes: list[Write]
+    removes: list[str] = []
+    """Keys of rows that are removed; each has a condition, which names its version."""
 
 
 class TransactionResult(msgspec.Struct, frozen=True):
--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -72,7 +72,7 @@
         """Whether an event has come of this attempt."""
 
         self.begun_at: float | None = None
-        """When its first event came."""
+        """When its first event came on its present path."""
 
         self.avoided: frozenset[BackendId] = frozenset()
         self.fleet_seen = -1
@@ -96,6 +96,7 @@
         """Leave the path for another one, which has been taken."""
         self.path.release()
         self.path = path
+        self.begun_at = None
         self.slow_before |= slow_stages(path)
 
     def on_dead_stage(self) -> bool:
@@ -160,7 +161,7 @@
     """
     if reason == "dead" and Mechanism.LEAVE_DEAD in peers.without:
         return False
-    if now() < run.move_at:
+    if now() < run.move_at or peers.quarantine.holds(call):
         return False
     path = peers.paths.detour(run.path, call.service, pipeline, run.avoided, across)
     if path is None:
@@ -198,6 +199,9 @@
     if call.seconds_left() <= 0:
         raise BackendSilent("no whole answer in time", step="stream", peer=run.exchange.backend)
     dead = dead_stages(peers, call, run, patience)
+    for server in run.path.servers:
+        if server.facts.id in dead:
+            peers.quarantine.broke_off(call, server.facts.key, run.begun_at)
     if not dead and connection_silent(peers, call, run):
         peers.links.distrust(run.event_at)
         if _can_resend(peers, call, pipeline, run):
--- a/bayglade/spreading.py
+++ b/bayglade/spreading.py
@@ -9,11 +9,15 @@
 import eventlet
 
 from bayglade.diagnosis import Diagnosis
-from bayglade.entries.wire import Finding, Findings
+from bayglade.entries.wire import Crash, Finding, Findings
 from bayglade.fleet import Fleet, Server
-from bayglade.ids import BackendId, MemberId, ServerKey
+from bayglade.ids import BackendId, Fingerprint, MemberId, ServerKey
+from bayglade.quarantine import Quarantine
 from bayglade.reports import LOOKERS, Reports
 
+NEWS_SECONDS = 0.01
+"""Time in which word of requests gathers before it goes out: a message each would fill the queues."""
+
 Tell = Callable[[Findings, MemberId | None], None]
 """Tells the daemons that this one has streams to, but for the one that is named."""
 
@@ -28,6 +32,7 @@
     :param passes_on: tells whether this daemon passes on what it hears.
     :param daemons: returns how many daemons there are.
     :param rng: source of chance.
+    :param quarantine: the requests under which servers ended.
     """
 
     def __init__(
@@ -39,6 +44,7 @@
         passes_on: Callable[[], bool],
         daemons: Callable[[], int],
         rng: random.Random,
+        quarantine: Quarantine,
     ) -> None:
         self.me = me
         self.fleet = fleet
@@ -47,6 +53,12 @@
         self.passes_on = passes_on
         self.daemons = daemons
         self.rng = rng
+        self.quarantine = quarantine
+        self.crashes: list[Crash] = []
+        self.cleared: list[Fingerprint] = []
+        """Word of requests that is about to go out."""
+
+        quarantine.on_news = self._tell_soon
         self.dead = Reports()
         self.back = Reports()
         diagnosis.on_dead = self._found_dead
@@ -65,11 +77,24 @@
         self.heard_of(finding.key for finding in (*found.dead, *found.back))
         dead = self.dead.add(finding for finding in found.dead if self._present(finding))
         back = self.back.add(finding for finding in found.back if self._present(finding))
-        if self.passes_on() and (dead or back):
-            self.tell(Findings(dead, back), member)
+        crashes, cleared = self.quarantine.hear(found.crashes, found.cleared)
+        if self.passes_on() and (dead or back or crashes or cleared):
+            self.tell(Findings(dead, back, crashes, cleared), member)
         self._take_dead(finding.backend for finding in dead)
         self._take_back(finding.backend for finding in back)
 
+    def _tell_soon(self, crashes: list[Crash], cleared: list[Fingerprint]) -> None:
+        """Tell of requests in a moment: a server's end breaks off many within some milliseconds."""
+        if not self.crashes and not self.cleared:
+            eventlet.spawn_after(NEWS_SECONDS, self._tell_news)
+        self.crashes += crashes
+        self.cleared += cleared
+
+    def _tell_news(self) -> None:
+        found = Findings(crashes=self.crashes, cleared=self.cleared)
+        self.crashes, self.cleared = [], []
+        self.tell(found, None)
+
     def heard_of(self, starts: Iterable[ServerKey]) -> None:
         """Ask servers that others know to have started later than is known here.
 
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -21,8 +21,9 @@
 from bayglade.mechanisms import Mechanism
 from bayglade.pathfinding import Path
 from bayglade.pipelines import Pipeline
-from bayglade.relay import Attempts, Peers, answer_head, content_of, send
+from bayglade.relay import Attempts, Peers, answer_head, await_word, content_of, send
 from bayglade.runs import Run, leave_planned, look_into
+from bayglade.trials import heads_to_avoid
 from bayglade.upstream import Exchange
 
 WAIT_SECONDS = 1.5
@@ -126,6 +127,7 @@
         finally:
             run.path.release()
             peers.lines.note_end(call.service)
+        await_word(peers, call)
     raise attempts.error(peers.rng)
 
 
@@ -144,12 +146,14 @@
     demand = demand_of(call, pipeline)
     attempts.full_for = None
 
-    def seek() -> Path | None:
-        path = peers.paths.choose(call.service, pipeline, demand, avoided, attempts.only())
+    def seek(others: frozenset[BackendId] = frozenset()) -> Path | None:
+        path = peers.paths.choose(call.service, pipeline, demand, avoided | others, attempts.only())
         if path is not None:
             peers.paths.take(path, pipeline)
         return path
 
+    if (others := heads_to_avoid(peers, call, avoided)) and (path := seek(others)) is not None:
+        return path
     if not peers.lines.busy(call.service):
         path = seek()
         if path is not None:
@@ -171,6 +175,7 @@
 
 
 def _note_answer(peers: Peers, call: Call, delivery: Delivery, attempts: Attempts) -> None:
+    peers.quarantine.answered(call)
     if delivery.first_seconds is not None:
         peers.metrics.observe("first_event_seconds", delivery.first_seconds)
         peers.metrics.observe("longest_gap_seconds", delivery.longest_gap)
@@ -297,6 +302,8 @@
             # The head says which stage did not take part, not why: one that is dead has to be known.
             eventlet.spawn_n(peers.diagnosis.examine, [server])
         return frozenset({server.facts.id})
+    if not isinstance(error, BackendUnreachable):
+        peers.quarantine.broke_off(call, head.facts.key, run.begun_at)
     if isinstance(error, BackendUnreachable):
         peers.fleet.suspect(head, error.code)
     elif not head.suspect:
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -9,6 +9,7 @@
 from bayglade.exceptions import BackendError, BackendSilent, BackendUnreachable, InvalidMessage
 from bayglade.heads import Message, Reader
 from bayglade.ids import BackendId
+from bayglade.logs import event
 from bayglade.sockets import at_rest, receive
 
 CONNECT_SECONDS = 0.4
@@ -51,6 +52,9 @@
     def __init__(self) -> None:
         self.idle: dict[BackendId, deque[Link]] = {}
         self.opened = 0
+        self.on_refused: Callable[[BackendId, str], None] = lambda backend, address: None
+        """Told of each server that nobody listens for at its address."""
+
         self.trusted_from = 0.0
         """Connections that were used last before this time are not used again."""
 
@@ -86,6 +90,21 @@
             link.sock.close()
         return self._open(backend, address, connect_seconds)
 
+    def probe(self, backend: BackendId, address: str) -> bool:
+        """Look whether anybody listens for a server, on a connection that rests afterwards.
+
+        :param backend: the server.
+        :param address: where it listens.
+        :return: whether somebody does.
+        """
+        try:
+            link = self._open(backend, address, CONNECT_SECONDS)
+        except BackendUnreachable as error:
+            event("INFO", "server not reached", peer=backend, error=repr(error))
+            return False
+        self.give_back(backend, link, None)
+        return True
+
     def give_back(self, backend: BackendId, link: Link, keep_seconds: float | None) -> None:
         """Let a connection rest after a whole answer.
 
@@ -144,6 +163,8 @@
             sock.connect((where.host, where.port))
         except OSError as error:
             sock.close()
+            if isinstance(error, ConnectionRefusedError):
+                self.on_refused(backend, address)
             raise BackendUnreachable(f"cannot connect: {error}", step="connect", peer=backend) from error
         except BaseException:
             sock.close()
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -1,13 +1,16 @@
 """Whole answers of plain services: read to their end before a byte goes to the caller."""
 
+import eventlet
+
 from bayglade.calls import Call
 from bayglade.clock import now
-from bayglade.exceptions import BackendError, BackendRefused
+from bayglade.exceptions import BackendError, BackendRefused, BackendSilent, BackendUnreachable
 from bayglade.fleet import Server
 from bayglade.heads import Headers, Message, end_to_end
 from bayglade.listener import Connection
 from bayglade.logs import event
-from bayglade.relay import Attempts, Peers, answer_head, content_of, send
+from bayglade.relay import Attempts, Peers, answer_head, await_word, content_of, send
+from bayglade.trials import wait_apart
 
 PATIENCE_OF_AIM = 0.6
 """Part of the aim after which a repeatable call is tried at another server."""
@@ -50,12 +53,15 @@
             _note_failure(peers, call, server, error)
             if not attempts.failed(error):
                 break
+            await_word(peers, call)
             continue
         # A failure that the server vouches for goes on only when no other server may do better.
         if answer.status < 500 or not call.endpoint.repeatable:
             break
     if answer is None:
         raise attempts.error(peers.rng)
+    if answer.status < 500:
+        peers.quarantine.answered(call)
     connection.answer(answer.status, answer.headers, answer.content)
     event("INFO", "answered", request=call.head.id, status=answer.status, sent=attempts.sent)
 
@@ -97,6 +103,8 @@
     fitting = [s for s in peers.fleet.usable(call.service) if s.facts.id not in attempts.tried]
     if not fitting or attempts.only() is not None:
         return None
+    if peers.quarantine.suspects(call):
+        fitting = wait_apart(peers, call, fitting) or fitting
     own = peers.paths.hall
     return min(
         fitting,
@@ -120,4 +128,18 @@
         if error.misdirected:
             peers.fleet.mark_leaving(server, "another server has its address")
         return
+    if not isinstance(error, BackendUnreachable):
+        _note_break(peers, call, server, error)
     peers.fleet.suspect(server, error.code)
+
+
+def _note_break(peers: Peers, call: Call, server: Server, error: BackendError) -> None:
+    """Note that a server may have ended while it ran a call, and look whether it has."""
+    peers.quarantine.broke_off(call, server.facts.key, None)
+    if not isinstance(error, BackendSilent):
+        eventlet.spawn_n(_look_at, peers, server)
+
+
+def _look_at(peers: Peers, server: Server) -> None:
+    if peers.links.probe(server.facts.id, server.facts.address):
+        peers.quarantine.server_lives(server.facts.key)
--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -157,6 +157,7 @@
             known = order["id"] in self.paths
             if known:
                 self._take_path(order["id"], order["path"])
+                self.site.moved(order["id"], self, order["path"])
             handler.json({}, 200 if known else 404)
             return
         if order["expectedRev"] != self.orders:
@@ -185,6 +186,7 @@
         self.seen.append({name.lower(): value for name, value in handler.headers.items()})
         head = {"X-Request-Id": request, "X-Response-Seal": f"seal-of-{self.id}"}
         if body in self.site.deadly:
+            self.site.deadly_requests[request] = body
             self.site.end_under(body, self, handler.headers.get("Path"))
         if self.kind:
             self._stream(handler, request, head)
--- a/standins/users/site.py
+++ b/standins/users/site.py
@@ -2,6 +2,7 @@
 
 import shutil
 import tempfile
+import threading
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -13,7 +14,6 @@
 from standins.users.store import MetadataStore
 from standins.world import wait_for
 
-
 BEGIN_SECONDS = 0.03
 """Time from when a server begins to run a request that ends it to its end."""
 
@@ -50,6 +50,9 @@
         self.deadly: set[bytes] = set()
         """Bodies of requests that end each server which begins to run them."""
 
+        self.deadly_requests: dict[str, bytes] = {}
+        """Bodies of such requests, by id."""
+
         self.deadly_stage = 0
         """Which stage of its path such a request ends."""
 
@@ -116,6 +119,12 @@
         time.sleep(BEGIN_SECONDS)
         server.crash(self.down_seconds)
 
+    def moved(self, request: str, server: Replica, path: str) -> None:
+        """Have another stage end when such a request is moved to it."""
+        body = self.deadly_requests.get(request)
+        if body is not None and self.deadly_stage != 0:
+            threading.Thread(target=self.end_under, args=(body, server, path), daemon=True).start()
+
     def wait_placed(self) -> None:
         """Wait until the servers of each hall hold all layers."""
         wait_for("all layers are held", self._placed)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -41,13 +41,17 @@
     return ask(daemon.callers, path, "POST", body)
 
 
+def stopped(answer: Answer) -> bool:
+    return answer.status == 503 and b"request_stopped" in answer.body
+
+
 def served(daemon: Daemon, path: str = "/stream/x", body: bytes = HARMLESS) -> bool:
     answer = send(daemon, body, path)
     return answer.whole and answer.status == 200
 
 
 def started(site: UsersSite, count: int = 1) -> list[Daemon]:
-    daemons = [site.start(f"hall-{number % 2}") for number in range(count)]
+    daemons = [site.start(f"hall-{number % 2}", retry_floor=100.0) for number in range(count)]
     site.wait_placed()
     for daemon in daemons:
         wait_for("streams are served", lambda daemon=daemon: served(daemon))
@@ -81,7 +85,7 @@
     daemons = started(site, count)
     answers = ask_again_and_again(site, daemons, path)
     assert len(site.ends) <= MOST_ENDS
-    assert [answer.status for answer in answers[-2:]] == [503, 503]
+    assert all(stopped(answer) for answer in answers[-2:])
     assert "retry-after" in answers[-1].headers
     assert site.runs(answers[-1].request) == 0
 
@@ -91,7 +95,7 @@
     daemons = started(site, 2)
     answers = ask_again_and_again(site, daemons, "/stream/x")
     assert len(site.ends) <= MOST_ENDS
-    assert answers[-1].status == 503
+    assert stopped(answers[-1])
 
 
 def test_daemons_that_all_end_still_know(site: UsersSite) -> None:
@@ -101,8 +105,7 @@
     for daemon in daemons:
         daemon.signal(signal.SIGKILL)
     again = started(site, 2)
-    answers = [send(daemon, DEADLY) for daemon in again]
-    assert [answer.status for answer in answers] == [503, 503]
+    assert all(stopped(send(daemon, DEADLY)) for daemon in again)
     assert len(site.ends) == ended
     assert served(again[0])
 
@@ -110,15 +113,11 @@
 def test_daemons_tell_each_other_while_the_store_is_away(site: UsersSite) -> None:
     daemons = started(site, 3)
     site.store.faults.set("busy")
-    until = time.monotonic() + 4.0
-    while time.monotonic() < until and len(site.ends) < MOST_ENDS:
-        send(daemons[len(site.ends) % 3], DEADLY, "/safe/x")
-    site.store.faults.clear()
-    all_back(site)
-    for daemon in daemons:
-        wait_for("calls are served", lambda daemon=daemon: served(daemon, "/safe/x"))
-    assert [send(daemon, DEADLY, "/safe/x").status for daemon in daemons] == [503] * 3
+    for number, daemon in enumerate(daemons):
+        wait_for("a server has ended", lambda n=number, d=daemon: send(d, DEADLY) and len(site.ends) > n)
+    wait_for("all refuse it", lambda: all(stopped(send(daemon, DEADLY)) for daemon in daemons))
     assert len(site.ends) <= MOST_ENDS
+    site.store.faults.clear()
 
 
 def test_streams_beside_it_are_served(site: UsersSite) -> None:
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -21,6 +21,7 @@
 from bayglade.loading import Given, Loader
 from bayglade.metrics import create_metrics
 from bayglade.platform import decode_report
+from bayglade.quarantine import Quarantine
 from bayglade.spreading import Spreading
 from bayglade.tiling import Span
 from bayglade.totals import Totals
@@ -173,6 +174,7 @@
         lambda: True,
         lambda: 1,
         random.Random(1),
+        Quarantine(b"key", random.Random(1)),
     )
     return made, stages
 
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -7,6 +7,7 @@
 from bayglade import reports, spreading
 from bayglade.entries.wire import Finding, Findings
 from bayglade.ids import BackendId, MemberId
+from bayglade.quarantine import Quarantine
 from bayglade.reports import ENOUGH, LOOKERS, MOST_TOLD, REPORT_SECONDS, Reports
 from bayglade.spreading import Spreading
 from tests.test_diagnosis import Stages, diagnose
@@ -52,6 +53,7 @@
         lambda: passes_on,
         lambda: daemons,
         random.Random(1),
+        Quarantine(b"key", random.Random(1)),
     )
     return made, told, stages
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -14,6 +14,7 @@
 from bayglade.fleet import SURE_SECONDS, Fleet
 from bayglade.ids import HallName, RequestId
 from bayglade.paths import Paths
+from bayglade.quarantine import Quarantine
 from bayglade.relay import Attempts
 from bayglade.retries import RetryBudget
 from bayglade.runs import LEAVE_SPREAD_SECONDS, Run, leave_planned
@@ -46,8 +47,9 @@
             borrow=lambda service, budget: None,
             metrics=SimpleNamespace(count=lambda name: None),
         )
-        self.peers.fingerprint_key = b"key"
+        self.peers.quarantine = Quarantine(b"key", random.Random(1))
         self.call: Any = SimpleNamespace(service=SERVICE, endpoint=SimpleNamespace(max_attempts=2))
+        self.call.fingerprint = None
         self.call.group, self.call.method, self.call.target, self.call.body = "g", "POST", b"/x", b"prompt"
         self.moved = moved
         path = paths.choose(SERVICE, self.model, self.model.usual())
