Count the time in which a host is suspended towards every age

Cause: all ages went by time.monotonic, which stands still while the host is suspended: keys, settings, leases, lists and deadlines would look as fresh after it as before. Ruled out: looking at the jump alone and dropping what is known: each age already guards its use, if its clock counts. Conclusion: a suspension is a freeze like any other.

--- a/bayglade/clock.py
+++ b/bayglade/clock.py
@@ -3,8 +3,40 @@
 import math
 import time
 
-now = time.monotonic
-"""Seconds on the monotonic clock; it goes on while a process is stopped."""
+import eventlet
+
+LEAST_SUSPENSION = 0.1
+"""Seconds by which the two clocks must part to be told: reading one after the other takes microseconds."""
+
+
+def now() -> float:
+    """Return the seconds on a clock that never goes back, and goes on while the host is suspended.
+
+    The usual monotonic clock stands still then: keys, settings, leases and servers would look as fresh
+    after a suspension as before it.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def keep_timers() -> None:
+    """Have the event loop's timers go by the same clock; called before the first of them is made."""
+    eventlet.hubs.get_hub().clock = now
+
+
+class Suspensions:
+    """Notices that the host was suspended, as the two clocks have parted."""
+
+    def __init__(self) -> None:
+        self.apart = now() - time.monotonic()
+
+    def __repr__(self) -> str:
+        return f"<Suspensions {self.apart:.1f}>"
+
+    def lately(self) -> float:
+        """Return for how many seconds the host was suspended since the last call."""
+        before, self.apart = self.apart, now() - time.monotonic()
+        seconds = self.apart - before
+        return seconds if seconds >= LEAST_SUSPENSION else 0.0
 
 
 class Decayed:
--- /dev/null
+++ b/tests/test_suspension.py
@@ -0,0 +1,107 @@
+"""A host that was suspended: what was known before is as old as it is, whatever the usual clock says."""
+
+import random
+import re
+import time
+from collections.abc import Callable
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import eventlet
+import pytest
+
+from bayglade import clock
+from bayglade.clock import Suspensions, keep_timers, now
+from bayglade.exceptions import CutOff
+from bayglade.feeds import Feed
+from bayglade.ids import MemberId
+from bayglade.intake import Intake
+from bayglade.leases import Lease, LeaseState
+from bayglade.retries import RetryBudget
+from bayglade.rows import Changes
+from tests.test_roster import Rows
+from tests.virtual_time import run_virtually
+
+KEY_TRUST = 5.0
+
+Suspend = Callable[[float], None]
+
+
+@pytest.fixture
+def suspend(monkeypatch: pytest.MonkeyPatch) -> Suspend:
+    """Have the host be suspended: the clock that counts it leaps, the usual one does not."""
+    suspended = 0.0
+    read = time.clock_gettime
+
+    def leap(seconds: float) -> None:
+        nonlocal suspended
+        suspended += seconds
+
+    def clock_gettime(which: int) -> float:
+        return read(which) + (suspended if which == time.CLOCK_BOOTTIME else 0.0)
+
+    monkeypatch.setattr(time, "clock_gettime", clock_gettime)
+    return leap
+
+
+def test_the_usual_clock_stands_still_and_ours_goes_on(suspend: Suspend) -> None:
+    usual, ours = time.monotonic(), now()
+    suspend(30.0)
+    assert time.monotonic() - usual < 10.0
+    assert now() - ours >= 30.0
+
+
+def test_knowledge_of_keys_is_too_old_after_it(suspend: Suspend) -> None:
+    feed = Feed(SimpleNamespace(snapshot=lambda table: Changes({}, 1)), "op", 1.0, lambda *_: None)  # type: ignore[arg-type]
+    feed.known_at = now()
+    intake = Intake(SimpleNamespace(), feed.age, KEY_TRUST, random.Random(1))  # type: ignore[arg-type]
+    keyed: Any = SimpleNamespace(group="clinic")
+    intake.check(keyed)
+    suspend(KEY_TRUST)
+    assert not intake.trusted()
+    with pytest.raises(CutOff):
+        intake.check(keyed)
+
+
+def test_a_lease_is_lost_in_it(suspend: Suspend) -> None:
+    lease = Lease(Rows(), "place", MemberId("me"), duration=6.0)
+    assert lease.keep()
+    assert lease.state() is LeaseState.HELD
+    suspend(6.0)
+    assert lease.state() is not LeaseState.HELD
+
+
+def test_retries_of_before_it_no_longer_count(suspend: Suspend) -> None:
+    budget = RetryBudget(fraction=0.0, floor=2.0, window=10.0)
+    assert [budget.retry() for _ in range(3)] == [True, True, False]
+    suspend(10.0)
+    assert budget.retry()
+
+
+def test_it_is_told_once(suspend: Suspend) -> None:
+    suspensions = Suspensions()
+    assert suspensions.lately() == 0.0
+    suspend(7.5)
+    assert suspensions.lately() == pytest.approx(7.5, abs=0.05)
+    assert suspensions.lately() == 0.0
+
+
+def test_timers_that_fell_due_in_it_fire_after_it(suspend: Suspend) -> None:
+    def fires() -> bool:
+        keep_timers()
+        fired = eventlet.event.Event()
+        eventlet.spawn_after(20.0, fired.send)
+        suspend(20.0)
+        eventlet.sleep(0.0)
+        eventlet.sleep(0.01)
+        return bool(fired.ready())
+
+    assert run_virtually(fires)
+
+
+def test_no_module_reads_the_usual_clock() -> None:
+    package = Path(clock.__file__).parent
+    sources = {path.relative_to(package): path.read_text() for path in package.rglob("*.py")}
+    reads = re.compile(r"time\.(monotonic|perf_counter)\(")
+    assert [str(path) for path, text in sources.items() if reads.search(text)] == ["clock.py"]
