Put one end at most down to a request on each path, and none of a mass end

Cause (traced in logs of the timed-out test): where half of all servers ended at once, an innocent request was under three ends: two stages of one path, or a stage behind the first that had ended before the request was sent. Ruled out: breaks without ends; all three servers had ended. Change: a run is blamed for one stage of its path; a stage behind the first does not count while three other servers ended within 0.6 s.

--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -38,6 +38,10 @@
 UNSURE_SECONDS = 6.0
 """How long a request whose server broke off waits for word that the server has ended: the entry of one
 that fell silent is gone after three of its heartbeats, 3.6 s on the users' platform."""
+MANY_ENDED = 3
+MANY_SECONDS = 0.6
+"""So many other servers that ended within this time have a cause of their own: a stage behind the first
+is found dead within some half a second."""
 SUSPECT_SECONDS = 600.0
 """For how long ends count after the last one."""
 STOP_SECONDS = 3600.0
@@ -194,6 +198,13 @@
             return
         self.unsure.setdefault(start, {})[name] = now()
 
+    def many_ended(self, call: Call) -> bool:
+        """Tell whether several servers ended just now but for those under a call: a cause of their own."""
+        oldest = now() - MANY_SECONDS
+        evidence = self._of(call)
+        under_it = evidence.ends if evidence is not None else frozenset()
+        return sum(at >= oldest and start not in under_it for start, at in self.ended.items()) >= MANY_ENDED
+
     def server_ended(self, start: ServerKey) -> None:
         """Take in that a start of a server has surely ended."""
         self.ended[start] = now()
--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -41,6 +41,7 @@
         "avoided",
         "begun",
         "begun_at",
+        "blamed",
         "event_at",
         "exchange",
         "fleet_seen",
@@ -74,6 +75,9 @@
         self.begun_at: float | None = None
         """When its first event came on its present path."""
 
+        self.blamed = False
+        """Whether the end of a stage of its present path was put down to it."""
+
         self.avoided: frozenset[BackendId] = frozenset()
         self.fleet_seen = -1
         """State of the fleet for which leaving stages were looked for."""
@@ -96,7 +100,7 @@
         """Leave the path for another one, which has been taken."""
         self.path.release()
         self.path = path
-        self.begun_at = None
+        self.begun_at, self.blamed = None, False
         self.slow_before |= slow_stages(path)
 
     def on_dead_stage(self) -> bool:
@@ -199,9 +203,8 @@
     if call.seconds_left() <= 0:
         raise BackendSilent("no whole answer in time", step="stream", peer=run.exchange.backend)
     dead = dead_stages(peers, call, run, patience)
-    for server in run.path.servers:
-        if server.facts.id in dead:
-            peers.quarantine.broke_off(call, server.facts.key, run.begun_at)
+    if dead:
+        blame(peers, call, run, next(s for s in run.path.servers if s.facts.id in dead))
     if not dead and connection_silent(peers, call, run):
         peers.links.distrust(run.event_at)
         if _can_resend(peers, call, pipeline, run):
@@ -224,6 +227,19 @@
     _end_or_stay(peers, call, pipeline, run, silent, "no other stages for those of a dead one")
 
 
+def blame(peers: Peers, call: Call, run: Run, stage: Server) -> None:
+    """Note that a stage may have ended under a call.
+
+    It ends one of its stages at most, and one behind the first may have ended before the request was sent,
+    as is likely where several end at once: with half of all servers ended, innocent requests were held back
+    for such ends in 2 of 4 runs.
+    """
+    if run.blamed or (stage is not run.path.servers[0] and peers.quarantine.many_ended(call)):
+        return
+    run.blamed = True
+    peers.quarantine.broke_off(call, stage.facts.key, run.begun_at)
+
+
 def _end_or_stay(
     peers: Peers, call: Call, pipeline: Pipeline, run: Run, stage: Server, reason: str
 ) -> None:
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -22,7 +22,7 @@
 from bayglade.pathfinding import Path
 from bayglade.pipelines import Pipeline
 from bayglade.relay import Attempts, Peers, answer_head, await_word, content_of, send
-from bayglade.runs import Run, leave_planned, look_into
+from bayglade.runs import Run, blame, leave_planned, look_into
 from bayglade.trials import heads_to_avoid
 from bayglade.upstream import Exchange
 
@@ -303,7 +303,7 @@
             eventlet.spawn_n(peers.diagnosis.examine, [server])
         return frozenset({server.facts.id})
     if not isinstance(error, BackendUnreachable):
-        peers.quarantine.broke_off(call, head.facts.key, run.begun_at)
+        blame(peers, call, run, head)
     if isinstance(error, BackendUnreachable):
         peers.fleet.suspect(head, error.code)
     elif not head.suspect:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -17,6 +17,8 @@
 from bayglade.ids import BackendId, Fingerprint, GroupPath, Incarnation, RequestId, ServerKey, ServiceName
 from bayglade.quarantine import (
     FRESH_SECONDS,
+    MANY_ENDED,
+    MANY_SECONDS,
     MAX_SUSPECTS,
     MOST_ENDS,
     STOP_SECONDS,
@@ -257,6 +259,23 @@
     assert quarantine.on_trial(other) == frozenset()
 
 
+def test_servers_that_end_together_show(clock: Clock) -> None:
+    quarantine = make()
+    for number in range(MANY_ENDED):
+        assert not quarantine.many_ended(call())
+        quarantine.server_ended(start(number))
+    assert quarantine.many_ended(call())
+    clock.at += MANY_SECONDS + 0.01
+    assert not quarantine.many_ended(call())
+
+
+def test_servers_that_ended_under_a_request_are_no_cause_of_their_own() -> None:
+    quarantine, asked = make(), call()
+    end_under(quarantine, asked, range(MANY_ENDED))
+    assert not quarantine.many_ended(asked)
+    assert quarantine.many_ended(call(b"another"))
+
+
 def test_a_second_end_waits_for_word() -> None:
     quarantine, asked = make(), call()
     quarantine.broke_off(asked, start(1), None)
