--- /dev/null
+++ b/tests/test_trials.py
@@ -0,0 +1,104 @@
+"""Suspects are sent on apart: to servers where no other one has just begun, and not all to the best one."""
+
+import random
+from collections import Counter
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from bayglade import quarantine as quarantine_module
+from bayglade import trials
+from bayglade.fleet import Fleet
+from bayglade.quarantine import TRIAL_SECONDS, Quarantine
+from bayglade.servers import Server
+from bayglade.trials import heads_to_avoid, wait_apart
+from tests.test_quarantine import call, start
+from tests.test_tiling import SERVICE, pipeline, placed, servers
+from tests.virtual_time import now, run_virtually
+
+
+@pytest.fixture(autouse=True)
+def virtual(monkeypatch: pytest.MonkeyPatch) -> None:
+    for module in (quarantine_module, trials):
+        monkeypatch.setattr(module, "now", now)
+
+
+class Daemon:
+    """As much of a daemon as chooses first stages."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.fleet = Fleet()
+        held = placed(servers(a={"big": 6, "middle": 9, "small": 14}), pipeline())
+        self.fleet.take([server.facts for server in held], [], outage=False)
+        rng = random.Random(seed)
+        self.quarantine = Quarantine(b"key", rng)
+        self.peers: Any = SimpleNamespace(fleet=self.fleet, quarantine=self.quarantine, rng=rng)
+        self.heads = [s for s in self.fleet.of(SERVICE) if s.facts.held and s.facts.first == 0]
+
+    def suspect(self, body: bytes) -> Any:
+        asked = call(body, service=SERVICE, deadline=now() + 20.0)
+        self.quarantine.broke_off(asked, start(1), None)
+        return asked
+
+    def choose(self, asked: Any) -> Server | None:
+        others = heads_to_avoid(self.peers, asked, frozenset())
+        left = [head for head in self.heads if head.facts.id not in others]
+        if len(left) != 1:
+            return None
+        self.quarantine.sent(asked, left[0].facts.id)
+        return left[0]
+
+
+def test_an_innocent_looking_call_goes_where_it_is_best() -> None:
+    def chosen() -> Server | None:
+        daemon = Daemon()
+        daemon.suspect(b"another")
+        return daemon.choose(call(service=SERVICE))
+
+    assert run_virtually(chosen) is None
+
+
+def test_suspects_of_one_daemon_begin_on_servers_of_their_own() -> None:
+    def chosen() -> tuple[int, int]:
+        daemon = Daemon()
+        suspects = [daemon.suspect(b"%d" % number) for number in range(len(daemon.heads))]
+        ids = {head.facts.id for asked in suspects if (head := daemon.choose(asked)) is not None}
+        return len(ids), len(daemon.heads)
+
+    found, heads = run_virtually(chosen)
+    assert found == heads > 1
+
+
+def test_suspects_of_many_daemons_are_not_all_sent_to_one_server() -> None:
+    def chosen() -> Counter[str]:
+        made = [Daemon(seed) for seed in range(60)]
+        heads = [daemon.choose(daemon.suspect(b"%d" % n)) for n, daemon in enumerate(made)]
+        return Counter(head.facts.id for head in heads if head is not None)
+
+    spread = run_virtually(chosen)
+    assert sum(spread.values()) == 60
+    assert max(spread.values()) < 60 * 0.75
+
+
+def test_a_suspect_waits_for_a_server_of_its_own_but_not_for_long() -> None:
+    def waited() -> tuple[float, int]:
+        daemon = Daemon()
+        for number, head in enumerate(daemon.heads):
+            daemon.quarantine.sent(daemon.suspect(b"%d" % number), head.facts.id)
+        since = now()
+        apart = wait_apart(daemon.peers, daemon.suspect(b"late"), daemon.heads)
+        return now() - since, len(apart)
+
+    seconds, apart = run_virtually(waited)
+    assert apart > 0
+    assert seconds <= TRIAL_SECONDS + 0.1
+
+
+def test_without_servers_it_does_not_wait() -> None:
+    def waited() -> float:
+        daemon, since = Daemon(), now()
+        assert wait_apart(daemon.peers, daemon.suspect(b"x"), []) == []
+        return now() - since
+
+    assert run_virtually(waited) == 0.0
