Bound stops as they are meant to last, and tidy them on a daemon alone

Cause (reading): with its table full of stops a new one was evicted at once and looked up after; a stop that the store had not taken ended after 10 minutes, not an hour; a daemon without others never forgot suspects. Change: room is made before; one place says until when evidence counts; the gateway tidies.

--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -326,6 +326,7 @@
             if (seconds := suspensions.lately()) > 0:
                 event("WARNING", "host was suspended", seconds=round(seconds, 2))
             self.links.forget(set(self.fleet.servers))
+            self.quarantine.tidy()
             self._gauge()
             self.listing.tell_behind(self.document_feed.age())
             if _changed_at(self.path) != self.changed_at:
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -184,7 +184,6 @@
     def _keep_stops(self) -> None:
         """Have requests that are held back lie in the store, and remove those that were for long."""
         quarantine = self.peers.quarantine
-        quarantine.tidy()
         for name, evidence in quarantine.unwritten():
             evidence.write_at = now() + STOP_RETRY_SECONDS
             eventlet.spawn_n(self._change_stop, partial(write_stop, self.store, name, set(evidence.ends)))
--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -82,6 +82,12 @@
 
         self.in_store = False
 
+    def counts_until(self) -> float:
+        """Return until when it counts; a stop that lies in the store counts for as long as it does."""
+        if self.stopped_at is not None:
+            return self.stopped_at + STOP_SECONDS
+        return self.ended_at + SUSPECT_SECONDS
+
     def __repr__(self) -> str:
         return f"<Evidence {len(self.ends)} ends stopped_at={self.stopped_at}>"
 
@@ -128,7 +134,7 @@
         if key == self.key:
             return
         self.key = key
-        for known in (self.evidence, self.unsure, self.answered_at):
+        for known in (self.evidence, self.unsure, self.answered_at, self.trials):
             known.clear()
 
     def name(self, call: Call) -> Fingerprint:
@@ -309,12 +315,7 @@
             self.unsure[start] = {n: since for n, since in names.items() if at - since <= UNSURE_SECONDS}
             if not self.unsure[start]:
                 del self.unsure[start]
-        old = [
-            name
-            for name, e in self.evidence.items()
-            if not e.in_store and at - max(e.ended_at, e.stopped_at or 0.0) > SUSPECT_SECONDS
-        ]
-        for name in old:
+        for name in [name for name, e in self.evidence.items() if not e.in_store and e.counts_until() < at]:
             self.evidence.pop(name)
 
     def _of(self, call: Call) -> Evidence | None:
@@ -322,16 +323,18 @@
         return self.evidence.get(self.name(call)) if self.evidence else None
 
     def _known(self, name: Fingerprint) -> Evidence:
-        evidence = self.evidence.get(name)
-        if evidence is None:
-            evidence = self.evidence[name] = Evidence()
-            if len(self.evidence) > MAX_SUSPECTS:
-                oldest = next(iter(self.evidence))
-                self.evidence.pop(
-                    next((n for n, e in self.evidence.items() if e.stopped_at is None), oldest)
-                )
+        if name not in self.evidence:
+            self._make_room()
+            self.evidence[name] = Evidence()
         self.evidence.move_to_end(name)
-        return evidence
+        return self.evidence[name]
+
+    def _make_room(self) -> None:
+        """Forget the oldest request that is not stopped, else the oldest stop, where there are too many."""
+        if len(self.evidence) < MAX_SUSPECTS:
+            return
+        oldest = next(iter(self.evidence))
+        self.evidence.pop(next((n for n, e in self.evidence.items() if e.stopped_at is None), oldest))
 
     def _count(self, crashes: Iterable[Crash], write_after: float = 0.0) -> list[Crash]:
         """Count ends; return those that are new here.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -209,6 +209,24 @@
     assert quarantine.holds(asked)
 
 
+def test_a_table_full_of_stops_makes_room_for_the_newest(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(quarantine_module, "MAX_SUSPECTS", 2)
+    quarantine = make()
+    for number in range(4):
+        end_under(quarantine, call(b"%d" % number), range(10 * number, 10 * number + MOST_ENDS))
+    assert [quarantine.holds(call(b"%d" % number)) for number in range(4)] == [False, False, True, True]
+
+
+def test_a_stop_that_the_store_did_not_take_lasts_as_long(clock: Clock) -> None:
+    quarantine, asked = stopped(clock)
+    clock.at += STOP_SECONDS - 1.0
+    quarantine.tidy()
+    assert quarantine.holds(asked)
+    clock.at += 2.0
+    quarantine.tidy()
+    assert not quarantine.holds(asked)
+
+
 def test_nothing_is_worked_out_while_nothing_is_known(monkeypatch: pytest.MonkeyPatch) -> None:
     quarantine, asked = make(), call()
 
