--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,8 +5,8 @@
 id that is new each time, so none knew that this question had ended servers before: 11 and 18 servers ended
 under one question, which was sent 4 and 7 times more after the third. The log of one such try:
 
-    attempt failed  request 3943992e9ed364cd peer i-beb6997a71 error "... the answer was cut"
-    request failed  request 3943992e9ed364cd error "backend_error ... no whole answer: the answer was cut"
+    attempt failed  error "backend_error step='receive' outcome=unknown: the answer was cut"
+    request failed  error "backend_error step='relay' outcome=unknown: no whole answer: the answer was cut"
 
 No daemon had a line that said that ten servers had ended under the same body before.
 """
