Log what a server asks for when it turns a request away

Cause: the log of a refusal did not say what the server asked for, so "the daemon never learns of the rest" and "it learns and forgets" looked the same.

Ruled out: nothing yet; no decision goes by the new fields.

Change: the adapter reads the two words (how long the server wants nothing, and that it is about to end); a value that names no time is none and is told of in a bounded line. `attempt failed` names the rest asked for, and `server says it leaves` stands in the log.

--- a/bayglade/calls.py
+++ b/bayglade/calls.py
@@ -103,6 +103,12 @@
     keep_seconds: float | None = None
     """How long the server keeps the connection."""
 
+    leaving: bool = False
+    """Whether the server says that it is about to end."""
+
+    rest_seconds: float | None = None
+    """For how long the server wants no more requests, where it turned this one away."""
+
 
 class Dialect(msgspec.Struct, frozen=True):
     """How callers and backend servers speak: plain functions that translate."""
--- a/bayglade/exceptions.py
+++ b/bayglade/exceptions.py
@@ -161,6 +161,7 @@
 
     :param misdirected: whether it is another server than was meant.
     :param at_fault: address of the stage that did not take part, if another one.
+    :param rest_seconds: for how long the server wants nothing more, where it says so.
     """
 
     code, status, default_outcome = "backend_refused", 502, Outcome.NOT_RUN
@@ -173,10 +174,12 @@
         peer: str = "",
         misdirected: bool = False,
         at_fault: str | None = None,
+        rest_seconds: float | None = None,
     ) -> None:
         super().__init__(message, step=step, peer=peer)
         self.misdirected = misdirected
         self.at_fault = at_fault
+        self.rest_seconds = rest_seconds
 
 
 class BackendUnreachable(BackendError):
--- a/bayglade/platform/calls.py
+++ b/bayglade/platform/calls.py
@@ -1,9 +1,13 @@
 """Headers of calls: as clients send them, as replicas get them, as replicas answer."""
 
+import math
+import re
+
 from bayglade.calls import AnswerHead, Call, CallHead, Dialect, Sending
 from bayglade.exceptions import InvalidMessage
 from bayglade.heads import Headers, Message, end_to_end
 from bayglade.ids import RequestId
+from bayglade.logs import limited
 from bayglade.models import Route
 
 REQUEST_ID = "X-Request-Id"
@@ -20,6 +24,13 @@
 NOT_RUN = "x-not-executed"
 AT_FAULT = "at-server"
 ANSWERING = "x-instance-id"
+LEAVING = "server-leaving"
+REST = "retry-after"
+REST_STATUSES = (429, 503)
+"""Statuses with which a replica turns requests away; with others, ``Retry-After`` is none of its own."""
+SECONDS = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
+NONSENSE_LINES_PER_SECOND = 0.2
+"""A replica may send such a header with each answer; one line in five seconds tells of it."""
 
 OWN_HEADERS = frozenset(
     name.lower() for name in (DEADLINE, KEY, LAST_EVENT, GROUP, INSTANCE, ROUTE, PRIORITY, "Expect-Version")
@@ -83,6 +94,9 @@
     return ",".join(f"{stage.address}={stage.first}-{stage.last}" for stage in route.stages)
 
 
+_log_nonsense = limited(NONSENSE_LINES_PER_SECOND)
+
+
 def read_answer(message: Message) -> AnswerHead:
     """Read the head of a replica's answer.
 
@@ -97,6 +111,8 @@
         instance=found.get(ANSWERING),
         at_fault=found.get(AT_FAULT),
         keep_seconds=_keep_seconds(found.get("keep-alive")),
+        leaving=found.get(LEAVING) == "1",
+        rest_seconds=_rest_seconds(found.get(REST)) if message.status in REST_STATUSES else None,
     )
 
 
@@ -128,3 +144,14 @@
         return None
     digits = "".join(c for c in text.partition("timeout=")[2] or text if c.isdigit())
     return float(digits) if digits else None
+
+
+def _rest_seconds(text: str | None) -> float | None:
+    """Read for how long a replica wants nothing; a value that names no such time asks for none."""
+    if text is None:
+        return None
+    seconds = float(text) if SECONDS.fullmatch(text.strip()) else 0.0
+    if 0.0 < seconds < math.inf:
+        return seconds
+    _log_nonsense("WARNING", "rest makes no sense", value=text[:40])
+    return None
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -313,6 +313,8 @@
 
     message = exchange.head(until, own)
     head = peers.dialect.read_answer(message)
+    if head.leaving:
+        event("INFO", "server says it leaves", peer=exchange.backend, status=message.status)
     if head.not_run:
         raise BackendRefused(
             f"the server answered {message.status}",
@@ -320,6 +322,7 @@
             peer=exchange.backend,
             misdirected=head.instance is not None and head.instance != exchange.backend,
             at_fault=head.at_fault,
+            rest_seconds=head.rest_seconds,
         )
     if not head.genuine or head.request is None:
         raise BackendError("an answer that is not the server's own", step="answer", peer=exchange.backend)
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -291,6 +291,7 @@
         at_fault=server.facts.id,
         error=repr(error),
         content=content_of(peers, call, error),
+        rest=error.rest_seconds if isinstance(error, BackendRefused) else None,
         begun=None if run.begun_at is None else round(now() - run.begun_at, 3),
     )
     if isinstance(error, BackendRefused):
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -123,6 +123,7 @@
         peer=server.facts.id,
         error=repr(error),
         content=content_of(peers, call, error),
+        rest=error.rest_seconds if isinstance(error, BackendRefused) else None,
     )
     if isinstance(error, BackendRefused):
         if error.misdirected:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -23,7 +23,7 @@
     r"rows-(tx|get|feed|parts)|blob-|X-(Response-Seal|Not-Executed|Expect-Instance|Token-Counts|Prompt-Prefix"
     r"|Deadline-Ms|Tenant|Key|Instance-Id|Model)\b|At-Server|targetVersion|expectedRev|afterRev"
     r"|BAYGLADE_NODE_FILE|sloMs|maxAttempts|pathPrefix|apiKeys|healthPath|maxConns|kvCapacity|coldLeftMs"
-    r"|/api/(ready|report|order)",
+    r"|/api/(ready|report|order)|Server-Leaving",
     re.IGNORECASE,
 )
 LARGEST_PART = 0.1
@@ -138,6 +138,38 @@
     assert (head.not_run, head.genuine) == (not_run, genuine)
 
 
+@pytest.mark.parametrize(
+    ("status", "text", "seconds"),
+    [
+        (503, "3", 3.0),
+        (503, " 0.25 ", 0.25),
+        (429, "1.5", 1.5),
+        (503, "86400", 86400.0),
+        (503, None, None),
+        (200, "3", None),
+        (421, "3", None),
+        *((503, text, None) for text in ("0", "-3", "nan", "inf", "1e3", "1_0", "3, 5", "", "soon")),
+        (503, "9" * 400, None),
+        (503, "Wed, 21 Oct 2026 07:28:00 GMT", None),
+    ],
+)
+def test_a_server_that_turns_a_request_away_may_ask_for_rest(
+    status: int, text: str | None, seconds: float | None
+) -> None:
+    answer = message(**({"Retry_After": text} if text is not None else {}))
+    answer.status = status
+    assert read_answer(answer).rest_seconds == seconds
+
+
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+def test_a_server_may_say_in_any_answer_that_it_leaves(status: int) -> None:
+    leaving, staying = message(Server_Leaving="1"), message(Server_Leaving="0")
+    leaving.status = staying.status = status
+    assert read_answer(leaving).leaving
+    assert not read_answer(staying).leaving
+    assert not read_answer(message()).leaving
+
+
 @pytest.mark.parametrize(
     ("target", "name"),
     [("/a/b/c", "ab"), ("/a/x", "a"), ("/a/b/", "ab"), ("/a/b", "a"), ("/a/?q=/a/b/", "a")],
