Reproduce requests that reach servers at rest, and servers that said they leave: red

Cause: as far as shown, nothing goes by what a server asks for in its answer.

Sendings that go round what is known (hypothesis 3) cannot be told while nothing is known.

Conclusion: the fault can be brought about without the users' record.

--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -52,6 +52,24 @@
         self.ran_at: list[tuple[str, float]] = []
         """Requests that ran, with the monotonic time at which they began."""
 
+        self.rest = ""
+        """What it asks for when it turns a request away; nothing when empty."""
+
+        self.says_leaving = False
+        """Whether its answers say that it leaves; its row may say otherwise."""
+
+        self.arrived: list[tuple[str, float]] = []
+        """Requests that arrived, run or not, with the monotonic time."""
+
+        self.tried_paths: dict[str, str] = {}
+        """The path with which each request arrived, run or not."""
+
+        self.turned_away: list[tuple[str, float]] = []
+        """Requests that it turned away itself, with the monotonic time of its answer."""
+
+        self.resting_stage: Replica | None = None
+        """A later stage on whose behalf it turns requests away that pass that stage."""
+
         self.down = False
         """Whether it crashed and is not back yet."""
 
@@ -128,6 +146,8 @@
 
     def serve(self, handler: Handler, body: bytes) -> None:
         """Serve one request."""
+        if self.says_leaving:
+            handler.extra["Server-Leaving"] = "1"
         if handler.path == "/api/report":
             handler.json(self._report())
         elif handler.path == "/api/order":
@@ -172,11 +192,17 @@
     def _request(self, handler: Handler, body: bytes) -> None:
         request = handler.headers["X-Request-Id"]
         expected = handler.headers["X-Expect-Instance"]
+        self.arrived.append((request, time.monotonic()))
+        self.tried_paths[request] = handler.headers.get("Path", "")
         if self.faults.take("elsewhere") or expected != self.id:
             handler.answer(421, b"", {"X-Request-Id": request, "X-Instance-Id": "i-other"})
             return
         if self.faults.take("refuse"):
-            handler.answer(503, b"", {"X-Request-Id": request, "X-Not-Executed": "1"})
+            self._turn_away(handler, request, {})
+            return
+        later = self.resting_stage
+        if later is not None and later.address in self.tried_paths[request]:
+            self._turn_away(handler, request, {"At-Server": later.address})
             return
         if self.kind and not self.site.holds(read_path(handler.headers["Path"])):
             handler.answer(421, b"", {"X-Request-Id": request, "X-Not-Executed": "1"})
@@ -193,6 +219,13 @@
         else:
             self._whole(handler, request, head)
 
+    def _turn_away(self, handler: Handler, request: str, headers: dict[str, str]) -> None:
+        head = {"X-Request-Id": request, "X-Not-Executed": "1", **headers}
+        if self.rest:
+            head["Retry-After"] = self.rest
+        self.turned_away.append((request, time.monotonic()))
+        handler.answer(503, b"", head)
+
     def _whole(self, handler: Handler, request: str, head: dict[str, str]) -> None:
         body = f"answer to {request}".encode()
         if self.faults.take("mute"):
@@ -225,7 +258,7 @@
     def _stream(self, handler: Handler, request: str, head: dict[str, str]) -> None:
         after, born = int(handler.headers.get("Last-Event-Id") or 0), self.born
         self._take_path(request, handler.headers["Path"])
-        handler.wfile.write(_head(200, {**head, "Transfer-Encoding": "chunked"}))
+        handler.wfile.write(_head(200, {**head, **handler.extra, "Transfer-Encoding": "chunked"}))
         for number in range(after + 1, EVENTS + 1):
             while self._stalled(request):
                 if self.faults.left["stall"] or self.born != born or handler.connection.fileno() < 0:
--- a/standins/users/web.py
+++ b/standins/users/web.py
@@ -19,12 +19,15 @@
 
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
+    extra: dict[str, str]
+    """Headers of the answer that whoever serves the request adds."""
 
     def log_message(self, *_: Any) -> None:
         """Say nothing: tests look at what came of requests."""
 
     def do_GET(self) -> None:
         """Serve a GET."""
+        self.extra = {}
         length = int(self.headers.get("Content-Length") or 0)
         self.server.site.serve(self, self.rfile.read(length))  # type: ignore[attr-defined]
 
@@ -33,7 +36,7 @@
     def answer(self, status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
         """Send a whole answer."""
         self.send_response_only(status)
-        for name, value in {**(headers or {}), "Content-Length": str(len(body))}.items():
+        for name, value in {**(headers or {}), **self.extra, "Content-Length": str(len(body))}.items():
             self.send_header(name, value)
         self.end_headers()
         self.wfile.write(body)
