Let requests with few servers to go to hold nobody back in line

Cause: seen in a test of short rests. A stream that two first stages had turned away may go to those two only (the bound on servers of one call). It waited in line with both of them avoided, so that there was no place it could ever get, for all of its 1.5 s, at the head of the line: whoever came after it waited behind it though there was room.

Ruled out: want of room (paths used 0.07 of their memory then, by the log).

--- a/bayglade/lines.py
+++ b/bayglade/lines.py
@@ -22,6 +22,9 @@
 RATE_SECONDS = 3.0
 """Time constant of the rate at which requests end: about as long as one runs."""
 
+MAX_ASIDE = 4
+"""Requests that are passed over in one look for places: each costs a search for a path."""
+
 Seek = Callable[[], Path | None]
 """Returns a path with room that the request has taken, if there is one."""
 
@@ -29,10 +32,11 @@
 class Turn:
     """A request that waits: how a place is sought for it, and who is told."""
 
-    __slots__ = ("granted", "seek")
+    __slots__ = ("choosy", "granted", "seek")
 
-    def __init__(self, seek: Seek) -> None:
+    def __init__(self, seek: Seek, choosy: bool) -> None:
         self.seek = seek
+        self.choosy = choosy
         self.granted = Event()
 
 
@@ -59,8 +63,11 @@
         return sum(len(queue) for queue in self.queues.values())
 
     def busy(self, service: ServiceName) -> bool:
-        """Tell whether requests wait already, so that a new one goes behind them."""
-        return len(self._queue(service)) > 0
+        """Tell whether requests wait already that a new one goes behind.
+
+        It goes past those that may go to some servers only.
+        """
+        return any(not waiting.entry.choosy for waiting in self._queue(service).all())
 
     def expected_seconds(self, service: ServiceName) -> float:
         """Return how long a new request would wait, as requests of this daemon end now."""
@@ -68,16 +75,18 @@
         rate = ended.rate(now()) if ended is not None else 0.0
         return len(self._queue(service)) / rate if rate > 0 else 0.0
 
-    def wait(self, call: Call, seek: Seek, until: float) -> Path | None:
+    def wait(self, call: Call, seek: Seek, until: float, choosy: bool = False) -> Path | None:
         """Wait for a place.
 
         :param call: the request.
         :param seek: looks for a place.
         :param until: when waiting ends, in monotonic seconds.
+        :param choosy: whether the request may go to some servers only, so that there may be room for
+            others while there is none for it.
         :return: the path, taken; nothing when there was none in time.
         """
         queue = self._queue(call.service)
-        turn = Turn(seek)
+        turn = Turn(seek, choosy)
         waiting = Waiting(call.group or ROOT, call.priority, cost(call), until, turn)
         queue.push(waiting)
         if not self.begun.ready():
@@ -105,14 +114,23 @@
         self.wake(service)
 
     def wake(self, service: ServiceName) -> None:
-        """Give places to those who wait, in their order, while there are any."""
+        """Give places to those who wait, in their order, while there are any.
+
+        Who may go to some servers only is passed over: waiting for those, one held back all that came
+        after it for 1.5 s, though there was room.
+        """
         queue = self._queue(service)
-        while (waiting := queue.pop()) is not None:
+        aside: list[Waiting[Turn]] = []
+        while len(aside) <= MAX_ASIDE and (waiting := queue.pop()) is not None:
             path = waiting.entry.seek()
-            if path is None:
-                queue.restore(waiting)
-                return
-            waiting.entry.granted.send(path)
+            if path is not None:
+                waiting.entry.granted.send(path)
+                continue
+            aside.append(waiting)
+            if not waiting.entry.choosy:
+                break
+        for waiting in reversed(aside):
+            queue.restore(waiting)
 
     def run(self) -> None:
         """Look for places now and then while requests wait, for ever."""
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -172,7 +172,7 @@
     until = min(call.deadline, since + WAIT_SECONDS)
     expected = max(rest, peers.lines.expected_seconds(call.service))
     if now() + expected <= until and Mechanism.WAITING not in peers.without:
-        path = peers.lines.wait(call, seek, until)
+        path = peers.lines.wait(call, seek, until, choosy=bool(avoided) or heads is not None)
         if path is not None:
             return path
     attempts.full_for = expected
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -11,7 +11,7 @@
 from bayglade.calls import CallHead
 from bayglade.clock import now
 from bayglade.ids import RequestId, ServiceName
-from bayglade.lines import Lines
+from bayglade.lines import MAX_ASIDE, Lines
 from bayglade.presence import CallerLeft
 from bayglade.usage import Usage
 
@@ -36,8 +36,10 @@
         self.lines = Lines(Usage(), lambda group: (0, 1.0))
         self.free: list[Any] = []
         self.served: list[str] = []
+        self.sought = 0
+        """Looks for a place for requests that there is none for."""
 
-    def enter(self, name: str, seconds: float = LONG, priority: int = 0) -> Any:
+    def enter(self, name: str, seconds: float = LONG, priority: int = 0, choosy: bool = False) -> Any:
         call: Any = SimpleNamespace(
             service=SERVICE,
             group=None,
@@ -46,7 +48,8 @@
         )
 
         def wait() -> Any:
-            path = self.lines.wait(call, self.seek, now() + seconds)
+            seek = self.seek_in_vain if choosy else self.seek
+            path = self.lines.wait(call, seek, now() + seconds, choosy)
             if path is not None:
                 self.served.append(name)
             return path
@@ -58,6 +61,10 @@
     def seek(self) -> Any:
         return self.free.pop(0) if self.free else None
 
+    def seek_in_vain(self) -> Any:
+        self.sought += 1
+        return None
+
     def end(self, places: int = 1) -> None:
         self.free += [Place() for _ in range(places)]
         self.lines.note_end(SERVICE)
@@ -87,6 +94,28 @@
     assert scene.served == ["urgent"]
 
 
+def test_one_that_may_go_to_some_servers_only_holds_nobody_back() -> None:
+    scene = Scene()
+    scene.enter("a", choosy=True)
+    assert not scene.lines.busy(SERVICE)
+    scene.enter("b")
+    assert scene.lines.busy(SERVICE)
+    scene.enter("c")
+    scene.end()
+    assert scene.served == ["b"]
+    scene.end()
+    assert scene.served == ["b", "c"]
+
+
+def test_few_that_may_go_to_some_servers_only_are_looked_at_each_time() -> None:
+    scene = Scene()
+    for number in range(100):
+        scene.enter(f"c{number}", choosy=True)
+    scene.lines.wake(SERVICE)
+    assert scene.sought == MAX_ASIDE + 1
+    assert scene.lines.waiting() == 100
+
+
 def test_waiting_ends_without_a_place_in_time() -> None:
     scene = Scene()
     assert scene.enter("a", 0.01).wait() is None
