Have tests start when daemons know what all stages hold

Cause: a test ended a later stage as soon as streams were served. A daemon serves as soon as it knows one holder of each layer; with the rows of the others late, the stream has nowhere to go on.

Ruled out: a fault of moving streams: nothing else holds those layers as far as the daemon knows.

Change: the site's wait for layers also waits for each daemon that runs.

--- a/standins/users/daemon.py
+++ b/standins/users/daemon.py
@@ -72,15 +72,8 @@
         answer = exchange(self.metrics, b"GET /beliefs HTTP/1.1\r\nHost: x\r\n\r\n")
         return msgspec.json.decode(answer.partition(b"\r\n\r\n")[2])
 
-    def wait_knows_stages(self) -> None:
-        """Wait until it knows what all stages hold.
-
-        Streams are served as soon as it knows one holder of each layer: with no other one known, a
-        stream whose stage ends has nowhere to go on.
-        """
-        wait_for("it knows what all stages hold", self._knows_stages)
-
-    def _knows_stages(self) -> bool:
+    def knows_stages(self) -> bool:
+        """Tell whether it knows what all stages hold."""
         return all(server["last"] > 0 for server in self.beliefs()["servers"] if server["service"] == MODEL)
 
     def is_ready(self) -> bool:
--- a/standins/users/site.py
+++ b/standins/users/site.py
@@ -5,11 +5,12 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple, Self
 
 from standins.users.configuration import KEY, LAYERS, MODEL, configuration
-from standins.users.daemon import Daemon
+from standins.users.daemon import Daemon, quietly
 from standins.users.replica import Replica, read_path
 from standins.users.store import MetadataStore
 from standins.world import wait_for
@@ -126,8 +127,14 @@
             threading.Thread(target=self.end_under, args=(body, server, path), daemon=True).start()
 
     def wait_placed(self) -> None:
-        """Wait until the servers of each hall hold all layers."""
+        """Wait until the servers of each hall hold all layers, and the daemons know it of each server.
+
+        Streams are served as soon as a daemon knows one holder of each layer: with no other one known, a
+        stream whose stage ends has nowhere to go on.
+        """
         wait_for("all layers are held", self._placed)
+        for daemon in self.daemons:
+            wait_for("it knows what all stages hold", partial(_knows_stages, daemon))
 
     def check_path(self, path: list[tuple[str, int, int]], began: float) -> None:
         """Note a path that does not run every layer once and in order, on servers that hold them.
@@ -169,3 +176,8 @@
             if len(layers) < LAYERS:
                 return False
         return True
+
+
+def _knows_stages(daemon: Daemon) -> bool:
+    """Tell whether a daemon, unless it has ended, knows what all stages hold."""
+    return daemon.popen.poll() is not None or quietly(daemon.knows_stages)
--- a/tests/test_restarting_servers.py
+++ b/tests/test_restarting_servers.py
@@ -26,7 +26,6 @@
     daemon = site.start()
     site.wait_placed()
     wait_for("streams are served", lambda: served(daemon))
-    daemon.wait_knows_stages()
     return daemon
 
 
--- a/tests/test_resting_servers.py
+++ b/tests/test_resting_servers.py
@@ -48,7 +48,6 @@
     daemons = [site.start(f"hall-{n % 2}", retry_floor=1000.0, key_trust_ms=60_000) for n in range(count)]
     site.wait_placed()
     for daemon in daemons:
-        daemon.wait_knows_stages()
         wait_for("streams are served", lambda daemon=daemon: ask(daemon.callers, "/stream/x").status == 200)
         wait_for("calls are served", lambda daemon=daemon: ask(daemon.callers, "/safe/x").status == 200)
     return daemons
