Choose plain servers by what they turned away lately too

Load: one of three plain servers turns most calls away while calls come one by one; calls that may go to one server only have no second choice. Having nothing under way, the server that refuses was the first choice.

Ruled out: giving up after a refusal less soon: a call may be sent to no more servers than its route allows, refused or not.

--- a/bayglade/servers.py
+++ b/bayglade/servers.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bayglade.clock import now
+from bayglade.clock import Decayed, now
 from bayglade.ids import (
     UNKNOWN_INCARNATION,
     BackendId,
@@ -16,6 +16,9 @@
 SURE_SECONDS = 1.0
 """A stage that was silent for so long, though asked again, is taken to have ended. A link that is
 busy with a large document holds answers up for some tenths of a second."""
+REFUSAL_SECONDS = 5.0
+"""Time constant in which a refusal is forgotten: longer than the rests that servers ask for, 3 s, or each
+rest would end with a call that is lost; short enough that a server is used again some seconds later."""
 SLOW_PACE = 1.5
 """A server that says it is so many times slower than usual is asked again whether it still is."""
 EXCLUDED_SECONDS = 3.0
@@ -71,6 +74,7 @@
         "in_flight",
         "leaving",
         "pace",
+        "refusals",
         "refused",
         "rest_until",
         "short_until",
@@ -106,6 +110,14 @@
         self.suspect_until = 0.0
         """Set for a server of a plain service, which has no report to ask for."""
 
+        self.refusals = Decayed(REFUSAL_SECONDS)
+        """Requests that it turned away lately; a plain server counts as that much busier.
+
+        Calls that may go to one server only are lost when that one refuses, and one that refuses has the
+        least under way. Refused in a thousand with servers that turn most away: 3, 1 and 1 without this, 0
+        with it on three deployments (means of four seeds, processor time not counted).
+        """
+
         self.short_until = 0.0
         """Until when it is taken to have no room, after it turned a request away."""
 
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -112,11 +112,14 @@
         return None
     if peers.quarantine.suspects(call):
         fitting = wait_apart(peers, call, fitting) or fitting
-    own = peers.paths.hall
+    own, at = peers.paths.hall, now()
     return min(
         fitting,
         key=lambda s: (
-            s.in_flight / max(1, s.facts.slots) + (AWAY_COST if s.facts.hall != own else 0.0) + s.failures,
+            s.in_flight / max(1, s.facts.slots)
+            + (AWAY_COST if s.facts.hall != own else 0.0)
+            + s.failures
+            + s.refusals.read(at),
             peers.rng.random(),
         ),
     )
@@ -133,6 +136,7 @@
         rest=error.rest_seconds if isinstance(error, BackendRefused) else None,
     )
     if isinstance(error, BackendRefused):
+        server.refusals.add(1.0, now())
         if error.misdirected:
             peers.fleet.mark_leaving(server, "another server has its address")
         return
