--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -8,6 +8,7 @@
 from bayglade.ids import UNKNOWN_INCARNATION, BackendId, Incarnation, ServerKey, ServiceName
 from bayglade.logs import event
 from bayglade.servers import Server, ServerFacts
+from bayglade.words import Words
 
 SUSPECT_SECONDS = 1.0
 """First time that a server which failed gets nothing; doubled at each failure in a row."""
@@ -20,21 +21,11 @@
 """Seconds after the store's return in which a missing entry may come back: the users say two,
 and work that goes to a server that is gone must end by then."""
 
-MAX_WORDS = 1000
-"""Servers that are no longer listed whose own word is kept."""
 MAX_KNOWN_STARTS = 10_000
 """Servers whose newest start is remembered, those that are gone among them: several times as many as
 the largest fleet has."""
 
 
-class Word(msgspec.Struct, frozen=True):
-    """What a server said of itself in its answers; it holds for one start of that server."""
-
-    leaving: bool
-    rest_until: float
-    """In monotonic seconds."""
-
-
 class Fleet:
     """All backend servers, by service."""
 
@@ -45,8 +36,7 @@
         self.starts: dict[BackendId, Incarnation] = {}
         """The newest start known of each server, also of those that are gone."""
 
-        self.words: dict[ServerKey, Word] = {}
-        """Words of servers that are no longer listed: an entry that comes back does not end them."""
+        self.words = Words()
 
         self.on_restart: list[Callable[[BackendId], None]] = []
         """Told of each server that started again under its id: what is known of it no longer holds."""
@@ -283,9 +273,7 @@
 
     def _add(self, facts: ServerFacts) -> None:
         server = Server(facts)
-        if (word := self.words.pop(facts.key, None)) is not None:
-            server.leaving = server.leaving or word.leaving
-            server.rest_until = word.rest_until
+        self.words.recall(server)
         self.servers[facts.id] = server
         self.grown_at = now()
         if facts.incarnation == UNKNOWN_INCARNATION:
@@ -336,19 +324,12 @@
     def _drop(self, backend: BackendId) -> None:
         server = self.servers.pop(backend, None)
         if server is not None:
-            self._keep_word(server)
+            self.words.keep(server, now())
             if not server.leaving:
                 self.on_unlisted(server)
             server.leaving = True
             event("INFO", "server gone", peer=backend)
 
-    def _keep_word(self, server: Server) -> None:
-        if not server.leaving and not server.resting(now()):
-            return
-        self.words[server.facts.key] = Word(server.leaving, server.rest_until)
-        if len(self.words) > MAX_WORDS:
-            del self.words[next(iter(self.words))]
-
     def _rebuild(self) -> None:
         self.changed += 1
         self.by_service = {}
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -26,8 +26,9 @@
 from bayglade.mechanisms import Mechanism
 from bayglade.pathfinding import Path
 from bayglade.pipelines import Pipeline
-from bayglade.relay import Attempts, Peers, answer_head, await_word, content_of, send
+from bayglade.relay import Attempts, Peers, await_word, content_of
 from bayglade.runs import Run, blame, leave_planned, look_into
+from bayglade.sending import answer_head, send
 from bayglade.servers import Server
 from bayglade.trials import ended_stages, heads_to_avoid
 from bayglade.upstream import Exchange
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -14,7 +14,8 @@
 from bayglade.heads import Headers, Message, end_to_end
 from bayglade.listener import Connection
 from bayglade.logs import event
-from bayglade.relay import Attempts, Peers, answer_head, await_word, content_of, look_at, send
+from bayglade.relay import Attempts, Peers, await_word, content_of, look_at
+from bayglade.sending import answer_head, send
 from bayglade.servers import Server
 from bayglade.trials import wait_apart
 
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterator
 from typing import Any
 
-import msgspec
 import pytest
 
 from standins.users import EVENTS, KEY, MODEL, PLAIN, Daemon, UsersSite, quietly
@@ -272,7 +271,7 @@
 
 
 def members(daemon: Daemon) -> list[str]:
-    found: list[str] = msgspec.json.decode(ask(daemon.metrics, "/beliefs").body)["members"]
+    found: list[str] = daemon.beliefs()["members"]
     return found
 
 
@@ -308,7 +307,7 @@
 
 
 def believed(daemon: Daemon) -> list[dict[str, Any]]:
-    found: list[dict[str, Any]] = msgspec.json.decode(ask(daemon.metrics, "/beliefs").body)["servers"]
+    found: list[dict[str, Any]] = daemon.beliefs()["servers"]
     return found
 
 
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -8,7 +8,7 @@
 
 from bayglade import fleet as fleet_module
 from bayglade import paths as paths_module
-from bayglade import relay
+from bayglade import sending
 from bayglade.calls import AnswerHead
 from bayglade.entries.wire import Findings
 from bayglade.exceptions import BackendRefused, BackendUnwilling, Outcome
@@ -16,9 +16,11 @@
 from bayglade.heads import Message
 from bayglade.ids import BackendId, Incarnation, MemberId, ServerKey
 from bayglade.quarantine import Quarantine
-from bayglade.relay import Attempts, answer_head, check_sending, send
+from bayglade.relay import Attempts
+from bayglade.sending import answer_head, check_sending, send
 from bayglade.servers import Server
 from bayglade.spreading import Spreading
+from bayglade.words import MAX_WORDS
 from tests.server_rows import BORN, facts_of
 from tests.test_diagnosis import diagnose
 from tests.test_paths import SERVICE, Site
@@ -33,7 +35,7 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.at = 100.0
-        for module in (fleet_module, paths_module, relay):
+        for module in (fleet_module, paths_module, sending):
             monkeypatch.setattr(module, "now", lambda: self.at)
 
 
@@ -112,12 +114,12 @@
 
 def test_words_that_are_kept_are_bounded(clock: Clock) -> None:
     fleet = Fleet()
-    for number in range(fleet_module.MAX_WORDS + 10):
+    for number in range(MAX_WORDS + 10):
         backend = BackendId(f"s{number}")
         fleet.take([facts_of(backend)], [], outage=False)
         fleet.rest(fleet.servers[backend], REST)
         fleet.take([], [backend], outage=False)
-    assert len(fleet.words) == fleet_module.MAX_WORDS
+    assert len(fleet.words.known) == MAX_WORDS
 
 
 class Connections:
@@ -137,7 +139,7 @@
 
 def relaying(monkeypatch: pytest.MonkeyPatch, fleet: Fleet) -> tuple[Any, Connections]:
     connections = Connections()
-    monkeypatch.setattr(relay, "open_exchange", connections.open)
+    monkeypatch.setattr(sending, "open_exchange", connections.open)
     peers = SimpleNamespace(
         fleet=fleet,
         check=lambda call: None,
