Have a soak of servers that ask for rest, and that leave without a word but in answers

Cause: the two promises were checked by tests of single faults only.

Ruled out: adding to the usual faults, which would change what the seeds do that failed before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,7 +13,7 @@
 from soak.callers import Callers
 from soak.checks import check
 from soak.deadly import QUESTION, Asker, late_ends
-from soak.faults import Faults
+from soak.faults import ACTS, RESTING_ACTS, Faults
 from soak.records import Journal, Kind
 from soak.site import SoakSite
 from standins.users import KEY
@@ -35,6 +35,9 @@
     ends: int
     """Servers that ended under the question that ends them."""
 
+    rests: int
+    """Rests that servers asked for."""
+
 
 def run(
     seed: int,
@@ -43,6 +46,7 @@
     callers: int,
     keep: Path | None = None,
     deadly: str | None = None,
+    resting: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -52,6 +56,7 @@
     :param callers: how many callers there are.
     :param keep: where the logs go when a promise is broken.
     :param deadly: path at which a question is asked again and again that ends servers, if one is.
+    :param resting: whether servers also ask for rest, and leave without a word but in their answers.
     :return: what was broken, and figures.
     """
     journal = Journal(key_versions={KEY: 0})
@@ -66,7 +71,7 @@
         if deadly is not None:
             site.deadly = {QUESTION}
             asker.start()
-        Faults(site, journal, seed).run(seconds)
+        Faults(site, journal, seed, RESTING_ACTS if resting else ACTS).run(seconds)
         time.sleep(SETTLE_SECONDS)
         asking.stop()
         if deadly is not None:
@@ -83,6 +88,7 @@
         statuses=dict(Counter(str(r.status or r.error) for r in journal.records)),
         faults=dict(Counter(fault.name for fault in journal.faults)),
         ends=len(site.ends),
+        rests=sum(len(replica.rests) for replica in site.every_replica),
     )
 
 
@@ -131,12 +137,21 @@
     parser.add_argument("--daemons", type=int, default=4)
     parser.add_argument("--callers", type=int, default=8)
     parser.add_argument("--deadly", metavar="PATH", help="ask a question there that ends servers")
+    parser.add_argument("--resting", action="store_true", help="have servers ask for rest as well")
     parser.add_argument("--keep", type=Path, default=Path("build/soak"), help="where logs of failures go")
     options = parser.parse_args()
     first = options.seed if options.seed is not None else int(time.time())
     failed = 0
     for seed in range(first, first + options.seeds):
-        result = run(seed, options.seconds, options.daemons, options.callers, options.keep, options.deadly)
+        result = run(
+            seed,
+            options.seconds,
+            options.daemons,
+            options.callers,
+            options.keep,
+            options.deadly,
+            options.resting,
+        )
         failed += bool(result.broken)
         print(msgspec.json.encode(result).decode(), flush=True)
     print(f"{options.seeds - failed} passed, {failed} failed", flush=True)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,6 +15,10 @@
 SLACK_SECONDS = 0.3
 """What a run may be noted late on a busy machine."""
 GRACE_SECONDS = 8.0
+UNDER_WAY_SECONDS = 0.5
+"""What was under way when a server asked for rest may arrive for so long."""
+MOST_IN_REST = 2
+"""Requests that may reach a server in a rest, those left out."""
 
 
 def check(journal: Journal, site: UsersSite) -> list[str]:
@@ -32,6 +36,8 @@
         *_never_back(journal),
         *_leaving(journal, site),
         *_planned_stops(journal),
+        *_rests(journal, site),
+        *_unheard(journal, site),
         *(f"layers: {path}" for path in site.wrong_paths),
     ]
 
@@ -125,3 +131,45 @@
         near = record.ended_at >= stopped and record.sent_at < stopped + GRACE_SECONDS
         if near and journal.calm(min(stopped, record.sent_at) - CONTACT_SECONDS, until):
             yield f"stop: {record.request} was cut {record.ended_at - stopped:.2f} s after the signal"
+
+
+def _held_up(journal: Journal, since: float, until: float) -> bool:
+    """Tell whether a daemon may have been frozen, or cut off, in a span."""
+    faults = (fault for fault in journal.faults if fault.name.startswith(("pause", "link")))
+    return any(fault.at < until and fault.until > since for fault in faults)
+
+
+def _rests(journal: Journal, site: UsersSite) -> Iterator[str]:
+    """Check that a server got no more than what was under way from a daemon of which it asked rest."""
+    daemons = {record.request: record.daemon for record in journal.records}
+    for replica in site.every_replica:
+        for asked in replica.rests:
+            daemon, until = daemons.get(asked.request), asked.at + asked.seconds
+            if daemon is None or _held_up(journal, asked.at, until):
+                continue
+            late = [
+                request
+                for request, at in replica.arrived
+                if asked.at + UNDER_WAY_SECONDS < at < until and daemons.get(request) == daemon
+            ]
+            if len(late) > MOST_IN_REST:
+                yield f"rest: {replica.id} got {len(late)} requests of {daemon} in {asked.seconds} s"
+
+
+def _unheard(journal: Journal, site: UsersSite) -> Iterator[str]:
+    """Check that a daemon stops sending to a server that told it in an answer that it leaves."""
+    records = {record.request: record for record in journal.records}
+    for replica in site.every_replica:
+        told: dict[str, float] = {}
+        for request, at in replica.said_leaving:
+            record = records.get(request)
+            # An answer that did not come through told nobody.
+            if record is not None and record.whole:
+                told.setdefault(record.daemon, max(at, record.ended_at))
+        for request, at in replica.arrived:
+            record = records.get(request)
+            since = told.get(record.daemon) if record is not None else None
+            if record is None or since is None or _held_up(journal, since, at):
+                continue
+            if record.sent_at > since + DRAIN_SECONDS:
+                yield f"unheard: {request} reached {replica.id} {at - since:.2f} s after its word"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,7 +4,7 @@
 import signal
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from soak.records import Fault, Journal
 from soak.site import SoakSite
@@ -38,6 +38,8 @@
 """After this time the row of a server that crashed is removed."""
 LEAVE_SECONDS = 3.0
 """How long a server that leaves serves on."""
+RESTS = ("0.8", "1.5", "3")
+"""Seconds of rest that servers ask for."""
 GRACE_SECONDS = 8.0
 REVOKE_AFTER = 1.0
 
@@ -48,11 +50,15 @@
     :param site: what they act on.
     :param journal: where they are written down.
     :param seed: of all choices.
+    :param acts: what may be done.
     """
 
-    def __init__(self, site: SoakSite, journal: Journal, seed: int) -> None:
+    def __init__(
+        self, site: SoakSite, journal: Journal, seed: int, acts: Sequence[Act] | None = None
+    ) -> None:
         self.site = site
         self.journal = journal
+        self.acts = ACTS if acts is None else acts
         self.rng = random.Random(seed)
         self.threads: list[threading.Thread] = []
         self.lock = threading.Lock()
@@ -68,7 +74,7 @@
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             time.sleep(self.rng.uniform(*PAUSES))
-            act = self.rng.choice(ACTS)
+            act = self.rng.choice(self.acts)
             act(self)
         for thread in self.threads:
             thread.join(GRACE_SECONDS + 2 * LEAVE_SECONDS)
@@ -262,6 +268,38 @@
     faults.begin("change", "settings", REVOKE_AFTER + 1.0, work, planned=True)
 
 
+def rest(faults: Faults) -> None:
+    """Have a server turn requests away and ask for rest each time."""
+    server = faults.rng.choice(faults.site.replicas)
+    asked, lasts = faults.rng.choice(RESTS), faults.lasts()
+
+    def work() -> None:
+        server.rest = asked
+        server.faults.set("refuse")
+        time.sleep(lasts)
+        server.faults.left["refuse"] = 0
+        server.rest = ""
+
+    faults.begin("rest", server.id, lasts + float(asked), work)
+
+
+def leave_unheard(faults: Faults) -> None:
+    """Have a server leave that says so in its answers only; its successor comes first."""
+    server = faults.rng.choice(faults.site.replicas)
+    if not faults.site.spare(server):
+        return
+
+    def work() -> None:
+        faults.site.join(server)
+        time.sleep(1.0)
+        server.says_leaving = True
+        time.sleep(LEAVE_SECONDS)
+        server.server.end()
+        faults.site.store.drop("servers", server.id)
+
+    faults.begin("leave unheard", server.id, LEAVE_SECONDS + 2.0, work)
+
+
 ACTS: tuple[Act, ...] = (
     kill,
     stop,
@@ -275,3 +313,6 @@
     change,
 )
 """Links and answers break most often."""
+
+RESTING_ACTS: tuple[Act, ...] = (*ACTS, *[rest] * 5, *[leave_unheard] * 2)
+"""A tuple of its own, so that earlier seeds go on to do what they did."""
--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections import Counter
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 
@@ -15,6 +15,16 @@
     from standins.users.site import UsersSite
 
 
+class RestAsked(NamedTuple):
+    """A request that was turned away with a wish for rest."""
+
+    request: str
+    at: float
+    """Monotonic time of the answer."""
+
+    seconds: float
+
+
 class Replica:
     """A backend server: of the model when it has a kind, else of the plain service.
 
@@ -67,6 +77,12 @@
         self.turned_away: list[tuple[str, float]] = []
         """Requests that it turned away itself, with the monotonic time of its answer."""
 
+        self.rests: list[RestAsked] = []
+        """The rests that it asked for."""
+
+        self.said_leaving: list[tuple[str, float]] = []
+        """Requests whose answers said that it leaves, with the monotonic time."""
+
         self.resting_stage: Replica | None = None
         """A later stage on whose behalf it turns requests away that pass that stage."""
 
@@ -193,6 +209,8 @@
         request = handler.headers["X-Request-Id"]
         expected = handler.headers["X-Expect-Instance"]
         self.arrived.append((request, time.monotonic()))
+        if self.says_leaving:
+            self.said_leaving.append((request, time.monotonic()))
         self.tried_paths[request] = handler.headers.get("Path", "")
         if self.faults.take("elsewhere") or expected != self.id:
             handler.answer(421, b"", {"X-Request-Id": request, "X-Instance-Id": "i-other"})
@@ -223,6 +241,7 @@
         head = {"X-Request-Id": request, "X-Not-Executed": "1", **headers}
         if self.rest:
             head["Retry-After"] = self.rest
+            self.rests.append(RestAsked(request, time.monotonic(), float(self.rest)))
         self.turned_away.append((request, time.monotonic()))
         handler.answer(503, b"", head)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 from soak.deadly import late_ends
 from soak.records import Fault, Journal, Kind, Record
 from standins.users import EVENTS
+from standins.users.replica import RestAsked
 from standins.users.site import Ending
 
 SECONDS = 8.0
@@ -35,6 +36,38 @@
     assert result.ends > 0
 
 
+def test_servers_at_rest_get_nothing_under_faults() -> None:
+    result = run(seed=11, seconds=SECONDS, daemons=3, callers=6, resting=True)
+    assert result.broken == []
+    assert result.rests > 0
+
+
+def test_requests_within_a_rest_are_found() -> None:
+    records = [a_record(sent_at=100.0 + n) for n in range(4)]
+    for number, record in enumerate(records):
+        record.request, record.body = f"q{number}", f"answer to q{number}".encode()
+    site = Site()
+    site.every_replica[0].rests = [RestAsked("q0", 100.0, 3.0)]
+    site.every_replica[0].arrived = [(r.request, 100.6 + 0.7 * n) for n, r in enumerate(records)]
+    journal = Journal(records=records)
+    assert [line for line in check(journal, site) if line.startswith("rest")]  # type: ignore[arg-type]
+    journal.faults.append(Fault("pause", "d0", 100.5, 101.0))
+    assert check(journal, site) == []  # type: ignore[arg-type]
+
+
+def test_requests_to_a_server_that_said_in_an_answer_that_it_leaves_are_found() -> None:
+    told, late = a_record(), a_record(sent_at=100.2 + DRAIN_SECONDS)
+    late.request = "late"
+    site = Site()
+    site.every_replica[0].said_leaving = [("q", 100.0)]
+    site.every_replica[0].arrived = [("q", 100.0), ("late", late.sent_at + 0.01)]
+    journal = Journal(records=[told, late])
+    assert [line for line in check(journal, site) if line.startswith("unheard")]  # type: ignore[arg-type]
+    journal.faults.append(Fault("link silence", "d0", 101.0, 101.5))
+    late.body = b"answer to late"
+    assert check(journal, site) == []  # type: ignore[arg-type]
+
+
 def test_ends_that_go_on_are_found() -> None:
     ends = [Ending(b"q", "i", 1, 100.0 + 2 * n) for n in range(10)]
     assert any(line.startswith("deadly") for line in late_ends(ends))
@@ -47,6 +80,9 @@
     def __init__(self, ran: list[tuple[str, float]]) -> None:
         self.id = "i-1"
         self.ran_at = ran
+        self.rests: list[RestAsked] = []
+        self.said_leaving: list[tuple[str, float]] = []
+        self.arrived: list[tuple[str, float]] = []
 
 
 class Site:
