--- a/benches/losses.py
+++ b/benches/losses.py
@@ -7,11 +7,12 @@
 
 import argparse
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import msgspec
 
+from benches.account import Loss, Share, account, sum_by
 from benches.common import print_table
 
 WINDOW_SECONDS = 2
@@ -20,24 +21,6 @@
 """Longest reason that is shown of an error, in characters."""
 
 
-class Share(msgspec.Struct):
-    """What became of the requests of one window, class or hall."""
-
-    name: str
-    n: int
-    in_aim: int
-    late: int
-    refused: int
-    failed: int
-    not_owed: int
-    worth: float
-
-    @property
-    def owed(self) -> int:
-        """Return how many requests were owed an answer."""
-        return self.n - self.not_owed
-
-
 class Trouble(msgspec.Struct):
     """Something that was done to the site."""
 
@@ -54,6 +37,12 @@
     zones: list[Share]
     windows: list[Share]
     events: list[Trouble]
+    worth: float = msgspec.field(name="G")
+    parts: list[tuple[str, float, float]]
+    """Name, weight and value."""
+
+    prices: list[tuple[str, float, float]]
+    """Name, amount and cost."""
 
 
 class Line(msgspec.Struct):
@@ -143,6 +132,36 @@
     )
 
 
+def print_account(report: Report, causes: Causes) -> None:
+    """Print where the day's worth was lost, by cause and by second."""
+
+    def late(where: str) -> dict[str, float]:
+        if not where.isdigit():
+            return {}
+        window = int(where)
+        return {
+            name: counts[window]
+            for name, counts in (("late begin", causes.late_begin), ("late pause", causes.late_pause))
+            if counts[window]
+        }
+
+    lines = account(report.parts, report.prices, report.windows, report.classes, late)
+    names = [name for name, _, _ in report.parts] + ["price"]
+    _print_sums("lost, by cause", lines, names, lambda line: line.cause)
+    _print_sums("lost, by second or class", lines, names, lambda line: line.where)
+    total = sum(line.amount for line in lines)
+    print(f"\nall lines {total:.4f}, 1 minus the worth {1 - report.worth:.4f}")
+
+
+def _print_sums(title: str, lines: list[Loss], parts: list[str], key: Callable[[Loss], str]) -> None:
+    by_part = {part: sum_by([line for line in lines if line.part == part], key) for part in parts}
+    rows = [
+        [name, f"{amount:.4f}", *(f"{by_part[part][name]:.4f}" for part in parts)]
+        for name, amount in sum_by(lines, key).most_common()
+    ]
+    print_table(title, ["of", "all", *parts], rows)
+
+
 def plot(report: Report, causes: Causes, path: Path) -> None:
     """Draw what became of requests by second, with the troubles marked."""
     import matplotlib
@@ -186,6 +205,7 @@
     report = msgspec.json.decode(arguments.report.read_bytes(), type=Report)
     causes = read_causes(arguments.log, arguments.aim, arguments.gap_aim)
     print_losses(report, causes)
+    print_account(report, causes)
     if arguments.plot is not None:
         plot(report, causes, arguments.plot)
 
