Bound looks at ended stages, and count a move from when it is ordered

Cause: found by reading the change. A stream whose stages were found to have ended before its sending sought a path again without end while they were not suspect (a look each 3 ms or so, each with connections). And the time from which a stage counts under a moved stream began with the answer to the order, up to 0.4 s after a stage may have begun to run it and ended: such an end would not have counted.

Ruled out: the same in sendings, whose time is taken before the connection.

Figures: two tests fail before (over 50 looks; 0.3 s late).

--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -100,11 +100,15 @@
     def __repr__(self) -> str:
         return f"<Run on {self.path!r}>"
 
-    def move(self, path: Path) -> None:
-        """Leave the path for another one, which has been taken."""
+    def move(self, path: Path, since: float) -> None:
+        """Leave the path for another one, which has been taken.
+
+        :param path: the new path.
+        :param since: when the first stage was told to, in monotonic seconds.
+        """
         self.path.release()
         self.path = path
-        self.begun_at, self.blamed, self.on_path_at = None, False, now()
+        self.begun_at, self.blamed, self.on_path_at = None, False, since
         self.slow_before |= slow_stages(path)
 
     def on_dead_stage(self) -> bool:
@@ -174,7 +178,8 @@
     path = peers.paths.detour(run.path, call.service, pipeline, run.avoided, across)
     if path is None:
         return False
-    run.move_at = now() + MOVE_PAUSE
+    since = now()
+    run.move_at = since + MOVE_PAUSE
     head = run.path.servers[0].facts
     outcome = peers.control.reroute(head.id, head.address, call.head.id, path.route)
     event(
@@ -188,7 +193,7 @@
     )
     if outcome.moved:
         peers.paths.take(path, pipeline)
-        run.move(path)
+        run.move(path, since)
     return outcome.moved
 
 
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -122,6 +122,8 @@
             continue
         if ended := ended_stages(peers, call, path.servers):
             path.release()
+            # As with any server that is not reached: else one that is not suspect is chosen on and on.
+            attempts.unreached += 1
             avoided |= ended
             continue
         run = Run(path, attempts)
--- a/bayglade/trials.py
+++ b/bayglade/trials.py
@@ -79,4 +79,7 @@
     with eventlet.Timeout(ENDED_SECONDS, False):
         for look in looks:
             look.wait()
-    return frozenset(server.facts.id for server in servers if server.refused)
+    ended = [server for server in servers if server.refused]
+    if unknown := [server for server in ended if not server.suspect]:
+        eventlet.spawn_n(peers.diagnosis.examine_anew, unknown)
+    return frozenset(server.facts.id for server in ended)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,12 +10,12 @@
 from bayglade import runs, streams
 from bayglade.calls import CallHead
 from bayglade.control import RerouteOutcome
-from bayglade.exceptions import BackendError, BackendRefused
+from bayglade.exceptions import BackendError, BackendRefused, NoRoute, Overloaded
 from bayglade.fleet import Fleet
 from bayglade.ids import HallName, RequestId
 from bayglade.paths import Paths
 from bayglade.quarantine import Quarantine
-from bayglade.relay import Attempts
+from bayglade.relay import MAX_UNREACHED, Attempts
 from bayglade.retries import RetryBudget
 from bayglade.runs import LEAVE_SPREAD_SECONDS, Run, leave_planned
 from bayglade.servers import SURE_SECONDS
@@ -293,3 +293,47 @@
     error = BackendError("the connection broke", step="receive", peer="s")
     _note_failure(scene.peers, scene.call, scene.run, error)
     assert asked == [[scene.run.path.servers[0]]]
+
+
+def test_a_stream_whose_stages_turn_out_to_have_ended_is_given_up_soon(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scene = Scene(monkeypatch)
+    scene.run.path.release()
+    looks = 0
+
+    def ended(peers: Any, call: Any, stages: Any) -> frozenset[Any]:
+        nonlocal looks
+        looks += 1
+        assert looks < 50
+        return frozenset({stages[-1].facts.id})
+
+    monkeypatch.setattr(streams, "ended_stages", ended)
+    scene.call.seconds_left, scene.call.deadline, scene.call.arrived = lambda: 10.0, 1000.0, scene.at
+    scene.peers.lines = SimpleNamespace(
+        charge=lambda call: None,
+        busy=lambda service: False,
+        expected_seconds=lambda service: 0.0,
+        wait=lambda *_, **options: None,
+    )
+    with pytest.raises((NoRoute, Overloaded)):
+        streams.relay_stream(scene.peers, scene.call, scene.model, SimpleNamespace(sent=False))  # type: ignore[arg-type]
+    assert looks <= MAX_UNREACHED + 1
+    assert all(server.in_flight == 0 and server.cached == 0 for server in scene.fleet.of(SERVICE))
+
+
+def test_a_stage_that_ends_while_a_stream_is_moved_to_it_ends_under_that_stream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scene = Scene(monkeypatch)
+    moved_at = scene.at
+
+    def reroute(*_: Any) -> RerouteOutcome:
+        # Some of such requests end a server within 35 ms; the answer to the order may take longer.
+        scene.at += 0.3
+        return RerouteOutcome(True)
+
+    scene.peers.control = SimpleNamespace(reroute=reroute)
+    scene.run.avoided = frozenset({scene.run.path.servers[1].facts.id})
+    assert runs._move(scene.peers, scene.call, scene.model, scene.run, "dead")
+    assert scene.run.on_path_at <= moved_at
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -137,13 +137,18 @@
         path = [server for server in daemon.fleet.of(SERVICE) if server.facts.held][:4]
         probes = Probes(daemon, {path[2].facts.id}, {path[3].facts.id})
         daemon.peers.links = probes
+        examined: list[Server] = []
+        daemon.peers.diagnosis = SimpleNamespace(examine_anew=examined.extend)
         since = now()
         gone = ended_stages(daemon.peers, asked, path)
+        seconds = now() - since
         # What ended before counts no more when the call is sent now and breaks off there.
         daemon.quarantine.broke_off(asked, path[2].facts.key, None, now() + 0.001)
         assert not daemon.quarantine.holds(asked)
         assert gone == ({path[2].facts.id} if looked else frozenset())
-        return gone, len(probes.opened), now() - since
+        eventlet.sleep(0)
+        assert examined == (path[2:3] if looked else [])
+        return gone, len(probes.opened), seconds
 
     _, opened, seconds = run_virtually(found)
     assert opened == (4 if looked else 0)
