Try: look again and again for a way round a leaving stage

Streams on a leaving stage seek another way once; its layers are loaded elsewhere a second or two later; they stay until it ends, then all seek room at the same moment, and some are cut.

What binds is room once two or three of the stages with most layers leave at the same time.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -17,7 +17,7 @@
 from bayglade.quarantine import Quarantine
 from bayglade.relay import MAX_UNREACHED, Attempts
 from bayglade.retries import RetryBudget
-from bayglade.runs import LEAVE_SPREAD_SECONDS, Run, leave_planned
+from bayglade.runs import LEAVE_AGAIN_SECONDS, LEAVE_SPREAD_SECONDS, Run, leave_planned
 from bayglade.servers import SURE_SECONDS
 from bayglade.streams import GLANCE_SECONDS, SHORT_SECONDS, _note_failure
 from tests.test_tiling import SERVICE, pipeline, placed, servers
@@ -106,6 +106,41 @@
     assert scene.run.path is before
 
 
+def test_a_stream_is_moved_once_others_hold_the_layers_of_a_leaving_stage(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Stages of a release left one after the other, each the only one with its layers until others had
+    loaded them, two seconds later. The streams there sought another way once, found none, and stayed until
+    the stage ended; then all sought one at the same time, and some were cut though the release was planned:
+
+        26.228  server leaving  i-7ccb2fee22  listed
+        26.240  order given  i-410caf4511  41 to 47
+        30.195  attempt failed  no other stages for those of a dead one
+        31.607  request failed  cut true
+    """
+    scene = Scene(monkeypatch)
+    scene.look()
+    leaving = scene.paired_stage()
+    twins = [
+        server
+        for server in scene.fleet.of(SERVICE)
+        if server is not leaving
+        and (server.facts.first, server.facts.last) == (leaving.facts.first, leaving.facts.last)
+    ]
+    for twin in twins:
+        twin.excluded = "not loaded yet"
+    scene.fleet.mark_leaving(leaving, "listed")
+    scene.look()
+    scene.look(LEAVE_SPREAD_SECONDS)
+    scene.look(LEAVE_SPREAD_SECONDS)
+    assert scene.rerouted == []
+    for twin in twins:
+        twin.excluded = None
+    scene.look(2 * LEAVE_AGAIN_SECONDS)
+    assert len(scene.rerouted) == 1
+    assert leaving not in scene.run.path.servers
+
+
 def test_a_leaving_first_stage_keeps_its_streams(monkeypatch: pytest.MonkeyPatch) -> None:
     scene = Scene(monkeypatch)
     scene.fleet.mark_leaving(scene.run.path.servers[0], "listed")
