--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -32,15 +32,6 @@
 """Streams are moved off a leaving stage over this time, not all at once: each has its tokens
 read anew. A server that leaves serves on for two seconds and more."""
 
-LEAVE_AGAIN_SECONDS = 0.5
-"""Time until a stream that found no way round a leaving stage looks for one again: others load its layers
-within a second or two, and it serves on for longer. With one look only, streams were cut on a day on which
-16 of 41 servers were released within 20 s, in 7 of 12 plays."""
-
-LOOKS_AT_HOME = 2
-"""Looks for which the halls of its path must do, before stages of others may step in, to which all tokens
-so far cross a pipe: once the stage has ended, all its streams would look for such a way at once."""
-
 
 class Run:
     """One attempt at a stream: the path that it has taken and the exchange with its first stage."""
@@ -55,7 +46,6 @@
         "exchange",
         "fleet_seen",
         "leave_at",
-        "leave_looks",
         "look_at",
         "look_pause",
         "move_at",
@@ -99,9 +89,6 @@
         self.leave_at: float | None = None
         """When the request is moved off stages that leave."""
 
-        self.leave_looks = 0
-        """Looks in a row that found no way round them."""
-
         self.move_at = 0.0
         """Not moved again before this time."""
 
@@ -172,13 +159,7 @@
         return
     run.leave_at = None
     run.avoided |= _leaving(run)
-    run.leave_looks += 1
-    path = _way_round(peers, call, pipeline, run, across=run.leave_looks > LOOKS_AT_HOME)
-    if path is not None:
-        run.leave_looks = 0
-        _move_to(peers, call, pipeline, run, path, "leaving")
-    elif any(server.leaving for server in run.path.servers[1:]):
-        run.leave_at = now() + LEAVE_AGAIN_SECONDS * peers.rng.uniform(0.8, 1.2)
+    _move(peers, call, pipeline, run, "leaving")
 
 
 def _move(
@@ -192,19 +173,11 @@
     """
     if reason == "dead" and Mechanism.LEAVE_DEAD in peers.without:
         return False
-    path = _way_round(peers, call, pipeline, run, across)
-    return path is not None and _move_to(peers, call, pipeline, run, path, reason)
-
-
-def _way_round(peers: Peers, call: Call, pipeline: Pipeline, run: Run, across: bool = False) -> Path | None:
-    """Find a path with room round the stages that a stream avoids, if it may be moved now."""
     if now() < run.move_at or peers.quarantine.holds(call):
-        return None
-    return peers.paths.detour(run.path, call.service, pipeline, run.avoided, across)
-
-
-def _move_to(peers: Peers, call: Call, pipeline: Pipeline, run: Run, path: Path, reason: str) -> bool:
-    """Have a stream go on over another path; tell whether its first stage took that."""
+        return False
+    path = peers.paths.detour(run.path, call.service, pipeline, run.avoided, across)
+    if path is None:
+        return False
     since = now()
     run.move_at = since + MOVE_PAUSE
     head = run.path.servers[0].facts
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -17,7 +17,7 @@
 from bayglade.quarantine import Quarantine
 from bayglade.relay import MAX_UNREACHED, Attempts
 from bayglade.retries import RetryBudget
-from bayglade.runs import LEAVE_AGAIN_SECONDS, LEAVE_SPREAD_SECONDS, Run, leave_planned
+from bayglade.runs import LEAVE_SPREAD_SECONDS, Run, leave_planned
 from bayglade.servers import SURE_SECONDS
 from bayglade.streams import GLANCE_SECONDS, SHORT_SECONDS, _note_failure
 from tests.test_tiling import SERVICE, pipeline, placed, servers
@@ -136,7 +136,7 @@
     assert scene.rerouted == []
     for twin in twins:
         twin.excluded = None
-    scene.look(2 * LEAVE_AGAIN_SECONDS)
+    scene.look(LEAVE_SPREAD_SECONDS)
     assert len(scene.rerouted) == 1
     assert leaving not in scene.run.path.servers
 
