--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -244,8 +244,8 @@
 def _gone(silent: list[Server], lately: list[Finding]) -> list[Server]:
     """Return the silent servers at whose addresses nobody listens.
 
-    That is proof unless nobody else answers either: without it three of four stages that ended at once
-    were taken for a fault of this side and found dead 0.9 s later (log of one run).
+    That is proof unless nobody else answers either: without it a stage behind the first, one of four that
+    ended at once, was taken for a fault of this side and found dead 0.9 s later (log of one run).
     """
     if not any(finding.report is not None for finding in lately):
         return []
--- a/bayglade/lines.py
+++ b/bayglade/lines.py
@@ -116,8 +116,8 @@
     def wake(self, service: ServiceName) -> None:
         """Give places to those who wait, in their order, while there are any.
 
-        Who may go to some servers only is passed over: waiting for those, one held back all that came
-        after it for 1.5 s, though there was room.
+        Who may go to some servers only is passed over: one that waited for those in vain kept the head of
+        the line for 1.5 s, though others had room.
         """
         queue = self._queue(service)
         aside: list[Waiting[Turn]] = []
--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -215,7 +215,7 @@
         :param begun_at: when the first event of this run came, if one came.
         :param sent_at: when the call was sent to the server. One known to have ended before did not end
             under it: with half of all servers ended at once, a harmless stream was held back for such an
-            end in 4 of 32 runs.
+            end (log of one of 4 runs in 32 that held one back).
         """
         if begun_at is not None and now() - begun_at > FRESH_SECONDS:
             return
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -235,21 +235,22 @@
     if not faults.site.spare(server):
         return
 
-    def work() -> None:
-        faults.site.join(server)
-        time.sleep(1.0)
-        _leave(faults.journal, server)
-        time.sleep(LEAVE_SECONDS)
-        server.server.end()
-        faults.site.store.drop("servers", server.id)
+    def say() -> None:
+        server.state = "draining"
+        server.register()
+        faults.journal.leaving[server.id] = time.monotonic()
 
-    faults.begin("leave", server.id, LEAVE_SECONDS + 2.0, work, planned=True)
+    faults.begin("leave", server.id, LEAVE_SECONDS + 2.0, lambda: _leave(faults, server, say), planned=True)
 
 
-def _leave(journal: Journal, server: Replica) -> None:
-    server.state = "draining"
-    server.register()
-    journal.leaving[server.id] = time.monotonic()
+def _leave(faults: Faults, server: Replica, say: Callable[[], None]) -> None:
+    """Have a server's successor come, then the server say that it leaves, and end."""
+    faults.site.join(server)
+    time.sleep(1.0)
+    say()
+    time.sleep(LEAVE_SECONDS)
+    server.server.end()
+    faults.site.store.drop("servers", server.id)
 
 
 def change(faults: Faults) -> None:
@@ -289,15 +290,10 @@
     if not faults.site.spare(server):
         return
 
-    def work() -> None:
-        faults.site.join(server)
-        time.sleep(1.0)
+    def say() -> None:
         server.says_leaving = True
-        time.sleep(LEAVE_SECONDS)
-        server.server.end()
-        faults.site.store.drop("servers", server.id)
 
-    faults.begin("leave unheard", server.id, LEAVE_SECONDS + 2.0, work)
+    faults.begin("leave unheard", server.id, LEAVE_SECONDS + 2.0, lambda: _leave(faults, server, say))
 
 
 ACTS: tuple[Act, ...] = (
