Keep streams that have begun until their time is over

Cause: bounds made for calls that have got nothing (1.5 s of waiting, the expected wait, no chain of layers, the number of tries, the budget for repeats, keys not trusted just now) were put on streams that have begun. There a quick true refusal is best; here only a broken answer is left.

Ruled out: want of room alone.

Change: a begun stream waits for a place, and for a repeat before it takes one, until its deadline, first within its own account and never before another account's share; beyond the tries of a new call it pauses 0.25 s between tries. Servers that failed may be tried again after that time. A request that is stopped meanwhile, and a caller that leaves, end the wait. The mechanism can be switched off (`begun_wait`).

--- a/bayglade/lines.py
+++ b/bayglade/lines.py
@@ -25,18 +25,26 @@
 MAX_ASIDE = 4
 """Requests that are passed over in one look for places: each costs a search for a path."""
 
+BEGUN_PRIORITY = 1 << 16
+"""Priority of streams that have begun, above those of all calls: their callers wait in mid-answer."""
+
 Seek = Callable[[], Path | None]
 """Returns a path with room that the request has taken, if there is one."""
 
 
+def _never() -> bool:
+    return False
+
+
 class Turn:
     """A request that waits: how a place is sought for it, and who is told."""
 
-    __slots__ = ("choosy", "granted", "seek")
+    __slots__ = ("choosy", "granted", "hopeless", "seek")
 
-    def __init__(self, seek: Seek, choosy: bool) -> None:
+    def __init__(self, seek: Seek, choosy: bool, hopeless: Callable[[], bool]) -> None:
         self.seek = seek
         self.choosy = choosy
+        self.hopeless = hopeless
         self.granted = Event()
 
 
@@ -75,7 +83,15 @@
         rate = ended.rate(now()) if ended is not None else 0.0
         return len(self._queue(service)) / rate if rate > 0 else 0.0
 
-    def wait(self, call: Call, seek: Seek, until: float, choosy: bool = False) -> Path | None:
+    def wait(
+        self,
+        call: Call,
+        seek: Seek,
+        until: float,
+        choosy: bool = False,
+        begun: bool = False,
+        hopeless: Callable[[], bool] = _never,
+    ) -> Path | None:
         """Wait for a place.
 
         :param call: the request.
@@ -83,11 +99,14 @@
         :param until: when waiting ends, in monotonic seconds.
         :param choosy: whether the request may go to some servers only, so that there may be room for
             others while there is none for it.
+        :param begun: whether its caller has a part of the answer: it goes first in its own account.
+        :param hopeless: tells whether waiting has become of no use.
         :return: the path, taken; nothing when there was none in time.
         """
         queue = self._queue(call.service)
-        turn = Turn(seek, choosy)
-        waiting = Waiting(call.group or ROOT, call.priority, cost(call), until, turn)
+        turn = Turn(seek, choosy, hopeless)
+        priority = BEGUN_PRIORITY if begun else call.priority
+        waiting = Waiting(call.group or ROOT, priority, cost(call), until, turn)
         queue.push(waiting)
         if not self.begun.ready():
             self.begun.send()
@@ -98,11 +117,12 @@
         except BaseException:
             # The caller left: a place that was found in the same moment is given back.
             if not queue.remove(waiting) and turn.granted.ready():
-                turn.granted.wait().release()
+                if (place := turn.granted.wait()) is not None:
+                    place.release()
                 self.wake(call.service)
             raise
         if granted is None and not queue.remove(waiting):
-            # The place was found in the same moment as the time ended.
+            # The place was found, or the wait ended, in the same moment as the time.
             granted = turn.granted.wait()
         return granted
 
@@ -122,6 +142,9 @@
         queue = self._queue(service)
         aside: list[Waiting[Turn]] = []
         while len(aside) <= MAX_ASIDE and (waiting := queue.pop()) is not None:
+            if waiting.entry.hopeless():
+                waiting.entry.granted.send(None)
+                continue
             path = waiting.entry.seek()
             if path is not None:
                 waiting.entry.granted.send(path)
--- a/bayglade/mechanisms.py
+++ b/bayglade/mechanisms.py
@@ -25,6 +25,9 @@
     WAITING = "waiting"
     """A request that finds no room waits for it, while its caller does."""
 
+    BEGUN_WAIT = "begun_wait"
+    """A stream that has begun waits for a place, and for a repeat, until its time is over."""
+
     LEAVE_DEAD = "leave_dead"
     """A stream keeps its first stage when one behind it is dead, instead of being sent anew."""
 
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -124,13 +124,23 @@
     def __repr__(self) -> str:
         return f"<Attempts {self.sent} sent, {self.unreached} unreached>"
 
-    def open(self) -> bool:
-        """Tell whether there is time left for the call, and reason to try."""
-        return self.call.seconds_left() > 0 and self.unreached <= MAX_UNREACHED and self.sent < MAX_SENDINGS
+    def open(self, begun: bool = False) -> bool:
+        """Tell whether there is time left for the call, and reason to try.
 
-    def may_send(self, peers: Peers) -> bool:
-        """Tell whether the call may be sent once more, and take that from the budget."""
-        if not self.open() or self._held(peers):
+        :param begun: whether its caller has a part of the answer: then only time ends it.
+        """
+        return self.call.seconds_left() > 0 and (begun or not self.exhausted())
+
+    def exhausted(self) -> bool:
+        """Tell whether a call that has got nothing yet was tried often enough."""
+        return self.unreached > MAX_UNREACHED or self.sent >= MAX_SENDINGS
+
+    def may_send(self, peers: Peers, begun: bool = False) -> bool:
+        """Tell whether the call may be sent once more, and take that from the budget.
+
+        :param begun: whether its caller has a part of the answer.
+        """
+        if not self.open(begun) or self.held(peers):
             return False
         budget = peers.budget(self.call.service)
         if self.sent == 0 or budget.retry():
@@ -138,12 +148,12 @@
         if Mechanism.LENDING not in peers.without:
             peers.borrow(self.call.service, budget)
             if budget.retry():
-                return not self._held(peers)
+                return not self.held(peers)
         event("INFO", "retry budget spent", request=self.call.head.id, budget=budget)
         peers.metrics.count("retry_budget_spent")
         return False
 
-    def _held(self, peers: Peers) -> bool:
+    def held(self, peers: Peers) -> bool:
         """Tell whether servers ended under the call, here or elsewhere, so that it goes nowhere more."""
         try:
             peers.quarantine.check(self.call)
@@ -156,6 +166,10 @@
         """Tell whether the call could be sent once more, without taking that from the budget."""
         if self.sent >= MAX_SENDINGS or peers.quarantine.holds(self.call):
             return False
+        return self.has_budget(peers)
+
+    def has_budget(self, peers: Peers) -> bool:
+        """Tell whether the budget has a repeat left, without taking it."""
         budget = peers.budget(self.call.service)
         if not budget.left() and Mechanism.LENDING not in peers.without:
             peers.borrow(self.call.service, budget)
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -5,7 +5,7 @@
 in another one after the last event that was delivered, inside the same answer.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import eventlet
 
@@ -18,6 +18,7 @@
     BackendSilent,
     BackendUnreachable,
     BackendUnwilling,
+    CutOff,
 )
 from bayglade.heads import Message, end_to_end
 from bayglade.ids import BackendId
@@ -38,6 +39,9 @@
 SHORT_SECONDS = 0.25
 """How long a stage that turned a request away counts as full: a request ends there every few
 hundredths of a second, and the next one that is turned away says so again."""
+RESEND_SECONDS = 0.25
+"""Time between tries of a stream that has begun, once it was tried as often as a call that has not, or
+while there is no repeat that it may use."""
 GLANCE_SECONDS = 0.04
 """How long a stream waits before it looks whether a stage of its path is known to be dead by now: a
 little more than the usual time between events. Median pause of streams that were moved off a dead
@@ -112,7 +116,9 @@
     peers.budget(call.service).request()
     peers.lines.charge(call)
     avoided: frozenset[BackendId] = frozenset()
-    while attempts.open():
+    while attempts.open(_endures(peers, delivery)):
+        if _endures(peers, delivery) and not _await_repeat(peers, call, attempts):
+            break
         path = _find_place(peers, call, pipeline, attempts, delivery, avoided)
         if path is None:
             # Servers that failed may do by now; dead ones are left out by the fleet.
@@ -128,7 +134,9 @@
             continue
         run = Run(path, attempts)
         try:
-            if not attempts.may_send(peers):
+            if not attempts.may_send(peers, _endures(peers, delivery)):
+                if attempts.stopped is None and _endures(peers, delivery):
+                    continue
                 break
             _attempt(peers, call, pipeline, run, delivery, attempts)
             _note_answer(peers, call, delivery, attempts)
@@ -137,6 +145,11 @@
             avoided |= _note_failure(peers, call, run, error)
             if not attempts.failed(error):
                 break
+        except CutOff:
+            # What is known of keys may be fresh again before the caller gives up.
+            if not _endures(peers, delivery):
+                raise
+            _pause(call)
         finally:
             run.path.release()
             peers.lines.note_end(call.service)
@@ -144,6 +157,34 @@
     raise attempts.error(peers.rng)
 
 
+def _endures(peers: Peers, delivery: Delivery) -> bool:
+    """Tell whether a stream is kept for as long as its time lasts.
+
+    A call that has got nothing is best refused early: its caller may ask elsewhere. Of a stream that has
+    begun only a broken answer would be left, and its caller knows best for how long to wait: ended by the
+    bounds on new calls, streams were cut moments before others held the layers of a lost server.
+    """
+    return delivery.begun and Mechanism.BEGUN_WAIT not in peers.without
+
+
+def _await_repeat(peers: Peers, call: Call, attempts: Attempts) -> bool:
+    """Wait until a stream that has begun may be sent once more, before it takes a place from others.
+
+    :return: false when its time is over, or it must not be sent any more.
+    """
+    if attempts.exhausted():
+        _pause(call)
+    while call.seconds_left() > 0 and not attempts.held(peers):
+        if attempts.has_budget(peers):
+            return True
+        _pause(call)
+    return False
+
+
+def _pause(call: Call) -> None:
+    eventlet.sleep(max(0.0, min(RESEND_SECONDS, call.seconds_left())))
+
+
 def _find_place(
     peers: Peers,
     call: Call,
@@ -159,25 +200,33 @@
     demand = demand_of(call, pipeline)
     attempts.full_for = None
 
-    def seek(others: frozenset[BackendId] = frozenset()) -> Path | None:
-        path = peers.paths.choose(call.service, pipeline, demand, avoided | others, attempts.only())
+    def seek_without(servers: frozenset[BackendId]) -> Path | None:
+        path = peers.paths.choose(call.service, pipeline, demand, servers, attempts.only())
         if path is not None:
             peers.paths.take(path, pipeline)
         return path
 
-    if (others := heads_to_avoid(peers, call, avoided)) and (path := seek(others)) is not None:
+    def seek() -> Path | None:
+        return seek_without(avoided)
+
+    if (others := heads_to_avoid(peers, call, avoided)) and (
+        path := seek_without(avoided | others)
+    ) is not None:
         return path
     if not peers.lines.busy(call.service):
         path = seek()
         if path is not None:
             return path
+    if _endures(peers, delivery):
+        return _await_place(peers, call, attempts, seek_without, avoided)
     heads = attempts.only()
     rest = peers.paths.covered_in(call.service, pipeline, avoided, heads)
-    if rest is None:
+    if rest is None and not (attempts.unknown and Mechanism.BEGUN_WAIT not in peers.without):
         return None
     since = delivery.sent_at if delivery.begun else call.arrived
     until = min(call.deadline, since + WAIT_SECONDS)
-    expected = max(rest, peers.lines.expected_seconds(call.service))
+    # What may have run cannot be refused as not run: it waits for layers that are being loaded as well.
+    expected = max(rest or 0.0, peers.lines.expected_seconds(call.service))
     if now() + expected <= until and Mechanism.WAITING not in peers.without:
         path = peers.lines.wait(call, seek, until, choosy=bool(avoided) or heads is not None)
         if path is not None:
@@ -189,6 +238,39 @@
     return None
 
 
+def _await_place(
+    peers: Peers,
+    call: Call,
+    attempts: Attempts,
+    seek_without: Callable[[frozenset[BackendId]], Path | None],
+    avoided: frozenset[BackendId],
+) -> Path | None:
+    """Wait for a place for a stream that has begun, until its time is over.
+
+    Servers that failed or were full may do after a moment; dead ones are left out by the fleet.
+
+    :return: the path, taken; nothing when there was none in time.
+    """
+    since = now()
+
+    def seek() -> Path | None:
+        return seek_without(avoided if now() < since + RESEND_SECONDS else frozenset())
+
+    choosy = bool(avoided) or attempts.only() is not None
+    path = peers.lines.wait(
+        call, seek, call.deadline, choosy, begun=True, hopeless=lambda: peers.quarantine.holds(call)
+    )
+    event(
+        "INFO",
+        "stream waited",
+        request=call.head.id,
+        seconds=round(now() - since, 3),
+        found=path is not None,
+        left=round(call.seconds_left(), 3),
+    )
+    return path
+
+
 def _note_answer(peers: Peers, call: Call, delivery: Delivery, attempts: Attempts) -> None:
     peers.quarantine.answered(call)
     if delivery.first_seconds is not None:
--- /dev/null
+++ b/tests/test_begun_streams.py
@@ -0,0 +1,373 @@
+"""Streams that have begun wait for as long as their time lasts; only new calls are refused early.
+
+After a release of many servers the daemons cut streams whose callers still waited, by bounds that are made
+for calls which have got nothing yet: 1.5 s of waiting, the expected wait, a number of tries, the budget for
+repeats. A call that has got nothing is told so at once and may ask elsewhere; of a stream that has begun
+only a broken answer is left. Each had more than 10 s to its deadline, and room came moments later:
+
+    31.235  attempt failed  no other stages for those of a dead one
+    31.824  sent, after event 81, 13.6 s left
+    31.833  attempt failed  the server answered 503
+    32.691  no room  expected 0.41  waited 1.501
+    32.691  request failed  cut true
+"""
+
+import random
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+import eventlet
+import pytest
+
+from bayglade import streams
+from bayglade.calls import CallHead
+from bayglade.clock import now
+from bayglade.exceptions import (
+    BackendError,
+    BackendRefused,
+    BaygladeError,
+    CutOff,
+    DeadlinePassed,
+    NoRoute,
+    Overloaded,
+)
+from bayglade.fleet import Fleet
+from bayglade.ids import GroupPath, HallName, RequestId
+from bayglade.lines import Lines
+from bayglade.paths import Paths
+from bayglade.presence import CallerLeft
+from bayglade.quarantine import Quarantine
+from bayglade.relay import MAX_SENDINGS, MAX_UNREACHED
+from bayglade.retries import RetryBudget
+from bayglade.usage import Usage
+from tests.test_tiling import SERVICE, pipeline, placed, servers
+
+WAIT = 0.05
+"""How long new calls wait for room here, in seconds."""
+LATER = 6 * WAIT
+FULL = 1e9
+"""Tokens times layers that fill any server."""
+
+Step = Callable[[], None]
+
+
+class Scene:
+    """A daemon with servers and a line, and one stream whose attempts end as the test says."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(streams, "WAIT_SECONDS", WAIT)
+        monkeypatch.setattr(streams, "_attempt", self._attempt)
+        monkeypatch.setattr(streams, "_note_answer", lambda *_: None)
+        self.model = pipeline()
+        self.fleet = Fleet()
+        held = placed(servers(a={"big": 1, "middle": 5, "small": 8}), self.model)
+        self.fleet.take([server.facts for server in held], [], outage=False)
+        self.budget = RetryBudget(floor=100.0)
+        self.lines = Lines(Usage(), lambda group: (0, 1.0))
+        self.tasks = [eventlet.spawn(self.lines.run)]
+        self.quarantine = Quarantine(b"key", random.Random(1))
+        self.peers: Any = SimpleNamespace(
+            fleet=self.fleet,
+            paths=Paths(self.fleet, HallName("a")),
+            lines=self.lines,
+            quarantine=self.quarantine,
+            diagnosis=SimpleNamespace(examine=lambda servers: None, examine_anew=lambda servers: None),
+            rng=random.Random(1),
+            without=frozenset(),
+            budget=lambda service: self.budget,
+            borrow=lambda service, budget: None,
+            metrics=SimpleNamespace(count=lambda name: None, observe=lambda name, seconds: None),
+        )
+        self.steps: list[Step] = []
+        """What becomes of each attempt; one beyond these brings the whole answer."""
+
+        self.attempts = 0
+        self.error: BaygladeError | None = None
+
+    def _attempt(self, peers: Any, call: Any, model: Any, run: Any, delivery: Any, attempts: Any) -> None:
+        attempts.note(run.path.servers[0])
+        self.attempts += 1
+        self.delivery = delivery
+        if len(self.steps) >= self.attempts:
+            self.steps[self.attempts - 1]()
+
+    def begin(self) -> None:
+        """Have the caller get the first event."""
+        self.delivery.begun = True
+        self.delivery.sent_at = now()
+
+    def break_off(self) -> None:
+        """End an attempt of a stream that has begun, in the middle."""
+        self.begin()
+        raise BackendError("no other stages for those of a dead one", step="stream", peer="s")
+
+    def refuse(self) -> None:
+        """Have the first stage turn an attempt away."""
+        raise BackendRefused("the server answered 503", step="answer", peer="s")
+
+    def fill(self, tokens: float = FULL) -> None:
+        """Fill all servers, or empty them with less than nothing."""
+        for server in self.fleet.of(SERVICE):
+            server.cached += tokens
+
+    def unload(self, reason: str | None = "not loaded yet") -> None:
+        """Have no server hold layers, or each its own again."""
+        for server in self.fleet.of(SERVICE):
+            server.excluded = reason
+
+    def call(self, seconds: float = 10.0, group: str = "g") -> Any:
+        at = now()
+        call: Any = SimpleNamespace(
+            service=SERVICE,
+            endpoint=SimpleNamespace(max_attempts=2),
+            fingerprint=None,
+            group=GroupPath(group),
+            priority=0,
+            method="POST",
+            target=b"/x",
+            body=b"prompt",
+            once=False,
+            arrived=at,
+            deadline=at + seconds,
+        )
+        call.head = CallHead(id=RequestId("r"), host="h", prompt_tokens=700, answer_tokens=100)
+        call.seconds_left = lambda: call.deadline - now()
+        return call
+
+    def start(self, *steps: Step, seconds: float = 10.0) -> Any:
+        """Serve a stream in a task of its own."""
+        self.steps = list(steps)
+
+        def serve() -> None:
+            try:
+                streams.relay_stream(
+                    self.peers,
+                    self.call(seconds),
+                    self.model,
+                    SimpleNamespace(sent=False),  # type: ignore[arg-type]
+                )
+            except BaygladeError as error:
+                self.error = error
+
+        task = eventlet.spawn(serve)
+        self.tasks.append(task)
+        return task
+
+    def at_rest(self) -> bool:
+        """Tell whether all places were given back, and nobody waits."""
+        taken = any(server.cached or server.in_flight for server in self.fleet.of(SERVICE))
+        return not taken and not self.lines.waiting()
+
+    def stop(self) -> None:
+        for task in self.tasks:
+            task.kill()
+
+
+@pytest.fixture
+def scene(monkeypatch: pytest.MonkeyPatch) -> Any:
+    made = Scene(monkeypatch)
+    yield made
+    made.stop()
+
+
+def served(scene: Scene, task: Any, seconds: float = 5.0) -> bool:
+    with eventlet.Timeout(seconds):
+        task.wait()
+    return scene.error is None
+
+
+def test_a_begun_stream_goes_on_when_room_comes_later_than_new_calls_wait(scene: Scene) -> None:
+    def broken_and_full() -> None:
+        scene.fill()
+        scene.break_off()
+
+    task = scene.start(broken_and_full)
+    eventlet.sleep(LATER)
+    assert scene.lines.waiting() == 1
+    scene.fill(-FULL)
+    assert served(scene, task)
+    assert scene.attempts == 2
+    assert scene.at_rest()
+
+
+def test_a_begun_stream_goes_on_when_layers_are_loaded_again(scene: Scene) -> None:
+    def broken_and_empty() -> None:
+        scene.unload()
+        scene.break_off()
+
+    task = scene.start(broken_and_empty)
+    eventlet.sleep(LATER)
+    scene.unload(None)
+    assert served(scene, task)
+    assert scene.attempts == 2
+    assert scene.at_rest()
+
+
+def test_a_begun_stream_is_not_given_up_for_the_wait_that_is_expected(scene: Scene) -> None:
+    def broken_and_full() -> None:
+        scene.fill()
+        scene.break_off()
+
+    scene.peers.lines.expected_seconds = lambda service: 60.0
+    task = scene.start(broken_and_full)
+    eventlet.sleep(WAIT / 2)
+    scene.fill(-FULL)
+    assert served(scene, task)
+
+
+def test_a_begun_stream_waits_for_the_budget_for_repeats(scene: Scene) -> None:
+    def broken_and_spent() -> None:
+        scene.budget.floor = scene.budget.fraction = 0.0
+        scene.break_off()
+
+    task = scene.start(broken_and_spent)
+    eventlet.sleep(LATER)
+    assert scene.attempts == 1
+    # Without a repeat that it may use, it takes no place from others.
+    assert scene.at_rest()
+    scene.budget.floor = 1.0
+    assert served(scene, task)
+    assert scene.attempts == 2
+
+
+def test_a_begun_stream_is_not_ended_by_how_often_it_was_turned_away(
+    scene: Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(streams, "SHORT_SECONDS", 0.01)
+    monkeypatch.setattr(streams, "RESEND_SECONDS", 0.02, raising=False)
+    refusals = MAX_SENDINGS + 2
+    task = scene.start(scene.break_off, *[scene.refuse] * refusals)
+    assert served(scene, task)
+    assert scene.attempts == refusals + 2
+
+
+def test_a_begun_stream_that_is_turned_away_again_and_again_pauses(
+    scene: Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(streams, "SHORT_SECONDS", 0.0)
+    task = scene.start(scene.break_off, *[scene.refuse] * 1000, seconds=1.0)
+    with eventlet.Timeout(5.0):
+        task.wait()
+    assert isinstance(scene.error, DeadlinePassed)
+    assert scene.attempts <= MAX_SENDINGS + 1.0 / streams.RESEND_SECONDS + 1
+    assert scene.at_rest()
+
+
+def test_a_begun_stream_is_not_ended_by_stages_that_turn_out_to_have_ended(
+    scene: Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(streams, "RESEND_SECONDS", 0.02, raising=False)
+    looks = 0
+
+    def ended(peers: Any, call: Any, stages: Any) -> frozenset[Any]:
+        nonlocal looks
+        looks += scene.attempts
+        return frozenset({stages[-1].facts.id}) if 0 < looks <= MAX_UNREACHED + 3 else frozenset()
+
+    monkeypatch.setattr(streams, "ended_stages", ended)
+    assert served(scene, scene.start(scene.break_off))
+    assert looks > MAX_UNREACHED + 1
+    assert scene.at_rest()
+
+
+def test_a_begun_stream_waits_while_keys_are_not_trusted(scene: Scene) -> None:
+    def cut_off() -> None:
+        raise CutOff("what is known here of keys is too old", step="intake")
+
+    assert served(scene, scene.start(scene.break_off, cut_off))
+    assert scene.attempts == 3
+    assert scene.at_rest()
+
+
+def test_a_begun_stream_ends_with_its_time(scene: Scene) -> None:
+    def broken_and_full() -> None:
+        scene.fill()
+        scene.break_off()
+
+    task = scene.start(broken_and_full, seconds=LATER)
+    with eventlet.Timeout(5.0):
+        task.wait()
+    assert isinstance(scene.error, DeadlinePassed)
+    scene.fill(-FULL)
+    assert scene.at_rest()
+
+
+def test_a_caller_that_leaves_a_begun_stream_gives_up_its_turn_at_once(scene: Scene) -> None:
+    def broken_and_full() -> None:
+        scene.fill()
+        scene.break_off()
+
+    task = scene.start(broken_and_full)
+    eventlet.sleep(LATER)
+    assert scene.lines.waiting() == 1
+    eventlet.kill(task, CallerLeft())
+    eventlet.sleep(0)
+    assert scene.lines.waiting() == 0
+    scene.fill(-FULL)
+    scene.lines.wake(SERVICE)
+    eventlet.sleep(0)
+    assert scene.attempts == 1
+    assert scene.at_rest()
+
+
+def test_a_begun_stream_whose_request_is_stopped_meanwhile_ends_at_once(
+    scene: Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def broken_and_stopped() -> None:
+        scene.fill()
+        scene.break_off()
+
+    task = scene.start(broken_and_stopped)
+    eventlet.sleep(LATER)
+    monkeypatch.setattr(scene.quarantine, "holds", lambda call: True)
+    with eventlet.Timeout(2.0):
+        task.wait()
+    assert scene.error is not None
+    assert scene.attempts == 1
+    assert scene.lines.waiting() == 0
+
+
+def test_a_stream_that_has_not_begun_is_refused_early_as_before(scene: Scene) -> None:
+    scene.fill()
+    since = now()
+    task = scene.start()
+    with eventlet.Timeout(2.0):
+        task.wait()
+    assert isinstance(scene.error, Overloaded)
+    assert now() - since < LATER
+
+
+def test_a_stream_that_has_not_begun_is_refused_at_once_where_layers_are_missing(scene: Scene) -> None:
+    scene.unload()
+    task = scene.start()
+    with eventlet.Timeout(WAIT):
+        task.wait()
+    assert isinstance(scene.error, NoRoute)
+
+
+def wait_in_line(scene: Scene, order: list[str], name: str, group: str, begun: bool) -> None:
+    def wait() -> None:
+        call = scene.call(group=group)
+        place = scene.lines.wait(call, lambda: places.pop() if places else None, call.deadline, begun=begun)
+        assert place is not None
+        order.append(name)
+
+    places = scene.__dict__.setdefault("places", [])
+    scene.tasks.append(eventlet.spawn(wait))
+    eventlet.sleep(0)
+
+
+def test_begun_streams_go_first_in_their_own_account_and_not_before_the_share_of_another(
+    scene: Scene,
+) -> None:
+    order: list[str] = []
+    # The account of the streams has had the more service.
+    scene.lines.usage.charge(GroupPath("g"), 1000.0)
+    for name, group, begun in [("new", "g", False), ("begun", "g", True), ("other", "h", False)]:
+        wait_in_line(scene, order, name, group, begun)
+    for _ in range(3):
+        scene.__dict__["places"].append(object())
+        scene.lines.wake(SERVICE)
+        eventlet.sleep(0)
+    assert order == ["other", "begun", "new"]
