Have a begun stream stay on its first stage until others hold the layers of an ended one

Cause: a stage that has surely ended, with no other one known, ended the run at once. What the daemon knows of other holders is a row behind: they were loaded or about to be told of.

Change: a stream that has begun stays on its first stage, which keeps what it has read, and looks each 0.2 s for others that hold the layers. It ends when the first stage has ended too, when it can be sent anew, or when its request must not be sent any more.

--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -25,6 +25,9 @@
 dead in the meantime is noticed without one."""
 MOVE_PAUSE = 0.3
 """Seconds between two moves of one stream: each has its tokens read anew by the new stages."""
+STAY_SECONDS = 0.2
+"""Time between looks of a stream that stays on its first stage while nobody else holds the layers of an
+ended one: each look is a search for a path."""
 SILENT_SECONDS = 1.2
 """A stream that stood still for so long, though nothing at its first stage explains it, is taken to
 have lost its connection: an open one may fall silent without a reset. Callers leave after 2 s."""
@@ -52,6 +55,7 @@
         "on_path_at",
         "path",
         "slow_before",
+        "stay_until",
         "unread_at",
     )
 
@@ -92,6 +96,9 @@
         self.move_at = 0.0
         """Not moved again before this time."""
 
+        self.stay_until = 0.0
+        """Other stages are not sought for those of an ended one before this time."""
+
         self.look_at = 0.0
         """Stages that answered are not asked again before this time."""
 
@@ -113,7 +120,8 @@
 
     def on_dead_stage(self) -> bool:
         """Tell whether a stage of the path is known to be dead, and the stream may be moved now."""
-        return now() >= self.move_at and any(server.suspect for server in self.path.servers)
+        may_move = now() >= max(self.move_at, self.stay_until)
+        return may_move and any(server.suspect for server in self.path.servers)
 
     def sent(self, exchange: Exchange) -> None:
         """Note that the request was sent; its first stage has it to read now."""
@@ -227,6 +235,8 @@
     if head.facts.id in dead:
         _end_or_stay(peers, call, pipeline, run, head, "the first stage is dead")
         return
+    if now() < run.stay_until:
+        return
     run.avoided |= dead
     if _move(peers, call, pipeline, run, "dead"):
         return
@@ -256,12 +266,24 @@
 
     A stage that is silent may be out of reach for a moment, so a stream that cannot
     go on elsewhere stays until the stage is surely gone: ended by this daemon, it
-    would be lost although its server lives.
+    would be lost although its server lives. One that has begun stays even then, while
+    its first stage lives: that one keeps what it has read, and others may hold the
+    layers in a moment.
 
     :raises BackendError: when the run is to end.
     """
-    if stage.ended(now()) or _can_resend(peers, call, pipeline, run):
+    if _can_resend(peers, call, pipeline, run):
+        raise BackendError(reason, step="stream", peer=stage.facts.id)
+    if not stage.ended(now()):
+        return
+    if stage is run.path.servers[0] or not run.begun or not _may_stay(peers, call):
         raise BackendError(reason, step="stream", peer=stage.facts.id)
+    run.stay_until = now() + STAY_SECONDS
+
+
+def _may_stay(peers: Peers, call: Call) -> bool:
+    """Tell whether a begun stream may wait until others hold the layers of an ended stage."""
+    return Mechanism.BEGUN_WAIT not in peers.without and not peers.quarantine.holds(call)
 
 
 def _can_resend(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> bool:
