Look again for a way round a leaving stage

What callers saw: streams stayed on a stage of a release until it ended, and then all sought room at the same moment.

Cause: a stream sought a way round a leaving stage once, when its layers were not held elsewhere yet; others had loaded them 2 s later, while it still served.

Change: a stream that found no way round looks again each 0.4 to 0.6 s, while the stage serves. A reroute that its first stage refused is not repeated.

--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -31,6 +31,9 @@
 SILENT_SECONDS = 1.2
 """A stream that stood still for so long, though nothing at its first stage explains it, is taken to
 have lost its connection: an open one may fall silent without a reset. Callers leave after 2 s."""
+LEAVE_AGAIN_SECONDS = 0.5
+"""Time until a stream that found no way round a leaving stage looks for one again: others load its layers
+within a second or two, and it serves on for longer."""
 LEAVE_SPREAD_SECONDS = 1.0
 """Streams are moved off a leaving stage over this time, not all at once: each has its tokens
 read anew. A server that leaves serves on for two seconds and more."""
@@ -157,7 +160,8 @@
 def leave_planned(peers: Peers, call: Call, pipeline: Pipeline, run: Run) -> None:
     """Move a running stream off stages that leave, before they end.
 
-    A stream that cannot be moved stays: such a stage serves on for a while.
+    A stream that cannot be moved stays: such a stage serves on for a while. One for which there is no way
+    round looks again: left on its stage to the end, all streams there would seek room at the same moment.
     """
     if run.fleet_seen != peers.fleet.changed:
         run.fleet_seen = peers.fleet.changed
@@ -167,7 +171,13 @@
         return
     run.leave_at = None
     run.avoided |= _leaving(run)
-    _move(peers, call, pipeline, run, "leaving")
+    if not any(server.leaving for server in run.path.servers[1:]):
+        return
+    path = _way_round(peers, call, pipeline, run)
+    if path is not None:
+        _move_to(peers, call, pipeline, run, path, "leaving")
+    else:
+        run.leave_at = now() + LEAVE_AGAIN_SECONDS * peers.rng.uniform(0.8, 1.2)
 
 
 def _move(
@@ -181,11 +191,22 @@
     """
     if reason == "dead" and Mechanism.LEAVE_DEAD in peers.without:
         return False
+    path = _way_round(peers, call, pipeline, run, across)
+    return path is not None and _move_to(peers, call, pipeline, run, path, reason)
+
+
+def _way_round(peers: Peers, call: Call, pipeline: Pipeline, run: Run, across: bool = False) -> Path | None:
+    """Find a path with room round the stages that a stream avoids, if it may be moved now.
+
+    :param across: whether stages of other halls may step in.
+    """
     if now() < run.move_at or peers.quarantine.holds(call):
-        return False
-    path = peers.paths.detour(run.path, call.service, pipeline, run.avoided, across)
-    if path is None:
-        return False
+        return None
+    return peers.paths.detour(run.path, call.service, pipeline, run.avoided, across)
+
+
+def _move_to(peers: Peers, call: Call, pipeline: Pipeline, run: Run, path: Path, reason: str) -> bool:
+    """Have a stream go on over another path; tell whether its first stage took that."""
     since = now()
     run.move_at = since + MOVE_PAUSE
     head = run.path.servers[0].facts
