Look at a key again before each sending, and never say not run of what may have run

What callers would see: a stream that waits for its place until its deadline could be sent anew with a key that was taken away meanwhile; and a call that a server had broken off, or answered with a failure, was told "not run" (503) when what is known of keys had become too old by the time of its second sending.

Cause: only the age of what is known of keys was checked before a sending, and CutOff went past what the attempts before had left. Both found by reading for what longer waits allow.

Change: the key's account is looked up again before each sending. A begun stream waits while keys are not trusted, without a place; a call that may have run ends with 502, and one that has a server's own failure passes that on.

--- a/bayglade/intake.py
+++ b/bayglade/intake.py
@@ -151,16 +151,22 @@
         return self.age() <= self.key_trust - TRUST_MARGIN
 
     def check(self, call: Call) -> None:
-        """Refuse a request whose key may have been taken away in the meantime.
+        """Refuse a request whose key was, or may have been, taken away in the meantime.
 
         A daemon that was stopped and goes on finds its knowledge old here, right
-        before it would send.
+        before it would send. A stream may wait for as long as its deadline allows
+        before it is sent anew: without a second look its key would hold that long.
 
         :param call: the call.
         :raises CutOff: when what is known of keys is too old.
+        :raises Unauthenticated: when its account no longer has the key.
         """
-        if call.group is not None and not self.trusted():
+        if call.group is None:
+            return
+        if not self.trusted():
             raise self._cut_off("what is known here of keys is too old")
+        if self.tree.accounts and self.directory.account(call.head.key or "").group != call.group:
+            raise Unauthenticated("the key has another account now", step="authenticate", peer="caller")
 
     def _group(self, head: CallHead, endpoint: Endpoint) -> GroupPath | None:
         if endpoint.public or not self.tree.accounts:
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -19,6 +19,7 @@
     BackendUnreachable,
     BackendUnwilling,
     CutOff,
+    Unauthenticated,
 )
 from bayglade.heads import Message, end_to_end
 from bayglade.ids import BackendId
@@ -145,11 +146,12 @@
             avoided |= _note_failure(peers, call, run, error)
             if not attempts.failed(error):
                 break
-        except CutOff:
-            # What is known of keys may be fresh again before the caller gives up.
-            if not _endures(peers, delivery):
+        except (CutOff, Unauthenticated):
+            # Both say that the call has not run, which is no longer sure of one that was sent.
+            if not attempts.unknown:
                 raise
-            _pause(call)
+            if not _endures(peers, delivery):
+                break
         finally:
             run.path.release()
             peers.lines.note_end(call.service)
@@ -175,12 +177,24 @@
     if attempts.exhausted():
         _pause(call)
     while call.seconds_left() > 0 and not attempts.held(peers):
-        if attempts.has_budget(peers):
+        if attempts.has_budget(peers) and _trusted(peers, call):
             return True
         _pause(call)
     return False
 
 
+def _trusted(peers: Peers, call: Call) -> bool:
+    """Tell whether what is known of keys is fresh enough to send a call.
+
+    :raises Unauthenticated: when its key was taken away.
+    """
+    try:
+        peers.check(call)
+    except CutOff:
+        return False
+    return True
+
+
 def _pause(call: Call) -> None:
     eventlet.sleep(max(0.0, min(RESEND_SECONDS, call.seconds_left())))
 
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -10,6 +10,8 @@
     BackendSilent,
     BackendUnreachable,
     BackendUnwilling,
+    CutOff,
+    Unauthenticated,
 )
 from bayglade.heads import Headers, Message, end_to_end
 from bayglade.listener import Connection
@@ -63,6 +65,11 @@
                 break
             await_word(peers, call)
             continue
+        except (CutOff, Unauthenticated):
+            # Both say that the call has not run, which is no longer sure of one that was sent.
+            if not attempts.unknown and answer is None:
+                raise
+            break
         # A failure that the server vouches for goes on only when no other server may do better.
         if answer.status < 500 or not call.endpoint.repeatable:
             break
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -31,6 +31,7 @@
     DeadlinePassed,
     NoRoute,
     Overloaded,
+    Unauthenticated,
 )
 from bayglade.fleet import Fleet
 from bayglade.ids import GroupPath, HallName, RequestId
@@ -77,6 +78,7 @@
             without=frozenset(),
             budget=lambda service: self.budget,
             borrow=lambda service, budget: None,
+            check=lambda call: None,
             metrics=SimpleNamespace(count=lambda name: None, observe=lambda name, seconds: None),
         )
         self.steps: list[Step] = []
@@ -271,15 +273,52 @@
     assert scene.at_rest()
 
 
+def cut_off(*_: object) -> None:
+    raise CutOff("what is known here of keys is too old", step="intake")
+
+
 def test_a_begun_stream_waits_while_keys_are_not_trusted(scene: Scene) -> None:
-    def cut_off() -> None:
-        raise CutOff("what is known here of keys is too old", step="intake")
+    def broken_and_cut_off() -> None:
+        scene.peers.check = cut_off
+        scene.break_off()
 
-    assert served(scene, scene.start(scene.break_off, cut_off))
+    task = scene.start(broken_and_cut_off, cut_off)
+    eventlet.sleep(LATER)
+    assert scene.attempts == 1
+    # It takes no place from others in the meantime.
+    assert scene.at_rest()
+    scene.peers.check = lambda call: None
+    assert served(scene, task)
+    # The second attempt found the keys old in the moment of its sending.
     assert scene.attempts == 3
+
+
+def test_a_begun_stream_whose_key_was_taken_away_is_not_sent_anew(scene: Scene) -> None:
+    def taken_away(call: Any) -> None:
+        raise Unauthenticated("no client account has this key", step="authenticate")
+
+    def broken_and_taken_away() -> None:
+        scene.peers.check = taken_away
+        scene.break_off()
+
+    task = scene.start(broken_and_taken_away)
+    with eventlet.Timeout(2.0):
+        task.wait()
+    assert scene.error is not None
+    assert scene.attempts == 1
     assert scene.at_rest()
 
 
+def test_a_call_that_may_have_run_is_not_told_that_it_has_not(scene: Scene) -> None:
+    def broken() -> None:
+        raise BackendError("the connection broke", step="receive", peer="s")
+
+    task = scene.start(broken, cut_off)
+    with eventlet.Timeout(2.0):
+        task.wait()
+    assert isinstance(scene.error, BackendError)
+
+
 def test_a_begun_stream_ends_with_its_time(scene: Scene) -> None:
     def broken_and_full() -> None:
         scene.fill()
--- /dev/null
+++ b/tests/test_taken_keys.py
@@ -0,0 +1,100 @@
+"""Keys that are taken away while a request waits: it is not sent once they are known to be gone."""
+
+import random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from bayglade import wholes
+from bayglade.calls import CallHead
+from bayglade.exceptions import BackendError, BaygladeError, CutOff, Unauthenticated
+from bayglade.ids import RequestId
+from bayglade.intake import Intake
+from bayglade.platform import decode_document
+from standins.users import GROUP, KEY
+from standins.users.configuration import configuration
+from tests.server_rows import packed
+from tests.test_begun_streams import Scene as StreamScene
+
+
+def intake() -> Intake:
+    return Intake(SimpleNamespace(), lambda: 0.0, 5.0, random.Random(1))  # type: ignore[arg-type]
+
+
+def keyed(key: str, group: str | None = GROUP) -> Any:
+    return SimpleNamespace(group=group, head=CallHead(id=RequestId("r"), host="h", key=key))
+
+
+def configure(made: Intake, version: int, *keys: str) -> None:
+    document = packed(configuration(version, keys, {}))
+    made.take(*decode_document(document), bytes(document))
+
+
+def test_a_key_that_was_taken_away_meanwhile_is_refused_before_the_sending() -> None:
+    made = intake()
+    configure(made, 1, KEY)
+    made.check(keyed(KEY))
+    configure(made, 2, "another")
+    made.check(keyed("another"))
+    with pytest.raises(Unauthenticated):
+        made.check(keyed(KEY))
+
+
+def test_a_key_that_went_to_another_account_is_refused() -> None:
+    made = intake()
+    configure(made, 1, KEY)
+    with pytest.raises(Unauthenticated):
+        made.check(keyed(KEY, "another-clinic"))
+
+
+def test_who_needs_no_key_is_not_asked_for_one() -> None:
+    made = intake()
+    configure(made, 1, KEY)
+    made.check(keyed("", None))
+
+
+def whole(
+    monkeypatch: pytest.MonkeyPatch, first: Any, second: BaygladeError
+) -> tuple[list[int], BaygladeError | None]:
+    """Serve a call for a whole answer; return the statuses that its caller got, or what it was told."""
+    scene = StreamScene(monkeypatch)
+    outcomes, told = [first, second], []
+
+    def attempt(*_: Any) -> Any:
+        outcome = outcomes.pop(0)
+        if isinstance(outcome, BaygladeError):
+            raise outcome
+        return outcome
+
+    monkeypatch.setattr(wholes, "_attempt", attempt)
+    monkeypatch.setattr(wholes, "_least_busy", lambda *_: SimpleNamespace())
+    monkeypatch.setattr(wholes, "_note_failure", lambda *_: None)
+    call = scene.call()
+    call.endpoint = SimpleNamespace(max_attempts=2, repeatable=True)
+    connection: Any = SimpleNamespace(answer=lambda status, headers, body: told.append(status))
+    try:
+        wholes.relay_whole(scene.peers, call, connection)
+    except BaygladeError as error:
+        return told, error
+    finally:
+        scene.stop()
+    return told, None
+
+
+@pytest.mark.parametrize("second", [CutOff("old", step="intake"), Unauthenticated("gone", step="intake")])
+def test_a_call_that_may_have_run_is_not_told_that_it_has_not(
+    monkeypatch: pytest.MonkeyPatch, second: BaygladeError
+) -> None:
+    broke = BackendError("the connection broke", step="receive", peer="s")
+    told, error = whole(monkeypatch, broke, second)
+    assert told == []
+    assert isinstance(error, BackendError)
+
+
+def test_a_failure_that_a_server_vouches_for_is_passed_on_when_keys_are_not_trusted_then(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    failed = SimpleNamespace(status=500, headers=[], content=b"broken")
+    told, error = whole(monkeypatch, failed, CutOff("old", step="intake"))
+    assert (told, error) == ([500], None)
