Hold no question back that was answered often, for ends that others explain

Cause: answers before the ends counted for nothing, those at other daemons were not known, and ends at one moment under a popular question were put down to it.

Ruled out: word that comes late alone; with one answer between the ends it is not held back.

Change: a daemon keeps which questions it saw answered, bounded. One answered five times within ten minutes is proven, which daemons tell each other once servers end under it. Of its ends those are left out that a question explains which was never proven and is under three ends itself; the rest counts by moments of 0.6 s. Verdicts follow from the sets alone, in whatever order they grew, and are taken back when later words explain them. What was not proven is judged as before.

--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -152,6 +152,9 @@
     leaving: list[ServerKey] = []
     """Starts of servers that said in an answer that they leave."""
 
+    proven: list[Fingerprint] = []
+    """Requests under which servers end though they were answered many times before."""
+
 
 class Fetch(msgspec.Struct, frozen=True, tag="f", array_like=True):
     """Asks for the settings in force, newer than a revision."""
--- a/bayglade/fingerprints.py
+++ b/bayglade/fingerprints.py
@@ -1,28 +1,51 @@
 """Fingerprints: name a request by what it asks, as it may come again under another id."""
 
 import hashlib
+from typing import NamedTuple
 
 from bayglade.calls import Call
-from bayglade.ids import Fingerprint
+from bayglade.ids import Fingerprint, GroupPath
 
 DIGEST_BYTES = 8
 """Collisions among the thousands of fingerprints that are kept are out of the question."""
 LENGTH_BYTES = 4
 
 
+class Question(NamedTuple):
+    """What a request asks: all but its id, its deadline and the event that a stream goes on after."""
+
+    group: GroupPath | None
+    method: str
+    host: str
+    target: bytes
+    body: bytes
+
+
+def question_of(call: Call) -> Question:
+    """Return what a request asks."""
+    return Question(call.group, call.method, call.head.host.lower(), call.target, call.body)
+
+
 def fingerprint_of(call: Call, secret: bytes) -> Fingerprint:
     """Name a request by its client account, method, host, path and body.
 
-    Its id, its deadline and the event that a stream goes on after differ with each try. The digest is
-    keyed, so that a log line or a row tells nothing of what a caller sent.
-
     :param call: the request.
     :param secret: key of the digest, the same for all daemons of a site.
     """
+    return name_question(question_of(call), secret)
+
+
+def name_question(asked: Question, secret: bytes) -> Fingerprint:
+    """Name what a request asks.
+
+    The digest is keyed, so that a log line or a row tells nothing of what a caller sent.
+
+    :param asked: what it asks.
+    :param secret: key of the digest, the same for all daemons of a site.
+    """
     digest = hashlib.blake2b(key=secret, digest_size=DIGEST_BYTES)
-    host = call.head.host.lower()
-    texts = (call.group or "", call.method, host)
-    for part in (*(text.encode() for text in texts), call.target, call.body):
+    texts = (asked.group or "", asked.method, asked.host)
+    for part in (*(text.encode() for text in texts), asked.target, asked.body):
         digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
         digest.update(part)
     return Fingerprint(digest.hexdigest())
--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -10,21 +10,21 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 
 import msgspec
 
+from bayglade.answers import Answers
 from bayglade.calls import Call
 from bayglade.clock import now
 from bayglade.entries.wire import Crash
+from bayglade.evidence import MANY_SECONDS, MOST_ENDS, STOP_SECONDS, Evidence, stands
 from bayglade.exceptions import RequestStopped
 from bayglade.fingerprints import fingerprint_of
 from bayglade.ids import BackendId, Fingerprint, ServerKey
 from bayglade.logs import event, limited
 from bayglade.retries import spread_retry_after
 
-MOST_ENDS = 3
-"""Starts of servers that end under a request before it is stopped whatever else ran there."""
 FRESH_SECONDS = 1.0
 """A request whose first event is older when its server ends did not end it: such requests end servers
 35 to 110 ms after these begin to run them (one recorded day)."""
@@ -39,13 +39,7 @@
 """How long a request whose server broke off waits for word that the server has ended: the entry of one
 that fell silent is gone after three of its heartbeats, 3.6 s on the users' platform."""
 MANY_ENDED = 3
-MANY_SECONDS = 0.6
-"""So many other servers that ended within this time have a cause of their own: a stage behind the first
-is found dead within some half a second."""
-SUSPECT_SECONDS = 600.0
-"""For how long ends count after the last one."""
-STOP_SECONDS = 3600.0
-"""For how long a request is stopped: servers get another version of the software or weights meanwhile."""
+"""So many other servers that ended at about the same time have a cause of their own."""
 WORD_SECONDS = 0.5
 """How long a stop waits for word that its request was answered before it goes to the store."""
 WRITE_SECONDS = 2.0
@@ -70,35 +64,6 @@
     last_at: float
 
 
-class Evidence:
-    """What is known against one request; times are monotonic seconds."""
-
-    __slots__ = ("ended_at", "ends", "in_store", "stopped_at", "void", "write_at")
-
-    def __init__(self) -> None:
-        self.ends: set[ServerKey] = set()
-        """Starts of servers that ended while they had just begun to run it."""
-
-        self.void: set[ServerKey] = set()
-        """Ends that no longer count: the request was answered since."""
-
-        self.ended_at = now()
-        self.stopped_at: float | None = None
-        self.write_at = 0.0
-        """When a stop is written to the store unless another daemon has written it."""
-
-        self.in_store = False
-
-    def counts_until(self) -> float:
-        """Return until when it counts; a stop that lies in the store counts for as long as it does."""
-        if self.stopped_at is not None:
-            return self.stopped_at + STOP_SECONDS
-        return self.ended_at + SUSPECT_SECONDS
-
-    def __repr__(self) -> str:
-        return f"<Evidence {len(self.ends)} ends stopped_at={self.stopped_at}>"
-
-
 class Quarantine:
     """The requests that one daemon holds back, and what it knows of others.
 
@@ -118,9 +83,8 @@
         self.ended: dict[ServerKey, End] = {}
         """Starts of servers that ended lately."""
 
-        self.answered_at: dict[Fingerprint, float] = {}
-        """When requests were answered last, while servers end: those that many ask alike are answered
-        again and again, and are under many ends."""
+        self.answers = Answers()
+        """Those that many ask alike are answered again and again, and are under many ends."""
 
         self.lifts: set[Fingerprint] = set()
         """Stops in the store that this daemon knows to be wrong."""
@@ -131,6 +95,9 @@
         self.on_news: Callable[[list[Crash], list[Fingerprint]], None] = lambda crashes, cleared: None
         """Told what other daemons do not know: ends, and requests that were answered."""
 
+        self.on_proven: Callable[[list[Fingerprint]], None] = lambda names: None
+        """Told of requests under which servers end though they were answered many times before."""
+
         self.log_refusal = limited(LOGGED_A_SECOND)
 
     def __repr__(self) -> str:
@@ -141,7 +108,8 @@
         if key == self.key:
             return
         self.key = key
-        for known in (self.evidence, self.unsure, self.answered_at, self.trials):
+        self.answers.rename()
+        for known in (self.evidence, self.unsure, self.trials):
             known.clear()
 
     def name(self, call: Call) -> Fingerprint:
@@ -259,10 +227,10 @@
 
     def answered(self, call: Call) -> None:
         """Note a whole answer: the request ends no server."""
-        if not (self.evidence or self.unsure or self.ended):
+        self.answers.note(call, now())
+        if not (self.evidence or self.unsure):
             return
         name = self.name(call)
-        self.answered_at[name] = now()
         for names in self.unsure.values():
             names.pop(name, None)
         if cleared := self._clear([name]):
@@ -303,13 +271,16 @@
             if name in self.evidence and self.evidence[name].in_store:
                 event("INFO", "request let go", content=name, reason="its row was removed")
                 self.evidence.pop(name)
-        for name, ends in rows.items():
-            if ends is not None:
-                evidence = self._known(name)
-                self._add(name, ends)
-                evidence.in_store = True
-                if evidence.ends:
-                    self._stop(name, evidence, "the store")
+        stored = {name: ends for name, ends in rows.items() if ends is not None}
+        for name, ends in stored.items():
+            self._add(name, ends)
+            self.evidence[name].in_store = True
+        for name in stored:
+            evidence = self.evidence[name]
+            if evidence.ends and not (evidence.proven and not stands(name, self.evidence)):
+                self._stop(name, evidence, "the store")
+            elif evidence.ends:
+                self._lift([name])
 
     def unwritten(self) -> list[tuple[Fingerprint, Evidence]]:
         """List the stops that are due to be written to the store."""
@@ -324,7 +295,6 @@
     def tidy(self) -> None:
         """Forget what no longer counts; called now and then."""
         at = now()
-        self.answered_at = {n: t for n, t in self.answered_at.items() if at - t <= UNSURE_SECONDS}
         self.trials = {backend: trial for backend, trial in self.trials.items() if trial.until > at}
         for start in [s for s, end in self.ended.items() if at - end.last_at > UNSURE_SECONDS]:
             del self.ended[start]
@@ -342,7 +312,7 @@
     def _known(self, name: Fingerprint) -> Evidence:
         if name not in self.evidence:
             self._make_room()
-            self.evidence[name] = Evidence()
+            self.evidence[name] = Evidence(now())
         self.evidence.move_to_end(name)
         return self.evidence[name]
 
@@ -361,18 +331,45 @@
         fresh = [
             crash
             for crash in crashes
-            if not self._answered_since(crash) and self._add(crash.fingerprint, [crash.key])
+            if not self._answered_since(crash)
+            and self._add(crash.fingerprint, [crash.key], now() - crash.age)
         ]
-        for crash in fresh:
-            evidence = self.evidence[crash.fingerprint]
-            if evidence.stopped_at is None and len(evidence.ends) >= MOST_ENDS:
-                evidence.write_at = now() + WORD_SECONDS + write_after
-                self._stop(crash.fingerprint, evidence, "servers ended")
+        self._judge({crash.key for crash in fresh}, write_after)
         return fresh
 
+    def _judge(self, ends: Set[ServerKey], write_after: float = 0.0) -> None:
+        """Stop the requests that are to be stopped by all that is known now, and let others go.
+
+        :param ends: what is new: only requests under these are looked at.
+        :param write_after: seconds after which a stop that follows is written to the store.
+        """
+        for name in [n for n, e in self.evidence.items() if not ends.isdisjoint(e.ends)]:
+            evidence = self.evidence[name]
+            if stands(name, self.evidence):
+                if evidence.stopped_at is None:
+                    evidence.write_at = now() + WORD_SECONDS + write_after
+                self._stop(name, evidence, "servers ended")
+            elif evidence.proven and evidence.stopped_at is not None:
+                evidence.stopped_at = None
+                self._lift([name])
+                event("INFO", "request let go", content=name, reason="others explain its ends")
+
+    def hear_proven(self, names: Iterable[Fingerprint]) -> list[Fingerprint]:
+        """Take in which requests were answered many times at other daemons; return those new here."""
+        return [name for name in names if self._prove(name)]
+
+    def _prove(self, name: Fingerprint) -> bool:
+        """Note that a request was answered many times; tell whether that is new here."""
+        evidence = self._known(name)
+        if evidence.proven:
+            return False
+        evidence.proven = True
+        self._judge(evidence.ends)
+        return True
+
     def _answered_since(self, crash: Crash) -> bool:
         """Tell whether a request was answered here after it had been broken off elsewhere."""
-        return self.answered_at.get(crash.fingerprint, float("-inf")) > now() - crash.age
+        return self.answers.last_at(crash.fingerprint, self.key) > now() - crash.age
 
     def _lift(self, names: Iterable[Fingerprint]) -> None:
         """Have the rows of stops removed, as their requests were answered."""
@@ -384,11 +381,18 @@
         lifts, self.lifts = sorted(self.lifts), set()
         return lifts
 
-    def _add(self, name: Fingerprint, starts: Iterable[ServerKey]) -> bool:
-        """Add ends to the evidence; tell whether one of them is new."""
+    def _add(self, name: Fingerprint, starts: Iterable[ServerKey], broke_at: float | None = None) -> bool:
+        """Add ends to the evidence; tell whether one of them is new.
+
+        :param broke_at: when these servers broke the request off, if that is known.
+        """
         evidence = self._known(name)
+        if not evidence.proven and self.answers.proven(name, self.key, now()) and self._prove(name):
+            self.on_proven([name])
         new = set(starts) - evidence.ends - evidence.void
         evidence.ends |= new
+        if broke_at is not None:
+            evidence.broke_at |= dict.fromkeys(new, broke_at)
         if new:
             evidence.ended_at = now()
         return bool(new)
--- a/bayglade/spreading.py
+++ b/bayglade/spreading.py
@@ -64,6 +64,7 @@
         """Word of requests that is about to go out."""
 
         quarantine.on_news = self._tell_soon
+        quarantine.on_proven = self._tell_proven
         fleet.on_said_leaving = self._tell_leaving
         self.dead = Reports()
         self.back = Reports()
@@ -83,9 +84,11 @@
         self.heard_of([*(finding.key for finding in (*found.dead, *found.back)), *found.leaving])
         dead = self.dead.add(finding for finding in found.dead if self._present(finding))
         back = self.back.add(finding for finding in found.back if self._present(finding))
+        # Before the ends, so that nothing proven is held back for these.
+        proven = self.quarantine.hear_proven(found.proven)
         crashes, cleared = self.quarantine.hear(found.crashes, found.cleared)
         leaving = [key for key in found.leaving if self._take_leaving(key)]
-        news = Findings(dead, back, crashes, cleared, leaving)
+        news = Findings(dead, back, crashes, cleared, leaving, proven)
         if self.passes_on() and news != Findings():
             self.tell(news, member)
         self._take_dead(finding.backend for finding in dead)
@@ -98,6 +101,9 @@
         self.crashes += crashes
         self.cleared += cleared
 
+    def _tell_proven(self, names: list[Fingerprint]) -> None:
+        self.tell(Findings(proven=names), None)
+
     def _tell_news(self) -> None:
         found = Findings(crashes=self.crashes, cleared=self.cleared)
         self.crashes, self.cleared = [], []
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -12,17 +12,14 @@
 from bayglade import stops
 from bayglade.calls import Call, CallHead
 from bayglade.entries.wire import Crash
+from bayglade.evidence import MANY_SECONDS, MOST_ENDS, STOP_SECONDS, SUSPECT_SECONDS
 from bayglade.exceptions import RequestStopped
 from bayglade.fingerprints import fingerprint_of
 from bayglade.ids import BackendId, Fingerprint, GroupPath, Incarnation, RequestId, ServerKey, ServiceName
 from bayglade.quarantine import (
     FRESH_SECONDS,
     MANY_ENDED,
-    MANY_SECONDS,
     MAX_SUSPECTS,
-    MOST_ENDS,
-    STOP_SECONDS,
-    SUSPECT_SECONDS,
     UNSURE_SECONDS,
     WORD_SECONDS,
     WRITE_SECONDS,
