Keep the traces of a soak that finds something, and its ports from other runs

And of 32 soaks, five at a time, one ended with `d2.2 ended by itself`: kept logs say "Address already in use"; another run had been handed the port while the daemon was down.

Ruled out: a fault of the product in that run; the daemon never got its address.

Change: logs are kept whenever a promise is broken, with a line for each end of a server, each sending of the question, and what each daemon learned. A port that was handed out stays reserved for its process by a socket of another protocol.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,13 +12,15 @@
 
 from soak.callers import Callers
 from soak.checks import check
-from soak.deadly import QUESTION, Asker, late_ends
+from soak.deadly import QUESTION, Asker, late_ends, trace_ends
 from soak.faults import ACTS, RESTING_ACTS, Faults
 from soak.records import Journal, Kind
 from soak.site import SoakSite
 from standins.users import KEY
 from standins.world import wait_for
 
+KEEP = Path("build/soak")
+"""Where the logs go when a promise is broken."""
 RECOVER_SECONDS = 15.0
 """After the last fault everything has to be served again in this time."""
 SETTLE_SECONDS = 0.5
@@ -44,7 +46,7 @@
     seconds: float,
     daemons: int,
     callers: int,
-    keep: Path | None = None,
+    keep: Path = KEEP,
     deadly: str | None = None,
     resting: bool = False,
 ) -> Result:
@@ -79,7 +81,7 @@
             journal.broken += late_ends(site.ends)
         journal.broken += _end(asking, site)
         broken = check(journal, site)
-        if broken and keep is not None:
+        if broken:
             _keep(keep / str(seed), site, journal, broken)
     return Result(
         seed=seed,
@@ -124,7 +126,15 @@
 
 def _keep(folder: Path, site: SoakSite, journal: Journal, broken: list[str]) -> None:
     shutil.copytree(site.folder, folder, dirs_exist_ok=True)
-    lines = [*broken, "", *map(repr, journal.faults), "", *map(repr, journal.records)]
+    lines = [
+        *broken,
+        "",
+        *map(repr, journal.faults),
+        "",
+        *trace_ends(site),
+        "",
+        *map(repr, journal.records),
+    ]
     (folder / "soak.txt").write_text("\n".join(lines), encoding="utf-8")
 
 
@@ -138,7 +148,7 @@
     parser.add_argument("--callers", type=int, default=8)
     parser.add_argument("--deadly", metavar="PATH", help="ask a question there that ends servers")
     parser.add_argument("--resting", action="store_true", help="have servers ask for rest as well")
-    parser.add_argument("--keep", type=Path, default=Path("build/soak"), help="where logs of failures go")
+    parser.add_argument("--keep", type=Path, default=KEEP, help="where logs of failures go")
     options = parser.parse_args()
     first = options.seed if options.seed is not None else int(time.time())
     failed = 0
--- a/soak/deadly.py
+++ b/soak/deadly.py
@@ -8,12 +8,25 @@
 
 from soak.callers import ANSWER_SECONDS, Choose
 from soak.checks import CONTACT_SECONDS, SLACK_SECONDS
-from standins.users import HOST_NAME
+from soak.site import SoakSite
+from standins.users import HOST_NAME, Daemon
 from standins.users.site import Ending
 
 QUESTION = b"the question that ends servers"
 PAUSE_SECONDS = 0.7
 """Between two tries; a server that ended is back after half a second."""
+REQUEST_PREFIX = "deadly-"
+NOTED = (
+    "request stopped",
+    "request cleared",
+    "request let go",
+    "server started again",
+    "server suspect",
+    "server not reached",
+    "started",
+    "stopping",
+)
+"""What daemons log of ends, and of their own."""
 ENDS = 3
 MOST_RETRIES = 3
 """Sendings that may reach servers later than all daemons can know of the third end."""
@@ -54,7 +67,7 @@
         connection = http.client.HTTPConnection(host, int(port), timeout=ANSWER_SECONDS)
         headers = {
             "Host": HOST_NAME,
-            "X-Request-Id": f"deadly-{next(self.numbers)}",
+            "X-Request-Id": f"{REQUEST_PREFIX}{next(self.numbers)}",
             "X-Key": self.key(),
             "X-Deadline-Ms": "4000",
             "X-Token-Counts": "20,24",
@@ -66,6 +79,28 @@
         connection.close()
 
 
+def trace_ends(site: SoakSite) -> Iterator[str]:
+    """Tell of each end who sent the question there, and what that daemon knew by then.
+
+    :param site: the stand-in; its daemons' logs are read.
+    :return: a line for each end, and one for each thing that a daemon noted of the question.
+    """
+    words = [word for daemon in site.daemons for word in _words(daemon)]
+    ends = [(end.at, f"{end.server} ended under {end.request}") for end in site.ends]
+    for at, text in sorted(ends + words):
+        yield f"{at:.3f} {text}"
+
+
+def _words(daemon: Daemon) -> Iterator[tuple[float, str]]:
+    """Return when a daemon sent the question, and when it learned of ends under any."""
+    for entry in daemon.lines("sent"):
+        if entry["request"].startswith(REQUEST_PREFIX):
+            yield entry["steady"], f"{daemon.file.stem} sends {entry['request']} to {entry['peer']}"
+    for name in NOTED:
+        for entry in daemon.lines(name):
+            yield entry["steady"], f"{daemon.file.stem} {name} {entry.get('content', entry.get('peer'))}"
+
+
 def late_ends(ends: Iterable[Ending]) -> Iterator[str]:
     """Check that it was not sent on and on.
 
--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -231,7 +231,7 @@
         head = {"X-Request-Id": request, "X-Response-Seal": f"seal-of-{self.id}"}
         if body in self.site.deadly:
             self.site.deadly_requests[request] = body
-            self.site.end_under(body, self, handler.headers.get("Path"))
+            self.site.end_under(request, body, self, handler.headers.get("Path"))
         if self.kind:
             self._stream(handler, request, head)
         else:
--- a/standins/users/site.py
+++ b/standins/users/site.py
@@ -26,6 +26,8 @@
     server: str
     born: int
     at: float
+    request: str = ""
+    """The request that was sent there, or moved there."""
 
 
 class UsersSite:
@@ -106,9 +108,10 @@
         daemon.wait_ready()
         return daemon
 
-    def end_under(self, body: bytes, server: Replica, path: str | None) -> None:
+    def end_under(self, request: str, body: bytes, server: Replica, path: str | None) -> None:
         """Have a server end under a request that it has begun to run.
 
+        :param request: its id.
         :param body: the body of the request.
         :param server: the server that was sent it.
         :param path: the stages that it takes, for a stream.
@@ -116,7 +119,7 @@
         if path is not None:
             address = read_path(path)[self.deadly_stage][0]
             server = next((r for r in self.replicas if r.address == address), server)
-        self.ends.append(Ending(body, server.id, server.born, time.monotonic()))
+        self.ends.append(Ending(body, server.id, server.born, time.monotonic(), request))
         time.sleep(BEGIN_SECONDS)
         server.crash(self.down_seconds)
 
@@ -124,7 +127,8 @@
         """Have another stage end when such a request is moved to it."""
         body = self.deadly_requests.get(request)
         if body is not None and self.deadly_stage != 0:
-            threading.Thread(target=self.end_under, args=(body, server, path), daemon=True).start()
+            arguments = (request, body, server, path)
+            threading.Thread(target=self.end_under, args=arguments, daemon=True).start()
 
     def wait_placed(self) -> None:
         """Wait until the servers of each hall hold all layers, and the daemons know it of each server.
--- a/standins/world.py
+++ b/standins/world.py
@@ -47,6 +47,9 @@
 _place = _run + int(_worker) if _worker.isdigit() else os.getpid()
 _range = FIRST_PORT + _place % PORT_RANGES * PORTS_A_RANGE
 _ports = cycle(range(_range, _range + PORTS_A_RANGE))
+_reserved: list[socket.socket] = []
+"""Sockets that hold the ports handed out here against other runs, also while nobody listens on them: a
+daemon that came back found its port taken by another run."""
 
 ValueT = TypeVar("ValueT")
 
@@ -295,12 +298,27 @@
         with socket.socket() as sock:
             try:
                 sock.bind((HOST, port))
+                _reserve(port)
             except OSError:
                 continue
             return port
     raise RuntimeError("no free port")
 
 
+def _reserve(port: int) -> None:
+    """Keep a port for this process; what it is used for is another protocol.
+
+    :raises OSError: when another process has it.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.bind((HOST, port))
+    except OSError:
+        sock.close()
+        raise
+    _reserved.append(sock)
+
+
 def digest(key: str) -> str:
     """Return the SHA-256 of a key as it stands in the settings."""
     return sha256(key.encode()).hexdigest()
--- a/tests/test_harmless_questions.py
+++ b/tests/test_harmless_questions.py
@@ -2,8 +2,8 @@
 
 With all callers asking one question, it has just begun on each server that ends under another one. A soak
 held it back for an hour once word of three such ends came late and at once, so that no answer lay between
-them; nobody could answer it any more, so nothing cleared it. Two daemons without chance, 200 answers in 10 s
-and then three ends, before the mend:
+them; nobody could answer it any more, so nothing cleared it. Two daemons without chance, 200 answers in 10
+seconds and then three ends, before the mend:
 
     answers here, beside a deadly question   held back here and there
     answers at the other daemon              held back here and there
--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,30 @@
+"""Ports of test processes: one that was handed out is not handed out to another run while it is free."""
+
+import subprocess
+import sys
+
+from standins.world import PORTS_A_RANGE, free_port
+
+TAKE_AGAIN = """
+import sys
+from itertools import cycle
+from standins import world
+first = int(sys.argv[1])
+world._ports = cycle(range(first, first + 2))
+print(world.free_port())
+"""
+
+
+def test_another_process_does_not_get_a_port_that_was_handed_out() -> None:
+    """A daemon of a soak that came back found its port taken: two runs had the same range, and nobody
+    listened there between the two processes ("Address already in use", 1 of 32 runs, five at a time)."""
+    port = free_port()
+    found = subprocess.run(
+        [sys.executable, "-c", TAKE_AGAIN, str(port)], capture_output=True, text=True, check=True
+    )
+    assert int(found.stdout) == port + 1
+
+
+def test_ports_do_not_run_out_within_a_range() -> None:
+    assert len({free_port() for _ in range(20)}) == 20
+    assert PORTS_A_RANGE > 20
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,12 @@
 """The soak: a short run that must find nothing, and broken promises that its checks must find."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from soak.__main__ import run
 from soak.checks import CONTACT_SECONDS, DRAIN_SECONDS, KEY_SECONDS, check
-from soak.deadly import late_ends
+from soak.deadly import late_ends, trace_ends
 from soak.records import Fault, Journal, Kind, Record
 from standins.users import EVENTS
 from standins.users.replica import RestAsked
@@ -169,3 +171,16 @@
     assert broken(record, stopped={"d0.1": 100.5})
     kill = Fault("kill", "d1", 100.0 - CONTACT_SECONDS / 2, 100.0)
     assert not broken(record, stopped={"d0.1": 100.5}, faults=[kill])
+
+
+def test_each_end_is_told_with_who_sent_the_question_there() -> None:
+    """Eight servers ended in one run, four of them late, and nothing was left to tell who had sent it."""
+    entry = {"request": "deadly-3", "peer": "i-1", "steady": 99.9}
+    daemon = SimpleNamespace(
+        file=SimpleNamespace(stem="d0.1"), lines=lambda name: [entry] if name == "sent" else []
+    )
+    site = SimpleNamespace(daemons=[daemon], ends=[Ending(b"q", "i-1", 1, 100.0, "deadly-3")])
+    assert list(trace_ends(site)) == [  # type: ignore[arg-type]
+        "99.900 d0.1 sends deadly-3 to i-1",
+        "100.000 i-1 ended under deadly-3",
+    ]
