Have comments tell purposes, and no runs or figures

Cause: some twenty comments told of plays, logs and figures; these belong into commit messages and design pages, where they stand.

Ruled out: taking reasons away with them; each keeps the failure it prevents.

Change: comments and docstrings only.

Conclusion: no line of code changed.

--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -22,8 +22,8 @@
 """How long a stage may take to answer: some thirty times the usual."""
 KEPT_ANSWER_SECONDS = 0.03
 """How long an answer may take on a connection that rested, before a new one is opened beside it: some ten
-times the usual. One after the other, dark first stages were found 0.26 s after they went dark, other
-stages, to which no connection rests, after 0.14 s (logs of one crash, 60 daemons)."""
+times the usual. Asked one after the other, dark first stages would be found later than other stages, to
+which no connection rests."""
 FRESH_SECONDS = 0.15
 """How long an answer serves all streams that ask; reports lag by more than that."""
 RECHECK_SECONDS = 0.4
@@ -244,8 +244,8 @@
 def _gone(silent: list[Server], lately: list[Finding]) -> list[Server]:
     """Return the silent servers at whose addresses nobody listens.
 
-    That is proof unless nobody else answers either: without it a stage behind the first, one of four that
-    ended at once, was taken for a fault of this side and found dead 0.9 s later (log of one run).
+    That is proof unless nobody else answers either: without it several stages that end at
+    once would be taken for a fault of this side, and found dead much later.
     """
     if not any(finding.report is not None for finding in lately):
         return []
--- a/bayglade/ends.py
+++ b/bayglade/ends.py
@@ -23,8 +23,8 @@
         server = fleet.servers.get(backend)
         if server is None or server.facts.address != address or server.leaving:
             return
-        # A stream that two servers cut within a second may go on at once: without this its sending
-        # anew waited 0.45 s, until the last one had been silent for long enough (one run with logs).
+        # A stream that two servers cut within a second may go on at once, and need not wait until the
+        # last one has been silent for long enough.
         server.refused = True
         quarantine.server_ended(server.facts.key)
 
--- a/bayglade/evidence.py
+++ b/bayglade/evidence.py
@@ -86,7 +86,7 @@
     """Return the ends under a request that are put down to others.
 
     Another one explains them that was never seen to be answered, and would be stopped itself: a harmless
-    question that all callers ask runs wherever a deadly one does, and was held back for an hour with it.
+    question that all callers ask runs wherever a deadly one does, and would be held back with it.
     """
     ends = known[name].ends
     others = (e for other, e in known.items() if other != name and not e.proven)
--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -39,8 +39,7 @@
 
 START_REST = 1.0
 """Seconds after the first reading of a table in which another daemon may begin to tell of it. Without
-this, daemons that start together all follow the table until they have found each other: some five
-calls more for each (reckoned)."""
+this, daemons that start together all follow the table until they have found each other."""
 
 OLDEST_OF_WAIT = 1.3
 """Age that knowledge reaches at most while the store answers, in waits: after a change that
--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -225,8 +225,7 @@
     def rest(self, server: Server, seconds: float) -> None:
         """Give a server nothing for as long as it asked for.
 
-        A server that refuses has the least under way, and would be chosen again at once: without this
-        one of four got 276 requests of one daemon in a rest of 1.5 s (eight callers without a pause).
+        A server that refuses has the least under way, and would be chosen again at once.
 
         :param server: the start of the server that asked.
         :param seconds: for how long, from now on. A shorter rest asked for later does not end one: the
--- a/bayglade/lines.py
+++ b/bayglade/lines.py
@@ -136,8 +136,8 @@
     def wake(self, service: ServiceName) -> None:
         """Give places to those who wait, in their order, while there are any.
 
-        Who may go to some servers only is passed over: one that waited for those in vain kept the head of
-        the line for 1.5 s, though others had room.
+        Who may go to some servers only is passed over: it would keep the head of the line though others
+        have room.
         """
         queue = self._queue(service)
         aside: list[Waiting[Turn]] = []
--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -37,7 +37,7 @@
 """Something that has to be ordered for so long may be left by the daemons that try first: others try."""
 OTHERS_AT_ONCE = 2
 """How many of these try at each look, on average: looks of all daemons at a lease that is not for them
-were a third of all calls of the store (23 daemons, restarts and crashes for 40 s)."""
+would be a large part of all calls of the store."""
 SETTLE_SECONDS = 1.5
 """An empty fleet is laid out once no server was listed for so long: the list fills slowly at a start."""
 MEND_SECONDS = 0.8
--- a/bayglade/logs.py
+++ b/bayglade/logs.py
@@ -110,8 +110,7 @@
 def limited(per_second: float) -> Callable[..., None]:
     """Return a form of :func:`event` for what others can cause at will, which logs a few lines only.
 
-    A flood of one event would use up the lines of all: of 3,000 entries of another writer, those that
-    tell of a leaving server were dropped.
+    A flood of one event would use up the lines of all others.
 
     :param per_second: lines a second, and at once after a pause.
     :return: takes what :func:`event` takes; a line tells how many were left out before it.
--- a/bayglade/pathfinding.py
+++ b/bayglade/pathfinding.py
@@ -17,7 +17,7 @@
 """Cost of one more stage inside a hall: about the delay between two hosts there."""
 MOST_USE = 0.95
 """Part of a server's KV cache that requests are sent to fill. What it holds of each differs from the
-expected mean; over the tens of requests that fit, that is reckoned at 1 in 100 of the sum."""
+expected mean."""
 CROWDING_POWER = 4
 """A stage costs as much more as its cache is full, by this power: little up to two thirds, five times
 as much at the most. Requests go round it before it has to turn them away."""
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -32,8 +32,7 @@
 all of them find the same server the best one and fill it at once."""
 PAUSE_TOKENS = 8
 """Tokens over which a wait is set against the time of a token when stages are chosen: a wait makes an
-answer late, a slower token does not, so fewer than most answers have. Pauses over the aim after three
-losses of servers: 124 with 20 tokens, 79 with 8 and more looks (one play each)."""
+answer late, a slower token does not, so fewer than most answers have."""
 NO_LOAD = ServerLoad(BackendId(""), 0, 0)
 
 
@@ -201,10 +200,9 @@
         """Return what a server costs a token more as the first stage: a new connection, and prompts that
         wait to be read there.
 
-        After a loss of power of all, callers come back within some tenths of a second, and 60 prompts at
-        the quickest first stage of a hall take 0.45 s to read (reckoned); 105 first events of a day were
-        late, 30 and 58 with this (one play and two). Other daemons are taken to have as much to read as
-        this one, but for one request: of those that come one by one, one in eight finds another unread.
+        After a loss of power of all, callers come back within some tenths of a second; their prompts would
+        all wait at the quickest first stage of a hall, past their aim. Other daemons are taken to have as
+        much to read as this one, but for one request, as requests usually come one by one.
         """
 
         def begin_ms(server: Server) -> float:
@@ -246,8 +244,8 @@
     """Return the cost of reading a running request's tokens anew, where a stage does not stay as it is.
 
     All requests on a lost stage move at once, and each server reads those of all that move to it. By the
-    cost of a token alone 39 streams of a hall moved to two quick servers and read 48 layers anew, to
-    replace one stage of five layers: pauses of 0.33 to 0.68 s, half of it for reading.
+    cost of a token alone all would move to the few quickest servers and read many more layers anew than
+    were lost.
     """
     pipeline = search.pipeline
     kept = {
--- a/bayglade/patience.py
+++ b/bayglade/patience.py
@@ -13,7 +13,7 @@
 """The same for later events, as parts of the longest good pause: a stream that has to be moved is
 late in any case, so a later look costs little."""
 DEVIATIONS = 4.0
-"""Mean deviations above the mean that still are usual; a choice, not measured by itself."""
+"""Mean deviations above the mean that still are usual."""
 WEIGHT = 0.02
 """Of the newest event in what is usual: some fifty events are remembered."""
 
--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -27,7 +27,7 @@
 
 FRESH_SECONDS = 1.0
 """A request whose first event is older when its server ends did not end it: such requests end servers
-35 to 110 ms after these begin to run them (one recorded day)."""
+about a tenth of a second after these begin to run them."""
 GATHER_SECONDS = 0.15
 """How long a request waits under which two servers have ended before it is sent once more: other daemons
 tell within some milliseconds what else was under way there, and a server is known to have ended within
@@ -182,8 +182,7 @@
         :param start: the start of the server.
         :param begun_at: when the first event of this run came, if one came.
         :param sent_at: when the call was sent to the server. One known to have ended before did not end
-            under it: with half of all servers ended at once, a harmless stream was held back for such an
-            end (log of one of 4 runs in 32 that held one back).
+            under it; where many end at once, harmless streams would be held back for such ends.
         """
         if begun_at is not None and now() - begun_at > FRESH_SECONDS:
             return
--- a/bayglade/reports.py
+++ b/bayglade/reports.py
@@ -31,8 +31,8 @@
 
         self.passed: dict[BackendId, dict[MemberId, tuple[int, float]]] = {}
         """Number and time of each daemon's last report of a server, whatever was found since: one that is
-        new again because of a contrary one would be passed on again, and the two go round for ever. One
-        day in 40 spent eight times the processor time so, and answered calls half a second late."""
+        new again because of a contrary one would be passed on again, and the two would go round for
+        ever."""
 
     def __repr__(self) -> str:
         return f"<Reports of {len(self.heard)} servers>"
--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -271,8 +271,7 @@
     """Note that a stage may have ended under a call.
 
     It ends one of its stages at most, and one behind the first may have ended before the request was sent,
-    as is likely where several end at once: with half of all servers ended, innocent requests were held back
-    for such ends in 2 of 4 runs.
+    as is likely where several end at once: innocent requests would be held back for such ends.
     """
     if run.blamed or (stage is not run.path.servers[0] and peers.quarantine.many_ended(call)):
         return
--- a/bayglade/servers.py
+++ b/bayglade/servers.py
@@ -114,8 +114,7 @@
         """Requests that it turned away lately; a plain server counts as that much busier.
 
         Calls that may go to one server only are lost when that one refuses, and one that refuses has the
-        least under way. Refused in a thousand with servers that turn most away: 3, 1 and 1 without this, 0
-        with it on three deployments (means of four seeds, processor time not counted).
+        least under way.
         """
 
         self.short_until = 0.0
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -45,8 +45,7 @@
 while there is no repeat that it may use."""
 GLANCE_SECONDS = 0.04
 """How long a stream waits before it looks whether a stage of its path is known to be dead by now: a
-little more than the usual time between events. Median pause of streams that were moved off a dead
-stage: 0.388 s with the whole patience, 0.353 s with 0.08 s (one play each, nine of 218 servers lost)."""
+little more than the usual time between events."""
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -163,8 +162,8 @@
     """Tell whether a stream is kept for as long as its time lasts.
 
     A call that has got nothing is best refused early: its caller may ask elsewhere. Of a stream that has
-    begun only a broken answer would be left, and its caller knows best for how long to wait: ended by the
-    bounds on new calls, streams were cut moments before others held the layers of a lost server.
+    begun only a broken answer would be left, and its caller knows best for how long to wait: by the bounds
+    on new calls it would be cut moments before others hold the layers of a lost server.
     """
     return delivery.begun and Mechanism.BEGUN_WAIT not in peers.without
 
--- a/bayglade/tiling.py
+++ b/bayglade/tiling.py
@@ -27,9 +27,8 @@
 ROOM_STEP = 0.95
 QUICK_ROOM = 1.5
 """Room for tokens of the chain of the quickest servers, as a part of the wanted one, if that leaves
-another chain: most requests of a hall go there. With room for 57 requests bursts filled it and answers
-began late; with room for all slots it had slower servers than need be (mean of a calm day and one with
-trouble, 60 daemons: 0.753 at 1.0, 0.768 at 1.5, 0.732 at 1.9)."""
+another chain: most requests of a hall go there. With less room bursts fill it and
+answers begin late; with more it has slower servers than need be."""
 SAME_SPEED = 1.3
 """Kinds whose step times differ by less than this share layers evenly."""
 
--- a/bayglade/trials.py
+++ b/bayglade/trials.py
@@ -65,8 +65,7 @@
     """Return the servers of a path that have ended already, before a call that one more end would stop.
 
     Of servers that end at once some are not known to have ended yet; a call that was sent over one would
-    be stopped for an end that was not its own: a harmless stream was, with half of all servers ended at
-    once (log of one run; 1 of 32 runs held one back then, none of 61 with this).
+    be stopped for an end that was not its own.
 
     :param peers: what the relay works with.
     :param call: the call.
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -121,8 +121,7 @@
         """Use no connection any more that rests since before a time: another one fell silent then.
 
         What makes one silent without an end, a middlebox that forgot them, say, hits others as well.
-        A stream sent anew onto the next silent one runs out of time: 2 of 9 runs with all open
-        connections silent lost streams so.
+        A stream sent anew onto the next silent one runs out of time.
 
         :param before: when the silent connection was heard last, in monotonic seconds.
         """
