Log a spent budget for repeats when a begun stream begins to wait for one

Cause: begun streams wait for a repeat, and the wait was not told of; seen by test_a_spent_budget_for_repeats_is_told_of, which failed since.

Change: one line and one count a wait, as before.

Conclusion: the test passes, unchanged.

--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -149,9 +149,14 @@
             peers.borrow(self.call.service, budget)
             if budget.retry():
                 return not self.held(peers)
+        self.tell_spent(peers)
+        return False
+
+    def tell_spent(self, peers: Peers) -> None:
+        """Log that the budget has no repeat left for the call."""
+        budget = peers.budget(self.call.service)
         event("INFO", "retry budget spent", request=self.call.head.id, budget=budget)
         peers.metrics.count("retry_budget_spent")
-        return False
 
     def held(self, peers: Peers) -> bool:
         """Tell whether servers ended under the call, here or elsewhere, so that it goes nowhere more."""
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -175,9 +175,14 @@
     """
     if attempts.exhausted():
         _pause(call)
+    told = False
     while call.seconds_left() > 0 and not attempts.held(peers):
-        if attempts.has_budget(peers) and _trusted(peers, call):
+        spent = not attempts.has_budget(peers)
+        if not spent and _trusted(peers, call):
             return True
+        if spent and not told:
+            attempts.tell_spent(peers)
+            told = True
         _pause(call)
     return False
 
