Have a daemon that was stopped in its wait for word read what others told it

What callers saw: servers ended under a question that others had stopped long before (eight ended, four late).

Cause: before a question under which two servers ended is sent once more, 0.15 s are left for word of others. A daemon that was frozen in that time found its wait over when it woke, and sent before it had read anything.

Ruled out for this sending: want of word. Two ends had been told to it.

Change: a wait that ends 0.1 s and more too late is waited once more.

--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -43,6 +43,8 @@
 NO_ROUTE_SECONDS = 0.5
 MAX_SENDINGS = 8
 """Sendings of one call, those included that a full server turned away."""
+LATE_SECONDS = 0.1
+"""A wait that ends so much too late shows that this daemon was stopped, or is far too busy."""
 FULL_SECONDS = 0.3
 """When to come back: about the time in which a place becomes free."""
 
@@ -244,7 +246,18 @@
     for start in peers.quarantine.unsure_of(call):
         if (server := peers.fleet.current(start)) is not None:
             eventlet.spawn_n(look_at, peers, server)
-    eventlet.sleep(min(seconds, max(0.0, call.seconds_left())))
+    _gather(min(seconds, max(0.0, call.seconds_left())))
+
+
+def _gather(seconds: float) -> None:
+    """Wait for word of other daemons, for longer if this one did not run meanwhile.
+
+    One that was stopped in this wait would go on before it reads what others told it in that time.
+    """
+    since = now()
+    eventlet.sleep(seconds)
+    if now() - since > seconds + LATE_SECONDS:
+        eventlet.sleep(seconds)
 
 
 def look_at(peers: Peers, server: Server) -> None:
