Tell others of what broke off at once, and daemons that join of what is held back

Cause: that a question had broken off on a server was known to the daemon which had sent it alone, until the end was sure. And a daemon that joined was told of no end that was known by then.

Ruled out: ends miscounted by the check; sendings that were held in a line.

The first thing on a new stream to another daemon is which ends count, of 64 requests at most.

--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -139,6 +139,9 @@
         self.on_updates: Callable[[MemberId, wire.Updates], None] = lambda member, updates: None
         self.on_unable: Callable[[MemberId, wire.Unable], None] = lambda member, message: None
         self.on_findings: Callable[[MemberId, wire.Findings], None] = lambda member, message: None
+        self.greet: Callable[[], list[wire.Findings]] = list
+        """Returns what is sent first on each new stream to another daemon."""
+
         self.on_borrow: Callable[[MemberId, wire.Borrow], None] = lambda member, message: None
         self.on_lent: Callable[[MemberId, wire.Lent], None] = lambda member, message: None
         self.fetch_after = 0.0
@@ -282,6 +285,7 @@
                 continue
             pause = REDIAL_MIN
             member.beat_due = True
+            member.outbox = [*self.greet(), *member.outbox]
             member.stream, member.stream_since = stream, now()
             try:
                 self._send_on(member, stream)
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -155,6 +155,9 @@
     proven: list[Fingerprint] = []
     """Requests under which servers end though they were answered many times before."""
 
+    breaks: list[Crash] = []
+    """Requests that broke off on servers which may have ended."""
+
 
 class Fetch(msgspec.Struct, frozen=True, tag="f", array_like=True):
     """Asks for the settings in force, newer than a revision."""
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -246,6 +246,7 @@
         membership.on_updates = self.fanout.heard_updates
         membership.on_unable = self.fanout.heard_unable
         membership.on_findings = self.spreading.heard
+        membership.greet = self.spreading.greeting
         membership.on_borrow = self.pools.heard_borrow
         membership.on_lent = self.pools.heard_lent
         membership.fetch_after = FETCH_AFTER_SECONDS
--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -46,6 +46,8 @@
 """Within this time a daemon that was told of the last end writes a stop that nobody else has written."""
 MAX_SUSPECTS = 4096
 """Requests that are remembered: each end of a server adds those that had just begun there, some ten."""
+MAX_TOLD = 64
+"""Of them, how many a daemon that joins is told of."""
 LOGGED_A_SECOND = 5.0
 """Refusals that are logged: callers may repeat a stopped request at will."""
 
@@ -80,6 +82,12 @@
         self.unsure: dict[ServerKey, dict[Fingerprint, float]] = {}
         """Requests that broke off on a server which may have ended, and since when."""
 
+        self.told: dict[ServerKey, dict[Fingerprint, float]] = {}
+        """The same of requests that other daemons sent: they may be gone when word of the end comes."""
+
+        self.heard: dict[tuple[Fingerprint, ServerKey], float] = {}
+        """Which breaks other daemons told of, and when: each is passed on once."""
+
         self.ended: dict[ServerKey, End] = {}
         """Starts of servers that ended lately."""
 
@@ -95,6 +103,9 @@
         self.on_news: Callable[[list[Crash], list[Fingerprint]], None] = lambda crashes, cleared: None
         """Told what other daemons do not know: ends, and requests that were answered."""
 
+        self.on_break: Callable[[Crash], None] = lambda crash: None
+        """Told of requests that broke off on servers which may have ended."""
+
         self.on_proven: Callable[[list[Fingerprint]], None] = lambda names: None
         """Told of requests under which servers end though they were answered many times before."""
 
@@ -109,7 +120,7 @@
             return
         self.key = key
         self.answers.rename()
-        for known in (self.evidence, self.unsure, self.trials):
+        for known in (self.evidence, self.unsure, self.told, self.heard, self.trials):
             known.clear()
 
     def name(self, call: Call) -> Fingerprint:
@@ -194,6 +205,7 @@
             self._tell(self._count([Crash(name, *start)]))
             return
         self.unsure.setdefault(start, {})[name] = now()
+        self.on_break(Crash(name, *start))
 
     def many_ended(self, call: Call) -> bool:
         """Tell whether several servers ended just now but for those under a call: a cause of their own."""
@@ -208,11 +220,13 @@
         at = now()
         known = self.ended.get(start)
         self.ended[start] = End(known.first_at if known is not None else at, at)
-        names = self.unsure.pop(start, None)
-        if names:
-            self._tell(
-                self._count(Crash(name, *start, round(at - since, 3)) for name, since in names.items())
-            )
+        names = self.unsure.pop(start, {})
+        told = {name: since for name, since in self.told.pop(start, {}).items() if name not in names}
+        # Those of one end together: which of them explains it shows only then.
+        fresh = self._count(
+            Crash(name, *start, round(at - since, 3)) for name, since in (names | told).items()
+        )
+        self._tell([crash for crash in fresh if crash.fingerprint in names])
 
     def server_lives(self, start: ServerKey, asked_at: float) -> None:
         """Take in that a start of a server answers: what broke off there before did not end it.
@@ -220,17 +234,17 @@
         :param start: the start.
         :param asked_at: when it was asked.
         """
-        names = self.unsure.get(start)
-        if names is not None:
-            self.unsure[start] = {name: since for name, since in names.items() if since > asked_at}
+        for known in (self.unsure, self.told):
+            if (names := known.get(start)) is not None:
+                known[start] = {name: since for name, since in names.items() if since > asked_at}
 
     def answered(self, call: Call) -> None:
         """Note a whole answer: the request ends no server."""
         self.answers.note(call, now())
-        if not (self.evidence or self.unsure):
+        if not (self.evidence or self.unsure or self.told):
             return
         name = self.name(call)
-        for names in self.unsure.values():
+        for names in (*self.unsure.values(), *self.told.values()):
             names.pop(name, None)
         if cleared := self._clear([name]):
             self._lift(cleared)
@@ -257,6 +271,41 @@
             self.server_ended(crash.key)
         return fresh, self._clear([*answered, *cleared])
 
+    def hear_breaks(self, breaks: Iterable[Crash]) -> list[Crash]:
+        """Take in which requests broke off at other daemons, whose servers may have ended.
+
+        :return: what was not heard before.
+        """
+        fresh = [crash for crash in breaks if self._note_break(crash)]
+        for crash in fresh:
+            if crash.key in self.ended:
+                self._count([crash])
+            elif not self._answered_since(crash):
+                self.told.setdefault(crash.key, {})[crash.fingerprint] = now() - crash.age
+        return fresh
+
+    def _note_break(self, crash: Crash) -> bool:
+        """Tell whether word of a break is new and of use; it dies out, as nobody passes it on twice."""
+        mark = (crash.fingerprint, crash.key)
+        if crash.age > UNSURE_SECONDS or mark in self.heard or len(self.heard) >= MAX_SUSPECTS:
+            return False
+        self.heard[mark] = now()
+        return True
+
+    def known(self) -> tuple[list[Crash], list[Fingerprint]]:
+        """Return the ends that count, and which of their requests are proven, for a daemon that joins.
+
+        Those heard of last, where there are many.
+        """
+        at = now()
+        lately = [(name, e) for name, e in self.evidence.items() if e.ends][-MAX_TOLD:]
+        crashes = [
+            Crash(name, *end, round(at - e.broke_at.get(end, at), 3))
+            for name, e in lately
+            for end in e.ends
+        ]
+        return crashes, [name for name, e in lately if e.proven]
+
     def take_stored(self, rows: dict[Fingerprint, list[ServerKey] | None], whole: bool) -> None:
         """Take in stops as they lie in the store.
 
@@ -297,10 +346,12 @@
         self.trials = {backend: trial for backend, trial in self.trials.items() if trial.until > at}
         for start in [s for s, end in self.ended.items() if at - end.last_at > UNSURE_SECONDS]:
             del self.ended[start]
-        for start, names in list(self.unsure.items()):
-            self.unsure[start] = {n: since for n, since in names.items() if at - since <= UNSURE_SECONDS}
-            if not self.unsure[start]:
-                del self.unsure[start]
+        self.heard = {mark: since for mark, since in self.heard.items() if at - since <= UNSURE_SECONDS}
+        for known in (self.unsure, self.told):
+            for start, names in list(known.items()):
+                known[start] = {n: since for n, since in names.items() if at - since <= UNSURE_SECONDS}
+                if not known[start]:
+                    del known[start]
         for name in [name for name, e in self.evidence.items() if not e.in_store and e.counts_until() < at]:
             self.evidence.pop(name)
 
--- a/bayglade/spreading.py
+++ b/bayglade/spreading.py
@@ -63,8 +63,11 @@
         self.cleared: list[Fingerprint] = []
         """Word of requests that is about to go out."""
 
+        self.breaks: list[Crash] = []
+
         quarantine.on_news = self._tell_soon
         quarantine.on_proven = self._tell_proven
+        quarantine.on_break = self._tell_break
         fleet.on_said_leaving = self._tell_leaving
         self.dead = Reports()
         self.back = Reports()
@@ -88,16 +91,30 @@
         proven = self.quarantine.hear_proven(found.proven)
         crashes, cleared = self.quarantine.hear(found.crashes, found.cleared)
         leaving = [key for key in found.leaving if self._take_leaving(key)]
-        news = Findings(dead, back, crashes, cleared, leaving, proven)
+        breaks = self.quarantine.hear_breaks(found.breaks)
+        news = Findings(dead, back, crashes, cleared, leaving, proven, breaks)
         if self.passes_on() and news != Findings():
             self.tell(news, member)
         self._take_dead(finding.backend for finding in dead)
         self._take_back(finding.backend for finding in back)
 
+    def greeting(self) -> list[Findings]:
+        """Return what a daemon is to know that has just joined, or was out of reach."""
+        crashes, proven = self.quarantine.known()
+        return [Findings(crashes=crashes, proven=proven)] if crashes else []
+
+    def _tell_break(self, crash: Crash) -> None:
+        """Tell of a break before its cause is known: this daemon may end or be stopped until then."""
+        self._tell_in_a_moment()
+        self.breaks.append(crash)
+
+    def _tell_in_a_moment(self) -> None:
+        if not (self.crashes or self.cleared or self.breaks):
+            eventlet.spawn_after(NEWS_SECONDS, self._tell_news)
+
     def _tell_soon(self, crashes: list[Crash], cleared: list[Fingerprint]) -> None:
         """Tell of requests in a moment: a server's end breaks off many within some milliseconds."""
-        if not self.crashes and not self.cleared:
-            eventlet.spawn_after(NEWS_SECONDS, self._tell_news)
+        self._tell_in_a_moment()
         self.crashes += crashes
         self.cleared += cleared
 
@@ -105,8 +122,8 @@
         self.tell(Findings(proven=names), None)
 
     def _tell_news(self) -> None:
-        found = Findings(crashes=self.crashes, cleared=self.cleared)
-        self.crashes, self.cleared = [], []
+        found = Findings(crashes=self.crashes, cleared=self.cleared, breaks=self.breaks)
+        self.crashes, self.cleared, self.breaks = [], [], []
         self.tell(found, None)
 
     def heard_of(self, starts: Iterable[ServerKey]) -> None:
