Have an answer clear what broke off and was told to others

Cause: breaks are told at once now, and an answer that followed at the daemon which had told of one cleared it there only: other daemons would have counted it once they knew of the end. Found by reading; no run showed a harm.

Change: an answer tells others when it clears a break, as when it clears an end; word of it dies out, as whoever has nothing to clear passes nothing on.

Conclusion: one more test, which failed before.

--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -244,8 +244,6 @@
         if not (self.evidence or self.unsure or self.told):
             return
         name = self.name(call)
-        for names in (*self.unsure.values(), *self.told.values()):
-            names.pop(name, None)
         if cleared := self._clear([name]):
             self._lift(cleared)
             self.on_news([], cleared)
@@ -460,11 +458,15 @@
         )
 
     def _clear(self, names: Iterable[Fingerprint]) -> list[Fingerprint]:
-        """Let the ends of requests count no more; return those that counted here."""
+        """Let what ended and broke off under requests count no more; return those that this changes."""
         cleared = []
         for name in names:
+            broke = [breaks.pop(name, None) for breaks in (*self.unsure.values(), *self.told.values())]
             evidence = self.evidence.get(name)
             if evidence is None or not evidence.ends:
+                if any(since is not None for since in broke):
+                    # Others count what broke off here, and do not know of the answer.
+                    cleared.append(name)
                 continue
             evidence.void |= evidence.ends
             evidence.ends = set()
--- a/tests/test_late_word.py
+++ b/tests/test_late_word.py
@@ -158,3 +158,22 @@
     eventlet.sleep(0)
     task.kill()
     assert sent == [*made.greet(), "heartbeat"]
+
+
+def test_an_answer_at_the_daemon_that_told_of_a_break_clears_it_everywhere(clock: Clock) -> None:
+    sender, other, third = make(), make(), make()
+    told: list[Any] = []
+    sender.on_news = lambda crashes, cleared: told.append((crashes, cleared))
+    fresh = other.hear_breaks(breaks_of(sender, range(MOST_ENDS)))
+    third.hear_breaks(fresh)
+    clock.at += 0.1
+    sender.answered(call())
+    passed_on = other.hear(*told[0])
+    third.hear(*passed_on)
+    for daemon in (sender, other, third):
+        for number in range(MOST_ENDS):
+            daemon.server_ended(start(number))
+        assert not daemon.holds(call())
+    # It is told once.
+    sender.answered(call())
+    assert len(told) == 1
