--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,7 +47,7 @@
     1021: ("/stream/x", "the ordinary question held back: who had seen the other one's ends was killed"),
     1034: ("/safe/x", "11 servers ended, 6 late, and the ordinary question held back"),
 }
-"""Each seed that failed while daemons had no word of the store or of each other: its path, and its cause."""
+"""Each seed that failed while daemons had no word of the store or of each other: path and cause."""
 
 
 @pytest.mark.parametrize("seed", UNSTEADY_SEEDS)
