--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -325,8 +325,7 @@
         """Return how long the next call may wait for a change."""
         wait = min(self.wait, max(LEAST_WAIT, OLDEST_OF_WAIT * self.wait - self.age()))
         # At rest waits end at whole multiples on the clock, so that those of several tables end together
-        # and one message tells of all: without that followers at rest wake 19 times a second for 14, by
-        # a measurement with 20 daemons.
+        # and one message tells of all, which wakes followers less often.
         left = self.wait - now() % self.wait
         return min(wait, left) if self.quiet and left >= LEAST_WAIT else wait
 
