Judge a planned stop of a soak by what the daemon did in time

Cause: a soak found a daemon there 8 s after SIGTERM that had logged `stopped` after 3.5 s, in two processes at the same second. Made to come with six runs at a time (up to 3.2 s after the line) and traced by system calls: `exit_group` at 07.149, the process gone at 09.697.

Ruled out: work of the daemon after the line; five other traces end within 0.02 s of their `exit_group`, and nothing of the daemon runs after it.

Change: a daemon that has not logged `stopped` in time is broken as before; one that has may be gone later, within the time that all tests give a process.

Conclusion: the bound on the daemon, 8 s, stands.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -128,7 +128,7 @@
         if twice:
             time.sleep(0.3)
             daemon.process.signal(signal.SIGTERM)
-        if not daemon.ends_within(GRACE_SECONDS):
+        if not daemon.stops_within(GRACE_SECONDS):
             faults.journal.broken.append(f"stop: {daemon.incarnation} did not end in {GRACE_SECONDS} s")
             daemon.process.stop()
         daemon.start()
--- a/soak/site.py
+++ b/soak/site.py
@@ -7,6 +7,7 @@
 
 from soak.proxy import Proxies
 from standins.users import KEY, Daemon, Replica, UsersSite, quietly
+from standins.world import STOP_TIMEOUT
 
 SPARE_SERVERS = 3
 """Servers of each service that must be left when one is taken."""
@@ -48,8 +49,16 @@
         self.process = self._new()
         self.free()
 
-    def ends_within(self, seconds: float) -> bool:
-        """Wait for its end."""
+    def stops_within(self, seconds: float) -> bool:
+        """Wait for its end; one that had nothing left to do in time may be gone a little later.
+
+        A machine that is far too busy keeps a process for seconds after the last thing it did, its exit.
+        """
+        if self._ends_within(seconds):
+            return True
+        return bool(self.process.lines("stopped")) and self._ends_within(STOP_TIMEOUT)
+
+    def _ends_within(self, seconds: float) -> bool:
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             if self.process.popen.poll() is not None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 from soak.checks import CONTACT_SECONDS, DRAIN_SECONDS, KEY_SECONDS, check
 from soak.deadly import late_ends, touched, trace_ends
 from soak.records import Fault, Journal, Kind, Record
+from soak.site import SoakDaemon
 from standins.users import EVENTS
 from standins.users.replica import RestAsked
 from standins.users.site import Ending
@@ -229,3 +230,18 @@
     in_touch = touched(journal, {"deadly-0": "d1.1", "deadly-1": "d0.2"}, "127.0.0.1:1")
     found = list(late_ends(early + late, in_touch))
     assert bool(found) is counts
+
+
+@pytest.mark.parametrize(("says_stopped", "ends_after", "well"), [(True, 2, True), (False, 2, False)])
+def test_a_daemon_that_says_in_time_that_it_stopped_may_be_gone_a_little_later(
+    says_stopped: bool, ends_after: int, well: bool
+) -> None:
+    """A soak found a daemon there 8 s after the signal, which had logged `stopped` after 3.5 s. Traced:
+    on a busy machine the system keeps a process for up to 2.5 s after its `exit_group`, its last call."""
+    looks = iter([None] * ends_after + [0] * 100)
+    daemon = SoakDaemon.__new__(SoakDaemon)
+    daemon.process = SimpleNamespace(  # type: ignore[assignment]
+        popen=SimpleNamespace(poll=lambda: next(looks)),
+        lines=lambda name: [{"after": 3.5}] if says_stopped else [],
+    )
+    assert daemon.stops_within(0.01) is well
