--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -104,6 +104,11 @@
         self.begin()
         raise BackendError("no other stages for those of a dead one", step="stream", peer="s")
 
+    def break_off_full(self) -> None:
+        """End an attempt in the middle while no server has room."""
+        self.fill()
+        self.break_off()
+
     def refuse(self) -> None:
         """Have the first stage turn an attempt away."""
         raise BackendRefused("the server answered 503", step="answer", peer="s")
@@ -180,11 +185,7 @@
 
 
 def test_a_begun_stream_goes_on_when_room_comes_later_than_new_calls_wait(scene: Scene) -> None:
-    def broken_and_full() -> None:
-        scene.fill()
-        scene.break_off()
-
-    task = scene.start(broken_and_full)
+    task = scene.start(scene.break_off_full)
     eventlet.sleep(LATER)
     assert scene.lines.waiting() == 1
     scene.fill(-FULL)
@@ -207,12 +208,8 @@
 
 
 def test_a_begun_stream_is_not_given_up_for_the_wait_that_is_expected(scene: Scene) -> None:
-    def broken_and_full() -> None:
-        scene.fill()
-        scene.break_off()
-
     scene.peers.lines.expected_seconds = lambda service: 60.0
-    task = scene.start(broken_and_full)
+    task = scene.start(scene.break_off_full)
     eventlet.sleep(WAIT / 2)
     scene.fill(-FULL)
     assert served(scene, task)
@@ -320,11 +317,7 @@
 
 
 def test_a_begun_stream_ends_with_its_time(scene: Scene) -> None:
-    def broken_and_full() -> None:
-        scene.fill()
-        scene.break_off()
-
-    task = scene.start(broken_and_full, seconds=LATER)
+    task = scene.start(scene.break_off_full, seconds=LATER)
     with eventlet.Timeout(5.0):
         task.wait()
     assert isinstance(scene.error, DeadlinePassed)
@@ -333,11 +326,7 @@
 
 
 def test_a_caller_that_leaves_a_begun_stream_gives_up_its_turn_at_once(scene: Scene) -> None:
-    def broken_and_full() -> None:
-        scene.fill()
-        scene.break_off()
-
-    task = scene.start(broken_and_full)
+    task = scene.start(scene.break_off_full)
     eventlet.sleep(LATER)
     assert scene.lines.waiting() == 1
     eventlet.kill(task, CallerLeft())
@@ -353,11 +342,7 @@
 def test_a_begun_stream_whose_request_is_stopped_meanwhile_ends_at_once(
     scene: Scene, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    def broken_and_stopped() -> None:
-        scene.fill()
-        scene.break_off()
-
-    task = scene.start(broken_and_stopped)
+    task = scene.start(scene.break_off_full)
     eventlet.sleep(LATER)
     monkeypatch.setattr(scene.quarantine, "holds", lambda call: True)
     with eventlet.Timeout(2.0):
