Read and log the rate limits that servers name, and headers nobody knows

Seen: two servers got more requests than the limit that they had named; no log or figure says what they named, so three hypotheses stand side by side.

Cause of the missing sight: the adapter reads the headers that it knows and drops all others without a word. A header that the adapter does not know is logged once by name, for 100 names at most. Nothing goes by the limit yet.

--- a/bayglade/beliefs.py
+++ b/bayglade/beliefs.py
@@ -32,6 +32,9 @@
     rest_seconds: float | None
     """For how long it still wants nothing of this daemon, by its own word."""
 
+    rate_limit: float | None
+    """Requests a second that it takes from all daemons together, by its own word."""
+
 
 class PathBelief(msgspec.Struct, frozen=True):
     """The path that a usual request would take in a hall."""
@@ -134,4 +137,5 @@
         pace=server.pace,
         cached=round(server.cached, 1),
         rest_seconds=round(rest, 2) if rest > 0 else None,
+        rate_limit=server.rate_limit,
     )
--- a/bayglade/calls.py
+++ b/bayglade/calls.py
@@ -109,6 +109,9 @@
     rest_seconds: float | None = None
     """For how long the server wants no more requests, where it turned this one away."""
 
+    rate_limit: float | None = None
+    """Requests a second that the server takes from all daemons together; nothing when it names no limit."""
+
 
 class Dialect(msgspec.Struct, frozen=True):
     """How callers and backend servers speak: plain functions that translate."""
--- a/bayglade/control.py
+++ b/bayglade/control.py
@@ -38,6 +38,9 @@
     leaving: bool = False
     """Whether it says that it is about to end."""
 
+    rate_limit: float | None = None
+    """Requests a second that it takes from all daemons together, where it names a limit."""
+
 
 class OrderOutcome(Enum):
     """What came of an order."""
--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -235,6 +235,8 @@
                 self.on_answer(server, asked_at)
                 if report.leaving:
                     self.fleet.said_leaving(server, "its report")
+                if report.rate_limit is not None:
+                    self.fleet.named_limit(server, report.rate_limit, "a report")
                 self.fleet.pace(server, report.pace)
         finally:
             if self.asking.get(facts.id) is eventlet.getcurrent():
--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -236,6 +236,24 @@
             server.rest_until = until
             event("INFO", "server rests", peer=server.facts.id, seconds=seconds)
 
+    def named_limit(self, server: Server, rate: float | None, source: str) -> None:
+        """Note the limit that a server names in an answer.
+
+        :param server: the start of the server that answered.
+        :param rate: requests a second from all daemons together; nothing when it names no limit.
+        :param source: which answer, for the log.
+        """
+        if rate != server.rate_limit:
+            event(
+                "INFO",
+                "server limit",
+                peer=server.facts.id,
+                rate=rate,
+                before=server.rate_limit,
+                source=source,
+            )
+            server.rate_limit = rate
+
     def succeeded(self, server: Server) -> None:
         """Note a whole answer."""
         server.failures = 0
--- a/bayglade/platform/calls.py
+++ b/bayglade/platform/calls.py
@@ -7,7 +7,7 @@
 from bayglade.exceptions import InvalidMessage
 from bayglade.heads import Headers, Message, end_to_end
 from bayglade.ids import RequestId
-from bayglade.logs import limited
+from bayglade.logs import event, limited
 from bayglade.models import Route
 
 REQUEST_ID = "X-Request-Id"
@@ -26,12 +26,38 @@
 ANSWERING = "x-instance-id"
 LEAVING = "server-leaving"
 REST = "retry-after"
+RATE_LIMIT = "server-limit"
 REST_STATUSES = (429, 503)
 """Statuses with which a replica turns requests away; with others, ``Retry-After`` is none of its own."""
-SECONDS = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
+DECIMAL = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 NONSENSE_LINES_PER_SECOND = 0.2
 """A replica may send such a header with each answer; one line in five seconds tells of it."""
 
+KNOWN_ANSWER_HEADERS = frozenset(
+    {
+        REQUEST_ID.lower(),
+        SEAL,
+        NOT_RUN,
+        AT_FAULT,
+        ANSWERING,
+        LEAVING,
+        REST,
+        RATE_LIMIT,
+        "keep-alive",
+        "versions",
+        "connection",
+        "content-length",
+        "content-type",
+        "transfer-encoding",
+        "cache-control",
+        "date",
+        "server",
+    }
+)
+"""Headers of answers that are read here, or are known to be of no concern to a router."""
+MAX_UNKNOWN_HEADERS = 100
+"""Names of unknown headers that are told of: a replica may make up any number."""
+
 OWN_HEADERS = frozenset(
     name.lower() for name in (DEADLINE, KEY, LAST_EVENT, GROUP, INSTANCE, ROUTE, PRIORITY, "Expect-Version")
 )
@@ -104,6 +130,8 @@
     :return: what it says.
     """
     found = {name.lower(): value for name, value in message.headers}
+    for name in found.keys() - KNOWN_ANSWER_HEADERS:
+        _note_unknown(name, found[name])
     return AnswerHead(
         request=found.get(REQUEST_ID.lower()),
         genuine=SEAL in found,
@@ -113,9 +141,21 @@
         keep_seconds=_keep_seconds(found.get("keep-alive")),
         leaving=found.get(LEAVING) == "1",
         rest_seconds=_rest_seconds(found.get(REST)) if message.status in REST_STATUSES else None,
+        rate_limit=_rate_limit(found.get(RATE_LIMIT)),
     )
 
 
+_unknown_headers: set[str] = set()
+
+
+def _note_unknown(name: str, value: str) -> None:
+    """Log the first answer with a header that is not known here: it may ask something of its caller."""
+    if name in _unknown_headers or len(_unknown_headers) >= MAX_UNKNOWN_HEADERS:
+        return
+    _unknown_headers.add(name)
+    event("WARNING", "unknown header in an answer", header=name[:80], value=value[:40])
+
+
 def create_dialect() -> Dialect:
     """Build the translation of calls on this platform."""
     return Dialect(read_call, request_headers, read_answer)
@@ -150,8 +190,19 @@
     """Read for how long a replica wants nothing; a value that names no such time asks for none."""
     if text is None:
         return None
-    seconds = float(text) if SECONDS.fullmatch(text.strip()) else 0.0
+    seconds = float(text) if DECIMAL.fullmatch(text.strip()) else 0.0
     if 0.0 < seconds < math.inf:
         return seconds
     _log_nonsense("WARNING", "rest makes no sense", value=text[:40])
     return None
+
+
+def _rate_limit(text: str | None) -> float | None:
+    """Read how many requests a second a replica takes from all machines; zero is a limit too."""
+    if text is None:
+        return None
+    rate = float(text) if DECIMAL.fullmatch(text.strip()) else math.inf
+    if rate < math.inf:
+        return rate
+    _log_nonsense("WARNING", "rate limit makes no sense", value=text[:40])
+    return None
--- a/bayglade/platform/engines.py
+++ b/bayglade/platform/engines.py
@@ -80,13 +80,17 @@
     status: int = 0
     body: bytes = b""
     leaving: bool = False
+    rate_limit: float | None = None
 
 
-def decode_report(body: bytes, leaving: bool = False) -> StageReport | None:
+def decode_report(
+    body: bytes, leaving: bool = False, rate_limit: float | None = None
+) -> StageReport | None:
     """Read a replica's report.
 
     :param body: the answer's body.
     :param leaving: whether the answer's head says that the replica leaves.
+    :param rate_limit: the limit that the answer's head names.
     :return: the report; nothing when it makes no sense.
     """
     try:
@@ -107,6 +111,7 @@
         stalled={RequestId(entry.id): entry.addr for entry in report.stalled},
         incarnation=incarnation_of(report.born),
         leaving=leaving,
+        rate_limit=rate_limit,
     )
 
 
@@ -126,7 +131,7 @@
         reply = self._ask(backend, address, "GET", REPORT_PATH, b"", timeout, anew)
         if reply.status != 200:
             return None
-        report = decode_report(reply.body, reply.leaving)
+        report = decode_report(reply.body, reply.leaving, reply.rate_limit)
         if report is None:
             event("WARNING", "report makes no sense", peer=backend, body=reply.body[:200])
         return report
@@ -187,4 +192,5 @@
             return Reply()
         finally:
             exchange.close()
-        return Reply(answer.status, b"".join(pieces), read_answer(answer).leaving)
+        head = read_answer(answer)
+        return Reply(answer.status, b"".join(pieces), head.leaving, head.rate_limit)
--- a/bayglade/sending.py
+++ b/bayglade/sending.py
@@ -122,3 +122,4 @@
         peers.fleet.said_leaving(server, "its answer")
     if head.rest_seconds is not None:
         peers.fleet.rest(server, head.rest_seconds)
+    peers.fleet.named_limit(server, head.rate_limit, "an answer")
--- a/bayglade/servers.py
+++ b/bayglade/servers.py
@@ -74,6 +74,7 @@
         "in_flight",
         "leaving",
         "pace",
+        "rate_limit",
         "refusals",
         "refused",
         "rest_until",
@@ -123,6 +124,9 @@
         self.rest_until = 0.0
         """Until when it wants no requests of this daemon, by its own word."""
 
+        self.rate_limit: float | None = None
+        """Requests a second that it takes from all daemons together, by its last answer."""
+
         self.leaving = facts.leaving
         self.pace = 1.0
         """How many times slower than usual it said it is."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,8 +12,9 @@
 from bayglade.fleet import Fleet
 from bayglade.heads import Message
 from bayglade.ids import BackendId
+from bayglade.platform import calls as platform_calls
 from bayglade.platform import decode_document, decode_server
-from bayglade.platform.calls import read_answer, read_call
+from bayglade.platform.calls import MAX_UNKNOWN_HEADERS, read_answer, read_call
 from standins.users import GROUP, KEY, MODEL, PLAIN, configuration
 from tests.server_rows import facts_of
 
@@ -23,7 +24,7 @@
     r"rows-(tx|get|feed|parts)|blob-|X-(Response-Seal|Not-Executed|Expect-Instance|Token-Counts|Prompt-Prefix"
     r"|Deadline-Ms|Tenant|Key|Instance-Id|Model)\b|At-Server|targetVersion|expectedRev|afterRev"
     r"|BAYGLADE_NODE_FILE|sloMs|maxAttempts|pathPrefix|apiKeys|healthPath|maxConns|kvCapacity|coldLeftMs"
-    r"|/api/(ready|report|order)|Server-Leaving",
+    r"|/api/(ready|report|order)|Server-(Leaving|Limit)",
     re.IGNORECASE,
 )
 LARGEST_PART = 0.1
@@ -206,3 +207,42 @@
     assert set(fleet.servers) == {BackendId("i-0"), BackendId("i-1")}
     fleet.replace(listed[:1], outage=False)
     assert set(fleet.servers) == {BackendId("i-0")}
+
+
+@pytest.mark.parametrize(
+    ("value", "rate"),
+    [
+        ("3", 3.0),
+        ("0.25", 0.25),
+        (" 1.50 ", 1.5),
+        ("0", 0.0),
+        (".5", 0.5),
+        ("", None),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("1e3", None),
+        ("1, 2", None),
+        ("many", None),
+        ("9" * 400, None),
+    ],
+)
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+def test_a_server_may_name_a_rate_limit_in_any_answer(status: int, value: str, rate: float | None) -> None:
+    answer = message(Server_Limit=value)
+    answer.status = status
+    assert read_answer(answer).rate_limit == rate
+
+
+def test_an_unknown_header_of_an_answer_is_told_of_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    told: list[str] = []
+    monkeypatch.setattr(platform_calls, "_unknown_headers", set())
+    monkeypatch.setattr(
+        platform_calls, "event", lambda level, message, **fields: told.append(fields["header"])
+    )
+    for _ in range(3):
+        read_answer(message(Server_Mood="low", Content_Type="text/plain"))
+    assert told == ["server-mood"]
+    for number in range(2 * MAX_UNKNOWN_HEADERS):
+        read_answer(message(**{f"X_Made_Up_{number}": "1"}))
+    assert len(told) == MAX_UNKNOWN_HEADERS
