--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -25,6 +25,18 @@
     seconds: float
 
 
+class LimitNamed(NamedTuple):
+    """An answer that named a limit."""
+
+    request: str
+    at: float
+    """Monotonic time of the answer."""
+
+    rate: float
+    born: int
+    """The start of the server that named it."""
+
+
 class Replica:
     """A backend server: of the model when it has a kind, else of the plain service.
 
@@ -65,6 +77,12 @@
         self.rest = ""
         """What it asks for when it turns a request away; nothing when empty."""
 
+        self.rate_limit = ""
+        """Requests a second that its answers say it takes from all daemons; nothing when empty."""
+
+        self.limits_named: list[LimitNamed] = []
+        """The limits that answers to requests named."""
+
         self.says_leaving = False
         """Whether its answers say that it leaves; its row may say otherwise."""
 
@@ -164,6 +182,8 @@
         """Serve one request."""
         if self.says_leaving:
             handler.extra["Server-Leaving"] = "1"
+        if self.rate_limit:
+            handler.extra["Server-Limit"] = self.rate_limit
         if handler.path == "/api/report":
             handler.json(self._report())
         elif handler.path == "/api/order":
@@ -211,6 +231,8 @@
         self.arrived.append((request, time.monotonic()))
         if self.says_leaving:
             self.said_leaving.append((request, time.monotonic()))
+        if limit := handler.extra.get("Server-Limit"):
+            self._name_limit(request, limit)
         self.tried_paths[request] = handler.headers.get("Path", "")
         if self.faults.take("elsewhere") or expected != self.id:
             handler.answer(421, b"", {"X-Request-Id": request, "X-Instance-Id": "i-other"})
@@ -237,6 +259,14 @@
         else:
             self._whole(handler, request, head)
 
+    def _name_limit(self, request: str, limit: str) -> None:
+        try:
+            rate = float(limit)
+        except ValueError:
+            # Nonsense that a daemon is to pass over.
+            return
+        self.limits_named.append(LimitNamed(request, time.monotonic(), rate, self.born))
+
     def _turn_away(self, handler: Handler, request: str, headers: dict[str, str]) -> None:
         head = {"X-Request-Id": request, "X-Not-Executed": "1", **headers}
         if self.rest:
