Keep the rate limits that servers name, over all daemons

Seen by the users: a server that names 1 request a second gets 14 in 4 s where 11 may come. No caller is harmed at once; the server that asked for less is given its usual load.

Cause: the limit was dropped at the boundary, and nothing inside had a place for a bound on the sum over all daemons. Class: what a peer asks beyond its status is not read; and a bound on a sum that each daemon knows of by its own answers only.

Change: a limit belongs to one start of a server and outlasts its row; whoever has it from an answer tells the others at once, and again each 5 s while it holds; a word is passed on once (by its finder's number), and only if it is newer. An answer without a limit to a request that went out after the limit was last named ends it, and so does a new start. A few daemons of the server's hall share it evenly, by hash; the others send nothing. It is taken out when a path is chosen and given back if the request does not go out; a server whose limit is used up takes no request for the moment, as one at rest.

--- a/bayglade/beliefs.py
+++ b/bayglade/beliefs.py
@@ -35,6 +35,9 @@
     rate_limit: float | None
     """Requests a second that it takes from all daemons together, by its own word."""
 
+    rate_share: float | None
+    """This daemon's share of that."""
+
 
 class PathBelief(msgspec.Struct, frozen=True):
     """The path that a usual request would take in a hall."""
@@ -137,5 +140,6 @@
         pace=server.pace,
         cached=round(server.cached, 1),
         rest_seconds=round(rest, 2) if rest > 0 else None,
-        rate_limit=server.rate_limit,
+        rate_limit=server.rate_limit.rate if server.rate_limit is not None else None,
+        rate_share=round(server.throttle.rate, 3) if server.throttle is not None else None,
     )
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -107,6 +107,29 @@
         return ServerKey(self.backend, self.incarnation)
 
 
+class NamedLimit(msgspec.Struct, frozen=True, array_like=True):
+    """The rate limit that a server named in an answer, or its end."""
+
+    backend: BackendId
+    finder: MemberId
+    """The daemon that had the answer."""
+
+    incarnation: Incarnation = UNKNOWN_INCARNATION
+    number: int = 0
+    """Grows with each word of the finder."""
+
+    rate: float | None = None
+    """Requests a second from all daemons together; nothing when it names no limit any more."""
+
+    age: float = 0.0
+    """Seconds since the answer came, when this was told."""
+
+    @property
+    def key(self) -> ServerKey:
+        """Return which start of which server this tells of."""
+        return ServerKey(self.backend, self.incarnation)
+
+
 class Heartbeat(msgspec.Struct, frozen=True, tag="b", array_like=True, kw_only=True):
     """Tells that a daemon lives and what it knows; sent at once on a change.
 
@@ -158,6 +181,9 @@
     breaks: list[Crash] = []
     """Requests that broke off on servers which may have ended."""
 
+    limits: list[NamedLimit] = []
+    """Rate limits that servers named."""
+
 
 class Fetch(msgspec.Struct, frozen=True, tag="f", array_like=True):
     """Asks for the settings in force, newer than a revision."""
--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -1,5 +1,6 @@
 """The fleet: backend servers as the platform lists them and as calls find them."""
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
@@ -7,6 +8,7 @@
 from bayglade.clock import now
 from bayglade.ids import UNKNOWN_INCARNATION, BackendId, Incarnation, ServerKey, ServiceName
 from bayglade.logs import event
+from bayglade.rate_limits import RateLimits
 from bayglade.servers import Server, ServerFacts
 from bayglade.words import Words
 
@@ -37,6 +39,7 @@
         """The newest start known of each server, also of those that are gone."""
 
         self.words = Words()
+        self.rate_limits = RateLimits(self.servers)
 
         self.on_restart: list[Callable[[BackendId], None]] = []
         """Told of each server that started again under its id: what is known of it no longer holds."""
@@ -69,15 +72,18 @@
         return [server for server in self.of(service) if server.usable(at)]
 
     def sound(self, service: ServiceName) -> list[Server]:
-        """List the servers of a service that may get new work, or could but for their rest."""
+        """List the servers of a service that may get new work, or could but for their rest or limit."""
         at = now()
         return [server for server in self.of(service) if server.sound(at)]
 
-    def rest_seconds(self, service: ServiceName) -> float | None:
-        """Return when the first rest of a service's servers ends, in seconds; nothing when none rests."""
+    def opens_in(self, service: ServiceName) -> float | None:
+        """Return when the first server takes a request that takes none now for its rest or its limit.
+
+        :return: seconds; nothing when that is not what keeps requests from servers.
+        """
         at = now()
-        ends = [server.rest_until - at for server in self.sound(service) if server.resting(at)]
-        return min(ends, default=None)
+        ends = [server.opens_at(at) - at for server in self.sound(service)]
+        return min((seconds for seconds in ends if 0.0 < seconds < math.inf), default=None)
 
     def take(
         self,
@@ -236,24 +242,6 @@
             server.rest_until = until
             event("INFO", "server rests", peer=server.facts.id, seconds=seconds)
 
-    def named_limit(self, server: Server, rate: float | None, source: str) -> None:
-        """Note the limit that a server names in an answer.
-
-        :param server: the start of the server that answered.
-        :param rate: requests a second from all daemons together; nothing when it names no limit.
-        :param source: which answer, for the log.
-        """
-        if rate != server.rate_limit:
-            event(
-                "INFO",
-                "server limit",
-                peer=server.facts.id,
-                rate=rate,
-                before=server.rate_limit,
-                source=source,
-            )
-            server.rate_limit = rate
-
     def succeeded(self, server: Server) -> None:
         """Note a whole answer."""
         server.failures = 0
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -343,7 +343,7 @@
         states = [server.state() for server in self.fleet.servers.values()]
         self.metrics.gauge("servers_suspect", states.count("suspect"))
         self.metrics.gauge("servers_resting", states.count("resting"))
-        limited = sum(1 for server in self.fleet.servers.values() if server.rate_limit is not None)
+        limited = sum(1 for server in self.fleet.servers.values() if server.throttle is not None)
         self.metrics.gauge("servers_limited", limited)
         self.metrics.gauge("requests_stopped", len(self.quarantine.stopped()))
         self.metrics.gauge("connections_opened", self.links.opened)
--- a/bayglade/limits.py
+++ b/bayglade/limits.py
@@ -1,48 +1,18 @@
 """Limits of groups, held at every level of the tree over all daemons."""
 
+from bayglade.buckets import Bucket
 from bayglade.clock import now
 from bayglade.exceptions import LimitExceeded
 from bayglade.ids import GroupPath
 from bayglade.settings import Level, Limits, Tree, level_at, lineage
 from bayglade.usage import Usage
 
-BURST_SECONDS = 1.0
 BUSY_RETRY_AFTER = 1.0
+NOTHING_RETRY_AFTER = 60.0
+"""Where a limit is zero."""
 UNLIMITED = Limits()
 
 
-class Bucket:
-    """A token bucket whose rate may change at each use; the burst is one second.
-
-    :param rate: what flows in a second; the bucket starts full.
-    """
-
-    __slots__ = ("at", "level")
-
-    def __init__(self, rate: float) -> None:
-        self.level = max(1.0, rate * BURST_SECONDS)
-        self.at = now()
-
-    def __repr__(self) -> str:
-        return f"<Bucket {self.level:.1f}>"
-
-    def refill(self, rate: float, at: float) -> None:
-        """Let in what has flowed since the last use."""
-        self.level = min(max(1.0, rate * BURST_SECONDS), self.level + rate * (at - self.at))
-        self.at = at
-
-    def wait_for(self, amount: float, rate: float) -> float:
-        """Return seconds until an amount is there; zero when it is there now.
-
-        An amount above the burst may pass when the bucket is full and leaves a
-        debt behind.
-        """
-        missing = min(amount, max(1.0, rate * BURST_SECONDS)) - self.level
-        if missing <= 0:
-            return 0.0
-        return missing / rate if rate > 0 else 60.0
-
-
 class GroupLimits:
     """Buckets and counts of all groups that are limited.
 
@@ -111,11 +81,11 @@
     ) -> None:
         bucket = buckets.get(path)
         if bucket is None:
-            bucket = buckets[path] = Bucket(rate)
+            bucket = buckets[path] = Bucket(rate, at)
         bucket.refill(rate, at)
         wait = bucket.wait_for(amount, rate)
         if wait > 0:
-            raise _exceeded(name, path, wait)
+            raise _exceeded(name, path, wait if rate > 0 else NOTHING_RETRY_AFTER)
 
 
 def _exceeded(name: str, path: GroupPath, retry_after: float) -> LimitExceeded:
--- a/bayglade/pathfinding.py
+++ b/bayglade/pathfinding.py
@@ -7,11 +7,12 @@
 
 from collections.abc import Callable, Iterable, Sequence
 
+from bayglade.clock import now
 from bayglade.engines.wire import Stage
 from bayglade.ids import HallName
 from bayglade.models import Route
 from bayglade.pipelines import Demand, Pipeline
-from bayglade.servers import Server
+from bayglade.servers import Server, Throttle
 
 HOP_MS = 0.25
 """Cost of one more stage inside a hall: about the delay between two hosts there."""
@@ -36,7 +37,7 @@
 class Path:
     """One way through all layers for one request, with what it costs a token in milliseconds."""
 
-    __slots__ = ("cost", "demand", "hall", "route", "servers", "use")
+    __slots__ = ("cost", "demand", "hall", "reserved", "route", "servers", "use")
 
     def __init__(
         self, route: Route, servers: tuple[Server, ...], cost: float, demand: Demand, use: float
@@ -49,6 +50,9 @@
         self.use = use
         """Part of the KV cache of its fullest stage that is taken, this request included."""
 
+        self.reserved: list[Throttle] = []
+        """What was taken of the limits of its servers, until the request goes out."""
+
     def __repr__(self) -> str:
         return f"<Path {self.cost:.1f} ms {self.route!r}>"
 
@@ -56,13 +60,30 @@
         """Write the stages in short."""
         return " ".join(f"{s.backend}[{s.first},{s.last})" for s in self.route.stages)
 
-    def take(self) -> None:
-        """Count the request on all servers of the path."""
+    def take(self, before: Sequence[Server] = ()) -> None:
+        """Count the request on all servers of the path, and take it out of their limits.
+
+        :param before: servers that run the request already.
+        """
         self._count(1.0)
+        at = now()
+        throttles = [server.throttle for server in self.servers if server not in before]
+        self.reserved = [throttle for throttle in throttles if throttle is not None and throttle.take(at)]
 
     def release(self) -> None:
-        """Count the request no longer."""
+        """Count the request no longer; if it did not go out, its servers may take another in its place."""
         self._count(-1.0)
+        for throttle in self.reserved:
+            throttle.give_back()
+        self.reserved = []
+
+    def admits(self, server: Server) -> bool:
+        """Tell whether the request may go out over a server, as far as the server's limit goes."""
+        return server.throttle is None or server.throttle in self.reserved
+
+    def sent(self) -> None:
+        """Note that the request went out."""
+        self.reserved = []
 
     def _count(self, sign: float) -> None:
         for server, stage in zip(self.servers, self.route.stages, strict=True):
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -5,6 +5,7 @@
 way, stages of several halls make up one. See :mod:`bayglade.pathfinding`.
 """
 
+import math
 import random
 from bisect import bisect_left
 from collections.abc import Callable
@@ -106,13 +107,14 @@
             return False
         return own.use > SPILL_USE or any(s.pace > SLOW_PACE for s in own.servers)
 
-    def take(self, path: Path, pipeline: Pipeline) -> None:
+    def take(self, path: Path, pipeline: Pipeline, before: Path | None = None) -> None:
         """Count a request on the servers of its path and on the pipes that it crosses.
 
         :param path: a path that was found just now; released when the request leaves it.
         :param pipeline: facts of the model.
+        :param before: the path that a running request leaves for it.
         """
-        path.take()
+        path.take(before.servers if before is not None else ())
         self.pipes.sends((server.facts.hall for server in path.servers), pipeline, path.demand)
 
     def covered_in(
@@ -128,7 +130,8 @@
         :param pipeline: facts of the model.
         :param without: servers not to use.
         :param heads: the only servers that may be the first stage; any when left out.
-        :return: seconds until enough rests are over; nothing when that alone does not help.
+        :return: seconds until enough servers take requests again that do not now for their rests and
+            limits; nothing when that alone does not help.
         """
         at = now()
         servers = [
@@ -137,12 +140,17 @@
             if server.facts.id not in without and _may_lead(server, heads)
         ]
 
+        opens = {server.facts.id: server.opens_at(at) for server in servers}
+
         def covers(when: float) -> bool:
-            return find_path([s for s in servers if s.rest_until <= when], _unlimited(pipeline)) is not None
+            return (
+                find_path([s for s in servers if opens[s.facts.id] <= when], _unlimited(pipeline))
+                is not None
+            )
 
         if covers(at):
             return 0.0
-        ends = sorted(server.rest_until for server in servers if server.resting(at))
+        ends = sorted({when for when in opens.values() if at < when < math.inf})
         index = bisect_left(ends, True, key=covers)
         return ends[index] - at if index < len(ends) else None
 
@@ -176,8 +184,8 @@
         usable = [
             s
             for s in self.fleet.sound(service)
-            # A stage at rest goes on with what it runs, and gets nothing new.
-            if s.facts.id not in without and s is not head and (not s.resting(at) or s in path.servers)
+            # A stage that takes nothing new goes on with what it runs.
+            if s.facts.id not in without and s is not head and (s.opens_at(at) <= at or s in path.servers)
         ]
         search = self._search(pipeline, path.demand, self.elsewhere())
         search.reading = _reading(path, search, without)
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 
 import eventlet
@@ -24,7 +24,7 @@
 from bayglade.feeds import Feed
 from bayglade.fingerprints import key_of
 from bayglade.freshness import wait_within
-from bayglade.ids import MemberId
+from bayglade.ids import HallName, MemberId
 from bayglade.intake import Intake
 from bayglade.lending import POOLED_PART, Pools
 from bayglade.listener import listen
@@ -102,6 +102,8 @@
             peers.quarantine,
         )
         peers.borrow = self.pools.borrow
+        peers.fleet.rate_limits.me = config.member
+        peers.fleet.rate_limits.daemons = self._daemons
         if config.peer_ports:
             # Others may tell of the tables before the roster is known here.
             self.fanout.assign((config.member,))
@@ -145,6 +147,12 @@
         """Return how many gateways there are, as far as known here."""
         return max(1, len(self.order.site))
 
+    def _daemons(self) -> Mapping[MemberId, HallName]:
+        """Return all gateways with their halls; none before this one has joined, as there may be many."""
+        if not self.config.peer_ports:
+            return {self.config.member: self.config.hall}
+        return self.order.halls
+
     def new_budget(self) -> RetryBudget:
         """Make the budget of a service: this gateway's part of the bound on all of them."""
         fraction = BUDGET_PART * self.config.retry_fraction
@@ -159,6 +167,7 @@
         self._clean_roster()
         self._keep_stops()
         self.fanout.watch()
+        self.peers.fleet.rate_limits.refresh()
         for budget in self.peers.budgets.values():
             budget.floor = self._floor()
 
--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -221,7 +221,8 @@
         route=path.text(),
     )
     if outcome.moved:
-        peers.paths.take(path, pipeline)
+        peers.paths.take(path, pipeline, run.path)
+        path.sent()
         run.move(path, since)
     return outcome.moved
 
--- a/bayglade/sending.py
+++ b/bayglade/sending.py
@@ -47,6 +47,7 @@
         start = f"{call.method} {call.target.decode('latin-1')} HTTP/1.1"
         # Opening a connection may take as long as a server takes to say that it wants no more.
         check_sending(peers, call, server)
+        _keep_limits(server, path)
         exchange.send(write_head(start, headers) + call.body, call.deadline)
     except BaseException:
         exchange.link.sock.close()
@@ -75,6 +76,21 @@
         raise BackendUnwilling("the server wants no requests now", step="send", peer=server.facts.id)
 
 
+def _keep_limits(server: Server, path: Path | None) -> None:
+    """Take a sending out of the limits of its servers; a path took it when it was chosen.
+
+    :raises BackendUnwilling: when one takes no more now, as it named a limit meanwhile.
+    """
+    if path is None:
+        if server.throttle is not None and not server.throttle.take(now()):
+            raise BackendUnwilling("the limit of the server is used up", step="send", peer=server.facts.id)
+        return
+    for stage in path.servers:
+        if not path.admits(stage):
+            raise BackendUnwilling("the limit of a stage is used up", step="send", peer=stage.facts.id)
+    path.sent()
+
+
 def answer_head(
     peers: Peers, call: Call, server: Server, exchange: Exchange, until: float
 ) -> tuple[Message, AnswerHead]:
@@ -98,7 +114,7 @@
     head = peers.dialect.read_answer(message)
     misdirected = head.instance is not None and head.instance != exchange.backend
     if not misdirected:
-        take_word(peers, server, head)
+        take_word(peers, server, head, exchange.sent_at)
     if head.not_run:
         raise BackendRefused(
             f"the server answered {message.status}",
@@ -113,13 +129,17 @@
     return message, head
 
 
-def take_word(peers: Peers, server: Server, head: AnswerHead) -> None:
+def take_word(peers: Peers, server: Server, head: AnswerHead, sent_at: float) -> None:
     """Take in what a server says of itself in an answer.
 
     One that turns a request away on behalf of a later stage rests as well: it is the one that answered.
+
+    :param sent_at: when the request went out, in monotonic seconds.
     """
     if head.leaving:
         peers.fleet.said_leaving(server, "its answer")
     if head.rest_seconds is not None:
         peers.fleet.rest(server, head.rest_seconds)
-    peers.fleet.named_limit(server, head.rate_limit, "an answer")
+    if head.rate_limit is not None or head.genuine:
+        # Only what the server vouches for shows that it names no limit any more.
+        peers.fleet.rate_limits.answered(server, head.rate_limit, sent_at, "an answer")
--- a/bayglade/servers.py
+++ b/bayglade/servers.py
@@ -1,7 +1,10 @@
 """Backend servers: what the platform's list says of one, and what a daemon knows of it."""
 
+import math
+
 import msgspec
 
+from bayglade.buckets import Bucket, capacity
 from bayglade.clock import Decayed, now
 from bayglade.ids import (
     UNKNOWN_INCARNATION,
@@ -62,6 +65,57 @@
         return self.accelerator in pipeline.accelerators and self.last <= pipeline.layers
 
 
+class RateLimit(msgspec.Struct, frozen=True):
+    """What is known of the rate limit of one start of a server."""
+
+    rate: float | None
+    """Requests a second from all daemons together; nothing when it names no limit any more."""
+
+    seen_at: float
+    """When the answer came that said so, here or at another daemon, in monotonic seconds."""
+
+
+class Throttle:
+    """Holds what this daemon sends to a server to its share of the server's limit."""
+
+    __slots__ = ("bucket", "rate")
+
+    def __init__(self) -> None:
+        self.rate = 0.0
+        """This daemon's share, in requests a second."""
+
+        self.bucket = Bucket(self.rate, 0.0, 0.0)
+
+    def __repr__(self) -> str:
+        return f"<Throttle {self.rate:.3g} a second, {self.bucket!r}>"
+
+    def set_rate(self, rate: float, at: float) -> None:
+        """Change the share; whoever gets one has saved nothing up."""
+        if self.rate:
+            self.bucket.refill(self.rate, at)
+        else:
+            self.bucket = Bucket(rate, at, 0.0)
+        self.rate = rate
+
+    def opens_at(self, at: float) -> float:
+        """Return when the next request may go out; infinity without a share."""
+        if not self.rate:
+            return math.inf
+        self.bucket.refill(self.rate, at)
+        return at + self.bucket.wait_for(1.0, self.rate)
+
+    def take(self, at: float) -> bool:
+        """Take one request out of the share; tell whether there was one."""
+        if self.opens_at(at) > at:
+            return False
+        self.bucket.level -= 1.0
+        return True
+
+    def give_back(self) -> None:
+        """Return a request that was taken and did not go out."""
+        self.bucket.level = min(capacity(self.rate), self.bucket.level + 1.0)
+
+
 class Server:
     """One backend server as this daemon knows it; times are monotonic seconds."""
 
@@ -82,6 +136,7 @@
         "suspect",
         "suspect_since",
         "suspect_until",
+        "throttle",
         "unread",
     )
 
@@ -124,8 +179,11 @@
         self.rest_until = 0.0
         """Until when it wants no requests of this daemon, by its own word."""
 
-        self.rate_limit: float | None = None
-        """Requests a second that it takes from all daemons together, by its last answer."""
+        self.rate_limit: RateLimit | None = None
+        """What is known of its rate limit; nothing when it never named one."""
+
+        self.throttle: Throttle | None = None
+        """Set while it names a limit."""
 
         self.leaving = facts.leaving
         self.pace = 1.0
@@ -135,7 +193,7 @@
         return f"<Server {self.facts.id} {self.facts.first}-{self.facts.last} in_flight={self.in_flight}>"
 
     def sound(self, at: float) -> bool:
-        """Tell whether nothing is wrong with it; it may want a rest all the same."""
+        """Tell whether nothing is wrong with it; it may take no request now all the same."""
         if self.leaving or self.suspect or self.excluded is not None:
             return False
         return at >= self.suspect_until
@@ -144,9 +202,15 @@
         """Tell whether it asked for a rest that is not over."""
         return at < self.rest_until
 
+    def opens_at(self, at: float) -> float:
+        """Return when it takes the next request of this daemon, as far as its rest and its limit go."""
+        if self.throttle is None:
+            return max(at, self.rest_until)
+        return max(self.rest_until, self.throttle.opens_at(at))
+
     def usable(self, at: float) -> bool:
         """Tell whether new work may go there."""
-        return self.sound(at) and not self.resting(at)
+        return self.sound(at) and self.opens_at(at) <= at
 
     def placed(self, at: float) -> bool:
         """Tell whether a layout counts on it and its layers."""
@@ -169,4 +233,6 @@
         at = now()
         if not self.sound(at):
             return "suspect"
-        return "resting" if self.resting(at) else "ready"
+        if self.resting(at):
+            return "resting"
+        return "limited" if self.throttle is not None else "ready"
--- a/bayglade/spreading.py
+++ b/bayglade/spreading.py
@@ -10,7 +10,7 @@
 
 from bayglade.clock import now
 from bayglade.diagnosis import Diagnosis
-from bayglade.entries.wire import Crash, Finding, Findings
+from bayglade.entries.wire import Crash, Finding, Findings, NamedLimit
 from bayglade.fleet import Fleet
 from bayglade.ids import BackendId, Fingerprint, MemberId, ServerKey
 from bayglade.quarantine import Quarantine
@@ -68,6 +68,7 @@
         quarantine.on_news = self._tell_soon
         quarantine.on_proven = self._tell_proven
         quarantine.on_break = self._tell_break
+        fleet.rate_limits.on_news = self._tell_limits
         fleet.on_said_leaving = self._tell_leaving
         self.dead = Reports()
         self.back = Reports()
@@ -92,7 +93,8 @@
         crashes, cleared = self.quarantine.hear(found.crashes, found.cleared)
         leaving = [key for key in found.leaving if self._take_leaving(key)]
         breaks = self.quarantine.hear_breaks(found.breaks)
-        news = Findings(dead, back, crashes, cleared, leaving, proven, breaks)
+        limits = self.fleet.rate_limits.heard(found.limits)
+        news = Findings(dead, back, crashes, cleared, leaving, proven, breaks, limits)
         if self.passes_on() and news != Findings():
             self.tell(news, member)
         self._take_dead(finding.backend for finding in dead)
@@ -101,7 +103,10 @@
     def greeting(self) -> list[Findings]:
         """Return what a daemon is to know that has just joined, or was out of reach."""
         crashes, proven = self.quarantine.known()
-        return [Findings(crashes=crashes, proven=proven)] if crashes else []
+        limits = self.fleet.rate_limits.known()
+        if not crashes and not limits:
+            return []
+        return [Findings(crashes=crashes, proven=proven if crashes else [], limits=limits)]
 
     def _tell_break(self, crash: Crash) -> None:
         """Tell of a break before its cause is known: this daemon may end or be stopped until then."""
@@ -149,6 +154,9 @@
     def _tell_leaving(self, server: Server) -> None:
         self.tell(Findings(leaving=[server.facts.key]), None)
 
+    def _tell_limits(self, limits: list[NamedLimit]) -> None:
+        self.tell(Findings(limits=limits), None)
+
     def _present(self, finding: Finding) -> bool:
         return self.fleet.current(finding.key) is not None
 
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -422,7 +422,7 @@
             eventlet.spawn_n(peers.diagnosis.examine, [server])
         return frozenset({server.facts.id})
     if isinstance(error, BackendUnwilling):
-        return frozenset({head.facts.id})
+        return frozenset({BackendId(error.peer)})
     if not isinstance(error, BackendUnreachable):
         blame(peers, call, run, head)
     if isinstance(error, BackendUnreachable):
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -175,13 +175,16 @@
 class Exchange:
     """One call on a connection: sent, then its answer read piece by piece."""
 
-    __slots__ = ("answer", "backend", "dirty", "link", "links")
+    __slots__ = ("answer", "backend", "dirty", "link", "links", "sent_at")
 
     def __init__(self, links: Links, backend: BackendId, link: Link) -> None:
         self.links = links
         self.backend = backend
         self.link = link
         self.answer: Message | None = None
+        self.sent_at = 0.0
+        """When the request went out, in monotonic seconds."""
+
         self.dirty = False
         """Whether the connection holds something that belongs to no call."""
 
@@ -195,8 +198,9 @@
         :param until: when to give up, in monotonic seconds.
         :raises BackendError: when it broke; parts of it may have arrived.
         """
+        self.sent_at = now()
         try:
-            self.link.sock.settimeout(max(0.001, until - now()))
+            self.link.sock.settimeout(max(0.001, until - self.sent_at))
             self.link.sock.sendall(data)
         except OSError as error:
             raise self._broken(f"the send broke: {error}") from error
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -55,7 +55,7 @@
     while attempts.may_send(peers):
         server = _least_busy(peers, call, attempts)
         if server is None:
-            attempts.full_for = peers.fleet.rest_seconds(call.service)
+            attempts.full_for = peers.fleet.opens_in(call.service)
             break
         try:
             answer = _attempt(peers, call, server, attempts)
--- a/bayglade/words.py
+++ b/bayglade/words.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from bayglade.ids import ServerKey
-from bayglade.servers import Server
+from bayglade.servers import RateLimit, Server, Throttle
 
 MAX_WORDS = 1000
-"""Words that are kept: a few times as many servers as leave or rest at a time in the largest fleet."""
+"""Words that are kept: a several times as many servers as say anything at a time in a large fleet."""
 
 
 class Word(msgspec.Struct, frozen=True):
@@ -20,6 +20,9 @@
     rest_until: float
     """In monotonic seconds."""
 
+    rate_limit: RateLimit | None = None
+    throttle: Throttle | None = None
+
 
 class Words:
     """The words that are kept, by start of a server."""
@@ -32,9 +35,11 @@
 
     def keep(self, server: Server, at: float) -> None:
         """Keep the word of a server that is no longer listed, if it said anything that holds."""
-        if not server.leaving and not server.resting(at):
+        if not server.leaving and not server.resting(at) and server.rate_limit is None:
             return
-        self.known[server.facts.key] = Word(server.leaving, server.rest_until)
+        self.known[server.facts.key] = Word(
+            server.leaving, server.rest_until, server.rate_limit, server.throttle
+        )
         if len(self.known) > MAX_WORDS:
             del self.known[next(iter(self.known))]
 
@@ -45,3 +50,4 @@
             return
         server.leaving = server.leaving or word.leaving
         server.rest_until = word.rest_until
+        server.rate_limit, server.throttle = word.rate_limit, word.throttle
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -69,10 +69,10 @@
     assert not server.ended(clock.at)
     assert fleet.changed == changed
     assert fleet.usable(server.facts.service) == []
-    assert fleet.rest_seconds(server.facts.service) == REST
+    assert fleet.opens_in(server.facts.service) == REST
     clock.at += REST
     assert server.usable(clock.at)
-    assert fleet.rest_seconds(server.facts.service) is None
+    assert fleet.opens_in(server.facts.service) is None
 
 
 def test_servers_at_rest_do_not_keep_others_from_being_suspect(clock: Clock) -> None:
@@ -192,7 +192,7 @@
 def answered(head: AnswerHead, status: int, fleet: Fleet, server: Server) -> None:
     message = Message()
     message.status = status
-    exchange: Any = SimpleNamespace(backend=server.facts.id, head=lambda until, own: message)
+    exchange: Any = SimpleNamespace(backend=server.facts.id, sent_at=0.0, head=lambda until, own: message)
     peers: Any = SimpleNamespace(fleet=fleet, dialect=SimpleNamespace(read_answer=lambda message: head))
     answer_head(peers, a_call(2), server, exchange, 0.0)
 
