Lend each request to a limited server from one keeper

Load: callers that are spread over many daemons, and servers that all name limits. Cause of the loss before: a limit that few daemons share evenly is used only as far as just these have callers.

Kept: lent one by one. Cost: a question and an answer for each request to a limited server, and some seconds without any when its keeper is lost.

Change: all daemons choose the same keeper of a server's limit, by hash, of the server's hall; it lends each request out of one bucket, or says when to ask again, spread over the daemons that ask. What was lent is used within a second or returned. In a large site keepers are readers, and questions of other halls go over the own reader. A daemon asks for one request at a time, when a call could use it, whether or not others have room: the answers tell of the end. Plain calls wait in line for it as streams do; where the wait would be too long they are refused at once, and told to come back after those that were sent away before them.

--- a/bayglade/beliefs.py
+++ b/bayglade/beliefs.py
@@ -35,8 +35,8 @@
     rate_limit: float | None
     """Requests a second that it takes from all daemons together, by its own word."""
 
-    rate_share: float | None
-    """This daemon's share of that."""
+    rate_contenders: int | None
+    """Daemons that divide it among them, as its keeper said last."""
 
 
 class PathBelief(msgspec.Struct, frozen=True):
@@ -141,5 +141,5 @@
         cached=round(server.cached, 1),
         rest_seconds=round(rest, 2) if rest > 0 else None,
         rate_limit=server.rate_limit.rate if server.rate_limit is not None else None,
-        rate_share=round(server.throttle.rate, 3) if server.throttle is not None else None,
+        rate_contenders=server.throttle.contenders if server.throttle is not None else None,
     )
--- a/bayglade/buckets.py
+++ b/bayglade/buckets.py
@@ -27,6 +27,10 @@
         self.level = min(capacity(rate), self.level + rate * (at - self.at))
         self.at = at
 
+    def put_back(self, amount: float, rate: float) -> None:
+        """Put back what was taken and not used."""
+        self.level = min(capacity(rate), self.level + amount)
+
     def wait_for(self, amount: float, rate: float) -> float:
         """Return seconds until an amount is there: zero when it is there now, infinity at a rate of zero.
 
--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -144,6 +144,9 @@
 
         self.on_borrow: Callable[[MemberId, wire.Borrow], None] = lambda member, message: None
         self.on_lent: Callable[[MemberId, wire.Lent], None] = lambda member, message: None
+        self.on_quota_request: Callable[[MemberId, wire.QuotaRequest], None] = lambda member, message: None
+        self.on_quota_reply: Callable[[MemberId, wire.QuotaReply], None] = lambda member, message: None
+        self.on_quota_return: Callable[[MemberId, wire.QuotaReturn], None] = lambda member, message: None
         self.fetch_after = 0.0
         """Seconds for which another daemon must be known to have newer settings before they are
         asked for: more than nothing where they come by another way too."""
@@ -179,6 +182,11 @@
             if max(member.added_at, self.heard.get(member.id, 0.0)) < oldest
         ]
 
+    def stopping(self) -> set[MemberId]:
+        """List the daemons that stop as planned, this one among them if it does."""
+        others = {member.id for member in self.members.values() if member.draining}
+        return others | {self.me} if self.draining else others
+
     def heard_at(self) -> float:
         """Return when any other daemon was heard last; zero when never."""
         return max((member.heard_at for member in self.members.values()), default=0.0)
@@ -358,6 +366,12 @@
             self.on_borrow(sender, message)
         elif isinstance(message, wire.Lent):
             self.on_lent(sender, message)
+        elif isinstance(message, wire.QuotaRequest):
+            self.on_quota_request(sender, message)
+        elif isinstance(message, wire.QuotaReply):
+            self.on_quota_reply(sender, message)
+        elif isinstance(message, wire.QuotaReturn):
+            self.on_quota_return(sender, message)
         elif isinstance(message, wire.Document):
             self.revisions.offer(message.revision, message.digest, message.document)
         else:
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -29,7 +29,7 @@
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 NONCE_BYTES = 16
 SEAL_BYTES = 16
-PROTOCOL = 4
+PROTOCOL = 5
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
@@ -274,7 +274,57 @@
     amount: int
 
 
-Message = Heartbeat | Findings | Fetch | Document | Patch | Poll | Updates | Unable | Borrow | Lent
+class QuotaRequest(msgspec.Struct, frozen=True, tag="q", array_like=True):
+    """Asks the keeper of a server's rate limit for one request to it."""
+
+    number: int
+    limit: NamedLimit
+    """As the asker knows it, who is its finder: the keeper may not have heard of it."""
+
+    hops: int = 0
+    """How often it was passed on."""
+
+
+class QuotaReply(msgspec.Struct, frozen=True, tag="y", array_like=True):
+    """Answers a request for a quota; the number is that of the request."""
+
+    number: int = 0
+    granted: bool = False
+    wait: float = 0.0
+    """Seconds until asking again may help."""
+
+    contenders: int = 1
+    """Daemons that asked lately, the receiver among them."""
+
+
+class QuotaReturn(msgspec.Struct, frozen=True, tag="z", array_like=True):
+    """Returns a request that was lent and not sent."""
+
+    backend: BackendId
+    incarnation: Incarnation = UNKNOWN_INCARNATION
+    hops: int = 0
+
+    @property
+    def key(self) -> ServerKey:
+        """Return the start of the server whose limit it is."""
+        return ServerKey(self.backend, self.incarnation)
+
+
+Message = (
+    Heartbeat
+    | Findings
+    | Fetch
+    | Document
+    | Patch
+    | Poll
+    | Updates
+    | Unable
+    | Borrow
+    | Lent
+    | QuotaRequest
+    | QuotaReply
+    | QuotaReturn
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/bayglade/lending.py
+++ b/bayglade/lending.py
@@ -9,13 +9,11 @@
 
 from collections.abc import Callable, Sequence
 
-import eventlet
-from eventlet.event import Event
-
 from bayglade.clock import now
 from bayglade.entries.wire import Borrow, Lent
 from bayglade.fanout import Push
 from bayglade.ids import MemberId
+from bayglade.questions import Questions
 from bayglade.retries import RetryBudget
 
 POOLED_PART = 0.7
@@ -47,8 +45,7 @@
         """A reader lends nothing before: what was lent by one before it still counts."""
 
         self.lent: dict[str, RetryBudget] = {}
-        self.numbers = 0
-        self.waiting: dict[int, Event] = {}
+        self.questions: Questions[int] = Questions()
 
     def __repr__(self) -> str:
         return f"<Pools {self.floor:.0f} to lend>"
@@ -86,9 +83,7 @@
 
     def heard_lent(self, member: MemberId, message: Lent) -> None:
         """Hand a loan to the request that waits for it; a late one is lost."""
-        event = self.waiting.pop(message.number, None)
-        if event is not None:
-            event.send(message.amount)
+        self.questions.answered(message.number, message.amount)
 
     def borrow(self, service: str, budget: RetryBudget) -> None:
         """Borrow for a budget that is spent; returns at once where nobody lends.
@@ -103,14 +98,10 @@
             budget.borrowed(amount, now() + LOAN_SECONDS)
 
     def _ask(self, readers: Sequence[MemberId], service: str) -> int:
-        self.numbers += 1
-        number = self.numbers
-        event = self.waiting[number] = Event()
-        reader = readers[number % len(readers)]
-        self.push(reader, Borrow(number, service, LOAN))
-        try:
-            with eventlet.Timeout(BORROW_SECONDS, False):
-                return int(event.wait())
-            return 0
-        finally:
-            self.waiting.pop(number, None)
+        reader = readers[self.questions.numbers % len(readers)]
+        return (
+            self.questions.ask(
+                lambda number: self.push(reader, Borrow(number, service, LOAN)), BORROW_SECONDS
+            )
+            or 0
+        )
--- a/bayglade/lines.py
+++ b/bayglade/lines.py
@@ -4,7 +4,9 @@
 are sought for the request whose turn it is, and it stays first until there is one.
 """
 
+from collections import deque
 from collections.abc import Callable
+from typing import TypeVar
 
 import eventlet
 from eventlet.event import Event
@@ -13,7 +15,7 @@
 from bayglade.clock import Decayed, now
 from bayglade.fairness import ShareOf, ShareQueue, Waiting
 from bayglade.ids import ServiceName
-from bayglade.pathfinding import Path
+from bayglade.places import Place
 from bayglade.settings import ROOT
 from bayglade.usage import Usage
 
@@ -22,14 +24,18 @@
 RATE_SECONDS = 3.0
 """Time constant of the rate at which requests end: about as long as one runs."""
 
+MAX_AWAY = 1000
+"""Callers that were sent away and are kept in mind, for each service."""
 MAX_ASIDE = 4
 """Requests that are passed over in one look for places: each costs a search for a path."""
 
 BEGUN_PRIORITY = 1 << 16
 """Priority of streams that have begun, above those of all calls: their callers wait in mid-answer."""
 
-Seek = Callable[[], Path | None]
-"""Returns a path with room that the request has taken, if there is one."""
+P = TypeVar("P", bound=Place)
+
+Seek = Callable[[], P | None]
+"""Returns a place with room that the request has taken, if there is one."""
 
 
 def _never() -> bool:
@@ -41,7 +47,7 @@
 
     __slots__ = ("choosy", "granted", "hopeless", "seek")
 
-    def __init__(self, seek: Seek, choosy: bool, hopeless: Callable[[], bool]) -> None:
+    def __init__(self, seek: Seek[Place], choosy: bool, hopeless: Callable[[], bool]) -> None:
         self.seek = seek
         self.choosy = choosy
         self.hopeless = hopeless
@@ -60,6 +66,9 @@
         self.share_of = share_of
         self.queues: dict[ServiceName, ShareQueue[Turn]] = {}
         self.ended: dict[ServiceName, Decayed] = {}
+        self.away: dict[ServiceName, deque[float]] = {}
+        """When callers that were sent away are to come back, in monotonic seconds."""
+
         self.begun = Event()
         """Sent when a request waits while none did."""
 
@@ -77,6 +86,22 @@
         """
         return any(not waiting.entry.choosy for waiting in self._queue(service).all())
 
+    def ahead(self, service: ServiceName) -> int:
+        """Return how many requests go before a new one: waiting ones and some to come back."""
+        away = self.away.get(service, deque())
+        at = now()
+        while away and away[0] <= at:
+            away.popleft()
+        return len(self._queue(service)) + len(away)
+
+    def sent_away(self, service: ServiceName, seconds: float) -> None:
+        """Note that a caller was told to come back, so that the next one is told a later time.
+
+        :param service: the service.
+        :param seconds: when it is to come back at the earliest.
+        """
+        self.away.setdefault(service, deque(maxlen=MAX_AWAY)).append(now() + seconds)
+
     def expected_seconds(self, service: ServiceName) -> float:
         """Return how long a new request would wait, as requests of this daemon end now."""
         ended = self.ended.get(service)
@@ -86,12 +111,12 @@
     def wait(
         self,
         call: Call,
-        seek: Seek,
+        seek: Seek[P],
         until: float,
         choosy: bool = False,
         begun: bool = False,
         hopeless: Callable[[], bool] = _never,
-    ) -> Path | None:
+    ) -> P | None:
         """Wait for a place.
 
         :param call: the request.
@@ -101,7 +126,7 @@
             others while there is none for it.
         :param begun: whether its caller has a part of the answer: it goes first in its own account.
         :param hopeless: tells whether waiting has become of no use.
-        :return: the path, taken; nothing when there was none in time.
+        :return: the place, taken; nothing when there was none in time.
         """
         queue = self._queue(call.service)
         turn = Turn(seek, choosy, hopeless)
@@ -110,7 +135,7 @@
         queue.push(waiting)
         if not self.begun.ready():
             self.begun.send()
-        granted: Path | None = None
+        granted: P | None = None
         try:
             with eventlet.Timeout(max(0.0, until - now()), False):
                 granted = turn.granted.wait()
@@ -145,9 +170,9 @@
             if waiting.entry.hopeless():
                 waiting.entry.granted.send(None)
                 continue
-            path = waiting.entry.seek()
-            if path is not None:
-                waiting.entry.granted.send(path)
+            place = waiting.entry.seek()
+            if place is not None:
+                waiting.entry.granted.send(place)
                 continue
             aside.append(waiting)
             if not waiting.entry.choosy:
--- a/bayglade/pathfinding.py
+++ b/bayglade/pathfinding.py
@@ -7,12 +7,12 @@
 
 from collections.abc import Callable, Iterable, Sequence
 
-from bayglade.clock import now
 from bayglade.engines.wire import Stage
 from bayglade.ids import HallName
 from bayglade.models import Route
 from bayglade.pipelines import Demand, Pipeline
-from bayglade.servers import Server, Throttle
+from bayglade.places import Place
+from bayglade.servers import Server
 
 HOP_MS = 0.25
 """Cost of one more stage inside a hall: about the delay between two hosts there."""
@@ -34,25 +34,22 @@
 """Returns the milliseconds that a hop to another hall adds to each token."""
 
 
-class Path:
+class Path(Place):
     """One way through all layers for one request, with what it costs a token in milliseconds."""
 
-    __slots__ = ("cost", "demand", "hall", "reserved", "route", "servers", "use")
+    __slots__ = ("cost", "demand", "hall", "route", "use")
 
     def __init__(
         self, route: Route, servers: tuple[Server, ...], cost: float, demand: Demand, use: float
     ) -> None:
+        super().__init__(servers)
         self.route = route
-        self.servers = servers
         self.cost = cost
         self.demand = demand
         self.hall = servers[0].facts.hall
         self.use = use
         """Part of the KV cache of its fullest stage that is taken, this request included."""
 
-        self.reserved: list[Throttle] = []
-        """What was taken of the limits of its servers, until the request goes out."""
-
     def __repr__(self) -> str:
         return f"<Path {self.cost:.1f} ms {self.route!r}>"
 
@@ -66,24 +63,12 @@
         :param before: servers that run the request already.
         """
         self._count(1.0)
-        at = now()
-        throttles = [server.throttle for server in self.servers if server not in before]
-        self.reserved = [throttle for throttle in throttles if throttle is not None and throttle.take(at)]
+        super().take(before)
 
     def release(self) -> None:
         """Count the request no longer; if it did not go out, its servers may take another in its place."""
         self._count(-1.0)
-        for throttle in self.reserved:
-            throttle.give_back()
-        self.reserved = []
-
-    def admits(self, server: Server) -> bool:
-        """Tell whether the request may go out over a server, as far as the server's limit goes."""
-        return server.throttle is None or server.throttle in self.reserved
-
-    def sent(self) -> None:
-        """Note that the request went out."""
-        self.reserved = []
+        super().release()
 
     def _count(self, sign: float) -> None:
         for server, stage in zip(self.servers, self.route.stages, strict=True):
--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -83,6 +83,7 @@
         """
         loads = self.elsewhere()
         at = now()
+        self._want(service)
         usable = [
             s
             for s in self.fleet.usable(service)
@@ -101,6 +102,12 @@
             return _cheapest(whole, self._crossing(usable, search))
         return whole
 
+    def _want(self, service: ServiceName) -> None:
+        """Have requests lent to the servers that name a limit, those of the own hall before others."""
+        limited = [server for server in self.fleet.sound(service) if server.throttle is not None]
+        near = [server for server in limited if server.facts.hall == self.hall]
+        self.fleet.rate_limits.want(near or limited)
+
     def _compared(self, own: Path) -> bool:
         """Tell whether other halls are compared with a path of the own one."""
         if Mechanism.SPILL in self.without:
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import eventlet
@@ -24,16 +24,18 @@
 from bayglade.feeds import Feed
 from bayglade.fingerprints import key_of
 from bayglade.freshness import wait_within
-from bayglade.ids import HallName, MemberId
+from bayglade.ids import MemberId
 from bayglade.intake import Intake
 from bayglade.lending import POOLED_PART, Pools
 from bayglade.listener import listen
 from bayglade.logs import event
+from bayglade.quotas import Quotas, choose_keeper
 from bayglade.readers import LOST_SECONDS, Duty, Lost, Order, Plan, make_plan, streams_of
 from bayglade.relay import Peers
 from bayglade.retries import BUDGET_FLOOR, RetryBudget
 from bayglade.roster import MemberRow, Roster, join, mark_gone, read_roster
 from bayglade.rows import Changes, Table
+from bayglade.servers import Server
 from bayglade.spreading import Spreading
 from bayglade.stops import read_stops, remove_stop, write_stop
 from bayglade.totals import Totals
@@ -103,7 +105,15 @@
         )
         peers.borrow = self.pools.borrow
         peers.fleet.rate_limits.me = config.member
-        peers.fleet.rate_limits.daemons = self._daemons
+        self.quotas = Quotas(
+            peers.fleet.rate_limits,
+            config.member,
+            self._keeper,
+            self._route,
+            self._push,
+            peers.lines.wake,
+            rng,
+        )
         if config.peer_ports:
             # Others may tell of the tables before the roster is known here.
             self.fanout.assign((config.member,))
@@ -147,11 +157,29 @@
         """Return how many gateways there are, as far as known here."""
         return max(1, len(self.order.site))
 
-    def _daemons(self) -> Mapping[MemberId, HallName]:
-        """Return all gateways with their halls; none before this one has joined, as there may be many."""
+    def _keeper(self, server: Server) -> MemberId | None:
+        """Choose the gateway that keeps the rate limit of a server; none before this one has joined.
+
+        In a large site it is a reader of the server's hall, to which others have streams.
+        """
         if not self.config.peer_ports:
-            return {self.config.member: self.config.hall}
-        return self.order.halls
+            return self.config.member
+        if self.membership is None:
+            return None
+        hall = server.facts.hall
+        if len(self.order.site) > FULL_MESH:
+            readers = self.plan.readers
+            return choose_keeper(server.facts.key, readers.get(hall) or sum(readers.values(), ()))
+        gone = self.lost.since.keys() | self.membership.stopping()
+        live = [member for member in self.order.site if member not in gone]
+        near = [member for member in live if self.order.halls[member] == hall]
+        return choose_keeper(server.facts.key, near or live)
+
+    def _route(self, member: MemberId) -> MemberId | None:
+        """Return the gateway over which another one is reached: itself, or a reader of the own hall."""
+        known = self.membership.members if self.membership is not None else {}
+        readers = self.totals.readers.get(self.config.hall, ())
+        return next((name for name in (member, *readers) if name in known), None)
 
     def new_budget(self) -> RetryBudget:
         """Make the budget of a service: this gateway's part of the bound on all of them."""
@@ -167,7 +195,8 @@
         self._clean_roster()
         self._keep_stops()
         self.fanout.watch()
-        self.peers.fleet.rate_limits.refresh()
+        self.peers.fleet.rate_limits.tidy()
+        self.quotas.tidy()
         for budget in self.peers.budgets.values():
             budget.floor = self._floor()
 
@@ -258,6 +287,9 @@
         membership.greet = self.spreading.greeting
         membership.on_borrow = self.pools.heard_borrow
         membership.on_lent = self.pools.heard_lent
+        membership.on_quota_request = self.quotas.heard_request
+        membership.on_quota_reply = self.quotas.heard_reply
+        membership.on_quota_return = self.quotas.heard_return
         membership.fetch_after = FETCH_AFTER_SECONDS
         self.peers.paths.elsewhere = lambda: self.totals.elsewhere(self._loads())
         self.peers.paths.daemons = lambda: self.totals.neighbours() + 1
--- a/bayglade/rate_limits.py
+++ b/bayglade/rate_limits.py
@@ -1,44 +1,28 @@
-"""Rate limits: what backend servers take from all daemons together, and this daemon's share of it.
+"""Rate limits: the requests a second that backend servers take from all daemons together.
 
 A server names its limit in its answers. Whoever passes one on tells the other daemons, so that all
-keep it. Few daemons share a limit evenly and the others send that server nothing: were it divided
-among all, each of many daemons could send the one request that it has saved up in the same second.
-All daemons work out the same shares from the same list of daemons, without a message.
+keep it; see :mod:`bayglade.quotas` for who may send the next request.
 
 See ``docs/design/rate_limits.md``.
 """
 
-import hashlib
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
 from bayglade.clock import now
 from bayglade.entries.wire import NamedLimit
-from bayglade.ids import BackendId, HallName, MemberId, ServerKey
+from bayglade.ids import BackendId, MemberId, ServerKey
 from bayglade.logs import event
 from bayglade.servers import RateLimit, Server, Throttle
 
-BOUND_SECONDS = 4.0
-BOUND_FACTOR = 1.5
-BOUND_EXTRA = 5.0
-"""What a server bears: in so many seconds so many times its limit, and so many requests more."""
 USED_PART = 0.9
-"""Part of a limit that is shared out: sendings are late by a little, and clocks differ."""
-HOLDERS_PART = 0.75
-"""Part of the most daemons that may share a limit: while daemons come and go, their lists differ."""
+"""Part of a limit that is used: sendings are late by a little, and a lent one may wait."""
 REPEAT_SECONDS = 5.0
 """A limit that holds on is told again after this time: who missed it, or its end, learns of it so."""
-UNHEARD_SECONDS = 30.0
-"""When nobody has told of a limit for so long, the daemons that shared it are taken to be lost."""
-UNHEARD_SENDINGS = 3.0
-"""The same for tiny limits, in sendings of one daemon."""
 LEAST_RATE = 0.02
 """Requests a second to a server that takes none: its answer is the only sign that it takes some again."""
-RANK_BYTES = 8
-
-Daemons = Mapping[MemberId, HallName]
 
 
 class RateLimits:
@@ -50,9 +34,6 @@
     def __init__(self, servers: Mapping[BackendId, Server]) -> None:
         self.servers = servers
         self.me = MemberId("")
-        self.daemons: Callable[[], Daemons] = lambda: {self.me: HallName("")}
-        """Returns all daemons with their halls, this one among them; none while they are not known."""
-
         self.on_news: Callable[[list[NamedLimit]], None] = lambda words: None
         """Told of what other daemons have to know."""
 
@@ -65,10 +46,8 @@
         self.told_at: dict[ServerKey, float] = {}
         """When each server's limit was told of last, by whomever."""
 
-        self.orders: dict[ServerKey, list[MemberId]] = {}
-        """Who shares the limit of each server, while the daemons are the same."""
-
-        self.ordered_of: Daemons = {}
+        self.on_wanted: Callable[[Server], None] = lambda server: None
+        """Told of each server with a limit to which a request could go."""
 
     def __repr__(self) -> str:
         return f"<RateLimits of {len(self.limited())} servers>"
@@ -108,21 +87,59 @@
 
     def known(self) -> list[NamedLimit]:
         """Return all limits that hold, and their ends, for a daemon that has just joined."""
-        return [self._word(server) for server in self.limited()]
+        return [self.word(server) for server in self.limited()]
 
-    def refresh(self) -> None:
-        """Work out this daemon's shares anew; called often, as daemons come and go and words get old."""
-        at, servers = now(), self.limited()
+    def find(self, key: ServerKey) -> Server | None:
+        """Return a server if it is the start that another daemon tells of."""
+        server = self.servers.get(key.backend)
+        return server if server is not None and server.facts.key == key else None
+
+    def want(self, servers: Iterable[Server]) -> None:
+        """Have requests lent to servers that name a limit, as some could go there.
+
+        They are wanted whether or not others have room: the answers tell when a limit ends.
+        """
         for server in servers:
-            self._share(server, at)
-        keys = {server.facts.key for server in servers}
-        for known in (self.heard_numbers, self.told_at, self.orders):
-            for key in known.keys() - keys:
-                del known[key]
+            if server.throttle is not None:
+                self.on_wanted(server)
+
+    def expected_wait(self, servers: Iterable[Server], ahead: int) -> float | None:
+        """Return how long a new request waits for servers all of which name a limit or want a rest.
+
+        :param servers: those that it may go to.
+        :param ahead: requests that go before it.
+        :return: seconds; nothing where a server takes requests without a limit, or there is none.
+        """
+        at, opens, rate = now(), math.inf, 0.0
+        for server in servers:
+            if server.throttle is not None:
+                rate += lent_rate(server) / server.throttle.contenders
+            elif not server.resting(at):
+                return None
+            opens = min(opens, server.opens_at(at))
+        if opens == math.inf:
+            return None
+        return max(opens - at, ahead / rate if rate else 0.0)
+
+    def tidy(self) -> None:
+        """Forget what was heard of servers that are gone."""
+        keys = {server.facts.key for server in self.limited()}
+        self.heard_numbers = {key: known for key, known in self.heard_numbers.items() if key in keys}
+        self.told_at = {key: at for key, at in self.told_at.items() if key in keys}
+
+    def word(self, server: Server) -> NamedLimit:
+        """Return what this daemon knows of the limit of a server, to be told to others."""
+        limit, facts = server.rate_limit, server.facts
+        assert limit is not None
+        # By the clock, so that a daemon which starts again goes on above its earlier numbers.
+        self.numbers = max(self.numbers + 1, int(now() * 1000))
+        return NamedLimit(
+            facts.id, self.me, facts.incarnation, self.numbers, limit.rate, now() - limit.seen_at
+        )
 
     def _hear(self, word: NamedLimit) -> bool:
-        server = self.servers.get(word.backend)
-        if server is None or server.facts.key != word.key or word.finder == self.me:
+        server = self.find(word.key)
+        if server is None or word.finder == self.me:
             return False
         numbers = self.heard_numbers.setdefault(word.key, {})
         if word.number <= numbers.get(word.finder, -1):
@@ -144,95 +161,24 @@
         server.rate_limit = limit
         if limit.rate is None:
             server.throttle = None
-        self._share(server, now())
-        share = round(server.throttle.rate, 3) if server.throttle is not None else None
+        elif server.throttle is None:
+            server.throttle = Throttle()
         event(
             "INFO",
             "server limit",
             peer=server.facts.id,
             rate=limit.rate,
             before=before,
-            share=share,
             source=source,
         )
 
-    def _share(self, server: Server, at: float) -> None:
-        """Set what this daemon may send to a server."""
-        limit = server.rate_limit
-        if limit is None or limit.rate is None:
-            return
-        daemons = self.daemons()
-        if daemons != self.ordered_of:
-            self.orders, self.ordered_of = {}, dict(daemons)
-        key = server.facts.key
-        if key not in self.orders:
-            self.orders[key] = sharing_order(server, self.ordered_of)
-        rate = share_of(limit.rate, self.me, self.orders[key], at - limit.seen_at)
-        if server.throttle is None:
-            server.throttle = Throttle()
-        server.throttle.set_rate(rate, at)
-
     def _tell(self, server: Server) -> None:
         self.told_at[server.facts.key] = now()
-        self.on_news([self._word(server)])
-
-    def _word(self, server: Server) -> NamedLimit:
-        limit, facts = server.rate_limit, server.facts
-        assert limit is not None
-        # By the clock, so that a daemon which starts again goes on above its earlier numbers.
-        self.numbers = max(self.numbers + 1, int(now() * 1000))
-        return NamedLimit(
-            facts.id, self.me, facts.incarnation, self.numbers, limit.rate, now() - limit.seen_at
-        )
-
-
-def most_holders(rate: float) -> int:
-    """Return among how many daemons a limit is shared at most.
-
-    Each of them may have saved one request up, and all of these may go out in the same second, beside
-    what the limit allows.
-
-    :param rate: the limit, in requests a second.
-    """
-    spare = BOUND_SECONDS * (BOUND_FACTOR - USED_PART) * rate + BOUND_EXTRA
-    return max(1, int(HOLDERS_PART * spare))
-
-
-def share_of(rate: float, member: MemberId, order: Sequence[MemberId], age: float) -> float:
-    """Return the requests a second that a daemon may send to a server.
-
-    :param rate: the limit of the server.
-    :param member: the daemon.
-    :param order: all daemons that may share the limit, in the order in which they do.
-    :param age: seconds since the limit was known to hold. When it is old, those that share it may be
-        lost, and the next ones take their place: else nobody would learn of its end.
-    """
-    if member not in order:
-        return 0.0
-    rate = max(rate, LEAST_RATE)
-    holders = min(most_holders(rate), len(order))
-    share = USED_PART * rate / holders
-    turn = int(age / max(UNHEARD_SECONDS, UNHEARD_SENDINGS / share))
-    first = turn * holders % len(order)
-    return share if first <= order.index(member) < first + holders else 0.0
-
-
-def sharing_order(server: Server, daemons: Daemons) -> list[MemberId]:
-    """Order the daemons that may share the limit of a server: those of its hall, which use it most.
-
-    Calls to plain services cross halls, so the others come after these; a first stage in another hall is
-    the last resort.
-
-    :param server: the server.
-    :param daemons: all daemons with their halls.
-    """
-    facts = server.facts
-    order = sorted(daemons, key=lambda member: (daemons[member] != facts.hall, _rank(facts.key, member)))
-    near = sum(1 for hall in daemons.values() if hall == facts.hall)
-    return order[:near] if facts.held and near else order
+        self.on_news([self.word(server)])
 
 
-def _rank(key: ServerKey, member: MemberId) -> bytes:
-    # By server, so that the limits of many servers are shared by different daemons.
-    name = f"{key.backend}|{key.incarnation}|{member}"
-    return hashlib.blake2b(name.encode(), digest_size=RANK_BYTES).digest()
+def lent_rate(server: Server) -> float:
+    """Return the requests a second that all daemons together send to a server that names a limit."""
+    limit = server.rate_limit
+    assert limit is not None and limit.rate is not None
+    return USED_PART * max(limit.rate, LEAST_RATE)
--- a/bayglade/sending.py
+++ b/bayglade/sending.py
@@ -10,12 +10,20 @@
 from bayglade.heads import Message, write_head
 from bayglade.logs import event
 from bayglade.pathfinding import Path
+from bayglade.places import Place
 from bayglade.relay import Peers
 from bayglade.servers import Server
 from bayglade.upstream import FRESH_SECONDS, IDLE_SECONDS, Exchange, open_exchange
 
 
-def send(peers: Peers, call: Call, server: Server, path: Path | None, last_event: int | None) -> Exchange:
+def send(
+    peers: Peers,
+    call: Call,
+    server: Server,
+    path: Path | None,
+    last_event: int | None,
+    place: Place | None = None,
+) -> Exchange:
     """Send a call to a server.
 
     :param peers: what the relay works with.
@@ -23,6 +31,7 @@
     :param server: where it goes.
     :param path: the way through the model, for a stream.
     :param last_event: the event after which a stream goes on.
+    :param place: what the call has taken of the server; that of the path when left out.
     :return: the exchange, whose answer is still to come.
     :raises CutOff: when the call may no longer be sent.
     :raises BackendUnwilling: when the server said meanwhile that it wants none; nothing was sent.
@@ -47,7 +56,7 @@
         start = f"{call.method} {call.target.decode('latin-1')} HTTP/1.1"
         # Opening a connection may take as long as a server takes to say that it wants no more.
         check_sending(peers, call, server)
-        _keep_limits(server, path)
+        _keep_limits(place or path or Place((server,)))
         exchange.send(write_head(start, headers) + call.body, call.deadline)
     except BaseException:
         exchange.link.sock.close()
@@ -76,19 +85,15 @@
         raise BackendUnwilling("the server wants no requests now", step="send", peer=server.facts.id)
 
 
-def _keep_limits(server: Server, path: Path | None) -> None:
-    """Take a sending out of the limits of its servers; a path took it when it was chosen.
+def _keep_limits(place: Place) -> None:
+    """Check that a request was taken out of the limits of its servers, just before it goes out.
 
-    :raises BackendUnwilling: when one takes no more now, as it named a limit meanwhile.
+    :raises BackendUnwilling: when one of them has named a limit since it was chosen.
     """
-    if path is None:
-        if server.throttle is not None and not server.throttle.take(now()):
+    for server in place.servers:
+        if not place.admits(server):
             raise BackendUnwilling("the limit of the server is used up", step="send", peer=server.facts.id)
-        return
-    for stage in path.servers:
-        if not path.admits(stage):
-            raise BackendUnwilling("the limit of a stage is used up", step="send", peer=stage.facts.id)
-    path.sent()
+    place.sent()
 
 
 def answer_head(
--- a/bayglade/servers.py
+++ b/bayglade/servers.py
@@ -1,10 +1,7 @@
 """Backend servers: what the platform's list says of one, and what a daemon knows of it."""
 
-import math
-
 import msgspec
 
-from bayglade.buckets import Bucket, capacity
 from bayglade.clock import Decayed, now
 from bayglade.ids import (
     UNKNOWN_INCARNATION,
@@ -24,6 +21,8 @@
 rest would end with a call that is lost; short enough that a server is used again some seconds later."""
 SLOW_PACE = 1.5
 """A server that says it is so many times slower than usual is asked again whether it still is."""
+LOAN_DELAY_SECONDS = 0.01
+"""Until a request to a server with a limit is lent: the way to another daemon and back."""
 EXCLUDED_SECONDS = 3.0
 """For how long a server keeps its layers in layouts while its entry is not its own: it writes its entry
 anew within a heartbeat, 1.2 s on the users' platform, and a reload would take longer."""
@@ -76,44 +75,47 @@
 
 
 class Throttle:
-    """Holds what this daemon sends to a server to its share of the server's limit."""
+    """What this daemon may send to a server that names a limit; times are monotonic seconds."""
 
-    __slots__ = ("bucket", "rate")
+    __slots__ = ("asking", "contenders", "lent_until", "retry_at", "token")
 
     def __init__(self) -> None:
-        self.rate = 0.0
-        """This daemon's share, in requests a second."""
+        self.asking = False
+        """Whether a request is being asked for."""
+
+        self.token = False
+        """Whether one was lent that is not sent yet."""
+
+        self.lent_until = 0.0
+        self.retry_at = 0.0
+        """When there may be one to lend again."""
 
-        self.bucket = Bucket(self.rate, 0.0, 0.0)
+        self.contenders = 1
+        """Daemons that divide the limit among them, this one included."""
 
     def __repr__(self) -> str:
-        return f"<Throttle {self.rate:.3g} a second, {self.bucket!r}>"
+        return f"<Throttle token={self.token} retry_at={self.retry_at:.2f}>"
 
-    def set_rate(self, rate: float, at: float) -> None:
-        """Change the share; whoever gets one has saved nothing up."""
-        if self.rate:
-            self.bucket.refill(self.rate, at)
-        else:
-            self.bucket = Bucket(rate, at, 0.0)
-        self.rate = rate
+    def has_token(self, at: float) -> bool:
+        """Tell whether a request may go out."""
+        return self.token and at < self.lent_until
 
     def opens_at(self, at: float) -> float:
-        """Return when the next request may go out; infinity without a share."""
-        if not self.rate:
-            return math.inf
-        self.bucket.refill(self.rate, at)
-        return at + self.bucket.wait_for(1.0, self.rate)
+        """Return when the next request may go out at the earliest."""
+        return at if self.has_token(at) else max(self.retry_at, at + LOAN_DELAY_SECONDS)
+
+    def lent(self, until: float) -> None:
+        """Take in a request that may be sent until a time."""
+        self.token, self.lent_until = True, until
 
     def take(self, at: float) -> bool:
-        """Take one request out of the share; tell whether there was one."""
-        if self.opens_at(at) > at:
-            return False
-        self.bucket.level -= 1.0
-        return True
+        """Use the request that was lent; tell whether there was one."""
+        had, self.token = self.has_token(at), False
+        return had
 
     def give_back(self) -> None:
-        """Return a request that was taken and did not go out."""
-        self.bucket.level = min(capacity(self.rate), self.bucket.level + 1.0)
+        """Note that a request that was taken did not go out."""
+        self.token = True
 
 
 class Server:
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -244,18 +244,27 @@
     since = delivery.sent_at if delivery.begun else call.arrived
     until = min(call.deadline, since + WAIT_SECONDS)
     # What may have run cannot be refused as not run: it waits for layers that are being loaded as well.
-    expected = max(rest or 0.0, peers.lines.expected_seconds(call.service))
+    expected = max(rest or 0.0, peers.lines.expected_seconds(call.service), _limited_seconds(peers, call))
     if now() + expected <= until and Mechanism.WAITING not in peers.without:
         path = peers.lines.wait(call, seek, until, choosy=bool(avoided) or heads is not None)
         if path is not None:
             return path
     attempts.full_for = expected
+    if expected > 0:
+        peers.lines.sent_away(call.service, expected)
     event(
         "INFO", "no room", request=call.head.id, expected=round(expected, 2), waited=round(now() - since, 3)
     )
     return None
 
 
+def _limited_seconds(peers: Peers, call: Call) -> float:
+    """Return how long a new stream waits where all first stages name limits; zero where one does not."""
+    heads = [s for s in peers.fleet.sound(call.service) if s.facts.held and s.facts.first == 0]
+    ahead = peers.lines.ahead(call.service)
+    return peers.fleet.rate_limits.expected_wait(heads, ahead) or 0.0
+
+
 def _await_place(
     peers: Peers,
     call: Call,
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -16,6 +16,7 @@
 from bayglade.heads import Headers, Message, end_to_end
 from bayglade.listener import Connection
 from bayglade.logs import event
+from bayglade.places import Place
 from bayglade.relay import Attempts, Peers, await_word, content_of, look_at
 from bayglade.sending import answer_head, send
 from bayglade.servers import Server
@@ -23,6 +24,8 @@
 
 PATIENCE_OF_AIM = 0.6
 """Part of the aim after which a repeatable call is tried at another server."""
+WAIT_SECONDS = 1.5
+"""How long a call waits for a server that names a limit."""
 AWAY_COST = 0.5
 """A server of another hall counts as this much busier, as its answer takes longer."""
 
@@ -53,12 +56,12 @@
     peers.budget(call.service).request()
     answer: Answer | None = None
     while attempts.may_send(peers):
-        server = _least_busy(peers, call, attempts)
-        if server is None:
-            attempts.full_for = peers.fleet.opens_in(call.service)
+        place = _find_place(peers, call, attempts)
+        if place is None:
             break
+        server = place.servers[0]
         try:
-            answer = _attempt(peers, call, server, attempts)
+            answer = _attempt(peers, call, place, attempts)
         except BackendError as error:
             _note_failure(peers, call, server, error)
             if not attempts.failed(error):
@@ -81,12 +84,46 @@
     event("INFO", "answered", request=call.head.id, status=answer.status, sent=attempts.sent)
 
 
-def _attempt(peers: Peers, call: Call, server: Server, attempts: Attempts) -> Answer:
+def _find_place(peers: Peers, call: Call, attempts: Attempts) -> Place | None:
+    """Choose a server, or wait until one that names a limit takes another request.
+
+    :return: the place there, taken; nothing when there is none in time.
+    """
+
+    def seek() -> Place | None:
+        server = _least_busy(peers, call, attempts)
+        if server is None:
+            return None
+        place = Place((server,))
+        place.take()
+        return place
+
+    attempts.full_for = None
+    if not peers.lines.busy(call.service) and (place := seek()) is not None:
+        return place
+    servers = [s for s in peers.fleet.sound(call.service) if s.facts.id not in attempts.tried]
+    expected = peers.fleet.rate_limits.expected_wait(servers, peers.lines.ahead(call.service))
+    if expected is None:
+        attempts.full_for = peers.fleet.opens_in(call.service)
+        return None
+    until = min(call.deadline, call.arrived + WAIT_SECONDS)
+    if now() + expected <= until and any(server.throttle is not None for server in servers):
+        place = peers.lines.wait(call, seek, until, choosy=bool(attempts.tried))
+        if place is not None:
+            return place
+    attempts.full_for = expected
+    peers.lines.sent_away(call.service, expected)
+    event("INFO", "no room", request=call.head.id, expected=round(expected, 2))
+    return None
+
+
+def _attempt(peers: Peers, call: Call, place: Place, attempts: Attempts) -> Answer:
+    server = place.servers[0]
     attempts.tried.add(server.facts.id)
     server.in_flight += 1
     keep_seconds = None
     try:
-        exchange = send(peers, call, server, None, None)
+        exchange = send(peers, call, server, None, None, place)
         attempts.note(server)
         try:
             until = _patience(peers, call, attempts)
@@ -99,6 +136,7 @@
             exchange.close(keep_seconds)
     finally:
         server.in_flight -= 1
+        place.release()
     if message.status < 500:
         peers.fleet.succeeded(server)
     return Answer(message, b"".join(pieces))
@@ -115,12 +153,15 @@
 
 def _least_busy(peers: Peers, call: Call, attempts: Attempts) -> Server | None:
     """Choose a server that was not tried, the least busy by this daemon's own count."""
-    fitting = [s for s in peers.fleet.usable(call.service) if s.facts.id not in attempts.tried]
+    at = now()
+    servers = [s for s in peers.fleet.sound(call.service) if s.facts.id not in attempts.tried]
+    peers.fleet.rate_limits.want(servers)
+    fitting = [server for server in servers if server.opens_at(at) <= at]
     if not fitting or attempts.only() is not None:
         return None
     if peers.quarantine.suspects(call):
         fitting = wait_apart(peers, call, fitting) or fitting
-    own, at = peers.paths.hall, now()
+    own = peers.paths.hall
     return min(
         fitting,
         key=lambda s: (
--- a/benches/sharing.py
+++ b/benches/sharing.py
@@ -3,9 +3,8 @@
 Run as ``python -m benches.sharing``. Nothing depends on the machine: arrivals come from fixed seeds.
 """
 
-from bayglade.rate_limits import BOUND_EXTRA, BOUND_FACTOR, BOUND_SECONDS
 from benches.common import print_table, run
-from standins.limit_sharing import Demand, Simulation, Way
+from standins.limit_sharing import Demand, Simulation, Way, allowed
 
 DAEMONS = (8, 200)
 RATES = (0.25, 1.0, 4.0, 16.0)
@@ -20,8 +19,7 @@
             for demand in Demand:
                 results = [Simulation(w, demand, rate, daemons, churn=churn).run(SECONDS) for w in Way]
                 cells = [f"{result.worst} ({result.used:.2f})" for result in results]
-                allowed = BOUND_SECONDS * BOUND_FACTOR * rate + BOUND_EXTRA
-                rows.append([daemons, rate, demand.name.lower(), allowed, *cells])
+                rows.append([daemons, rate, demand.name.lower(), allowed(rate), *cells])
     headers = ["daemons", "limit", "load", "allowed", *(way.name.lower() for way in Way)]
     print_table("worst 4 s (used part)" + (", daemons replaced" if churn else ""), headers, rows)
 
--- a/standins/limit_sharing.py
+++ b/standins/limit_sharing.py
@@ -1,14 +1,15 @@
-"""Daemons that share the rate limit of one server, in simulated time: ways of sharing it under given loads."""
+"""Daemons that share the rate limit of one server, in simulated time: ways of sharing it under loads."""
 
+import hashlib
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from enum import Enum
 
 import msgspec
 
-from bayglade.ids import BackendId, HallName, MemberId, ServiceName
-from bayglade.rate_limits import USED_PART, share_of, sharing_order
-from bayglade.servers import Server, ServerFacts, Throttle
+from bayglade.buckets import Bucket
+from bayglade.ids import HallName, MemberId
+from bayglade.rate_limits import USED_PART
 
 STEP = 0.01
 WAIT_SECONDS = 1.5
@@ -20,6 +21,11 @@
 """Calls of a flood, as a multiple of the limit."""
 CHURN_SECONDS = 1.0
 WINDOW_SECONDS = 4.0
+WINDOW_FACTOR = 1.5
+WINDOW_EXTRA = 5.0
+"""What a server bears in a window: so many times its limit, and so many requests more."""
+HOLDERS_PART = 0.75
+"""Part of the most daemons that may share a limit: while daemons come and go, their lists differ."""
 
 
 class Way(Enum):
@@ -50,11 +56,53 @@
     """Part of what the server could have taken, of the calls there were, that it got."""
 
 
+class Share:
+    """What a daemon may send: a token bucket of its own."""
+
+    def __init__(self) -> None:
+        self.rate = 0.0
+        self.bucket = Bucket(0.0, 0.0, 0.0)
+
+    def set_rate(self, rate: float, at: float) -> None:
+        """Change the share; whoever gets one has saved nothing up."""
+        if self.rate:
+            self.bucket.refill(self.rate, at)
+        else:
+            self.bucket = Bucket(rate, at, 0.0)
+        self.rate = rate
+
+    def take(self, at: float) -> bool:
+        """Take a request out of the share; tell whether there was one."""
+        self.bucket.refill(self.rate, at)
+        if not self.rate or self.bucket.wait_for(1.0, self.rate) > 0:
+            return False
+        self.bucket.level -= 1.0
+        return True
+
+
+def allowed(rate: float) -> float:
+    """Return how many requests a server with a limit bears in a window."""
+    return WINDOW_SECONDS * WINDOW_FACTOR * rate + WINDOW_EXTRA
+
+
+def holders_of(rate: float, hall: HallName, daemons: Mapping[MemberId, HallName]) -> Sequence[MemberId]:
+    """Choose the few daemons that share a limit, by hash, those of the server's hall first.
+
+    Each may have saved one request up, and all of these may go out in the same second.
+    """
+    most = max(1, int(HOLDERS_PART * (allowed(rate) - WINDOW_SECONDS * USED_PART * rate)))
+    return sorted(daemons, key=lambda member: (daemons[member] != hall, _rank(member)))[:most]
+
+
+def _rank(member: MemberId) -> bytes:
+    return hashlib.blake2b(member.encode(), digest_size=8).digest()
+
+
 class _Daemon:
     def __init__(self, name: MemberId) -> None:
         self.name = name
         self.waiting: list[float] = []
-        self.throttle = Throttle()
+        self.share = Share()
 
 
 class Simulation:
@@ -75,11 +123,7 @@
         self.rng = random.Random(f"{way}{demand}{rate}{daemons}{churn}")
         self.daemons = [_Daemon(MemberId(f"d{n}")) for n in range(daemons)]
         self.hall_of = {daemon.name: HallName(f"h{n % halls}") for n, daemon in enumerate(self.daemons)}
-        facts = ServerFacts(
-            id=BackendId("s"), service=ServiceName("plain"), address="", hall=HallName("h0"), slots=8
-        )
-        self.server = Server(facts)
-        self.pool = Throttle()
+        self.pool = Share()
         self.lists: list[tuple[float, _Daemon, dict[MemberId, HallName]]] = []
         """Lists of daemons that are on their way, by when they arrive."""
 
@@ -113,17 +157,16 @@
 
     def _serve(self, daemon: _Daemon, at: float) -> None:
         daemon.waiting = [since for since in daemon.waiting if at - since < WAIT_SECONDS]
-        throttle = self.pool if self.way is Way.LOANS else daemon.throttle
-        while daemon.waiting and throttle.take(at):
+        share = self.pool if self.way is Way.LOANS else daemon.share
+        while daemon.waiting and share.take(at):
             daemon.waiting.pop(0)
             self.sent.append(at)
 
     def _asked(self, at: float) -> Sequence[_Daemon]:
         if self.demand is Demand.PULSES:
             return self.daemons if _every(at, PULSE_SECONDS) else ()
-        some = (
-            self.daemons[: max(1, len(self.daemons) // 10)] if self.demand is Demand.FEW else self.daemons
-        )
+        few = self.daemons[: max(1, len(self.daemons) // 10)]
+        some = few if self.demand is Demand.FEW else self.daemons
         factor = FLOOD_FACTOR if self.demand in (Demand.FLOOD, Demand.FEW) else 1.0
         return [self.rng.choice(some) for _ in range(_poisson(self.rng, factor * self.rate * STEP))]
 
@@ -132,8 +175,9 @@
         if self.way is Way.EVEN:
             rate /= len(known)
         if self.way is Way.HOLDERS:
-            rate = share_of(self.rate, daemon.name, sharing_order(self.server, known), 0.0)
-        daemon.throttle.set_rate(rate, at)
+            holders = holders_of(self.rate, HallName("h0"), known)
+            rate = rate / len(holders) if daemon.name in holders else 0.0
+        daemon.share.set_rate(rate, at)
 
     def _replace(self, at: float) -> None:
         """Have one daemon go and another one come."""
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -78,7 +78,7 @@
 def test_an_answer_that_nobody_waits_for_is_passed_over(clock: Clock) -> None:
     pools, _ = a_reader(clock)
     pools.heard_lent(MemberId("d1"), Lent(99, LOAN))
-    assert pools.waiting == {}
+    assert pools.questions.waiting == {}
 
 
 def test_no_window_sees_more_loans_than_the_floor(clock: Clock) -> None:
