Serve a plain call at once where a server without a limit is free

Found by reading: while calls waited for servers that name limits, a new call was refused although a server without one had just come back, as it went behind those that waited and was then told that no limit kept it. Change: it looks once more before it is refused; a request that is returned after its limit ended is passed over; moves of running streams ask for later stages that name limits as well.

--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -188,6 +188,7 @@
         if head.facts.id in without:
             return None
         at = now()
+        self._want(service)
         usable = [
             s
             for s in self.fleet.sound(service)
--- a/bayglade/quotas.py
+++ b/bayglade/quotas.py
@@ -200,6 +200,8 @@
             self._return(server, 0)
 
     def _return(self, server: Server, hops: int) -> None:
+        if server.throttle is None:
+            return
         keeper = self.keeper(server)
         if keeper == self.me:
             if (pool := self.pools.get(server.facts.key)) is not None:
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -99,10 +99,14 @@
         return place
 
     attempts.full_for = None
-    if not peers.lines.busy(call.service) and (place := seek()) is not None:
+    in_turn = not peers.lines.busy(call.service)
+    if in_turn and (place := seek()) is not None:
         return place
     servers = [s for s in peers.fleet.sound(call.service) if s.facts.id not in attempts.tried]
     expected = peers.fleet.rate_limits.expected_wait(servers, peers.lines.ahead(call.service))
+    if expected is None and not in_turn and (place := seek()) is not None:
+        # Those that wait are about to be let go: there is a server without a limit.
+        return place
     if expected is None:
         attempts.full_for = peers.fleet.opens_in(call.service)
         return None
