Call what daemons tell of rate limits notices

A word of a server is a picture of this project's own; what is told of a limit is a notice, its unused part a fraction. No behaviour changes.

--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -107,7 +107,7 @@
         return ServerKey(self.backend, self.incarnation)
 
 
-class NamedLimit(msgspec.Struct, frozen=True, array_like=True):
+class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
     """The rate limit that a server named in an answer, or its end."""
 
     backend: BackendId
@@ -116,7 +116,7 @@
 
     incarnation: Incarnation = UNKNOWN_INCARNATION
     number: int = 0
-    """Grows with each word of the finder."""
+    """Grows with each notice of the finder."""
 
     rate: float | None = None
     """Requests a second from all daemons together; nothing when it names no limit any more."""
@@ -181,7 +181,7 @@
     breaks: list[Crash] = []
     """Requests that broke off on servers which may have ended."""
 
-    limits: list[NamedLimit] = []
+    limits: list[LimitNotice] = []
     """Rate limits that servers named."""
 
 
@@ -278,7 +278,7 @@
     """Asks the keeper of a server's rate limit for one request to it."""
 
     number: int
-    limit: NamedLimit
+    limit: LimitNotice
     """As the asker knows it, who is its finder: the keeper may not have heard of it."""
 
     hops: int = 0
--- a/bayglade/quotas.py
+++ b/bayglade/quotas.py
@@ -15,7 +15,7 @@
 
 from bayglade.buckets import Bucket
 from bayglade.clock import now
-from bayglade.entries.wire import NamedLimit, QuotaReply, QuotaRequest, QuotaReturn
+from bayglade.entries.wire import LimitNotice, QuotaReply, QuotaRequest, QuotaReturn
 from bayglade.fanout import Push
 from bayglade.ids import MemberId, ServerKey, ServiceName
 from bayglade.questions import Questions
@@ -163,7 +163,7 @@
         if throttle is None:
             return
         try:
-            reply = self._ask(server, self.limits.word(server), 0)
+            reply = self._ask(server, self.limits.notice(server), 0)
         finally:
             throttle.asking = False
         at = now()
@@ -176,16 +176,16 @@
         eventlet.spawn_after(LOAN_SECONDS, self._expire, server, until)
         self.wake(server.facts.service)
 
-    def _ask(self, server: Server, word: NamedLimit, hops: int) -> QuotaReply:
+    def _ask(self, server: Server, notice: LimitNotice, hops: int) -> QuotaReply:
         """Ask the keeper of a server's limit for a request."""
         keeper = self.keeper(server)
         if keeper == self.me:
-            return self.lend(server, word.finder)
+            return self.lend(server, notice.finder)
         over = self.route(keeper) if keeper is not None else None
         if over is None:
             return QuotaReply(wait=UNREACHED_SECONDS)
         reply = self.questions.ask(
-            lambda number: self.push(over, QuotaRequest(number, word, hops)), ASK_SECONDS
+            lambda number: self.push(over, QuotaRequest(number, notice, hops)), ASK_SECONDS
         )
         return reply or QuotaReply(wait=UNREACHED_SECONDS)
 
--- a/bayglade/rate_limits.py
+++ b/bayglade/rate_limits.py
@@ -12,13 +12,13 @@
 import msgspec
 
 from bayglade.clock import now
-from bayglade.entries.wire import NamedLimit
+from bayglade.entries.wire import LimitNotice
 from bayglade.ids import BackendId, MemberId, ServerKey
 from bayglade.logs import event
 from bayglade.servers import RateLimit, Server, Throttle
 
-USED_PART = 0.9
-"""Part of a limit that is used: sendings are late by a little, and a lent one may wait."""
+USED_FRACTION = 0.9
+"""Fraction of a limit that is used: sendings are late by a little, and a lent one may wait."""
 REPEAT_SECONDS = 5.0
 """A limit that holds on is told again after this time: who missed it, or its end, learns of it so."""
 LEAST_RATE = 0.02
@@ -34,14 +34,14 @@
     def __init__(self, servers: Mapping[BackendId, Server]) -> None:
         self.servers = servers
         self.me = MemberId("")
-        self.on_news: Callable[[list[NamedLimit]], None] = lambda words: None
+        self.on_news: Callable[[list[LimitNotice]], None] = lambda notices: None
         """Told of what other daemons have to know."""
 
         self.numbers = 0
-        """The number of the last word of this daemon."""
+        """The number of the last notice of this daemon."""
 
         self.heard_numbers: dict[ServerKey, dict[MemberId, int]] = {}
-        """The number of each daemon's last word of a server: one that was heard before goes no further."""
+        """The number of each daemon's last notice of a server: one that was heard before goes no further."""
 
         self.told_at: dict[ServerKey, float] = {}
         """When each server's limit was told of last, by whomever."""
@@ -73,21 +73,21 @@
             self._set(server, RateLimit(rate, at), source)
         self._tell(server)
 
-    def heard(self, words: Iterable[NamedLimit]) -> list[NamedLimit]:
+    def heard(self, notices: Iterable[LimitNotice]) -> list[LimitNotice]:
         """Take in what another daemon tells.
 
-        :param words: limits, or their ends.
+        :param notices: limits, or their ends.
         :return: those that are new here and worth passing on.
         """
-        return [word for word in words if self._hear(word)]
+        return [notice for notice in notices if self._hear(notice)]
 
     def limited(self) -> list[Server]:
         """List the servers of whose limit something is known, its end included."""
         return [server for server in self.servers.values() if server.rate_limit is not None]
 
-    def known(self) -> list[NamedLimit]:
+    def known(self) -> list[LimitNotice]:
         """Return all limits that hold, and their ends, for a daemon that has just joined."""
-        return [self.word(server) for server in self.limited()]
+        return [self.notice(server) for server in self.limited()]
 
     def find(self, key: ServerKey) -> Server | None:
         """Return a server if it is the start that another daemon tells of."""
@@ -127,33 +127,33 @@
         self.heard_numbers = {key: known for key, known in self.heard_numbers.items() if key in keys}
         self.told_at = {key: at for key, at in self.told_at.items() if key in keys}
 
-    def word(self, server: Server) -> NamedLimit:
+    def notice(self, server: Server) -> LimitNotice:
         """Return what this daemon knows of the limit of a server, to be told to others."""
         limit, facts = server.rate_limit, server.facts
         assert limit is not None
         # By the clock, so that a daemon which starts again goes on above its earlier numbers.
         self.numbers = max(self.numbers + 1, int(now() * 1000))
-        return NamedLimit(
+        return LimitNotice(
             facts.id, self.me, facts.incarnation, self.numbers, limit.rate, now() - limit.seen_at
         )
 
-    def _hear(self, word: NamedLimit) -> bool:
-        server = self.find(word.key)
-        if server is None or word.finder == self.me:
+    def _hear(self, notice: LimitNotice) -> bool:
+        server = self.find(notice.key)
+        if server is None or notice.finder == self.me:
             return False
-        numbers = self.heard_numbers.setdefault(word.key, {})
-        if word.number <= numbers.get(word.finder, -1):
+        numbers = self.heard_numbers.setdefault(notice.key, {})
+        if notice.number <= numbers.get(notice.finder, -1):
             return False
-        numbers[word.finder] = word.number
-        known, seen_at = server.rate_limit, now() - word.age
+        numbers[notice.finder] = notice.number
+        known, seen_at = server.rate_limit, now() - notice.age
         if known is not None and known.seen_at >= seen_at:
-            # Contrary words would go round for ever if each were passed on.
+            # Contrary notices would go round for ever if each were passed on.
             return False
-        self.told_at[word.key] = now()
-        if known is not None and known.rate == word.rate:
-            server.rate_limit = RateLimit(word.rate, seen_at)
+        self.told_at[notice.key] = now()
+        if known is not None and known.rate == notice.rate:
+            server.rate_limit = RateLimit(notice.rate, seen_at)
             return True
-        self._set(server, RateLimit(word.rate, seen_at), f"told by {word.finder}")
+        self._set(server, RateLimit(notice.rate, seen_at), f"told by {notice.finder}")
         return True
 
     def _set(self, server: Server, limit: RateLimit, source: str) -> None:
@@ -174,11 +174,11 @@
 
     def _tell(self, server: Server) -> None:
         self.told_at[server.facts.key] = now()
-        self.on_news([self.word(server)])
+        self.on_news([self.notice(server)])
 
 
 def lent_rate(server: Server) -> float:
     """Return the requests a second that all daemons together send to a server that names a limit."""
     limit = server.rate_limit
     assert limit is not None and limit.rate is not None
-    return USED_PART * max(limit.rate, LEAST_RATE)
+    return USED_FRACTION * max(limit.rate, LEAST_RATE)
--- a/bayglade/spreading.py
+++ b/bayglade/spreading.py
@@ -10,7 +10,7 @@
 
 from bayglade.clock import now
 from bayglade.diagnosis import Diagnosis
-from bayglade.entries.wire import Crash, Finding, Findings, NamedLimit
+from bayglade.entries.wire import Crash, Finding, Findings, LimitNotice
 from bayglade.fleet import Fleet
 from bayglade.ids import BackendId, Fingerprint, MemberId, ServerKey
 from bayglade.quarantine import Quarantine
@@ -154,7 +154,7 @@
     def _tell_leaving(self, server: Server) -> None:
         self.tell(Findings(leaving=[server.facts.key]), None)
 
-    def _tell_limits(self, limits: list[NamedLimit]) -> None:
+    def _tell_limits(self, limits: list[LimitNotice]) -> None:
         self.tell(Findings(limits=limits), None)
 
     def _present(self, finding: Finding) -> bool:
--- a/standins/limit_sharing.py
+++ b/standins/limit_sharing.py
@@ -9,7 +9,7 @@
 
 from bayglade.buckets import Bucket
 from bayglade.ids import HallName, MemberId
-from bayglade.rate_limits import USED_PART
+from bayglade.rate_limits import USED_FRACTION
 
 STEP = 0.01
 WAIT_SECONDS = 1.5
@@ -90,7 +90,7 @@
 
     Each may have saved one request up, and all of these may go out in the same second.
     """
-    most = max(1, int(HOLDERS_PART * (allowed(rate) - WINDOW_SECONDS * USED_PART * rate)))
+    most = max(1, int(HOLDERS_PART * (allowed(rate) - WINDOW_SECONDS * USED_FRACTION * rate)))
     return sorted(daemons, key=lambda member: (daemons[member] != hall, _rank(member)))[:most]
 
 
@@ -134,7 +134,7 @@
     def run(self, seconds: float) -> Result:
         """Play for some time."""
         if self.way is Way.LOANS:
-            self.pool.set_rate(USED_PART * self.rate, 0.0)
+            self.pool.set_rate(USED_FRACTION * self.rate, 0.0)
         for daemon in self.daemons:
             self._assign(daemon, dict(self.hall_of), 0.0)
         for step in range(int(seconds / STEP)):
@@ -171,7 +171,7 @@
         return [self.rng.choice(some) for _ in range(_poisson(self.rng, factor * self.rate * STEP))]
 
     def _assign(self, daemon: _Daemon, known: dict[MemberId, HallName], at: float) -> None:
-        rate = USED_PART * self.rate
+        rate = USED_FRACTION * self.rate
         if self.way is Way.EVEN:
             rate /= len(known)
         if self.way is Way.HOLDERS:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -12,7 +12,7 @@
 
 from bayglade import fleet as fleet_module
 from bayglade import quotas, rate_limits
-from bayglade.entries.wire import Findings, Message, NamedLimit, QuotaReply, QuotaRequest, QuotaReturn
+from bayglade.entries.wire import Findings, Message, LimitNotice, QuotaReply, QuotaRequest, QuotaReturn
 from bayglade.fleet import Fleet
 from bayglade.ids import BackendId, MemberId
 from bayglade.quotas import LOAN_SECONDS, Quotas, choose_keeper
@@ -119,8 +119,8 @@
             self.told_at = now()
         self.limits.answered(self.server, rate, sent_at, "an answer")
 
-    def _tell(self, words: list[NamedLimit]) -> None:
-        self.site.tell(self, Findings(limits=words))
+    def _tell(self, notices: list[LimitNotice]) -> None:
+        self.site.tell(self, Findings(limits=notices))
 
     def _keeper(self, server: Server) -> MemberId | None:
         return choose_keeper(server.facts.key, self.site.readers(self) or self.site.names(self))
@@ -301,7 +301,7 @@
 
 
 @pytest.mark.parametrize("count", [2, 8, 200])
-def test_the_end_of_a_limit_reaches_all_and_words_die_out(count: int) -> None:
+def test_the_end_of_a_limit_reaches_all_and_notices_die_out(count: int) -> None:
     def scenario() -> None:
         site = Site(count, 2.0)
         site.run(8.0, 8.0)
