Call what is kept of servers without a row tombstones

Words were a picture of this project's own; a tombstone is the usual name of what stays of an entry that was removed.

--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -10,7 +10,7 @@
 from bayglade.logs import event
 from bayglade.rate_limits import RateLimits
 from bayglade.servers import Server, ServerFacts
-from bayglade.words import Words
+from bayglade.tombstones import Tombstones
 
 SUSPECT_SECONDS = 1.0
 """First time that a server which failed gets nothing; doubled at each failure in a row."""
@@ -38,7 +38,7 @@
         self.starts: dict[BackendId, Incarnation] = {}
         """The newest start known of each server, also of those that are gone."""
 
-        self.words = Words()
+        self.tombstones = Tombstones()
         self.rate_limits = RateLimits(self.servers)
 
         self.on_restart: list[Callable[[BackendId], None]] = []
@@ -278,7 +278,7 @@
 
     def _add(self, facts: ServerFacts) -> None:
         server = Server(facts)
-        self.words.recall(server)
+        self.tombstones.restore(server)
         self.servers[facts.id] = server
         self.grown_at = now()
         if facts.incarnation == UNKNOWN_INCARNATION:
@@ -329,7 +329,7 @@
     def _drop(self, backend: BackendId) -> None:
         server = self.servers.pop(backend, None)
         if server is not None:
-            self.words.keep(server, now())
+            self.tombstones.add(server, now())
             if not server.leaving:
                 self.on_unlisted(server)
             server.leaving = True
--- a/bayglade/rate_limits.py
+++ b/bayglade/rate_limits.py
@@ -41,7 +41,7 @@
         """The number of the last notice of this daemon."""
 
         self.heard_numbers: dict[ServerKey, dict[MemberId, int]] = {}
-        """The number of each daemon's last notice of a server: one that was heard before goes no further."""
+        """The number of each daemon's last notice: one that was heard before goes no further."""
 
         self.told_at: dict[ServerKey, float] = {}
         """When each server's limit was told of last, by whomever."""
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -12,7 +12,7 @@
 
 from bayglade import fleet as fleet_module
 from bayglade import quotas, rate_limits
-from bayglade.entries.wire import Findings, Message, LimitNotice, QuotaReply, QuotaRequest, QuotaReturn
+from bayglade.entries.wire import Findings, LimitNotice, Message, QuotaReply, QuotaRequest, QuotaReturn
 from bayglade.fleet import Fleet
 from bayglade.ids import BackendId, MemberId
 from bayglade.quotas import LOAN_SECONDS, Quotas, choose_keeper
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -20,7 +20,7 @@
 from bayglade.sending import answer_head, check_sending, send
 from bayglade.servers import Server
 from bayglade.spreading import Spreading
-from bayglade.words import MAX_WORDS
+from bayglade.tombstones import MAX_TOMBSTONES
 from tests.server_rows import BORN, facts_of
 from tests.test_diagnosis import diagnose
 from tests.test_paths import SERVICE, Site
@@ -114,12 +114,12 @@
 
 def test_words_that_are_kept_are_bounded(clock: Clock) -> None:
     fleet = Fleet()
-    for number in range(MAX_WORDS + 10):
+    for number in range(MAX_TOMBSTONES + 10):
         backend = BackendId(f"s{number}")
         fleet.take([facts_of(backend)], [], outage=False)
         fleet.rest(fleet.servers[backend], REST)
         fleet.take([], [backend], outage=False)
-    assert len(fleet.words.known) == MAX_WORDS
+    assert len(fleet.tombstones.known) == MAX_TOMBSTONES
 
 
 class Connections:
