--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -31,7 +31,6 @@
 from bayglade.ids import RequestId
 from bayglade.intake import ELSEWHERE_SECONDS, Intake
 from bayglade.leases import Lease
-from bayglade.lines import Lines
 from bayglade.listener import Connection, Handler, listen, serve
 from bayglade.listing import Listing
 from bayglade.loading import LEASE_MARGIN, LEASE_NAME, LEASE_SECONDS, Loader
@@ -50,6 +49,7 @@
 from bayglade.streams import relay_stream
 from bayglade.upstream import Links
 from bayglade.usage import Usage
+from bayglade.wait_queues import WaitQueues
 from bayglade.wholes import relay_whole
 
 METRICS_PATH = b"/metrics"
@@ -116,7 +116,7 @@
         self.intake = Intake(dialect, self.document_feed.age, key_trust, self.rng)
         self.intake.decode = platform.decode_document
         self.usage = Usage()
-        self.lines = Lines(self.usage, self.intake.share_of)
+        self.wait_queues = WaitQueues(self.usage, self.intake.share_of)
         self.quarantine = Quarantine(secrets.token_bytes(FINGERPRINT_KEY_BYTES), self.rng)
         watch_ends(self.fleet, self.links, self.diagnosis, self.quarantine)
         self.peers = Peers(
@@ -127,7 +127,7 @@
             control=self.control,
             diagnosis=self.diagnosis,
             check=self.intake.check,
-            lines=self.lines,
+            wait_queues=self.wait_queues,
             quarantine=self.quarantine,
             new_budget=lambda: self.peering.new_budget(),
             metrics=self.metrics,
@@ -187,7 +187,7 @@
             self.loader.run,
             self.diagnosis.recheck,
             self.presence.run,
-            self.lines.run,
+            self.wait_queues.run,
             self._tidy,
         ):
             eventlet.spawn_n(task)
@@ -223,7 +223,7 @@
             asks=list(self.peering.plan.asks),
             members=self.peering.live(),
             in_flight=len(self.active),
-            waiting=self.lines.waiting(),
+            waiting=self.wait_queues.waiting(),
             servers=server_beliefs(self.fleet),
             stopped=stop_beliefs(self.quarantine),
             paths=path_beliefs(paths),
@@ -334,7 +334,7 @@
 
     def _gauge(self) -> None:
         self.metrics.gauge("in_flight", len(self.active))
-        self.metrics.gauge("waiting", self.lines.waiting())
+        self.metrics.gauge("waiting", self.wait_queues.waiting())
         self.metrics.gauge("settings_version", self.intake.version)
         self.metrics.gauge("settings_age_seconds", self.document_feed.age())
         self.metrics.gauge("servers_age_seconds", self.servers_feed.age())
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -111,7 +111,7 @@
             self._keeper,
             self._route,
             self._push,
-            peers.lines.wake,
+            peers.wait_queues.wake,
             rng,
         )
         if config.peer_ports:
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -27,7 +27,6 @@
 )
 from bayglade.fleet import Fleet
 from bayglade.ids import BackendId, Fingerprint
-from bayglade.lines import Lines
 from bayglade.logs import event
 from bayglade.mechanisms import Mechanism, Without
 from bayglade.metrics import Metrics
@@ -37,6 +36,7 @@
 from bayglade.retries import RetryBudget, spread_retry_after
 from bayglade.servers import Server
 from bayglade.upstream import Links
+from bayglade.wait_queues import WaitQueues
 
 MAX_UNREACHED = 4
 """Servers that may turn out unreachable before a call is given up: nothing was sent to them."""
@@ -61,7 +61,7 @@
         control: Control,
         diagnosis: Diagnosis,
         check: Callable[[Call], None],
-        lines: Lines,
+        wait_queues: WaitQueues,
         quarantine: Quarantine,
         new_budget: Callable[[], RetryBudget],
         metrics: Metrics,
@@ -81,7 +81,7 @@
         self.rng = rng
         self.without = without
         self.patience = Patience(Mechanism.PATIENCE not in without)
-        self.lines = lines
+        self.wait_queues = wait_queues
         self.quarantine = quarantine
         self.new_budget = new_budget
         """Makes the budget of a service, this daemon's part of the bound on all of them."""
--- a/bayglade/lines.py
+++ b/bayglade/wait_queues.py
@@ -1,4 +1,4 @@
-"""Lines: requests that found no room wait here, in the order of their shares.
+"""Wait queues: requests that found no room wait here, in the order of their shares.
 
 Whoever waits is given a place and not just a turn to look for one: places
 are sought for the request whose turn it is, and it stays first until there is one.
@@ -54,7 +54,7 @@
         self.granted = Event()
 
 
-class Lines:
+class WaitQueues:
     """The requests of one daemon that wait, by service.
 
     :param usage: recent service of each group, here and at other daemons.
@@ -73,7 +73,7 @@
         """Sent when a request waits while none did."""
 
     def __repr__(self) -> str:
-        return f"<Lines {self.waiting()} waiting>"
+        return f"<WaitQueues {self.waiting()} waiting>"
 
     def waiting(self) -> int:
         """Return how many requests wait."""
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -35,13 +35,13 @@
 )
 from bayglade.fleet import Fleet
 from bayglade.ids import GroupPath, HallName, RequestId
-from bayglade.lines import Lines
 from bayglade.paths import Paths
 from bayglade.presence import CallerLeft
 from bayglade.quarantine import Quarantine
 from bayglade.relay import MAX_SENDINGS, MAX_UNREACHED
 from bayglade.retries import RetryBudget
 from bayglade.usage import Usage
+from bayglade.wait_queues import WaitQueues
 from tests.test_tiling import SERVICE, pipeline, placed, servers
 
 WAIT = 0.05
@@ -65,13 +65,13 @@
         held = placed(servers(a={"big": 1, "middle": 5, "small": 8}), self.model)
         self.fleet.take([server.facts for server in held], [], outage=False)
         self.budget = RetryBudget(floor=100.0)
-        self.lines = Lines(Usage(), lambda group: (0, 1.0))
-        self.tasks = [eventlet.spawn(self.lines.run)]
+        self.wait_queues = WaitQueues(Usage(), lambda group: (0, 1.0))
+        self.tasks = [eventlet.spawn(self.wait_queues.run)]
         self.quarantine = Quarantine(b"key", random.Random(1))
         self.peers: Any = SimpleNamespace(
             fleet=self.fleet,
             paths=Paths(self.fleet, HallName("a")),
-            lines=self.lines,
+            wait_queues=self.wait_queues,
             quarantine=self.quarantine,
             diagnosis=SimpleNamespace(examine=lambda servers: None, examine_anew=lambda servers: None),
             rng=random.Random(1),
@@ -164,7 +164,7 @@
     def at_rest(self) -> bool:
         """Tell whether all places were given back, and nobody waits."""
         taken = any(server.cached or server.in_flight for server in self.fleet.of(SERVICE))
-        return not taken and not self.lines.waiting()
+        return not taken and not self.wait_queues.waiting()
 
     def stop(self) -> None:
         for task in self.tasks:
@@ -187,7 +187,7 @@
 def test_a_begun_stream_goes_on_when_room_comes_later_than_new_calls_wait(scene: Scene) -> None:
     task = scene.start(scene.break_off_full)
     eventlet.sleep(LATER)
-    assert scene.lines.waiting() == 1
+    assert scene.wait_queues.waiting() == 1
     scene.fill(-FULL)
     assert served(scene, task)
     assert scene.attempts == 2
@@ -208,7 +208,7 @@
 
 
 def test_a_begun_stream_is_not_given_up_for_the_wait_that_is_expected(scene: Scene) -> None:
-    scene.peers.lines.expected_seconds = lambda service: 60.0
+    scene.peers.wait_queues.expected_seconds = lambda service: 60.0
     task = scene.start(scene.break_off_full)
     eventlet.sleep(WAIT / 2)
     scene.fill(-FULL)
@@ -328,12 +328,12 @@
 def test_a_caller_that_leaves_a_begun_stream_gives_up_its_turn_at_once(scene: Scene) -> None:
     task = scene.start(scene.break_off_full)
     eventlet.sleep(LATER)
-    assert scene.lines.waiting() == 1
+    assert scene.wait_queues.waiting() == 1
     eventlet.kill(task, CallerLeft())
     eventlet.sleep(0)
-    assert scene.lines.waiting() == 0
+    assert scene.wait_queues.waiting() == 0
     scene.fill(-FULL)
-    scene.lines.wake(SERVICE)
+    scene.wait_queues.wake(SERVICE)
     eventlet.sleep(0)
     assert scene.attempts == 1
     assert scene.at_rest()
@@ -349,7 +349,7 @@
         task.wait()
     assert scene.error is not None
     assert scene.attempts == 1
-    assert scene.lines.waiting() == 0
+    assert scene.wait_queues.waiting() == 0
 
 
 def test_a_stream_that_has_not_begun_is_refused_early_as_before(scene: Scene) -> None:
@@ -373,7 +373,9 @@
 def wait_in_line(scene: Scene, order: list[str], name: str, group: str, begun: bool) -> None:
     def wait() -> None:
         call = scene.call(group=group)
-        place = scene.lines.wait(call, lambda: places.pop() if places else None, call.deadline, begun=begun)
+        place = scene.wait_queues.wait(
+            call, lambda: places.pop() if places else None, call.deadline, begun=begun
+        )
         assert place is not None
         order.append(name)
 
@@ -387,11 +389,11 @@
 ) -> None:
     order: list[str] = []
     # The account of the streams has had the more service.
-    scene.lines.usage.charge(GroupPath("g"), 1000.0)
+    scene.wait_queues.usage.charge(GroupPath("g"), 1000.0)
     for name, group, begun in [("new", "g", False), ("begun", "g", True), ("other", "h", False)]:
         wait_in_line(scene, order, name, group, begun)
     for _ in range(3):
         scene.__dict__["places"].append(object())
-        scene.lines.wake(SERVICE)
+        scene.wait_queues.wake(SERVICE)
         eventlet.sleep(0)
     assert order == ["other", "begun", "new"]
