Call the repair of layouts repair, and how long a stream may stall a timeout

Mending and patience were pictures; repair and stall timeouts are the field's names. No behaviour changes.

--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -20,9 +20,9 @@
 from bayglade.ids import BackendId, ServiceName
 from bayglade.leases import Lease
 from bayglade.logs import event
-from bayglade.mending import fill, mend, missing
 from bayglade.metrics import Metrics
 from bayglade.pipelines import Pipeline
+from bayglade.repair import fill, missing, repair
 from bayglade.servers import ServerFacts
 from bayglade.tiling import Span, Spans, groups, tile_group
 
@@ -199,7 +199,7 @@
 
     def _mended(self, group: list[ServerFacts], after: list[ServerFacts], pipeline: Pipeline) -> Spans:
         """Bring missing layers back with few changes, or lay the group out anew where that fails."""
-        spans = mend(after, pipeline)
+        spans = repair(after, pipeline)
         changed = [
             msgspec.structs.replace(f, first=spans[f.id].first, last=spans[f.id].last)
             if f.id in spans
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -31,10 +31,10 @@
 from bayglade.mechanisms import Mechanism, Without
 from bayglade.metrics import Metrics
 from bayglade.paths import Paths
-from bayglade.patience import Patience
 from bayglade.quarantine import Quarantine
 from bayglade.retries import RetryBudget, spread_retry_after
 from bayglade.servers import Server
+from bayglade.stall_timeouts import StallTimeouts
 from bayglade.upstream import Links
 from bayglade.wait_queues import WaitQueues
 
@@ -80,7 +80,7 @@
         self.metrics = metrics
         self.rng = rng
         self.without = without
-        self.patience = Patience(Mechanism.PATIENCE not in without)
+        self.stall_timeouts = StallTimeouts(Mechanism.PATIENCE not in without)
         self.wait_queues = wait_queues
         self.quarantine = quarantine
         self.new_budget = new_budget
--- a/bayglade/mending.py
+++ b/bayglade/repair.py
@@ -1,4 +1,4 @@
-"""Mending: which layers servers should hold when some came, went or were lost.
+"""Repair: which layers servers should hold when some came, went or were lost.
 
 Little moves at a time, so that paths in use stay. Plain functions; see
 ``docs/design/placement.md``.
@@ -56,7 +56,7 @@
     return lengths
 
 
-def mend(servers: Sequence[ServerFacts], pipeline: Pipeline) -> Spans:
+def repair(servers: Sequence[ServerFacts], pipeline: Pipeline) -> Spans:
     """Choose new spans for few servers so that missing layers are held again.
 
     First servers move of which every layer is held by another one too; then
--- a/bayglade/patience.py
+++ b/bayglade/stall_timeouts.py
@@ -1,10 +1,10 @@
-"""Patience: how long a stream may stand still before it is looked into.
+"""Stall timeouts: how long a stream may stand still before it is looked into.
 
 A look asks several servers, and each question is paid for. What is usual
 depends on servers and load, so it is learned from the streams of this daemon.
 """
 
-LEAST_PATIENCE = 0.06
+LEAST_TIMEOUT = 0.06
 """Seconds; less than this is within what an entry host itself may be late."""
 FIRST_OF_AIM = (0.2, 0.5)
 """Least and most patience for the first event, as parts of the aim: with the most, as much time is
@@ -41,7 +41,7 @@
         return self.mean + DEVIATIONS * self.deviation
 
 
-class Patience:
+class StallTimeouts:
     """How patient a daemon is with its streams.
 
     :param learns: whether it goes by what is usual, or always by the least.
@@ -53,7 +53,7 @@
         self.gaps = Usual()
 
     def __repr__(self) -> str:
-        return f"<Patience {self.firsts!r} {self.gaps!r}>"
+        return f"<StallTimeouts {self.firsts!r} {self.gaps!r}>"
 
     def first(self, aim: float) -> float:
         """Return the patience with a stream that has no event yet.
@@ -74,5 +74,5 @@
         (self.gaps if begun else self.firsts).learn(seconds)
 
     def _within(self, usual: Usual, parts: tuple[float, float], aim: float) -> float:
-        least, most = (max(LEAST_PATIENCE, part * aim) for part in parts)
+        least, most = (max(LEAST_TIMEOUT, part * aim) for part in parts)
         return min(most, max(least, usual.bound())) if self.learns else least
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -343,7 +343,7 @@
     since = now()
     head = run.path.servers[0]
     while True:
-        patience = peers.patience.first(call.endpoint.aim)
+        patience = peers.stall_timeouts.first(call.endpoint.aim)
         try:
             return answer_head(peers, call, head, run.exchange, _glance_until(call, since, patience))
         except BackendSilent:
@@ -384,9 +384,9 @@
     since = now()
     while True:
         if delivery.begun:
-            patience = peers.patience.gap(call.endpoint.gap_aim)
+            patience = peers.stall_timeouts.gap(call.endpoint.gap_aim)
         else:
-            patience = peers.patience.first(call.endpoint.aim)
+            patience = peers.stall_timeouts.first(call.endpoint.aim)
         try:
             piece = run.exchange.piece(_glance_until(call, since, patience))
         except BackendSilent:
@@ -397,7 +397,7 @@
         if piece is None:
             break
         since = now()
-        peers.patience.note(now() - run.event_at, run.begun)
+        peers.stall_timeouts.note(now() - run.event_at, run.begun)
         run.moved_on()
         delivery.deliver(message, splitter.feed(piece))
         leave_planned(peers, call, pipeline, run)
--- a/bayglade/tiling.py
+++ b/bayglade/tiling.py
@@ -3,7 +3,7 @@
 In each data hall the servers form chains that hold all layers, so that no
 token crosses to another hall. Where memory allows, two servers of a kind hold
 the same layers: each usually runs half of them, and all of them when the other
-is gone. Losses are made good in :mod:`bayglade.mending`. Plain functions; see
+is gone. Losses are made good in :mod:`bayglade.repair`. Plain functions; see
 ``docs/design/placement.md``.
 """
 
--- a/tests/test_patience.py
+++ b/tests/test_stall_timeouts.py
@@ -1,17 +1,17 @@
-"""Patience: learned from what is usual, between bounds that the aim sets."""
+"""Stall timeouts: learned from what is usual, between bounds that the aim sets."""
 
 import random
 
 import pytest
 
-from bayglade.patience import FIRST_OF_AIM, GAP_OF_AIM, LEAST_PATIENCE, Patience
+from bayglade.stall_timeouts import FIRST_OF_AIM, GAP_OF_AIM, LEAST_TIMEOUT, StallTimeouts
 
 AIM = 0.5
 GAP = 0.2
 
 
-def learned(mean: float, begun: bool, learns: bool = True) -> Patience:
-    patience = Patience(learns)
+def learned(mean: float, begun: bool, learns: bool = True) -> StallTimeouts:
+    patience = StallTimeouts(learns)
     rng = random.Random(1)
     for _ in range(2000):
         patience.note(rng.uniform(0.8, 1.2) * mean, begun)
@@ -19,7 +19,7 @@
 
 
 def test_quick_streams_leave_the_least_patience() -> None:
-    assert learned(0.02, begun=True).gap(GAP) == max(LEAST_PATIENCE, GAP_OF_AIM[0] * GAP)
+    assert learned(0.02, begun=True).gap(GAP) == max(LEAST_TIMEOUT, GAP_OF_AIM[0] * GAP)
     assert learned(0.02, begun=False).first(AIM) == FIRST_OF_AIM[0] * AIM
 
 
@@ -40,8 +40,8 @@
 
 
 def test_an_entry_host_late_by_itself_is_no_reason_to_look() -> None:
-    assert Patience().gap(0.01) == LEAST_PATIENCE
+    assert StallTimeouts().gap(0.01) == LEAST_TIMEOUT
 
 
 def test_patience_that_does_not_learn_stays_the_least() -> None:
-    assert learned(0.4, begun=True, learns=False).gap(GAP) == max(LEAST_PATIENCE, GAP_OF_AIM[0] * GAP)
+    assert learned(0.4, begun=True, learns=False).gap(GAP) == max(LEAST_TIMEOUT, GAP_OF_AIM[0] * GAP)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -345,7 +345,7 @@
 
     monkeypatch.setattr(streams, "ended_stages", ended)
     scene.call.seconds_left, scene.call.deadline, scene.call.arrived = lambda: 10.0, 1000.0, scene.at
-    scene.peers.lines = SimpleNamespace(
+    scene.peers.wait_queues = SimpleNamespace(
         charge=lambda call: None,
         busy=lambda service: False,
         expected_seconds=lambda service: 0.0,
--- a/tests/test_tiling.py
+++ b/tests/test_tiling.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies as st
 
 from bayglade.ids import BackendId, HallName, ModelName, ServiceName
-from bayglade.mending import fill, mend, missing
 from bayglade.pathfinding import Path, Search, by_hall, find_path
 from bayglade.pipelines import Accelerator, Pipeline
+from bayglade.repair import fill, missing, repair
 from bayglade.servers import Server, ServerFacts
 from bayglade.tiling import Span, groups, tile
 
@@ -183,7 +183,7 @@
     held = [s.facts for s in placed(servers(a=kinds), model)]
     for lost in held:
         rest = [f for f in held if f is not lost]
-        spans = mend(rest, model)
+        spans = repair(rest, model)
         after = [
             msgspec.structs.replace(f, first=spans[f.id].first, last=spans[f.id].last)
             if f.id in spans
@@ -198,7 +198,7 @@
     model = pipeline()
     held = [s.facts for s in placed(servers(a={"big": 1, "middle": 5, "small": 8}), model)]
     rest = [f for f in held if f.id != "a-big-0"]
-    spans = mend(rest, model)
+    spans = repair(rest, model)
     for facts in rest:
         others = [f for f in rest if f is not facts]
         if missing(others, model.layers) > missing(rest, model.layers) and facts.id in spans:
@@ -209,7 +209,7 @@
 def test_nothing_is_mended_where_nothing_is_missing() -> None:
     model = pipeline()
     held = [s.facts for s in placed(servers(a={"big": 3, "middle": 3, "small": 5}), model)]
-    assert mend(held, model) == {}
+    assert repair(held, model) == {}
 
 
 def test_an_empty_server_goes_where_fewest_hold() -> None:
