--- a/bayglade/diagnosis.py
+++ b/bayglade/diagnosis.py
@@ -19,11 +19,10 @@
 from bayglade.servers import SLOW_PACE, Server
 
 ANSWER_SECONDS = 0.08
-"""How long a stage may take to answer: some thirty times the usual."""
+"""How long a stage may take to answer."""
 KEPT_ANSWER_SECONDS = 0.03
-"""How long an answer may take on a connection that rested, before a new one is opened beside it: some ten
-times the usual. Asked one after the other, dark first stages would be found later than other stages, to
-which no connection rests."""
+"""How long an answer may take on a connection that rested, before a new one is opened beside it: asked
+one after the other, dark first stages, to which one rests, would be found later than other stages."""
 FRESH_SECONDS = 0.15
 """How long an answer serves all streams that ask; reports lag by more than that."""
 RECHECK_SECONDS = 0.4
@@ -273,7 +272,7 @@
 def _as_listed(server: Server, report: StageReport) -> bool:
     """Tell whether a server holds the layers that its row names.
 
-    One that comes back empty while the store is away would be sent requests by its old row: 312 of
-    336 arrivals that servers turned away in four seconds after an outage (logs, 195 daemons).
+    One that comes back empty while the store is away would be sent requests by its old row, and turn
+    them all away.
     """
     return (report.first, report.last) == (server.facts.first, server.facts.last)
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -156,8 +156,8 @@
 class Findings(msgspec.Struct, frozen=True, tag="s", array_like=True):
     """Passes on what was found out about servers, at once.
 
-    Small, beside the heartbeats: 40 of these with their sums fill a link of 10 Mbit/s for a tenth of
-    a second, and a crash of nine servers is told in dozens of steps.
+    Small, beside the heartbeats, whose sums would hold up a slow link: a crash of several servers is
+    told in dozens of steps.
     """
 
     dead: list[Finding] = []
--- a/bayglade/lending.py
+++ b/bayglade/lending.py
@@ -23,7 +23,7 @@
 LOAN_SECONDS = 2.0
 """How long a loan may be used."""
 BORROW_SECONDS = 0.05
-"""How long a request waits for a loan: some ten times the way to a daemon of the same hall and back."""
+"""How long a request waits for a loan."""
 
 
 class Pools:
--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -26,15 +26,14 @@
 from bayglade.retries import spread_retry_after
 
 FRESH_SECONDS = 1.0
-"""A request whose first event is older when its server ends did not end it: such requests end servers
-about a tenth of a second after these begin to run them."""
+"""A request whose first event is older when its server ends did not end it: those that do end servers
+soon after these begin to run them."""
 GATHER_SECONDS = 0.15
-"""How long a request waits under which two servers have ended before it is sent once more: other daemons
-tell within some milliseconds what else was under way there, and a server is known to have ended within
-some ten."""
+"""How long a request waits under which two servers have ended before it is sent once more, for word of
+what else was under way there and of a third end."""
 TRIAL_SECONDS = 0.4
-"""How long another suspect is kept away from a server to which one was sent: some three times as long as
-servers last under requests that end them, and a third of the time after which callers leave."""
+"""How long another suspect is kept away from a server to which one was sent: longer than servers last
+under requests that end them, shorter than callers wait."""
 UNSURE_SECONDS = 6.0
 """How long a request whose server broke off waits for word that the server has ended: the entry of one
 that fell silent is gone after three of its heartbeats, 3.6 s on the users' platform."""
@@ -45,7 +44,7 @@
 WRITE_SECONDS = 2.0
 """Within this time a daemon that was told of the last end writes a stop that nobody else has written."""
 MAX_SUSPECTS = 4096
-"""Requests that are remembered: each end of a server adds those that had just begun there, some ten."""
+"""Requests that are remembered: each end of a server adds those that had just begun there."""
 MAX_TOLD = 64
 """Of them, how many a daemon that joins is told of."""
 LOGGED_A_SECOND = 5.0
--- a/bayglade/readers.py
+++ b/bayglade/readers.py
@@ -59,8 +59,8 @@
     """All daemons in the order in which they become readers.
 
     :param halls: all daemons with their halls.
-    :param links: speeds of their hosts' links, in Mbit/s. Quick ones come first: a reader of 40 daemons
-        sends 1.5 Mbit a second, which holds everything else up on a link of 10 Mbit/s.
+    :param links: speeds of their hosts' links, in Mbit/s. Quick ones come first: what a
+        reader sends to its hall would hold everything else up on a slow link.
     """
 
     __slots__ = ("by_hall", "halls", "site")
--- a/bayglade/stall_timeouts.py
+++ b/bayglade/stall_timeouts.py
@@ -15,7 +15,7 @@
 DEVIATIONS = 4.0
 """Mean deviations above the mean that still are usual."""
 WEIGHT = 0.02
-"""Of the newest event in what is usual: some fifty events are remembered."""
+"""Weight of the newest event in what is usual."""
 
 
 class Usual:
--- a/bayglade/totals.py
+++ b/bayglade/totals.py
@@ -17,9 +17,8 @@
 
 UNHEARD_SECONDS = 3.0
 """For how long after its start a daemon takes the others of its hall to have at least as much under way
-as itself: sums reach it within two seconds. After a loss of power of all, callers come back within some
-tenths of a second, each daemon found the quickest way of its hall empty, and servers with room for 57
-requests turned 77 of the first 200 away."""
+as itself. After a loss of power of all, callers come back before the first sums do, and each daemon would
+find the quickest way of its hall empty."""
 
 Loads = dict[ServerKey, ServerLoad]
 """Sums by server; those of an earlier start of a server stand apart from those of the next."""
--- a/bayglade/trials.py
+++ b/bayglade/trials.py
@@ -17,7 +17,7 @@
 
 TRIAL_POLL = 0.05
 ENDED_SECONDS = 0.1
-"""How long stages may take to accept a connection when they are looked at: some thirty times the usual."""
+"""How long stages may take to accept a connection when they are looked at."""
 
 
 def heads_to_avoid(peers: Peers, call: Call, avoided: frozenset[BackendId]) -> frozenset[BackendId]:
