Refuse a plain call that waits for a limited server before its deadline

Seen in a test of our own: where all plain servers name limits, calls whose route allows 1.5 s waited for a server until their deadline and got 504, which promises nothing, though they had not run. Cause: the wait went to the deadline itself. Change: a call waits no longer than leaves it the time of a good answer, and is then refused as not run, with when to come back.

--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -110,7 +110,8 @@
     if expected is None:
         attempts.full_for = peers.fleet.opens_in(call.service)
         return None
-    until = min(call.deadline, call.arrived + WAIT_SECONDS)
+    # Later it could not be answered before its deadline.
+    until = min(call.deadline - call.endpoint.aim, call.arrived + WAIT_SECONDS)
     if now() + expected <= until and any(server.throttle is not None for server in servers):
         place = peers.wait_queues.wait(call, seek, until, choosy=bool(attempts.tried))
         if place is not None:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -7,7 +7,7 @@
 import pytest
 
 from standins.users import MODEL, PLAIN, Daemon, Replica, UsersSite
-from standins.users.limits import WINDOW_SECONDS, excesses
+from standins.users.limits import WINDOW_SECONDS, allowed, excesses
 from standins.world import wait_for
 from tests.gateway_callers import Answer, ask
 
@@ -109,3 +109,128 @@
     load.run(WINDOW_SECONDS + 2.0)
     assert all(server.limits_named for server in limited)
     assert excesses_under(load, limited) == []
+
+
+def belief_of(daemon: Daemon, server: Replica) -> dict[str, object]:
+    found: dict[str, object] = next(b for b in daemon.beliefs()["servers"] if b["backend"] == server.id)
+    return found
+
+
+def wait_known(daemons: Sequence[Daemon], server: Replica, rate: float | None) -> None:
+    wait_for(
+        f"all know of the limit {rate}",
+        lambda: all(belief_of(daemon, server)["rate_limit"] == rate for daemon in daemons),
+    )
+
+
+@pytest.mark.parametrize("answer", ["200", "500", "503", "stream"])
+def test_a_limit_that_any_answer_names_is_told_to_all(site: UsersSite, answer: str) -> None:
+    daemons = started(site, 3)
+    path = "/stream/x" if answer == "stream" else "/safe/x"
+    limited = servers_of(site, path)[0]
+    limited.rate_limit = "0.5"
+    if answer in ("500", "503"):
+        limited.faults.set("error" if answer == "500" else "refuse")
+    wait_for(
+        "it has named the limit", lambda: ask(daemons[0].callers, path).status and limited.limits_named
+    )
+    wait_known(daemons, limited, 0.5)
+    assert {named.request for named in limited.limits_named} <= {
+        line["request"] for line in daemons[0].lines("sent")
+    }
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/stream/x"])
+@pytest.mark.parametrize("end", ["no longer named", "a new start"])
+def test_a_limit_holds_no_longer_than_its_server_names_it(site: UsersSite, path: str, end: str) -> None:
+    daemons = started(site, 2)
+    limited = servers_of(site, path)[0]
+    limited.rate_limit = "1"
+    Load(daemons, path).run(1.5)
+    wait_known(daemons, limited, 1.0)
+    limited.rate_limit = ""
+    if end == "a new start":
+        limited.restart()
+    load = Load(daemons, path)
+    wait_for(
+        "all know of its end",
+        lambda: load.run(0.2) or all(belief_of(d, limited)["rate_limit"] is None for d in daemons),
+    )
+
+
+def test_a_limit_that_makes_no_sense_is_none(site: UsersSite) -> None:
+    daemons = started(site, 1)
+    for server, value in zip(site.of(PLAIN), ("-1", "many", "nan", "1, 2"), strict=True):
+        server.rate_limit = value
+    load = Load(daemons, "/safe/x")
+    load.run(2.0)
+    assert load.served_part() >= SERVED_PART
+    assert all(belief_of(daemons[0], server)["rate_limit"] is None for server in site.of(PLAIN))
+    assert len(daemons[0].lines("rate limit makes no sense")) == 1
+
+
+USED_PART = 0.75
+"""Part of all limits together that is to be used while callers want more."""
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/stream/x"])
+def test_limits_are_used_and_callers_told_when_all_servers_name_one(site: UsersSite, path: str) -> None:
+    daemons = started(site, 3)
+    limited = servers_of(site, path)
+    for server in limited:
+        server.rate_limit = "4"
+    Load(daemons, path).run(2.0)
+    since = time.monotonic()
+    load = Load(daemons, path, pause=0.02)
+    load.run(6.0)
+    arrived = sum(at >= since for server in limited for _, at in server.arrived)
+    assert arrived >= USED_PART * 4.0 * len(limited) * 6.0
+    assert excesses_under(load, limited) == []
+    refused = [answer for answer in load.answers if answer.status != 200]
+    assert {answer.status for answer in refused} <= {503}
+    assert all(float(answer.headers["retry-after"]) > 0 for answer in refused)
+    assert all(site.runs(answer.request) == 0 for answer in refused)
+
+
+def test_limits_hold_when_a_keeper_is_killed(site: UsersSite) -> None:
+    daemons = started(site, 3)
+    limited = site.of(PLAIN)
+    for server in limited:
+        server.rate_limit = "4"
+    Load(daemons, "/safe/x").run(2.0)
+    daemons[0].stop()
+    load = Load(daemons[1:], "/safe/x", pause=0.02)
+    load.run(4.0)
+    since = time.monotonic()
+    load.run(4.0)
+    assert excesses_under(load, limited) == []
+    arrived = sum(at >= since for server in limited for _, at in server.arrived)
+    assert arrived >= USED_PART * 4.0 * len(limited) * 4.0
+
+
+def test_a_later_stage_that_names_a_limit_gets_no_more_either(site: UsersSite) -> None:
+    daemons = started(site, 2)
+    later = next(replica for replica in site.of(MODEL) if replica.held[0] > 0)
+    later.rate_limit = "1"
+    # Reports of stages are asked for when one is suspect.
+    later.faults.set("stall")
+    wait_for(
+        "its report has named the limit",
+        lambda: (
+            ask(daemons[0].callers, "/stream/x").status
+            and belief_of(daemons[0], later)["rate_limit"] == 1.0
+        ),
+    )
+    later.faults.clear()
+    wait_known(daemons, later, 1.0)
+    since = time.monotonic()
+    load = Load(daemons, "/stream/x")
+    load.run(6.0)
+    over = [
+        at
+        for head in first_stages(site)
+        for request, at in head.arrived
+        if at >= since and later.address in head.tried_paths[request]
+    ]
+    assert len(over) <= allowed(1.0)
+    assert load.served_part() >= SERVED_PART
