Have servers of the soak name rate limits, and check them

Daemons that were frozen or whose links were harmed are excused. The check of tests and soak now goes by when a stand-in names a limit, so that what comes after its end does not count.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,7 @@
 from soak.callers import Callers
 from soak.checks import check
 from soak.deadly import QUESTION, Asker, late_ends, touched, trace_ends
-from soak.faults import ACTS, RESTING_ACTS, UNSTEADY_ACTS, Act, Faults
+from soak.faults import ACTS, LIMITED_ACTS, RESTING_ACTS, UNSTEADY_ACTS, Act, Faults
 from soak.records import Journal, Kind
 from soak.site import SoakSite
 from standins.users import KEY
@@ -41,6 +41,9 @@
     rests: int
     """Rests that servers asked for."""
 
+    limits: int
+    """Answers that named a rate limit."""
+
 
 def run(
     seed: int,
@@ -51,6 +54,7 @@
     deadly: str | None = None,
     resting: bool = False,
     unsteady: bool = False,
+    limited: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -62,6 +66,7 @@
     :param deadly: path at which a question is asked again and again that ends servers, if one is.
     :param resting: whether servers also ask for rest, and leave without a word but in their answers.
     :param unsteady: whether faults only keep daemons from word of the store and of each other.
+    :param limited: whether servers also name rate limits.
     :return: what was broken, and figures.
     """
     journal = Journal(key_versions={KEY: 0})
@@ -76,7 +81,7 @@
         if deadly is not None:
             site.deadly = {QUESTION}
             asker.start()
-        Faults(site, journal, seed, _acts(resting, unsteady)).run(seconds)
+        Faults(site, journal, seed, _acts(resting, unsteady, limited)).run(seconds)
         time.sleep(SETTLE_SECONDS)
         asking.stop()
         if deadly is not None:
@@ -95,12 +100,15 @@
         faults=dict(Counter(fault.name for fault in journal.faults)),
         ends=len(site.ends),
         rests=sum(len(replica.rests) for replica in site.every_replica),
+        limits=sum(len(replica.limits_named) for replica in site.every_replica),
     )
 
 
-def _acts(resting: bool, unsteady: bool) -> Sequence[Act]:
+def _acts(resting: bool, unsteady: bool, limited: bool) -> Sequence[Act]:
     if unsteady:
         return UNSTEADY_ACTS
+    if limited:
+        return LIMITED_ACTS
     return RESTING_ACTS if resting else ACTS
 
 
@@ -159,6 +167,7 @@
     parser.add_argument("--deadly", metavar="PATH", help="ask a question there that ends servers")
     parser.add_argument("--resting", action="store_true", help="have servers ask for rest as well")
     parser.add_argument("--unsteady", action="store_true", help="only keep daemons from word")
+    parser.add_argument("--limited", action="store_true", help="have servers name rate limits as well")
     parser.add_argument("--keep", type=Path, default=KEEP, help="where logs of failures go")
     options = parser.parse_args()
     first = options.seed if options.seed is not None else int(time.time())
@@ -173,6 +182,7 @@
             options.deadly,
             options.resting,
             options.unsteady,
+            options.limited,
         )
         failed += bool(result.broken)
         print(msgspec.json.encode(result).decode(), flush=True)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,6 +4,7 @@
 
 from soak.records import Journal, Kind, Record
 from standins.users import EVENTS, UsersSite
+from standins.users.limits import WINDOW_SECONDS, excesses
 
 NOT_RUN = (408, 421, 429, 503)
 """Statuses that promise that the request has not run and never will."""
@@ -38,6 +39,7 @@
         *_planned_stops(journal),
         *_rests(journal, site),
         *_unheard(journal, site),
+        *_limits(journal, site),
         *(f"layers: {path}" for path in site.wrong_paths),
     ]
 
@@ -156,6 +158,18 @@
                 yield f"rest: {replica.id} got {len(late)} requests of {daemon} in {asked.seconds} s"
 
 
+def _limits(journal: Journal, site: UsersSite) -> Iterator[str]:
+    """Check that a server got no more than its rate limit, of all daemons that it had told of it."""
+    daemons = {record.request: record.daemon for record in journal.records}
+
+    def excused(daemon: str, since: float, until: float) -> bool:
+        return _held_up(journal, max(since, until - WINDOW_SECONDS) - CONTACT_SECONDS, until)
+
+    for replica in site.every_replica:
+        for excess in excesses(replica, daemons, excused):
+            yield f"limit: {replica.id} got {excess.got} in {WINDOW_SECONDS} s, {excess.allowed} may come"
+
+
 def _unheard(journal: Journal, site: UsersSite) -> Iterator[str]:
     """Check that a daemon stops sending to a server that told it in an answer that it leaves."""
     records = {record.request: record for record in journal.records}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -40,6 +40,11 @@
 """How long a server that leaves serves on."""
 RESTS = ("0.8", "1.5", "3")
 """Seconds of rest that servers ask for."""
+LIMITS = ("0.5", "1", "2.5", "6")
+"""Requests a second that servers say they take."""
+LIMIT_LASTS = (2.0, 9.0)
+ALL_LIMITED = 0.25
+"""Likelihood that all servers of a service name a limit."""
 GRACE_SECONDS = 8.0
 REVOKE_AFTER = 1.0
 
@@ -284,6 +289,23 @@
     faults.begin("rest", server.id, lasts + float(asked), work)
 
 
+def limit(faults: Faults) -> None:
+    """Have a server name a rate limit, or all of its service."""
+    rng = faults.rng
+    chosen = rng.choice(faults.site.replicas)
+    servers = faults.site.of(MODEL if chosen.kind else PLAIN) if rng.random() < ALL_LIMITED else [chosen]
+    rate, lasts = rng.choice(LIMITS), rng.uniform(*LIMIT_LASTS)
+
+    def work() -> None:
+        for server in servers:
+            server.rate_limit = rate
+        time.sleep(lasts)
+        for server in servers:
+            server.rate_limit = ""
+
+    faults.begin("limit", chosen.id, lasts + 2.0, work)
+
+
 def leave_unheard(faults: Faults) -> None:
     """Have a server leave that says so in its answers only; its successor comes first."""
     server = faults.rng.choice(faults.site.replicas)
@@ -313,5 +335,7 @@
 RESTING_ACTS: tuple[Act, ...] = (*ACTS, *[rest] * 5, *[leave_unheard] * 2)
 """A tuple of its own, so that earlier seeds go on to do what they did."""
 
+LIMITED_ACTS: tuple[Act, ...] = (*ACTS, *[limit] * 8)
+
 UNSTEADY_ACTS: tuple[Act, ...] = (store, store, kill, pause, link)
 """What keeps daemons from word of others; in this order, on which what a seed chooses depends."""
--- a/standins/users/limits.py
+++ b/standins/users/limits.py
@@ -1,9 +1,11 @@
 """What a server that names a limit may get: the promise, checked from what servers saw."""
 
+import math
 from collections.abc import Callable, Iterable, Mapping
+from itertools import pairwise
 from typing import NamedTuple
 
-from standins.users.replica import LimitNamed, Replica
+from standins.users.replica import LimitChange, Replica
 
 WINDOW_SECONDS = 4.0
 FACTOR = 1.5
@@ -30,38 +32,69 @@
     return FACTOR * WINDOW_SECONDS * rate + EXTRA
 
 
-def excesses(server: Replica, daemon_of: Mapping[str, str], since: float = 0.0) -> list[Excess]:
+def excesses(
+    server: Replica,
+    daemon_of: Mapping[str, str],
+    excused: Callable[[str, float, float], bool] = lambda daemon, since, until: False,
+) -> list[Excess]:
     """List the windows in which a server got more than the limit that held through them.
 
     Only daemons count that had passed on an answer with the limit, by which all are bound together.
 
     :param server: the server.
     :param daemon_of: the daemon that was asked, by request.
-    :param since: nothing counts before this time, in monotonic seconds.
+    :param excused: tells of a daemon and a span whether faults kept it from keeping limits.
     """
-    born = server.limits_named[-1].born if server.limits_named else 0
-    named = [limit for limit in server.limits_named if limit.born == born]
-    told: dict[str, float] = {}
-    for limit in named:
-        told.setdefault(daemon_of[limit.request], limit.at + TOLD_SECONDS)
-    counted = [
-        at for request, at in server.arrived if at >= max(since, told.get(daemon_of[request], float("inf")))
-    ]
-    return list(_windows(counted, lambda since, until: _rate(named, since, until)))
-
-
-def _windows(times: list[float], rate: Callable[[float, float], float]) -> Iterable[Excess]:
-    first = 0
+    found: list[Excess] = []
+    for held in _held(server):
+        told: dict[str, float] = {}
+        for named in server.limits_named:
+            if held.since <= named.at < held.until and (daemon := daemon_of.get(named.request)):
+                told.setdefault(daemon, named.at + TOLD_SECONDS)
+        counted = [
+            at
+            for request, at in server.arrived
+            if told.get(daemon_of.get(request, ""), math.inf) <= at < held.until
+            and not excused(daemon_of[request], held.since, at)
+        ]
+        found += _windows(counted, held.rate)
+    return found
+
+
+class _Held(NamedTuple):
+    """A span in which one start of a server named one limit."""
+
+    since: float
+    until: float
+    rate: float
+
+
+def _held(server: Replica) -> list[_Held]:
+    """List the spans in which a server named limits; each counts by itself."""
+    changes = [*server.limit_changes, LimitChange(math.inf, "")]
+    spans = []
+    for change, following in pairwise(changes):
+        if not (rate := _rate(change.value)):
+            continue
+        starts = [at for at in server.started if change.at < at < following.at]
+        for since, until in pairwise([change.at, *starts, following.at]):
+            spans.append(_Held(since, until, rate))
+    return spans
+
+
+def _rate(value: str) -> float:
+    try:
+        return float(value or 0.0)
+    except ValueError:
+        # Nonsense names no limit.
+        return 0.0
+
+
+def _windows(times: list[float], rate: float) -> Iterable[Excess]:
+    first, most = 0, allowed(rate)
     for last, until in enumerate(times):
         while times[first] <= until - WINDOW_SECONDS:
             first += 1
-        got, most = last - first + 1, allowed(rate(until - WINDOW_SECONDS, until))
+        got = last - first + 1
         if got > most:
             yield Excess(until, got, most)
-
-
-def _rate(named: list[LimitNamed], since: float, until: float) -> float:
-    """Return the highest limit that held in a time."""
-    before = [limit.rate for limit in named if limit.at <= since][-1:]
-    within = [limit.rate for limit in named if since < limit.at <= until]
-    return max(before + within)
--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -25,6 +25,13 @@
     seconds: float
 
 
+class LimitChange(NamedTuple):
+    """A moment from which answers name a limit, or none when empty."""
+
+    at: float
+    value: str
+
+
 class LimitNamed(NamedTuple):
     """An answer that named a limit."""
 
@@ -77,8 +84,9 @@
         self.rest = ""
         """What it asks for when it turns a request away; nothing when empty."""
 
-        self.rate_limit = ""
-        """Requests a second that its answers say it takes from all daemons; nothing when empty."""
+        self.limit_changes: list[LimitChange] = []
+        self.started: list[float] = []
+        """When it started again, in monotonic seconds."""
 
         self.limits_named: list[LimitNamed] = []
         """The limits that answers to requests named."""
@@ -113,6 +121,15 @@
 
         self.register()
 
+    @property
+    def rate_limit(self) -> str:
+        """Return the requests a second that its answers say it takes from all daemons, if any."""
+        return self.limit_changes[-1].value if self.limit_changes else ""
+
+    @rate_limit.setter
+    def rate_limit(self, value: str) -> None:
+        self.limit_changes.append(LimitChange(time.monotonic(), value))
+
     def register(self) -> None:
         """Write the own row."""
         self.writes += 1
@@ -147,6 +164,7 @@
         """
         self.server.end()
         self.born = max(self.born + 1, int(time.time() * 1000))
+        self.started.append(time.monotonic())
         self.held, self.given_up, self.orders, self.writes = (0, 0), [], 0, 0
         self.state = "ready"
         self.server = Server(self)
