Ask for limits only of servers that name one when a path is sought

Cause: each search for a path listed all sound servers once more, only to find that none names a limit, and asked each for when it opens. Change: the limit is looked at first. No decision changes.

--- a/bayglade/paths.py
+++ b/bayglade/paths.py
@@ -104,7 +104,8 @@
 
     def _want(self, service: ServiceName) -> None:
         """Have requests lent to the servers that name a limit, those of the own hall before others."""
-        limited = [server for server in self.fleet.sound(service) if server.throttle is not None]
+        at = now()
+        limited = [s for s in self.fleet.of(service) if s.throttle is not None and s.sound(at)]
         near = [server for server in limited if server.facts.hall == self.hall]
         self.fleet.rate_limits.want(near or limited)
 
--- a/bayglade/servers.py
+++ b/bayglade/servers.py
@@ -212,7 +212,9 @@
 
     def usable(self, at: float) -> bool:
         """Tell whether new work may go there."""
-        return self.sound(at) and self.opens_at(at) <= at
+        if at < self.rest_until or not self.sound(at):
+            return False
+        return self.throttle is None or self.throttle.has_token(at)
 
     def placed(self, at: float) -> bool:
         """Tell whether a layout counts on it and its layers."""
