Play a seed of limited servers in the tests, and show that its check finds excess

The checks of the soak went by fields that their tests' stand-in of a server lacked since servers name limits; it has them now. test_soak.py: a short seeded run with limits, and a load of five a second at a limit of one that the check finds, unless the limit had ended or a daemon was frozen.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,7 @@
 from soak.records import Fault, Journal, Kind, Record
 from soak.site import SoakDaemon
 from standins.users import EVENTS
-from standins.users.replica import RestAsked
+from standins.users.replica import LimitChange, LimitNamed, RestAsked
 from standins.users.site import Ending
 
 SECONDS = 8.0
@@ -77,6 +77,31 @@
     assert check(journal, site) == []  # type: ignore[arg-type]
 
 
+def test_servers_get_no_more_than_their_rate_limit_under_faults() -> None:
+    result = run(seed=7001, seconds=SECONDS, daemons=3, callers=6, limited=True)
+    assert result.broken == []
+    assert result.limits > 0
+
+
+def test_requests_beyond_a_rate_limit_are_found() -> None:
+    records = [a_record(sent_at=100.0 + 0.2 * n) for n in range(20)]
+    for number, record in enumerate(records):
+        record.request, record.body = f"q{number}", f"answer to q{number}".encode()
+    site = Site()
+    server = site.every_replica[0]
+    server.limit_changes = [LimitChange(99.9, "1")]
+    server.limits_named = [LimitNamed("q0", 100.0, 1.0, 1)]
+    server.arrived = [(record.request, record.sent_at) for record in records]
+    journal = Journal(records=records)
+    assert [line for line in check(journal, site) if line.startswith("limit")]  # type: ignore[arg-type]
+    # What came after the server named none any more is no excess.
+    server.limit_changes.append(LimitChange(101.0, ""))
+    assert check(journal, site) == []  # type: ignore[arg-type]
+    server.limit_changes.pop()
+    journal.faults.append(Fault("pause", "d0", 100.5, 101.0))
+    assert check(journal, site) == []  # type: ignore[arg-type]
+
+
 def test_requests_to_a_server_that_said_in_an_answer_that_it_leaves_are_found() -> None:
     told, late = a_record(), a_record(sent_at=100.2 + DRAIN_SECONDS)
     late.request = "late"
@@ -105,6 +130,9 @@
         self.rests: list[RestAsked] = []
         self.said_leaving: list[tuple[str, float]] = []
         self.arrived: list[tuple[str, float]] = []
+        self.limit_changes: list[LimitChange] = []
+        self.limits_named: list[LimitNamed] = []
+        self.started: list[float] = []
 
 
 class Site:
