Test what daemons know of rate limits in any order of answers and notices

Generated answers at four daemons, with notices delivered in any order: they die out within 12 messages an answer, and the last answer is known to all.

--- /dev/null
+++ b/tests/test_rate_limits.py
@@ -0,0 +1,183 @@
+"""What daemons know of rate limits: which answers count, what others tell, and that notices die out."""
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bayglade import fleet as fleet_module
+from bayglade import quotas, rate_limits
+from bayglade.entries.wire import LimitNotice
+from bayglade.fleet import Fleet
+from bayglade.ids import BackendId, Incarnation, MemberId
+from bayglade.quotas import choose_keeper
+from bayglade.rate_limits import REPEAT_SECONDS
+from bayglade.servers import Server
+from tests.server_rows import BORN, facts_of
+
+ID = BackendId("s")
+SOURCE = "an answer"
+
+
+class Clock:
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.at = 100.0
+        for module in (fleet_module, quotas, rate_limits):
+            monkeypatch.setattr(module, "now", lambda: self.at)
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    return Clock(monkeypatch)
+
+
+def listed(name: str = "d0") -> tuple[Fleet, Server, list[LimitNotice]]:
+    fleet, told = Fleet(), []
+    fleet.take([facts_of()], [], outage=False)
+    fleet.rate_limits.me = MemberId(name)
+    fleet.rate_limits.on_news = told.extend
+    return fleet, fleet.servers[ID], told
+
+
+def rate_of(server: Server) -> float | None:
+    return server.rate_limit.rate if server.rate_limit is not None else None
+
+
+def test_an_answer_ends_a_limit_only_if_its_request_went_out_after_that_was_named(clock: Clock) -> None:
+    fleet, server, told = listed()
+    fleet.rate_limits.answered(server, 2.0, 99.0, SOURCE)
+    clock.at += 1.0
+    fleet.rate_limits.answered(server, None, 99.9, SOURCE)
+    assert rate_of(server) == 2.0
+    fleet.rate_limits.answered(server, None, 100.5, SOURCE)
+    assert rate_of(server) is None
+    assert server.usable(clock.at)
+    assert [notice.rate for notice in told] == [2.0, None]
+
+
+def test_a_limit_that_holds_on_is_told_again_and_no_more_often(clock: Clock) -> None:
+    fleet, server, told = listed()
+    for _ in range(int(4 * REPEAT_SECONDS)):
+        fleet.rate_limits.answered(server, 2.0, clock.at, SOURCE)
+        clock.at += 1.0
+    assert len(told) == 4
+
+
+@pytest.mark.parametrize("outage", [False, True])
+def test_a_limit_outlasts_the_row_of_its_server(clock: Clock, outage: bool) -> None:
+    fleet, server, _ = listed()
+    fleet.rate_limits.answered(server, 2.0, 99.0, SOURCE)
+    fleet.take([], [ID], outage)
+    fleet.drop_lapsed()
+    fleet.take([facts_of(seq=2)], [], outage=False)
+    assert rate_of(fleet.servers[ID]) == 2.0
+    assert not fleet.servers[ID].usable(clock.at)
+
+
+def test_a_new_start_has_no_limit_and_old_notices_say_nothing_of_it(clock: Clock) -> None:
+    fleet, server, _ = listed()
+    fleet.rate_limits.answered(server, 2.0, 99.0, SOURCE)
+    fleet.take([facts_of(born=BORN + 1)], [], outage=False)
+    again = fleet.servers[ID]
+    assert again.usable(clock.at)
+    old = LimitNotice(ID, MemberId("d1"), Incarnation(BORN), 1, 2.0, 0.0)
+    assert fleet.rate_limits.heard([old]) == []
+    assert again.usable(clock.at)
+
+
+def test_a_server_with_a_limit_is_well(clock: Clock) -> None:
+    fleet, server, _ = listed()
+    changed = fleet.changed
+    fleet.rate_limits.answered(server, 0.0, 99.0, SOURCE)
+    assert server.sound(clock.at)
+    assert server.placed(clock.at)
+    assert not server.ended(clock.at)
+    assert not server.usable(clock.at)
+    assert server.state() == "limited"
+    assert fleet.changed == changed
+
+
+def test_what_was_lent_is_used_once_or_given_back(clock: Clock) -> None:
+    fleet, server, _ = listed()
+    fleet.rate_limits.answered(server, 2.0, 99.0, SOURCE)
+    assert server.throttle is not None
+    server.throttle.lent(clock.at + 1.0)
+    assert server.usable(clock.at)
+    assert server.throttle.take(clock.at)
+    assert not server.throttle.take(clock.at)
+    server.throttle.give_back()
+    assert server.throttle.take(clock.at + 0.5)
+    server.throttle.give_back()
+    assert not server.throttle.take(clock.at + 1.0)
+
+
+def test_keepers_of_many_servers_are_spread() -> None:
+    members = [MemberId(f"d{n}") for n in range(8)]
+    keys = [facts_of(f"s{n}").key for n in range(400)]
+    kept = [choose_keeper(key, members) for key in keys]
+    assert all(20 <= kept.count(member) <= 90 for member in members)
+    # Who leaves changes the keepers of its own servers only.
+    left = [choose_keeper(key, members[1:]) for key in keys]
+    assert all(after == before for before, after in zip(kept, left, strict=True) if before != members[0])
+
+
+class Daemons:
+    """Daemons that all tell each other, and the notices that are on their way."""
+
+    def __init__(self, count: int) -> None:
+        self.fleets: list[Fleet] = []
+        self.on_way: list[tuple[int, list[LimitNotice]]] = []
+        self.messages = 0
+        for number in range(count):
+            fleet, _, _ = listed(f"d{number}")
+            fleet.rate_limits.on_news = self._teller(number)
+            self.fleets.append(fleet)
+
+    def _teller(self, sender: int) -> Callable[[list[LimitNotice]], None]:
+        return lambda notices: self.tell(sender, notices)
+
+    def tell(self, sender: int, notices: list[LimitNotice]) -> None:
+        for number in range(len(self.fleets)):
+            if number != sender:
+                self.messages += 1
+                self.on_way.append((number, notices))
+
+    def deliver(self, place: int) -> None:
+        number, notices = self.on_way.pop(place % len(self.on_way))
+        if news := self.fleets[number].rate_limits.heard(notices):
+            self.tell(number, news)
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.sampled_from([None, 0.0, 1.0, 4.0]), st.integers(0, 9)), max_size=12
+    ),
+    st.lists(st.integers(0, 1000), min_size=1, max_size=20),
+)
+def test_notices_in_any_order_die_out_and_the_last_answer_is_known_to_all(
+    answers: list[tuple[int, float | None, int]], order: list[int]
+) -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        clock, daemons = Clock(patch), Daemons(4)
+        for number, rate, delivered in answers:
+            clock.at += 0.01
+            fleet = daemons.fleets[number]
+            fleet.rate_limits.answered(fleet.servers[ID], rate, clock.at, SOURCE)
+            for step in range(min(delivered, len(daemons.on_way))):
+                clock.at += 0.001
+                daemons.deliver(order[step % len(order)])
+        for step in range(10_000):
+            if not daemons.on_way:
+                break
+            clock.at += 0.001
+            daemons.deliver(order[step % len(order)])
+        assert not daemons.on_way
+        assert daemons.messages <= 12 * len(answers)
+        clock.at += 1.0
+        last = daemons.fleets[0]
+        last.rate_limits.answered(last.servers[ID], 2.0, clock.at, SOURCE)
+        while daemons.on_way:
+            clock.at += 0.001
+            daemons.deliver(0)
+        assert {rate_of(fleet.servers[ID]) for fleet in daemons.fleets} == {2.0}
