--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -1,5 +1,6 @@
 """Servers that name a limit get no more than that of all daemons together."""
 
+import signal
 import threading
 import time
 from collections.abc import Iterator, Sequence
@@ -234,3 +235,26 @@
     ]
     assert len(over) <= allowed(1.0)
     assert load.served_part() >= SERVED_PART
+
+
+@pytest.mark.parametrize("store", ["well", "away"])
+def test_limits_hold_among_many_daemons_whoever_is_frozen_or_joins(site: UsersSite, store: str) -> None:
+    daemons = started(site, 8)
+    limited = site.of(PLAIN)
+    for server in limited:
+        server.rate_limit = "2"
+    Load(daemons, "/safe/x").run(1.5)
+    if store == "away":
+        site.store.faults.set("busy")
+    frozen = daemons[0]
+    frozen.signal(signal.SIGSTOP)
+    load = Load(daemons[1:], "/safe/x", pause=0.05)
+    load.run(3.0)
+    frozen.signal(signal.SIGCONT)
+    site.store.faults.clear()
+    joined = site.start("hall-0", retry_floor=1000.0, key_trust_ms=60_000)
+    load.daemons = [joined, *daemons[1:]]
+    load.run(5.0)
+    assert excesses_under(load, limited) == []
+    senders = {load.daemon_of[request] for server in limited for request, _ in server.arrived}
+    assert joined.settings["member"] in senders
