--- a/standins/limit_sharing.py
+++ b/standins/limit_sharing.py
@@ -140,7 +140,7 @@
         for step in range(int(seconds / STEP)):
             self._step(step * STEP)
         could = min(self.rate * seconds, float(self.offered))
-        return Result(_worst(self.sent), len(self.sent) / could if could else 0.0)
+        return Result(worst_window(self.sent), len(self.sent) / could if could else 0.0)
 
     def _step(self, at: float) -> None:
         if self.churn and _every(at, CHURN_SECONDS):
@@ -204,10 +204,14 @@
     return count
 
 
-def _worst(times: Sequence[float], window: float = WINDOW_SECONDS) -> int:
+def worst_window(times: Sequence[float]) -> int:
+    """Return the most requests in any window.
+
+    :param times: when they arrived, in order.
+    """
     worst = first = 0
     for last, at in enumerate(times):
-        while times[first] <= at - window:
+        while times[first] <= at - WINDOW_SECONDS:
             first += 1
         worst = max(worst, last - first + 1)
     return worst
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -17,7 +17,7 @@
 from bayglade.ids import BackendId, MemberId
 from bayglade.quotas import LOAN_SECONDS, Quotas, choose_keeper
 from bayglade.servers import Server
-from standins.limit_sharing import WINDOW_SECONDS, allowed
+from standins.limit_sharing import allowed, worst_window
 from tests.server_rows import facts_of
 from tests.virtual_time import now, run_virtually
 
@@ -213,12 +213,7 @@
             and daemon.told_at is not None
             and at >= max(since, daemon.told_at + TOLD_SECONDS)
         ]
-        worst = first = 0
-        for last, at in enumerate(times):
-            while times[first] <= at - WINDOW_SECONDS:
-                first += 1
-            worst = max(worst, last - first + 1)
-        return worst
+        return worst_window(times)
 
     def got(self, since: float) -> int:
         return sum(1 for at, _ in self.backend.arrived if at >= since)
