Give the ports of a stopped site back, and never look for one for ever

Cause: a port that was handed out stays kept for its process, so that no other run takes it, and the search for a free one went round the range of 1,000 for ever once all were kept. A worker of the tests could have come to it as well. Change: a site that stops gives its ports back; a range without a free port is an error at once, as the function had promised.

--- a/standins/users/site.py
+++ b/standins/users/site.py
@@ -13,7 +13,7 @@
 from standins.users.daemon import Daemon, quietly
 from standins.users.replica import Replica, read_path
 from standins.users.store import MetadataStore
-from standins.world import wait_for
+from standins.world import release_ports, reserved_ports, wait_for
 
 BEGIN_SECONDS = 0.03
 """Time from when a server begins to run a request that ends it to its end."""
@@ -40,6 +40,7 @@
         plain: int = 2,
         front: Callable[[str], str] = lambda address: address,
     ) -> None:
+        self.ports_before = reserved_ports()
         self.store = MetadataStore()
         self.front = front
         """Puts something before the address of a server, and returns where it is reached then."""
@@ -172,6 +173,7 @@
         for replica in self.every_replica:
             replica.server.end()
         self.store.server.end()
+        release_ports(self.ports_before)
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def _placed(self) -> bool:
--- a/standins/world.py
+++ b/standins/world.py
@@ -13,7 +13,7 @@
 import time
 from collections.abc import Callable
 from hashlib import sha256
-from itertools import cycle
+from itertools import cycle, islice
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -84,6 +84,7 @@
 
     def __init__(self) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="bayglade-"))
+        self.ports_before = reserved_ports()
         self.processes: dict[str, Process] = {}
         self.http = urllib3.PoolManager(maxsize=64, retries=False)
         self.platform = ""
@@ -103,6 +104,7 @@
             if process.popen.poll() is None:
                 process.signal(signal.SIGCONT)
                 process.kill()
+        release_ports(self.ports_before)
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def start(self, name: str, arguments: list[str], address: str, path: str) -> Process:
@@ -293,8 +295,10 @@
 
     Ports for outgoing connections are left alone: one could take the port
     before the process that it is meant for listens on it.
+
+    :raises RuntimeError: when all ports of this process are taken.
     """
-    for port in _ports:
+    for port in islice(_ports, PORTS_A_RANGE):
         with socket.socket() as sock:
             try:
                 sock.bind((HOST, port))
@@ -305,6 +309,20 @@
     raise RuntimeError("no free port")
 
 
+def reserved_ports() -> int:
+    """Return how many ports are kept for this process."""
+    return len(_reserved)
+
+
+def release_ports(since: int) -> None:
+    """Give ports back, once the processes that used them have ended.
+
+    :param since: how many were kept before these; a soak of many seeds would run out of them.
+    """
+    while len(_reserved) > since:
+        _reserved.pop().close()
+
+
 def _reserve(port: int) -> None:
     """Keep a port for this process; what it is used for is another protocol.
 
