Log the store's epochs, tables read anew, and updates that are not taken in

Change: the adapter reads the epoch that each answer of the store names, refusals and conflicts too, and StoreHistory logs when it grows. A feed logs a table that it read anew (version before and after, rows missing, added, changed) and, a few lines a second, updates that it drops and why. No decision hangs on it yet. The stand-in's store can be restored from an older copy, gives its versions out again and names its epoch.

--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -20,7 +20,7 @@
 from bayglade.clock import now
 from bayglade.exceptions import HistoryGone, PlatformUnavailable
 from bayglade.freshness import rest_after
-from bayglade.logs import event
+from bayglade.logs import event, limited
 from bayglade.rows import ChangeFeed, Changes
 
 FIRST_PAUSE = 0.05
@@ -46,6 +46,9 @@
 came late in its wait the next call waits for less."""
 LEAST_WAIT = 0.1
 
+DROPPED_LINES_PER_SECOND = 2.0
+"""Log lines a second on updates that are not taken in: a daemon that is behind is told again and again."""
+
 MAX_REMOVED = 1000
 """Removed rows that are remembered, so that others can be told of them."""
 
@@ -131,6 +134,10 @@
         self.complete_from = 0
         """The version from which on all rows that were removed are remembered."""
 
+        self.gone_version: int | None = None
+        """The version after which the history was gone, until the table has been read anew."""
+
+        self.tell_dropped = limited(DROPPED_LINES_PER_SECOND)
         self.rng = random.Random()
         self.task: eventlet.greenthread.GreenThread | None = None
 
@@ -163,7 +170,7 @@
                 self._step()
             except HistoryGone:
                 event("WARNING", "history gone", table=self.table, version=self.version)
-                self.version = None
+                self.gone_version, self.version = self.version, None
             except PlatformUnavailable as error:
                 self._failed(error)
                 self._pause()
@@ -210,6 +217,7 @@
         """
         gap = after is not None and (self.version is None or after > self.version)
         if gap:
+            self._dropped("gap", changes, after)
             return
         # Entries that lapsed in an outage are judged by when the store came back.
         self.recovered_at = max(self.recovered_at, recovered_at)
@@ -251,9 +259,12 @@
     def _take(self, changes: Changes, whole: bool) -> bool:
         """Take in rows, unless newer ones came another way meanwhile; tell whether there were any."""
         if self.version is not None and changes.version < self.version:
+            self._dropped("older", changes, None)
             return False
         if self.version == changes.version and (whole or not changes.rows):
             return False
+        if whole and self.gone_version is not None:
+            self._read_anew(changes)
         self.version = changes.version
         self._remember(changes, whole)
         if not whole and not changes.rows:
@@ -261,6 +272,35 @@
         self.apply(changes, whole)
         return True
 
+    def _dropped(self, reason: str, changes: Changes, after: int | None) -> None:
+        """Log an update that is not taken in."""
+        self.tell_dropped(
+            "INFO",
+            "update dropped",
+            table=self.table,
+            reason=reason,
+            version=changes.version,
+            after=after,
+            known=self.version,
+            rows=len(changes.rows),
+        )
+
+    def _read_anew(self, changes: Changes) -> None:
+        """Log what a table that was read whole, as its history was gone, differs in."""
+        before = {key: bytes(value) for key, (_, value) in self.rows.items() if value is not None}
+        after = {key: bytes(value) for key, value in changes.rows.items() if value is not None}
+        event(
+            "WARNING",
+            "table read anew",
+            table=self.table,
+            before=self.gone_version,
+            version=changes.version,
+            missing=len(before.keys() - after.keys()),
+            added=len(after.keys() - before.keys()),
+            changed=sum(after[key] != before[key] for key in before.keys() & after.keys()),
+        )
+        self.gone_version = None
+
     def _remember(self, changes: Changes, whole: bool) -> None:
         if whole:
             self.rows.clear()
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -17,6 +17,7 @@
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
 from bayglade.diagnosis import Diagnosis
 from bayglade.ends import watch_ends
+from bayglade.epochs import StoreHistory
 from bayglade.exceptions import BaygladeError, InvalidSettings, Stopping
 from bayglade.feeds import Feed, look_together
 from bayglade.fleet import Fleet
@@ -86,7 +87,8 @@
         settings_bound = document_bound(config.config_ms / 1000, key_trust)
         self.shortest_bound = min(settings_bound, servers_bound)
         answer_seconds = answer_within(self.shortest_bound)
-        self.store = platform.Store(parse_address(config.store), answer_seconds)
+        self.history = StoreHistory()
+        self.store = platform.Store(parse_address(config.store), answer_seconds, self.history.note)
         self.fleet = Fleet()
         self.links = Links()
         self.fleet.on_restart.append(self.links.drop)
--- a/bayglade/ids.py
+++ b/bayglade/ids.py
@@ -26,6 +26,12 @@
 Fingerprint = NewType("Fingerprint", str)
 """Names what a request asks, whatever its id; see :mod:`bayglade.fingerprints`."""
 
+StoreEpoch = NewType("StoreEpoch", int)
+"""Grows each time the platform's store is restored from an older copy; versions are unique within one."""
+
+UNKNOWN_EPOCH = StoreEpoch(-1)
+"""That of a store, or of an answer, which does not name its epoch."""
+
 UNKNOWN_INCARNATION = Incarnation(0)
 """That of a server which does not say when it started."""
 
--- a/bayglade/platform/store.py
+++ b/bayglade/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import math
+from collections.abc import Callable
 
 import msgspec
 import urllib3
@@ -10,6 +11,8 @@
 
 from bayglade.config import Address
 from bayglade.exceptions import HistoryGone, PlatformAnswerLost, PlatformUnavailable
+from bayglade.ids import UNKNOWN_EPOCH, StoreEpoch
+from bayglade.logs import limited
 from bayglade.rows import ABSENT, Changes, Row, Transaction, TransactionResult
 
 CONNECT_TIMEOUT = 0.5
@@ -21,6 +24,9 @@
 """Begins the names of bayglade's own tables; each matter has one, so that a feed of one wakes
 nobody for another."""
 MEMBERS_TABLE = OWN_TABLES + "members"
+EPOCH_HEADER = "Store-Era"
+STRANGE_LINES_PER_SECOND = 0.1
+"""Log lines a second on epochs that make no sense: each answer names one."""
 
 
 class StoredRow(msgspec.Struct):
@@ -71,11 +77,19 @@
 
     :param address: where it answers.
     :param answer_seconds: how long an answer to a reading call may take beside the wait asked for.
+    :param on_epoch: told of the epoch that each answer names, refusals and conflicts among them.
     """
 
-    def __init__(self, address: Address, answer_seconds: float = READ_TIMEOUT) -> None:
+    def __init__(
+        self,
+        address: Address,
+        answer_seconds: float = READ_TIMEOUT,
+        on_epoch: Callable[[StoreEpoch], None] = lambda epoch: None,
+    ) -> None:
         self.address = address
         self.answer_seconds = answer_seconds
+        self.on_epoch = on_epoch
+        self.tell_strange = limited(STRANGE_LINES_PER_SECOND)
         self.pool = self._new_pool()
 
     def __repr__(self) -> str:
@@ -175,8 +189,18 @@
             self.pool, silent = self._new_pool(), self.pool
             silent.close()
             raise lost("the store's answer was lost", step=step, peer="store") from error
+        self.on_epoch(self._epoch(response.headers.get(EPOCH_HEADER)))
         return response.status, response.data
 
+    def _epoch(self, text: str | None) -> StoreEpoch:
+        """Read the epoch that an answer names; one that makes no sense is none."""
+        if text is None:
+            return UNKNOWN_EPOCH
+        if not (text.isascii() and text.isdigit()):
+            self.tell_strange("WARNING", "store epoch makes no sense", value=text[:20])
+            return UNKNOWN_EPOCH
+        return StoreEpoch(int(text))
+
 
 def _table(key: str) -> str:
     """Return the table of one of bayglade's own rows, whose key begins with its matter."""
--- a/standins/users/site.py
+++ b/standins/users/site.py
@@ -12,7 +12,7 @@
 from standins.users.configuration import KEY, LAYERS, MODEL, configuration
 from standins.users.daemon import Daemon, quietly
 from standins.users.replica import Replica, read_path
-from standins.users.store import MetadataStore
+from standins.users.store import MetadataStore, RowKey
 from standins.world import release_ports, reserved_ports, wait_for
 
 BEGIN_SECONDS = 0.03
@@ -67,6 +67,12 @@
         self.stopped = False
         self.folder = Path(tempfile.mkdtemp(prefix="bayglade-"))
         self.version = 0
+        self.configuration: dict[str, Any] = {}
+        """What the operator wrote last."""
+
+        self.lost_rows: set[RowKey] = set()
+        """Rows that a restored store has lost and nobody has written again."""
+
         for hall in range(halls):
             for number in range(stages):
                 self.replicas.append(Replica(self, f"{hall}-{number}", f"hall-{hall}", "card"))
@@ -100,7 +106,32 @@
     def configure(self, keys: tuple[str, ...] = (KEY,), version: int | None = None, **changes: Any) -> None:
         """Write a configuration as the operator does; ``changes`` go into every route."""
         self.version = version if version is not None else self.version + 3
-        self.store.put("op", "config", configuration(self.version, keys, changes))
+        self.configuration = configuration(self.version, keys, changes)
+        self.store.put("op", "config", self.configuration)
+
+    def restore_store(self, version: int, away: float = 0.05) -> None:
+        """Have the store be away for a moment and come back as a copy of an earlier version.
+
+        :param version: the newest version in the copy.
+        :param away: for how long it resets all calls, in seconds.
+        """
+        self.store.faults.set("reset")
+        time.sleep(away)
+        self.lost_rows |= self.store.restore(version)
+        self.store.faults.left["reset"] = 0
+
+    def write_again(self) -> None:
+        """Have the operator and the servers write what a restored store has lost."""
+        lost, self.lost_rows = self.lost_rows, set()
+        if ("op", "config") in lost:
+            self.store.put("op", "config", self.configuration)
+        for replica in self.replicas:
+            if ("servers", replica.id) in lost:
+                replica.register()
+        living = {replica.id for replica in self.replicas}
+        for table, key in lost:
+            if table == "servers" and key not in living:
+                self.store.drop(table, key)
 
     def start(self, hall: str = "hall-0", **settings: Any) -> "Daemon":
         """Start a daemon and wait until it is ready."""
--- a/standins/users/store.py
+++ b/standins/users/store.py
@@ -1,10 +1,11 @@
-"""A stand-in for the users' metadata store."""
+"""A stand-in for the users' metadata store, which may be restored from an older copy."""
 
 import base64
 import threading
 import time
 from collections import Counter
-from typing import Any
+from collections.abc import Sequence
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -12,16 +13,40 @@
 from standins.users.faults import Faults
 from standins.users.web import Handler, Server
 
+RowKey = tuple[str, str]
+"""Table and key of a row."""
+
+StoredRow = tuple[int, bytes | None]
+"""Version and value of a row; no value when it was removed."""
+
+
+class Undo(NamedTuple):
+    """A write that a restored store has lost."""
+
+    at: float
+    """When it was done, in monotonic seconds."""
+
+    version: int
+    """The newest version before it."""
+
+    key: RowKey
+    before: StoredRow | None
+
 
 class MetadataStore:
-    """Rows with versions, conditional transactions and feeds; faults: busy, silent, lost, forgotten.
+    """Rows with versions, conditional transactions and feeds; faults: busy, silent, reset, lost, forgotten.
 
     The first two with the name of a table after them harm calls for that table only.
     """
 
     def __init__(self) -> None:
-        self.rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
+        self.rows: dict[RowKey, StoredRow] = {}
         self.version = 0
+        self.epoch: int | None = 1
+        """Grows each time the store is restored; nothing when its answers do not name it."""
+
+        self.restores = 0
+        self.undo: list[Undo] = []
         self.changed = threading.Condition()
         self.faults = Faults()
         self.calls: Counter[str] = Counter()
@@ -34,28 +59,56 @@
     def put_bytes(self, table: str, key: str, value: bytes) -> None:
         """Write a row as any writer may: bytes that need not make sense."""
         with self.changed:
-            self.version += 1
-            self.rows[table, key] = (self.version, value)
-            self.changed.notify_all()
+            self._write([((table, key), value)])
 
     def drop(self, table: str, key: str) -> None:
         """Remove a row."""
         with self.changed:
-            self.version += 1
-            self.rows[table, key] = (self.version, None)
+            self._write([((table, key), None)])
+
+    def version_before(self, seconds: float) -> int:
+        """Return the newest version of some seconds ago."""
+        with self.changed:
+            oldest = time.monotonic() - seconds
+            return next((undo.version for undo in self.undo if undo.at > oldest), self.version)
+
+    def restore(self, version: int) -> set[RowKey]:
+        """Come back as a copy of an earlier version; calls under way are never answered.
+
+        :param version: the newest version in the copy.
+        :return: the rows whose newest writes are lost.
+        """
+        with self.changed:
+            lost: set[RowKey] = set()
+            while self.undo and self.undo[-1].version >= version:
+                undo = self.undo.pop()
+                lost.add(undo.key)
+                self.version = undo.version
+                if undo.before is None:
+                    del self.rows[undo.key]
+                else:
+                    self.rows[undo.key] = undo.before
+            self.restores += 1
+            if self.epoch is not None:
+                self.epoch += 1
             self.changed.notify_all()
+            return lost
 
     def serve(self, handler: Handler, body: bytes) -> None:
         """Serve one call."""
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         self.calls[url.path] += 1
+        if self.epoch is not None:
+            handler.extra["Store-Era"] = str(self.epoch)
         table = query.get("table", "")
         if self.faults.take("busy") or self.faults.take(f"busy {table}"):
             handler.json({}, 503)
         elif self.faults.take("silent") or self.faults.take(f"silent {table}"):
             time.sleep(5)
             handler.reset()
+        elif self.faults.take("reset"):
+            handler.reset()
         elif url.path == "/api/rows-get":
             handler.json(self._get(query))
         elif url.path == "/api/rows-feed":
@@ -77,11 +130,15 @@
 
     def _feed(self, handler: Handler, query: dict[str, str]) -> None:
         after, until = int(query["afterRev"]), time.monotonic() + int(query["waitMs"]) / 1000
-        if self.faults.take("forgotten"):
+        if self.faults.take("forgotten") or after > self.version:
             handler.json({}, 410)
             return
+        restores = self.restores
         with self.changed:
             while True:
+                if self.restores != restores:
+                    handler.reset()
+                    return
                 found = [k for k, (v, _) in self.rows.items() if k[0] == query["table"] and v > after]
                 left = until - time.monotonic()
                 if found or left <= 0:
@@ -96,13 +153,8 @@
             expected = [(e["table"], e["key"], e["ver"]) for e in order["expectedRev"]]
             against = [(t, k) for t, k, v in expected if self._version(t, k) != v]
             if not against:
-                self.version += 1
-                for put in order["put"]:
-                    value = base64.b64decode(put["value"])
-                    self.rows[put["table"], put["key"]] = (self.version, value)
-                for removed in order["remove"]:
-                    self.rows[removed["table"], removed["key"]] = (self.version, None)
-                self.changed.notify_all()
+                puts = [((p["table"], p["key"]), base64.b64decode(p["value"])) for p in order["put"]]
+                self._write([*puts, *(((r["table"], r["key"]), None) for r in order["remove"])])
         if self.faults.take("lost"):
             handler.reset()
         elif against:
@@ -110,6 +162,15 @@
         else:
             handler.json({"ver": self.version, "now_ms": 0})
 
+    def _write(self, writes: Sequence[tuple[RowKey, bytes | None]]) -> None:
+        """Do the writes of one transaction; the lock is held."""
+        before, at = self.version, time.monotonic()
+        self.version += 1
+        for key, value in writes:
+            self.undo.append(Undo(at, before, key, self.rows.get(key)))
+            self.rows[key] = (self.version, value)
+        self.changed.notify_all()
+
     def _version(self, table: str, key: str) -> int:
         version, value = self.rows.get((table, key), (0, None))
         return version if value is not None else 0
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -24,7 +24,7 @@
     r"rows-(tx|get|feed|parts)|blob-|X-(Response-Seal|Not-Executed|Expect-Instance|Token-Counts|Prompt-Prefix"
     r"|Deadline-Ms|Tenant|Key|Instance-Id|Model)\b|At-Server|targetVersion|expectedRev|afterRev"
     r"|BAYGLADE_NODE_FILE|sloMs|maxAttempts|pathPrefix|apiKeys|healthPath|maxConns|kvCapacity|coldLeftMs"
-    r"|/api/(ready|report|order)|Server-(Leaving|Limit)",
+    r"|/api/(ready|report|order)|Server-(Leaving|Limit)|Store-Era",
     re.IGNORECASE,
 )
 LARGEST_PART = 0.1
