--- /dev/null
+++ b/tests/test_store_restored.py
@@ -0,0 +1,167 @@
+"""A store that fails and comes back from a copy some seconds old must not keep daemons from its changes.
+
+Readers found the history gone and read the tables anew, at versions below those that the other
+daemons knew. These dropped all that they were told until the versions had passed the old ones, and
+were taken for fresh all the while; rows that changed in between stayed wrong for good.
+"""
+
+import time
+from collections.abc import Iterator, Sequence
+
+import pytest
+
+from standins.users import KEY, PLAIN, Daemon, Replica, UsersSite
+from standins.world import wait_for
+from tests.gateway_callers import ask
+
+DAEMONS = 5
+"""Two of them read the store for the others."""
+
+DRAIN_SECONDS = 2.0
+CONFIG_SECONDS = 2.0
+"""Bounds within which a leave and a change of the settings must be known, as the daemons' settings say."""
+
+SETTLE_SECONDS = 1.5
+"""Time for daemons to know what was written before the store fails."""
+
+LOST_WRITES = 6
+
+
+@pytest.fixture
+def site() -> Iterator[UsersSite]:
+    with UsersSite(halls=2, stages=0, plain=4) as made:
+        yield made
+
+
+def start(site: UsersSite, count: int = DAEMONS) -> list[Daemon]:
+    daemons = [site.start(f"hall-{n % 2}", retry_floor=1000.0) for n in range(count)]
+    for daemon in daemons:
+        wait_for("it hears the others", lambda d=daemon: len(d.beliefs()["members"]) == count - 1)
+    time.sleep(SETTLE_SECONDS)
+    return daemons
+
+
+def state_of(daemon: Daemon, server: Replica) -> str:
+    """Return how a daemon says that a server stands."""
+    states = {s["backend"]: s["state"] for s in daemon.beliefs()["servers"]}
+    return str(states.get(server.id, "gone"))
+
+
+def write_and_lose(site: UsersSite, daemons: Sequence[Daemon], away: float = 0.05) -> None:
+    """Have all daemons know of some changes that the restored store has lost."""
+    copied = site.store.version
+    for _ in range(LOST_WRITES):
+        site.configure()
+    wait_for("all know the settings", lambda: all(d.beliefs()["settings"] == site.version for d in daemons))
+    # Other tables are known up to these versions once their calls have been answered.
+    time.sleep(SETTLE_SECONDS)
+    site.restore_store(copied, away)
+
+
+AWAY = pytest.mark.parametrize("away", [0.05, 0.7])
+
+
+@AWAY
+def test_a_server_that_leaves_after_the_store_was_restored_gets_nothing_more(
+    site: UsersSite, away: float
+) -> None:
+    daemons = start(site)
+    write_and_lose(site, daemons, away)
+    time.sleep(0.3)
+    leaving = site.of(PLAIN)[0]
+    leaving.leave()
+    told = time.monotonic()
+    while time.monotonic() < told + DRAIN_SECONDS + 1.0:
+        for daemon in daemons:
+            ask(daemon.callers, "/safe/x")
+    assert [at for _, at in leaving.arrived if at > told + DRAIN_SECONDS] == []
+    assert {state_of(daemon, leaving) for daemon in daemons} == {"leaving"}
+
+
+@AWAY
+def test_a_change_after_the_store_was_restored_is_in_force_in_time(site: UsersSite, away: float) -> None:
+    daemons = start(site)
+    write_and_lose(site, daemons, away)
+    time.sleep(0.3)
+    site.configure(("another-key",))
+    acknowledged = time.monotonic()
+    wait_for(
+        "all have the settings",
+        lambda: all(daemon.beliefs()["settings"] == site.version for daemon in daemons),
+    )
+    assert time.monotonic() - acknowledged <= CONFIG_SECONDS
+    assert {ask(daemon.callers, "/safe/x").status for daemon in daemons} == {401}
+
+
+def test_a_row_that_is_removed_after_the_store_was_restored_is_gone_everywhere(site: UsersSite) -> None:
+    daemons = start(site)
+    write_and_lose(site, daemons)
+    time.sleep(0.3)
+    removed = site.of(PLAIN)[0]
+    site.store.drop("servers", removed.id)
+    time.sleep(DRAIN_SECONDS)
+    site.write_again()
+    for _ in range(2 * LOST_WRITES):
+        site.configure()
+    time.sleep(SETTLE_SECONDS)
+    assert {state_of(daemon, removed) for daemon in daemons} == {"gone"}
+
+
+def test_a_server_that_was_gone_before_the_store_was_restored_gets_nothing(site: UsersSite) -> None:
+    daemons = start(site)
+    gone = site.of(PLAIN)[0]
+    copied = site.store.version
+    site.store.drop("servers", gone.id)
+    wait_for("all know it", lambda: {state_of(daemon, gone) for daemon in daemons} == {"gone"})
+    # Requests that were under way are over.
+    time.sleep(0.2)
+    before = len(gone.arrived)
+    site.restore_store(copied)
+    until = time.monotonic() + 2.0
+    while time.monotonic() < until:
+        for daemon in daemons:
+            ask(daemon.callers, "/safe/x")
+    assert gone.arrived[before:] == []
+
+
+def test_a_daemon_whose_row_a_restored_store_has_lost_writes_it_again(site: UsersSite) -> None:
+    start(site)
+    copied = site.store.version
+    joined = site.start("hall-1")
+    wait_for("it hears the others", lambda: len(joined.beliefs()["members"]) == DAEMONS)
+    row = ("bayglade-members", f"members/{joined.settings['member']}")
+    assert row in site.store.rows
+    site.restore_store(copied)
+    assert row not in site.store.rows
+    wait_for("its row is there again", lambda: row in site.store.rows)
+
+
+def test_a_daemon_that_starts_on_a_restored_store_does_not_serve_by_older_settings(
+    site: UsersSite,
+) -> None:
+    daemons = start(site)
+    copied = site.store.version
+    site.configure(("another-key",))
+    wait_for("all know the settings", lambda: all(d.beliefs()["settings"] == site.version for d in daemons))
+    site.restore_store(copied)
+    late = Daemon(site, "late", "hall-0", {})
+    site.daemons.append(late)
+    until = time.monotonic() + 4.0
+    statuses = set()
+    while time.monotonic() < until:
+        try:
+            statuses.add(ask(late.callers, "/safe/x", X_Key=KEY).status)
+        except OSError:
+            # It does not listen yet.
+            time.sleep(0.01)
+    assert statuses <= {401, 503}
+    assert 401 in statuses
+
+
+def test_a_daemon_that_starts_alone_on_a_restored_store_serves_by_it(site: UsersSite) -> None:
+    before = site.start("hall-0")
+    before.stop()
+    site.restore_store(site.store.version)
+    started = time.monotonic()
+    site.start("hall-0")
+    assert time.monotonic() - started < 5.0
