Order what is known of a table by position: a version in an epoch of the store

What callers saw: after the store had come back from an older copy, a server that had said it leaves went on getting requests, and changes of the settings came late, on all daemons but the two that read the store.

Cause: followers compared versions across two histories. Readers got 410 and read anew at lower versions; their followers dropped each update as older ('update dropped reason=older version=10 known=16') until the versions had passed the old ones, and hear() moved known_at all the same: fresh by the clock, old by content. Without a 410 nobody noticed. Ruled out: a reader that is late (both had every change within 25 ms), an update that holds part of several changes (not even the first arrived).

Change: Position orders feeds, polls and updates, what is packed for askers, and the point from which removals are known. An epoch above ours has every table that this daemon follows itself read whole at once; an answer, update or poll of a lower one freshens nothing. What is not taken in moves no time of knowledge. Rows that a restored store lacks get the grace of an outage. A store that names no epoch is found by its 410 or by a version that falls.

Tests changed, for review: stand-ins of test_feeds, test_fanout, fleets and test_leaving_servers take positions; the stale answer in test_fanout is now one that an update overtook, as a store never answers below what it was asked from unless it was restored; waits for what never comes end after 30 s.

--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -24,12 +24,13 @@
     ServerKey,
     Version,
 )
+from bayglade.rows import Position
 from bayglade.usage import GroupUsage
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 NONCE_BYTES = 16
 SEAL_BYTES = 16
-PROTOCOL = 5
+PROTOCOL = 6
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
@@ -212,8 +213,8 @@
     """Asks a reader of the platform's tables for updates, to be answered when there is any."""
 
     number: int
-    have: dict[str, int]
-    """Version known of each table; a table that is left out is wanted whole."""
+    have: dict[str, Position]
+    """Up to where each table is known; one that is left out is wanted whole."""
 
     address: str
     """Where the sender takes streams: it may have started so lately that nobody knows of it."""
@@ -222,10 +223,10 @@
 class TableUpdate(msgspec.Struct, frozen=True, array_like=True):
     """Rows of one table."""
 
-    after: int | None
-    """The version they changed after; nothing when they are the whole table."""
+    after: Position | None
+    """The position they changed after; nothing when they are the whole table."""
 
-    version: int
+    position: Position
     age: float
     """Seconds since they were surely the newest, when this was written."""
 
--- a/bayglade/exceptions.py
+++ b/bayglade/exceptions.py
@@ -225,7 +225,7 @@
 
 
 class HistoryGone(BaygladeError):
-    """The table no longer has the changes after the version asked for."""
+    """The table does not have the changes after the position asked for."""
 
     code, status, default_outcome = "history_gone", 503, Outcome.NOT_RUN
 
--- a/bayglade/fanout.py
+++ b/bayglade/fanout.py
@@ -20,9 +20,9 @@
 from bayglade.clock import now
 from bayglade.entries.wire import Message, Poll, TableUpdate, Unable, Updates
 from bayglade.exceptions import PeerError
-from bayglade.feeds import FIRST_PAUSE, MAX_PAUSE, Feed
+from bayglade.feeds import FIRST_PAUSE, MAX_PAUSE, NOWHERE, Feed
 from bayglade.ids import MemberId
-from bayglade.rows import Changes
+from bayglade.rows import Changes, Position
 
 FOLLOWER_FIRST_PAUSE = 0.8
 FOLLOWER_PAUSE = 5.0
@@ -102,8 +102,8 @@
         self.telling = False
         """Whether others are about to be told."""
 
-        self.packed: dict[tuple[str, int | None], tuple[int, TableUpdate]] = {}
-        """What was packed last, by table and the version asked from, with its own version."""
+        self.packed: dict[tuple[str, Position | None], TableUpdate] = {}
+        """What was packed last, by table and the position asked from."""
 
         for feed in feeds.values():
             feed.on_answer = self._tell_soon
@@ -162,6 +162,8 @@
         :param poll: the question.
         """
         self.waiting[member] = Waiting(poll)
+        for position in poll.have.values():
+            self.proof.history.note(position.epoch)
         if self.proof.lost_at:
             self.push(member, Unable(poll.number))
         if self._news(member):
@@ -190,7 +192,7 @@
         for name, table in updates.tables.items():
             feed = self.feeds.get(name)
             if feed is not None:
-                changes = Changes(unpack(table.rows), table.version)
+                changes = Changes(unpack(table.rows), table.position.version, table.position.epoch)
                 recovered = 0.0 if table.recovered_age is None else answered - table.recovered_age
                 feed.hear(changes, table.after, answered - table.age, recovered)
         if member not in self.asks or now() - asked.at < LEAST_ASK_SECONDS:
@@ -221,19 +223,20 @@
     def _ask(self, reader: MemberId) -> None:
         self.numbers += 1
         self.asked[reader] = Asked(self.numbers)
-        have = {name: feed.version for name, feed in self.feeds.items() if feed.version is not None}
+        have = {name: feed.position for name, feed in self.feeds.items() if feed.position is not None}
         self.push(reader, Poll(self.numbers, have, self.address))
 
     def _known(self) -> dict[str, Feed]:
         """Return the tables of which there is something to tell. One that the store does not answer for
         holds up no other: its askers read the store themselves, for that table, after a while."""
         feeds = self.feeds.items()
-        return {n: feed for n, feed in feeds if feed.failing_since is None and feed.version is not None}
+        return {name: feed for name, feed in feeds if feed.failing_since is None and feed.current()}
 
     def _changed(self, member: MemberId) -> bool:
         """Tell whether a table is newer here than whoever waits has it."""
         have = self.waiting[member].poll.have
-        return any((feed.version or 0) > have.get(name, 0) for name, feed in self._known().items())
+        known = self._known().items()
+        return any((feed.position or NOWHERE) > have.get(name, NOWHERE) for name, feed in known)
 
     def _news(self, member: MemberId) -> bool:
         """Tell whether a table is newer here than whoever waits has it, or was surely the newest later."""
@@ -251,15 +254,15 @@
         waited, turned_away = now() - waiting.since, self.proof.lost_at > 0
         self.push(member, Updates(waiting.poll.number, waited, tables, turned_away))
 
-    def _table(self, name: str, feed: Feed, have: int | None) -> TableUpdate:
-        """Return the update of one table; packed once for all that ask from one version."""
-        version, packed = self.packed.get((name, have), (-1, None))
-        if packed is None or version != feed.version:
+    def _table(self, name: str, feed: Feed, have: Position | None) -> TableUpdate:
+        """Return the update of one table; packed once for all that ask from one position."""
+        packed = self.packed.get((name, have))
+        if packed is None or packed.position != feed.position:
             changes, whole = feed.since(have)
-            packed = TableUpdate(None if whole else have, changes.version, 0.0, pack(changes.rows))
+            packed = TableUpdate(None if whole else have, changes.position, 0.0, pack(changes.rows))
             if len(self.packed) > len(self.feeds) * 8:
                 self.packed.clear()
-            self.packed[name, have] = (changes.version, packed)
+            self.packed[name, have] = packed
         recovered = now() - feed.recovered_at if feed.recovered_at else None
         return msgspec.structs.replace(packed, age=feed.age(), recovered_age=recovered)
 
--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -1,9 +1,11 @@
 """Feeds: follow a table of the platform, and know how old the knowledge is.
 
 A feed reads the table whole, then waits for changes. It starts anew when the
-history it needs is gone. ``known_at`` is a time before which everything that was
-acknowledged is known here: the time just before the last answered call was sent,
-or, when its whole wait passed without a change, the end of that wait.
+history it needs is gone, or the store was restored from an older copy: changes are
+ordered by position, which is the version in an epoch of the store. ``known_at`` is a
+time before which everything that was acknowledged is known here: the time just before
+the last answered call was sent, or, when its whole wait passed without a change, the
+end of that wait.
 
 While another daemon tells of the table (see :mod:`bayglade.fanout`) and what it
 tells is fresh, a feed makes no calls of its own.
@@ -18,10 +20,12 @@
 from eventlet.event import Event
 
 from bayglade.clock import now
+from bayglade.epochs import StoreHistory
 from bayglade.exceptions import HistoryGone, PlatformUnavailable
 from bayglade.freshness import rest_after
+from bayglade.ids import UNKNOWN_EPOCH
 from bayglade.logs import event, limited
-from bayglade.rows import ChangeFeed, Changes
+from bayglade.rows import ChangeFeed, Changes, Position
 
 FIRST_PAUSE = 0.05
 MAX_PAUSE = 0.4
@@ -52,6 +56,9 @@
 MAX_REMOVED = 1000
 """Removed rows that are remembered, so that others can be told of them."""
 
+NOWHERE = Position(UNKNOWN_EPOCH, 0)
+"""Before all that a store ever told."""
+
 Rows = dict[str, msgspec.Raw | None]
 """Rows by key; nothing for one that was removed."""
 
@@ -67,17 +74,28 @@
     :param wait: seconds a call may wait for a change; bounds the age of what is known.
     :param apply: takes changes in.
     :param pause: seconds after changes in which more of them gather for one call.
+    :param history: the newest epoch of the store; one of its own when left out.
     """
 
     def __init__(
-        self, store: ChangeFeed, table: str, wait: float, apply: Apply, pause: float = 0.0
+        self,
+        store: ChangeFeed,
+        table: str,
+        wait: float,
+        apply: Apply,
+        pause: float = 0.0,
+        history: StoreHistory | None = None,
     ) -> None:
         self.store = store
         self.table = table
         self.wait = wait
         self.apply = apply
         self.pause = pause
-        self.version: int | None = None
+        self.history = history if history is not None else StoreHistory()
+        self.history.on_restored.append(self._store_restored)
+        self.position: Position | None = None
+        """Up to where the table is known; nothing when it has to be read whole."""
+
         self.known_at = 0.0
         self.quiet = False
         """Whether the last own call waited to its end without a change."""
@@ -128,21 +146,21 @@
         self.told_at = 0.0
         """A time up to which what another daemon told of the table was surely the newest."""
 
-        self.rows: dict[str, tuple[int, msgspec.Raw | None]] = {}
-        """The table as known here, rows that were removed among them, by the version they came with."""
+        self.rows: dict[str, tuple[Position, msgspec.Raw | None]] = {}
+        """The table as known here, rows that were removed among them, by the position they came with."""
 
-        self.complete_from = 0
-        """The version from which on all rows that were removed are remembered."""
+        self.complete_from = NOWHERE
+        """The position from which on all rows that were removed are remembered."""
 
-        self.gone_version: int | None = None
-        """The version after which the history was gone, until the table has been read anew."""
+        self.gone_after: Position | None = None
+        """The position after which the history was gone, until the table has been read anew."""
 
         self.tell_dropped = limited(DROPPED_LINES_PER_SECOND)
         self.rng = random.Random()
         self.task: eventlet.greenthread.GreenThread | None = None
 
     def __repr__(self) -> str:
-        return f"<Feed {self.table} version={self.version} age={self.age():.1f}>"
+        return f"<Feed {self.table} position={self.position} age={self.age():.1f}>"
 
     def age(self) -> float:
         """Return the seconds since what is known here was surely the newest."""
@@ -169,8 +187,8 @@
             try:
                 self._step()
             except HistoryGone:
-                event("WARNING", "history gone", table=self.table, version=self.version)
-                self.gone_version, self.version = self.version, None
+                event("WARNING", "history gone", table=self.table, position=self.position)
+                self.gone_after, self.position = self.position, None
             except PlatformUnavailable as error:
                 self._failed(error)
                 self._pause()
@@ -178,12 +196,15 @@
     def _step(self) -> None:
         asked, wait = now(), 0.0
         self.asked_at = asked
-        whole = self.version is None
-        if self.version is None:
-            changes = self.store.snapshot(self.table)
+        after = self.position if self.current() else None
+        whole = after is None
+        if after is None:
+            changes = self._placed(self.store.snapshot(self.table))
         else:
             wait = self._next_wait()
-            changes = self.store.changes(self.table, self.version, wait)
+            changes = self._placed(self.store.changes(self.table, after, wait))
+            if changes.epoch > after.epoch or changes.version < after.version:
+                raise HistoryGone("the store was restored", step="read", peer="store")
         self.lost_at, self.failures = 0.0, 0
         if self.failing_since is not None:
             event("INFO", "store regained", table=self.table, out=round(now() - self.failing_since, 2))
@@ -204,21 +225,29 @@
     def hear(
         self,
         changes: Changes,
-        after: int | None,
+        after: Position | None,
         known_at: float,
         recovered_at: float = 0.0,
     ) -> None:
-        """Take in what another daemon knows of the table.
+        """Take in what another daemon knows of the table, unless more is known here.
 
-        :param changes: rows that changed, as of the other's version.
-        :param after: the version they changed after; nothing when it is the whole table.
+        What is not taken in makes nothing fresher: it may tell of a history that is over.
+
+        :param changes: rows that changed, as of the other's position.
+        :param after: the position they changed after; nothing when it is the whole table.
         :param known_at: a time before which everything acknowledged is in it.
         :param recovered_at: when the store was back for whoever read it, if it was lost.
         """
-        gap = after is not None and (self.version is None or after > self.version)
-        if gap:
+        self.history.note(changes.epoch)
+        if changes.epoch < self.history.epoch:
+            self._dropped("earlier epoch", changes, after)
+            return
+        if after is not None and not self._follows(after, changes):
             self._dropped("gap", changes, after)
             return
+        if self.position is not None and changes.position < self.position:
+            self._dropped("older", changes, after)
+            return
         # Entries that lapsed in an outage are judged by when the store came back.
         self.recovered_at = max(self.recovered_at, recovered_at)
         if self.failing_since is not None:
@@ -243,69 +272,102 @@
             self.rests_until = 0.0
             self.ask_now()
 
-    def since(self, after: int | None) -> tuple[Changes, bool]:
-        """Return what changed after a version, or the whole table where that is not known.
+    def since(self, after: Position | None) -> tuple[Changes, bool]:
+        """Return what changed after a position, or the whole table where that is not known.
 
-        :param after: the version; nothing for the whole table.
+        :param after: the position; nothing for the whole table.
         :return: rows, and whether they are the whole table.
         """
-        version = self.version or 0
-        if after is not None and after >= self.complete_from:
+        position = self.position or NOWHERE
+        if after is not None and after.epoch == position.epoch and after >= self.complete_from:
             changed: Rows = {key: value for key, (at, value) in self.rows.items() if at > after}
-            return Changes(changed, version), False
+            return Changes(changed, position.version, position.epoch), False
         whole: Rows = {key: value for key, (_, value) in self.rows.items() if value is not None}
-        return Changes(whole, version), True
+        return Changes(whole, position.version, position.epoch), True
+
+    def current(self) -> bool:
+        """Tell whether the table is known, and as of the newest epoch of the store."""
+        return self.position is not None and self.position.epoch >= self.history.epoch
+
+    def _placed(self, changes: Changes) -> Changes:
+        """Return an answer of the store with its place in the store's history.
+
+        :raises PlatformUnavailable: when it is of a history that is over: an old connection or a late
+            answer.
+        """
+        if changes.epoch == UNKNOWN_EPOCH:
+            changes = msgspec.structs.replace(changes, epoch=self.history.epoch)
+        self.history.note(changes.epoch)
+        if changes.epoch < self.history.epoch:
+            self._dropped("earlier epoch", changes, None)
+            raise PlatformUnavailable("the answer is of an earlier epoch", step="read", peer="store")
+        return changes
+
+    def _follows(self, after: Position, changes: Changes) -> bool:
+        """Tell whether changes after a position leave nothing out that is not known here."""
+        return self.position is not None and after.epoch == changes.epoch and after <= self.position
+
+    def _store_restored(self) -> None:
+        """Read the table anew at once, unless another daemon tells of it."""
+        # A feed that has no position is reading the table already.
+        behind = self.position is not None and not self.current()
+        if self.task is not None and behind and self._rest_left() <= 0:
+            self.start()
 
     def _take(self, changes: Changes, whole: bool) -> bool:
         """Take in rows, unless newer ones came another way meanwhile; tell whether there were any."""
-        if self.version is not None and changes.version < self.version:
+        if self.position is not None and changes.position < self.position:
             self._dropped("older", changes, None)
             return False
-        if self.version == changes.version and (whole or not changes.rows):
+        if self.position == changes.position and (whole or not changes.rows):
             return False
-        if whole and self.gone_version is not None:
-            self._read_anew(changes)
-        self.version = changes.version
+        self._note_restored(changes)
+        self.position = changes.position
         self._remember(changes, whole)
         if not whole and not changes.rows:
             return False
         self.apply(changes, whole)
         return True
 
-    def _dropped(self, reason: str, changes: Changes, after: int | None) -> None:
+    def _note_restored(self, changes: Changes) -> None:
+        """Note that a table comes from a restored store: rows that the copy lacks may be written again."""
+        before = self.position or self.gone_after
+        self.gone_after = None
+        if before is None or (changes.epoch == before.epoch and changes.position >= before):
+            return
+        self.recovered_at = max(self.recovered_at, self.history.restored_at or now())
+        known = {key: bytes(value) for key, (_, value) in self.rows.items() if value is not None}
+        read = {key: bytes(value) for key, value in changes.rows.items() if value is not None}
+        event(
+            "WARNING",
+            "table read anew",
+            table=self.table,
+            before=before,
+            position=changes.position,
+            missing=len(known.keys() - read.keys()),
+            added=len(read.keys() - known.keys()),
+            changed=sum(read[key] != known[key] for key in known.keys() & read.keys()),
+        )
+
+    def _dropped(self, reason: str, changes: Changes, after: Position | None) -> None:
         """Log an update that is not taken in."""
         self.tell_dropped(
             "INFO",
             "update dropped",
             table=self.table,
             reason=reason,
-            version=changes.version,
+            position=changes.position,
             after=after,
-            known=self.version,
+            known=self.position,
+            epoch=self.history.epoch,
             rows=len(changes.rows),
         )
 
-    def _read_anew(self, changes: Changes) -> None:
-        """Log what a table that was read whole, as its history was gone, differs in."""
-        before = {key: bytes(value) for key, (_, value) in self.rows.items() if value is not None}
-        after = {key: bytes(value) for key, value in changes.rows.items() if value is not None}
-        event(
-            "WARNING",
-            "table read anew",
-            table=self.table,
-            before=self.gone_version,
-            version=changes.version,
-            missing=len(before.keys() - after.keys()),
-            added=len(after.keys() - before.keys()),
-            changed=sum(after[key] != before[key] for key in before.keys() & after.keys()),
-        )
-        self.gone_version = None
-
     def _remember(self, changes: Changes, whole: bool) -> None:
         if whole:
             self.rows.clear()
-            self.complete_from = changes.version
-        self.rows.update((key, (changes.version, value)) for key, value in changes.rows.items())
+            self.complete_from = changes.position
+        self.rows.update((key, (changes.position, value)) for key, value in changes.rows.items())
         removed = sorted((at, key) for key, (at, value) in self.rows.items() if value is None)
         for at, key in removed[: max(0, len(removed) - MAX_REMOVED)]:
             del self.rows[key]
@@ -313,7 +375,7 @@
 
     def _rest_left(self) -> float:
         """Return for how long no call is needed, by what another daemon tells."""
-        if self.version is None or not self.rest_seconds:
+        if self.position is None or not self.rest_seconds:
             return 0.0
         return max(self.rests_until, self.told_at + self.rest_seconds) - now()
 
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -104,6 +104,7 @@
             wait_within(settings_bound),
             self._take_document,
             DOCUMENT_PAUSE,
+            self.history,
         )
         self.listing = Listing(self.fleet, platform.decode_server, servers_bound, self.metrics)
         self.servers_feed = Feed(
@@ -112,6 +113,7 @@
             wait_within(servers_bound),
             self.listing.take,
             gather_within(servers_bound),
+            self.history,
         )
         self.listing.feed = self.servers_feed
         dialect = platform.create_dialect()
@@ -153,6 +155,7 @@
             {platform.OPERATOR_TABLE: self.document_feed, platform.SERVERS_TABLE: self.servers_feed},
             self.document_feed,
             platform.MEMBERS_TABLE,
+            self.history,
             self.intake,
             self.usage,
             self.peers,
--- a/bayglade/listing.py
+++ b/bayglade/listing.py
@@ -89,7 +89,7 @@
         if behind != self.behind:
             self.behind = behind
             level, text = ("WARNING", "servers behind") if behind else ("INFO", "servers caught up")
-            event(level, text, age=round(age, 2), bound=self.bound, version=self.feed.version)
+            event(level, text, age=round(age, 2), bound=self.bound, position=self.feed.position)
 
     def _grace_left(self) -> float:
         """Return for how long entries that lapsed in an outage may still come back."""
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -19,6 +19,7 @@
 from bayglade.entries.membership import Membership
 from bayglade.entries.ring import FULL_MESH
 from bayglade.entries.wire import Findings, ServerLoad
+from bayglade.epochs import StoreHistory
 from bayglade.exceptions import PlatformUnavailable
 from bayglade.fanout import Fanout
 from bayglade.feeds import Feed
@@ -70,6 +71,7 @@
         feeds: dict[str, Feed],
         proof: Feed,
         table: str,
+        history: StoreHistory,
         intake: Intake,
         usage: Usage,
         peers: Peers,
@@ -86,7 +88,7 @@
         self.plan = Plan(Duty.SITE)
         self.lost = Lost()
         self.clean_at = 0.0
-        self.feed = Feed(store, table, wait_within(ROSTER_BOUND), self._take_roster, ROSTER_PAUSE)
+        self.feed = Feed(store, table, wait_within(ROSTER_BOUND), self._take_roster, ROSTER_PAUSE, history)
         self.membership: Membership | None = None
         host = parse_address(config.callers).host
         self.address = f"{host}:{config.peer_ports.partition(',')[0]}"
--- a/bayglade/platform/store.py
+++ b/bayglade/platform/store.py
@@ -13,7 +13,7 @@
 from bayglade.exceptions import HistoryGone, PlatformAnswerLost, PlatformUnavailable
 from bayglade.ids import UNKNOWN_EPOCH, StoreEpoch
 from bayglade.logs import limited
-from bayglade.rows import ABSENT, Changes, Row, Transaction, TransactionResult
+from bayglade.rows import ABSENT, Changes, Position, Row, Transaction, TransactionResult
 
 CONNECT_TIMEOUT = 0.5
 READ_TIMEOUT = 1.0
@@ -46,6 +46,14 @@
     more: bool = False
 
 
+class Answer(msgspec.Struct, frozen=True):
+    """An answer of the store."""
+
+    status: int
+    body: bytes
+    epoch: StoreEpoch
+
+
 class Expected(msgspec.Struct):
     """A row and the version that it must have."""
 
@@ -102,28 +110,30 @@
     def snapshot(self, table: str) -> Changes:
         """Read all rows of a table; see :class:`bayglade.rows.ChangeFeed`."""
         found: dict[str, msgspec.Raw | None] = {}
-        start, version = "", None
+        start, first = "", None
         while True:
-            page = self._page(f"/api/rows-get?table={table}&part=&from={start}&limit={PAGE_ROWS}")
+            page, epoch = self._page(f"/api/rows-get?table={table}&part=&from={start}&limit={PAGE_ROWS}")
             # Changes since the first page come again with the feed.
-            version = page.ver if version is None else version
+            first = Position(epoch, page.ver) if first is None else first
+            if epoch != first.epoch:
+                raise HistoryGone("the store was restored between two pages", step="read", peer="store")
             found.update((row.key, _value(row)) for row in page.rows)
             if not page.more or not page.rows:
-                return Changes(found, version)
+                return Changes(found, first.version, first.epoch)
             start = page.rows[-1].key + "\0"
 
-    def changes(self, table: str, after: int, wait: float) -> Changes:
+    def changes(self, table: str, after: Position, wait: float) -> Changes:
         """Wait for changes; see :class:`bayglade.rows.ChangeFeed`."""
         # Rounded up: an answer that comes before the whole wait is over does not confirm it.
-        path = f"/api/rows-feed?table={table}&afterRev={after}&waitMs={math.ceil(wait * 1000)}"
-        page = self._page(path, wait)
-        return Changes({row.key: _value(row) for row in page.rows}, page.ver)
+        path = f"/api/rows-feed?table={table}&afterRev={after.version}&waitMs={math.ceil(wait * 1000)}"
+        page, epoch = self._page(path, wait)
+        return Changes({row.key: _value(row) for row in page.rows}, page.ver, epoch)
 
     def read(self, keys: list[str]) -> dict[str, Row]:
         """Read rows of bayglade's own tables; see :class:`bayglade.rows.RowStore`."""
         found: dict[str, Row] = {}
         for key in keys:
-            page = self._page(f"/api/rows-get?table={_table(key)}&part=&from={key}&limit=1")
+            page, _ = self._page(f"/api/rows-get?table={_table(key)}&part=&from={key}&limit=1")
             for row in page.rows:
                 if row.key == key:
                     found[key] = Row(row.ver, _decoded(row.value))
@@ -140,23 +150,22 @@
                 if c.key in transaction.removes
             ],
         )
-        status, body = self._call(
-            "transact", "POST", "/api/rows-tx", msgspec.json.encode(message), READ_TIMEOUT
-        )
-        if status == 412:
-            return TransactionResult(False, [row.key for row in msgspec.json.decode(body, type=Page).rows])
-        if status != 200:
-            raise self._refused("transact", status, lost=status not in (429, 503))
+        answer = self._call("transact", "POST", "/api/rows-tx", msgspec.json.encode(message), READ_TIMEOUT)
+        if answer.status == 412:
+            conflicts = msgspec.json.decode(answer.body, type=Page).rows
+            return TransactionResult(False, [row.key for row in conflicts])
+        if answer.status != 200:
+            raise self._refused("transact", answer.status, lost=answer.status not in (429, 503))
         return TransactionResult(True)
 
-    def _page(self, path: str, wait: float = 0.0) -> Page:
-        status, body = self._call("read", "GET", path, None, wait + min(READ_TIMEOUT, self.answer_seconds))
-        if status == 410:
+    def _page(self, path: str, wait: float = 0.0) -> tuple[Page, StoreEpoch]:
+        answer = self._call("read", "GET", path, None, wait + min(READ_TIMEOUT, self.answer_seconds))
+        if answer.status == 410:
             raise HistoryGone("the history after this version is gone", step="read", peer="store")
-        if status != 200:
-            raise self._refused("read", status, lost=False)
+        if answer.status != 200:
+            raise self._refused("read", answer.status, lost=False)
         try:
-            return msgspec.json.decode(body, type=Page)
+            return msgspec.json.decode(answer.body, type=Page), answer.epoch
         except msgspec.DecodeError as error:
             raise PlatformUnavailable(
                 f"an answer makes no sense: {error}", step="read", peer="store"
@@ -166,9 +175,7 @@
         kind = PlatformAnswerLost if lost else PlatformUnavailable
         return kind(f"the store answered {status}", step=step, peer="store")
 
-    def _call(
-        self, step: str, method: str, path: str, body: bytes | None, timeout: float
-    ) -> tuple[int, bytes]:
+    def _call(self, step: str, method: str, path: str, body: bytes | None, timeout: float) -> Answer:
         lost = PlatformAnswerLost if step == "transact" else PlatformUnavailable
         headers = {"Content-Type": "application/json"} if body is not None else {}
         try:
@@ -189,8 +196,9 @@
             self.pool, silent = self._new_pool(), self.pool
             silent.close()
             raise lost("the store's answer was lost", step=step, peer="store") from error
-        self.on_epoch(self._epoch(response.headers.get(EPOCH_HEADER)))
-        return response.status, response.data
+        epoch = self._epoch(response.headers.get(EPOCH_HEADER))
+        self.on_epoch(epoch)
+        return Answer(response.status, response.data, epoch)
 
     def _epoch(self, text: str | None) -> StoreEpoch:
         """Read the epoch that an answer names; one that makes no sense is none."""
--- a/bayglade/rows.py
+++ b/bayglade/rows.py
@@ -4,10 +4,19 @@
 
 import msgspec
 
+from bayglade.ids import UNKNOWN_EPOCH, StoreEpoch
+
 ABSENT = 0
 """The version of a row that does not exist."""
 
 
+class Position(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """A point in the history of a store; versions alone cannot be compared across epochs."""
+
+    epoch: StoreEpoch
+    version: int
+
+
 class Row(msgspec.Struct, frozen=True):
     """A row of the table: its version, which grows with each write, and its value."""
 
@@ -50,6 +59,12 @@
 
     rows: dict[str, msgspec.Raw | None]
     version: int
+    epoch: StoreEpoch = UNKNOWN_EPOCH
+
+    @property
+    def position(self) -> Position:
+        """Return the point in the store's history that they bring a table to."""
+        return Position(self.epoch, self.version)
 
 
 class RowStore(Protocol):
@@ -78,11 +93,11 @@
         :raises PlatformUnavailable: when the table does not answer.
         """
 
-    def changes(self, table: str, after: int, wait: float) -> Changes:
-        """Wait for rows that changed after a version.
+    def changes(self, table: str, after: Position, wait: float) -> Changes:
+        """Wait for rows that changed after a position.
 
         :param wait: seconds after which an empty answer comes.
-        :raises HistoryGone: when that version is too old.
+        :raises HistoryGone: when that position is too old, or not in the store's history.
         :raises PlatformUnavailable: when the table does not answer.
         """
 
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -7,19 +7,22 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 
 import eventlet
+import msgspec
 import pytest
 
-from bayglade import fanout, feeds, readers
+from bayglade import epochs, fanout, feeds, readers
 from bayglade.entries.wire import Poll, Unable, Updates
+from bayglade.epochs import StoreHistory
 from bayglade.exceptions import HistoryGone, PlatformUnavailable
 from bayglade.fanout import Fanout
 from bayglade.feeds import Feed, look_together
 from bayglade.freshness import answer_within, gather_within, wait_within
-from bayglade.ids import HallName, MemberId
+from bayglade.ids import UNKNOWN_EPOCH, HallName, MemberId, StoreEpoch
 from bayglade.readers import LOST_SECONDS, Lost, Order, Plan, make_plan, streams_of
-from bayglade.rows import Changes, raw
+from bayglade.rows import Changes, Position, raw
 from tests.virtual_time import now
 
 BOUND = 2.0
@@ -40,7 +43,7 @@
 
 
 class Store:
-    """A store whose calls fail as told.
+    """A store whose calls fail as told, and that may come back from an older copy.
 
     :param patience: seconds for which callers wait for an answer beside the wait that they ask for.
     """
@@ -56,6 +59,29 @@
         self.mute_tables = frozenset(TABLES)
         self.answer_seconds = ROUND_TRIP
         self.calls: Counter[tuple[MemberId, str]] = Counter()
+        self.epoch = UNKNOWN_EPOCH
+        """Told in all answers."""
+
+        self.restores = 0
+        self.written_in: dict[tuple[str, int], int] = {}
+        """How often the store had been restored when each version of a table was written."""
+
+    def write(self, table: str) -> None:
+        """Write the row of a table anew."""
+        self.versions[table] += 1
+        self.written_in[table, self.versions[table]] = self.restores
+
+    def value(self, table: str) -> msgspec.Raw:
+        """Return the row of a table: another one for each write, though versions are given out again."""
+        version = self.versions[table]
+        return raw([self.written_in.get((table, version), 0), version])
+
+    def restore(self, lost: int) -> None:
+        """Come back as it was some writes ago; calls under way are never answered."""
+        self.versions = {table: max(1, version - lost) for table, version in self.versions.items()}
+        self.restores += 1
+        if self.epoch != UNKNOWN_EPOCH:
+            self.epoch = StoreEpoch(self.epoch + 1)
 
 
 class Client:
@@ -68,26 +94,28 @@
     def snapshot(self, table: str) -> Changes:
         return self._call(table, 0, 0.0)
 
-    def changes(self, table: str, after: int, wait: float) -> Changes:
-        if after < self.store.forgets_before:
+    def changes(self, table: str, after: Position, wait: float) -> Changes:
+        if not self.store.forgets_before <= after.version <= self.store.versions[table]:
             eventlet.sleep(self.store.answer_seconds)
             raise HistoryGone("gone", step="read", peer="store")
-        return self._call(table, after, wait)
+        return self._call(table, after.version, wait)
 
     def _call(self, table: str, after: int, wait: float) -> Changes:
         self.store.calls[self.member, table] += 1
         sent, until = now(), now() + wait
-        patience = wait + self.store.patience
+        patience, restores = wait + self.store.patience, self.store.restores
         while (fails := self._fails(table, sent)) is None and self.store.versions[table] <= after:
             if now() >= until:
                 break
             eventlet.sleep(min(0.02, until - now()))
+            if self.store.restores != restores:
+                raise PlatformUnavailable("the connection broke", step="read", peer="store")
         if fails is not None:
             eventlet.sleep(max(0.0, min(fails, sent + patience - now())))
             raise PlatformUnavailable("no answer", step="read", peer="store")
+        version, value, epoch = self.store.versions[table], self.store.value(table), self.store.epoch
         eventlet.sleep(self.store.answer_seconds)
-        version = self.store.versions[table]
-        return Changes({"row": raw(version)} if version > after else {}, version)
+        return Changes({"row": value} if version > after else {}, version, epoch)
 
     def _fails(self, table: str, sent: float) -> float | None:
         if sent < self.store.mute_before <= now() and table in self.store.mute_tables:
@@ -103,8 +131,19 @@
         self.fleet = fleet
         client = Client(fleet.store, name)
         bounds = dict(zip(TABLES, (fleet.bound, fleet.bound, ROSTER_BOUND), strict=True))
+        history = StoreHistory()
+        self.taken: dict[str, msgspec.Raw | None] = {}
+        """The row of each table as it was taken in."""
+
         self.feeds = {
-            table: Feed(client, table, wait_within(bound), lambda *_: None, gather_within(bound))
+            table: Feed(
+                client,
+                table,
+                wait_within(bound),
+                partial(self.take, table),
+                gather_within(bound),
+                history,
+            )
             for table, bound in bounds.items()
         }
         self.fanout = Fanout(self.feeds, self.feeds["document"], self.push, "x:1")
@@ -116,6 +155,15 @@
         self.streams: dict[MemberId, float] = {}
         self.watching: eventlet.greenthread.GreenThread | None = None
 
+    def take(self, table: str, changes: Changes, whole: bool) -> None:
+        for value in changes.rows.values():
+            self.taken[table] = value
+
+    def known(self, table: str) -> int | None:
+        """Return up to which version it knows a table."""
+        position = self.feeds[table].position
+        return position.version if position is not None else None
+
     def start(self) -> None:
         for feed in self.feeds.values():
             feed.rng = random.Random(self.fleet.rng.random())
@@ -205,16 +253,16 @@
 
     def leave(self) -> float:
         """Have a server leave; return when."""
-        self.store.versions["servers"] += 1
+        self.store.write("servers")
         return now()
 
     def unaware(self) -> list[MemberId]:
         """List the daemons that are heard and do not know yet that the last server leaves."""
-        version = self.store.versions["servers"]
-        return [daemon.name for daemon in self.live() if daemon.feeds["servers"].version != version]
+        value = self.store.value("servers")
+        return [d.name for d in self.live() if d.taken.get("servers") != value]
 
 
 def patch_clock(monkeypatch: pytest.MonkeyPatch) -> None:
     """Have the product's modules that a fleet runs go by virtual time."""
-    for module in (fanout, feeds, readers):
+    for module in (epochs, fanout, feeds, readers):
         monkeypatch.setattr(module, "now", now)
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -13,13 +13,18 @@
 from bayglade.fanout import FOLLOWER_PAUSE, LEAST_TELL_PART, Fanout, pack, unpack
 from bayglade.feeds import Feed, look_together
 from bayglade.freshness import rest_after
-from bayglade.ids import MemberId
-from bayglade.rows import Changes
+from bayglade.ids import UNKNOWN_EPOCH, MemberId
+from bayglade.rows import Changes, Position
 
 WAIT = 1.0
 REST = rest_after(WAIT)
 
 
+def at(version: int) -> Position:
+    """Return a position in a store that does not name its epoch."""
+    return Position(UNKNOWN_EPOCH, version)
+
+
 class Clock:
     """The clock of both daemons; it moves only as told."""
 
@@ -47,9 +52,9 @@
         self._called()
         return Changes({k: v for k, (_, v) in self.rows.items() if v is not None}, self.version)
 
-    def changes(self, table: str, after: int, wait: float) -> Changes:
+    def changes(self, table: str, after: Position, wait: float) -> Changes:
         self._called()
-        return Changes({k: v for k, (at, v) in self.rows.items() if at > after}, self.version)
+        return Changes({k: v for k, (at, v) in self.rows.items() if at > after.version}, self.version)
 
     def _called(self) -> None:
         self.calls += 1
@@ -283,19 +288,26 @@
 ) -> None:
     table, reader, follower = hall
     exchange(reader, follower)
-    stale = Changes({"a": msgspec.Raw(b"0")}, 0)
-    follower.feed.store = type("Stale", (), {"changes": lambda *_: stale})()
+    stale = Changes({"a": msgspec.Raw(b"0")}, table.version)
+
+    def told_meanwhile(*_: object) -> Changes:
+        table.put("a", b"2")
+        reader.feed._step()
+        follower.feed.hear(*reader.feed.since(None)[:1], None, clock.at)
+        return stale
+
+    follower.feed.store = type("Stale", (), {"changes": told_meanwhile})()
     follower.feed._step()
-    assert follower.taken == {"a": b"1"}
-    assert follower.feed.version == table.version
+    assert follower.taken == {"a": b"2"}
+    assert follower.feed.position == at(table.version)
 
 
 def test_a_follower_that_knows_too_little_gets_the_whole_table(hall: tuple[Table, Daemon, Daemon]) -> None:
     table, reader, _ = hall
     table.put("a", None)
-    reader.feed.version = None
+    reader.feed.position = None
     reader.feed._step()
-    changes, whole = reader.feed.since(1)
+    changes, whole = reader.feed.since(at(1))
     assert whole
     assert changes.rows == {}
 
@@ -307,8 +319,8 @@
         table.put(f"k{n}", None)
         reader.feed._step()
     assert len(reader.feed.rows) <= feeds.MAX_REMOVED + 1
-    assert reader.feed.since(1)[1]
-    assert not reader.feed.since(table.version - 1)[1]
+    assert reader.feed.since(at(1))[1]
+    assert not reader.feed.since(at(table.version - 1))[1]
 
 
 def test_feeds_of_one_store_look_together_when_one_finds_it_lost(
@@ -371,4 +383,4 @@
     table, reader, follower = hall
     follower.feed.apply = lambda changes, whole: follower.fanout.forget(())
     exchange(reader, follower)
-    assert follower.feed.version == table.version
+    assert follower.feed.position == at(table.version)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -9,7 +9,7 @@
 from bayglade import feeds
 from bayglade.exceptions import HistoryGone, PlatformUnavailable
 from bayglade.feeds import MAX_PAUSE, OLDEST_OF_WAIT, OTHERS_PAUSE, Feed, look_together
-from bayglade.rows import Changes
+from bayglade.rows import Changes, Position
 
 WAIT = 2.0
 ROUND_TRIP = 0.001
@@ -35,13 +35,13 @@
         self.whole += 1
         return Changes({}, 1)
 
-    def changes(self, table: str, after: int, wait: float) -> Changes:
+    def changes(self, table: str, after: Position, wait: float) -> Changes:
         self.waits.append(wait)
         seconds, brought = self.answers.pop(0)
         self.at += wait + ROUND_TRIP if seconds is None else seconds
         if isinstance(brought, Exception):
             raise brought
-        return Changes(brought, after + 1)  # type: ignore[arg-type]
+        return Changes(brought, after.version + 1)  # type: ignore[arg-type]
 
 
 @pytest.fixture
@@ -57,7 +57,7 @@
             except PlatformUnavailable as error:
                 feed._failed(error)
             except HistoryGone:
-                feed.version = None
+                feed.position = None
         return feed, script
 
     return start
@@ -97,7 +97,8 @@
 def test_a_forgotten_history_is_read_whole(follow) -> None:  # type: ignore[no-untyped-def]
     feed, script = follow((0.1, HistoryGone("gone")), (0.1, {}))
     assert script.whole == 2
-    assert feed.version == 1
+    assert feed.position is not None
+    assert feed.position.version == 1
 
 
 class LostStore:
@@ -113,9 +114,9 @@
             raise PlatformUnavailable("no answer", step="read", peer="store")
         return Changes({}, 1)
 
-    def changes(self, table: str, after: int, wait: float) -> Changes:
+    def changes(self, table: str, after: Position, wait: float) -> Changes:
         eventlet.sleep(wait)
-        return Changes({}, after)
+        return Changes({}, after.version)
 
 
 def test_one_feed_looks_for_a_lost_store_and_tells_the_others() -> None:
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -22,9 +22,9 @@
 from bayglade.exceptions import PlatformUnavailable
 from bayglade.feeds import Feed, look_together
 from bayglade.freshness import wait_within
-from bayglade.ids import MemberId
+from bayglade.ids import UNKNOWN_EPOCH, MemberId, StoreEpoch
 from bayglade.readers import READERS
-from bayglade.rows import Changes, raw
+from bayglade.rows import Changes, Position, raw
 from tests import fleets
 from tests.fleets import SILENCE, Fleet
 from tests.virtual_time import START, now, run_virtually
@@ -55,11 +55,11 @@
         return self.away_from <= now() < self.away_until
 
     def snapshot(self, table: str) -> Changes:
-        return self.changes(table, 0, 0.0)
+        return self.changes(table, Position(UNKNOWN_EPOCH, 0), 0.0)
 
-    def changes(self, table: str, after: int, wait: float) -> Changes:
+    def changes(self, table: str, after: Position, wait: float) -> Changes:
         sent, silent = now(), self.away()
-        while not silent and self.versions[table] <= after and now() < sent + wait:
+        while not silent and self.versions[table] <= after.version and now() < sent + wait:
             eventlet.sleep(0.01)
             # A call that is under way when the store goes away is never answered.
             silent = self.away()
@@ -68,7 +68,7 @@
             raise PlatformUnavailable("no answer", step="read", peer="store")
         eventlet.sleep(ROUND_TRIP)
         version = self.versions[table]
-        rows = {"row": raw(version)} if version > after else {}
+        rows = {"row": raw(version)} if version > after.version else {}
         return Changes(rows, version)
 
 
@@ -83,7 +83,7 @@
     eventlet.sleep(5.0 + seconds_away + LEAVES_AFTER_SECONDS)
     store.versions[SERVERS] += 1
     left = now()
-    while joined[1].version != store.versions[SERVERS]:
+    while joined[1].position != Position(UNKNOWN_EPOCH, store.versions[SERVERS]):
         eventlet.sleep(0.01)
     return round(now() - left, 2)
 
@@ -102,6 +102,9 @@
 """A daemon that something hit has so long to know again all that it must know."""
 
 FAULT_AT = 6.0
+NEVER_SECONDS = 30.0
+"""A change that is not known after so long never will be."""
+
 LEAVES_AFTER = (0.05, 0.6, 1.3, 2.5)
 """Seconds from the end of a fault to when a server leaves."""
 
@@ -137,6 +140,20 @@
     yield 0.0
 
 
+def store_restored(
+    fleet: Fleet, away: float, lost: int, times: int = 1, epochs: bool = True
+) -> Iterator[float]:
+    if epochs:
+        fleet.store.epoch = StoreEpoch(1)
+    for _ in range(lost):
+        for table in fleets.TABLES:
+            fleet.store.write(table)
+    yield 2.5
+    for _ in range(times):
+        yield from store_away(fleet, 0.01, away)
+        fleet.store.restore(lost)
+
+
 def store_slow(fleet: Fleet) -> Iterator[float]:
     fleet.store.answer_seconds = 0.3
     yield 5.0
@@ -167,6 +184,13 @@
     "connections of documents silent": lambda fleet: connections_fall_silent(fleet, "document"),
     "history gone": history_gone,
     "slow": store_slow,
+    **{
+        f"restored after {s} s, {lost} writes lost": partial(store_restored, away=s, lost=lost)
+        for s in (0.0, 0.05, 0.5, 2.5)
+        for lost in (1, 12)
+    },
+    "restored twice": partial(store_restored, away=0.3, lost=6, times=2),
+    "restored, and does not say so": partial(store_restored, away=0.5, lost=12, epochs=False),
 }
 
 
@@ -180,7 +204,7 @@
     over = now()
     eventlet.sleep(leaves_after)
     left = fleet.leave()
-    while fleet.unaware():
+    while fleet.unaware() and now() < left + NEVER_SECONDS:
         eventlet.sleep(0.01)
     return round(now() - max(left + BOUND, over + CONTACT_SECONDS), 2)
 
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -145,7 +145,7 @@
         oldest = max(oldest, *(daemon.feeds["document"].age() for daemon in fleet.live()))
     assert fleet.unaware() == []
     version = fleet.store.versions["document"]
-    assert [d.name for d in fleet.live() if d.feeds["document"].version != version] == []
+    assert [d.name for d in fleet.live() if d.known("document") != version] == []
     assert oldest < KEY_TRUST_SECONDS
 
 
--- a/tests/test_store_epochs.py
+++ b/tests/test_store_epochs.py
@@ -10,7 +10,7 @@
 from bayglade.feeds import Feed
 from bayglade.ids import UNKNOWN_EPOCH, StoreEpoch
 from bayglade.platform import Store
-from bayglade.rows import Condition, Transaction, Write, raw
+from bayglade.rows import Condition, Position, Transaction, Write, raw
 from standins.users.store import MetadataStore
 
 ROW = {"key": raw(1)}
@@ -29,7 +29,7 @@
     client = Store(parse_address(stored.server.address), on_epoch=told.append)
     client.snapshot("op")
     stored.epoch = 2
-    client.changes("op", 0, 0.0)
+    client.changes("op", Position(UNKNOWN_EPOCH, 0), 0.0)
     stored.epoch = 3
     conflict = Transaction([Condition("members/a", 7)], [Write("members/a", raw(1))])
     assert not client.transact(conflict).committed
@@ -55,6 +55,7 @@
     monkeypatch.setattr(
         feeds, "limited", lambda rate: lambda *words, **fields: lines.append((*words, fields))
     )
+    stored.epoch = None
     client = Store(parse_address(stored.server.address))
     for _ in range(4):
         stored.put("op", "config", 1)
