Let the list of a restored store take nothing back of what is known of servers

What callers saw: a server whose entry had been removed got 160 requests in 2 s once the store had come back from a copy in which it was still listed.

Cause: an entry was taken for the newest word of its server because it came with the newest read of the list. Ruled out: the grace of an outage, which concerns entries that are missing, not those that are back.

Change: an entry of the present start with fewer writes than the one known is passed over, so layers, and the word that it leaves, hold. One of a start that was gone gets nothing and is in no layout until the server writes it again or the platform has kept it for longer than three heartbeats and a second; the heartbeat is a setting, filled in from the platform's.

--- a/bayglade/config.py
+++ b/bayglade/config.py
@@ -81,6 +81,9 @@
     drain_ms: float = 2000.0
     """Time in which it must be known here that a backend server leaves."""
 
+    server_heartbeat_ms: float = 1200.0
+    """Time between two writes of a backend server to its entry in the platform's list."""
+
     config_ms: float = 2000.0
     """Time in which a change of the operator's document must be in force here."""
 
--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -25,7 +25,7 @@
 from bayglade.freshness import rest_after
 from bayglade.ids import UNKNOWN_EPOCH
 from bayglade.logs import event, limited
-from bayglade.rows import ChangeFeed, Changes, Position
+from bayglade.rows import ChangeFeed, Changes, Position, was_restored
 
 FIRST_PAUSE = 0.05
 MAX_PAUSE = 0.4
@@ -333,7 +333,7 @@
         """Note that a table comes from a restored store: rows that the copy lacks may be written again."""
         before = self.position or self.gone_after
         self.gone_after = None
-        if before is None or (changes.epoch == before.epoch and changes.position >= before):
+        if not was_restored(before, changes.position):
             return
         self.recovered_at = max(self.recovered_at, self.history.restored_at or now())
         known = {key: bytes(value) for key, (_, value) in self.rows.items() if value is not None}
--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -23,15 +23,21 @@
 """Seconds after the store's return in which a missing entry may come back: the users say two,
 and work that goes to a server that is gone must end by then."""
 
+DEFAULT_EXPIRY_SECONDS = 4.6
+
 MAX_KNOWN_STARTS = 10_000
 """Servers whose newest start is remembered, those that are gone among them: several times as many as
 the largest fleet has."""
 
 
 class Fleet:
-    """All backend servers, by service."""
+    """All backend servers, by service.
+
+    :param expiry: seconds after which the platform removes the entry of a server that does not write it.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, expiry: float = DEFAULT_EXPIRY_SECONDS) -> None:
+        self.expiry = expiry
         self.servers: dict[BackendId, Server] = {}
         self.by_service: dict[ServiceName, list[Server]] = {}
         self.lapsed: set[BackendId] = set()
@@ -109,15 +115,22 @@
         self._rebuild()
 
     def replace(
-        self, listed: Iterable[ServerFacts], outage: bool, strange: Mapping[BackendId, str] | None = None
+        self,
+        listed: Iterable[ServerFacts],
+        outage: bool,
+        strange: Mapping[BackendId, str] | None = None,
+        restored: bool = False,
     ) -> None:
         """Take in the whole list.
 
         :param listed: all entries.
         :param outage: whether the store was away just now.
         :param strange: entries that no server wrote, with what is wrong.
+        :param restored: whether the list is of a store that came back from an older copy.
         """
         entries = list(listed)
+        for facts in entries if restored else ():
+            self._doubt(facts)
         missing = self.servers.keys() - {facts.id for facts in entries} - (strange or {}).keys()
         self.take(entries, missing, outage, strange)
 
@@ -257,6 +270,10 @@
             return
         self.lapsed.discard(facts.id)
         server = self.servers.get(facts.id)
+        if server is not None and server.facts.key == facts.key and facts.writes < server.facts.writes:
+            # A store that came back from an older copy: what the server wrote since holds.
+            event("INFO", "older entry ignored", peer=facts.id, writes=facts.writes)
+            return
         if server is None:
             self._add(facts)
             event("INFO", "server listed", peer=facts.id, hall=facts.hall, service=facts.service)
@@ -274,8 +291,18 @@
         if server.suspect and (facts.first, facts.last) != (server.facts.first, server.facts.last):
             # It writes its row itself, so it lives and holds what that says.
             self.trust(server, "its row has changed")
+        if facts.writes > server.facts.writes:
+            server.unconfirmed_until = 0.0
         server.facts = facts
 
+    def _doubt(self, facts: ServerFacts) -> None:
+        """Use an entry of a server that was gone for nothing until it is known to be the server's own."""
+        if facts.id in self.servers or facts.key not in self.tombstones.known:
+            return
+        self._add(facts)
+        self.servers[facts.id].unconfirmed_until = now() + self.expiry
+        event("WARNING", "entry of a server that was gone is back", peer=facts.id, seconds=self.expiry)
+
     def _add(self, facts: ServerFacts) -> None:
         server = Server(facts)
         self.tombstones.restore(server)
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -58,6 +58,10 @@
 DOCUMENT_PAUSE = 0.2
 """Seconds after a change of the document before the next call: changes come in storms, each call
 is paid for, and a tenth of the time in which a change must be in force is spent at most."""
+HEARTBEATS_MISSED = 3
+"""Heartbeats that a backend server misses before the platform removes its entry."""
+EXPIRY_MARGIN = 1.0
+"""Seconds for the removal to be known here."""
 TIDY_SECONDS = 1.0
 """Seconds between looks at the own settings file and at connections that rested too long."""
 DRAIN_POLL = 0.05
@@ -89,7 +93,7 @@
         answer_seconds = answer_within(self.shortest_bound)
         self.history = StoreHistory()
         self.store = platform.Store(parse_address(config.store), answer_seconds, self.history.note)
-        self.fleet = Fleet()
+        self.fleet = Fleet(HEARTBEATS_MISSED * config.server_heartbeat_ms / 1000 + EXPIRY_MARGIN)
         self.links = Links()
         self.fleet.on_restart.append(self.links.drop)
         self.control = platform.Engines(self.links)
--- a/bayglade/listing.py
+++ b/bayglade/listing.py
@@ -13,7 +13,7 @@
 from bayglade.ids import BackendId
 from bayglade.logs import event
 from bayglade.metrics import Metrics
-from bayglade.rows import Changes
+from bayglade.rows import Changes, Position, was_restored
 from bayglade.servers import ServerFacts
 
 RETRY_SECONDS = 1.0
@@ -43,6 +43,9 @@
         self.feed: Feed
         """Whoever brings the rows; set once it is made."""
 
+        self.position: Position | None = None
+        """Up to where the list was taken in."""
+
         self.behind = False
         """Whether the list is older than its bound, though the store answers."""
 
@@ -71,8 +74,9 @@
                     "WARNING", "entry is not the server's own", peer=key, reason=error.message
                 )
         outage = self._grace_left() > 0
+        before, self.position = self.position, changes.position
         if whole:
-            self.fleet.replace(listed, outage, strange)
+            self.fleet.replace(listed, outage, strange, was_restored(before, changes.position))
         else:
             self.fleet.take(listed, gone, outage, strange)
         if self.fleet.lapsed:
--- a/bayglade/platform/documents.py
+++ b/bayglade/platform/documents.py
@@ -212,6 +212,7 @@
         last=layers.last,
         weights=layers.version,
         incarnation=incarnation_of(row.born),
+        writes=row.seq,
     )
 
 
--- a/bayglade/rows.py
+++ b/bayglade/rows.py
@@ -17,6 +17,17 @@
     version: int
 
 
+def was_restored(before: Position | None, after: Position) -> bool:
+    """Tell whether a store came back from an older copy between two positions.
+
+    :param before: up to where a table was known; nothing when it was not.
+    :param after: up to where it was read whole since.
+    """
+    if before is None or before.epoch == UNKNOWN_EPOCH < after.epoch:
+        return False
+    return after.epoch > before.epoch or after < before
+
+
 class Row(msgspec.Struct, frozen=True):
     """A row of the table: its version, which grows with each write, and its value."""
 
--- a/bayglade/servers.py
+++ b/bayglade/servers.py
@@ -48,6 +48,8 @@
     """Version of the weights it holds."""
 
     incarnation: Incarnation = UNKNOWN_INCARNATION
+    writes: int = 0
+    """How often this start had written its entry."""
 
     @property
     def key(self) -> ServerKey:
@@ -139,6 +141,7 @@
         "suspect_since",
         "suspect_until",
         "throttle",
+        "unconfirmed_until",
         "unread",
     )
 
@@ -154,6 +157,9 @@
         """Why its entry names no server to use; nothing while the entry is its own."""
 
         self.excluded_at = 0.0
+        self.unconfirmed_until = 0.0
+        """Until when its entry may be one that the platform only has from an older copy of its list."""
+
         self.unread = 0
         """Own requests whose first stage it is, and which it has not begun to answer."""
 
@@ -198,7 +204,7 @@
         """Tell whether nothing is wrong with it; it may take no request now all the same."""
         if self.leaving or self.suspect or self.excluded is not None:
             return False
-        return at >= self.suspect_until
+        return at >= max(self.suspect_until, self.unconfirmed_until)
 
     def resting(self, at: float) -> bool:
         """Tell whether it asked for a rest that is not over."""
@@ -218,7 +224,7 @@
 
     def placed(self, at: float) -> bool:
         """Tell whether a layout counts on it and its layers."""
-        if self.leaving or self.suspect:
+        if self.leaving or self.suspect or at < self.unconfirmed_until:
             return False
         return self.excluded is None or at - self.excluded_at < EXCLUDED_SECONDS
 
@@ -235,6 +241,8 @@
         if self.excluded is not None:
             return "excluded"
         at = now()
+        if at < self.unconfirmed_until:
+            return "unconfirmed"
         if not self.sound(at):
             return "suspect"
         if self.resting(at):
--- a/bayglade/tombstones.py
+++ b/bayglade/tombstones.py
@@ -1,7 +1,8 @@
 """Tombstones: what is kept of servers that are no longer listed.
 
 A row may be gone for a moment and come back, and an older one may come back: what the server
-itself said in its answers goes on to hold, for the start of it that said so.
+itself said in its answers goes on to hold, for the start of it that said so. The row of a
+server that is gone may also come back with an older copy of the whole list.
 """
 
 import msgspec
@@ -34,20 +35,23 @@
         return f"<Tombstones of {len(self.known)} servers>"
 
     def add(self, server: Server, at: float) -> None:
-        """Keep what a server that is no longer listed said, if it said anything that holds."""
-        if not server.leaving and not server.resting(at) and server.rate_limit is None:
-            return
+        """Keep what a server that is no longer listed said."""
+        rest_until = server.rest_until if server.resting(at) else 0.0
         self.known[server.facts.key] = Tombstone(
-            server.leaving, server.rest_until, server.rate_limit, server.throttle
+            server.leaving, rest_until, server.rate_limit, server.throttle
         )
         if len(self.known) > MAX_TOMBSTONES:
             del self.known[next(iter(self.known))]
 
-    def restore(self, server: Server) -> None:
-        """Give a server that is listed again what its present start said."""
+    def restore(self, server: Server) -> bool:
+        """Give a server that is listed again what its present start said.
+
+        :return: whether this start was listed before.
+        """
         stone = self.known.pop(server.facts.key, None)
         if stone is None:
-            return
+            return False
         server.leaving = server.leaving or stone.leaving
         server.rest_until = stone.rest_until
         server.rate_limit, server.throttle = stone.rate_limit, stone.throttle
+        return True
