Have a daemon that starts ask the others for newer settings before it serves

What callers saw: a daemon that started after the store had come back from an older copy, before the operator had written again, ran requests with a key that had been taken away; all other daemons refused them.

Cause: it served by whatever the store held. Ruled out: that it took older settings over newer ones; it never had the newer ones.

Change: a gateway with peers is not ready and refuses calls (503, not run) until two daemons that run for longer, or all it has streams to, have told it that they have nothing newer; what is newer is fetched at once. It waits 2 s at most from when the store's settings are known, then serves by these and warns: the others may be gone. A daemon that is heard from is dialled at once, as one that starts waits for its word.

Seven cases on the decision alone.

--- /dev/null
+++ b/bayglade/catchup.py
@@ -0,0 +1,76 @@
+"""Catching up: a daemon that starts serves by no older settings than the other daemons have.
+
+The store may have been restored from an older copy, and the operator may not have
+written again what it lost; the daemons that ran before still know.
+"""
+
+from collections.abc import Set
+
+from bayglade.clock import now
+from bayglade.ids import MemberId, Revision
+from bayglade.intake import Intake
+from bayglade.logs import event
+
+CATCH_UP_SECONDS = 2.0
+"""Time after which a daemon that others did not answer serves by what the store has: they may be gone."""
+CONFIRMING_DAEMONS = 2
+"""Daemons that run for longer and have nothing newer, after which no others are waited for."""
+
+
+class CatchUp:
+    """What a daemon that starts has heard of the settings of others; times are monotonic seconds.
+
+    :param intake: the settings in force here.
+    """
+
+    def __init__(self, intake: Intake) -> None:
+        self.intake = intake
+        self.known_since: float | None = None
+        """When settings were known here first."""
+
+        self.heard: dict[MemberId, Revision] = {}
+        self.confirming: set[MemberId] = set()
+        """Daemons that have caught up themselves."""
+
+    def __repr__(self) -> str:
+        return f"<CatchUp heard={sorted(self.heard)}>"
+
+    def hear(self, member: MemberId, revision: Revision, caught_up: bool) -> None:
+        """Take in what another daemon says of its settings.
+
+        :param member: the daemon.
+        :param revision: its settings.
+        :param caught_up: whether it has caught up itself.
+        """
+        self.heard[member] = revision
+        if caught_up:
+            self.confirming.add(member)
+
+    def check(self, others: Set[MemberId] | None) -> bool:
+        """Let this daemon serve once its settings are confirmed, or nobody can be asked.
+
+        :param others: the daemons it has streams to; nothing while they are not known.
+        :return: whether it may serve.
+        """
+        if self.intake.caught_up or not self.intake.version:
+            return self.intake.caught_up
+        if self.known_since is None:
+            self.known_since = now()
+        late = now() - self.known_since >= CATCH_UP_SECONDS
+        if not late and not self._confirmed(others):
+            return False
+        self.intake.caught_up = True
+        event(
+            "WARNING" if late else "INFO",
+            "settings not confirmed" if late else "settings confirmed",
+            version=self.intake.version,
+            by=sorted(self.heard),
+            after=round(now() - self.known_since, 2),
+        )
+        return True
+
+    def _confirmed(self, others: Set[MemberId] | None) -> bool:
+        if self.intake.version < max(self.heard.values(), default=0):
+            return False
+        enough = len(self.confirming) >= CONFIRMING_DAEMONS
+        return enough or (others is not None and others <= self.heard.keys())
--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -89,6 +89,12 @@
         """Tell whether it was heard lately."""
         return at - self.heard_at < LOST_AFTER
 
+    def wait(self, seconds: float) -> None:
+        """Wait before dialling again, less when there is something to send."""
+        self.wake = Event()
+        with eventlet.Timeout(seconds, False):
+            self.wake.wait()
+
     def push(self, message: wire.Message | None = None) -> None:
         """Have the sending task send a message, or a heartbeat when there is none, at once."""
         if message is None:
@@ -147,6 +153,9 @@
         self.on_quota_request: Callable[[MemberId, wire.QuotaRequest], None] = lambda member, message: None
         self.on_quota_reply: Callable[[MemberId, wire.QuotaReply], None] = lambda member, message: None
         self.on_quota_return: Callable[[MemberId, wire.QuotaReturn], None] = lambda member, message: None
+        self.caught_up: Callable[[], bool] = lambda: True
+        """Tells whether others were asked for newer settings."""
+
         self.fetch_after = 0.0
         """Seconds for which another daemon must be known to have newer settings before they are
         asked for: more than nothing where they come by another way too."""
@@ -288,7 +297,7 @@
             try:
                 stream = streams.dial(member.address, self.me, self.secret)
             except (OSError, PeerError):
-                eventlet.sleep(pause * self.rng.uniform(0.5, 1.0))
+                member.wait(pause * self.rng.uniform(0.5, 1.0))
                 pause = min(REDIAL_MAX, pause * 2)
                 continue
             pause = REDIAL_MIN
@@ -328,6 +337,7 @@
             hall_loads=sums.hall,
             all_loads=sums.everywhere,
             heard_age=round(now() - self.heard[member_id], 2) if member_id in self.heard else 0.0,
+            caught_up=self.caught_up(),
         )
 
     def _receive(self, connection: socket.socket) -> None:
@@ -348,6 +358,9 @@
     def _handle(self, sender: MemberId, message: wire.Message) -> None:
         self.heard[sender] = now()
         member = self.members.get(sender)
+        if member is not None and member.stream is None:
+            # It lives again: one that has just started waits to hear of others.
+            member.push()
         if isinstance(message, wire.Heartbeat):
             if member is not None:
                 self._heard(member, message)
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -153,6 +153,9 @@
     """Seconds since the sender heard the receiver; 0 when it never did. A stream whose connection
     fell silent takes what is sent on it without an error, and only the other side can tell."""
 
+    caught_up: bool = True
+    """Whether the sender, since it started, asked others for newer settings than it has."""
+
 
 class Findings(msgspec.Struct, frozen=True, tag="s", array_like=True):
     """Passes on what was found out about servers, at once.
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -209,6 +209,7 @@
         return (
             not self.draining
             and self.intake.version > 0
+            and self.intake.caught_up
             and bool(self.fleet.servers)
             and self.intake.trusted()
         )
--- a/bayglade/intake.py
+++ b/bayglade/intake.py
@@ -45,6 +45,9 @@
         self.key_trust = key_trust
         self.rng = rng
         self.current = EMPTY
+        self.caught_up = True
+        """Whether other daemons were asked for newer settings since this one started."""
+
         self.decode: Callable[[msgspec.Raw], tuple[int, Tree]] | None = None
         """Reads a document that another daemon has."""
 
@@ -122,6 +125,8 @@
         head = self.dialect.read_call(message)
         if not self.version:
             raise self._cut_off("no settings are known yet")
+        if not self.caught_up:
+            raise self._cut_off("other daemons may have newer settings")
         try:
             endpoint = self.endpoints.find(head.host, message.target.decode("latin-1"))
             group = self._group(head, endpoint)
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -7,12 +7,13 @@
 """
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Sequence, Set
 from functools import partial
 
 import eventlet
 import msgspec
 
+from bayglade.catchup import CatchUp
 from bayglade.clock import now
 from bayglade.config import GatewayConfig, parse_address
 from bayglade.entries import wire
@@ -57,6 +58,8 @@
 """Time between looks for these."""
 STOP_RETRY_SECONDS = 3.0
 """Time after which the row of a request that is held back is written once more, if it is not there."""
+CATCH_UP_LOOK_SECONDS = 0.05
+"""Time between looks whether a gateway that starts has heard enough of the others."""
 BUDGET_PART = 0.85
 """Part of the users' bound on repeated sendings that all gateways together allow themselves."""
 
@@ -90,6 +93,8 @@
         self.clean_at = 0.0
         self.feed = Feed(store, table, wait_within(ROSTER_BOUND), self._take_roster, ROSTER_PAUSE, history)
         self.membership: Membership | None = None
+        self.catch_up = CatchUp(intake)
+        intake.caught_up = not config.peer_ports
         host = parse_address(config.callers).host
         self.address = f"{host}:{config.peer_ports.partition(',')[0]}"
         self.fanout = Fanout({**feeds, table: self.feed}, proof, self._push, self.address)
@@ -127,6 +132,7 @@
         """Join the other gateways, then watch them for ever."""
         if not self.config.peer_ports:
             return
+        eventlet.spawn_n(self._catch_up)
         where = parse_address(self.address)
         listening = listen(where.host, where.port)
         self.roster = join(self.store, self.feed.table, self.config.member, self._row())
@@ -159,6 +165,17 @@
         """Return how many gateways there are, as far as known here."""
         return max(1, len(self.order.site))
 
+    def _catch_up(self) -> None:
+        """Have this gateway serve once it knows that others have no newer settings."""
+        while not self.catch_up.check(self._expected()):
+            eventlet.sleep(CATCH_UP_LOOK_SECONDS)
+        if self.membership is not None:
+            self.membership.fetch_after = FETCH_AFTER_SECONDS
+
+    def _expected(self) -> Set[MemberId] | None:
+        """Return the gateways that are to be heard before this one serves."""
+        return self.membership.members.keys() if self.membership is not None else None
+
     def _keeper(self, server: Server) -> MemberId | None:
         """Choose the gateway that keeps the rate limit of a server; none before this one has joined.
 
@@ -292,7 +309,8 @@
         membership.on_quota_request = self.quotas.heard_request
         membership.on_quota_reply = self.quotas.heard_reply
         membership.on_quota_return = self.quotas.heard_return
-        membership.fetch_after = FETCH_AFTER_SECONDS
+        membership.fetch_after = FETCH_AFTER_SECONDS if self.intake.caught_up else 0.0
+        membership.caught_up = lambda: self.intake.caught_up
         self.peers.paths.elsewhere = lambda: self.totals.elsewhere(self._loads())
         self.peers.paths.daemons = lambda: self.totals.neighbours() + 1
         self.peers.diagnosis.daemons = membership.count
@@ -348,6 +366,7 @@
 
     def _heard_beat(self, member: MemberId, beat: wire.Heartbeat) -> None:
         self.totals.hear(member, beat)
+        self.catch_up.hear(member, beat.revision, beat.caught_up)
         self.spreading.heard_of(load.key for load in beat.loads)
 
     def _heard_poll(self, member: MemberId, poll: wire.Poll) -> None:
--- /dev/null
+++ b/tests/test_catchup.py
@@ -0,0 +1,89 @@
+"""A daemon that starts serves only once others have confirmed its settings, or cannot be asked."""
+
+import random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from bayglade import catchup
+from bayglade.catchup import CATCH_UP_SECONDS, CatchUp
+from bayglade.exceptions import CutOff
+from bayglade.ids import MemberId, Revision
+from bayglade.intake import Intake
+from bayglade.settings import Tree
+
+A, B, C = MemberId("a"), MemberId("b"), MemberId("c")
+
+
+class Clock:
+    """A clock that moves only as told."""
+
+    def __init__(self) -> None:
+        self.at = 100.0
+
+    def now(self) -> float:
+        return self.at
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    made = Clock()
+    monkeypatch.setattr(catchup, "now", made.now)
+    return made
+
+
+@pytest.fixture
+def intake(clock: Clock) -> Intake:
+    made = Intake(SimpleNamespace(), lambda: 0.0, 5.0, random.Random(1))  # type: ignore[arg-type]
+    made.caught_up = False
+    made.take(7, Tree(), b"7")
+    return made
+
+
+def test_nothing_is_served_before(intake: Intake) -> None:
+    intake.dialect = SimpleNamespace(read_call=lambda message: None)  # type: ignore[assignment]
+    message: Any = None
+    with pytest.raises(CutOff) as refused:
+        intake.call(message)
+    assert refused.value.retry_after is not None
+
+
+def test_two_daemons_that_have_caught_up_are_enough(intake: Intake) -> None:
+    catch_up = CatchUp(intake)
+    catch_up.hear(A, Revision(7), True)
+    assert not catch_up.check({A, B, C})
+    catch_up.hear(B, Revision(6), True)
+    assert catch_up.check({A, B, C})
+
+
+def test_newer_settings_are_waited_for(intake: Intake) -> None:
+    catch_up = CatchUp(intake)
+    for member in (A, B, C):
+        catch_up.hear(member, Revision(9 if member == C else 7), True)
+    assert not catch_up.check({A, B, C})
+    intake.take(9, Tree(), b"9")
+    assert catch_up.check({A, B, C})
+
+
+def test_daemons_that_all_start_together_confirm_each_other(intake: Intake) -> None:
+    catch_up = CatchUp(intake)
+    catch_up.hear(A, Revision(7), False)
+    assert not catch_up.check({A, B})
+    catch_up.hear(B, Revision(0), False)
+    assert catch_up.check({A, B})
+
+
+def test_a_daemon_without_others_serves_at_once(intake: Intake) -> None:
+    assert not CatchUp(intake).check(None)
+    assert CatchUp(intake).check(set())
+
+
+@pytest.mark.parametrize("others", [None, {A, B}])
+def test_others_that_cannot_be_asked_are_not_waited_for_for_ever(
+    intake: Intake, clock: Clock, others: set[MemberId] | None
+) -> None:
+    catch_up = CatchUp(intake)
+    assert not catch_up.check(others)
+    clock.at += CATCH_UP_SECONDS
+    assert catch_up.check(others)
