Write on conditions only in the epoch of the store in which they were read

What could happen: a version that was read before the store was restored stands for another row after it, so a conditional write may take hold of a row that its writer never saw; and a copy that is older than the lease of placement, or shows it released, lets a second daemon give orders beside its holder.

Cause: conditions and leases rested on the promise that nothing acknowledged is lost. Found by looking for the class, not seen in a record.

Change: a row tells the epoch in which it was read, GuardedTable withholds a write whose condition is of an earlier one, and takes the answer to one that was under way over a change for lost.

Left: a copy older than the first lease ever, met by a daemon that has just started.

--- a/bayglade/epochs.py
+++ b/bayglade/epochs.py
@@ -9,8 +9,18 @@
 import eventlet
 
 from bayglade.clock import now
+from bayglade.exceptions import PlatformAnswerLost
 from bayglade.ids import UNKNOWN_EPOCH, StoreEpoch
 from bayglade.logs import event
+from bayglade.rows import (
+    ABSENT,
+    Changes,
+    Position,
+    Row,
+    Table,
+    Transaction,
+    TransactionResult,
+)
 
 
 class StoreHistory:
@@ -42,3 +52,48 @@
         self.restored_at = now()
         for tell in self.on_restored:
             eventlet.spawn_n(tell)
+
+
+class GuardedTable:
+    """Tables of the store, written on conditions that hold in the epoch in which they were read.
+
+    A version that was given out again may stand for another row than the one that was read.
+
+    :param table: the store.
+    :param history: the newest epoch of the store.
+    """
+
+    def __init__(self, table: Table, history: StoreHistory) -> None:
+        self.table = table
+        self.history = history
+
+    def __repr__(self) -> str:
+        return f"<GuardedTable {self.table!r}>"
+
+    def snapshot(self, table: str) -> Changes:
+        """Read all rows of a table; see :class:`bayglade.rows.ChangeFeed`."""
+        return self.table.snapshot(table)
+
+    def changes(self, table: str, after: Position, wait: float) -> Changes:
+        """Wait for changes; see :class:`bayglade.rows.ChangeFeed`."""
+        return self.table.changes(table, after, wait)
+
+    def read(self, keys: list[str]) -> dict[str, Row]:
+        """Read rows; see :class:`bayglade.rows.RowStore`."""
+        return self.table.read(keys)
+
+    def transact(self, transaction: Transaction) -> TransactionResult:
+        """Write rows; see :class:`bayglade.rows.RowStore`.
+
+        :raises PlatformAnswerLost: also when the store was restored while the write was under way.
+        """
+        read_in = [c.epoch for c in transaction.conditions if c.version != ABSENT]
+        epochs = {epoch for epoch in read_in if epoch != UNKNOWN_EPOCH}
+        if epochs and min(epochs) < self.history.epoch:
+            keys = [condition.key for condition in transaction.conditions]
+            event("INFO", "write withheld", keys=keys, read_in=min(epochs), epoch=self.history.epoch)
+            return TransactionResult(False, keys, self.history.epoch)
+        result = self.table.transact(transaction)
+        if epochs and result.epoch != UNKNOWN_EPOCH and epochs != {result.epoch}:
+            raise PlatformAnswerLost("the store was restored meanwhile", step="transact", peer="store")
+        return result
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -17,7 +17,7 @@
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
 from bayglade.diagnosis import Diagnosis
 from bayglade.ends import watch_ends
-from bayglade.epochs import StoreHistory
+from bayglade.epochs import GuardedTable, StoreHistory
 from bayglade.exceptions import BaygladeError, InvalidSettings, Stopping
 from bayglade.feeds import Feed, look_together
 from bayglade.fleet import Fleet
@@ -93,6 +93,7 @@
         answer_seconds = answer_within(self.shortest_bound)
         self.history = StoreHistory()
         self.store = platform.Store(parse_address(config.store), answer_seconds, self.history.note)
+        rows = GuardedTable(self.store, self.history)
         self.fleet = Fleet(HEARTBEATS_MISSED * config.server_heartbeat_ms / 1000 + EXPIRY_MARGIN)
         self.links = Links()
         self.fleet.on_restart.append(self.links.drop)
@@ -146,7 +147,7 @@
         self.loader = Loader(
             self.fleet,
             self.control,
-            Lease(self.store, LEASE_NAME, config.member, LEASE_SECONDS, LEASE_MARGIN),
+            Lease(rows, LEASE_NAME, config.member, LEASE_SECONDS, LEASE_MARGIN, self.history),
             self.intake.pipelines,
             self.metrics,
             self.rng,
@@ -155,7 +156,7 @@
         )
         self.peering = Peering(
             config,
-            self.store,
+            rows,
             {platform.OPERATOR_TABLE: self.document_feed, platform.SERVERS_TABLE: self.servers_feed},
             self.document_feed,
             platform.MEMBERS_TABLE,
--- a/bayglade/platform/store.py
+++ b/bayglade/platform/store.py
@@ -133,10 +133,10 @@
         """Read rows of bayglade's own tables; see :class:`bayglade.rows.RowStore`."""
         found: dict[str, Row] = {}
         for key in keys:
-            page, _ = self._page(f"/api/rows-get?table={_table(key)}&part=&from={key}&limit=1")
+            page, epoch = self._page(f"/api/rows-get?table={_table(key)}&part=&from={key}&limit=1")
             for row in page.rows:
                 if row.key == key:
-                    found[key] = Row(row.ver, _decoded(row.value))
+                    found[key] = Row(row.ver, _decoded(row.value), epoch)
         return found
 
     def transact(self, transaction: Transaction) -> TransactionResult:
@@ -153,10 +153,10 @@
         answer = self._call("transact", "POST", "/api/rows-tx", msgspec.json.encode(message), READ_TIMEOUT)
         if answer.status == 412:
             conflicts = msgspec.json.decode(answer.body, type=Page).rows
-            return TransactionResult(False, [row.key for row in conflicts])
+            return TransactionResult(False, [row.key for row in conflicts], answer.epoch)
         if answer.status != 200:
             raise self._refused("transact", answer.status, lost=answer.status not in (429, 503))
-        return TransactionResult(True)
+        return TransactionResult(True, epoch=answer.epoch)
 
     def _page(self, path: str, wait: float = 0.0) -> tuple[Page, StoreEpoch]:
         answer = self._call("read", "GET", path, None, wait + min(READ_TIMEOUT, self.answer_seconds))
--- a/bayglade/roster.py
+++ b/bayglade/roster.py
@@ -95,7 +95,7 @@
     if row is None:
         return
     gone = Write(key, raw(msgspec.structs.replace(row, gone=True)))
-    committed = store.transact(Transaction([Condition(key, found.version)], [gone])).committed
+    committed = store.transact(Transaction([found.condition(key)], [gone])).committed
     event("INFO", "daemon taken out of the roster", peer=member, committed=committed)
 
 
@@ -108,22 +108,22 @@
     if known.members.get(member) != row:
         key = MEMBER_PREFIX + member
         written = member in known.members or member in known.marked or key in known.strange
-        conditions.append(Condition(key, _version(store, key) if written else ABSENT))
+        conditions.append(_condition(store, key) if written else Condition(key, ABSENT))
         writes.append(Write(key, raw(row)))
     if secret is None:
         text = secrets.token_hex(SECRET_BYTES)
         secret = text.encode()
         written = SECRET_KEY in known.strange
-        conditions.append(Condition(SECRET_KEY, _version(store, SECRET_KEY) if written else ABSENT))
+        conditions.append(_condition(store, SECRET_KEY) if written else Condition(SECRET_KEY, ABSENT))
         writes.append(Write(SECRET_KEY, raw(text)))
     if writes and not store.transact(Transaction(conditions, writes)).committed:
         return None
     return Roster({**known.members, member: row}, secret)
 
 
-def _version(store: RowStore, key: str) -> int:
+def _condition(store: RowStore, key: str) -> Condition:
     found = store.read([key]).get(key)
-    return found.version if found is not None else ABSENT
+    return found.condition(key) if found is not None else Condition(key, ABSENT)
 
 
 def read_roster(rows: Mapping[str, msgspec.Raw | None], before: Roster) -> Roster:
--- a/bayglade/rows.py
+++ b/bayglade/rows.py
@@ -33,13 +33,28 @@
 
     version: int
     value: msgspec.Raw
+    epoch: StoreEpoch = UNKNOWN_EPOCH
+
+    @property
+    def position(self) -> Position:
+        """Return the point in the store's history at which it was written."""
+        return Position(self.epoch, self.version)
 
+    def condition(self, key: str) -> "Condition":
+        """Return the condition that the row is still as it was read.
 
-class Condition(msgspec.Struct, frozen=True):
+        :param key: its key.
+        """
+        return Condition(key, self.version, self.epoch)
+
+
+class Condition(msgspec.Struct, frozen=True, omit_defaults=True):
     """Holds when the row has just this version."""
 
     key: str
     version: int
+    epoch: StoreEpoch = UNKNOWN_EPOCH
+    """The epoch of the store in which that version was read: it may stand for another row since."""
 
 
 class Write(msgspec.Struct, frozen=True):
@@ -63,6 +78,8 @@
 
     committed: bool
     conflicts: list[str] = []
+    epoch: StoreEpoch = UNKNOWN_EPOCH
+    """The epoch of the store that answered."""
 
 
 class Changes(msgspec.Struct, frozen=True):
--- a/bayglade/stops.py
+++ b/bayglade/stops.py
@@ -66,4 +66,4 @@
     found = store.read([key]).get(key)
     if found is None:
         return False
-    return store.transact(Transaction([Condition(key, found.version)], [], removes=[key])).committed
+    return store.transact(Transaction([found.condition(key)], [], removes=[key])).committed
