Keep a stop that a restored store has lost, and write it again

What could happen: a request that had been stopped, as three servers had ended under it, was let go once the store had come back from a copy older than the stop's row: 'request let go reason=its row was removed'.

Cause: a row that is missing in a whole table was taken for one that an operator removed. Found by looking for the class; no record shows it.

Change: in the whole table of a restored store a missing row removes nothing; the stop holds and its row is written again within two seconds, spread. One that was lifted in the last minute and is back in the copy is lifted again.

--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -43,6 +43,8 @@
 """How long a stop waits for word that its request was answered before it goes to the store."""
 WRITE_SECONDS = 2.0
 """Within this time a daemon that was told of the last end writes a stop that nobody else has written."""
+LET_GO_SECONDS = 60.0
+"""How long a stop that was lifted is remembered: longer than a copy of the store is old."""
 MAX_SUSPECTS = 4096
 """Requests that are remembered: each end of a server adds those that had just begun there."""
 MAX_TOLD = 64
@@ -96,6 +98,9 @@
         self.lifts: set[Fingerprint] = set()
         """Stops in the store that this daemon knows to be wrong."""
 
+        self.let_go: dict[Fingerprint, float] = {}
+        """Stops whose rows were removed lately, and when: a restored store may have them again."""
+
         self.trials: dict[BackendId, Trial] = {}
         """The suspect that was sent last to each server."""
 
@@ -303,19 +308,28 @@
         ]
         return crashes, [name for name, e in lately if e.proven]
 
-    def take_stored(self, rows: dict[Fingerprint, list[ServerKey] | None], whole: bool) -> None:
+    def take_stored(
+        self, rows: dict[Fingerprint, list[ServerKey] | None], whole: bool, restored: bool = False
+    ) -> None:
         """Take in stops as they lie in the store.
 
         :param rows: ends by request; nothing for a stop that was lifted.
         :param whole: whether these are all there are.
+        :param restored: whether the store came back from an older copy, which lacks newer stops.
         """
         lifted = {name for name, ends in rows.items() if ends is None}
-        if whole:
-            lifted |= {name for name, e in self.evidence.items() if e.in_store and name not in rows}
+        missing = {name for name, e in self.evidence.items() if whole and e.in_store and name not in rows}
+        if restored:
+            self._write_again(missing)
+            self.lifts |= {name for name in rows if name in self.let_go}
+            rows = {name: ends for name, ends in rows.items() if name not in self.let_go}
+        else:
+            lifted |= missing
         for name in lifted:
             if name in self.evidence and self.evidence[name].in_store:
                 event("INFO", "request let go", content=name, reason="its row was removed")
                 self.evidence.pop(name)
+                self.let_go[name] = now()
         stored = {name: ends for name, ends in rows.items() if ends is not None}
         for name, ends in stored.items():
             self._add(name, ends)
@@ -327,6 +341,13 @@
             elif evidence.ends:
                 self._lift([name])
 
+    def _write_again(self, names: Iterable[Fingerprint]) -> None:
+        """Have the rows of stops written that a restored store has lost."""
+        for name in names:
+            evidence = self.evidence[name]
+            evidence.in_store = False
+            evidence.write_at = now() + self.rng.uniform(0.0, WRITE_SECONDS)
+
     def unwritten(self) -> list[tuple[Fingerprint, Evidence]]:
         """List the stops that are due to be written to the store."""
         at = now()
@@ -344,6 +365,7 @@
         for start in [s for s, end in self.ended.items() if at - end.last_at > UNSURE_SECONDS]:
             del self.ended[start]
         self.heard = {mark: since for mark, since in self.heard.items() if at - since <= UNSURE_SECONDS}
+        self.let_go = {name: since for name, since in self.let_go.items() if at - since <= LET_GO_SECONDS}
         for known in (self.unsure, self.told):
             for start, names in list(known.items()):
                 known[start] = {n: since for n, since in names.items() if at - since <= UNSURE_SECONDS}
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -460,3 +460,31 @@
     end_under(quarantine, asked, range(MOST_ENDS))
     quarantine.use_key(b"of all daemons")
     assert not quarantine.holds(call())
+
+
+def stored_stop(quarantine: Quarantine, asked: Call) -> dict[Fingerprint, list[ServerKey] | None]:
+    end_under(quarantine, asked, range(MOST_ENDS))
+    rows: dict[Fingerprint, list[ServerKey] | None] = {
+        quarantine.name(asked): [start(number) for number in range(MOST_ENDS)]
+    }
+    quarantine.take_stored(rows, False)
+    return rows
+
+
+def test_a_stop_that_a_restored_store_has_lost_holds_and_is_written_again(clock: Clock) -> None:
+    quarantine, asked = make(), call()
+    stored_stop(quarantine, asked)
+    quarantine.take_stored({}, True, restored=True)
+    with pytest.raises(RequestStopped):
+        quarantine.check(asked)
+    clock.at += 5.0
+    assert [name for name, _ in quarantine.unwritten()] == [quarantine.name(asked)]
+
+
+def test_a_stop_that_was_lifted_is_not_taken_from_a_restored_store(clock: Clock) -> None:
+    quarantine, asked = make(), call()
+    rows = stored_stop(quarantine, asked)
+    quarantine.take_stored(dict.fromkeys(rows), False)
+    quarantine.take_stored(rows, True, restored=True)
+    quarantine.check(asked)
+    assert quarantine.take_lifts() == list(rows)
