Keep daemons whose rows a restored store has lost, and write the rows again

What could happen: a daemon that joined after the copy was made dropped out of the roster of all that read it anew, with its streams; one that had been taken out was back; a secret that the copy lacks was made anew by whoever came first.

Cause: the roster was taken for what the store holds, as nothing acknowledged was lost until now. Found by looking for the class.

Change: the roster of a restored store is joined with what was known: rows that it lacks count for 10 s unless their daemons are silent, those taken out since the copy stay out and are marked again by their hall's first reader. Each daemon writes its own row again once, all together 100 a second, as servers and operators write at that moment. The secret that streams have is written again by the readers of the site, also over one that was made since; a daemon that started in between takes it.

Evidence: nine cases; among four daemons on loopback all rows and the same secret are back, a daemon that joins then hears all of them. 440 rows are spread over 4.4 s (130 in any second at most).

--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -31,12 +31,13 @@
 from bayglade.lending import POOLED_PART, Pools
 from bayglade.listener import listen
 from bayglade.logs import event
+from bayglade.lost_rows import KEEP_SECONDS, recover, stored_members, write_delay
 from bayglade.quotas import Quotas, choose_keeper
 from bayglade.readers import LOST_SECONDS, Duty, Lost, Order, Plan, make_plan, streams_of
 from bayglade.relay import Peers
 from bayglade.retries import BUDGET_FLOOR, RetryBudget
 from bayglade.roster import MemberRow, Roster, join, mark_gone, read_roster
-from bayglade.rows import Changes, Table
+from bayglade.rows import Changes, Position, Table, was_restored
 from bayglade.servers import Server
 from bayglade.spreading import Spreading
 from bayglade.stops import read_stops, remove_stop, write_stop
@@ -82,6 +83,7 @@
     ) -> None:
         self.config = config
         self.store = store
+        self.history = history
         self.intake = intake
         self.usage = usage
         self.peers = peers
@@ -91,6 +93,12 @@
         self.plan = Plan(Duty.SITE)
         self.lost = Lost()
         self.clean_at = 0.0
+        self.roster_position: Position | None = None
+        """Up to where the roster was taken in."""
+
+        self.writing = False
+        """Whether the own row is about to be written again."""
+
         self.feed = Feed(store, table, wait_within(ROSTER_BOUND), self._take_roster, ROSTER_PAUSE, history)
         self.membership: Membership | None = None
         self.catch_up = CatchUp(intake)
@@ -226,6 +234,10 @@
         if now() < self.clean_at or readers[:1] != (self.config.member,):
             return
         self.clean_at = now() + CLEAN_SECONDS
+        if self.roster.marked and (back := self.roster.marked & stored_members(self.feed.rows).keys()):
+            # A restored store has lost that these are gone.
+            eventlet.spawn_n(self._mark_gone, min(back))
+            return
         for member in self.membership.silent(GONE_SECONDS):
             row = self.roster.members.get(member)
             if row is not None and row.hall == self.config.hall:
@@ -256,11 +268,27 @@
         except PlatformUnavailable as error:
             event("INFO", "stop not written", error=repr(error))
 
-    def _rejoin(self) -> None:
-        """Write the own row anew: others took this gateway for gone."""
-        event("WARNING", "own row is gone")
-        self.roster = join(self.store, self.feed.table, self.config.member, self._row())
-        self._assign()
+    def _write_again(self, reason: str, lost: int = 0) -> None:
+        """Write the own row, and the secret, where the store lacks them.
+
+        :param reason: why, for the log.
+        :param lost: how many gateways write theirs at the same moment.
+        """
+        if not self.writing:
+            self.writing = True
+            eventlet.spawn_after(write_delay(lost, self.rng), self._rejoin, reason)
+
+    def _rejoin(self, reason: str) -> None:
+        assert self.membership is not None
+        try:
+            event("WARNING", "own row written again", reason=reason)
+            secret = self.membership.secret
+            joined = join(self.store, self.feed.table, self.config.member, self._row(), secret)
+            members = {**self.roster.members, **joined.members}
+            self.roster = msgspec.structs.replace(self.roster, members=members)
+            self._assign()
+        finally:
+            self.writing = False
 
     def _row(self) -> MemberRow:
         return MemberRow(self.address, self.config.hall, link_mbps=self.config.link_mbps)
@@ -318,14 +346,56 @@
         return membership
 
     def _take_roster(self, changes: Changes, whole: bool) -> None:
-        self.peers.quarantine.take_stored(read_stops(changes.rows), whole)
-        self.roster = read_roster(changes.rows, Roster() if whole else self.roster)
+        restored = whole and was_restored(self.roster_position, changes.position)
+        self.roster_position = changes.position
+        self.peers.quarantine.take_stored(read_stops(changes.rows), whole, restored)
+        before, self.roster = self.roster, read_roster(changes.rows, Roster() if whole else self.roster)
         if self.membership is None:
             return
-        if self.config.member not in self.roster.members:
-            eventlet.spawn_n(self._rejoin)
+        if restored:
+            self._recover(before)
+        elif self.config.member not in self.roster.members:
+            self._write_again("others took this gateway for gone")
+        self._check_secret(self.membership)
         self._assign()
 
+    def _recover(self, before: Roster) -> None:
+        """Keep what a restored store has lost of the roster, and have it written again."""
+        lost = before.members.keys() - self.roster.members.keys()
+        if self.config.member in lost:
+            self._write_again("the store was restored", len(lost))
+        self.roster = recover(before, self.roster, self.lost.since)
+        event("WARNING", "roster recovered", lost=len(lost), marked=len(self.roster.marked))
+        eventlet.spawn_after(KEEP_SECONDS, self._drop_unwritten)
+
+    def _drop_unwritten(self) -> None:
+        """Drop gateways whose rows a restored store has lost and that have not written them again."""
+        stored = stored_members(self.feed.rows)
+        gone = self.roster.members.keys() - stored.keys() - {self.config.member}
+        if gone:
+            members = {name: row for name, row in self.roster.members.items() if name not in gone}
+            self.roster = msgspec.structs.replace(self.roster, members=members)
+            event("INFO", "unwritten rows dropped", peers=sorted(gone))
+            self._assign()
+
+    def _check_secret(self, membership: Membership) -> None:
+        """Have the streams and the store agree on one secret.
+
+        Gateways that ran when the store was restored write theirs again; one that
+        started since, and found none, takes that.
+        """
+        stored = self.roster.secret
+        if stored == membership.secret:
+            return
+        restored_at = self.history.restored_at
+        if stored is None or (restored_at is not None and now() - restored_at < KEEP_SECONDS):
+            if self.reads():
+                self._write_again("the secret was lost")
+            return
+        event("WARNING", "secret changed")
+        membership.secret = stored
+        self.peers.quarantine.use_key(key_of(stored))
+
     def _assign(self) -> None:
         """Take in who the other gateways are."""
         rows = self.roster.members
--- a/bayglade/roster.py
+++ b/bayglade/roster.py
@@ -54,13 +54,14 @@
     """Keys of rows that make no sense: another writer left them."""
 
 
-def join(store: Table, table: str, member: MemberId, row: MemberRow) -> Roster:
+def join(store: Table, table: str, member: MemberId, row: MemberRow, secret: bytes | None = None) -> Roster:
     """Read the roster and write what is missing of it; tries until both are done.
 
     :param store: the platform's table.
     :param table: where the roster lies.
     :param member: the daemon's name.
     :param row: where it takes streams of other daemons, and its data hall.
+    :param secret: the secret that its streams have; nothing when there are none yet.
     :return: the roster, with this daemon and the secret.
     """
     tries = 0
@@ -71,7 +72,7 @@
             if SECRET_KEY in known.strange and tries < SECRET_TRIES:
                 eventlet.sleep(RETRY_SECONDS)
                 continue
-            if (joined := _write_missing(store, member, row, known)) is not None:
+            if (joined := _write_missing(store, member, row, known, secret)) is not None:
                 return joined
         except PlatformUnavailable as error:
             event("INFO", "roster not written", error=repr(error))
@@ -99,21 +100,24 @@
     event("INFO", "daemon taken out of the roster", peer=member, committed=committed)
 
 
-def _write_missing(store: RowStore, member: MemberId, row: MemberRow, known: Roster) -> Roster | None:
+def _write_missing(
+    store: RowStore, member: MemberId, row: MemberRow, known: Roster, in_use: bytes | None
+) -> Roster | None:
     """Write the own row and the secret where they are not in the roster.
 
+    :param in_use: the secret that streams have already, if there are any.
     :return: the roster afterwards; nothing when another daemon wrote meanwhile.
     """
-    conditions, writes, secret = [], [], known.secret
+    conditions, writes, secret = [], [], in_use or known.secret
     if known.members.get(member) != row:
         key = MEMBER_PREFIX + member
         written = member in known.members or member in known.marked or key in known.strange
         conditions.append(_condition(store, key) if written else Condition(key, ABSENT))
         writes.append(Write(key, raw(row)))
-    if secret is None:
-        text = secrets.token_hex(SECRET_BYTES)
+    if secret is None or secret != known.secret:
+        text = secrets.token_hex(SECRET_BYTES) if secret is None else secret.decode()
         secret = text.encode()
-        written = SECRET_KEY in known.strange
+        written = SECRET_KEY in known.strange or known.secret is not None
         conditions.append(_condition(store, SECRET_KEY) if written else Condition(SECRET_KEY, ABSENT))
         writes.append(Write(SECRET_KEY, raw(text)))
     if writes and not store.transact(Transaction(conditions, writes)).committed:
