Show how far each table is known, and play returns of the store in virtual time

Sight: beliefs and metrics tell the store's epoch, the position of each table, and how many updates were dropped.

Tests: six, 23 and 200 daemons in virtual time on a store that comes back from older copies, in 120 generated orders of returns, writes, silent readers and refusals: all end with the rows of the store, and nobody's time of knowledge is later than what it knows. A return costs 200 daemons no more than the calls that two readers lose and repeat. What is not taken in makes nothing fresher, by five kinds of update.

--- a/bayglade/beliefs.py
+++ b/bayglade/beliefs.py
@@ -3,13 +3,22 @@
 Served as JSON on the metrics address, and shown by ``bayglade beliefs``.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
 from bayglade.clock import now
+from bayglade.feeds import NOWHERE, Feed
 from bayglade.fleet import Fleet
-from bayglade.ids import BackendId, Fingerprint, HallName, MemberId, ServiceName
+from bayglade.ids import (
+    UNKNOWN_EPOCH,
+    BackendId,
+    Fingerprint,
+    HallName,
+    MemberId,
+    ServiceName,
+    StoreEpoch,
+)
 from bayglade.pathfinding import Path
 from bayglade.quarantine import Quarantine
 from bayglade.servers import Server
@@ -50,6 +59,21 @@
     route: str
 
 
+class TableBelief(msgspec.Struct, frozen=True):
+    """How far one of the platform's tables is known."""
+
+    table: str
+    epoch: StoreEpoch | None
+    """Nothing when the store does not name its epochs, or the table is not known."""
+
+    version: int | None
+    age: float
+    """Seconds since it was surely the newest."""
+
+    dropped: int
+    """Updates that were not taken in since the daemon started."""
+
+
 class StopBelief(msgspec.Struct, frozen=True):
     """A request that the daemon holds back."""
 
@@ -72,6 +96,10 @@
     settings: int
     settings_age: float
     servers_age: float
+    caught_up: bool
+    """Whether other daemons were asked for newer settings since this one started."""
+
+    tables: list[TableBelief]
     lease: str
     duty: str
     """Whether it follows the store, asks for its hall, or asks the readers of its hall."""
@@ -95,6 +123,25 @@
     return [_server(server) for server in fleet.servers.values()]
 
 
+def table_beliefs(feeds: Iterable[Feed]) -> list[TableBelief]:
+    """Describe how far tables are known.
+
+    :param feeds: the feeds of the tables.
+    """
+    return [_table(feed) for feed in feeds]
+
+
+def _table(feed: Feed) -> TableBelief:
+    position = feed.position or NOWHERE
+    return TableBelief(
+        table=feed.table,
+        epoch=None if position.epoch == UNKNOWN_EPOCH else position.epoch,
+        version=None if feed.position is None else position.version,
+        age=round(feed.age(), 2),
+        dropped=feed.dropped,
+    )
+
+
 def stop_beliefs(quarantine: Quarantine) -> list[StopBelief]:
     """Describe the requests that are held back.
 
--- a/bayglade/commands.py
+++ b/bayglade/commands.py
@@ -161,6 +161,9 @@
         self.line(
             f"settings {found.settings}, {found.settings_age} s old; servers {found.servers_age} s old"
         )
+        for table in found.tables:
+            epoch = "unknown" if table.epoch is None else table.epoch
+            self.line(f"  table {table.table}: epoch {epoch}, version {table.version}, {table.age} s old")
         self.line(f"duty {found.duty}; asks {', '.join(found.asks) or 'the store'}")
         self.line(f"lease {found.lease}; hears {', '.join(found.members) or 'nobody'}")
         for server in found.servers:
--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -155,6 +155,9 @@
         self.gone_after: Position | None = None
         """The position after which the history was gone, until the table has been read anew."""
 
+        self.dropped = 0
+        """Updates that were not taken in."""
+
         self.tell_dropped = limited(DROPPED_LINES_PER_SECOND)
         self.rng = random.Random()
         self.task: eventlet.greenthread.GreenThread | None = None
@@ -350,7 +353,8 @@
         )
 
     def _dropped(self, reason: str, changes: Changes, after: Position | None) -> None:
-        """Log an update that is not taken in."""
+        """Count and log an update that is not taken in."""
+        self.dropped += 1
         self.tell_dropped(
             "INFO",
             "update dropped",
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -11,7 +11,7 @@
 from eventlet.event import Event
 
 from bayglade import logs, platform
-from bayglade.beliefs import Beliefs, path_beliefs, server_beliefs, stop_beliefs
+from bayglade.beliefs import Beliefs, path_beliefs, server_beliefs, stop_beliefs, table_beliefs
 from bayglade.calls import Call
 from bayglade.clock import Suspensions, keep_timers, now
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
@@ -167,7 +167,7 @@
             self.rng,
         )
         self.loader.daemons = self.peering.count
-        look_together((self.document_feed, self.servers_feed, self.peering.feed))
+        look_together(self._feeds())
         self.presence = Presence(self.metrics)
         self.active: set[RequestId] = set()
         self.draining = False
@@ -215,6 +215,10 @@
             and self.intake.trusted()
         )
 
+    def _feeds(self) -> tuple[Feed, ...]:
+        """Return the feeds of all tables; the first looks most often for a store that is lost."""
+        return self.document_feed, self.servers_feed, self.peering.feed
+
     def beliefs(self) -> Beliefs:
         """Return what this daemon takes for true at this moment."""
         paths = [
@@ -229,6 +233,8 @@
             settings=self.intake.version,
             settings_age=round(self.document_feed.age(), 2),
             servers_age=round(self.servers_feed.age(), 2),
+            caught_up=self.intake.caught_up,
+            tables=table_beliefs(self._feeds()),
             lease=self.loader.lease.state().value,
             duty=self.peering.plan.duty.value,
             asks=list(self.peering.plan.asks),
@@ -349,6 +355,11 @@
         self.metrics.gauge("settings_version", self.intake.version)
         self.metrics.gauge("settings_age_seconds", self.document_feed.age())
         self.metrics.gauge("servers_age_seconds", self.servers_feed.age())
+        for feed in self._feeds():
+            if feed.position is not None:
+                self.metrics.gauge(f"table_{feed.table}_version", feed.position.version)
+            self.metrics.gauge(f"table_{feed.table}_updates_dropped", feed.dropped)
+        self.metrics.gauge("store_epoch", self.history.epoch)
         self.metrics.gauge("ready", float(self.ready()))
         self.metrics.gauge("servers_listed", len(self.fleet.servers))
         states = [server.state() for server in self.fleet.servers.values()]
--- /dev/null
+++ b/tests/test_restored_fleets.py
@@ -0,0 +1,165 @@
+"""Many daemons, and a store that comes back from older copies in any order of events, in virtual time."""
+
+from collections.abc import Callable, Iterator
+
+import eventlet
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from bayglade.ids import StoreEpoch
+from bayglade.rows import Position
+from tests import fleets
+from tests.fleets import SILENCE, TABLES, Fleet
+from tests.virtual_time import now, run_virtually
+
+SIZES = ((6, 3), (23, 5))
+LARGE = (200, 5)
+SETTLE_SECONDS = 6.0
+"""Time in which all daemons that are heard know again what holds, once nothing more goes wrong."""
+
+CHECK_SECONDS = 0.1
+
+
+class History:
+    """Up to where each table was known to the store at each time."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.points: list[tuple[float, dict[str, Position]]] = []
+        self.note()
+
+    def note(self) -> None:
+        store = self.fleet.store
+        known = {table: Position(store.epoch, store.versions[table]) for table in TABLES}
+        self.points.append((now(), known))
+
+    def at(self, time: float, table: str) -> Position | None:
+        """Return up to where a table was known at a time."""
+        return next((known[table] for at, known in reversed(self.points) if at <= time), None)
+
+    def overrated(self) -> list[str]:
+        """List the daemons that take for newest what was not, by when and what they know."""
+        found = []
+        for daemon in self.fleet.live():
+            for table, feed in daemon.feeds.items():
+                least = self.at(feed.known_at, table)
+                # A table that is about to be read whole is still known as it was.
+                known = feed.position or feed.gone_after
+                if least is not None and (known is None or known < least):
+                    found.append(f"{daemon.name} {table}: {known} at {feed.known_at}, not {least}")
+        return found
+
+
+Event = tuple[str, float, int]
+"""What happens, for how long or after which time, and how much."""
+
+EVENTS = strategies.tuples(
+    strategies.sampled_from(["restored", "written", "readers silent", "some refused", "quiet"]),
+    strategies.sampled_from([0.0, 0.05, 0.4, 1.2, 2.5]),
+    strategies.integers(1, 9),
+)
+
+
+def play(fleet: Fleet, history: History, event: Event) -> Iterator[float]:
+    """Have something happen to a fleet; yield the seconds for which it lasts."""
+    kind, seconds, amount = event
+    store = fleet.store
+    if kind == "restored":
+        store.refuses = lambda member, table: 0.01
+        yield seconds
+        store.restore(amount)
+        store.refuses = lambda member, table: None
+        history.note()
+    elif kind == "written":
+        for _ in range(amount):
+            store.write(TABLES[amount % len(TABLES)])
+        history.note()
+        yield seconds
+    elif kind == "readers silent":
+        fleet.mute = set(fleet.order.site[: amount % 3])
+        yield seconds
+        fleet.mute = set()
+    elif kind == "some refused":
+        refused = set(fleet.order.site[amount % 4 : amount])
+        store.refuses = lambda member, table: SILENCE if member in refused else None
+        yield seconds
+        store.refuses = lambda member, table: None
+    else:
+        yield seconds
+
+
+def play_all(size: tuple[int, int], seed: int, events: list[Event]) -> list[str]:
+    """Return what was wrong when these events came to a fleet."""
+    fleet = Fleet(*size, seed)
+    fleet.store.epoch = StoreEpoch(1)
+    for table in TABLES:
+        for _ in range(20):
+            fleet.store.write(table)
+    history = History(fleet)
+    fleet.start()
+    eventlet.sleep(3.0 + fleet.rng.random())
+    wrong: list[str] = []
+    for event in events:
+        for seconds in play(fleet, history, event):
+            until = now() + seconds
+            while now() < until:
+                eventlet.sleep(CHECK_SECONDS)
+                wrong += history.overrated()
+    fleet.store.write("servers")
+    fleet.store.write("document")
+    history.note()
+    eventlet.sleep(SETTLE_SECONDS)
+    wrong += history.overrated()
+    for daemon in fleet.live():
+        for table in ("servers", "document"):
+            if daemon.taken.get(table) != fleet.store.value(table):
+                wrong.append(f"{daemon.name} has {daemon.taken.get(table)!r} of {table}")
+    return wrong
+
+
+@pytest.fixture
+def virtually(monkeypatch: pytest.MonkeyPatch) -> Callable[[Callable[[], list[str]]], list[str]]:
+    fleets.patch_clock(monkeypatch)
+    return run_virtually
+
+
+@pytest.mark.parametrize("size", SIZES)
+@hypothesis.settings(max_examples=60, suppress_health_check=list(hypothesis.HealthCheck))
+@hypothesis.given(events=strategies.lists(EVENTS, max_size=8), seed=strategies.integers(0, 1000))
+def test_all_end_with_the_same_rows_and_take_nothing_old_for_new(
+    size: tuple[int, int],
+    virtually: Callable[[Callable[[], list[str]]], list[str]],
+    events: list[Event],
+    seed: int,
+) -> None:
+    assert virtually(lambda: play_all(size, seed, events)) == []
+
+
+def test_two_hundred_daemons_know_again_what_holds_after_returns_in_series(
+    virtually: Callable[[Callable[[], list[str]]], list[str]],
+) -> None:
+    events = [("restored", 0.5, 4), ("restored", 0.4, 2), ("written", 0.4, 3), ("restored", 0.05, 9)]
+    assert virtually(lambda: play_all(LARGE, 1, events)) == []
+
+
+def calls_of_a_return(size: tuple[int, int]) -> tuple[int, int]:
+    """Return how many calls the store gets in the second after a return, and at rest before."""
+    fleet = Fleet(*size, 1)
+    fleet.store.epoch = StoreEpoch(1)
+    fleet.start()
+    eventlet.sleep(8.0)
+    before = fleet.store.calls.total()
+    eventlet.sleep(1.0)
+    rest = fleet.store.calls.total() - before
+    fleet.store.restore(1)
+    before = fleet.store.calls.total()
+    eventlet.sleep(1.0)
+    return fleet.store.calls.total() - before, rest
+
+
+def test_a_return_costs_few_calls_however_many_daemons_there_are(monkeypatch: pytest.MonkeyPatch) -> None:
+    fleets.patch_clock(monkeypatch)
+    made, rest = run_virtually(lambda: calls_of_a_return(LARGE))
+    # Two readers lose three calls each, and read three tables whole.
+    assert made - rest <= 2 * (3 + 3 + 3)
--- a/tests/test_store_epochs.py
+++ b/tests/test_store_epochs.py
@@ -6,11 +6,14 @@
 
 from bayglade import feeds
 from bayglade.config import parse_address
+from bayglade.entries.wire import Poll
+from bayglade.epochs import StoreHistory
 from bayglade.exceptions import PlatformUnavailable
+from bayglade.fanout import Fanout
 from bayglade.feeds import Feed
-from bayglade.ids import UNKNOWN_EPOCH, StoreEpoch
+from bayglade.ids import UNKNOWN_EPOCH, MemberId, StoreEpoch
 from bayglade.platform import Store
-from bayglade.rows import Condition, Position, Transaction, Write, raw
+from bayglade.rows import Changes, Condition, Position, Transaction, Write, raw
 from standins.users.store import MetadataStore
 
 ROW = {"key": raw(1)}
@@ -66,3 +69,53 @@
     other._step()
     feed.hear(other.since(None)[0], None, known_at=1.0)
     assert [line[:2] for line in lines] == [("INFO", "update dropped")]
+
+
+def known_feed(epoch: int, version: int) -> Feed:
+    """Return a feed that knows its table up to a position."""
+    feed = Feed(None, "t", 1.0, lambda changes, whole: None)  # type: ignore[arg-type]
+    feed.hear(Changes(ROW, version, StoreEpoch(epoch)), None, known_at=1.0)
+    return feed
+
+
+@pytest.mark.parametrize(
+    ("changes", "after"),
+    [
+        (Changes(ROW, 20, StoreEpoch(1)), None),
+        (Changes(ROW, 9, StoreEpoch(2)), None),
+        (Changes(ROW, 9, StoreEpoch(2)), Position(StoreEpoch(2), 8)),
+        (Changes(ROW, 20, StoreEpoch(2)), Position(StoreEpoch(2), 11)),
+        (Changes(ROW, 20, StoreEpoch(2)), Position(StoreEpoch(1), 5)),
+    ],
+    ids=["earlier epoch", "older", "older change", "gap", "change of an earlier epoch"],
+)
+def test_what_is_not_taken_in_makes_nothing_fresher(changes: Changes, after: Position | None) -> None:
+    feed = known_feed(2, 10)
+    feed.hear(changes, after, known_at=50.0, recovered_at=40.0)
+    assert (feed.position, feed.known_at, feed.told_at) == (Position(StoreEpoch(2), 10), 1.0, 1.0)
+    assert feed.recovered_at == 0.0
+    assert feed.dropped == 1
+
+
+def test_an_update_of_a_later_epoch_is_taken_in_at_a_lower_version() -> None:
+    feed = known_feed(2, 10)
+    feed.hear(Changes(ROW, 4, StoreEpoch(3)), None, known_at=50.0)
+    assert (feed.position, feed.known_at) == (Position(StoreEpoch(3), 4), 50.0)
+
+
+def test_a_question_from_a_later_epoch_has_a_reader_read_anew() -> None:
+    feed = known_feed(2, 10)
+    fanout = Fanout({"t": feed}, feed, lambda member, message: None, "x:1")
+    fanout.heard_poll(MemberId("d5"), Poll(1, {"t": Position(StoreEpoch(3), 1)}, "x:2"))
+    assert not feed.current()
+    assert MemberId("d5") in fanout.waiting
+
+
+def test_an_answer_of_an_earlier_epoch_is_no_answer(stored: MetadataStore) -> None:
+    history = StoreHistory()
+    client = Store(parse_address(stored.server.address), on_epoch=history.note)
+    feed = Feed(client, "op", 1.0, lambda changes, whole: None, history=history)
+    history.note(StoreEpoch(5))
+    with pytest.raises(PlatformUnavailable):
+        feed._step()
+    assert feed.known_at == 0.0
