--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from soak.callers import Callers
-from soak.checks import check
+from soak.checks import check, stale
 from soak.deadly import QUESTION, Asker, late_ends, touched, trace_ends
-from soak.faults import ACTS, LIMITED_ACTS, RESTING_ACTS, UNSTEADY_ACTS, Act, Faults
+from soak.faults import ACTS, LIMITED_ACTS, RESTING_ACTS, RESTORED_ACTS, UNSTEADY_ACTS, Act, Faults
 from soak.records import Journal, Kind
 from soak.site import SoakSite
 from standins.users import KEY
@@ -55,6 +55,7 @@
     resting: bool = False,
     unsteady: bool = False,
     limited: bool = False,
+    restored: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -67,6 +68,7 @@
     :param resting: whether servers also ask for rest, and leave without a word but in their answers.
     :param unsteady: whether faults only keep daemons from word of the store and of each other.
     :param limited: whether servers also name rate limits.
+    :param restored: whether the store also comes back from older copies.
     :return: what was broken, and figures.
     """
     journal = Journal(key_versions={KEY: 0})
@@ -81,7 +83,7 @@
         if deadly is not None:
             site.deadly = {QUESTION}
             asker.start()
-        Faults(site, journal, seed, _acts(resting, unsteady, limited)).run(seconds)
+        Faults(site, journal, seed, _acts(resting, unsteady, limited, restored)).run(seconds)
         time.sleep(SETTLE_SECONDS)
         asking.stop()
         if deadly is not None:
@@ -104,7 +106,9 @@
     )
 
 
-def _acts(resting: bool, unsteady: bool, limited: bool) -> Sequence[Act]:
+def _acts(resting: bool, unsteady: bool, limited: bool, restored: bool) -> Sequence[Act]:
+    if restored:
+        return RESTORED_ACTS
     if unsteady:
         return UNSTEADY_ACTS
     if limited:
@@ -133,6 +137,10 @@
         wait_for("all is served", lambda: _served(asking, site), RECOVER_SECONDS)
     except TimeoutError:
         broken.append("recovery: not all is served after the last fault")
+    try:
+        wait_for("all know what the store has", lambda: not stale(site), RECOVER_SECONDS)
+    except TimeoutError:
+        broken += stale(site)
     for daemon in site.fleet:
         if daemon.process.popen.poll() is not None:
             broken.append(f"exit: {daemon.incarnation} ended by itself")
@@ -168,6 +176,7 @@
     parser.add_argument("--resting", action="store_true", help="have servers ask for rest as well")
     parser.add_argument("--unsteady", action="store_true", help="only keep daemons from word")
     parser.add_argument("--limited", action="store_true", help="have servers name rate limits as well")
+    parser.add_argument("--restored", action="store_true", help="restore the store from older copies too")
     parser.add_argument("--keep", type=Path, default=KEEP, help="where logs of failures go")
     options = parser.parse_args()
     first = options.seed if options.seed is not None else int(time.time())
@@ -183,6 +192,7 @@
             options.resting,
             options.unsteady,
             options.limited,
+            options.restored,
         )
         failed += bool(result.broken)
         print(msgspec.json.encode(result).decode(), flush=True)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Iterator
 
 from soak.records import Journal, Kind, Record
+from soak.site import SoakSite
 from standins.users import EVENTS, UsersSite
 from standins.users.limits import WINDOW_SECONDS, excesses
 
@@ -193,3 +194,22 @@
                 continue
             if record.sent_at > since + DRAIN_SECONDS:
                 yield f"unheard: {request} reached {replica.id} {at - since:.2f} s after its word"
+
+
+def stale(site: SoakSite) -> list[str]:
+    """List what daemons take for true at rest and the store does not have.
+
+    :param site: the stand-in, at which nothing goes wrong any more.
+    """
+    found = []
+    rows = {key for (table, key), (_, value) in site.store.rows.items() if table == "servers" and value}
+    for daemon in site.fleet:
+        beliefs = daemon.process.beliefs()
+        if beliefs["settings"] != site.version:
+            found.append(
+                f"stale: {daemon.incarnation} has settings {beliefs['settings']}, not {site.version}"
+            )
+        known = {server["backend"] for server in beliefs["servers"]}
+        if known != rows:
+            found.append(f"stale: {daemon.incarnation} differs in servers {sorted(known ^ rows)}")
+    return found
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -45,6 +45,11 @@
 LIMIT_LASTS = (2.0, 9.0)
 ALL_LIMITED = 0.25
 """Likelihood that all servers of a service name a limit."""
+COPY_SECONDS = (0.3, 3.0)
+"""Age of the copies that the store comes back from."""
+AWAY_SECONDS = (0.02, 1.5)
+AGAIN_SECONDS = (0.1, 1.5)
+"""Time after which operators and servers write again what a restored store has lost."""
 GRACE_SECONDS = 8.0
 REVOKE_AFTER = 1.0
 
@@ -203,6 +208,22 @@
     faults.begin(f"store {how}", "store", lasts + 5.0, work)
 
 
+def restore(faults: Faults) -> None:
+    """Have the store come back from an older copy; operators and servers write again later."""
+    copied, away = faults.rng.uniform(*COPY_SECONDS), faults.rng.uniform(*AWAY_SECONDS)
+    again = faults.rng.uniform(*AGAIN_SECONDS)
+
+    def work() -> None:
+        site = faults.site
+        with faults.lock:
+            site.restore_store(site.store.version_before(copied), away)
+        time.sleep(again)
+        with faults.lock:
+            site.write_again()
+
+    faults.begin("restore", "store", away + again + 1.0, work)
+
+
 def answers(faults: Faults) -> None:
     """Have a server spoil some answers."""
     service = faults.site.of(faults.rng.choice((MODEL, PLAIN)))
@@ -337,5 +358,7 @@
 
 LIMITED_ACTS: tuple[Act, ...] = (*ACTS, *[limit] * 8)
 
+RESTORED_ACTS: tuple[Act, ...] = (*ACTS, *[restore] * 4, *[leave] * 2, *[change] * 3, kill, stop)
+
 UNSTEADY_ACTS: tuple[Act, ...] = (store, store, kill, pause, link)
 """What keeps daemons from word of others; in this order, on which what a seed chooses depends."""
--- a/standins/users/site.py
+++ b/standins/users/site.py
@@ -70,7 +70,7 @@
         self.configuration: dict[str, Any] = {}
         """What the operator wrote last."""
 
-        self.lost_rows: set[RowKey] = set()
+        self.lost_rows: dict[RowKey, bytes | None] = {}
         """Rows that a restored store has lost and nobody has written again."""
 
         for hall in range(halls):
@@ -122,16 +122,15 @@
 
     def write_again(self) -> None:
         """Have the operator and the servers write what a restored store has lost."""
-        lost, self.lost_rows = self.lost_rows, set()
+        lost, self.lost_rows = self.lost_rows, {}
         if ("op", "config") in lost:
             self.store.put("op", "config", self.configuration)
-        for replica in self.replicas:
-            if ("servers", replica.id) in lost:
-                replica.register()
-        living = {replica.id for replica in self.replicas}
-        for table, key in lost:
-            if table == "servers" and key not in living:
+        servers = {replica.id: replica for replica in self.every_replica}
+        for (table, key), value in lost.items():
+            if table == "servers" and value is None:
                 self.store.drop(table, key)
+            elif table == "servers":
+                servers[key].register()
 
     def start(self, hall: str = "hall-0", **settings: Any) -> "Daemon":
         """Start a daemon and wait until it is ready."""
--- a/standins/users/store.py
+++ b/standins/users/store.py
@@ -72,17 +72,17 @@
             oldest = time.monotonic() - seconds
             return next((undo.version for undo in self.undo if undo.at > oldest), self.version)
 
-    def restore(self, version: int) -> set[RowKey]:
+    def restore(self, version: int) -> dict[RowKey, bytes | None]:
         """Come back as a copy of an earlier version; calls under way are never answered.
 
         :param version: the newest version in the copy.
-        :return: the rows whose newest writes are lost.
+        :return: the rows whose newest writes are lost, as they were; nothing for one that was removed.
         """
         with self.changed:
-            lost: set[RowKey] = set()
+            lost: dict[RowKey, bytes | None] = {}
             while self.undo and self.undo[-1].version >= version:
                 undo = self.undo.pop()
-                lost.add(undo.key)
+                lost.setdefault(undo.key, self.rows[undo.key][1])
                 self.version = undo.version
                 if undo.before is None:
                     del self.rows[undo.key]
