Take no answer of the store that is older than what was known in its epoch

Cause: a table whose history was gone was read whole whatever its version; in an epoch that the store names versions only grow, so a lower one is a late answer. Found at reading: since an answer below the version asked from has a table read anew, such an answer would have put an older table in the place of a newer one. Change: it counts as no answer and freshens nothing; a store that names no epoch may have been restored, and is read anew.

--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -202,11 +202,11 @@
         after = self.position if self.current() else None
         whole = after is None
         if after is None:
-            changes = self._placed(self.store.snapshot(self.table))
+            changes = self._placed(self.store.snapshot(self.table), self.gone_after)
         else:
             wait = self._next_wait()
-            changes = self._placed(self.store.changes(self.table, after, wait))
-            if changes.epoch > after.epoch or changes.version < after.version:
+            changes = self._placed(self.store.changes(self.table, after, wait), after)
+            if was_restored(after, changes.position):
                 raise HistoryGone("the store was restored", step="read", peer="store")
         self.lost_at, self.failures = 0.0, 0
         if self.failing_since is not None:
@@ -248,7 +248,8 @@
         if after is not None and not self._follows(after, changes):
             self._dropped("gap", changes, after)
             return
-        if self.position is not None and changes.position < self.position:
+        older = self.position is not None and changes.position < self.position
+        if older or self._stale(changes, self.gone_after):
             self._dropped("older", changes, after)
             return
         # Entries that lapsed in an outage are judged by when the store came back.
@@ -292,11 +293,13 @@
         """Tell whether the table is known, and as of the newest epoch of the store."""
         return self.position is not None and self.position.epoch >= self.history.epoch
 
-    def _placed(self, changes: Changes) -> Changes:
+    def _placed(self, changes: Changes, known: Position | None) -> Changes:
         """Return an answer of the store with its place in the store's history.
 
-        :raises PlatformUnavailable: when it is of a history that is over: an old connection or a late
-            answer.
+        :param changes: the answer.
+        :param known: up to where the table was known when the store was asked.
+        :raises PlatformUnavailable: when it is of a history that is over, or older than what was known: an
+            old connection or a late answer.
         """
         if changes.epoch == UNKNOWN_EPOCH:
             changes = msgspec.structs.replace(changes, epoch=self.history.epoch)
@@ -304,8 +307,20 @@
         if changes.epoch < self.history.epoch:
             self._dropped("earlier epoch", changes, None)
             raise PlatformUnavailable("the answer is of an earlier epoch", step="read", peer="store")
+        if self._stale(changes, known):
+            self._dropped("older", changes, None)
+            raise PlatformUnavailable("the answer is older than what is known", step="read", peer="store")
         return changes
 
+    def _stale(self, changes: Changes, known: Position | None) -> bool:
+        """Tell whether changes bring a table to less than what was known; versions of one epoch only grow.
+
+        A store that does not name its epoch may have been restored instead.
+        """
+        if known is None or changes.epoch == UNKNOWN_EPOCH:
+            return False
+        return changes.position < known
+
     def _follows(self, after: Position, changes: Changes) -> bool:
         """Tell whether changes after a position leave nothing out that is not known here."""
         return self.position is not None and after.epoch == changes.epoch and after <= self.position
--- a/tests/test_store_epochs.py
+++ b/tests/test_store_epochs.py
@@ -8,7 +8,7 @@
 from bayglade.config import parse_address
 from bayglade.entries.wire import Poll
 from bayglade.epochs import StoreHistory
-from bayglade.exceptions import PlatformUnavailable
+from bayglade.exceptions import HistoryGone, PlatformUnavailable
 from bayglade.fanout import Fanout
 from bayglade.feeds import Feed
 from bayglade.ids import UNKNOWN_EPOCH, MemberId, StoreEpoch
@@ -119,3 +119,46 @@
     with pytest.raises(PlatformUnavailable):
         feed._step()
     assert feed.known_at == 0.0
+
+
+class Answers:
+    """A store that gives the answers it was given, one after the other."""
+
+    def __init__(self, *answers: Changes | HistoryGone) -> None:
+        self.answers = list(answers)
+
+    def snapshot(self, table: str) -> Changes:
+        answer = self.answers.pop(0)
+        if isinstance(answer, HistoryGone):
+            raise answer
+        return answer
+
+    def changes(self, table: str, after: Position, wait: float) -> Changes:
+        return self.snapshot(table)
+
+
+@pytest.mark.parametrize("gone", [False, True], ids=["changes", "whole"])
+def test_an_answer_below_what_was_known_in_one_epoch_is_no_answer(gone: bool) -> None:
+    late = Changes(ROW, 9, StoreEpoch(2))
+    store = Answers(Changes(ROW, 10, StoreEpoch(2)), *[HistoryGone("gone")] * gone, late)
+    feed = Feed(store, "t", 1.0, lambda changes, whole: None)
+    feed._step()
+    known_at = feed.known_at
+    if gone:
+        with pytest.raises(HistoryGone):
+            feed._step()
+        feed.gone_after, feed.position = feed.position, None
+    with pytest.raises(PlatformUnavailable):
+        feed._step()
+    assert feed.known_at == known_at
+
+
+def test_an_answer_below_what_was_known_has_a_table_without_epochs_read_anew() -> None:
+    store = Answers(Changes(ROW, 10), Changes(ROW, 9), Changes(ROW, 8))
+    feed = Feed(store, "t", 1.0, lambda changes, whole: None)
+    feed._step()
+    with pytest.raises(HistoryGone):
+        feed._step()
+    feed.gone_after, feed.position = feed.position, None
+    feed._step()
+    assert feed.position == Position(UNKNOWN_EPOCH, 8)
