--- /dev/null
+++ b/benches/restored.py
@@ -0,0 +1,106 @@
+"""What it costs that the store comes back from an older copy. Run as ``python -m benches.restored``.
+
+Messages come from the product's feeds and fan-out in virtual time (tests/fleets.py); bytes and
+processor time from packing whole tables as one daemon does for those that ask it.
+"""
+
+import random
+import sys
+import time
+from collections import Counter
+from importlib import import_module
+from typing import Any
+
+import eventlet
+import msgspec
+
+from bayglade import epochs, fanout, feeds, readers
+from bayglade.entries.wire import Updates
+from bayglade.fanout import pack, unpack
+from bayglade.ids import MemberId, StoreEpoch
+from benches.common import print_table
+from standins.users import KEY, configuration
+
+# Imported by name: these modules are not checked for types as strictly.
+virtual_time = import_module("tests.virtual_time")
+fleets = import_module("tests.fleets")
+server_rows = import_module("tests.server_rows")
+
+SIZES = ((64, 3), (195, 5), (440, 11))
+"""Daemons and halls."""
+ROUTES, SERVERS = 2000, 1300
+SECOND = 1.0
+
+
+def whole_updates(daemons: int, halls: int) -> tuple[int, int, int]:
+    """Return what goes out in the second after a return.
+
+    :return: calls of the store, whole tables of all daemons, and whole tables of the busiest one.
+    """
+    sent: Counter[MemberId] = Counter()
+    fleet = fleets.Fleet(daemons, halls, 1)
+    fleet.store.epoch = StoreEpoch(1)
+    for table in fleet.store.versions:
+        for _ in range(10):
+            fleet.store.write(table)
+    fleet.start()
+    eventlet.sleep(8.0)
+    for daemon in fleet.daemons.values():
+        push = daemon.fanout.push
+
+        def counted(member: MemberId, message: object, me: MemberId = daemon.name, push=push) -> None:  # type: ignore[no-untyped-def]
+            if isinstance(message, Updates):
+                sent[me] += sum(u.after is None and bool(u.rows) for u in message.tables.values())
+            push(member, message)
+
+        daemon.fanout.push = counted
+    calls = fleet.store.calls.total()
+    fleet.store.restore(5)
+    eventlet.sleep(SECOND)
+    return fleet.store.calls.total() - calls, sent.total(), max(sent.values(), default=0)
+
+
+def tables() -> list[list[object]]:
+    """Measure packing and unpacking of whole tables."""
+    rng = random.Random(1)
+    document = configuration(1, (KEY,), {})
+    names = [f"{rng.getrandbits(32):08x}" for _ in range(ROUTES)]
+    route = document["routes"][0]
+    document["routes"] = [{**route, "name": name, "pathPrefix": f"/{name}/"} for name in names]
+    servers = [f"i-{rng.getrandbits(40):010x}" for _ in range(SERVERS)]
+    rows = {
+        "document": {"config": msgspec.Raw(msgspec.json.encode(document))},
+        "servers": {name: msgspec.Raw(msgspec.json.encode(_row(rng))) for name in servers},
+    }
+    found: list[list[object]] = []
+    for name, table in rows.items():
+        began = time.process_time()
+        packed = pack(table)
+        middle = time.process_time()
+        unpack(packed)
+        found.append([name, len(packed), 1000 * (middle - began), 1000 * (time.process_time() - middle)])
+    return found
+
+
+def _row(rng: random.Random) -> dict[str, Any]:
+    """Return a row of a server with an address and counts of its own."""
+    address = f"10.{rng.randrange(256)}.{rng.randrange(256)}.{rng.randrange(256)}:{rng.randrange(65536)}"
+    row: dict[str, Any] = server_rows.server_row(
+        addr=address, seq=rng.randrange(10_000), born=server_rows.BORN + rng.randrange(10**9)
+    )
+    return row
+
+
+def main() -> None:
+    """Print both tables."""
+    for module in (epochs, fanout, feeds, readers):
+        module.now = virtual_time.now  # type: ignore[attr-defined]
+    sizes = [tuple(map(int, sys.argv[1:3]))] if len(sys.argv) > 2 else SIZES
+    played = [[d, h, *virtual_time.run_virtually(lambda d=d, h=h: whole_updates(d, h))] for d, h in sizes]
+    names = ["daemons", "halls", "calls of the store", "whole tables sent", "by the busiest"]
+    print_table("The second after a return", names, played)
+    print_table("Whole tables", ["table", "bytes packed", "ms to pack", "ms to unpack"], tables())
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 import pytest
 
 from soak.__main__ import run
-from soak.checks import CONTACT_SECONDS, DRAIN_SECONDS, KEY_SECONDS, check
+from soak.checks import CONTACT_SECONDS, DRAIN_SECONDS, KEY_SECONDS, check, stale
 from soak.deadly import late_ends, touched, trace_ends
 from soak.records import Fault, Journal, Kind, Record
 from soak.site import SoakDaemon
@@ -274,3 +274,24 @@
         lines=lambda name: [{"after": 3.5}] if says_stopped else [],
     )
     assert daemon.stops_within(0.01) is well
+
+
+def test_keys_and_leaves_hold_on_a_store_that_is_restored_under_faults() -> None:
+    result = run(seed=8002, seconds=SECONDS, daemons=3, callers=6, restored=True)
+    assert result.broken == []
+    assert result.faults["restore"] > 0
+
+
+class RestingSite:
+    """A site at rest with one daemon, which knows too little."""
+
+    version = 7
+    store = SimpleNamespace(rows={("servers", "a"): (1, b"{}"), ("servers", "b"): (2, None)})
+    fleet = (SimpleNamespace(incarnation="d0.1", process=SimpleNamespace(beliefs=lambda: BELIEFS)),)
+
+
+BELIEFS = {"settings": 6, "servers": [{"backend": "a"}, {"backend": "b"}]}
+
+
+def test_daemons_that_know_too_little_at_rest_are_found() -> None:
+    assert len(stale(RestingSite())) == 2  # type: ignore[arg-type]
