Have the soak's check of daemons at rest name one that cannot be asked

One that did not listen at that moment ended the run with a traceback and no logs, seen once on a copy in which positions ignored epochs on purpose.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -204,7 +204,11 @@
     found = []
     rows = {key for (table, key), (_, value) in site.store.rows.items() if table == "servers" and value}
     for daemon in site.fleet:
-        beliefs = daemon.process.beliefs()
+        try:
+            beliefs = daemon.process.beliefs()
+        except OSError as error:
+            found.append(f"stale: {daemon.incarnation} cannot be asked: {error!r}")
+            continue
         if beliefs["settings"] != site.version:
             found.append(
                 f"stale: {daemon.incarnation} has settings {beliefs['settings']}, not {site.version}"
