Use one clock that tests move, and plainer names for two steps

The same class stood in four test modules. _doubt is _add_unconfirmed, _placed is _positioned; behaviour unchanged (49 and 5 tests of these modules pass).

--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -202,10 +202,10 @@
         after = self.position if self.current() else None
         whole = after is None
         if after is None:
-            changes = self._placed(self.store.snapshot(self.table), self.gone_after)
+            changes = self._positioned(self.store.snapshot(self.table), self.gone_after)
         else:
             wait = self._next_wait()
-            changes = self._placed(self.store.changes(self.table, after, wait), after)
+            changes = self._positioned(self.store.changes(self.table, after, wait), after)
             if was_restored(after, changes.position):
                 raise HistoryGone("the store was restored", step="read", peer="store")
         self.lost_at, self.failures = 0.0, 0
@@ -293,7 +293,7 @@
         """Tell whether the table is known, and as of the newest epoch of the store."""
         return self.position is not None and self.position.epoch >= self.history.epoch
 
-    def _placed(self, changes: Changes, known: Position | None) -> Changes:
+    def _positioned(self, changes: Changes, known: Position | None) -> Changes:
         """Return an answer of the store with its place in the store's history.
 
         :param changes: the answer.
--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -24,6 +24,7 @@
 and work that goes to a server that is gone must end by then."""
 
 DEFAULT_EXPIRY_SECONDS = 4.6
+"""Three heartbeats of a server, and a second for the removal of its entry to be known."""
 
 MAX_KNOWN_STARTS = 10_000
 """Servers whose newest start is remembered, those that are gone among them: several times as many as
@@ -130,7 +131,7 @@
         """
         entries = list(listed)
         for facts in entries if restored else ():
-            self._doubt(facts)
+            self._add_unconfirmed(facts)
         missing = self.servers.keys() - {facts.id for facts in entries} - (strange or {}).keys()
         self.take(entries, missing, outage, strange)
 
@@ -295,7 +296,7 @@
             server.unconfirmed_until = 0.0
         server.facts = facts
 
-    def _doubt(self, facts: ServerFacts) -> None:
+    def _add_unconfirmed(self, facts: ServerFacts) -> None:
         """Use an entry of a server that was gone for nothing until it is known to be the server's own."""
         if facts.id in self.servers or facts.key not in self.tombstones.known:
             return
--- a/tests/test_catchup.py
+++ b/tests/test_catchup.py
@@ -12,29 +12,20 @@
 from bayglade.ids import MemberId, Revision
 from bayglade.intake import Intake
 from bayglade.settings import Tree
+from tests.clocks import ManualClock
 
 A, B, C = MemberId("a"), MemberId("b"), MemberId("c")
 
 
-class Clock:
-    """A clock that moves only as told."""
-
-    def __init__(self) -> None:
-        self.at = 100.0
-
-    def now(self) -> float:
-        return self.at
-
-
 @pytest.fixture
-def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
-    made = Clock()
+def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
+    made = ManualClock()
     monkeypatch.setattr(catchup, "now", made.now)
     return made
 
 
 @pytest.fixture
-def intake(clock: Clock) -> Intake:
+def intake(clock: ManualClock) -> Intake:
     made = Intake(SimpleNamespace(), lambda: 0.0, 5.0, random.Random(1))  # type: ignore[arg-type]
     made.caught_up = False
     made.take(7, Tree(), b"7")
@@ -81,7 +72,7 @@
 
 @pytest.mark.parametrize("others", [None, {A, B}])
 def test_others_that_cannot_be_asked_are_not_waited_for_for_ever(
-    intake: Intake, clock: Clock, others: set[MemberId] | None
+    intake: Intake, clock: ManualClock, others: set[MemberId] | None
 ) -> None:
     catch_up = CatchUp(intake)
     assert not catch_up.check(others)
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -9,38 +9,29 @@
 from bayglade.ids import MemberId
 from bayglade.lending import LOAN, LOAN_SECONDS, Pools
 from bayglade.retries import RetryBudget
+from tests.clocks import ManualClock
 
 WINDOW = 10.0
 FLOOR = 20.0
 SERVICE = "model"
 
 
-class Clock:
-    """A clock that moves only as told."""
-
-    def __init__(self) -> None:
-        self.at = 100.0
-
-    def now(self) -> float:
-        return self.at
-
-
 @pytest.fixture
-def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
-    made = Clock()
+def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
+    made = ManualClock()
     for module in (lending, retries):
         monkeypatch.setattr(module, "now", made.now)
     return made
 
 
-def a_reader(clock: Clock) -> tuple[Pools, list[Message]]:
+def a_reader(clock: ManualClock) -> tuple[Pools, list[Message]]:
     sent: list[Message] = []
     pools = Pools(lambda: (), lambda m, message: sent.append(message), WINDOW)
     pools.assign(FLOOR)
     return pools, sent
 
 
-def test_a_new_reader_lends_nothing_until_older_loans_are_over(clock: Clock) -> None:
+def test_a_new_reader_lends_nothing_until_older_loans_are_over(clock: ManualClock) -> None:
     pools, _ = a_reader(clock)
     assert pools.lend(SERVICE, LOAN) == 0
     clock.at += WINDOW + LOAN_SECONDS - 0.1
@@ -49,7 +40,7 @@
     assert pools.lend(SERVICE, LOAN) == LOAN
 
 
-def test_a_daemon_that_was_no_reader_for_a_while_begins_anew(clock: Clock) -> None:
+def test_a_daemon_that_was_no_reader_for_a_while_begins_anew(clock: ManualClock) -> None:
     pools, _ = a_reader(clock)
     clock.at += WINDOW + LOAN_SECONDS + 0.1
     pools.assign(0.0)
@@ -57,7 +48,7 @@
     assert pools.lend(SERVICE, LOAN) == 0
 
 
-def test_a_wish_to_borrow_is_answered_with_what_is_left(clock: Clock) -> None:
+def test_a_wish_to_borrow_is_answered_with_what_is_left(clock: ManualClock) -> None:
     pools, sent = a_reader(clock)
     clock.at += WINDOW + LOAN_SECONDS + 0.1
     for number in range(8):
@@ -65,7 +56,7 @@
     assert [message.amount for message in sent if isinstance(message, Lent)] == [LOAN] * 5 + [0] * 3
 
 
-def test_a_loan_is_used_after_the_own_budget_and_ends(clock: Clock) -> None:
+def test_a_loan_is_used_after_the_own_budget_and_ends(clock: ManualClock) -> None:
     budget = RetryBudget(0.0, 1.0, WINDOW)
     assert budget.retry()
     assert not budget.retry()
@@ -75,13 +66,13 @@
     assert not budget.retry()
 
 
-def test_an_answer_that_nobody_waits_for_is_passed_over(clock: Clock) -> None:
+def test_an_answer_that_nobody_waits_for_is_passed_over(clock: ManualClock) -> None:
     pools, _ = a_reader(clock)
     pools.heard_lent(MemberId("d1"), Lent(99, LOAN))
     assert pools.questions.waiting == {}
 
 
-def test_no_window_sees_more_loans_than_the_floor(clock: Clock) -> None:
+def test_no_window_sees_more_loans_than_the_floor(clock: ManualClock) -> None:
     rng = random.Random(5)
     pools, _ = a_reader(clock)
     clock.at += WINDOW + LOAN_SECONDS + 0.1
--- a/tests/test_restored_lists.py
+++ b/tests/test_restored_lists.py
@@ -6,32 +6,23 @@
 from bayglade import servers
 from bayglade.fleet import Fleet
 from bayglade.ids import BackendId
+from tests.clocks import ManualClock
 from tests.server_rows import BORN, facts_of
 
 EXPIRY = 4.6
 LAYERS = {"from": 0, "targetVersion": 8, "version": 1}
 
 
-class Clock:
-    """A clock that moves only as told."""
-
-    def __init__(self) -> None:
-        self.at = 100.0
-
-    def now(self) -> float:
-        return self.at
-
-
 @pytest.fixture
-def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
-    made = Clock()
+def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
+    made = ManualClock()
     monkeypatch.setattr(fleets, "now", made.now)
     monkeypatch.setattr(servers, "now", made.now)
     return made
 
 
 @pytest.fixture
-def fleet(clock: Clock) -> Fleet:
+def fleet(clock: ManualClock) -> Fleet:
     made = Fleet(EXPIRY)
     made.take([facts_of("a", seq=5), facts_of("b", seq=5)], [], outage=False)
     return made
@@ -63,31 +54,31 @@
     return fleet.servers[BackendId("a")]
 
 
-def test_a_server_that_was_gone_and_is_in_the_copy_gets_nothing(fleet: Fleet, clock: Clock) -> None:
+def test_a_server_that_was_gone_and_is_in_the_copy_gets_nothing(fleet: Fleet, clock: ManualClock) -> None:
     server = gone_and_back(fleet)
     assert not server.sound(clock.at)
     assert not server.placed(clock.at)
     assert server.state() == "unconfirmed"
 
 
-def test_it_is_used_again_once_it_has_written_its_entry(fleet: Fleet, clock: Clock) -> None:
+def test_it_is_used_again_once_it_has_written_its_entry(fleet: Fleet, clock: ManualClock) -> None:
     server = gone_and_back(fleet)
     fleet.take([facts_of("a", seq=6)], [], outage=False)
     assert server.sound(clock.at)
 
 
-def test_it_is_used_again_when_the_platform_keeps_its_entry(fleet: Fleet, clock: Clock) -> None:
+def test_it_is_used_again_when_the_platform_keeps_its_entry(fleet: Fleet, clock: ManualClock) -> None:
     server = gone_and_back(fleet)
     clock.at += EXPIRY
     assert server.sound(clock.at)
 
 
-def test_a_later_start_of_it_is_used_at_once(fleet: Fleet, clock: Clock) -> None:
+def test_a_later_start_of_it_is_used_at_once(fleet: Fleet, clock: ManualClock) -> None:
     gone_and_back(fleet)
     fleet.take([facts_of("a", seq=1, born=BORN + 1)], [], outage=False)
     assert fleet.servers[BackendId("a")].sound(clock.at)
 
 
-def test_a_server_that_is_new_in_the_copy_is_used_at_once(fleet: Fleet, clock: Clock) -> None:
+def test_a_server_that_is_new_in_the_copy_is_used_at_once(fleet: Fleet, clock: ManualClock) -> None:
     fleet.replace([facts_of(name, seq=5) for name in "abc"], outage=True, restored=True)
     assert fleet.servers[BackendId("c")].sound(clock.at)
--- a/tests/test_restored_writes.py
+++ b/tests/test_restored_writes.py
@@ -19,21 +19,12 @@
     Write,
     raw,
 )
+from tests.clocks import ManualClock
 
 DURATION, MARGIN = 2.5, 0.7
 KEY = "a/row"
 
 
-class Clock:
-    """A clock that moves only as told."""
-
-    def __init__(self) -> None:
-        self.at = 100.0
-
-    def now(self) -> float:
-        return self.at
-
-
 class Rows:
     """Rows of a store; what was written since a copy is lost when it is restored."""
 
@@ -94,15 +85,15 @@
 
 
 @pytest.fixture
-def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
-    made = Clock()
+def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
+    made = ManualClock()
     monkeypatch.setattr(epochs, "now", made.now)
     monkeypatch.setattr(leases, "now", made.now)
     return made
 
 
 @pytest.fixture
-def rows(clock: Clock) -> Rows:
+def rows(clock: ManualClock) -> Rows:
     return Rows()
 
 
@@ -146,7 +137,9 @@
 
 
 @pytest.mark.parametrize("copied", ["no row", "another holder", "released"])
-def test_nobody_takes_a_lease_that_a_restored_store_has_lost(rows: Rows, clock: Clock, copied: str) -> None:
+def test_nobody_takes_a_lease_that_a_restored_store_has_lost(
+    rows: Rows, clock: ManualClock, copied: str
+) -> None:
     holder, other, late = Daemon(rows, "d1"), Daemon(rows, "d2"), Daemon(rows, "d3")
     if copied != "no row":
         assert other.keep()
@@ -168,7 +161,7 @@
     assert late.lease.epoch > holder.lease.epoch
 
 
-def test_the_holder_of_a_lease_writes_it_again_and_keeps_it(rows: Rows, clock: Clock) -> None:
+def test_the_holder_of_a_lease_writes_it_again_and_keeps_it(rows: Rows, clock: ManualClock) -> None:
     holder, other = Daemon(rows, "d1"), Daemon(rows, "d2")
     rows.keep_copy()
     assert holder.keep()
@@ -184,7 +177,7 @@
 
 
 def test_a_daemon_that_starts_on_a_restored_store_waits_for_an_earlier_holder(
-    rows: Rows, clock: Clock
+    rows: Rows, clock: ManualClock
 ) -> None:
     first, holder = Daemon(rows, "d1"), Daemon(rows, "d2")
     assert first.keep()
