Let what is known already make a table fresher again

Cause: my own change. A follower that read a table a moment after its reader knows it at a later version, though nothing in the table has changed; all that the reader told from then on was 'older' and made nothing fresher. The tests did not show it, as their stores count versions by table.

Change: in one history a higher version holds all that a lower one tells, so being told less is as good as being told nothing new. Only where a store names no epoch and was away since may it have been restored: then it is dropped as before.

--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -96,6 +96,9 @@
         self.position: Position | None = None
         """Up to where the table is known; nothing when it has to be read whole."""
 
+        self.taken_at = 0.0
+        """When the position last moved."""
+
         self.known_at = 0.0
         self.quiet = False
         """Whether the last own call waited to its end without a change."""
@@ -232,9 +235,11 @@
         known_at: float,
         recovered_at: float = 0.0,
     ) -> None:
-        """Take in what another daemon knows of the table, unless more is known here.
+        """Take in what another daemon knows of the table.
 
-        What is not taken in makes nothing fresher: it may tell of a history that is over.
+        What tells of a history that is over, or leaves something out, makes nothing fresher. What is
+        known here already does: a table that was read later is known at a later version, though
+        nothing in it has changed.
 
         :param changes: rows that changed, as of the other's position.
         :param after: the position they changed after; nothing when it is the whole table.
@@ -248,8 +253,7 @@
         if after is not None and not self._follows(after, changes):
             self._dropped("gap", changes, after)
             return
-        older = self.position is not None and changes.position < self.position
-        if older or self._stale(changes, self.gone_after):
+        if self._may_be_restored(changes, recovered_at) or self._stale(changes, self.gone_after):
             self._dropped("older", changes, after)
             return
         # Entries that lapsed in an outage are judged by when the store came back.
@@ -321,6 +325,18 @@
             return False
         return changes.position < known
 
+    def _may_be_restored(self, changes: Changes, recovered_at: float) -> bool:
+        """Tell whether changes below what is known here may come from a store that was restored.
+
+        Where it names no epoch, only that it was away since tells such changes from a table that was just
+        read earlier.
+
+        :param recovered_at: when the store was back for whoever read them.
+        """
+        if self.position is None or changes.position >= self.position:
+            return False
+        return changes.epoch == UNKNOWN_EPOCH and recovered_at > self.taken_at
+
     def _follows(self, after: Position, changes: Changes) -> bool:
         """Tell whether changes after a position leave nothing out that is not known here."""
         return self.position is not None and after.epoch == changes.epoch and after <= self.position
@@ -335,12 +351,11 @@
     def _take(self, changes: Changes, whole: bool) -> bool:
         """Take in rows, unless newer ones came another way meanwhile; tell whether there were any."""
         if self.position is not None and changes.position < self.position:
-            self._dropped("older", changes, None)
             return False
         if self.position == changes.position and (whole or not changes.rows):
             return False
         self._note_restored(changes)
-        self.position = changes.position
+        self.position, self.taken_at = changes.position, now()
         self._remember(changes, whole)
         if not whole and not changes.rows:
             return False
