Hold calls for the moment in which a daemon asks others for newer settings

Cause: a daemon that had not caught up refused at once, though others confirm its settings within 0.1 s when they run. Change: a call waits up to 0.3 s for that; then it is refused as before.

--- a/bayglade/catchup.py
+++ b/bayglade/catchup.py
@@ -59,7 +59,7 @@
         late = now() - self.known_since >= CATCH_UP_SECONDS
         if not late and not self._confirmed(others):
             return False
-        self.intake.caught_up = True
+        self.intake.catch_up()
         event(
             "WARNING" if late else "INFO",
             "settings not confirmed" if late else "settings confirmed",
--- a/bayglade/intake.py
+++ b/bayglade/intake.py
@@ -3,7 +3,9 @@
 import random
 from collections.abc import Callable
 
+import eventlet
 import msgspec
+from eventlet.event import Event
 
 from bayglade.calls import Call, CallHead, Dialect
 from bayglade.clock import now
@@ -24,6 +26,9 @@
 STALE_OF_TRUST = 0.75
 """Settings older than this part of that bound refuse nobody for good: the caller may be right
 by newer ones."""
+HOLD_SECONDS = 0.3
+"""How long a call waits for other daemons to confirm the settings: several times as long as that takes
+when they run."""
 ELSEWHERE_SECONDS = 0.03
 """When to come back where another daemon can answer at once; callers reach another one then."""
 
@@ -48,6 +53,9 @@
         self.caught_up = True
         """Whether other daemons were asked for newer settings since this one started."""
 
+        self.confirmed = Event()
+        """Sent once they were."""
+
         self.decode: Callable[[msgspec.Raw], tuple[int, Tree]] | None = None
         """Reads a document that another daemon has."""
 
@@ -125,7 +133,7 @@
         head = self.dialect.read_call(message)
         if not self.version:
             raise self._cut_off("no settings are known yet")
-        if not self.caught_up:
+        if not self.caught_up and not self._await_others():
             raise self._cut_off("other daemons may have newer settings")
         try:
             endpoint = self.endpoints.find(head.host, message.target.decode("latin-1"))
@@ -151,6 +159,21 @@
         self.check(call)
         return call
 
+    def catch_up(self) -> None:
+        """Note that other daemons have no newer settings, as far as can be known."""
+        self.caught_up = True
+        if not self.confirmed.ready():
+            self.confirmed.send()
+
+    def _await_others(self) -> bool:
+        """Hold a call for the moment in which other daemons are asked; tell whether it may go on.
+
+        All callers come at once when all daemons start again, and each refusal costs them a try.
+        """
+        with eventlet.Timeout(HOLD_SECONDS, False):
+            self.confirmed.wait()
+        return self.caught_up
+
     def trusted(self) -> bool:
         """Tell whether what is known of keys is fresh enough to run requests that carry one."""
         return self.age() <= self.key_trust - TRUST_MARGIN
--- a/tests/test_catchup.py
+++ b/tests/test_catchup.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import eventlet
 import pytest
 
 from bayglade import catchup
@@ -40,6 +41,13 @@
     assert refused.value.retry_after is not None
 
 
+def test_a_call_is_held_for_the_moment_in_which_others_confirm(intake: Intake) -> None:
+    held = eventlet.spawn(intake._await_others)
+    eventlet.sleep(0)
+    CatchUp(intake).check(set())
+    assert held.wait()
+
+
 def test_two_daemons_that_have_caught_up_are_enough(intake: Intake) -> None:
     catch_up = CatchUp(intake)
     catch_up.hear(A, Revision(7), True)
