Count an answered call as a sign that a position is in the store's history

Cause: after an outage of a store that names no epoch a follower that knew a table at a later version than its readers took what they told for less from a restored store, and read the store itself until something changed. Change: an own answered call confirms the position; what was told of an outage before it counts no more.

--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -96,8 +96,8 @@
         self.position: Position | None = None
         """Up to where the table is known; nothing when it has to be read whole."""
 
-        self.taken_at = 0.0
-        """When the position last moved."""
+        self.confirmed_at = 0.0
+        """When the position was last known to be in the store's history."""
 
         self.known_at = 0.0
         self.quiet = False
@@ -211,7 +211,7 @@
             changes = self._positioned(self.store.changes(self.table, after, wait), after)
             if was_restored(after, changes.position):
                 raise HistoryGone("the store was restored", step="read", peer="store")
-        self.lost_at, self.failures = 0.0, 0
+        self.lost_at, self.failures, self.confirmed_at = 0.0, 0, asked
         if self.failing_since is not None:
             event("INFO", "store regained", table=self.table, out=round(now() - self.failing_since, 2))
             self.recovered_at = self._store_returned(self.failing_since)
@@ -335,7 +335,7 @@
         """
         if self.position is None or changes.position >= self.position:
             return False
-        return changes.epoch == UNKNOWN_EPOCH and recovered_at > self.taken_at
+        return changes.epoch == UNKNOWN_EPOCH and recovered_at > self.confirmed_at
 
     def _follows(self, after: Position, changes: Changes) -> bool:
         """Tell whether changes after a position leave nothing out that is not known here."""
@@ -355,7 +355,7 @@
         if self.position == changes.position and (whole or not changes.rows):
             return False
         self._note_restored(changes)
-        self.position, self.taken_at = changes.position, now()
+        self.position, self.confirmed_at = changes.position, now()
         self._remember(changes, whole)
         if not whole and not changes.rows:
             return False
--- a/tests/test_store_epochs.py
+++ b/tests/test_store_epochs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+import eventlet
 import pytest
 
 from bayglade import feeds
@@ -67,7 +68,7 @@
     stored.restore(2)
     other = Feed(client, "op", 1.0, lambda changes, whole: None)
     other._step()
-    feed.hear(other.since(None)[0], None, known_at=1.0, recovered_at=feed.taken_at + 1.0)
+    feed.hear(other.since(None)[0], None, known_at=1.0, recovered_at=feed.confirmed_at + 1.0)
     assert [line[:2] for line in lines] == [("INFO", "update dropped")]
 
 
@@ -108,10 +109,20 @@
 
 def test_less_than_is_known_from_a_store_that_was_away_makes_nothing_fresher() -> None:
     feed = known_feed(UNKNOWN_EPOCH, 10)
-    feed.hear(Changes(ROW, 9), None, known_at=50.0, recovered_at=feed.taken_at + 1.0)
+    feed.hear(Changes(ROW, 9), None, known_at=50.0, recovered_at=feed.confirmed_at + 1.0)
     assert (feed.known_at, feed.dropped) == (1.0, 1)
 
 
+def test_a_position_that_the_store_has_after_an_outage_is_in_its_history() -> None:
+    feed = Feed(Answers(Changes(ROW, 10), Changes({}, 10)), "t", 1.0, lambda changes, whole: None)
+    feed._step()
+    back_at = feed.confirmed_at + 0.001
+    eventlet.sleep(0.01)
+    feed._step()
+    feed.hear(Changes({}, 9), None, known_at=feed.known_at + 50.0, recovered_at=back_at)
+    assert feed.dropped == 0
+
+
 def test_an_update_of_a_later_epoch_is_taken_in_at_a_lower_version() -> None:
     feed = known_feed(2, 10)
     feed.hear(Changes(ROW, 4, StoreEpoch(3)), None, known_at=50.0)
