Let neither a restore between two pages nor a huge epoch end a task

An epoch of some thousand digits raised ValueError in whatever task made the call. Change: joining tries again; an epoch of more than 18 digits makes no sense. Three cases, two of them for the epoch.

--- a/bayglade/platform/store.py
+++ b/bayglade/platform/store.py
@@ -25,6 +25,8 @@
 nobody for another."""
 MEMBERS_TABLE = OWN_TABLES + "members"
 EPOCH_HEADER = "Store-Era"
+MAX_EPOCH_DIGITS = 18
+"""Epochs fit 64 bits: they go to other daemons too."""
 STRANGE_LINES_PER_SECOND = 0.1
 """Log lines a second on epochs that make no sense: each answer names one."""
 
@@ -204,7 +206,7 @@
         """Read the epoch that an answer names; one that makes no sense is none."""
         if text is None:
             return UNKNOWN_EPOCH
-        if not (text.isascii() and text.isdigit()):
+        if not (text.isascii() and text.isdigit() and len(text) <= MAX_EPOCH_DIGITS):
             self.tell_strange("WARNING", "store epoch makes no sense", value=text[:20])
             return UNKNOWN_EPOCH
         return StoreEpoch(int(text))
--- a/bayglade/roster.py
+++ b/bayglade/roster.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from bayglade.config import parse_address
-from bayglade.exceptions import InvalidSettings, PlatformUnavailable
+from bayglade.exceptions import HistoryGone, InvalidSettings, PlatformUnavailable
 from bayglade.ids import HallName, MemberId
 from bayglade.logs import event
 from bayglade.rows import ABSENT, Condition, RowStore, Table, Transaction, Write, raw
@@ -74,7 +74,7 @@
                 continue
             if (joined := _write_missing(store, member, row, known, secret)) is not None:
                 return joined
-        except PlatformUnavailable as error:
+        except (PlatformUnavailable, HistoryGone) as error:
             event("INFO", "roster not written", error=repr(error))
             eventlet.sleep(RETRY_SECONDS)
 
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -4,7 +4,7 @@
 import pytest
 
 from bayglade import roster
-from bayglade.exceptions import PlatformUnavailable
+from bayglade.exceptions import HistoryGone, PlatformUnavailable
 from bayglade.ids import HallName, MemberId
 from bayglade.roster import MemberRow, Roster, join, mark_gone, read_roster
 from bayglade.rows import Changes, Row, Transaction, TransactionResult
@@ -101,6 +101,20 @@
     assert join(table, TABLE, ME, ROW).members == {ME: ROW}
 
 
+def test_joining_goes_on_when_the_store_is_restored_meanwhile(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(roster.eventlet, "sleep", lambda seconds: None)
+    table = Rows()
+    snapshot, failures = table.snapshot, [HistoryGone("restored between two pages")]
+
+    def restored_once(name: str) -> Changes:
+        if failures:
+            raise failures.pop()
+        return snapshot(name)
+
+    monkeypatch.setattr(table, "snapshot", restored_once)
+    assert join(table, TABLE, ME, ROW).members == {ME: ROW}
+
+
 def test_a_daemon_that_is_marked_gone_leaves_the_roster_and_can_come_back() -> None:
     table = Rows()
     join(table, TABLE, ME, ROW)
--- a/tests/test_store_epochs.py
+++ b/tests/test_store_epochs.py
@@ -44,7 +44,7 @@
     assert told == [1, 2, 3, 4]
 
 
-@pytest.mark.parametrize("value", [None, "", "-1", "two", "1.5"])
+@pytest.mark.parametrize("value", [None, "", "-1", "two", "1.5", "1" * 19, "1" * 5000])
 def test_an_epoch_that_makes_no_sense_is_none(stored: MetadataStore, value: str | None) -> None:
     told: list[StoreEpoch] = []
     stored.epoch = value  # type: ignore[assignment]
