--- a/tests/test_lost_rows.py
+++ b/tests/test_lost_rows.py
@@ -10,7 +10,7 @@
 from bayglade.ids import HallName, MemberId
 from bayglade.lost_rows import WRITES_PER_SECOND, recover, write_delay
 from bayglade.roster import MEMBER_PREFIX, SECRET_KEY, MemberRow, Roster, join
-from standins.users import UsersSite
+from standins.users import Daemon, UsersSite
 from standins.world import wait_for
 from tests.test_roster import Rows
 
@@ -68,11 +68,16 @@
         yield made
 
 
+def start(site: UsersSite, count: int) -> list[Daemon]:
+    daemons = [site.start(f"hall-{n % 2}", retry_floor=1000.0) for n in range(count)]
+    for daemon in daemons:
+        wait_for("it hears the others", lambda d=daemon: len(d.beliefs()["members"]) == count - 1)
+    return daemons
+
+
 def test_all_rows_that_a_restored_store_has_lost_are_written_again(site: UsersSite) -> None:
     copied = site.store.version
-    daemons = [site.start(f"hall-{n % 2}", retry_floor=1000.0) for n in range(4)]
-    for daemon in daemons:
-        wait_for("it hears the others", lambda d=daemon: len(d.beliefs()["members"]) == 3)
+    daemons = start(site, 4)
     secret = site.store.rows[TABLE, SECRET_KEY][1]
     names = {(TABLE, MEMBER_PREFIX + daemon.settings["member"]) for daemon in daemons}
     site.restore_store(copied)
@@ -87,9 +92,7 @@
 
 def test_a_secret_that_was_made_on_a_restored_store_gives_way(site: UsersSite) -> None:
     copied = site.store.version
-    daemons = [site.start(f"hall-{n % 2}", retry_floor=1000.0) for n in range(3)]
-    for daemon in daemons:
-        wait_for("it hears the others", lambda d=daemon: len(d.beliefs()["members"]) == 2)
+    daemons = start(site, 3)
     secret = site.store.rows[TABLE, SECRET_KEY][1]
     site.restore_store(copied)
     site.store.put(TABLE, SECRET_KEY, "made on the restored store")
