--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -22,6 +22,7 @@
     MemberId,
     Revision,
     ServerKey,
+    ServiceName,
     Version,
 )
 from bayglade.rows import Position
@@ -67,6 +68,46 @@
         return ServerKey(self.backend, self.incarnation)
 
 
+class ServiceReport(msgspec.Struct, frozen=True, array_like=True):
+    """Demand for one service at one urgency, as one daemon or a sum of daemons sees it.
+
+    Rates are per second and decay over a few seconds.
+    """
+
+    service: ServiceName
+    urgency: int
+    """The priority of the calls; higher goes first."""
+
+    waiting: int = 0
+    """Requests that wait for a place."""
+
+    returning: int = 0
+    """Callers that were told to come back and are not due yet."""
+
+    offered: float = 0.0
+    """Tokens a second that new and returning requests ask for."""
+
+    admitted: float = 0.0
+    """Tokens a second of requests that got a place."""
+
+    refused: float = 0.0
+    """Requests a second refused because there was no room."""
+
+    finished: float = 0.0
+    """Requests a second that ended."""
+
+
+class Coverage(msgspec.Struct, frozen=True, array_like=True):
+    """When every layer of a service's model has a holder again, by the orders under way."""
+
+    service: ServiceName
+    seconds: float
+    """Seconds until then, as of ``age`` ago; zero while all have holders, negative if it is not known."""
+
+    age: float = 0.0
+    """Seconds since it was computed, as of sending."""
+
+
 class LoadSums(msgspec.Struct, frozen=True):
     """The requests in progress that one daemon reports, as of one moment."""
 
@@ -156,6 +197,13 @@
     caught_up: bool = True
     """Whether the sender has asked others for newer settings since it started."""
 
+    reports: list[ServiceReport] = []
+    """Demand at the sender. These three lists are relayed in the same way as ``loads``."""
+
+    hall_reports: list[ServiceReport] = []
+    all_reports: list[ServiceReport] = []
+    coverage: list[Coverage] = []
+
 
 class Findings(msgspec.Struct, frozen=True, tag="s", array_like=True):
     """Relays observations about servers immediately.
