Relay settings at once to daemons that start together

Cause: a daemon that read the operator's table before the document was written rests for a second and relies on relays, but these did not arrive: the first poll waited for the periodic check (0.5 s), the answer to a poll of a daemon without a stream was dropped, so that the poll was repeated only after 1 s, and an answer within 0.1 s was not followed by a poll until the next check. In a first start, daemons also waited a second for the roster that lets those that joined before them answer.

Change: sources are polled when they are chosen and again 0.1 s after an early answer; the stream to a polling daemon is dialled before it is answered and kept for 2 s; the roster is read every 0.1 s while it changes in the first 2 s; a heartbeat confirms settings without a further check. Intake holds a call without settings for 0.4 s in all, at most a third of its time left and 200 at a time, while settings are expected.

--- a/bayglade/fanout.py
+++ b/bayglade/fanout.py
@@ -92,6 +92,9 @@
         self.last_poll_number = 0
         self.sent_polls: dict[MemberId, SentPoll] = {}
         self.pending_polls: dict[MemberId, PendingPoll] = {}
+        self.polled_at: dict[MemberId, float] = {}
+        """When each daemon last polled this one, in monotonic seconds."""
+
         self.relayed_known_at: dict[MemberId, dict[str, float]] = {}
         """By daemon that polled: for each table, the ``known_at`` of the last update sent to it."""
 
@@ -159,6 +162,7 @@
         :param poll: the poll.
         """
         self.pending_polls[member] = PendingPoll(poll)
+        self.polled_at[member] = now()
         for position in poll.have.values():
             self.probe_feed.history.observe(position.epoch)
         if self.probe_feed.lost_at:
@@ -166,6 +170,11 @@
         if self._has_news(member):
             self._answer(member)
 
+    def polling_members(self) -> set[MemberId]:
+        """Return the daemons that poll this one; each needs a stream for its answers."""
+        oldest = now() - 2 * POLL_TIMEOUT
+        return {member for member, at in self.polled_at.items() if at >= oldest} | self.pending_polls.keys()
+
     def receive_store_unreachable(self, member: MemberId, message: StoreUnreachable) -> None:
         """Record that a daemon gets no answer from the store; it answers the poll once it has news."""
         if member in self.sent_polls:
@@ -192,10 +201,14 @@
                 changes = Changes(decode_rows(table.rows), table.position.version, table.position.epoch)
                 recovered = 0.0 if table.recovered_age is None else answered - table.recovered_age
                 feed.receive(changes, table.after, answered - table.age, recovered)
-        if member not in self.sources or now() - sent.at < MIN_POLL_INTERVAL:
-            # The next periodic check polls it if it is still a source; this update may just have shown that
-            # the daemon is gone.
+        early = sent.at + MIN_POLL_INTERVAL - now()
+        if member not in self.sources:
+            # This update may just have shown that the daemon is gone.
             self.sent_polls.pop(member, None)
+        elif early > 0:
+            # The first poll after a start is answered at once. Without a pending poll, the changes that
+            # follow would arrive only after the next periodic check.
+            eventlet.spawn_after(early, self._poll_again, member, sent)
         else:
             self._send_poll(member)
         self.relay()
@@ -216,11 +229,16 @@
 
         :param members: the daemons in the roster.
         """
-        for known in (self.sent_polls, self.pending_polls, self.relayed_known_at):
+        for known in (self.sent_polls, self.pending_polls, self.polled_at, self.relayed_known_at):
             for member in [member for member in known if member not in members]:
                 del known[member]
         self.peers_without_store = {member for member in self.peers_without_store if member in members}
 
+    def _poll_again(self, source: MemberId, answered: SentPoll) -> None:
+        """Poll a source again, unless it is none any more or was polled meanwhile."""
+        if source in self.sources and self.sent_polls.get(source) is answered:
+            self._send_poll(source)
+
     def _send_poll(self, source: MemberId) -> None:
         self.last_poll_number += 1
         self.sent_polls[source] = SentPoll(self.last_poll_number)
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -75,6 +75,9 @@
 deadline passes before the daemon exits."""
 EXIT_MARGIN_SECONDS = 0.6
 """Seconds by which the daemon exits before the platform would kill it."""
+SETTINGS_EXPECTED_SECONDS = 2.0
+"""How long after a start the first settings are expected. The operator may not have written any, and then a
+refusal at once is better than one after a wait."""
 FINGERPRINT_KEY_BYTES = 32
 INTERNAL_CLIENT_LIMITS = CallerLimits()
 """Limits for clients of the readiness and metrics listeners."""
@@ -172,6 +175,8 @@
         link_feeds(self._feeds())
         self.presence = DisconnectWatcher(self.metrics)
         self.active_requests: set[RequestId] = set()
+        self.started_at = now()
+        self.intake.expects_settings = self._expects_settings
         self.draining = False
         self.draining_since = 0.0
         self.shutdown_requested = Event()
@@ -222,6 +227,14 @@
             and self.intake.keys_trusted()
         )
 
+    def _expects_settings(self) -> bool:
+        """Return whether the first settings are expected shortly.
+
+        One failed call may be a refusal for the rate of all daemons that start; two show that the store is
+        unavailable.
+        """
+        return self.document_feed.failures < 2 and now() - self.started_at < SETTINGS_EXPECTED_SECONDS
+
     def _feeds(self) -> tuple[Feed, ...]:
         """Return the feeds of all tables; the first probes most often while the store is unreachable."""
         return self.document_feed, self.servers_feed, self.peering.roster_feed
--- a/bayglade/intake.py
+++ b/bayglade/intake.py
@@ -1,5 +1,6 @@
 """Intake: validates and authorises requests under the settings in force."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -26,9 +27,17 @@
 STALE_FRACTION = 0.75
 """Fraction of that bound beyond which settings are too old to reject a key or path permanently: newer
 settings may allow the request."""
-HOLD_SECONDS = 0.3
+CONFIRMATION_HOLD_SECONDS = 0.3
 """Seconds for which a call waits for other daemons to confirm the settings; confirmation takes a fraction
 of that when they are running."""
+HOLD_SECONDS = 0.4
+"""Seconds for which a call is held in all, for the first settings and their confirmation. A refusal would
+cost the caller its one retry, and no caller leaves in that time."""
+HOLD_FRACTION = 1 / 3
+"""Fraction of its time left for which a call is held at most, so that a caller refused then can still
+retry; callers honour ``Retry-After`` up to the same fraction."""
+MAX_HELD = 200
+"""Limit on calls held at a time; each keeps its connection and its body in memory."""
 RETRY_ELSEWHERE_SECONDS = 0.03
 """Retry-After in seconds where another daemon can answer at once; the retry then reaches another one."""
 
@@ -56,6 +65,15 @@
         self.confirmed = Event()
         """Set once they were."""
 
+        self.known = Event()
+        """Set once settings are in force."""
+
+        self.expects_settings: Callable[[], bool] = lambda: False
+        """Returns whether the first settings are expected within the time for which calls are held."""
+
+        self.held = 0
+        """Calls that are held for settings or their confirmation."""
+
         self.decode: Callable[[msgspec.Raw], tuple[int, Tree]] | None = None
         """Decodes a document received from another daemon."""
 
@@ -105,6 +123,8 @@
         self.directory = Directory(tree)
         self.tree = tree
         self.current = Current(Revision(version), digest_of(document), document, tree)
+        if not self.known.ready():
+            self.known.send()
 
     def limits(self) -> CallerLimits:
         """Return the limits for new connections."""
@@ -131,9 +151,10 @@
         """
         arrived = now()
         head = self.dialect.read_call(message)
-        if not self.version:
+        until = arrived + _hold_limit(head)
+        if not self.version and not self._await_settings(until):
             raise self._cut_off("no settings are known yet")
-        if not self.caught_up and not self._await_confirmation():
+        if not self.caught_up and not self._await_confirmation(until):
             raise self._cut_off("other daemons may have newer settings")
         try:
             endpoint = self.endpoints.find(head.host, message.target.decode("latin-1"))
@@ -169,15 +190,35 @@
         if not self.confirmed.ready():
             self.confirmed.send()
 
-    def _await_confirmation(self) -> bool:
+    def _await_settings(self, until: float) -> bool:
+        """Hold a call while the first settings are expected; return whether there are settings.
+
+        The balancer sends callers to a daemon that accepts connections while no daemon is ready, and after
+        a power loss of all daemons none of them is.
+        """
+        if self.expects_settings():
+            self._hold(self.known, until)
+        return self.version > 0
+
+    def _await_confirmation(self, until: float = math.inf) -> bool:
         """Hold a call while other daemons are asked for newer settings; return whether it may continue.
 
         After a restart of all daemons all callers arrive at once, and each refusal costs them an attempt.
         """
-        with eventlet.Timeout(HOLD_SECONDS, False):
-            self.confirmed.wait()
+        self._hold(self.confirmed, min(until, now() + CONFIRMATION_HOLD_SECONDS))
         return self.caught_up
 
+    def _hold(self, awaited: Event, until: float) -> None:
+        """Wait for an event until a time, unless too many calls are held already."""
+        if self.held >= MAX_HELD or until <= now():
+            return
+        self.held += 1
+        try:
+            with eventlet.Timeout(until - now(), False):
+                awaited.wait()
+        finally:
+            self.held -= 1
+
     def keys_trusted(self) -> bool:
         """Return whether the known keys are recent enough to run requests that carry one."""
         return self.age() <= self.key_trust - TRUST_MARGIN
@@ -215,3 +256,10 @@
     def _cut_off(self, message: str) -> BaygladeError:
         again = jittered_retry_after(RETRY_ELSEWHERE_SECONDS, self.rng, RETRY_ELSEWHERE_SECONDS)
         return CutOff(message, step="intake", retry_after=again)
+
+
+def _hold_limit(head: CallHead | None) -> float:
+    """Return for how many seconds a call may be held; it is never held past its deadline."""
+    if head is None or head.timeout_seconds is None:
+        return HOLD_SECONDS
+    return min(HOLD_SECONDS, HOLD_FRACTION * head.timeout_seconds)
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -56,6 +56,10 @@
 """Seconds within which a new daemon must be known to all; heartbeats and polls announce it sooner."""
 ROSTER_BATCH_DELAY = 1.0
 """Sleep between calls of the roster's feed after a change; nobody waits for the roster."""
+START_SECONDS = 2.0
+START_BATCH_DELAY = 0.1
+"""The same, within this many seconds of a start. In a site that starts for the first time, daemons wait for
+those that joined before them, which learn of them only by the roster."""
 FETCH_DELAY = 1.5
 """Seconds for which another gateway must have newer settings before they are fetched from it. They usually
 arrive from the store or a reader at about the same time, and a large document is costly to send."""
@@ -108,7 +112,7 @@
         """Whether a rewrite of the own row is scheduled."""
 
         self.roster_feed = Feed(
-            store, table, poll_wait(ROSTER_BOUND), self._apply_roster, ROSTER_BATCH_DELAY, history
+            store, table, poll_wait(ROSTER_BOUND), self._apply_roster, START_BATCH_DELAY, history
         )
         self.membership: Membership | None = None
         self.catch_up = CatchUp(intake)
@@ -161,6 +165,7 @@
         event("INFO", "joined", address=self.address, members=len(self.roster.members))
         self._roster_changed()
         self.roster_feed.start()
+        eventlet.spawn_after(START_SECONDS, setattr, self.roster_feed, "batch_delay", ROSTER_BATCH_DELAY)
         while True:
             eventlet.sleep(CHECK_INTERVAL)
             self._check()
@@ -439,6 +444,7 @@
         self.pools.assign(self._pooled_retries())
         self.fanout.set_sources(plan.sources)
         self._update_streams()
+        self.fanout.poll_sources()
 
     def _update_streams(self) -> None:
         """Keep streams to the gateways that this one polls, and to those that poll it."""
@@ -448,12 +454,13 @@
             self.membership.update_members(addresses)
             return
         wanted = needed_streams(self.config.member, self.ranking, self.plan)
-        wanted |= self.fanout.pending_polls.keys() & addresses.keys()
+        wanted |= self.fanout.polling_members() & addresses.keys()
         self.membership.update_members(addresses, wanted)
 
     def _receive_heartbeat(self, member: MemberId, beat: wire.Heartbeat) -> None:
         self.totals.merge_heartbeat(member, beat)
         self.catch_up.record(member, beat.revision, beat.caught_up)
+        self.catch_up.check(self._awaited_members())
         self.spreading.probe_restarted(load.key for load in beat.loads)
 
     def _receive_poll(self, member: MemberId, poll: wire.Poll) -> None:
@@ -461,9 +468,11 @@
             # It started just now. Its hall only matters for sums, and arrives with its row.
             known = {**self.roster.members, member: MemberRow(poll.address, self.config.hall)}
             self.roster = msgspec.structs.replace(self.roster, members=known)
-        self.fanout.receive_poll(member, poll)
+        # The answer is sent at once if there is news, and without a stream it would be lost.
+        self.fanout.polled_at[member] = now()
         if self.membership is not None and member not in self.membership.members:
             self._update_streams()
+        self.fanout.receive_poll(member, poll)
 
     def _send(self, member: MemberId, message: wire.Message) -> None:
         if self.membership is not None:
