Balance plain servers over all daemons where many share few slots

Cause: with 130 daemons on 18 slots, a daemon's own count of a plain server is 0 or 1 and says nothing about how busy the server is.

Change: plain_balancing.choose_server takes the better of two drawn servers by own calls, refusals, latency of answers and a tenth of what others have in flight; a server of another hall needs half a slot more room. Heartbeats carry plain servers, and the choice changes, only where more daemons share a service than its servers have slots. Otherwise _least_busy is used as before.

--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -32,6 +32,7 @@
 from bayglade.listener import listen
 from bayglade.logs import event
 from bayglade.lost_rows import REWRITE_GRACE_SECONDS, merge_restored, rewrite_delay, stored_members
+from bayglade.plain_balancing import balanced_services
 from bayglade.quotas import Quotas, choose_owner
 from bayglade.readers import (
     LOST_AFTER_SECONDS,
@@ -484,8 +485,9 @@
 
     def _loads(self) -> list[ServerLoad]:
         servers = self.peers.fleet.servers.values()
+        plain = balanced_services(self.count(), servers, self.intake.pipelines())
         return [
             ServerLoad(s.facts.id, s.in_flight, int(s.cached), s.facts.incarnation)
             for s in servers
-            if s.facts.layer_count and (s.in_flight or s.cached >= 1)
+            if (s.facts.layer_count or s.facts.service in plain) and (s.in_flight or s.cached >= 1)
         ]
--- a/bayglade/servers.py
+++ b/bayglade/servers.py
@@ -20,6 +20,9 @@
 """Time constant, in seconds, with which refusals are forgotten. It is longer than the rest that servers ask
 for, 3 s, or each rest would end with a lost call, and short enough that a server is used again some
 seconds later."""
+LATENCY_TIME_CONSTANT = 3.0
+"""Time constant, in seconds, of the mean latency of answers: some heartbeats, and short against the faults
+that make a server slow."""
 SLOW_PACE = 1.5
 """A server that reports being more than this many times slower than usual is asked for new reports."""
 TOKEN_DELAY_SECONDS = 0.01
@@ -131,6 +134,8 @@
     """
 
     __slots__ = (
+        "answer_seconds",
+        "answers",
         "cached",
         "connection_refused",
         "excluded",
@@ -187,6 +192,12 @@
         fewest requests in flight.
         """
 
+        self.answers = DecayingSum(LATENCY_TIME_CONSTANT)
+        """Recent answers to calls of a plain service."""
+
+        self.answer_seconds = DecayingSum(LATENCY_TIME_CONSTANT)
+        """The seconds that these answers took."""
+
         self.full_until = 0.0
         """Until when it is considered full after it refused a request."""
 
@@ -206,6 +217,11 @@
     def __repr__(self) -> str:
         return f"<Server {self.facts.id} {self.facts.first}-{self.facts.last} in_flight={self.in_flight}>"
 
+    def note_answer(self, seconds: float, at: float) -> None:
+        """Record how long it took to answer a call of a plain service."""
+        self.answers.add(1.0, at)
+        self.answer_seconds.add(seconds, at)
+
     def healthy(self, at: float) -> bool:
         """Tell whether no fault of it is known; a rest or a rate limit may still keep requests from it."""
         if self.leaving or self.suspect or self.excluded is not None:
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -1,5 +1,7 @@
 """Relays calls to plain services: an answer is read completely before any byte goes to the caller."""
 
+from collections.abc import Sequence
+
 import eventlet
 
 from bayglade.calls import Call
@@ -16,6 +18,7 @@
 from bayglade.http1 import Headers, Message, end_to_end_headers
 from bayglade.listener import Connection
 from bayglade.logs import event
+from bayglade.plain_balancing import balanced_services, choose_server, without_recent_refusals
 from bayglade.relay import Attempts, RelayContext, await_crash_reports, probe_server, request_fingerprint
 from bayglade.reservations import Reservation
 from bayglade.sending import read_answer_head, send
@@ -91,7 +94,7 @@
     """
 
     def try_reserve() -> Reservation | None:
-        server = _least_busy(context, call, attempts)
+        server = _choose_server(context, call, attempts)
         if server is None:
             return None
         place = Reservation((server,))
@@ -128,7 +131,7 @@
     server = place.servers[0]
     attempts.tried.add(server.facts.id)
     server.in_flight += 1
-    keep_seconds = None
+    keep_seconds, began = None, now()
     try:
         exchange = send(context, call, server, None, None, place)
         attempts.note_sent(server)
@@ -146,6 +149,7 @@
         place.release()
     if message.status < 500:
         context.fleet.record_success(server)
+        server.note_answer(now() - began, now())
     return BufferedAnswer(message, b"".join(pieces))
 
 
@@ -158,19 +162,26 @@
     return min(call.deadline, now() + ANSWER_TIMEOUT_FRACTION * endpoint.aim)
 
 
-def _least_busy(context: RelayContext, call: Call, attempts: Attempts) -> Server | None:
-    """Choose the untried server that is least busy by this daemon's own count."""
+def _choose_server(context: RelayContext, call: Call, attempts: Attempts) -> Server | None:
+    """Choose an untried server, by the counts of all daemons where many of them share a few slots."""
+    service = context.fleet.of_service(call.service)
+    if not balanced_services(context.diagnosis.count_daemons(), service, ()):
+        return _least_busy(context, call, attempts)
     at = now()
-    servers = [s for s in context.fleet.healthy(call.service) if s.facts.id not in attempts.tried]
-    context.fleet.rate_limits.request_tokens(servers)
-    fitting = [server for server in servers if server.available_at(at) <= at]
-    if not fitting or attempts.allowed_servers() is not None:
+    fitting = _fitting_servers(context, call, attempts)
+    if not fitting:
         return None
-    if context.quarantine.is_suspect(call):
-        fitting = wait_for_isolated(context, call, fitting) or fitting
-    own = context.paths.hall
+    if call.at_most_once:
+        fitting = without_recent_refusals(fitting, at)
+    others = {key: load.heads for key, load in context.paths.remote_loads().items()}
+    return choose_server(fitting, context.paths.hall, others, at, context.rng)
+
+
+def _least_busy(context: RelayContext, call: Call, attempts: Attempts) -> Server | None:
+    """Choose the untried server that is least busy by this daemon's own count."""
+    at, own = now(), context.paths.hall
     return min(
-        fitting,
+        _fitting_servers(context, call, attempts),
         key=lambda s: (
             s.in_flight / max(1, s.facts.slots)
             + (REMOTE_HALL_PENALTY if s.facts.hall != own else 0.0)
@@ -178,9 +189,23 @@
             + s.refusals.read(at),
             context.rng.random(),
         ),
+        default=None,
     )
 
 
+def _fitting_servers(context: RelayContext, call: Call, attempts: Attempts) -> Sequence[Server]:
+    """Return the untried servers to which a call may be sent now."""
+    at = now()
+    servers = [s for s in context.fleet.healthy(call.service) if s.facts.id not in attempts.tried]
+    context.fleet.rate_limits.request_tokens(servers)
+    fitting = [server for server in servers if server.available_at(at) <= at]
+    if not fitting or attempts.allowed_servers() is not None:
+        return []
+    if context.quarantine.is_suspect(call):
+        fitting = wait_for_isolated(context, call, fitting) or fitting
+    return fitting
+
+
 def _record_failure(context: RelayContext, call: Call, server: Server, error: BackendError) -> None:
     event(
         "INFO",
