--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -462,7 +462,10 @@
         self.totals.merge_heartbeat(member, beat)
         self.catch_up.record(member, beat.revision, beat.caught_up)
         self.catch_up.check(self._awaited_members())
-        self.spreading.probe_restarted(load.key for load in beat.loads)
+        # Plain servers have no report to ask for; the probe would take them for silent.
+        servers, pipelines = self.peers.fleet.servers, self.intake.pipelines()
+        stages = {name for name, server in servers.items() if server.facts.service in pipelines}
+        self.spreading.probe_restarted(load.key for load in beat.loads if load.backend in stages)
 
     def _receive_poll(self, member: MemberId, poll: wire.Poll) -> None:
         if member not in self.roster.members:
--- a/tests/test_plain_balancing.py
+++ b/tests/test_plain_balancing.py
@@ -18,10 +18,10 @@
 from bayglade import fleet as fleet_module
 from bayglade import plain_balancing, wholes
 from bayglade.config import GatewayConfig
-from bayglade.entries.wire import ServerLoad
+from bayglade.entries.wire import Heartbeat, ServerLoad
 from bayglade.fleet import Fleet
 from bayglade.gateway import Gateway
-from bayglade.ids import BackendId, HallName, MemberId, ServerKey, ServiceName
+from bayglade.ids import BackendId, HallName, Incarnation, MemberId, Revision, ServerKey, ServiceName
 from bayglade.plain_balancing import (
     OtherLoads,
     balanced_services,
@@ -31,6 +31,7 @@
 )
 from bayglade.readers import Ranking
 from bayglade.servers import Server, ServerFacts
+from bayglade.settings import Service, Tree
 from tests.server_rows import facts_of
 
 SERVICE = ServiceName("plain")
@@ -313,11 +314,8 @@
     assert (got < 10) is others_seen
 
 
-@pytest.mark.parametrize(("daemons", "told"), [(6, False), (7, True)])
-def test_other_daemons_are_told_of_plain_servers_only_where_many_share_them(
-    daemons: int, told: bool
-) -> None:
-    """Guards against larger heartbeats in sites where nobody uses the counts."""
+def plain_gateway() -> tuple[Gateway, ServerFacts]:
+    """Return a gateway that has two calls in flight on a plain server."""
     config = GatewayConfig(
         member=MemberId("a"),
         hall=HOME,
@@ -330,6 +328,29 @@
     rows = [facts_of("s", service=SERVICE, zone="h0", slots=6, layers=None, kind=None)]
     gateway.fleet.apply_changes(rows, [], outage=False)
     gateway.fleet.servers[rows[0].id].in_flight = 2
+    return gateway, rows[0]
+
+
+@pytest.mark.parametrize(("daemons", "told"), [(6, False), (7, True)])
+def test_other_daemons_are_told_of_plain_servers_only_where_many_share_them(
+    daemons: int, told: bool
+) -> None:
+    """Guards against larger heartbeats in sites where nobody uses the counts."""
+    gateway, facts = plain_gateway()
     gateway.peering.ranking = Ranking({MemberId(f"d{n}"): HOME for n in range(daemons)})
-    expected = [ServerLoad(rows[0].id, 2, 0, rows[0].incarnation)] if told else []
+    expected = [ServerLoad(facts.id, 2, 0, facts.incarnation)] if told else []
     assert gateway.peering._loads() == expected
+
+
+def test_a_restarted_plain_server_is_not_probed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against suspecting a plain server, which has no report, because others know a later start."""
+    gateway, facts = plain_gateway()
+    probed: list[ServerKey] = []
+    monkeypatch.setattr(gateway.peering.spreading, "probe_restarted", probed.extend)
+    later = ServerLoad(facts.id, 1, 0, Incarnation(facts.incarnation + 1))
+    beat = Heartbeat(revision=Revision(1), draining=False, usage=[], leaving=[], held=[], loads=[later])
+    gateway.peering._receive_heartbeat(MemberId("b"), beat)
+    assert probed == []
+    gateway.intake.tree = Tree(services={SERVICE: Service({}, pipeline=object())})  # type: ignore[arg-type]
+    gateway.peering._receive_heartbeat(MemberId("b"), beat)
+    assert probed == [later.key]
