Count demand by service and urgency, and add it up over daemons

Cause: daemons know only their own queues, so admission by urgency and the forecast of capacity have nothing to decide by.

Change: ServiceReports counts the requests of this daemon (offered, admitted, refused, finished) and adds up the reports that it is given, through readers in a large site. RelayContext has both, as reports and refusals. The Heartbeat fields are decoded without a fixed shape, so that an invalid line is refused and does not break the stream. Nothing sends the reports yet.

The new modules have no tests yet.

--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -8,6 +8,7 @@
 import hashlib
 import hmac
 import os
+from typing import Any
 
 import msgpack
 import msgspec
@@ -119,6 +120,17 @@
     """Totals of all halls, sent by a reader."""
 
 
+class ReportSums(msgspec.Struct, frozen=True):
+    """The demand that one daemon reports, as of one moment."""
+
+    own: list[ServiceReport] = []
+    hall: list[ServiceReport] = []
+    """Totals of its hall, sent by a reader."""
+
+    everywhere: list[ServiceReport] = []
+    """Totals of all halls, sent by a reader. Those for a daemon of its hall leave that daemon out."""
+
+
 class Finding(msgspec.Struct, frozen=True, array_like=True):
     """An observation about a server, made by calling it."""
 
@@ -197,12 +209,17 @@
     caught_up: bool = True
     """Whether the sender has asked others for newer settings since it started."""
 
-    reports: list[ServiceReport] = []
-    """Demand at the sender. These three lists are relayed in the same way as ``loads``."""
+    reports: Any = []
+    """Demand at the sender, a list of :class:`ServiceReport`. These three lists are relayed in the same way
+    as ``loads``. Their shape is checked by :mod:`bayglade.service_reports`: an invalid line must not break
+    the stream, because the sender would then be considered dead."""
+
+    hall_reports: Any = []
+    all_reports: Any = []
+    """Leaves out the receiver's own part."""
 
-    hall_reports: list[ServiceReport] = []
-    all_reports: list[ServiceReport] = []
-    coverage: list[Coverage] = []
+    coverage: Any = []
+    """A list of :class:`Coverage`, from the daemon that issues the orders or relayed by a reader."""
 
 
 class Findings(msgspec.Struct, frozen=True, tag="s", array_like=True):
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -32,8 +32,10 @@
 from bayglade.metrics import Metrics
 from bayglade.paths import PathSelector
 from bayglade.quarantine import Quarantine
+from bayglade.refusals import Refusals
 from bayglade.retries import RetryBudget, jittered_retry_after
 from bayglade.servers import Server
+from bayglade.service_reports import ServiceReports
 from bayglade.stall_timeouts import StallTimeouts
 from bayglade.upstream import ConnectionPool
 from bayglade.wait_queues import WaitQueues
@@ -69,6 +71,8 @@
         metrics: Metrics,
         rng: random.Random,
         without: DisabledMechanisms = frozenset(),
+        reports: ServiceReports | None = None,
+        refusals: Refusals | None = None,
     ) -> None:
         self.fleet = fleet
         self.paths = paths
@@ -92,6 +96,12 @@
         self.borrow: Callable[[str, RetryBudget], None] = lambda service, budget: None
         """Borrows retries from other daemons for an exhausted budget."""
 
+        self.reports = reports if reports is not None else ServiceReports()
+        """Demand by service and urgency, at this daemon and at all others."""
+
+        self.refusals = refusals if refusals is not None else Refusals()
+        """The requests that this daemon refused."""
+
     def __repr__(self) -> str:
         return f"<RelayContext {self.fleet!r}>"
 
