Send reports of demand and coverage with heartbeats, and show them

Cause: the counts of ServiceReports did not leave the daemon, and nobody could see why a request was refused.

Change: heartbeats carry reports and coverage. Readers set gauges of demand; beliefs shows demand, coverage and layout orders; refused requests are recorded and served at /refusals/ID. The commands "why" and "pressure" query the metrics addresses of daemons.

--- a/bayglade/beliefs.py
+++ b/bayglade/beliefs.py
@@ -3,7 +3,7 @@
 Served as JSON on the metrics address, and shown by ``bayglade beliefs``.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -19,9 +19,11 @@
     ServiceName,
     StoreEpoch,
 )
+from bayglade.metrics import Metrics
 from bayglade.pathfinding import Path
 from bayglade.quarantine import Quarantine
 from bayglade.servers import Server
+from bayglade.service_reports import ServiceReports, gauge_name
 
 
 class ServerBelief(msgspec.Struct, frozen=True):
@@ -88,6 +90,53 @@
     in_store: bool
 
 
+class DemandBelief(msgspec.Struct, frozen=True):
+    """Demand for a service at one urgency, over all daemons that this one has heard."""
+
+    service: ServiceName
+    urgency: int
+    waiting: int
+    returning: int
+    """Callers that were told to retry and are not due yet."""
+
+    offered: float
+    """Tokens per second."""
+
+    admitted: float
+    """Tokens per second."""
+
+    refused: float
+    """Requests per second refused for lack of capacity."""
+
+    finished: float
+    """Requests per second that ended."""
+
+    admission: float | None = None
+    """Fraction of new requests that this daemon admits; None if it does not limit them."""
+
+    forecast_seconds: float | None = None
+    """Seconds until this daemon expects a free slot; None if it has not computed that."""
+
+
+class CoverageBelief(msgspec.Struct, frozen=True):
+    """When every layer of a service's model is expected to have a holder."""
+
+    service: ServiceName
+    seconds: float | None
+    """0.0 while covered; None if it is not known."""
+
+
+class LayoutBelief(msgspec.Struct, frozen=True):
+    """The layout steps of this daemon; all zero unless it issues the orders."""
+
+    orders_under_way: int
+    steps: int
+    """Steps since the daemon started."""
+
+    missing_layers: int
+    """Layers without a holder when the daemon last issued orders."""
+
+
 class Beliefs(msgspec.Struct, frozen=True, kw_only=True):
     """The whole snapshot of one daemon; ages are in seconds."""
 
@@ -115,6 +164,11 @@
     servers: list[ServerBelief]
     paths: list[PathBelief]
     stopped: list[StopBelief]
+    demand: list[DemandBelief] = []
+    """Empty from a daemon of an earlier version, as the two below."""
+
+    coverage: list[CoverageBelief] = []
+    layout: LayoutBelief = LayoutBelief(0, 0, 0)
 
 
 def server_beliefs(fleet: Fleet) -> list[ServerBelief]:
@@ -160,6 +214,57 @@
     ]
 
 
+def demand_beliefs(reports: ServiceReports, gauges: Mapping[str, float]) -> list[DemandBelief]:
+    """Describe the demand over all daemons, the most urgent first.
+
+    :param reports: the reports of demand.
+    :param gauges: the daemon's gauges, which hold the admission and the forecast by service and urgency.
+    """
+    lines = sorted(reports.all_totals().items(), key=lambda item: (item[0][0], -item[0][1]))
+    return [
+        DemandBelief(
+            service=service,
+            urgency=urgency,
+            waiting=line.waiting,
+            returning=line.returning,
+            offered=round(line.offered, 2),
+            admitted=round(line.admitted, 2),
+            refused=round(line.refused, 2),
+            finished=round(line.finished, 2),
+            admission=_find_gauge(gauges, "admission", service, urgency),
+            forecast_seconds=_find_gauge(gauges, "forecast", service, urgency),
+        )
+        for (service, urgency), line in lines
+    ]
+
+
+def _find_gauge(gauges: Mapping[str, float], kind: str, service: ServiceName, urgency: int) -> float | None:
+    return gauges.get(gauge_name(kind, service, urgency), gauges.get(f"{kind}.{service}.{urgency}"))
+
+
+def coverage_beliefs(reports: ServiceReports, services: Iterable[ServiceName]) -> list[CoverageBelief]:
+    """Describe when models are expected to be covered.
+
+    :param reports: the reports of coverage.
+    :param services: the services with a model.
+    """
+    return [CoverageBelief(name, _rounded(reports.seconds_until_covered(name))) for name in services]
+
+
+def layout_belief(metrics: Metrics, orders_under_way: int) -> LayoutBelief:
+    """Describe the layout steps of a daemon.
+
+    :param metrics: the daemon's metrics.
+    :param orders_under_way: orders whose effect is not visible yet.
+    """
+    missing = int(metrics.gauges.get("layout.missing_layers", 0))
+    return LayoutBelief(orders_under_way, metrics.counts["layout.steps"], missing)
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 2)
+
+
 def path_beliefs(paths: Sequence[Path]) -> list[PathBelief]:
     """Describe the paths of a typical request.
 
--- a/bayglade/commands.py
+++ b/bayglade/commands.py
@@ -19,6 +19,7 @@
 from bayglade.exceptions import BaygladeError
 from bayglade.operators import changes, commands
 from bayglade.operators.commands import DEFAULT_ADDRESS, JSON_OPTION, KEY_VARIABLE
+from bayglade.pressure_commands import Pressure, Why
 from bayglade.stop_commands import StopsLift, StopsList
 
 
@@ -176,6 +177,15 @@
         for stop in view.stopped:
             ends = ", ".join(stop.ends)
             self.line(f"  blocked {stop.content} for {stop.seconds} s: {ends} went down while running it")
+        for line in view.demand:
+            self.line(
+                f"  demand for {line.service} at urgency {line.urgency}: {line.waiting} waiting,"
+                f" {line.returning} returning, {line.offered:g} tokens/s offered,"
+                f" {line.admitted:g} admitted, {line.refused:g} refused/s, {line.finished:g} finished/s"
+            )
+        for coverage in view.coverage:
+            seconds = "not known" if coverage.seconds is None else f"{coverage.seconds:g} s"
+            self.line(f"  {coverage.service} covered in: {seconds}")
         for path in view.paths:
             self.line(
                 f"  path in {path.hall}, {path.cost_ms} ms a token, {path.use:.0%} full: {path.route}"
@@ -208,6 +218,8 @@
         Gateway(),
         GatewayCheck(),
         ShowBeliefs(),
+        Why(),
+        Pressure(),
         StopsList(),
         StopsLift(),
         ShowVersion(),
--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -135,6 +135,12 @@
         self.sums_for: Callable[[MemberId], wire.LoadSums] = lambda member: wire.LoadSums()
         """Returns the sums of requests in progress to send to another daemon."""
 
+        self.reports_for: Callable[[MemberId], wire.ReportSums] = lambda member: wire.ReportSums()
+        """Returns the demand to report to another daemon."""
+
+        self.coverage_for: Callable[[MemberId], list[wire.Coverage]] = lambda member: []
+        """Returns the expected times of coverage to send to another daemon."""
+
         self.before_heartbeats: Callable[[], None] = lambda: None
         """Called before each round of heartbeats."""
 
@@ -330,7 +336,7 @@
             member.wake.wait()
 
     def _heartbeat(self, member_id: MemberId) -> wire.Heartbeat:
-        sums = self.sums_for(member_id)
+        sums, reports = self.sums_for(member_id), self.reports_for(member_id)
         return wire.Heartbeat(
             revision=self.revisions.current.revision,
             draining=self.draining,
@@ -342,6 +348,10 @@
             all_loads=sums.everywhere,
             heard_age=round(now() - self.last_heard[member_id], 2) if member_id in self.last_heard else 0.0,
             caught_up=self.caught_up(),
+            reports=reports.own,
+            hall_reports=reports.hall,
+            all_reports=reports.everywhere,
+            coverage=self.coverage_for(member_id),
         )
 
     def _receive(self, connection: socket.socket) -> None:
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -5,20 +5,30 @@
 import signal
 from collections.abc import Callable
 from pathlib import Path
+from urllib.parse import unquote_to_bytes
 
 import eventlet
 import msgspec
 from eventlet.event import Event
 
 from bayglade import logs, platform
-from bayglade.beliefs import Beliefs, path_beliefs, server_beliefs, stop_beliefs, table_beliefs
+from bayglade.beliefs import (
+    Beliefs,
+    coverage_beliefs,
+    demand_beliefs,
+    layout_belief,
+    path_beliefs,
+    server_beliefs,
+    stop_beliefs,
+    table_beliefs,
+)
 from bayglade.calls import Call
 from bayglade.clock import SuspensionDetector, now, use_boottime_timers
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
 from bayglade.diagnosis import Diagnosis
 from bayglade.disconnects import CallerDisconnected, DisconnectWatcher
 from bayglade.epochs import EpochGuardedTable, StoreHistory
-from bayglade.exceptions import BaygladeError, InvalidSettings, Stopping
+from bayglade.exceptions import BaygladeError, InvalidSettings, Outcome, Stopping
 from bayglade.feeds import Feed, link_feeds
 from bayglade.fleet import Fleet
 from bayglade.freshness import (
@@ -41,11 +51,14 @@
 from bayglade.paths import PathSelector
 from bayglade.peering import Peering
 from bayglade.quarantine import Quarantine
+from bayglade.readers import Role
+from bayglade.refusals import Refusals
 from bayglade.relay import RelayContext
 from bayglade.responses import JSON_TYPE
 from bayglade.retries import jittered_retry_after
 from bayglade.rows import Changes
 from bayglade.server_termination import watch_server_termination
+from bayglade.service_reports import ServiceReports, gauge_name
 from bayglade.settings import CallerLimits
 from bayglade.streams import relay_stream
 from bayglade.upstream import ConnectionPool
@@ -55,6 +68,10 @@
 
 METRICS_PATH = b"/metrics"
 BELIEFS_PATH = b"/beliefs"
+REFUSALS_PATH = b"/refusals/"
+REFUSING_STATUSES = (408, 421, 429, 503)
+"""Statuses which promise that the request has not run: such answers are recorded as refusals."""
+DEMAND_GAUGES = ("waiting", "offered", "refused")
 DOCUMENT_POLL_DELAY = 0.2
 """Seconds to wait after a change of the operator's document before the next request for changes: changes
 come in bursts and each request has a cost. At most a tenth of the time allowed for a change to take
@@ -144,6 +161,8 @@
             metrics=self.metrics,
             rng=self.rng,
             without=config.without,
+            reports=ServiceReports(config.member),
+            refusals=Refusals(config.member),
         )
         self.peers.paths.has_idle_connection = self.links.has_idle
         self.loader = Loader(
@@ -156,6 +175,7 @@
             pair_servers=Mechanism.PAIRS not in config.without,
             tries_first=lambda: self.peering.reads_store() and self.document_feed.failing_since is None,
         )
+        self.peers.reports.own_coverage = lambda: getattr(self.loader, "coverage", {})
         self.peering = Peering(
             config,
             rows,
@@ -171,6 +191,9 @@
         self.loader.daemons = self.peering.count
         link_feeds(self._feeds())
         self.presence = DisconnectWatcher(self.metrics)
+        self.demand_gauges: set[str] = set()
+        """Names of the gauges of demand that are set."""
+
         self.active_requests: set[RequestId] = set()
         self.draining = False
         self.draining_since = 0.0
@@ -251,6 +274,9 @@
             servers=server_beliefs(self.fleet),
             stopped=stop_beliefs(self.quarantine),
             paths=path_beliefs(paths),
+            demand=demand_beliefs(self.peers.reports, self.metrics.gauges),
+            coverage=coverage_beliefs(self.peers.reports, self.intake.pipelines()),
+            layout=layout_belief(self.metrics, len(self.loader.pending_orders)),
         )
 
     def _serve_readiness(self, connection: Connection, message: Message) -> None:
@@ -266,6 +292,12 @@
                 200, [("Content-Type", JSON_TYPE)], msgspec.json.encode(self.beliefs())
             )
             return
+        if message.target.startswith(REFUSALS_PATH):
+            name = unquote_to_bytes(message.target[len(REFUSALS_PATH) :]).decode("utf-8", "replace")
+            refusal = self.peers.refusals.find(name)
+            body = b"" if refusal is None else msgspec.json.encode(refusal)
+            connection.send_response(404 if refusal is None else 200, [("Content-Type", JSON_TYPE)], body)
+            return
         if message.target != METRICS_PATH:
             connection.send_response(404, [], b"")
             return
@@ -276,7 +308,7 @@
     def _serve_caller(self, connection: Connection, message: Message) -> None:
         connection.close_after_response = connection.close_after_response or self.draining
         started = now()
-        request = RequestId("")
+        request, call = RequestId(""), None
         try:
             call = self.intake.call(message)
             request = call.head.id
@@ -287,6 +319,7 @@
                 self._relay_call(call, connection)
         except BaygladeError as error:
             self._report_failure(connection, error, request, started)
+            self._record_refusal(error, request, call, started)
         except (CallerDisconnected, OSError):
             # Detected while waiting, or by a failed send.
             event("INFO", "caller left", request=request, after=round(now() - started, 3))
@@ -335,6 +368,22 @@
             return
         connection.send_error(error, request)
 
+    def _record_refusal(
+        self, error: BaygladeError, request: RequestId, call: Call | None, started: float
+    ) -> None:
+        """Record a refusal, if the answer promises that the request has not run."""
+        if error.status not in REFUSING_STATUSES or error.outcome is not Outcome.NOT_RUN:
+            return
+        self.peers.refusals.note(
+            request,
+            code=error.code,
+            reason=error.message,
+            service=call.service if call is not None else None,
+            urgency=call.priority if call is not None else None,
+            waited=now() - started,
+            retry_after=error.retry_after,
+        )
+
     def _apply_document(self, changes: Changes, whole: bool) -> None:
         value = changes.rows.get(platform.DOCUMENT_KEY)
         if value is None:
@@ -380,6 +429,23 @@
         self.metrics.gauge("servers_limited", limited)
         self.metrics.gauge("requests_stopped", len(self.quarantine.stopped()))
         self.metrics.gauge("connections_opened", self.links.opened)
+        self._update_demand_gauges()
+
+    def _update_demand_gauges(self) -> None:
+        """Set the gauges of demand on readers, and remove those without demand or of other daemons.
+
+        All daemons know the same sums, so those of the readers are enough.
+        """
+        shown = {}
+        if self.peering.plan.role is not Role.FOLLOWER:
+            for (service, urgency), line in self.peers.reports.all_totals().items():
+                for kind in DEMAND_GAUGES:
+                    shown[gauge_name(kind, service, urgency)] = getattr(line, kind)
+        for name in self.demand_gauges - shown.keys():
+            self.metrics.gauges.pop(name, None)
+        for name, value in shown.items():
+            self.metrics.gauge(name, value)
+        self.demand_gauges = set(shown)
 
     def reload(self, cause: str) -> None:
         """Read the daemon's settings file again; an invalid file is logged and ignored.
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -234,6 +234,7 @@
         self._mark_silent_gone()
         self._sync_stop_rows()
         self.fanout.poll_sources()
+        self.peers.reports.check_coverage()
         self.peers.fleet.rate_limits.tidy()
         self.quotas.tidy()
         for budget in self.peers.budgets.values():
@@ -342,8 +343,11 @@
             self._receive_heartbeat,
             self.rng,
         )
-        membership.before_heartbeats = lambda: self.totals.update_sums(self._loads())
+        membership.before_heartbeats = self._update_sums
         membership.sums_for = self.totals.for_member
+        membership.reports_for = self.peers.reports.for_member
+        membership.coverage_for = self.peers.reports.coverage_for
+        self.peers.reports.on_coverage_change = membership.send_heartbeats
         membership.on_poll = self._receive_poll
         membership.on_updates = self.fanout.receive_updates
         membership.on_store_unreachable = self.fanout.receive_store_unreachable
@@ -436,6 +440,7 @@
         self.plan = plan
         mesh = len(self.ranking.ranked) <= FULL_MESH_LIMIT
         self.totals.assign(self.ranking.halls, {} if mesh else plan.hall_readers)
+        self.peers.reports.assign(self.ranking.halls, {} if mesh else plan.hall_readers)
         self.pools.assign(self._pooled_retries())
         self.fanout.set_sources(plan.sources)
         self._update_streams()
@@ -453,6 +458,7 @@
 
     def _receive_heartbeat(self, member: MemberId, beat: wire.Heartbeat) -> None:
         self.totals.merge_heartbeat(member, beat)
+        self.peers.reports.merge_heartbeat(member, beat)
         self.catch_up.record(member, beat.revision, beat.caught_up)
         self.spreading.probe_restarted(load.key for load in beat.loads)
 
@@ -473,6 +479,11 @@
         if self.membership is not None:
             self.membership.broadcast(findings, but)
 
+    def _update_sums(self) -> None:
+        """Compute the sums that the next heartbeats carry."""
+        self.totals.update_sums(self._loads())
+        self.peers.reports.update_sums()
+
     def _loads(self) -> list[ServerLoad]:
         servers = self.peers.fleet.servers.values()
         return [
