--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -319,7 +319,7 @@
                 self._relay_call(call, connection)
         except BaygladeError as error:
             self._report_failure(connection, error, request, started)
-            self._record_refusal(error, request, call, started)
+            self._record_refusal(error, message, call, started)
         except (CallerDisconnected, OSError):
             # Detected while waiting, or by a failed send.
             event("INFO", "caller left", request=request, after=round(now() - started, 3))
@@ -369,13 +369,18 @@
         connection.send_error(error, request)
 
     def _record_refusal(
-        self, error: BaygladeError, request: RequestId, call: Call | None, started: float
+        self, error: BaygladeError, message: Message, call: Call | None, started: float
     ) -> None:
         """Record a refusal, if the answer promises that the request has not run."""
         if error.status not in REFUSING_STATUSES or error.outcome is not Outcome.NOT_RUN:
             return
+        try:
+            head = call.head if call is not None else self.intake.dialect.read_call(message)
+        except BaygladeError:
+            # The refusal itself is logged; without an id, nobody can ask for its reason.
+            return
         self.peers.refusals.note(
-            request,
+            head.id,
             code=error.code,
             reason=error.message,
             service=call.service if call is not None else None,
--- a/bayglade/service_reports.py
+++ b/bayglade/service_reports.py
@@ -37,13 +37,13 @@
 """Bound on the remembered callers, per service and urgency, that were told to retry."""
 MIN_RATE = 0.005
 """Rates below this are sent as zero. A rate of one per second decays to this in 16 s."""
-SHORT_RATE = 100
-"""Rates from this on are sent as whole numbers, which take 3 bytes and not 9."""
+WHOLE_RATE = 10
+"""Rates from this on are sent as whole numbers, which take 1 to 3 bytes and not 9, with an error below 5 %."""
 DEADLINE_GRACE_SECONDS = 5.0
 """Seconds past its deadline after which a request is forgotten whose end was not recorded."""
-READER_SUM_SECONDS = 0.2
-"""How long a reader uses the sum over other daemons. It hears dozens of heartbeats a second, and adding up
-anew for each would take more processor time than all other control messages."""
+READER_SUM_SECONDS = 0.5
+"""How long a reader uses the sum over other daemons, which report once a second. It hears dozens of
+heartbeats a second, and adding up for each would take more processor time than all other messages."""
 OVERDUE_SECONDS = 0.1
 """Time until coverage that is stated when the expected moment has passed and the model is not covered."""
 COVERAGE_CHANGE_SECONDS = 1.0
@@ -229,7 +229,7 @@
 
     def all_totals(self) -> Lines:
         """Return the demand for all services, by service and urgency."""
-        return _add(dict(self._others()), self._own_lines().values())
+        return _add_all(self._others(), self._own_lines())
 
     def daemons(self) -> int:
         """Return the number of daemons whose counts the totals include, with this one.
@@ -295,8 +295,8 @@
             self.sums, self.summed = ReportSums(list(own.values())), {}
             return
         self.summed = self._hall_lines()
-        hall = _add_all(own, self.summed.values())
-        everywhere = _add_all(hall, self._other_halls())
+        hall = _add_all(own, *self.summed.values())
+        everywhere = _add_all(hall, *self._other_halls())
         self.sums = ReportSums(list(own.values()), _bounded(hall), _bounded(everywhere))
 
     def for_member(self, member: MemberId) -> ReportSums:
@@ -412,10 +412,10 @@
 
     def _sum_others(self) -> Lines:
         if self.is_reader():
-            return _add_all({}, [*self._hall_lines().values(), *self._other_halls()])
+            return _add_all(*self._hall_lines().values(), *self._other_halls())
         fresh = self._fresh()
         if not self.readers:
-            return _add_all({}, [report.own for report in fresh.values()])
+            return _add_all(*(report.own for report in fresh.values()))
         return next((dict(fresh[r].everywhere) for r in self._hall_readers() if r in fresh), {})
 
     def _fresh_coverage(self) -> dict[ServiceName, _HeardCoverage]:
@@ -511,7 +511,7 @@
 def _short(value: float) -> float:
     if value < MIN_RATE:
         return 0
-    return round(value) if value >= SHORT_RATE else round(value, 2)
+    return round(value) if value >= WHOLE_RATE else round(value, 2)
 
 
 def _key(line: ServiceReport) -> LineKey:
@@ -522,47 +522,52 @@
     return not any(getattr(line, field) for field in (*_WHOLE_FIELDS, *_RATE_FIELDS))
 
 
-def _add(sums: Lines, lines: Iterable[ServiceReport]) -> Lines:
-    for line in lines:
-        known = sums.get((line.service, line.urgency))
-        sums[line.service, line.urgency] = line if known is None else _combine(known, line, 1)
-    return sums
+def _add_all(*parts: Lines) -> Lines:
+    """Add up lines by service and urgency, within the valid range."""
+    # Lists, because a new ServiceReport for each addition would take four times as long.
+    sums: dict[LineKey, list[float]] = {}
+    for part in parts:
+        for key, line in part.items():
+            known = sums.get(key)
+            if known is None:
+                sums[key] = _numbers(line)
+                continue
+            known[0] += line.waiting
+            known[1] += line.returning
+            known[2] += line.offered
+            known[3] += line.admitted
+            known[4] += line.refused
+            known[5] += line.finished
+    return {key: _make_line(key, numbers) for key, numbers in sums.items()}
 
 
-def _add_all(sums: Lines, parts: Iterable[Lines]) -> Lines:
-    total = dict(sums)
-    for part in parts:
-        _add(total, part.values())
-    return total
+def _numbers(line: ServiceReport) -> list[float]:
+    return [line.waiting, line.returning, line.offered, line.admitted, line.refused, line.finished]
 
 
-def _combine(line: ServiceReport, other: ServiceReport, sign: int) -> ServiceReport:
-    """Add a line to another of its service and urgency, or subtract it, within the valid range."""
-    return ServiceReport(
-        line.service,
-        line.urgency,
-        min(int(MAX_VALUE), max(0, line.waiting + sign * other.waiting)),
-        min(int(MAX_VALUE), max(0, line.returning + sign * other.returning)),
-        min(MAX_VALUE, max(0.0, line.offered + sign * other.offered)),
-        min(MAX_VALUE, max(0.0, line.admitted + sign * other.admitted)),
-        min(MAX_VALUE, max(0.0, line.refused + sign * other.refused)),
-        min(MAX_VALUE, max(0.0, line.finished + sign * other.finished)),
-    )
+def _make_line(key: LineKey, numbers: Iterable[float]) -> ServiceReport:
+    waiting, returning, *rates = [n if n < MAX_VALUE else MAX_VALUE for n in numbers]
+    return ServiceReport(*key, int(waiting), int(returning), *rates)
 
 
 def _subtract(lines: list[ServiceReport], part: Lines) -> list[ServiceReport]:
+    """Return sums without one daemon's part, short enough to be sent."""
     left = []
     for line in lines:
-        known = part.get(_key(line))
-        rest = line if known is None else _shorten(_combine(line, known, -1))
-        if not _is_zero(rest):
-            left.append(rest)
+        key = line.service, line.urgency
+        known = part.get(key)
+        if known is None:
+            left.append(line)
+            continue
+        pairs = zip(_numbers(line), _numbers(known), strict=True)
+        rest = [_short(whole - mine) for whole, mine in pairs]
+        if any(rest):
+            left.append(_make_line(key, rest))
     return left
 
 
 def _shorten(line: ServiceReport) -> ServiceReport:
-    rates = (_short(getattr(line, field)) for field in _RATE_FIELDS)
-    return ServiceReport(line.service, line.urgency, line.waiting, line.returning, *rates)
+    return _make_line((line.service, line.urgency), [_short(number) for number in _numbers(line)])
 
 
 def _bounded(lines: Lines) -> list[ServiceReport]:
