Keep a late copy of coverage from renewing it

Cause: expired coverage was forgotten entirely, so a copy that the second reader forwarded later counted for another 3.5 s.

Change: it is remembered for 7 s, the age above which none is taken in; at most 32 services are remembered.

--- a/bayglade/service_reports.py
+++ b/bayglade/service_reports.py
@@ -46,6 +46,8 @@
 heartbeats a second, and adding up for each would take more processor time than all other messages."""
 OVERDUE_SECONDS = 0.1
 """Time until coverage that is stated when the expected moment has passed and the model is not covered."""
+MAX_COVERAGE = 2 * MAX_SERVICES
+"""Bound on the services whose coverage is remembered; settings may just have replaced all of them."""
 COVERAGE_CHANGE_SECONDS = 1.0
 """A change of the expected moment of coverage by more than this is sent at once."""
 COVERAGE_MIN_STEP_SECONDS = 0.1
@@ -420,8 +422,7 @@
 
     def _fresh_coverage(self) -> dict[ServiceName, _HeardCoverage]:
         oldest = now() - REPORT_MAX_AGE_SECONDS
-        self.coverage = {name: c for name, c in self.coverage.items() if c.received_at >= oldest}
-        return self.coverage
+        return {name: known for name, known in self.coverage.items() if known.received_at >= oldest}
 
     def _read_lines(self, member: MemberId, field: str, content: Any) -> Lines:
         """Return the valid lines of a list; the others are refused with a log line."""
@@ -446,7 +447,11 @@
         if not isinstance(content, list):
             self._refuse(member, "coverage", "not a list")
             return
-        known_before = self._fresh_coverage()
+        # Expired coverage is kept while a copy of it on another way would still be taken in.
+        oldest = now() - COVERAGE_MAX_AGE_SECONDS
+        self.coverage = {
+            name: known for name, known in self.coverage.items() if known.received_at >= oldest
+        }
         for item in content[:MAX_SERVICES]:
             line = _convert(item, Coverage)
             wrong = _invalid_coverage_field(line) if line is not None else "shape"
@@ -457,7 +462,10 @@
             moment: float | None = computed_at + line.seconds
             if line.seconds <= 0:
                 moment = COVERED if line.seconds == 0 else None
-            known = known_before.get(line.service)
+            known = self.coverage.get(line.service)
+            if known is None and len(self.coverage) >= MAX_COVERAGE:
+                self._refuse(member, "coverage", f"{len(self.coverage)} services")
+                continue
             if known is not None and computed_at < known.computed_at + COVERAGE_MIN_STEP_SECONDS:
                 continue
             self.coverage[line.service] = _HeardCoverage(moment, computed_at, member)
--- a/tests/test_service_reports.py
+++ b/tests/test_service_reports.py
@@ -344,6 +344,21 @@
     assert reports.seconds_until_covered(MODEL) == service_reports.OVERDUE_SECONDS
 
 
+def test_a_late_copy_does_not_renew_coverage(clock: ManualClock) -> None:
+    """Guards against a time that lives on because a second reader forwards it later than the first."""
+    reports = ServiceReports(A)
+    reports.merge_heartbeat(B, beat(coverage=[Coverage(MODEL, 30.0)]))
+    for _ in range(7):
+        clock.at += 1.0
+        reports.merge_heartbeat(STRANGER, beat(coverage=[Coverage(MODEL, 30.0, clock.at - 100.0)]))
+        expected = pytest.approx(130 - clock.at) if clock.at - 100 <= REPORT_MAX_AGE_SECONDS else None
+        assert reports.seconds_until_covered(MODEL) == expected
+    many = [Coverage(ServiceName(f"s{n}"), 1.0) for n in range(3 * MAX_SERVICES)]
+    for start in range(0, len(many), MAX_SERVICES):
+        reports.merge_heartbeat(B, beat(coverage=many[start : start + MAX_SERVICES]))
+    assert len(reports.coverage) == service_reports.MAX_COVERAGE
+
+
 def test_changes_of_coverage_cannot_cause_a_flood_of_heartbeats(clock: ManualClock) -> None:
     """Guards against heartbeats to the whole hall for each message of one faulty daemon."""
     site = Site(clock)
