--- a/bayglade/settings.py
+++ b/bayglade/settings.py
@@ -28,6 +28,10 @@
 MAX_DEPTH = 16
 DEFAULT_DEADLINE_SECONDS = 30.0
 DEFAULT_PRIORITY = 0
+DEFAULT_ADMISSION_FLOOR = 0.05
+"""Keeps the least urgent requests from starving, at little cost to the most urgent ones."""
+MAX_ADMISSION_FLOOR = 0.5
+"""Above it, two urgencies would have to get more than the whole capacity."""
 ROOT = GroupPath("")
 
 
@@ -114,6 +118,15 @@
     keep_part: float = 0.5
 
 
+class Admission(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True, frozen=True):
+    """How requests are admitted by urgency while a service is saturated.
+
+    ``floor`` is the least share of the service's capacity for each urgency that asks for it.
+    """
+
+    floor: float = DEFAULT_ADMISSION_FLOOR
+
+
 class CallerLimits(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True, frozen=True):
     """Limits on the requests of one caller, in bytes and seconds."""
 
@@ -133,6 +146,7 @@
     accounts: dict[AccountName, Account] = msgspec.field(default_factory=dict)
     operators: dict[str, Operator] = msgspec.field(default_factory=dict)
     placement: Placement = Placement()
+    admission: Admission = Admission()
     links: dict[str, float] = msgspec.field(default_factory=dict)
     """One-way delay between two data halls in milliseconds, keyed ``"a b"`` in alphabetical order."""
 
@@ -215,12 +229,16 @@
     :param tree: the settings.
     :param path: the group.
     :param field: ``share``, ``priority``, ``deadline_seconds``, a limit such as
-        ``limits.in_flight``, or ``versions.MODEL``.
+        ``limits.in_flight``, ``versions.MODEL``, or ``admission.floor``, which is the same for all groups.
     :return: the value and its level; the level is None for a default value.
     :raises NotFound: when the group or the field does not exist.
     """
     if field == "share":
         return Explanation(field, level_at(tree, path).share, path)
+    if field == "admission.floor":
+        level_at(tree, path)
+        floor = tree.admission.floor
+        return Explanation(field, floor, None if floor == DEFAULT_ADMISSION_FLOOR else ROOT)
     for candidate in reversed(ancestors_and_self(path)):
         value = _own_value(level_at(tree, candidate), field)
         if value is not None:
@@ -318,6 +336,11 @@
         _check_level(tree, path, level)
     _ensure(tree.placement.loads_at_once > 0, "placement.loads_at_once", "must be above zero")
     _ensure(0 <= tree.placement.keep_part < 1, "placement.keep_part", "must be in [0, 1)")
+    _ensure(
+        0 <= tree.admission.floor <= MAX_ADMISSION_FLOOR,
+        "admission.floor",
+        f"must be in [0, {MAX_ADMISSION_FLOOR}]",
+    )
     for name, model in tree.models.items():
         _ensure(model.layers > 0, f"models.{name}.layers", "must be above zero")
     for backend_id, backend in tree.backends.items():
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -201,3 +201,81 @@
     rng = random.Random(1)
     delays = {round(retries.jittered_retry_after(2.0, rng), 3) for _ in range(100)}
     assert len(delays) > 90 and min(delays) >= 2.0 and max(delays) <= 3.0
+
+
+def by_urgency_queue():
+    return ShareQueue(Usage(), share_of, lambda: True)
+
+
+def drain(queue):
+    return [queue.pop().entry for _ in range(len(queue))]
+
+
+def test_by_urgency_the_most_urgent_goes_first_over_all_groups():
+    """Guards against less urgent work that waits ahead of urgent work of another account."""
+    queue = by_urgency_queue()
+    queue.usage.charge(GroupPath("b"), 1000.0)
+    queue.push(item("a/x", priority=-2, entry="least"))
+    queue.push(item("a", priority=-1, entry="middle"))
+    queue.push(item("b", priority=0, entry="most"))
+    assert drain(queue) == ["most", "middle", "least"]
+
+
+def test_by_urgency_the_priority_of_a_group_does_not_count_twice():
+    """Guards against an account's priority that puts its less urgent work before urgent work."""
+    queue = ShareQueue(Usage(), lambda path: (5 if path == "a" else 0, 1.0), lambda: True)
+    queue.push(item("a", priority=-1, entry="account"))
+    queue.push(item("b", priority=0, entry="urgent"))
+    assert drain(queue) == ["urgent", "account"]
+
+
+def test_by_urgency_groups_of_equal_urgency_still_get_their_shares():
+    """Guards against the order by urgency replacing the shares of accounts."""
+    usage = Usage()
+    queue = ShareQueue(usage, share_of, lambda: True)
+    for _ in range(200):
+        for group in ("a/x", "a/y", "b"):
+            queue.push(item(group, priority=-1))
+    served = serve(queue, usage, 180)
+    assert served["b"] == pytest.approx(60, abs=3) and served["a/y"] == pytest.approx(90, abs=3)
+
+
+def test_by_urgency_the_earliest_deadline_of_a_group_goes_first():
+    """Guards against a returning caller, who has less time left, waiting behind newcomers."""
+    queue = by_urgency_queue()
+    for entry, latest, deadline in (("late", 5.0, None), ("early", 9.0, 3.0), ("middle", 4.0, None)):
+        queue.push(QueuedItem(GroupPath("b"), 0, 1.0, latest, entry, deadline))
+    assert drain(queue) == ["early", "middle", "late"]
+
+
+PRIORITIES = st.integers(-2, 1)
+
+
+@given(st.lists(st.tuples(GROUPS, PRIORITIES, st.booleans()), max_size=40))
+def test_by_urgency_every_entry_is_returned_once_in_order(steps):
+    """Guards against counts by priority that miss entries removed or put back before their turn."""
+    queue = by_urgency_queue()
+    held = []
+    for group, priority, take_back in steps:
+        entry = item(group, cost=2.0, priority=priority)
+        queue.push(entry)
+        held.append(entry)
+        if take_back and (taken := queue.pop()) is not None:
+            queue.put_back(taken)
+            assert queue.remove(entry)
+            held.pop()
+    taken = [queue.pop() for _ in held]
+    assert set(map(id, taken)) == set(map(id, held)) and queue.pop() is None
+    assert [entry.priority for entry in taken] == sorted((e.priority for e in held), reverse=True)
+
+
+def test_the_order_by_urgency_may_begin_while_entries_wait():
+    """Guards against settings that add an urgency to a service whose requests wait already."""
+    by_urgency = False
+    queue = ShareQueue(Usage(), lambda path: (1 if path == "a" else 0, 1.0), lambda: by_urgency)
+    for _ in range(2):
+        queue.push(item("a", priority=0, entry="low"))
+        queue.push(item("b", priority=3, entry="high"))
+    assert queue.pop().entry == "low"
+    by_urgency = True
+    assert drain(queue) == ["high", "high", "low"]
