Admit requests by urgency while a service is saturated

Cause: urgency orders requests only within one daemon, and 130 daemons have queues of one or no request, so the urgent ones get no more than the others. The queues of services with several urgencies are ordered by urgency.

--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -11,6 +11,7 @@
 from eventlet.event import Event
 
 from bayglade import logs, platform
+from bayglade.admission_levels import AdmissionLevels, reported_totals, urgencies_in_force
 from bayglade.beliefs import Beliefs, path_beliefs, server_beliefs, stop_beliefs, table_beliefs
 from bayglade.calls import Call
 from bayglade.clock import SuspensionDetector, now, use_boottime_timers
@@ -146,6 +147,14 @@
             without=config.without,
         )
         self.peers.paths.has_idle_connection = self.links.has_idle
+        self.peers.admission = AdmissionLevels(
+            reported_totals(self.peers),
+            urgencies_in_force(lambda: self.intake.tree),
+            lambda: self.intake.tree.admission.floor,
+            self.metrics,
+            self.rng.random(),
+        )
+        self.wait_queues.by_urgency = self.peers.admission.is_active
         self.loader = Loader(
             self.fleet,
             self.control,
@@ -362,6 +371,7 @@
 
     def _update_gauges(self) -> None:
         self.metrics.gauge("in_flight", len(self.active_requests))
+        self.peers.admission.refresh()
         self.metrics.gauge("waiting", self.wait_queues.waiting())
         self.metrics.gauge("settings_version", self.intake.version)
         self.metrics.gauge("settings_age_seconds", self.document_feed.age())
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -10,6 +10,7 @@
 
 import eventlet
 
+from bayglade.admission_levels import admit_everything
 from bayglade.calls import Call, Dialect
 from bayglade.clock import now
 from bayglade.control import Control
@@ -88,6 +89,9 @@
         self.new_budget = new_budget
         """Creates the retry budget of a service: this daemon's part of the bound on all daemons."""
 
+        self.admission = admit_everything(metrics)
+        """Whether new calls are admitted, by urgency."""
+
         self.budgets: dict[str, RetryBudget] = {}
         self.borrow: Callable[[str, RetryBudget], None] = lambda service, budget: None
         """Borrows retries from other daemons for an exhausted budget."""
--- a/bayglade/wait_queues.py
+++ b/bayglade/wait_queues.py
@@ -72,6 +72,9 @@
         self.expected_retries: dict[ServiceName, deque[float]] = {}
         """When rejected callers are expected to retry, in monotonic seconds."""
 
+        self.by_urgency: Callable[[ServiceName], bool] = lambda service: False
+        """Returns whether the most urgent requests of a service go first over all groups."""
+
         self.became_nonempty = Event()
         """Sent when a first request starts to wait."""
 
@@ -204,7 +207,7 @@
 
     def _queue(self, service: ServiceName) -> ShareQueue[Waiter]:
         if service not in self.queues:
-            self.queues[service] = ShareQueue(self.usage, self.share_of)
+            self.queues[service] = ShareQueue(self.usage, self.share_of, lambda: self.by_urgency(service))
         return self.queues[service]
 
 
