--- a/bayglade/admission_levels.py
+++ b/bayglade/admission_levels.py
@@ -29,17 +29,21 @@
 WAIT_GAIN_PER_SECOND = 0.4
 """Relative change of what is admitted, per second by which the queue differs from the wanted one. The
 queue oscillates if this times the age of the reports (up to 3 s) exceeds pi / 2."""
-MIN_CORRECTION = 0.8
+MIN_CORRECTION = 0.85
 """Least correction for a long queue. Requests that wait too long are refused anyway; a stronger correction
 would leave slots idle when the queue has ended and the reports do not show it yet."""
-RISE_PER_SECOND = 0.5
-"""Relative growth of the admitted share while nothing waits."""
-MIN_RISE_PER_SECOND = 0.15
-"""Growth of the admitted share while nothing waits, as a part of all requests: it opens a service that
-admitted almost nothing, such as after an interruption, within about 4 s."""
-FULL_RISE_AFTER_SECONDS = 3.0
-"""How long nothing must have waited for the share to grow at its full rate: the greatest age of the sums.
-With 1 s, 200 daemons with sums 3 s old went back to admitting everything at twice the capacity."""
+RISE_PER_SECOND = 0.08
+"""Relative growth of the admitted share while nothing waits. Its effect shows in the sums after about 4 s.
+With 0.5, 200 daemons with sums 3 s old had gone back to admitting everything by then, at twice the
+capacity."""
+SURE_IDLE_SECONDS = 4.0
+"""How long nothing must have waited to show that the last growth did not suffice: the greatest age of the
+sums, and the time until a queue forms."""
+FAST_RISE_PER_SECOND = 1.0
+"""Growth of the admitted share after that, as a part of all requests: everything is admitted 1 s later."""
+MAX_DECAY_PER_SECOND = 0.4
+"""Greatest relative fall of the offered rate in a second, as rates decay over 3 s. A greater one shows that
+the sums have lost daemons."""
 FALL_SECONDS = 1.5
 """Time constant with which the admitted share falls to the measured one. The measured one lags by the 3 s
 of its decay, so a fall at once would admit less than the capacity after each rise."""
@@ -147,6 +151,9 @@
 
         self.pressed_at = float("-inf")
         self.updated_at = float("-inf")
+        self.offered = 0.0
+        """Tokens per second asked for at the last update while saturated."""
+
         self.idle_seconds = 0.0
         """For how long almost nothing has waited."""
 
@@ -171,12 +178,12 @@
             return
         admitted = sum(report.admitted for report in totals.values())
         wait = queue_seconds(totals)
-        self._follow(min(1.0, admitted / offered), wait, elapsed)
+        self._follow(offered, min(1.0, admitted / offered), wait, elapsed)
         correction = max(MIN_CORRECTION, 1.0 + WAIT_GAIN_PER_SECOND * (WANTED_WAIT_SECONDS - wait))
         share = min(1.0, max(MIN_SHARE, self.share * correction))
         self.fractions = admitted_fractions(totals, floor, share * offered)
 
-    def _follow(self, measured: float, wait: float, elapsed: float) -> None:
+    def _follow(self, offered: float, measured: float, wait: float, elapsed: float) -> None:
         """Move the share to the measured one, or upwards while capacity may be unused.
 
         The measured share alone is no estimate of the capacity: with unused capacity it is the result of
@@ -184,12 +191,18 @@
         """
         if wait < IDLE_FRACTION * WANTED_WAIT_SECONDS:
             self.idle_seconds += elapsed
-            rate = RISE_PER_SECOND * self.share + MIN_RISE_PER_SECOND
-            self.share += rate * elapsed * min(1.0, self.idle_seconds / FULL_RISE_AFTER_SECONDS)
+            if self.offered * (1.0 - MAX_DECAY_PER_SECOND * elapsed) <= offered < self.offered:
+                # The same capacity is a larger share of a lower demand.
+                self.share *= self.offered / offered
+            if self.idle_seconds < SURE_IDLE_SECONDS:
+                self.share += RISE_PER_SECOND * self.share * elapsed
+            else:
+                self.share += FAST_RISE_PER_SECOND * elapsed
         else:
             self.idle_seconds = 0.0
             self.share += (measured - self.share) * min(1.0, elapsed / FALL_SECONDS)
         self.share = min(1.0, max(MIN_SHARE, measured, self.share))
+        self.offered = offered
 
     def admits(self, call: Call) -> bool:
         """Return whether to admit a call, and count it.
