--- a/bayglade/admission_levels.py
+++ b/bayglade/admission_levels.py
@@ -226,8 +226,8 @@
 class AdmissionLevels:
     """The admission levels of all services of one daemon.
 
-    :param totals: returns the sums of a service over all daemons, by urgency. ``offered`` has to include the
-        calls that admission refuses, and ``finished`` only requests that had a slot.
+    :param totals: returns the sums of a service over all daemons, by urgency. ``offered`` has to include
+        the calls that admission refuses, and ``finished`` only requests that had a slot.
     :param urgencies_of: returns the urgencies that the settings give to requests of a service.
     :param floor: returns the setting ``admission.floor``.
     :param phase: see :class:`AdmissionLevel`.
