--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -12,6 +12,7 @@
 from eventlet.event import Event
 
 from bayglade import logs, platform
+from bayglade.admission_levels import AdmissionLevels, reported_totals, urgencies_in_force
 from bayglade.beliefs import (
     Beliefs,
     coverage_beliefs,
@@ -168,6 +169,14 @@
             refusals=Refusals(config.member),
         )
         self.peers.paths.has_idle_connection = self.links.has_idle
+        self.peers.admission = AdmissionLevels(
+            reported_totals(self.peers),
+            urgencies_in_force(lambda: self.intake.tree),
+            lambda: self.intake.tree.admission.floor,
+            self.metrics,
+            self.rng.random(),
+        )
+        self.wait_queues.by_urgency = self.peers.admission.is_active
         self.loader = Loader(
             self.fleet,
             self.control,
@@ -429,6 +438,7 @@
 
     def _update_gauges(self) -> None:
         self.metrics.gauge("in_flight", len(self.active_requests))
+        self.peers.admission.refresh()
         self.metrics.gauge("waiting", self.wait_queues.waiting())
         self.metrics.gauge("settings_version", self.intake.version)
         self.metrics.gauge("settings_age_seconds", self.document_feed.age())
