Forecast room over all daemons for waiting, refusing and Retry-After

Cause: "no server can run this request now" told 0.5 s whatever was being loaded, and "all servers are full" the queue of one daemon of many. Callers come back once, so most of those refused during a loss were lost.

room_forecast.py computes from the sums of all daemons and the time of coverage when there is room. A request waits only if that is within its caller's wait, is refused when it becomes hopeless while it waits, and a refused caller is told that time, up to a third of its time left. Without sums and without a known coverage the behaviour is the former one. Waiting for a path moves from streams.py to path_waiting.py. RelayContext gets reports, admission and refusals with neutral defaults.

Tests of begun streams patch the constants where they are now; their scenes get the new collaborators.

--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -33,6 +33,16 @@
 from bayglade.paths import PathSelector
 from bayglade.quarantine import Quarantine
 from bayglade.retries import RetryBudget, jittered_retry_after
+from bayglade.room_forecast import (
+    Admission,
+    AdmitAll,
+    CapacityEstimates,
+    DemandReports,
+    NoRecord,
+    NoReports,
+    RefusalRecord,
+    retry_after,
+)
 from bayglade.servers import Server
 from bayglade.stall_timeouts import StallTimeouts
 from bayglade.upstream import ConnectionPool
@@ -92,6 +102,13 @@
         self.borrow: Callable[[str, RetryBudget], None] = lambda service, budget: None
         """Borrows retries from other daemons for an exhausted budget."""
 
+        self.capacity = CapacityEstimates()
+        self.reports: DemandReports = NoReports()
+        """Demand over all daemons, and when the models are covered."""
+
+        self.admission: Admission = AdmitAll()
+        self.refusals: RefusalRecord = NoRecord()
+
     def __repr__(self) -> str:
         return f"<RelayContext {self.fleet!r}>"
 
@@ -106,8 +123,10 @@
     """The attempts at one call, and their outcome so far."""
 
     __slots__ = (
+        "by_forecast",
         "call",
         "failure",
+        "layers_missing",
         "may_have_run",
         "seconds_until_room",
         "send_count",
@@ -129,6 +148,12 @@
         self.seconds_until_room: float | None = None
         """Expected seconds until there is room; None unless the call found no room."""
 
+        self.by_forecast = False
+        """Whether that time comes from the forecast over all daemons."""
+
+        self.layers_missing = False
+        """Whether the call found no room because layers are still being loaded."""
+
         self.may_have_run = False
         """Whether the call may have run on a server that it was sent to."""
 
@@ -138,6 +163,11 @@
     def __repr__(self) -> str:
         return f"<Attempts {self.send_count} sent, {self.unreachable_count} unreachable>"
 
+    def clear_expected(self) -> None:
+        """Forget the expected time until there is room, before a place is sought anew."""
+        self.seconds_until_room = None
+        self.by_forecast = self.layers_missing = False
+
     def can_continue(self, begun: bool = False) -> bool:
         """Return whether the call has time left and is worth another attempt.
 
@@ -234,12 +264,18 @@
             return BackendError(f"no complete answer{last}", step="relay")
         if self.stop_error is not None:
             return self.stop_error
-        if isinstance(self.failure, BackendRefused) or self.seconds_until_room is not None:
-            again = jittered_retry_after(max(FULL_RETRY_AFTER, self.seconds_until_room or 0.0), rng)
+        found_full = isinstance(self.failure, BackendRefused) or self.seconds_until_room is not None
+        if found_full and not self.layers_missing:
+            again = self._retry_after(max(FULL_RETRY_AFTER, self.seconds_until_room or 0.0), rng)
             return Overloaded("all servers are full", step="relay", retry_after=again)
-        again = jittered_retry_after(NO_ROUTE_RETRY_AFTER, rng)
+        again = self._retry_after(self.seconds_until_room or NO_ROUTE_RETRY_AFTER, rng)
         return NoRoute("no server can run this request now", step="relay", retry_after=again)
 
+    def _retry_after(self, seconds: float, rng: random.Random) -> float:
+        if self.by_forecast:
+            return retry_after(seconds, self.call.seconds_left(), rng)
+        return jittered_retry_after(seconds, rng)
+
     def outcome(self) -> Outcome:
         """Return the combined outcome of all sends."""
         return Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -5,7 +5,7 @@
 it after the last event that was delivered, within the same HTTP answer.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import eventlet
 
@@ -25,24 +25,27 @@
 from bayglade.listener import Connection
 from bayglade.logs import event
 from bayglade.mechanisms import Mechanism
+from bayglade.path_waiting import (
+    RETRY_INTERVAL_SECONDS,
+    final_refusal,
+    refuse_unadmitted,
+    reserve_path,
+    sample_rate,
+)
 from bayglade.pathfinding import Path
 from bayglade.pipelines import Pipeline
 from bayglade.relay import Attempts, RelayContext, await_crash_reports, request_fingerprint
+from bayglade.room_forecast import StreamProgress
 from bayglade.runs import Run, investigate_stall, leave_departing_stages, record_possible_crash
 from bayglade.sending import read_answer_head, send
 from bayglade.servers import Server
 from bayglade.sse import EventSplitter, event_id
-from bayglade.trials import heads_to_avoid, refusing_stages
+from bayglade.trials import refusing_stages
 from bayglade.upstream import Exchange
 
-MAX_WAIT_SECONDS = 1.5
-"""How long a call waits for room. Callers of a stream disconnect after two seconds without an event."""
 FULL_STAGE_SECONDS = 0.25
 """How long a stage counts as full after it rejected a request. A request ends there every few hundredths
 of a second, and if the stage is still full, the next rejection says so."""
-RETRY_INTERVAL_SECONDS = 0.25
-"""Retry interval of a stream that has begun, once it reached the bounds on attempts of a new call, or while
-the retry budget is exhausted."""
 STALL_POLL_SECONDS = 0.04
 """How often a waiting stream checks whether a stage of its path is known to be dead: a little longer than
 the usual time between events."""
@@ -52,10 +55,19 @@
 class Delivery:
     """The part of a stream that the caller has received."""
 
-    __slots__ = ("begun", "connection", "first_event_seconds", "last_event", "last_sent_at", "longest_gap")
+    __slots__ = (
+        "begun",
+        "connection",
+        "first_event_seconds",
+        "last_event",
+        "last_sent_at",
+        "longest_gap",
+        "progress",
+    )
 
-    def __init__(self, connection: Connection, last_event: int | None) -> None:
+    def __init__(self, connection: Connection, last_event: int | None, progress: StreamProgress) -> None:
         self.connection = connection
+        self.progress = progress
         self.begun = False
         self.last_sent_at = now()
         self.first_event_seconds: float | None = None
@@ -85,6 +97,7 @@
             fresh.append(item)
         if fresh:
             self._record_gap()
+            self.progress.note(len(fresh), self.last_sent_at)
             data = b"".join(fresh)
             self.connection.send(self.start_answer(message) + b"%x\r\n%b\r\n" % (len(data), data))
 
@@ -111,15 +124,37 @@
     :raises BaygladeError: if the call cannot be answered; ``connection.response_started`` shows whether
         parts of the answer were sent.
     """
+    context.reports.note_offered(call)
+    if call.head.last_event is None and not context.admission.admits(call):
+        raise refuse_unadmitted(context, call)
     attempts = Attempts(call)
-    delivery = Delivery(connection, call.head.last_event)
+    progress = StreamProgress(demand_of(call, pipeline).answer)
+    delivery = Delivery(connection, call.head.last_event, progress)
     context.retry_budget(call.service).note_request()
     context.wait_queues.charge(call)
+    try:
+        _serve(context, call, pipeline, attempts, delivery)
+    finally:
+        if progress.admitted:
+            context.capacity.end(call.service, progress, now())
+            context.reports.note_finished(call)
+            sample_rate(context, call.service)
+
+
+def _serve(
+    context: RelayContext, call: Call, pipeline: Pipeline, attempts: Attempts, delivery: Delivery
+) -> None:
+    """Relay a call that was admitted, in as many attempts as it takes.
+
+    :raises BaygladeError: if the call cannot be answered.
+    """
     avoided: frozenset[BackendId] = frozenset()
     while attempts.can_continue(_kept_until_deadline(context, delivery)):
         if _kept_until_deadline(context, delivery) and not _await_retry(context, call, attempts):
             break
-        path = _reserve_path(context, call, pipeline, attempts, delivery, avoided)
+        last_event_at = delivery.last_sent_at if delivery.begun else None
+        until_deadline = _kept_until_deadline(context, delivery)
+        path = reserve_path(context, call, pipeline, attempts, avoided, last_event_at, until_deadline)
         if path is None:
             # Servers that failed may have recovered; dead ones are not offered by the fleet.
             if not avoided or attempts.seconds_until_room is not None:
@@ -138,6 +173,9 @@
                 if attempts.stop_error is None and _kept_until_deadline(context, delivery):
                     continue
                 break
+            if not delivery.progress.admitted:
+                context.capacity.begin(call.service, delivery.progress)
+                context.reports.note_admitted(call)
             _attempt(context, call, pipeline, run, delivery, attempts)
             _record_answer(context, call, delivery, attempts)
             return
@@ -155,7 +193,7 @@
             run.path.release()
             context.wait_queues.note_completion(call.service)
         await_crash_reports(context, call)
-    raise attempts.final_error(context.rng)
+    raise final_refusal(context, call, attempts, delivery.begun)
 
 
 def _kept_until_deadline(context: RelayContext, delivery: Delivery) -> bool:
@@ -203,112 +241,6 @@
     eventlet.sleep(max(0.0, min(RETRY_INTERVAL_SECONDS, call.seconds_left())))
 
 
-def _reserve_path(
-    context: RelayContext,
-    call: Call,
-    pipeline: Pipeline,
-    attempts: Attempts,
-    delivery: Delivery,
-    avoided: frozenset[BackendId],
-) -> Path | None:
-    """Reserve a path, immediately or after a wait.
-
-    :return: the reserved path, or None if there is none, or no room in time.
-    """
-    demand = demand_of(call, pipeline)
-    attempts.seconds_until_room = None
-
-    def reserve_without(servers: frozenset[BackendId]) -> Path | None:
-        path = context.paths.choose(call.service, pipeline, demand, servers, attempts.allowed_servers())
-        if path is not None:
-            context.paths.reserve(path, pipeline)
-        return path
-
-    def try_reserve() -> Path | None:
-        return reserve_without(avoided)
-
-    if (others := heads_to_avoid(context, call, avoided)) and (
-        path := reserve_without(avoided | others)
-    ) is not None:
-        return path
-    if not context.wait_queues.has_waiters(call.service):
-        path = try_reserve()
-        if path is not None:
-            return path
-    if _kept_until_deadline(context, delivery):
-        return _await_path(context, call, attempts, reserve_without, avoided)
-    first_stages = attempts.allowed_servers()
-    covered_in = context.paths.seconds_until_covered(call.service, pipeline, avoided, first_stages)
-    if covered_in is None and not (attempts.may_have_run and Mechanism.BEGUN_WAIT not in context.without):
-        return None
-    since = delivery.last_sent_at if delivery.begun else call.arrived
-    until = min(call.deadline, since + MAX_WAIT_SECONDS)
-    # A call that may have run cannot be rejected as not run, so it also waits for layers being loaded.
-    expected = max(
-        covered_in or 0.0, context.wait_queues.expected_wait(call.service), _rate_limit_wait(context, call)
-    )
-    if now() + expected <= until and Mechanism.WAITING not in context.without:
-        path = context.wait_queues.wait(
-            call, try_reserve, until, restricted=bool(avoided) or first_stages is not None
-        )
-        if path is not None:
-            return path
-    attempts.seconds_until_room = expected
-    if expected > 0:
-        context.wait_queues.note_deferred(call.service, expected)
-    event(
-        "INFO", "no room", request=call.head.id, expected=round(expected, 2), waited=round(now() - since, 3)
-    )
-    return None
-
-
-def _rate_limit_wait(context: RelayContext, call: Call) -> float:
-    """Return the wait of a new stream if all first stages are rate-limited; zero if one is not."""
-    first_stages = [
-        s for s in context.fleet.healthy(call.service) if s.facts.layer_count and s.facts.first == 0
-    ]
-    ahead = context.wait_queues.count_ahead(call.service)
-    return context.fleet.rate_limits.expected_wait(first_stages, ahead) or 0.0
-
-
-def _await_path(
-    context: RelayContext,
-    call: Call,
-    attempts: Attempts,
-    reserve_without: Callable[[frozenset[BackendId]], Path | None],
-    avoided: frozenset[BackendId],
-) -> Path | None:
-    """Wait for a place for a stream that has begun, until its deadline.
-
-    Servers that failed or were full may recover after a moment; dead ones are not offered by the fleet.
-
-    :return: the reserved path, or None if there was none in time.
-    """
-    since = now()
-
-    def try_reserve() -> Path | None:
-        return reserve_without(avoided if now() < since + RETRY_INTERVAL_SECONDS else frozenset())
-
-    restricted = bool(avoided) or attempts.allowed_servers() is not None
-    path = context.wait_queues.wait(
-        call,
-        try_reserve,
-        call.deadline,
-        restricted,
-        begun=True,
-        should_give_up=lambda: context.quarantine.is_stopped(call),
-    )
-    event(
-        "INFO",
-        "stream waited",
-        request=call.head.id,
-        seconds=round(now() - since, 3),
-        found=path is not None,
-        left=round(call.seconds_left(), 3),
-    )
-    return path
-
-
 def _record_answer(context: RelayContext, call: Call, delivery: Delivery, attempts: Attempts) -> None:
     context.quarantine.note_answered(call)
     if delivery.first_event_seconds is not None:
--- a/bayglade/wait_queues.py
+++ b/bayglade/wait_queues.py
@@ -25,6 +25,10 @@
 RATE_TIME_CONSTANT = 3.0
 """Time constant of the measured completion rate, in seconds: about as long as one request runs."""
 
+HOPELESS_CHECK_SECONDS = 0.5
+"""Interval at which waiting requests are checked for having become hopeless: a third of the time that most
+of them wait. The counts that the check uses arrive each second."""
+
 MAX_DEFERRED = 1000
 """Bound on the remembered callers, per service, that were rejected and are expected to retry."""
 MAX_SKIPPED = 4
@@ -46,14 +50,19 @@
 class Waiter:
     """A waiting request: how to reserve a place for it, and the event that delivers the place."""
 
-    __slots__ = ("granted", "restricted", "should_give_up", "try_reserve")
+    __slots__ = ("granted", "is_hopeless", "restricted", "should_give_up", "try_reserve")
 
     def __init__(
-        self, try_reserve: TryReserve[Reservation], restricted: bool, should_give_up: Callable[[], bool]
+        self,
+        try_reserve: TryReserve[Reservation],
+        restricted: bool,
+        should_give_up: Callable[[], bool],
+        is_hopeless: Callable[[], bool],
     ) -> None:
         self.try_reserve = try_reserve
         self.restricted = restricted
         self.should_give_up = should_give_up
+        self.is_hopeless = is_hopeless
         self.granted = Event()
 
 
@@ -119,6 +128,7 @@
         restricted: bool = False,
         begun: bool = False,
         should_give_up: Callable[[], bool] = _never,
+        is_hopeless: Callable[[], bool] = _never,
     ) -> P | None:
         """Wait for a place.
 
@@ -129,11 +139,13 @@
             while it does not.
         :param begun: whether its caller already has a part of the answer; such a request goes first
             within its group.
-        :param should_give_up: returns whether waiting has become pointless.
+        :param should_give_up: returns whether waiting has become pointless; asked before a place is sought.
+        :param is_hopeless: returns whether it certainly gets no place in time; asked now and then, wherever
+            in the queue it is.
         :return: the reserved place, or None if there was none in time.
         """
         queue = self._queue(call.service)
-        waiter = Waiter(try_reserve, restricted, should_give_up)
+        waiter = Waiter(try_reserve, restricted, should_give_up, is_hopeless)
         priority = BEGUN_PRIORITY if begun else call.priority
         waiting = QueuedItem(call.group or ROOT, priority, token_cost(call), until, waiter)
         queue.push(waiting)
@@ -189,15 +201,26 @@
         while True:
             self.became_nonempty.wait()
             self.became_nonempty = Event()
+            checked_at = now()
             while self.waiting():
                 eventlet.sleep(POLL_INTERVAL_SECONDS)
                 self._grant_all()
+                if now() - checked_at >= HOPELESS_CHECK_SECONDS:
+                    checked_at = now()
+                    self.give_up_hopeless()
 
     def _grant_all(self) -> None:
         for service, queue in list(self.queues.items()):
             if len(queue):
                 self.grant_places(service)
 
+    def give_up_hopeless(self) -> None:
+        """End the wait of all requests that certainly get no place in time."""
+        for queue in list(self.queues.values()):
+            for waiting in queue.all():
+                if waiting.entry.is_hopeless() and queue.remove(waiting):
+                    waiting.entry.granted.send(None)
+
     def charge(self, call: Call) -> None:
         """Charge the cost of a call to its group."""
         self.usage.charge(call.group or ROOT, token_cost(call))
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -15,7 +15,7 @@
 import eventlet
 import pytest
 
-from bayglade import streams
+from bayglade import path_waiting, streams
 from bayglade.calls import CallHead
 from bayglade.clock import now
 from bayglade.disconnects import CallerDisconnected
@@ -35,6 +35,7 @@
 from bayglade.quarantine import Quarantine
 from bayglade.relay import MAX_SENDS, MAX_UNREACHABLE
 from bayglade.retries import RetryBudget
+from bayglade.room_forecast import AdmitAll, CapacityEstimates, NoRecord, NoReports
 from bayglade.usage import Usage
 from bayglade.wait_queues import WaitQueues
 from tests.test_tiling import SERVICE, pipeline, place_servers, servers
@@ -52,7 +53,7 @@
     """A daemon with servers and wait queues, and one stream whose attempts end as the test specifies."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        monkeypatch.setattr(streams, "MAX_WAIT_SECONDS", WAIT)
+        monkeypatch.setattr(path_waiting, "MAX_WAIT_SECONDS", WAIT)
         monkeypatch.setattr(streams, "_attempt", self._attempt)
         monkeypatch.setattr(streams, "_record_answer", lambda *_: None)
         self.model = pipeline()
@@ -71,6 +72,10 @@
             diagnosis=SimpleNamespace(probe=lambda servers: None, probe_again=lambda servers: None),
             rng=random.Random(1),
             without=frozenset(),
+            capacity=CapacityEstimates(),
+            reports=NoReports(),
+            admission=AdmitAll(),
+            refusals=NoRecord(),
             retry_budget=lambda service: self.budget,
             borrow=lambda service, budget: None,
             check_authorization=lambda call: None,
@@ -122,7 +127,7 @@
         at = now()
         call: Any = SimpleNamespace(
             service=SERVICE,
-            endpoint=SimpleNamespace(max_attempts=2),
+            endpoint=SimpleNamespace(max_attempts=2, timeout=10.0),
             fingerprint=None,
             group=GroupPath(group),
             priority=0,
@@ -229,7 +234,8 @@
     scene: Scene, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(streams, "FULL_STAGE_SECONDS", 0.01)
-    monkeypatch.setattr(streams, "RETRY_INTERVAL_SECONDS", 0.02, raising=False)
+    monkeypatch.setattr(streams, "RETRY_INTERVAL_SECONDS", 0.02)
+    monkeypatch.setattr(path_waiting, "RETRY_INTERVAL_SECONDS", 0.02)
     refusals = MAX_SENDS + 2
     task = scene.start(scene.break_off, *[scene.refuse] * refusals)
     assert served(scene, task)
@@ -251,7 +257,8 @@
 def test_a_begun_stream_is_not_ended_by_stages_found_terminated(
     scene: Scene, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(streams, "RETRY_INTERVAL_SECONDS", 0.02, raising=False)
+    monkeypatch.setattr(streams, "RETRY_INTERVAL_SECONDS", 0.02)
+    monkeypatch.setattr(path_waiting, "RETRY_INTERVAL_SECONDS", 0.02)
     checks = 0
 
     def ended(context: Any, call: Any, stages: Any) -> frozenset[Any]:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from bayglade import path_waiting, runs, streams
 from bayglade import paths as paths_module
-from bayglade import runs, streams
 from bayglade.calls import CallHead
 from bayglade.control import RerouteOutcome
 from bayglade.exceptions import BackendError, BackendRefused, NoRoute, Overloaded
@@ -17,6 +17,7 @@
 from bayglade.quarantine import Quarantine
 from bayglade.relay import MAX_UNREACHABLE, Attempts
 from bayglade.retries import RetryBudget
+from bayglade.room_forecast import AdmitAll, CapacityEstimates, NoRecord, NoReports
 from bayglade.runs import LEAVE_SPREAD_SECONDS, Run, leave_departing_stages
 from bayglade.servers import ENDED_AFTER_SECONDS
 from bayglade.streams import FULL_STAGE_SECONDS, STALL_POLL_SECONDS, _record_failure
@@ -30,6 +31,7 @@
         self.at = 100.0
         monkeypatch.setattr(runs, "now", lambda: self.at)
         monkeypatch.setattr(streams, "now", lambda: self.at)
+        monkeypatch.setattr(path_waiting, "now", lambda: self.at)
         self.model = pipeline()
         self.fleet = Fleet()
         held = place_servers(servers(a={"big": 1, "middle": 5, "small": 8}), self.model)
@@ -44,12 +46,18 @@
             control=control,
             rng=random.Random(1),
             without=frozenset(),
+            capacity=CapacityEstimates(),
+            reports=NoReports(),
+            admission=AdmitAll(),
+            refusals=NoRecord(),
             retry_budget=lambda service: self.budget,
             borrow=lambda service, budget: None,
             metrics=SimpleNamespace(count=lambda name: None),
         )
         self.context.quarantine = Quarantine(b"key", random.Random(1))
-        self.call: Any = SimpleNamespace(service=SERVICE, endpoint=SimpleNamespace(max_attempts=2))
+        self.call: Any = SimpleNamespace(
+            service=SERVICE, endpoint=SimpleNamespace(max_attempts=2, timeout=10.0)
+        )
         self.call.fingerprint = None
         self.call.group, self.call.method, self.call.target, self.call.body = "g", "POST", b"/x", b"prompt"
         self.moved = moved
