Tell the forecast where all attempts were refused as well

Cause: a call whose servers all refused it, or were all out of reach, ended with the former Retry-After, since it had found a place first.

Its refusal now tells the forecast, or the time of coverage. Tests for that, and for the check of waiting requests behind the first in the queue.

--- a/bayglade/path_waiting.py
+++ b/bayglade/path_waiting.py
@@ -10,7 +10,7 @@
 from bayglade.calls import Call, demand_of
 from bayglade.clock import now
 from bayglade.endpoints import Endpoint
-from bayglade.exceptions import BaygladeError, DeadlinePassed, NoRoute, Overloaded
+from bayglade.exceptions import BackendRefused, BaygladeError, DeadlinePassed, NoRoute, Overloaded
 from bayglade.ids import BackendId, ServiceName
 from bayglade.logs import event
 from bayglade.mechanisms import Mechanism
@@ -180,6 +180,8 @@
     :param attempts: its attempts.
     :param caller_served: whether its caller already has a part of the answer.
     """
+    if attempts.seconds_until_room is None:
+        _expect_after_failures(context, call, attempts)
     error = attempts.final_error(context.rng)
     had_no_place = attempts.send_count == 0 and attempts.failure is None
     if caller_served:
@@ -193,6 +195,17 @@
     return error
 
 
+def _expect_after_failures(context: RelayContext, call: Call, attempts: Attempts) -> None:
+    """Set the expected time until there is room for a call whose attempts all failed."""
+    refused = isinstance(attempts.failure, BackendRefused)
+    loaded_in = 0.0 if refused else context.reports.seconds_until_covered(call.service) or 0.0
+    forecast = forecast_room(context, call.service, loaded_in)
+    if forecast is not None and (refused or loaded_in):
+        attempts.seconds_until_room = forecast.seconds_until_room(call.priority, is_returning(call))
+        attempts.by_forecast = True
+        attempts.layers_missing = loaded_in > 0
+
+
 def _record_refusal(
     context: RelayContext, call: Call, error: BaygladeError, reason: str, expected: float | None
 ) -> None:
--- a/tests/test_room_forecast.py
+++ b/tests/test_room_forecast.py
@@ -14,10 +14,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bayglade import room_forecast
+from bayglade import room_forecast, streams
 from bayglade.clock import now
 from bayglade.entries.wire import ServiceReport
 from bayglade.exceptions import BackendError, BaygladeError, NoRoute, Overloaded
+from bayglade.relay import MAX_SENDS
 from bayglade.retries import jittered_retry_after
 from bayglade.room_forecast import (
     CapacityEstimates,
@@ -273,6 +274,38 @@
     assert error.retry_after is not None and error.retry_after >= 5.0
 
 
+def test_a_request_that_all_servers_refuse_is_told_the_forecast(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against the least Retry-After where servers refuse what daemons took for free."""
+    monkeypatch.setattr(streams, "FULL_STAGE_SECONDS", 0.0)
+
+    def refuse_and_hear() -> None:
+        site.reports.sums = {0: report(waiting=20, finished=10.0)}
+        site.refuse()
+
+    error = site.refusal(site.start(*[refuse_and_hear] * MAX_SENDS), 2.0)
+    assert isinstance(error, Overloaded)
+    assert error.retry_after is not None and 2.0 <= error.retry_after <= 2.2
+
+
+def test_a_request_becomes_hopeless_wherever_in_the_queue_it_is(site: Site) -> None:
+    """Guards against checks of the first in the queue only."""
+    calls = [site.call() for _ in range(3)]
+    tasks = [
+        eventlet.spawn(
+            site.wait_queues.wait, call, lambda: None, now() + 5.0, is_hopeless=lambda n=number: n == 1
+        )
+        for number, call in enumerate(calls)
+    ]
+    site.tasks += tasks
+    eventlet.sleep(0)
+    site.wait_queues.give_up_hopeless()
+    eventlet.sleep(0)
+    assert [task.dead for task in tasks] == [False, True, False]
+    assert site.wait_queues.waiting() == 2
+
+
 def test_a_caller_that_came_back_is_not_expected_again(site: Site) -> None:
     """Guards against keeping room for callers that retry no more."""
     site.fill()
