--- a/bayglade/path_waiting.py
+++ b/bayglade/path_waiting.py
@@ -23,7 +23,6 @@
     RoomForecast,
     abandon_seconds,
     completion_rate,
-    is_returning,
     retry_after,
 )
 from bayglade.trials import heads_to_avoid
@@ -162,7 +161,11 @@
     """Return the error for a call that was not admitted, and count the refusal."""
     covered_in = context.reports.seconds_until_covered(call.service) or 0.0
     forecast = forecast_room(context, call.service, covered_in)
-    room = 0.0 if forecast is None else forecast.seconds_until_room(call.priority, is_returning(call))
+    room = (
+        0.0
+        if forecast is None
+        else forecast.seconds_until_room(call.priority, context.capacity.is_returning(call))
+    )
     expected = max(ADMISSION_RETRY_SECONDS, room)
     told = retry_after(expected, call.seconds_left(), context.rng)
     error = Overloaded("more urgent requests need all servers", step="admission", retry_after=told)
@@ -201,7 +204,9 @@
     loaded_in = 0.0 if refused else context.reports.seconds_until_covered(call.service) or 0.0
     forecast = forecast_room(context, call.service, loaded_in)
     if forecast is not None and (refused or loaded_in):
-        attempts.seconds_until_room = forecast.seconds_until_room(call.priority, is_returning(call))
+        attempts.seconds_until_room = forecast.seconds_until_room(
+            call.priority, context.capacity.is_returning(call)
+        )
         attempts.by_forecast = True
         attempts.layers_missing = loaded_in > 0
 
@@ -211,7 +216,7 @@
 ) -> None:
     told = error.retry_after
     # Callers come back once, so one that was refused before is not expected again.
-    context.reports.note_refused(call, 0.0 if told is None or is_returning(call) else told)
+    context.reports.note_refused(call, 0.0 if told is None or context.capacity.is_returning(call) else told)
     context.refusals.record(call, reason, expected, told)
 
 
@@ -222,7 +227,7 @@
     limited = _rate_limit_wait(context, call)
     if forecast is None:
         return max(covered_in, context.wait_queues.expected_wait(call.service), limited)
-    return max(forecast.seconds_until_room(call.priority, is_returning(call)), limited)
+    return max(forecast.seconds_until_room(call.priority, context.capacity.is_returning(call)), limited)
 
 
 def _hopeless_check(
--- a/bayglade/room_forecast.py
+++ b/bayglade/room_forecast.py
@@ -32,7 +32,11 @@
 """Least time in seconds after which a call that was not admitted may be: admission opens again after two
 seconds in which no request waited or was refused."""
 RETURNING_SECONDS = 0.5
-"""A deadline that is this much shorter than the endpoint's belongs to a caller that was refused before."""
+"""A call whose deadline is this much shorter than that of others to its endpoint has a caller that was
+refused before."""
+DEADLINE_WINDOW_SECONDS = 60.0
+"""The longest deadline of an endpoint's calls is that of the last one to two windows of this length: long
+enough to see first attempts, short enough to follow callers that change theirs."""
 REPORT_AGE_SECONDS = 0.5
 """Mean age of the counts of other daemons, which send them each second. What they refused meanwhile is
 counted at the reported rate; otherwise all callers refused in that time would be told the same time."""
@@ -200,11 +204,6 @@
     return min(spread, MAX_RETRY_FRACTION * max(0.0, seconds_left))
 
 
-def is_returning(call: Call) -> bool:
-    """Return whether the caller was probably refused before: its deadline is that of its first attempt."""
-    return call.endpoint.timeout - (call.deadline - call.arrived) > RETURNING_SECONDS
-
-
 def abandon_seconds(endpoint: Endpoint) -> float:
     """Return after which time without an event the caller of a stream leaves."""
     return max(2.0, 4.0 * endpoint.aim, 8.0 * endpoint.gap_aim)
@@ -270,6 +269,30 @@
         self.made += events
 
 
+class LongestDeadline:
+    """The longest time until the deadline of recent calls to one endpoint, in seconds."""
+
+    __slots__ = ("before", "current", "since")
+
+    def __init__(self) -> None:
+        self.before = 0.0
+        self.current = 0.0
+        self.since = -math.inf
+
+    def __repr__(self) -> str:
+        return f"<LongestDeadline {self.seconds():.1f}>"
+
+    def note(self, seconds: float, at: float) -> None:
+        """Record a call."""
+        if at - self.since >= DEADLINE_WINDOW_SECONDS:
+            self.before, self.current, self.since = self.current, 0.0, at
+        self.current = max(self.current, seconds)
+
+    def seconds(self) -> float:
+        """Return the longest time."""
+        return max(self.before, self.current)
+
+
 class CapacityEstimates:
     """What one daemon knows of the running streams and of the completion rate of each service."""
 
@@ -285,9 +308,26 @@
         self.rates: dict[ServiceName, tuple[float, float]] = {}
         """The remembered completion rate, and when it was sampled."""
 
+        self.longest: dict[str, LongestDeadline] = {}
+        """By name of the endpoint."""
+
     def __repr__(self) -> str:
         return f"<CapacityEstimates {self.rates}>"
 
+    def note_deadline(self, call: Call) -> None:
+        """Record the time that a new call has until its deadline."""
+        longest = self.longest.setdefault(call.endpoint.name, LongestDeadline())
+        longest.note(call.deadline - call.arrived, call.arrived)
+
+    def is_returning(self, call: Call) -> bool:
+        """Return whether the caller was probably refused before: its deadline is that of its first attempt.
+
+        Callers may state shorter deadlines than their endpoint allows, so calls are compared with others.
+        """
+        longest = self.longest.get(call.endpoint.name)
+        usual = call.endpoint.timeout if longest is None else longest.seconds()
+        return usual - (call.deadline - call.arrived) > RETURNING_SECONDS
+
     def begin(self, service: ServiceName, progress: StreamProgress) -> None:
         """Record that a stream got its first place."""
         progress.admitted = True
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -125,6 +125,7 @@
         parts of the answer were sent.
     """
     context.reports.note_offered(call)
+    context.capacity.note_deadline(call)
     if call.head.last_event is None and not context.admission.admits(call):
         raise refuse_unadmitted(context, call)
     attempts = Attempts(call)
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -127,7 +127,7 @@
         at = now()
         call: Any = SimpleNamespace(
             service=SERVICE,
-            endpoint=SimpleNamespace(max_attempts=2, timeout=10.0),
+            endpoint=SimpleNamespace(max_attempts=2, timeout=10.0, name="r"),
             fingerprint=None,
             group=GroupPath(group),
             priority=0,
--- a/tests/test_room_forecast.py
+++ b/tests/test_room_forecast.py
@@ -192,12 +192,11 @@
         self.reports = Reports()
         self.reports.sums = {0: report(finished=10.0)}
         self.context.reports = self.context.refusals = self.reports
-        self.timeout, self.resumed = 10.0, False
+        self.resumed = False
 
     def call(self, seconds: float = 10.0, group: str = "g") -> Any:
         call = super().call(seconds, group)
         call.endpoint.aim, call.endpoint.gap_aim = 0.5, 0.25
-        call.endpoint.timeout = self.timeout
         if self.resumed:
             call.head = msgspec.structs.replace(call.head, last_event=3)
         return call
@@ -309,10 +308,21 @@
 def test_a_caller_that_came_back_is_not_expected_again(site: Site) -> None:
     """Guards against keeping room for callers that retry no more."""
     site.fill()
-    site.timeout = 20.0
     site.reports.sums = {0: report(waiting=60, finished=10.0)}
+    first = site.refusal(site.start(seconds=9.0), 0.5)
     site.refusal(site.start(seconds=9.0), 0.5)
-    assert site.reports.returns == [0.0]
+    site.refusal(site.start(seconds=8.0), 0.5)
+    assert site.reports.returns == [first.retry_after, pytest.approx(2.97, abs=0.03), 0.0]
+
+
+def test_a_change_of_deadlines_is_followed(site: Site) -> None:
+    """Guards against taking all callers for returning ones once they state shorter deadlines."""
+    capacity, at = CapacityEstimates(), now()
+    for seconds, deadline in ((0.0, 20.0), (10.0, 5.0), (70.0, 5.0), (140.0, 5.0)):
+        call = site.call(deadline)
+        call.arrived, call.deadline = at + seconds, at + seconds + deadline
+        capacity.note_deadline(call)
+        assert capacity.is_returning(call) == (seconds in (10.0, 70.0))
 
 
 def test_a_call_that_may_have_run_is_not_refused_as_not_run(site: Site) -> None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -56,7 +56,7 @@
         )
         self.context.quarantine = Quarantine(b"key", random.Random(1))
         self.call: Any = SimpleNamespace(
-            service=SERVICE, endpoint=SimpleNamespace(max_attempts=2, timeout=10.0)
+            service=SERVICE, endpoint=SimpleNamespace(max_attempts=2, timeout=10.0, name="r")
         )
         self.call.fingerprint = None
         self.call.group, self.call.method, self.call.target, self.call.body = "g", "POST", b"/x", b"prompt"
