--- a/tests/test_room_forecast.py
+++ b/tests/test_room_forecast.py
@@ -6,6 +6,7 @@
 
 import math
 import random
+from types import SimpleNamespace
 from typing import Any
 
 import eventlet
@@ -14,7 +15,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bayglade import room_forecast, streams
+from bayglade import path_waiting, room_forecast, streams
 from bayglade.clock import now
 from bayglade.entries.wire import ServiceReport
 from bayglade.exceptions import BackendError, BaygladeError, NoRoute, Overloaded
@@ -64,6 +65,17 @@
     assert site.seconds_until_room(-1, returned=True) == 51.5
 
 
+@pytest.mark.parametrize(
+    ("aim", "gap_aim", "seconds"), [(0.5, 0.25, 1.5), (1.0, 0.25, 3.0), (0.5, 0.5, 3.0)]
+)
+def test_a_request_waits_for_three_quarters_of_its_callers_patience(
+    aim: float, gap_aim: float, seconds: float
+) -> None:
+    """Guards against refusing callers that stay longer, and against waits after they left."""
+    endpoint: Any = SimpleNamespace(aim=aim, gap_aim=gap_aim)
+    assert path_waiting.max_wait_seconds(endpoint) == seconds
+
+
 @given(st.floats(0.0, 1e6), st.floats(0.0, 1e6), st.integers())
 def test_a_retry_after_is_one_that_callers_honour(seconds: float, left: float, seed: int) -> None:
     """Guards against times that callers ignore, and against returns before there is room."""
