--- a/bayglade/admission_levels.py
+++ b/bayglade/admission_levels.py
@@ -12,6 +12,7 @@
 from bayglade.ids import ServiceName
 from bayglade.logs import event
 from bayglade.metrics import Metrics
+from bayglade.service_reports import gauge_name
 from bayglade.settings import DEFAULT_ADMISSION_FLOOR, Tree, level_at
 
 UPDATE_INTERVAL_SECONDS = 0.2
@@ -51,9 +52,6 @@
 """Least part of all requests that is admitted, so that capacity which returns is noticed."""
 MIN_FINISHED_PER_SECOND = 0.1
 """Least completion rate assumed, so that the length of the queue is finite."""
-RETURNING_MARGIN_SECONDS = 0.5
-"""A deadline shorter than the endpoint's by more than this is that of a returning caller; the clocks of
-callers and the time to send a request account for less."""
 MAX_RETURNING_PART = 0.25
 """Part of the admitted calls of an urgency in which returning callers go before newcomers. Without a bound
 nearly all newcomers are refused as soon as many callers return, so that most callers are served at their
@@ -107,11 +105,6 @@
     return sum(report.waiting for report in totals.values()) / max(MIN_FINISHED_PER_SECOND, finished)
 
 
-def is_returning(call: Call) -> bool:
-    """Return whether a call is the second attempt of its caller, who has no further one."""
-    return call.deadline - call.arrived < call.endpoint.timeout - RETURNING_MARGIN_SECONDS
-
-
 def split_fraction(fraction: float, returning_part: float, returning: bool) -> float:
     """Return the fraction to admit of returning callers or of newcomers, so that returning ones go first.
 
@@ -204,13 +197,15 @@
         self.share = min(1.0, max(MIN_SHARE, measured, self.share))
         self.offered = offered
 
-    def admits(self, call: Call) -> bool:
+    def admits(self, urgency: int, returning: bool) -> bool:
         """Return whether to admit a call, and count it.
 
         Admitted calls are spread evenly: each call adds its fraction to a credit, and an admitted one takes
         1 from it.
+
+        :param urgency: its urgency.
+        :param returning: whether it is the second attempt of its caller, who has no further one.
         """
-        urgency, returning = call.priority, is_returning(call)
         part = self.returning.get(urgency, 0.0)
         self.returning[urgency] = part + (float(returning) - part) * MIX_WEIGHT
         fraction = self.fractions.get(urgency, 1.0)
@@ -246,6 +241,9 @@
         self.floor = floor
         self.metrics = metrics
         self.phase = phase
+        self.is_returning: Callable[[Call], bool] = lambda call: False
+        """Returns whether a call is the second attempt of its caller."""
+
         self.levels: dict[ServiceName, AdmissionLevel] = {}
         self.logged: dict[ServiceName, tuple[float, bool, dict[int, float]]] = {}
         """When a change was last logged, and what was logged, by service."""
@@ -263,7 +261,7 @@
         :param call: a call of a caller who has no part of the answer yet.
         """
         level = self._current(call.service)
-        return level is None or level.admits(call)
+        return level is None or level.admits(call.priority, self.is_returning(call))
 
     def fractions(self, service: ServiceName) -> dict[int, float]:
         """Return the admitted fractions of a service by urgency; empty if everything is admitted."""
@@ -292,7 +290,7 @@
     def _report(self, service: ServiceName, level: AdmissionLevel, at: float) -> None:
         logged_at, saturated, fractions = self.logged.get(service, (float("-inf"), False, {}))
         for urgency in fractions.keys() | level.fractions.keys() | set(self.urgencies_of(service)):
-            self.metrics.gauge(f"admission.{service}.{urgency}", level.fractions.get(urgency, 1.0))
+            self.metrics.gauge(gauge_name("admission", service, urgency), level.fractions.get(urgency, 1.0))
         changed = level.saturated != saturated or any(
             abs(level.fractions.get(urgency, 1.0) - fractions.get(urgency, 1.0)) >= LOGGED_CHANGE
             for urgency in fractions.keys() | level.fractions.keys()
@@ -314,20 +312,6 @@
     return AdmissionLevels(lambda service: {}, lambda service: (), lambda: DEFAULT_ADMISSION_FLOOR, metrics)
 
 
-def reported_totals(context: object) -> Callable[[ServiceName], Totals]:
-    """Return a function from a service to its sums over all daemons; empty while there are no reports.
-
-    :param context: what holds the reports between daemons as its attribute ``reports``, if there are any.
-    """
-
-    def totals(service: ServiceName) -> Totals:
-        reports = getattr(context, "reports", None)
-        found: Totals = {} if reports is None else reports.totals(service)
-        return found
-
-    return totals
-
-
 def service_urgencies(tree: Tree) -> dict[ServiceName, frozenset[int]]:
     """Return the urgencies that requests of each service can have.
 
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -12,7 +12,7 @@
 from eventlet.event import Event
 
 from bayglade import logs, platform
-from bayglade.admission_levels import AdmissionLevels, reported_totals, urgencies_in_force
+from bayglade.admission_levels import AdmissionLevels, urgencies_in_force
 from bayglade.beliefs import (
     Beliefs,
     coverage_beliefs,
@@ -170,12 +170,13 @@
         )
         self.peers.paths.has_idle_connection = self.links.has_idle
         self.peers.admission = AdmissionLevels(
-            reported_totals(self.peers),
+            self.peers.reports.totals,
             urgencies_in_force(lambda: self.intake.tree),
             lambda: self.intake.tree.admission.floor,
             self.metrics,
             self.rng.random(),
         )
+        self.peers.admission.is_returning = self.peers.capacity.is_returning
         self.wait_queues.by_urgency = self.peers.admission.is_active
         self.loader = Loader(
             self.fleet,
--- a/tests/test_admission_levels.py
+++ b/tests/test_admission_levels.py
@@ -21,6 +21,7 @@
 
 MODEL = ServiceName("model")
 TIMEOUT = 20.0
+GAUGE = "admission.model.minus2"
 
 
 def report(urgency, offered, admitted=0.0, **rest):
@@ -41,6 +42,10 @@
     )
 
 
+def is_returning(request):
+    return request.deadline - request.arrived < TIMEOUT - 0.5
+
+
 # The simulated site. By default, requests are of the urgencies of the "herbaria" deployment.
 
 TICK = 0.05
@@ -234,7 +239,7 @@
         urgency = request.priority
         tokens = self.rng.lognormvariate(5.0, 0.6)
         daemon.rates[urgency].add(0, tokens, self.at)
-        admitted = daemon.policy.admits(request)
+        admitted = daemon.policy.admits(request.priority, is_returning(request))
         self.attempts.append((urgency, admitted))
         if not admitted:
             self.early += sum(self.free) > 0.1 * SLOTS
@@ -313,7 +318,7 @@
     def update(self, totals, at):
         pass
 
-    def admits(self, request):
+    def admits(self, urgency, returning):
         return True
 
 
@@ -333,8 +338,8 @@
             self.lowest = min(0, self.lowest + 1) if long else max(-2, self.lowest - 1)
             self.moved_at = at
 
-    def admits(self, request):
-        return request.priority >= self.lowest
+    def admits(self, urgency, returning):
+        return urgency >= self.lowest
 
 
 class Uncorrected(AdmissionLevel):
@@ -380,9 +385,9 @@
     """Guards against admission by chance, which lets too many through here and too few there."""
     level = AdmissionLevel()
     level.fractions = {-1: 0.3}
-    admitted = [level.admits(call(-1)) for _ in range(100)]
+    admitted = [level.admits(-1, False) for _ in range(100)]
     assert all(sum(admitted[start : start + 10]) == 3 for start in range(0, 100, 10))
-    assert all(level.admits(call(0)) for _ in range(10))
+    assert all(level.admits(0, False) for _ in range(10))
 
 
 @pytest.mark.parametrize(("every", "fraction", "returning_served"), [(20, 0.3, 1.0), (2, 0.4, 0.4)])
@@ -393,7 +398,7 @@
     served = {True: [], False: []}
     for number in range(2000):
         back = number % every == 0
-        served[back].append(level.admits(call(0, TIMEOUT - 1.0 if back else TIMEOUT - 0.3)))
+        served[back].append(level.admits(0, back))
     assert sum(served[True]) / len(served[True]) == pytest.approx(returning_served, abs=0.05)
     assert sum(served[True] + served[False]) / 2000 == pytest.approx(fraction, abs=0.02)
 
@@ -472,11 +477,11 @@
     for _ in range(100):
         clock.at += 0.05
         levels.admits(call(-2))
-    assert metrics.gauges["admission.model.-2"] == levels.fractions(MODEL)[-2] < 0.5
+    assert metrics.gauges[GAUGE] == levels.fractions(MODEL)[-2] < 0.5
     assert 1 < len(events) <= 6 and events[0][0] == "admission level changed"
     levels.urgencies_of = lambda service: {0}
     levels.refresh()
-    assert metrics.gauges["admission.model.-2"] == 1.0 and levels.fractions(MODEL) == {}
+    assert metrics.gauges[GAUGE] == 1.0 and levels.fractions(MODEL) == {}
 
 
 def endpoint(name, priority, service=MODEL, public=False):
@@ -511,15 +516,6 @@
     assert urgencies_of(MODEL) == {0, -2, -3}
 
 
-def test_without_reports_the_sums_are_empty():
-    """Guards against a daemon that fails while the reports between daemons are not set up."""
-    context = SimpleNamespace()
-    totals = admission_levels.reported_totals(context)
-    assert totals(MODEL) == {}
-    context.reports = SimpleNamespace(totals=lambda service: SATURATED)
-    assert totals(MODEL) is SATURATED
-
-
 def test_wait_queues_follow_the_order_by_urgency():
     """Guards against a queue that was made before the settings are known and keeps the order of then."""
     queues = WaitQueues(Usage(), lambda group: (0, 1.0))
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -15,7 +15,8 @@
 import eventlet
 import pytest
 
-from bayglade import streams
+from bayglade import path_waiting, streams
+from bayglade.admission_levels import admit_everything
 from bayglade.calls import CallHead
 from bayglade.clock import now
 from bayglade.disconnects import CallerDisconnected
@@ -31,10 +32,14 @@
 )
 from bayglade.fleet import Fleet
 from bayglade.ids import GroupPath, HallName, RequestId
+from bayglade.metrics import create_metrics
 from bayglade.paths import PathSelector
 from bayglade.quarantine import Quarantine
+from bayglade.refusals import Refusals
 from bayglade.relay import MAX_SENDS, MAX_UNREACHABLE
 from bayglade.retries import RetryBudget
+from bayglade.room_forecast import CapacityEstimates
+from bayglade.service_reports import ServiceReports
 from bayglade.usage import Usage
 from bayglade.wait_queues import WaitQueues
 from tests.test_tiling import SERVICE, pipeline, place_servers, servers
@@ -52,7 +57,7 @@
     """A daemon with servers and wait queues, and one stream whose attempts end as the test specifies."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        monkeypatch.setattr(streams, "MAX_WAIT_SECONDS", WAIT)
+        monkeypatch.setattr(path_waiting, "MAX_WAIT_SECONDS", WAIT)
         monkeypatch.setattr(streams, "_attempt", self._attempt)
         monkeypatch.setattr(streams, "_record_answer", lambda *_: None)
         self.model = pipeline()
@@ -71,6 +76,10 @@
             diagnosis=SimpleNamespace(probe=lambda servers: None, probe_again=lambda servers: None),
             rng=random.Random(1),
             without=frozenset(),
+            capacity=CapacityEstimates(),
+            reports=ServiceReports(),
+            admission=admit_everything(create_metrics(None, "")),
+            refusals=Refusals(),
             retry_budget=lambda service: self.budget,
             borrow=lambda service, budget: None,
             check_authorization=lambda call: None,
@@ -122,7 +131,7 @@
         at = now()
         call: Any = SimpleNamespace(
             service=SERVICE,
-            endpoint=SimpleNamespace(max_attempts=2),
+            endpoint=SimpleNamespace(max_attempts=2, timeout=10.0, name="r"),
             fingerprint=None,
             group=GroupPath(group),
             priority=0,
@@ -229,7 +238,8 @@
     scene: Scene, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(streams, "FULL_STAGE_SECONDS", 0.01)
-    monkeypatch.setattr(streams, "RETRY_INTERVAL_SECONDS", 0.02, raising=False)
+    monkeypatch.setattr(streams, "RETRY_INTERVAL_SECONDS", 0.02)
+    monkeypatch.setattr(path_waiting, "RETRY_INTERVAL_SECONDS", 0.02)
     refusals = MAX_SENDS + 2
     task = scene.start(scene.break_off, *[scene.refuse] * refusals)
     assert served(scene, task)
@@ -251,7 +261,8 @@
 def test_a_begun_stream_is_not_ended_by_stages_found_terminated(
     scene: Scene, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(streams, "RETRY_INTERVAL_SECONDS", 0.02, raising=False)
+    monkeypatch.setattr(streams, "RETRY_INTERVAL_SECONDS", 0.02)
+    monkeypatch.setattr(path_waiting, "RETRY_INTERVAL_SECONDS", 0.02)
     checks = 0
 
     def ended(context: Any, call: Any, stages: Any) -> frozenset[Any]:
