Restore lost layers in safe steps

Cause: when repair failed, the loader laid a whole hall out anew at once. All its servers gave up their layers at the same moment, and the next loss left the model complete nowhere. The holder of the lease also let it lapse while loads were under way, so that another daemon could order without knowing them.

Change: layout_steps.py chooses changes that leave each layer a serving holder in the site; the site comes first, then each hall, and one group is rebuilt at a time. The loader confirms by reports the holders that a step relies on, keeps the lease while orders are under way, and knows when every layer has a holder (coverage).

--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -5,7 +5,8 @@
 number of orders that the server has accepted so far, so that the server can
 refuse one that is based on outdated information. The desired layout is always
 compared with what servers report, because an order without an answer may still
-be carried out later.
+be carried out later. Which changes are ordered together is decided in
+:mod:`bayglade.layout_steps`.
 """
 
 import random
@@ -18,14 +19,27 @@
 from bayglade.control import Control, OrderOutcome
 from bayglade.exceptions import PlatformUnavailable
 from bayglade.fleet import Fleet
-from bayglade.ids import BackendId, ServiceName
+from bayglade.ids import BackendId, HallName, ServiceName
+from bayglade.layout_steps import (
+    DEFAULT_LOAD_SECONDS,
+    LayoutState,
+    PendingOrder,
+    count_loads,
+    count_unserved,
+    gained_layers,
+    load_seconds,
+    next_steps,
+    relied_on,
+    safe_steps,
+    seconds_until_covered,
+)
 from bayglade.leases import Lease
 from bayglade.logs import event
 from bayglade.metrics import Metrics
 from bayglade.pipelines import Pipeline
-from bayglade.repair import count_missing, fill_empty, repair
+from bayglade.repair import count_missing
 from bayglade.servers import ServerFacts
-from bayglade.tiling import Span, Spans, group_servers, tile_group
+from bayglade.tiling import Span, Spans
 
 LEASE_NAME = "placement"
 LEASE_SECONDS = 2.5
@@ -45,25 +59,12 @@
 LAYOUT_DELAY = 1.5
 """Seconds without a new server after which an empty fleet gets its layout. After a start, servers are
 listed one by one."""
-REPAIR_DELAY = 0.8
-"""Seconds after which missing layers are loaded on other servers. A server that did not answer may be back
-sooner; one that crashed takes seconds to restart and is then empty."""
-ORDER_RETRY_SECONDS = 6.0
-"""Seconds after which an order without visible effect is sent again. An order that got no answer may be
-carried out late."""
 MAX_CONCURRENT_ORDERS = 8
 SEND_MARGIN = 0.3
 """Seconds of the lease that must be left when an order is sent."""
 REPORT_TIMEOUT = 0.5
 
 
-class PendingOrder(msgspec.Struct, frozen=True):
-    """An order that was sent recently and whose effect is not visible yet."""
-
-    span: Span
-    sent_at: float
-
-
 class Loader:
     """Detects missing layers and orders them while this daemon holds the lease.
 
@@ -98,7 +99,13 @@
 
         self.pending_orders: dict[BackendId, PendingOrder] = {}
         fleet.on_restart.append(self._forget_order)
-        self.missing_since: dict[str, float] = {}
+        self.layouts: dict[ServiceName, LayoutState] = {}
+        self.coverage: dict[ServiceName, float | None] = {}
+        """When every layer of a service's model is expected to have a holder: 0.0 while each has one,
+        ``None`` if no order under way brings some layer. Empty while this daemon does not hold the
+        lease."""
+
+        self.uncovered_since: dict[ServiceName, float] = {}
         self.work_since: float | None = None
         """When the current work was first seen; ``None`` while there is nothing to order."""
 
@@ -130,25 +137,31 @@
         :return: false if something is missing and this daemon does not hold the lease.
         :raises PlatformUnavailable: when the lease cannot be read or written.
         """
+        at = now()
+        self._forget_failed_orders(at)
+        if self.lease.seconds_left() <= 0:
+            self._forget_coverage()
         pipelines = self.pipelines()
         state = (self.fleet.change_count, pipelines)
         if state == self.complete_state:
             return True
-        for service, pipeline in pipelines.items():
-            wanted = self.wanted_spans(service, pipeline)
-            if not wanted:
-                continue
+        wanted = {service: self.wanted_spans(service, model) for service, model in pipelines.items()}
+        wanted = {service: spans for service, spans in wanted.items() if spans}
+        # The lease is kept while orders are under way: a daemon that took it over would not know them.
+        if wanted or (self.pending_orders and self.lease.seconds_left() > 0):
             if not self._may_try_lease() or not self.lease.acquire_or_renew():
+                self._forget_plans()
                 return False
-            pool = eventlet.GreenPool(MAX_CONCURRENT_ORDERS)
-            for backend, span in wanted.items():
-                pool.spawn_n(self._send_order, backend, span)
-            pool.waitall()
+            for service, spans in wanted.items():
+                self._order(service, pipelines[service], spans)
+            for service, pipeline in pipelines.items():
+                self._update_coverage(service, pipeline)
             return True
         self.work_since = None
         if not self.pending_orders:
+            self._forget_coverage()
             self.lease.release()
-            if not self.missing_since and self._settled(now()):
+            if not any(layout.missing_since for layout in self.layouts.values()) and self._settled(at):
                 self.complete_state = state
         return True
 
@@ -174,61 +187,136 @@
         :return: spans by server, without those that are already ordered.
         """
         at = now()
+        listed, excluded = self._counted(service, pipeline, at)
+        for facts in listed:
+            self._with_pending_order(facts, at)
+        return next_steps(
+            self.layouts.setdefault(service, LayoutState()),
+            listed,
+            self.pending_orders,
+            pipeline,
+            at,
+            self._settled(at),
+            excluded,
+            self.pair_servers,
+        )
+
+    def _counted(
+        self, service: ServiceName, pipeline: Pipeline, at: float
+    ) -> tuple[list[ServerFacts], set[BackendId]]:
+        """List the servers that layouts count on, and those of them whose entries are invalid now."""
         servers = [
             s
             for s in self.fleet.of_service(service)
             if s.counts_for_layout(at) and s.facts.last <= pipeline.layers
         ]
-        excluded = {s.facts.id for s in servers if s.excluded is not None}
-        expected = [self._with_pending_order(s.facts, at) for s in servers]
-        wanted: Spans = {}
-        for group in group_servers(expected, pipeline):
-            wanted.update(self._wanted_in_group(group, pipeline, at))
-        held = {facts.id: Span(facts.first, facts.last) for facts in expected}
-        return {
-            backend: span
-            for backend, span in wanted.items()
-            if held[backend] != span and backend not in excluded
-        }
-
-    def _wanted_in_group(self, group: list[ServerFacts], pipeline: Pipeline, at: float) -> Spans:
-        empty = [facts for facts in group if not facts.layer_count]
-        holding = [facts for facts in group if facts.layer_count]
-        if not holding:
-            return tile_group(group, pipeline, self.pair_servers) if self._settled(at) else {}
-        spans = fill_empty(holding, empty, pipeline)
-        filled = [
-            msgspec.structs.replace(f, first=spans[f.id].first, last=spans[f.id].last)
-            for f in empty
-            if f.id in spans
-        ]
-        after = [*holding, *filled]
-        name = min(facts.hall for facts in group)
-        if not count_missing(after, pipeline.layers):
-            self.missing_since.pop(name, None)
-            return spans
-        if name not in self.missing_since:
-            self.missing_since[name] = at
-            event("INFO", "layers missing", hall=name, count=count_missing(after, pipeline.layers))
-        if at - self.missing_since[name] < REPAIR_DELAY:
-            return spans
-        return spans | self._repaired(group, after, pipeline)
-
-    def _repaired(self, group: list[ServerFacts], after: list[ServerFacts], pipeline: Pipeline) -> Spans:
-        """Restore missing layers with few changes or, if that is not possible, with a new layout."""
-        spans = repair(after, pipeline)
-        changed = [
-            msgspec.structs.replace(f, first=spans[f.id].first, last=spans[f.id].last)
-            if f.id in spans
-            else f
-            for f in after
-        ]
-        if not count_missing(changed, pipeline.layers):
-            return spans
-        if any(facts.id in self.pending_orders for facts in group):
-            # A new layout would be based on a state that is about to change.
-            return {}
-        return tile_group(group, pipeline, self.pair_servers)
+        return [s.facts for s in servers], {s.facts.id for s in servers if s.excluded is not None}
+
+    def _held(self, service: ServiceName, pipeline: Pipeline) -> Spans:
+        """Return the spans that the usable servers report."""
+        listed, excluded = self._counted(service, pipeline, now())
+        return {f.id: Span(f.first, f.last) for f in listed if f.id not in excluded}
+
+    def _order(self, service: ServiceName, pipeline: Pipeline, wanted: Spans) -> None:
+        """Send the orders of one step, after confirming the holders on which it relies."""
+        layout = self.layouts[service]
+        if layout.plan_change is not None:
+            plan = layout.plan
+            group = plan.group if plan is not None else None
+            event("INFO", "layout plan changed", service=service, reason=layout.plan_change, hall=group)
+        held = self._held(service, pipeline)
+        steps = self._confirmed(held, wanted, pipeline, layout.forced)
+        if not steps:
+            return
+        halls: dict[HallName, int] = {}
+        for backend in steps:
+            hall = self.fleet.servers[backend].facts.hall
+            halls[hall] = halls.get(hall, 0) + 1
+        missing = count_missing((s.facts for s in self.fleet.of_service(service)), pipeline.layers)
+        for hall, orders in halls.items():
+            event("INFO", "layout step", service=service, hall=hall, orders=orders, missing=missing)
+        self.metrics.count("layout.steps")
+        gained = {backend: gained_layers(held[backend], span) for backend, span in steps.items()}
+        loads = count_loads(held, self.pending_orders) + sum(layers > 0 for layers in gained.values())
+        pool = eventlet.GreenPool(MAX_CONCURRENT_ORDERS)
+        for backend, span in steps.items():
+            seconds = load_seconds(gained[backend], loads, pipeline)
+            pool.spawn_n(self._send_order, backend, span, seconds)
+        pool.waitall()
+
+    def _confirmed(self, held: Spans, wanted: Spans, pipeline: Pipeline, forced: set[BackendId]) -> Spans:
+        """Return the steps that are still safe after asking other holders for their reports.
+
+        Rows may be a second old, and a server that has just crashed is still listed.
+        """
+        steps = {b: span for b, span in wanted.items() if b in held}
+        checked = {b: span for b, span in steps.items() if b not in forced and held[b].length}
+        asked = relied_on(held, checked, self.pending_orders, pipeline)
+        if not asked:
+            return steps
+        pool = eventlet.GreenPool(MAX_CONCURRENT_ORDERS)
+        confirmed = set(pool.imap(self._confirmed_holder, sorted(asked)))
+        counted = {b: span for b, span in held.items() if b in confirmed or b in checked}
+        safe = safe_steps(counted, checked, self.pending_orders, pipeline)
+        withheld = checked.keys() - safe.keys()
+        if withheld:
+            event(
+                "INFO",
+                "layout step withheld",
+                peers=sorted(withheld),
+                unconfirmed=sorted(asked - confirmed),
+            )
+        return {b: span for b, span in steps.items() if b not in withheld}
+
+    def _confirmed_holder(self, backend: BackendId) -> BackendId | None:
+        """Ask a server for its report; return its id if it holds what its row names."""
+        server = self.fleet.servers.get(backend)
+        if server is None:
+            return None
+        facts = server.facts
+        report = self.control.report(backend, facts.address, REPORT_TIMEOUT)
+        if report is None or not self.fleet.accept_report(
+            server, report.incarnation, report.first, report.last
+        ):
+            return None
+        if report.leaving or (report.loading and backend not in self.pending_orders):
+            return None
+        return backend if (report.first, report.last) == (facts.first, facts.last) else None
+
+    def _update_coverage(self, service: ServiceName, pipeline: Pipeline) -> None:
+        """Compute when every layer has a holder again."""
+        at = now()
+        held = self._held(service, pipeline)
+        seconds = seconds_until_covered(held, self.pending_orders, pipeline, at)
+        self.coverage[service] = at + seconds if seconds else seconds
+        missing = count_unserved(held, self.pending_orders, pipeline)
+        self.metrics.gauge("layout.missing_layers", missing)
+        self.metrics.gauge("layout.seconds_until_covered", -1.0 if seconds is None else seconds)
+        if missing:
+            self.uncovered_since.setdefault(service, at)
+        elif service in self.uncovered_since:
+            since = self.uncovered_since.pop(service)
+            event("INFO", "site covered", service=service, after=round(at - since, 2))
+
+    def _forget_coverage(self) -> None:
+        if self.coverage:
+            self.metrics.gauge("layout.missing_layers", 0)
+            self.metrics.gauge("layout.seconds_until_covered", 0.0)
+        self.coverage.clear()
+        self.uncovered_since.clear()
+
+    def _forget_plans(self) -> None:
+        """Drop the plans of a daemon that does not give the orders; they would be outdated later."""
+        self._forget_coverage()
+        for layout in self.layouts.values():
+            layout.plan = None
+
+    def _forget_failed_orders(self, at: float) -> None:
+        """Drop orders that had no effect in time, or whose servers are gone."""
+        for backend, order in list(self.pending_orders.items()):
+            if order.overdue(at) or backend not in self.fleet.servers:
+                del self.pending_orders[backend]
+                event("INFO", "order failed", peer=backend, first=order.span.first, last=order.span.last)
 
     def _settled(self, at: float) -> bool:
         return at - self.fleet.last_added_at > LAYOUT_DELAY
@@ -238,7 +326,7 @@
         pending = self.pending_orders.get(facts.id)
         if pending is None:
             return facts
-        if at - pending.sent_at > ORDER_RETRY_SECONDS or (facts.first, facts.last) == (
+        if pending.overdue(at) or (facts.first, facts.last) == (
             pending.span.first,
             pending.span.last,
         ):
@@ -246,7 +334,7 @@
             return facts
         return msgspec.structs.replace(facts, first=pending.span.first, last=pending.span.last)
 
-    def _send_order(self, backend: BackendId, span: Span) -> None:
+    def _send_order(self, backend: BackendId, span: Span, seconds: float = DEFAULT_LOAD_SECONDS) -> None:
         server = self.fleet.servers.get(backend)
         if server is None:
             return
@@ -278,4 +366,4 @@
             outcome=outcome.value,
         )
         if outcome is not OrderOutcome.REFUSED:
-            self.pending_orders[backend] = PendingOrder(span, now())
+            self.pending_orders[backend] = PendingOrder(span, now(), seconds)
--- a/bayglade/repair.py
+++ b/bayglade/repair.py
@@ -4,8 +4,9 @@
 functions have no side effects; see ``docs/design/placement.md``.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
+from bayglade.ids import BackendId
 from bayglade.pipelines import Pipeline
 from bayglade.servers import ServerFacts
 from bayglade.tiling import Span, Spans, count_holders, max_layers
@@ -18,17 +19,29 @@
 GAIN_BY_HOLDERS = (100.0, 1.0, 0.03, 0.001)
 """Gain of holding a layer that has no, one, two or three holders. The steps are so large that layers with
 fewer holders come first, whatever the length of the span."""
+SITE_GAIN = 100_000.0
+"""Gain of holding a layer that no server of the site holds. It exceeds the gain of a whole span in its
+hall: without that layer no request runs anywhere."""
 
 
-def fill_empty(servers: Sequence[ServerFacts], empty: Iterable[ServerFacts], pipeline: Pipeline) -> Spans:
+def fill_empty(
+    servers: Sequence[ServerFacts],
+    empty: Iterable[ServerFacts],
+    pipeline: Pipeline,
+    site_counts: list[int] | None = None,
+) -> Spans:
     """Choose spans for empty servers, given the servers that hold layers.
 
     :param servers: the servers of the group that hold layers.
     :param empty: servers that hold none.
     :param pipeline: properties of the model.
+    :param site_counts: number of holders of each layer in the whole site, if known; the chosen
+        spans are added to it.
     :return: a span for each empty server that can hold layers: first where layers are
-        missing, then where only one server holds them.
+        missing in the site, then where they are missing in the group, then where only
+        one server holds them.
     """
+    site = site_counts if site_counts is not None else [1] * pipeline.layers
     counts = [0] * pipeline.layers
     for server in servers:
         count_holders(counts, Span(server.first, server.last))
@@ -44,9 +57,13 @@
         if length == 0:
             continue
         starts = range(pipeline.layers - length + 1)
-        first = max(starts, key=lambda start: (_gain(counts, start, length), -start))
+        first = max(
+            starts,
+            key=lambda start: (_gain(counts, start, length) + _site_gain(site, start, length), -start),
+        )
         spans[server.id] = Span(first, first + length)
         count_holders(counts, spans[server.id])
+        count_holders(site, spans[server.id])
     return spans
 
 
@@ -58,7 +75,12 @@
     return lengths
 
 
-def repair(servers: Sequence[ServerFacts], pipeline: Pipeline) -> Spans:
+def repair(
+    servers: Sequence[ServerFacts],
+    pipeline: Pipeline,
+    extended_capacity: float = EXTENDED_CAPACITY,
+    fixed: Collection[BackendId] = (),
+) -> Spans:
     """Change the spans of a few servers so that missing layers are held again.
 
     First, servers are moved whose layers are all held by other servers as well.
@@ -67,22 +89,26 @@
 
     :param servers: the servers of a group that hold layers.
     :param pipeline: properties of the model.
+    :param extended_capacity: token capacity that servers next to a gap keep, as a fraction of the
+        configured capacity.
+    :param fixed: servers that keep their spans.
     :return: the spans that change; some layers may still be missing.
     """
     held = {server.id: Span(server.first, server.last) for server in servers}
     counts = [0] * pipeline.layers
     for span in held.values():
         count_holders(counts, span)
+    movable = [server for server in servers if server.id not in fixed]
     changed: Spans = {}
     while 0 in counts:
         gap = _first_gap(counts)
-        server = _redundant_server(gap, servers, held, changed, counts, pipeline)
+        server = _redundant_server(gap, movable, held, changed, counts, pipeline)
         if server is None:
             break
         changed[server.id] = _span_over(gap, counts, max_layers(server, pipeline, REPAIR_CAPACITY))
         count_holders(counts, held[server.id], -1)
         count_holders(counts, changed[server.id])
-    _extend_neighbours(servers, held, changed, counts, pipeline)
+    _extend_neighbours(movable, held, changed, counts, pipeline, extended_capacity)
     return changed
 
 
@@ -104,6 +130,11 @@
     return sum(gain * window.count(holders) for holders, gain in enumerate(GAIN_BY_HOLDERS))
 
 
+def _site_gain(counts: Sequence[int], first: int, length: int) -> float:
+    """Return the additional gain of a span for the layers that no server of the site holds."""
+    return SITE_GAIN * counts[first : first + length].count(0)
+
+
 def _first_gap(counts: Sequence[int]) -> Span:
     first = counts.index(0)
     last = first
@@ -156,13 +187,14 @@
     changed: Spans,
     counts: list[int],
     pipeline: Pipeline,
+    capacity: float,
 ) -> None:
-    """Extend the spans of servers next to remaining gaps, down to ``EXTENDED_CAPACITY``."""
+    """Extend the spans of servers next to remaining gaps, down to a token capacity."""
     for server in servers:
         if 0 not in counts:
             return
         span = changed.get(server.id, held[server.id])
-        free = max_layers(server, pipeline, EXTENDED_CAPACITY) - span.length
+        free = max_layers(server, pipeline, capacity) - span.length
         if free <= 0:
             continue
         after = _count_leading_gap(counts, range(span.last, len(counts)), free)
--- a/bayglade/tiling.py
+++ b/bayglade/tiling.py
@@ -7,7 +7,7 @@
 layers. The functions have no side effects; see ``docs/design/placement.md``.
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Collection, Iterator, Sequence
 
 import msgspec
 
@@ -63,20 +63,41 @@
     return spans
 
 
-def group_servers(servers: Sequence[ServerFacts], pipeline: Pipeline) -> list[list[ServerFacts]]:
+def group_servers(
+    servers: Sequence[ServerFacts], pipeline: Pipeline, kept: Collection[HallName] = ()
+) -> list[list[ServerFacts]]:
     """Divide a fleet into one group per hall that can hold the model alone, and one group of the rest.
 
     :param servers: servers that may hold layers.
     :param pipeline: properties of the model.
+    :param kept: halls that are groups of their own although they cannot hold the model now.
     :return: groups of servers that are to hold the model together.
     """
+    able = able_halls(servers, pipeline) | set(kept)
+    halls = _servers_by_hall(servers, pipeline)
+    rest = [server for hall, listed in halls.items() if hall not in able for server in listed]
+    alone = [listed for hall, listed in halls.items() if hall in able]
+    return [*alone, rest] if rest else alone
+
+
+def able_halls(servers: Sequence[ServerFacts], pipeline: Pipeline) -> set[HallName]:
+    """Return the halls that can hold the model alone.
+
+    :param servers: servers that may hold layers.
+    :param pipeline: properties of the model.
+    """
+    halls = _servers_by_hall(servers, pipeline)
+    return {hall for hall, listed in halls.items() if _feasible_capacity(listed, pipeline) is not None}
+
+
+def _servers_by_hall(
+    servers: Sequence[ServerFacts], pipeline: Pipeline
+) -> dict[HallName, list[ServerFacts]]:
     halls: dict[HallName, list[ServerFacts]] = {}
     for server in servers:
         if server.accelerator in pipeline.accelerators:
             halls.setdefault(server.hall, []).append(server)
-    able = [hall for hall in halls.values() if _feasible_capacity(hall, pipeline) is not None]
-    rest = [server for hall in halls.values() if hall not in able for server in hall]
-    return [*able, rest] if rest else able
+    return halls
 
 
 def tile_group(servers: Sequence[ServerFacts], pipeline: Pipeline, pair_servers: bool = True) -> Spans:
