Bring back layers that the site lacks sooner

A second move waited for the load of the first one, moved servers loaded as many layers as fit instead of the missing ones, and a server that crashed while it loaded from empty counted as loading until it was back.

Change: where the whole site lacks layers, repair moves servers that can all be moved at once, loads only the gap, and waits 0.4 s instead of 0.8 s. The loader asks servers that load whether they still run.

--- a/bayglade/layout_steps.py
+++ b/bayglade/layout_steps.py
@@ -23,6 +23,9 @@
 REPAIR_DELAY = 0.8
 """Seconds after which missing layers are loaded on other servers. A server that did not answer may be back
 sooner; one that crashed takes seconds to restart and is then empty."""
+SITE_REPAIR_DELAY = 0.4
+"""The same where no server of the site holds a layer: no request runs until then. It covers one answer that
+is late by some tenths of a second."""
 GROUP_HOLD_SECONDS = 8.0
 """For how long a hall that held the model alone remains a group of its own after losing servers. Crashed
 servers are back after 3 s and loaded after 3.5 s more; regrouping earlier would change the layout of
@@ -386,7 +389,7 @@
     if name not in state.missing_since:
         state.missing_since[name] = at
         event("INFO", "layers missing", hall=name, count=missing)
-    return at - state.missing_since[name] >= REPAIR_DELAY
+    return at - state.missing_since[name] >= (SITE_REPAIR_DELAY if name == SITE else REPAIR_DELAY)
 
 
 def _check_plan(state: LayoutState, names: Collection[str], at: float) -> None:
@@ -429,11 +432,15 @@
     """
     servers = [facts for facts in draft.facts.values() if facts.accelerator in draft.pipeline.accelerators]
     # A server that is loading takes no other order, so the first attempts leave those out.
-    for immovable in (draft.fixed | pending.keys(), draft.fixed):
-        spans = repair(servers, draft.pipeline, SITE_EXTENDED_CAPACITY, immovable)
+    busy = draft.fixed | pending.keys()
+    served = _count_all(serving_spans(held, pending).values(), draft.pipeline.layers)
+    for immovable, limit in ((busy, served), (busy, None), (draft.fixed, None)):
+        spans = repair(servers, draft.pipeline, SITE_EXTENDED_CAPACITY, immovable, limit, only_gaps=True)
         if not _missing_after(servers, spans, draft.pipeline):
             draft.change(spans)
             return {}
+    if at - state.missing_since[SITE] < REPAIR_DELAY:
+        return {}
     movable = [facts for facts in servers if facts.id not in draft.fixed]
     wanted = _plan(state, SITE, movable, draft, at, pair=False)
     changes = {b: span for b, span in wanted.items() if b not in pending and span != held[b]}
--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -37,8 +37,7 @@
 from bayglade.logs import event
 from bayglade.metrics import Metrics
 from bayglade.pipelines import Pipeline
-from bayglade.repair import count_missing
-from bayglade.servers import ServerFacts
+from bayglade.servers import Server, ServerFacts
 from bayglade.tiling import Span, Spans
 
 LEASE_NAME = "placement"
@@ -63,6 +62,11 @@
 SEND_MARGIN = 0.3
 """Seconds of the lease that must be left when an order is sent."""
 REPORT_TIMEOUT = 0.5
+SILENT_SECONDS = 3.0
+"""For how long layouts do not count on a server that is empty or loading and did not answer. Few or no
+requests go to it, so nothing else shows that it crashed; a crashed server is back after 3 s."""
+LOADING_CHECK_AFTER = 0.3
+"""Seconds after an order from which its server is asked whether it still runs."""
 
 
 class Loader:
@@ -105,6 +109,9 @@
         ``None`` if no order under way brings some layer. Empty while this daemon does not hold the
         lease."""
 
+        self.silent_until: dict[BackendId, float] = {}
+        """Until when servers that are empty or loading and did not answer are left out of layouts."""
+
         self.uncovered_since: dict[ServiceName, float] = {}
         self.work_since: float | None = None
         """When the current work was first seen; ``None`` while there is nothing to order."""
@@ -118,6 +125,7 @@
 
     def _forget_order(self, backend: BackendId) -> None:
         self.pending_orders.pop(backend, None)
+        self.silent_until.pop(backend, None)
 
     def run(self) -> None:
         """Check for missing layers periodically; never returns."""
@@ -139,6 +147,7 @@
         """
         at = now()
         self._forget_failed_orders(at)
+        self._check_loading(at)
         if self.lease.seconds_left() <= 0:
             self._forget_coverage()
         pipelines = self.pipelines()
@@ -208,7 +217,9 @@
         servers = [
             s
             for s in self.fleet.of_service(service)
-            if s.counts_for_layout(at) and s.facts.last <= pipeline.layers
+            if s.counts_for_layout(at)
+            and s.facts.last <= pipeline.layers
+            and self.silent_until.get(s.facts.id, 0.0) <= at
         ]
         return [s.facts for s in servers], {s.facts.id for s in servers if s.excluded is not None}
 
@@ -232,7 +243,7 @@
         for backend in steps:
             hall = self.fleet.servers[backend].facts.hall
             halls[hall] = halls.get(hall, 0) + 1
-        missing = count_missing((s.facts for s in self.fleet.of_service(service)), pipeline.layers)
+        missing = count_unserved(held, self.pending_orders, pipeline)
         for hall, orders in halls.items():
             event("INFO", "layout step", service=service, hall=hall, orders=orders, missing=missing)
         self.metrics.count("layout.steps")
@@ -311,11 +322,42 @@
         for layout in self.layouts.values():
             layout.plan = None
 
+    def _check_loading(self, at: float) -> None:
+        """Ask the servers that load whether they still run, and forget the orders of those that do not."""
+        loading = [b for b, o in self.pending_orders.items() if at - o.sent_at >= LOADING_CHECK_AFTER]
+        if not loading or self.lease.seconds_left() <= 0:
+            return
+        pool = eventlet.GreenPool(MAX_CONCURRENT_ORDERS)
+        for backend in loading:
+            pool.spawn_n(self._check_one_loading, backend)
+        pool.waitall()
+
+    def _check_one_loading(self, backend: BackendId) -> None:
+        server = self.fleet.servers.get(backend)
+        if server is None:
+            return
+        report = self.control.report(backend, server.facts.address, REPORT_TIMEOUT)
+        if report is None:
+            self._note_silent(server)
+        else:
+            # A report of a later incarnation replaces the server, which also forgets its order.
+            self.fleet.accept_report(server, report.incarnation, report.first, report.last)
+
+    def _note_silent(self, server: Server) -> None:
+        backend = server.facts.id
+        if server.facts.layer_count and backend not in self.pending_orders:
+            # Requests go to it, so it becomes suspect by itself if it has crashed.
+            return
+        self._forget_order(backend)
+        self.silent_until[backend] = now() + SILENT_SECONDS
+        event("INFO", "server silent", peer=backend)
+
     def _forget_failed_orders(self, at: float) -> None:
         """Drop orders that had no effect in time, or whose servers are gone."""
         for backend, order in list(self.pending_orders.items()):
             if order.overdue(at) or backend not in self.fleet.servers:
                 del self.pending_orders[backend]
+                self.silent_until.pop(backend, None)
                 event("INFO", "order failed", peer=backend, first=order.span.first, last=order.span.last)
 
     def _settled(self, at: float) -> bool:
@@ -341,6 +383,7 @@
         address = server.facts.address
         report = self.control.report(backend, address, REPORT_TIMEOUT)
         if report is None:
+            self._note_silent(server)
             return
         if not self.fleet.accept_report(server, report.incarnation, report.first, report.last):
             event("INFO", "order withheld", peer=backend, start=report.incarnation)
--- a/bayglade/repair.py
+++ b/bayglade/repair.py
@@ -80,6 +80,8 @@
     pipeline: Pipeline,
     extended_capacity: float = EXTENDED_CAPACITY,
     fixed: Collection[BackendId] = (),
+    served: Sequence[int] | None = None,
+    only_gaps: bool = False,
 ) -> Spans:
     """Change the spans of a few servers so that missing layers are held again.
 
@@ -92,6 +94,10 @@
     :param extended_capacity: token capacity that servers next to a gap keep, as a fraction of the
         configured capacity.
     :param fixed: servers that keep their spans.
+    :param served: number of servers that serve each layer now. If given, servers are moved only if all
+        moves can be ordered at once, without waiting for loads.
+    :param only_gaps: whether servers that are moved hold only the layers of a gap, which load sooner,
+        and not as many as fit.
     :return: the spans that change; some layers may still be missing.
     """
     held = {server.id: Span(server.first, server.last) for server in servers}
@@ -100,12 +106,17 @@
         count_holders(counts, span)
     movable = [server for server in servers if server.id not in fixed]
     changed: Spans = {}
+    left = list(served) if served is not None else counts
     while 0 in counts:
         gap = _first_gap(counts)
-        server = _redundant_server(gap, movable, held, changed, counts, pipeline)
+        server = _redundant_server(gap, movable, held, changed, left, pipeline)
         if server is None:
             break
-        changed[server.id] = _span_over(gap, counts, max_layers(server, pipeline, REPAIR_CAPACITY))
+        most = max_layers(server, pipeline, REPAIR_CAPACITY)
+        length = min(most, gap.length) if only_gaps else most
+        changed[server.id] = _span_over(gap, counts, length)
+        if left is not counts:
+            count_holders(left, held[server.id], -1)
         count_holders(counts, held[server.id], -1)
         count_holders(counts, changed[server.id])
     _extend_neighbours(movable, held, changed, counts, pipeline, extended_capacity)
