Do not force servers that can hold old and new layers

Cause: in an incomplete site a server that could hold its old and its new layers together was forced to give up the old ones. The reason of a changed plan was logged only if orders followed.

Change: servers chosen to hold both are not forced, and each change of a plan is logged.

--- a/bayglade/layout_steps.py
+++ b/bayglade/layout_steps.py
@@ -452,7 +452,7 @@
     for backend in sorted(changes, key=lambda b: (*_cost(held, b, changes[b], draft), b)):
         if 0 not in _count_all(after.values(), draft.pipeline.layers):
             break
-        if steps.get(backend) != changes[backend] and _has_load_slot(held, pending, steps, draft.pipeline):
+        if backend not in steps and _has_load_slot(held, pending, steps, draft.pipeline):
             steps[backend] = after[backend] = forced[backend] = changes[backend]
     draft.change(steps)
     return forced
--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -161,6 +161,7 @@
             if not self._may_try_lease() or not self.lease.acquire_or_renew():
                 self._forget_plans()
                 return False
+            self._log_plans()
             for service, spans in wanted.items():
                 self._order(service, pipelines[service], spans)
             for service, pipeline in pipelines.items():
@@ -231,10 +232,6 @@
     def _order(self, service: ServiceName, pipeline: Pipeline, wanted: Spans) -> None:
         """Send the orders of one step, after confirming the holders on which it relies."""
         layout = self.layouts[service]
-        if layout.plan_change is not None:
-            plan = layout.plan
-            group = plan.group if plan is not None else None
-            event("INFO", "layout plan changed", service=service, reason=layout.plan_change, hall=group)
         held = self._held(service, pipeline)
         steps = self._confirmed(held, wanted, pipeline, layout.forced)
         if not steps:
@@ -352,6 +349,12 @@
         self.silent_until[backend] = now() + SILENT_SECONDS
         event("INFO", "server silent", peer=backend)
 
+    def _log_plans(self) -> None:
+        for service, layout in self.layouts.items():
+            if layout.plan_change is not None:
+                hall = layout.plan.group if layout.plan is not None else None
+                event("INFO", "layout plan changed", service=service, reason=layout.plan_change, hall=hall)
+
     def _forget_failed_orders(self, at: float) -> None:
         """Drop orders that had no effect in time, or whose servers are gone."""
         for backend, order in list(self.pending_orders.items()):
