--- a/bayglade/admission_levels.py
+++ b/bayglade/admission_levels.py
@@ -13,7 +13,7 @@
 from bayglade.logs import event
 from bayglade.metrics import Metrics
 from bayglade.service_reports import gauge_name
-from bayglade.settings import DEFAULT_ADMISSION_FLOOR, Tree, level_at
+from bayglade.settings import DEFAULT_ADMISSION_FLOOR, Tree, level_at, urgency_of
 
 UPDATE_INTERVAL_SECONDS = 0.2
 """Interval of updates: a fraction of the interval of reports, as nothing changes between two reports."""
@@ -315,13 +315,13 @@
 def service_urgencies(tree: Tree) -> dict[ServiceName, frozenset[int]]:
     """Return the urgencies that requests of each service can have.
 
-    A request has the urgency of its account's group if that sets one, and that of its endpoint otherwise.
+    Accounts whose groups set a priority go by that first, and by the priority of the endpoint then.
     """
     own = {level_at(tree, account.group).priority for account in tree.accounts.values()}
     found: dict[ServiceName, set[int]] = {}
     for endpoint in tree.endpoints:
         given = own if tree.accounts and not endpoint.public else {None}
-        urgencies = {endpoint.priority if priority is None else priority for priority in given}
+        urgencies = {urgency_of(priority, endpoint.priority) for priority in given}
         for target in endpoint.targets:
             found.setdefault(target.service, set()).update(urgencies)
     return {service: frozenset(urgencies) for service, urgencies in found.items()}
--- a/bayglade/intake.py
+++ b/bayglade/intake.py
@@ -19,7 +19,7 @@
 from bayglade.pipelines import Pipeline
 from bayglade.retries import jittered_retry_after
 from bayglade.revisions import EMPTY, Current
-from bayglade.settings import CallerLimits, Tree, digest_of, level_at, priority_of
+from bayglade.settings import CallerLimits, Tree, digest_of, level_at, priority_of, urgency_of
 
 TRUST_MARGIN = 1.2
 """Safety margin in seconds below the bound on the age of keys, at which requests with keys are refused.
@@ -173,7 +173,7 @@
             endpoint=endpoint,
             service=endpoint.choose(self.rng),
             group=group,
-            priority=self._priority(endpoint, group),
+            priority=self._urgency(endpoint, group),
             arrived=arrived,
             deadline=arrived + seconds,
             method=message.method,
@@ -248,10 +248,9 @@
             return None
         return self.directory.account(head.key or "").group
 
-    def _priority(self, endpoint: Endpoint, group: GroupPath | None) -> int:
-        if group is None or self.tree.root.groups[group].priority is None:
-            return endpoint.priority
-        return priority_of(self.tree, group)
+    def _urgency(self, endpoint: Endpoint, group: GroupPath | None) -> int:
+        own = None if group is None else self.tree.root.groups[group].priority
+        return urgency_of(own, endpoint.priority)
 
     def _cut_off(self, message: str) -> BaygladeError:
         again = jittered_retry_after(RETRY_ELSEWHERE_SECONDS, self.rng, RETRY_ELSEWHERE_SECONDS)
--- a/bayglade/room_forecast.py
+++ b/bayglade/room_forecast.py
@@ -48,6 +48,11 @@
 become fewer some seconds before a loss of coverage is known, and must not replace the rate before it."""
 SAMPLE_SECONDS = 1.0
 """Interval at which the completion rate is sampled: other daemons report at the same interval."""
+RECENT_PACE_SECONDS = 2.0
+"""Time constant of the events that a stream got recently. A stream that stands still for about this long is
+abandoned by its caller or moved to another stage."""
+MIN_PACE_FRACTION = 0.05
+"""Least pace of running streams, as a fraction of their usual one, so that the time left stays finite."""
 PACE_SECONDS = 30.0
 """Time constant of the measured seconds per token; it outlasts an interruption of all streams."""
 
@@ -159,7 +164,7 @@
     :param hint: expected tokens of its answer.
     """
 
-    __slots__ = ("admitted", "begun_at", "hint", "made")
+    __slots__ = ("admitted", "begun_at", "hint", "made", "recent")
 
     def __init__(self, hint: float) -> None:
         self.admitted = False
@@ -170,14 +175,24 @@
         self.begun_at: float | None = None
         """When its first event arrived."""
 
+        self.recent = DecayingSum(RECENT_PACE_SECONDS)
+
     def __repr__(self) -> str:
         return f"<StreamProgress {self.made} of {self.hint}>"
 
+    def recent_pace(self, at: float) -> float | None:
+        """Return the tokens per second of the last seconds; None until it has run for as long."""
+        if self.begun_at is None or at - self.begun_at < RECENT_PACE_SECONDS:
+            return None
+        seen = 1.0 - math.exp(-(at - self.begun_at) / RECENT_PACE_SECONDS)
+        return self.recent.read(at) / (RECENT_PACE_SECONDS * seen)
+
     def note(self, events: int, at: float) -> None:
         """Record that events arrived."""
         if self.begun_at is None:
             self.begun_at = at
         self.made += events
+        self.recent.add(float(events), at)
 
 
 class LongestDeadline:
@@ -260,7 +275,9 @@
         """Return the mean expected time left of this daemon's running streams; None if it is not known."""
         streams = self.streams.get(service)
         if streams and service in self.tokens and (tokens := self.tokens[service].read(at)) > 0:
-            self.left[service] = mean_tokens_left(streams) * self.seconds[service].read(at) / tokens
+            token_seconds = self.seconds[service].read(at) / tokens
+            fraction = _pace_fraction(streams, token_seconds, at)
+            self.left[service] = mean_tokens_left(streams) * token_seconds / fraction
         return self.left.get(service)
 
     def sample_due(self, service: ServiceName, at: float) -> bool:
@@ -278,6 +295,18 @@
         return self.rates[service][0] if service in self.rates else 0.0
 
 
+def _pace_fraction(streams: Iterable[StreamProgress], token_seconds: float, at: float) -> float:
+    """Return the recent pace of running streams as a fraction of the usual one, at most 1.
+
+    Streams that stand still behind a lost or slow server would otherwise count as about to end, and
+    requests would wait for their places in vain.
+    """
+    paces = [pace for stream in streams if (pace := stream.recent_pace(at)) is not None]
+    if not paces or token_seconds <= 0:
+        return 1.0
+    return min(1.0, max(MIN_PACE_FRACTION, sum(paces) / len(paces) * token_seconds))
+
+
 def mean_tokens_left(streams: Iterable[StreamProgress]) -> float:
     """Return the mean of the tokens that streams are expected to have left; zero if there is none."""
     left = [expected_remaining(stream.hint, stream.made) for stream in streams]
--- a/bayglade/settings.py
+++ b/bayglade/settings.py
@@ -28,6 +28,8 @@
 MAX_DEPTH = 16
 DEFAULT_DEADLINE_SECONDS = 30.0
 DEFAULT_PRIORITY = 0
+PRIORITY_LEVELS = 16
+"""Number of different priorities of endpoints that are told apart; the users' platform has ten."""
 DEFAULT_ADMISSION_FLOOR = 0.05
 """Keeps the least urgent requests from starving, at little cost to the most urgent ones."""
 MAX_ADMISSION_FLOOR = 0.5
@@ -271,6 +273,19 @@
     return model.version
 
 
+def urgency_of(account_priority: int | None, endpoint_priority: int) -> int:
+    """Return the urgency of a request: by the priority of its account first, then by that of its endpoint.
+
+    An account without a priority counts like its endpoint. Requests of one account still differ by their
+    endpoints; otherwise accounts that all have a priority would make all endpoints equally urgent.
+
+    :param account_priority: the priority in force for the account's group, if any; higher goes first.
+    :param endpoint_priority: the priority of the endpoint.
+    """
+    own = endpoint_priority if account_priority is None else account_priority
+    return PRIORITY_LEVELS * own + endpoint_priority
+
+
 def priority_of(tree: Tree, path: GroupPath) -> int:
     """Return the priority in force for a group; higher values are served first."""
     return int(explain(tree, path, "priority").value)  # type: ignore[arg-type]
--- a/tests/test_room_forecast.py
+++ b/tests/test_room_forecast.py
@@ -113,6 +113,29 @@
     assert completion_rate(1.0, 75, None) == 1.0
 
 
+def test_streams_that_stand_still_do_not_count_as_about_to_end() -> None:
+    """Guards against requests that wait in vain for the places of streams behind a lost server."""
+    capacity, at = CapacityEstimates(), now()
+    done = StreamProgress(100.0)
+    capacity.begin(SERVICE, done)
+    done.note(1, at)
+    done.note(100, at + 3.0)
+    capacity.end(SERVICE, done, at + 3.0)
+    stuck, running = StreamProgress(1000.0), StreamProgress(1000.0)
+    for stream in (stuck, running):
+        capacity.begin(SERVICE, stream)
+    for step in range(100):
+        running.note(1, at + 0.03 * step)
+        if step < 50:
+            stuck.note(1, at + 0.03 * step)
+    usual = capacity.seconds_left(SERVICE, at + 1.5)
+    for step in range(200):
+        running.note(1, at + 3.0 + 0.03 * step)
+    late = capacity.seconds_left(SERVICE, at + 9.0)
+    assert usual is not None and late is not None
+    assert late > 1.5 * usual
+
+
 def test_the_rate_and_the_pace_outlast_an_interruption() -> None:
     """Guards against forgetting the rate when all streams break off before the loss is known."""
     capacity = CapacityEstimates()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -142,3 +142,11 @@
 def test_a_patch_turns_one_document_into_the_other(old, new):
     assert patches.apply(old, patches.diff(old, new)) == new
     assert patches.diff(old, old) == {}
+
+
+def test_urgency_goes_by_the_account_first_and_by_the_endpoint_then() -> None:
+    """Guards against endpoints that are all equally urgent as soon as every account has a priority."""
+    in_order = [(0, 0), (0, -1), (None, -1), (-1, -2), (-2, 0)]
+    found = [settings.urgency_of(account, endpoint) for account, endpoint in in_order]
+    assert found == sorted(found, reverse=True)
+    assert settings.urgency_of(-1, 0) > settings.urgency_of(-1, -1)
