Rebuild halls with enough capacity and with all loads together

A hall that lost two of its eight servers was rebuilt onto the others with room for 7 requests and refused nearly all.

While another group serves, a group that misses layers now waits up to 8 s for servers if its new layout would have less than half of the configured token capacity. While every layer has a holder in the site, up to four times loads_at_once loads start together; otherwise loads beyond loads_at_once wait, except those of lacking layers. The expected times of loads under way are extended when others start, so that their orders do not count as failed.

--- a/bayglade/layout_steps.py
+++ b/bayglade/layout_steps.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from bayglade.ids import BackendId, HallName, ServerKey
+from bayglade.layout_capacity import layout_capacity, may_load, waits_for_servers
 from bayglade.logs import event
 from bayglade.pipelines import Pipeline
 from bayglade.repair import count_missing, fill_empty, repair
@@ -146,8 +147,10 @@
 
     A change may be ordered if every layer that the server gives up has another
     holder in the site that serves it now. Changes chosen before it and pending
-    ones count as given up and not yet gained. At most ``loads_at_once`` servers
-    load at a time, because each further load slows all others.
+    ones count as given up and not yet gained. Layers that the site lacks are
+    loaded first, and until they are served, other loads start only within
+    ``loads_at_once``, because each further load slows all others. Later, up to
+    ``MAX_LOADS_FACTOR`` times as many run together.
 
     :param held: the spans that the usable servers of the whole site report.
     :param wanted: the spans to reach; servers that are left out do not change.
@@ -156,17 +159,21 @@
     :return: the changes to order.
     """
     counts = _count_all(serving_spans(held, pending).values(), pipeline.layers)
+    lacking = [layer for layer, holders in enumerate(counts) if not holders]
     loads = count_loads(held, pending)
+    urgent_loads = sum(_holds_any(order.span, lacking) for order in pending.values())
     chosen: Spans = {}
     for backend in _by_urgency(held, wanted, pending, counts):
         before, after = held[backend], wanted[backend]
         loading = gained_layers(before, after) > 0
-        if loading and loads >= pipeline.loads_at_once:
+        urgent = _holds_any(after, lacking)
+        if loading and not may_load(urgent, loads, urgent_loads, not lacking, pipeline):
             continue
         if any(counts[layer] < 2 for layer in _given_up(before, after)):
             continue
         chosen[backend] = after
         loads += loading
+        urgent_loads += urgent
         for layer in _given_up(before, after):
             counts[layer] -= 1
     return chosen
@@ -496,8 +503,13 @@
     at: float,
     pair_servers: bool,
 ) -> None:
-    """Bring layers back that groups miss: few changes in any number of groups, a new layout in one."""
+    """Bring layers back that groups miss: few changes in any number of groups, a new layout in one.
+
+    While another group serves, a group waits for servers rather than get a layout with little room.
+    """
     pipeline = draft.pipeline
+    serving = serving_spans(held, pending)
+    whole = {_name(group) for group in groups if _serves(group, serving, pipeline)}
     failed: list[list[ServerFacts]] = []
     for group in groups:
         name, current = _name(group), draft.current(group)
@@ -523,6 +535,11 @@
         if state.plan is not None and state.plan.group != name:
             continue
         movable = [facts for facts in current if facts.id not in draft.fixed]
+        wanted = tile_group(movable, pipeline, pair_servers)
+        missing_seconds = at - state.missing_since[name]
+        room = layout_capacity(movable, pipeline, wanted)
+        if whole - {name} and waits_for_servers(room, missing_seconds, pipeline):
+            continue
         wanted = _plan(state, name, movable, draft, at, pair_servers)
         changes = {b: span for b, span in wanted.items() if b not in pending and span != held[b]}
         if not changes:
@@ -535,6 +552,12 @@
         draft.change(changes)
 
 
+def _serves(group: Iterable[ServerFacts], serving: Spans, pipeline: Pipeline) -> bool:
+    """Tell whether a group serves every layer now."""
+    spans = (serving[facts.id] for facts in group if facts.id in serving)
+    return 0 not in _count_all(spans, pipeline.layers)
+
+
 def _missing_after(servers: Iterable[ServerFacts], spans: Spans, pipeline: Pipeline) -> int:
     """Count the layers that are missing after some changes."""
     return count_missing(
@@ -554,6 +577,10 @@
     return sorted(changing, key=rank)
 
 
+def _holds_any(span: Span, layers: Iterable[int]) -> bool:
+    return any(span.first <= layer < span.last for layer in layers)
+
+
 def _given_up(before: Span, after: Span) -> list[int]:
     return [layer for layer in range(before.first, before.last) if not after.first <= layer < after.last]
 
--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -246,12 +246,24 @@
         self.metrics.count("layout.steps")
         gained = {backend: gained_layers(held[backend], span) for backend, span in steps.items()}
         loads = count_loads(held, self.pending_orders) + sum(layers > 0 for layers in gained.values())
+        self._expect_slower_loads(held, loads, pipeline)
         pool = eventlet.GreenPool(MAX_CONCURRENT_ORDERS)
         for backend, span in steps.items():
             seconds = load_seconds(gained[backend], loads, pipeline)
             pool.spawn_n(self._send_order, backend, span, seconds)
         pool.waitall()
 
+    def _expect_slower_loads(self, held: Spans, loads: int, pipeline: Pipeline) -> None:
+        """Extend the expected times of loads under way, which share their rate with those that start now.
+
+        Otherwise their orders would count as failed before the loads end.
+        """
+        for backend, order in list(self.pending_orders.items()):
+            if backend in held:
+                seconds = load_seconds(gained_layers(held[backend], order.span), loads, pipeline)
+                if seconds > order.load_seconds:
+                    self.pending_orders[backend] = msgspec.structs.replace(order, load_seconds=seconds)
+
     def _confirmed(self, held: Spans, wanted: Spans, pipeline: Pipeline, forced: set[BackendId]) -> Spans:
         """Return the steps that are still safe after asking other holders for their reports.
 
