--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -280,7 +280,7 @@
     assert first.events
     head = next(r for r in site.of(MODEL) if sum(r.ran.values()) > before[r.id])
     head.faults.set("reset", 1)
-    # The next stream may begin at another first stage, because paths of about equal cost are taken by chance.
+    # Paths of about equal cost are taken by chance, so the next stream may begin at another first stage.
     for _ in range(50):
         answer = ask(daemon.callers, "/stream/x")
         if not head.faults.left["reset"]:
