Restore the capacity of halls whose servers have come back

A hall rebuilt onto the servers left by a crash kept that layout: servers that came back became spare holders, and the hall went on refusing requests.

A whole group with less than half of the token capacity that its servers allow is now rebuilt in safe steps, if that has lasted 1.5 s, nothing is loaded in it and all other groups serve. A rebuild that has ended is not repeated for the same servers, and fresh layouts never count as low.

--- a/bayglade/layout_capacity.py
+++ b/bayglade/layout_capacity.py
@@ -4,12 +4,13 @@
 functions have no side effects; see ``docs/design/layout_steps.md``.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Sequence
 
+from bayglade.ids import ServerKey
 from bayglade.pipelines import Pipeline
 from bayglade.repair import EXTENDED_CAPACITY
 from bayglade.servers import ServerFacts
-from bayglade.tiling import Spans
+from bayglade.tiling import Spans, tile_group
 
 MIN_REBUILT_CAPACITY = EXTENDED_CAPACITY
 """Least token capacity, as a fraction of the configured one, of a layout for which a group gives up its
@@ -25,6 +26,14 @@
 the nine servers of a hall; more would only lengthen the time for which loading servers may be lost."""
 
 
+LOW_CAPACITY_SHARE = 0.5
+"""A group is rebuilt if its token capacity is less than this share of what its servers allow. Repairs keep
+half of the configured capacity, and a fresh layout has all of what its servers allow."""
+LOW_CAPACITY_SECONDS = 1.5
+"""Seconds for which that must last while nothing is loaded in the group. Rows take 1 s to show a load, and
+servers that crashed together do not return at the same moment."""
+
+
 def layout_capacity(
     servers: Iterable[ServerFacts], pipeline: Pipeline, spans: Spans | None = None
 ) -> float:
@@ -32,13 +41,18 @@
 
     :param servers: the servers, of kinds that the model runs on.
     :param pipeline: properties of the model.
-    :param spans: the layers that servers hold instead of those that they report.
+    :param spans: the layers that servers hold instead of those that they report; servers that are left
+        out hold none.
     :return: tokens; 0.0 if some layer has no holder.
     """
     rooms = [0.0] * pipeline.layers
     for facts in servers:
-        span = spans.get(facts.id) if spans is not None else None
-        first, last = (span.first, span.last) if span is not None else (facts.first, facts.last)
+        if spans is None:
+            first, last = facts.first, facts.last
+        elif facts.id in spans:
+            first, last = spans[facts.id].first, spans[facts.id].last
+        else:
+            continue
         if last <= first or facts.accelerator not in pipeline.accelerators:
             continue
         room = max(0.0, pipeline.token_room(facts.accelerator, last - first, last - first))
@@ -47,16 +61,13 @@
     return min(rooms)
 
 
-def waits_for_servers(capacity: float, missing_seconds: float, pipeline: Pipeline) -> bool:
-    """Tell whether a group that misses layers should wait for its servers instead of being rebuilt.
+def is_tiny(capacity: float, pipeline: Pipeline) -> bool:
+    """Tell whether a layout has so little room that a group should rather wait for its lost servers.
 
-    :param capacity: token capacity of the layout that it would get.
-    :param missing_seconds: for how long it has missed layers.
+    :param capacity: its token capacity.
     :param pipeline: properties of the model.
     """
-    return (
-        capacity < MIN_REBUILT_CAPACITY * pipeline.token_capacity and missing_seconds < MIN_CAPACITY_SECONDS
-    )
+    return capacity < MIN_REBUILT_CAPACITY * pipeline.token_capacity
 
 
 def may_load(urgent: bool, loads: int, urgent_loads: int, complete: bool, pipeline: Pipeline) -> bool:
@@ -73,3 +84,64 @@
     if urgent:
         return urgent_loads < bound and loads < MAX_LOADS_FACTOR * bound
     return loads < (MAX_LOADS_FACTOR * bound if complete else bound)
+
+
+class LowCapacity:
+    """Remembers since when groups have far less token capacity than their servers allow."""
+
+    __slots__ = ("allowed", "since", "tried")
+
+    def __init__(self) -> None:
+        self.since: dict[str, float] = {}
+        self.allowed: dict[str, tuple[frozenset[ServerKey], float]] = {}
+        """The token capacity of a new layout of each group, and the servers for which it was computed."""
+
+        self.tried: dict[str, frozenset[ServerKey]] = {}
+        """The servers for which each group was rebuilt last, with or without success. It is not rebuilt
+        again for the same ones, so that a layout that stays low causes no orders forever."""
+
+    def keep(self, names: Collection[str]) -> None:
+        """Forget the groups that no longer exist."""
+        for known in (self.since, self.allowed, self.tried):
+            for name in known.keys() - names:
+                del known[name]
+
+    def note_tried(self, name: str, members: frozenset[ServerKey]) -> None:
+        """Do not rebuild a group for its capacity again until its servers change."""
+        self.tried[name] = members
+
+    def check(
+        self,
+        name: str,
+        members: frozenset[ServerKey],
+        servers: Sequence[ServerFacts],
+        pipeline: Pipeline,
+        pair_servers: bool,
+    ) -> bool:
+        """Tell whether a group has far less capacity than its servers allow, and may be rebuilt.
+
+        :param name: the group.
+        :param members: its servers.
+        :param servers: the same, with the layers that they hold.
+        :param pipeline: properties of the model.
+        :param pair_servers: whether layouts pair servers.
+        """
+        if self.tried.get(name) == members:
+            return False
+        known = self.allowed.get(name)
+        if known is None or known[0] != members:
+            wanted = tile_group(servers, pipeline, pair_servers)
+            known = self.allowed[name] = (members, layout_capacity(servers, pipeline, wanted))
+        return layout_capacity(servers, pipeline) < LOW_CAPACITY_SHARE * known[1]
+
+    def lasts(self, name: str, low: bool, at: float) -> bool:
+        """Tell whether the capacity of a group has been low for long enough to rebuild the group.
+
+        :param name: the group.
+        :param low: whether its capacity is low now.
+        :param at: the time now, in monotonic seconds.
+        """
+        if not low:
+            self.since.pop(name, None)
+            return False
+        return at - self.since.setdefault(name, at) >= LOW_CAPACITY_SECONDS
--- a/bayglade/layout_steps.py
+++ b/bayglade/layout_steps.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from bayglade.ids import BackendId, HallName, ServerKey
-from bayglade.layout_capacity import layout_capacity, may_load, waits_for_servers
+from bayglade.layout_capacity import MIN_CAPACITY_SECONDS, LowCapacity, is_tiny, layout_capacity, may_load
 from bayglade.logs import event
 from bayglade.pipelines import Pipeline
 from bayglade.repair import count_missing, fill_empty, repair
@@ -71,6 +71,8 @@
     members: frozenset[ServerKey]
     wanted: Spans
     made_at: float
+    for_capacity: bool = False
+    """Whether the group was whole, but with little token capacity."""
 
 
 class LayoutState:
@@ -80,6 +82,7 @@
         "able_halls",
         "forced",
         "last_abandoned",
+        "low_capacity",
         "missing_since",
         "plan",
         "plan_change",
@@ -95,8 +98,11 @@
 
         self.unable_since: dict[HallName, float] = {}
         self.plan: RebuildPlan | None = None
-        self.plan_change: str | None = None
-        """Why the plan changed in the last call of :func:`next_steps`."""
+
+        self.plan_change: tuple[str, str] | None = None
+        """The group whose plan changed last in the last call of :func:`next_steps`, and why."""
+
+        self.low_capacity = LowCapacity()
 
         self.last_abandoned: str | None = None
         """The group whose plan was abandoned last; other groups are rebuilt before it."""
@@ -108,9 +114,22 @@
     def __repr__(self) -> str:
         return f"<LayoutState missing={sorted(self.missing_since)} plan={self.plan and self.plan.group}>"
 
-    def set_plan(self, plan: RebuildPlan | None, reason: str) -> None:
+    def set_plan(self, plan: RebuildPlan, reason: str) -> None:
         """Replace the plan and store why."""
-        self.plan, self.plan_change = plan, reason
+        self.plan, self.plan_change = plan, (plan.group, reason)
+
+    def plan_of(self, group: str) -> RebuildPlan | None:
+        """Return the plan if it is that of a group."""
+        return self.plan if self.plan is not None and self.plan.group == group else None
+
+    def drop_plan(self, group: str, reason: str) -> None:
+        """Remove the plan of a group, if there is one, and store why."""
+        if self.plan_of(group) is not None:
+            self.plan, self.plan_change = None, (group, reason)
+
+    def unfinished(self) -> bool:
+        """Tell whether a group or the site lacks layers or capacity, so that it must be checked again."""
+        return bool(self.missing_since or self.low_capacity.since or self.plan)
 
 
 def load_seconds(gained: int, loads: int, pipeline: Pipeline) -> float:
@@ -297,6 +316,7 @@
     names = {_name(group) for group in groups} | {SITE}
     for name in [name for name in state.missing_since if name not in names]:
         del state.missing_since[name]
+    state.low_capacity.keep(names)
     _check_plan(state, names, at)
     forced: Spans = {}
     if draft.holds_anything():
@@ -405,30 +425,49 @@
     if plan is None:
         return
     if plan.group not in names:
-        state.set_plan(None, "group changed")
+        state.drop_plan(plan.group, "group changed")
     elif at - plan.made_at > PLAN_SECONDS:
-        state.last_abandoned = plan.group
-        state.set_plan(None, "not whole in time")
+        _abandon(state, plan, "not whole in time")
+
+
+def _abandon(state: LayoutState, plan: RebuildPlan, reason: str) -> None:
+    """Drop a plan that makes no progress, so that other groups go first."""
+    state.last_abandoned = plan.group
+    state.low_capacity.note_tried(plan.group, plan.members)
+    state.drop_plan(plan.group, reason)
 
 
 def _plan(
-    state: LayoutState, name: str, servers: Sequence[ServerFacts], draft: _Draft, at: float, pair: bool
+    state: LayoutState,
+    name: str,
+    servers: Sequence[ServerFacts],
+    draft: _Draft,
+    at: float,
+    pair: bool,
+    wait_until: float = 0.0,
 ) -> Spans:
     """Return the layout that a group is being changed to; empty if it cannot hold the model.
 
     It is kept until the servers of the group change, so that a server that was just loaded is not moved
-    again.
+    again. Until ``wait_until``, no layout with too little token capacity is chosen.
     """
     members = frozenset(facts.key for facts in servers)
-    plan = state.plan
-    if plan is not None and plan.group == name and plan.members == members:
+    plan = state.plan_of(name)
+    if plan is not None and plan.members == members:
         return plan.wanted
     wanted = tile_group(servers, draft.pipeline, pair)
+    if (
+        wanted
+        and at < wait_until
+        and is_tiny(layout_capacity(servers, draft.pipeline, wanted), draft.pipeline)
+    ):
+        state.drop_plan(name, "waits for servers")
+        return {}
     if wanted:
-        reason = "servers changed" if plan is not None and plan.group == name else "layers missing"
+        reason = "servers changed" if plan is not None else "layers missing"
         state.set_plan(RebuildPlan(name, members, wanted, at), reason)
-    elif plan is not None and plan.group == name:
-        state.set_plan(None, "too few servers")
+    else:
+        state.drop_plan(name, "too few servers")
     return wanted
 
 
@@ -513,12 +552,13 @@
     failed: list[list[ServerFacts]] = []
     for group in groups:
         name, current = _name(group), draft.current(group)
+        plan = state.plan_of(name)
         if not _missing_long_enough(state, name, current, pipeline, at):
             ordered = any(facts.id in pending for facts in group)
-            if state.plan is not None and state.plan.group == name and not ordered:
-                state.set_plan(None, "group whole")
+            if plan is not None and not plan.for_capacity and not ordered:
+                state.drop_plan(name, "group whole")
             continue
-        if state.plan is None or state.plan.group != name:
+        if plan is None:
             holding = [facts for facts in current if facts.layer_count]
             spans = repair(holding, pipeline, fixed=draft.fixed | pending.keys())
             if not _missing_after(current, spans, pipeline):
@@ -527,29 +567,83 @@
         failed.append(current)
     if SITE in state.missing_since:
         return
-    if state.plan is not None and state.plan.group == SITE:
-        state.set_plan(None, "site covered")
+    state.drop_plan(SITE, "site covered")
     failed.sort(key=lambda g: (_name(g) == state.last_abandoned, count_missing(g, pipeline.layers)))
     for current in failed:
         name = _name(current)
+        movable = [facts for facts in current if facts.id not in draft.fixed]
         if state.plan is not None and state.plan.group != name:
             continue
+        wait_until = state.missing_since[name] + MIN_CAPACITY_SECONDS if whole - {name} else at
+        wanted = _plan(state, name, movable, draft, at, pair_servers, wait_until)
+        _follow_plan(state, name, wanted, draft, held, pending)
+    missing = {_name(current) for current in failed}
+    for group in groups:
+        name, current = _name(group), draft.current(group)
         movable = [facts for facts in current if facts.id not in draft.fixed]
-        wanted = tile_group(movable, pipeline, pair_servers)
-        missing_seconds = at - state.missing_since[name]
-        room = layout_capacity(movable, pipeline, wanted)
-        if whole - {name} and waits_for_servers(room, missing_seconds, pipeline):
-            continue
-        wanted = _plan(state, name, movable, draft, at, pair_servers)
-        changes = {b: span for b, span in wanted.items() if b not in pending and span != held[b]}
-        if not changes:
-            continue
-        if not pending and not safe_steps(held, changes, pending, pipeline):
-            changes = _hulls(held, changes, {}, pending, draft)
-            if not changes:
-                state.last_abandoned = name
-                state.set_plan(None, "no safe step")
-        draft.change(changes)
+        if name not in missing:
+            idle = not any(facts.id in pending or facts.id in draft.changes for facts in group)
+            others_serve = all(_name(other) in whole or other is group for other in groups)
+            _restore_capacity(
+                state,
+                name,
+                movable,
+                draft,
+                held,
+                pending,
+                at,
+                idle and name in whole,
+                others_serve,
+                pair_servers,
+            )
+
+
+def _restore_capacity(
+    state: LayoutState,
+    name: str,
+    servers: Sequence[ServerFacts],
+    draft: _Draft,
+    held: Spans,
+    pending: Pending,
+    at: float,
+    idle: bool,
+    others_serve: bool,
+    pair_servers: bool,
+) -> None:
+    """Rebuild a group that holds every layer but has far less room than its servers allow."""
+    members = frozenset(facts.key for facts in servers)
+    plan = state.plan_of(name)
+    if plan is None:
+        low = idle and state.low_capacity.check(name, members, servers, draft.pipeline, pair_servers)
+        if not state.low_capacity.lasts(name, low, at) or not others_serve or state.plan is not None:
+            return
+        wanted = tile_group(servers, draft.pipeline, pair_servers)
+        plan = RebuildPlan(name, members, wanted, at, for_capacity=True)
+        state.set_plan(plan, "little capacity")
+    elif not plan.for_capacity:
+        return
+    elif plan.members != members:
+        state.drop_plan(name, "servers changed")
+        return
+    if all(held.get(backend) == span for backend, span in plan.wanted.items()):
+        state.low_capacity.note_tried(name, members)
+        state.drop_plan(name, "capacity restored")
+        return
+    _follow_plan(state, name, plan.wanted, draft, held, pending)
+
+
+def _follow_plan(
+    state: LayoutState, name: str, wanted: Spans, draft: _Draft, held: Spans, pending: Pending
+) -> None:
+    """Add the changes that are left of the plan of a group."""
+    changes = {b: span for b, span in wanted.items() if b not in pending and b in held and span != held[b]}
+    if not changes:
+        return
+    if not pending and not safe_steps(held, changes, pending, draft.pipeline):
+        changes = _hulls(held, changes, {}, pending, draft)
+        if not changes and state.plan is not None:
+            _abandon(state, state.plan, "no safe step")
+    draft.change(changes)
 
 
 def _serves(group: Iterable[ServerFacts], serving: Spans, pipeline: Pipeline) -> bool:
--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -171,7 +171,7 @@
         if not self.pending_orders:
             self._forget_coverage()
             self.lease.release()
-            if not any(layout.missing_since for layout in self.layouts.values()) and self._settled(at):
+            if not any(layout.unfinished() for layout in self.layouts.values()) and self._settled(at):
                 self.complete_state = state
         return True
 
@@ -364,8 +364,8 @@
     def _log_plans(self) -> None:
         for service, layout in self.layouts.items():
             if layout.plan_change is not None:
-                hall = layout.plan.group if layout.plan is not None else None
-                event("INFO", "layout plan changed", service=service, reason=layout.plan_change, hall=hall)
+                hall, reason = layout.plan_change
+                event("INFO", "layout plan changed", service=service, reason=reason, hall=hall)
 
     def _forget_failed_orders(self, at: float) -> None:
         """Drop orders that had no effect in time, or whose servers are gone."""
--- a/tests/test_layout_steps.py
+++ b/tests/test_layout_steps.py
@@ -72,12 +72,20 @@
     """A site in memory whose loader always holds the lease; time advances in ticks."""
 
     def __init__(
-        self, monkeypatch: pytest.MonkeyPatch, halls: dict[str, dict[str, int]], empty: bool
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        halls: dict[str, dict[str, int]],
+        empty: bool,
+        model: Pipeline | None = None,
+        row_seconds: float = 0.0,
     ) -> None:
         self.at = 100.0
         for module in (loading, fleet_module):
             monkeypatch.setattr(module, "now", lambda: self.at)
-        self.model = msgspec.structs.replace(pipeline(), loads_at_once=16)
+        self.model = model or msgspec.structs.replace(pipeline(), loads_at_once=16)
+        self.row_seconds = row_seconds
+        """Seconds from a change of a server until its row shows it."""
+
         listed = [msgspec.structs.replace(f, incarnation=Incarnation(1)) for f in servers(**halls)]
         spans = {} if empty else tile_fleet(listed, self.model)
         listed = [
@@ -93,6 +101,7 @@
         self.has_lease = True
         self.loader = self.new_loader()
         self.due: list[tuple[float, BackendId, str]] = []
+        self.rows: list[tuple[float, ServerFacts]] = []
         self.ticks = 0
         self.orders: list[BackendId] = []
         self.ignored_orders = 0
@@ -142,6 +151,7 @@
             self.ticks += 1
             self._apply_due()
             self._load()
+            self._apply_rows()
             if self.ticks % CHECK_TICKS == 0:
                 before = self._served()
                 self.loader.step()
@@ -171,7 +181,7 @@
             again = Incarnation(engine.facts.incarnation + 1)
             facts = msgspec.structs.replace(engine.facts, first=0, last=0, incarnation=again)
             self.engines[backend] = Engine(facts)
-            self.fleet.apply_changes([facts], [], outage=False)
+            self.rows.append((self.at + self.row_seconds, facts))
 
     def _load(self) -> None:
         loads = [e for e in self.engines.values() if e.alive and e.target is not None]
@@ -182,7 +192,13 @@
                     engine.facts, first=engine.target.first, last=engine.target.last
                 )
                 engine.facts, engine.target = facts, None
-                self.fleet.apply_changes([facts], [], outage=False)
+                self.rows.append((self.at + self.row_seconds, facts))
+
+    def _apply_rows(self) -> None:
+        shown = [facts for at, facts in self.rows if at <= self.at + 1e-6]
+        self.rows = [row for row in self.rows if row[0] > self.at + 1e-6]
+        for facts in shown:
+            self.fleet.apply_changes([facts], [], outage=False)
 
     def _report(self, backend: BackendId, *_: object) -> StageReport | None:
         engine = self.engines[backend]
