Tell coverage for 1.5 s after nothing is left to order

Coverage was emptied together with the lease as soon as the last load was visible, so other daemons never heard that every layer had a holder again.

The lease holder now updates coverage and keeps the lease without renewing it for 1.5 s more.

--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -65,6 +65,10 @@
 SILENT_SECONDS = 3.0
 """For how long layouts do not count on a server that is empty or loading and did not answer. Few or no
 requests go to it, so nothing else shows that it crashed; a crashed server is back after 3 s."""
+COVERAGE_KEPT_SECONDS = 1.5
+"""For how long coverage is told and the lease kept when nothing is left to order. Other daemons hear
+of it by heartbeats up to 1 s apart, and would otherwise never hear that it returned. The lease lasts longer
+without being renewed."""
 LOADING_CHECK_AFTER = 0.3
 """Seconds after an order from which its server is asked whether it still runs."""
 
@@ -116,6 +120,9 @@
         self.work_since: float | None = None
         """When the current work was first seen; ``None`` while there is nothing to order."""
 
+        self.idle_since: float | None = None
+        """Since when nothing has been left to order while coverage is still told."""
+
         self.complete_state: tuple[int, dict[ServiceName, Pipeline]] | None = None
         """The fleet's change counter and the models when nothing was left to order. While they are
         unchanged, there is nothing to check."""
@@ -158,6 +165,7 @@
         wanted = {service: spans for service, spans in wanted.items() if spans}
         # The lease is kept while orders are under way: a daemon that took it over would not know them.
         if wanted or (self.pending_orders and self.lease.seconds_left() > 0):
+            self.idle_since = None
             if not self._may_try_lease() or not self.lease.acquire_or_renew():
                 self._forget_plans()
                 return False
@@ -168,13 +176,23 @@
                 self._update_coverage(service, pipeline)
             return True
         self.work_since = None
-        if not self.pending_orders:
+        if not self.pending_orders and not self._tells_coverage(pipelines, at):
             self._forget_coverage()
             self.lease.release()
             if not any(layout.unfinished() for layout in self.layouts.values()) and self._settled(at):
                 self.complete_state = state
         return True
 
+    def _tells_coverage(self, pipelines: dict[ServiceName, Pipeline], at: float) -> bool:
+        """Update the coverage after the last work; return whether it is to be told for longer."""
+        if not self.coverage or self.lease.seconds_left() <= 0:
+            return False
+        for service, pipeline in pipelines.items():
+            self._update_coverage(service, pipeline)
+        if self.idle_since is None:
+            self.idle_since = at
+        return at - self.idle_since < COVERAGE_KEPT_SECONDS
+
     def _may_try_lease(self) -> bool:
         """Tell whether this daemon should check the lease now.
 
@@ -323,6 +341,7 @@
             self.metrics.gauge("layout.missing_layers", 0)
             self.metrics.gauge("layout.seconds_until_covered", 0.0)
         self.coverage.clear()
+        self.idle_since = None
         self.uncovered_since.clear()
 
     def _forget_plans(self) -> None:
--- a/tests/test_layout_steps.py
+++ b/tests/test_layout_steps.py
@@ -323,6 +323,23 @@
     assert site.loader.coverage == {}
 
 
+def test_coverage_is_told_for_a_while_after_it_returned(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Daemons that heard no end of the missing layers went on telling callers when to return."""
+    site = Replay(monkeypatch, {"a": {"big": 6}}, empty=False)
+    site.crash([BackendId("a-big-2")], back=True)
+    site.run(RESTART_SECONDS + 1.0)
+    released: list[float] = []
+    site.loader.lease.release = lambda: released.append(site.at)  # type: ignore[method-assign]
+    told: list[tuple[float, float | None]] = []
+    site.steps_seen = lambda: told.append((site.at, site.loader.coverage.get(SERVICE, -1.0)))
+    site.run(12.0)
+    assert site.covered()
+    covered = [at for at, moment in told if moment == 0.0]
+    assert covered[-1] - covered[0] > 1.0
+    assert released and released[0] > covered[-1]
+    assert site.loader.coverage == {}
+
+
 def test_an_order_that_is_not_carried_out_is_given_again(monkeypatch: pytest.MonkeyPatch) -> None:
     """An order whose answer was lost may never have arrived; its layers would stay missing."""
     site = Replay(monkeypatch, {"a": {"big": 6}}, empty=False)
