--- a/tests/test_layout_steps.py
+++ b/tests/test_layout_steps.py
@@ -330,11 +330,13 @@
     site.run(RESTART_SECONDS + 1.0)
     released: list[float] = []
     site.loader.lease.release = lambda: released.append(site.at)  # type: ignore[method-assign]
-    told: list[tuple[float, float | None]] = []
-    site.steps_seen = lambda: told.append((site.at, site.loader.coverage.get(SERVICE, -1.0)))
+    told: list[tuple[float, float | None, int]] = []
+    site.steps_seen = lambda: told.append(
+        (site.at, site.loader.coverage.get(SERVICE, -1.0), len(site.loader.pending_orders))
+    )
     site.run(12.0)
-    assert site.covered()
-    covered = [at for at, moment in told if moment == 0.0]
+    assert site.covered() and any(orders for _, _, orders in told)
+    covered = [at for at, moment, orders in told if moment == 0.0 and not orders]
     assert covered[-1] - covered[0] > 1.0
     assert released and released[0] > covered[-1]
     assert site.loader.coverage == {}
