--- a/bayglade/fairness.py
+++ b/bayglade/fairness.py
@@ -30,13 +30,9 @@
 
 
 class QueuedItem(Generic[EntryT]):
-    """One queued entry with its group, its cost and the latest time at which it is worth starting.
+    """One queued entry with its group, its cost and the latest time at which it is worth starting."""
 
-    :param deadline: orders entries of equal urgency and group in a queue by urgency; the latest start if
-        it is not given.
-    """
-
-    __slots__ = ("cost", "deadline", "entry", "group", "latest_start", "priority", "queued_at")
+    __slots__ = ("cost", "entry", "group", "latest_start", "priority", "queued_at")
 
     def __init__(
         self,
@@ -45,13 +41,11 @@
         cost: float,
         latest_start: float,
         entry: EntryT,
-        deadline: float | None = None,
     ) -> None:
         self.group = group
         self.priority = priority
         self.cost = cost
         self.latest_start = latest_start
-        self.deadline = latest_start if deadline is None else deadline
         self.entry = entry
         self.queued_at = now()
 
@@ -140,8 +134,8 @@
         the newest goes first instead, so that a backlog doesn't make every answer too late.
 
         In the order by urgency the highest priority over all groups goes first, then the group with the
-        least service relative to its share, then the earliest deadline. The priorities of groups do not
-        count then, as those of the entries include them.
+        least service relative to its share, then entries as above. The priorities of groups do not count
+        then, as those of the entries include them.
         """
         if not self.root.backlog:
             return None
@@ -154,10 +148,7 @@
             if child is None:
                 break
             nodes.append(child)
-        if priority is None:
-            item = _take_entry(nodes[-1], at)
-        else:
-            item = _take_earliest(nodes[-1].entries[priority])
+        item = _take_entry(nodes[-1], at, priority)
         _subtract_from_totals(nodes, item)
         return item
 
@@ -242,18 +233,17 @@
         return (priority, share) if only_priority is None else (0, share)
 
 
-def _take_entry(node: _Node[EntryT], at: float) -> QueuedItem[EntryT]:
-    priority = max(p for p, entries in node.entries.items() if entries)
+def _take_entry(node: _Node[EntryT], at: float, priority: int | None) -> QueuedItem[EntryT]:
+    """Take the next entry of a group, of one priority or of its highest one.
+
+    :param priority: the priority; None for the highest.
+    """
+    if priority is None:
+        priority = max(key for key, entries in node.entries.items() if entries)
     entries = node.entries[priority]
     return entries.pop() if entries[0].is_late(at) else entries.popleft()
 
 
-def _take_earliest(entries: deque[QueuedItem[EntryT]]) -> QueuedItem[EntryT]:
-    item = min(entries, key=lambda queued: queued.deadline)
-    entries.remove(item)
-    return item
-
-
 def _add_to_totals(nodes: list[_Node[EntryT]], item: QueuedItem[EntryT]) -> None:
     for node in nodes:
         node.backlog += 1
--- a/bayglade/wait_queues.py
+++ b/bayglade/wait_queues.py
@@ -150,7 +150,7 @@
         queue = self._queue(call.service)
         waiter = Waiter(try_reserve, restricted, should_give_up, is_hopeless)
         priority = BEGUN_PRIORITY if begun else call.priority
-        waiting = QueuedItem(call.group or ROOT, priority, token_cost(call), until, waiter, call.deadline)
+        waiting = QueuedItem(call.group or ROOT, priority, token_cost(call), until, waiter)
         queue.push(waiting)
         if not self.became_nonempty.ready():
             self.became_nonempty.send()
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -240,12 +240,17 @@
     assert served["b"] == pytest.approx(60, abs=3) and served["a/y"] == pytest.approx(90, abs=3)
 
 
-def test_by_urgency_the_earliest_deadline_of_a_group_goes_first():
-    """Guards against a returning caller, who has less time left, waiting behind newcomers."""
+@pytest.mark.parametrize(("waited", "order"), [(0.1, ["old", "new"]), (0.9, ["new", "old"])])
+def test_by_urgency_the_newest_goes_first_while_the_oldest_is_late(monkeypatch, waited, order):
+    """Guards against a backlog that makes every answer late: earliest deadline first did so in overload."""
+    at = fairness.now()
+    monkeypatch.setattr(fairness, "now", lambda: at)
     queue = by_urgency_queue()
-    for entry, latest, deadline in (("late", 5.0, None), ("early", 9.0, 3.0), ("middle", 4.0, None)):
-        queue.push(QueuedItem(GroupPath("b"), 0, 1.0, latest, entry, deadline))
-    assert drain(queue) == ["early", "middle", "late"]
+    queue.push(item("b", priority=-1, entry="less urgent"))
+    queue.push(item("b", priority=0, entry="old"))
+    monkeypatch.setattr(fairness, "now", lambda: at + waited)
+    queue.push(item("b", priority=0, entry="new"))
+    assert drain(queue) == [*order, "less urgent"]
 
 
 PRIORITIES = st.integers(-2, 1)
--- a/tests/test_wait_queues.py
+++ b/tests/test_wait_queues.py
@@ -44,7 +44,6 @@
             service=SERVICE,
             group=None,
             priority=priority,
-            deadline=now() + 60.0,
             head=CallHead(id=RequestId(name), host="h", prompt_tokens=10, max_answer_tokens=10),
         )
 
