--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -247,7 +247,7 @@
     monkeypatch.setattr(fairness, "now", lambda: at)
     queue = by_urgency_queue()
     queue.push(item("b", priority=-1, entry="less urgent"))
-    queue.push(item("b", priority=0, entry="old"))
+    queue.push(item("b", latest=at + 1.0, priority=0, entry="old"))
     monkeypatch.setattr(fairness, "now", lambda: at + waited)
     queue.push(item("b", priority=0, entry="new"))
     assert drain(queue) == [*order, "less urgent"]
