Keep the bound of loads when other holders are confirmed

_confirmed passed safe_steps only the servers that were asked. Layers that nobody was asked about then counted as lacking in the site, and only loads_at_once loads of a rebuild were ordered together.

safe_steps now takes the confirmed servers apart from those that hold layers.

--- a/bayglade/layout_steps.py
+++ b/bayglade/layout_steps.py
@@ -161,7 +161,13 @@
     }
 
 
-def safe_steps(held: Spans, wanted: Spans, pending: Pending, pipeline: Pipeline) -> Spans:
+def safe_steps(
+    held: Spans,
+    wanted: Spans,
+    pending: Pending,
+    pipeline: Pipeline,
+    confirmed: Collection[BackendId] | None = None,
+) -> Spans:
     """Choose the changes that may be ordered now.
 
     A change may be ordered if every layer that the server gives up has another
@@ -175,14 +181,19 @@
     :param wanted: the spans to reach; servers that are left out do not change.
     :param pending: orders under way; their servers get no other order.
     :param pipeline: properties of the model.
+    :param confirmed: the servers that count as other holders; all by default.
     :return: the changes to order.
     """
-    counts = _count_all(serving_spans(held, pending).values(), pipeline.layers)
+    serving = serving_spans(held, pending)
+    counts = _count_all(serving.values(), pipeline.layers)
     lacking = [layer for layer, holders in enumerate(counts) if not holders]
     loads = count_loads(held, pending)
     urgent_loads = sum(_holds_any(order.span, lacking) for order in pending.values())
     chosen: Spans = {}
-    for backend in _by_urgency(held, wanted, pending, counts):
+    order = _by_urgency(held, wanted, pending, counts)
+    if confirmed is not None:
+        counts = _count_all((serving[b] for b in confirmed if b in serving), pipeline.layers)
+    for backend in order:
         before, after = held[backend], wanted[backend]
         loading = gained_layers(before, after) > 0
         urgent = _holds_any(after, lacking)
--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -294,8 +294,7 @@
             return steps
         pool = eventlet.GreenPool(MAX_CONCURRENT_ORDERS)
         confirmed = set(pool.imap(self._confirmed_holder, sorted(asked)))
-        counted = {b: span for b, span in held.items() if b in confirmed or b in checked}
-        safe = safe_steps(counted, checked, self.pending_orders, pipeline)
+        safe = safe_steps(held, checked, self.pending_orders, pipeline, confirmed | checked.keys())
         withheld = checked.keys() - safe.keys()
         if withheld:
             event(
--- a/tests/test_layout_steps.py
+++ b/tests/test_layout_steps.py
@@ -496,6 +496,22 @@
     assert site.loader._confirmed(held, wanted, site.model, set()) == {}
 
 
+def test_confirmation_keeps_the_bound_of_loads(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Layers that nobody was asked about counted as lacking, and only ``loads_at_once`` loads of a rebuild
+    were ordered together."""
+    model = msgspec.structs.replace(pipeline(), loads_at_once=2)
+    site = Replay(monkeypatch, {"a": {"big": 12}, "b": {"big": 12}}, empty=False, model=model)
+    held = site.loader._held(SERVICE, model)
+    wanted = {
+        backend: Span(span.first - 1, span.last - 1) if span.first else Span(1, span.last + 1)
+        for backend, span in held.items()
+        if backend.startswith("a")
+    }
+    steps = safe_steps(held, wanted, {}, model)
+    assert len(steps) == MAX_LOADS_FACTOR * 2
+    assert site.loader._confirmed(held, steps, model, set()) == steps
+
+
 def test_the_lease_is_kept_while_orders_are_under_way(monkeypatch: pytest.MonkeyPatch) -> None:
     """A load takes longer than the lease lasts; another daemon would order without knowing of it."""
     site = Replay(monkeypatch, SITE, empty=True)
