Do not wait for a few silent daemons when all restart

A host that was replaced stays in the roster for some 20 s. With two thirds of the others heard, 0.6 s are enough.

A running daemon with settings that the store has lost must now be silent for 0.6 s, not 2 s, to be missed at such a restart; others still take them over once it is heard.

--- a/bayglade/catchup.py
+++ b/bayglade/catchup.py
@@ -14,6 +14,12 @@
 CATCH_UP_TIMEOUT = 2.0
 """Seconds after which a daemon that got no answer from others serves with the settings in the store,
 because the others may be gone."""
+MOST_HEARD_SECONDS = 0.6
+"""Seconds after which a daemon no longer waits for a few that are silent while most others were heard. Hosts
+that were replaced stay listed for some 20 s, and with one such row every daemon of a site that restarts as a
+whole refused all calls for the full time-out. Live daemons answer within some tenths of a second."""
+MOST_FRACTION = 2 / 3
+"""Fraction of the other daemons that most of them means. Fewer may be one side of a partition."""
 CONFIRMING_DAEMONS = 2
 """Once this many daemons that have caught up have nothing newer, no others are waited for."""
 
@@ -73,5 +79,13 @@
     def _confirmed(self, others: Set[MemberId] | None) -> bool:
         if self.intake.version < max(self.revisions.values(), default=0):
             return False
-        enough = len(self.confirming) >= CONFIRMING_DAEMONS
-        return enough or (others is not None and others <= self.revisions.keys())
+        if len(self.confirming) >= CONFIRMING_DAEMONS:
+            return True
+        if others is None:
+            return False
+        silent = others - self.revisions.keys()
+        if not silent:
+            return True
+        waited = now() - (self.known_since or now())
+        most = len(silent) < (1 - MOST_FRACTION) * len(others)
+        return most and waited >= MOST_HEARD_SECONDS
--- a/tests/test_catchup.py
+++ b/tests/test_catchup.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bayglade import catchup
-from bayglade.catchup import CATCH_UP_TIMEOUT, CatchUp
+from bayglade.catchup import CATCH_UP_TIMEOUT, MOST_HEARD_SECONDS, CatchUp
 from bayglade.exceptions import CutOff
 from bayglade.ids import MemberId, Revision
 from bayglade.intake import Intake
@@ -86,3 +86,19 @@
     assert not catch_up.check(others)
     clock.at += CATCH_UP_TIMEOUT
     assert catch_up.check(others)
+
+
+@pytest.mark.parametrize(("heard", "confirmed"), [(6, True), (4, False), (2, False)])
+def test_a_few_silent_daemons_do_not_hold_up_a_restart_of_all(
+    intake: Intake, clock: ManualClock, heard: int, confirmed: bool
+) -> None:
+    """Guards against two seconds of refusals because one host of a restarted site is gone for good."""
+    others = {MemberId(name) for name in "abcdefg"}
+    catch_up = CatchUp(intake)
+    for member in sorted(others)[:heard]:
+        catch_up.record(member, Revision(7), False)
+    assert not catch_up.check(others)
+    clock.at += MOST_HEARD_SECONDS
+    assert catch_up.check(others) == confirmed
+    clock.at += CATCH_UP_TIMEOUT
+    assert catch_up.check(others)
