--- a/bayglade/catchup.py
+++ b/bayglade/catchup.py
@@ -15,9 +15,9 @@
 """Seconds after which a daemon that got no answer from others serves with the settings in the store,
 because the others may be gone."""
 MOST_HEARD_SECONDS = 0.6
-"""Seconds after which a daemon no longer waits for a few that are silent while most others were heard. Hosts
-that were replaced stay listed for some 20 s, and with one such row every daemon of a site that restarts as a
-whole refused all calls for the full time-out. Live daemons answer within some tenths of a second."""
+"""Seconds after which a daemon no longer waits for a few that are silent while most others were heard. Live
+daemons answer within some tenths of a second. Hosts that were replaced stay listed for some 20 s, and with
+one such row every daemon of a site that restarts as a whole refused all calls for the full time-out."""
 MOST_FRACTION = 2 / 3
 """Fraction of the other daemons that most of them means. Fewer may be one side of a partition."""
 CONFIRMING_DAEMONS = 2
