Add a soak mode with demand above capacity

Cause: the soak did not press the model servers, so nothing tried admission by urgency, retry times and layout steps on real daemons under faults.

Checked are gaps of coverage, the served parts of the urgencies, Retry-After, and requests held past their deadline. One test sends absurd reports to a daemon on forged streams. Fault choices of the other modes are unchanged.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,12 +23,20 @@
 from soak.faults import (
     DEFAULT_ACTIONS,
     LIMITED_ACTIONS,
+    PRESSED_ACTIONS,
     RESTING_ACTIONS,
     RESTORED_ACTIONS,
     UNSTEADY_ACTIONS,
     FaultAction,
     FaultInjector,
 )
+from soak.pressure import (
+    PressedCallers,
+    check_pressure,
+    served_parts,
+    watch_site,
+    write_configuration,
+)
 from soak.records import Journal, Kind
 from soak.site import SoakSite
 from standins.users import KEY
@@ -58,6 +66,12 @@
     limits: int
     """Answers that announced a rate limit."""
 
+    served: dict[int, tuple[int, int]]
+    """Attempts that were served and that were made, by urgency on the wire, under pressure."""
+
+    gaps: list[float]
+    """Seconds for which the model was complete nowhere, under pressure, each time."""
+
 
 def run(
     seed: int,
@@ -70,6 +84,7 @@
     unsteady: bool = False,
     limited: bool = False,
     restored: bool = False,
+    pressed: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -84,10 +99,14 @@
     :param unsteady: whether to inject only faults that keep daemons from the store and from each other.
     :param limited: whether servers also announce rate limits.
     :param restored: whether the store is also restored from older copies.
+    :param pressed: whether callers of three urgencies ask for more than the model servers can run, which
+        crash together.
     :return: the violations found, and counts.
     """
     journal = Journal(key_versions={KEY: 0})
     with SoakSite(daemons) as site:
+        if pressed:
+            write_configuration(site)
         for daemon in site.fleet:
             daemon.process.wait_ready()
         site.wait_placed()
@@ -96,14 +115,21 @@
         )
         wait_for("all requests are served", lambda: _all_served(pool, site), RECOVER_SECONDS)
         pool.start(callers)
+        pressure, watch = PressedCallers(pool, site, seed), watch_site(site)
+        if pressed:
+            pressure.start()
+            watch.start()
         sender = RequestSender(site.choose_daemon, lambda: site.keys[-1], deadly or "")
         if deadly is not None:
             site.deadly = {CRASHING_BODY}
             sender.start()
-        FaultInjector(site, journal, seed, _select_actions(resting, unsteady, limited, restored)).run(
-            seconds
-        )
+        actions = _select_actions(resting, unsteady, limited, restored, pressed)
+        FaultInjector(site, journal, seed, actions).run(seconds)
         time.sleep(SETTLE_SECONDS)
+        if pressed:
+            pressure.stop()
+            watch.stop()
+            journal.violations += check_pressure(journal, watch)
         pool.stop()
         if deadly is not None:
             sender.stop()
@@ -122,10 +148,16 @@
         ends=len(site.crashes),
         rests=sum(len(replica.retry_after_sent) for replica in site.every_replica),
         limits=sum(len(replica.limits_announced) for replica in site.every_replica),
+        served=served_parts(journal.records),
+        gaps=[round(until - since, 2) for since, until in watch.gaps],
     )
 
 
-def _select_actions(resting: bool, unsteady: bool, limited: bool, restored: bool) -> Sequence[FaultAction]:
+def _select_actions(
+    resting: bool, unsteady: bool, limited: bool, restored: bool, pressed: bool
+) -> Sequence[FaultAction]:
+    if pressed:
+        return PRESSED_ACTIONS
     if restored:
         return RESTORED_ACTIONS
     if unsteady:
@@ -204,6 +236,11 @@
     parser.add_argument(
         "--restored", action="store_true", help="restore the store from older copies as well"
     )
+    parser.add_argument(
+        "--pressed",
+        action="store_true",
+        help="ask for more than the model servers can run, by three urgencies, while they crash together",
+    )
     parser.add_argument(
         "--keep", type=Path, default=FAILURE_FOLDER, help="directory for logs of failed seeds"
     )
@@ -222,6 +259,7 @@
             options.unsteady,
             options.limited,
             options.restored,
+            options.pressed,
         )
         failed += bool(result.broken)
         print(msgspec.json.encode(result).decode(), flush=True)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,9 @@
 
 ANSWER_SECONDS = 6.0
 """Read timeout of a caller; the longest route timeout of the stand-in is 5 s."""
+DEADLINE_SECONDS = 4.0
+PRESSED_TOKEN_COUNTS = "44,12"
+"""Tokens of the prompt and of the answer, for which :func:`with_urgencies` leaves little memory."""
 REQUESTS_PER_CONNECTION = 12
 PAUSE_SECONDS = 0.05
 OLD_KEY_FRACTION = 0.25
@@ -68,29 +71,47 @@
         for thread in self.threads:
             thread.join(2 * ANSWER_SECONDS)
 
-    def send(self, connection: http.client.HTTPConnection, daemon: str, kind: Kind, key: str) -> Record:
+    def send(
+        self,
+        connection: http.client.HTTPConnection,
+        daemon: str,
+        kind: Kind,
+        key: str,
+        urgency: int | None = None,
+        deadline: float = DEADLINE_SECONDS,
+    ) -> Record:
         """Send one request and read its answer to the end.
 
         :param connection: a new or reused connection.
         :param daemon: name and incarnation of the daemon it leads to.
         :param kind: kind of the request.
         :param key: the caller's key.
+        :param urgency: urgency on the wire, for a stream to the route of that urgency.
+        :param deadline: seconds that the caller states as the time left.
         :return: the outcome, which is added to the journal as well.
         """
         record = Record(f"q{self.seed}-{next(_numbers)}", kind, key, daemon, time.monotonic())
+        record.urgency, record.deadline = urgency, deadline
         self.journal.records.append(record)
         headers = {
             "Host": HOST_NAME,
             "X-Request-Id": record.request,
             "X-Key": key,
-            "X-Deadline-Ms": "4000",
-            "X-Token-Counts": "20,24",
+            "X-Deadline-Ms": str(round(1000 * deadline)),
+            "X-Token-Counts": "20,24" if urgency is None else PRESSED_TOKEN_COUNTS,
         }
         body = b"some words" if METHODS[kind] == "POST" else None
+        if urgency is not None:
+            # Equal requests would be held back as ones that crash servers when several servers crash.
+            body = f"some words of {record.request}".encode()
         try:
-            connection.request(METHODS[kind], f"/{kind.value}/x", body, headers)
+            connection.request(
+                METHODS[kind], f"/{kind.value}{'' if urgency is None else urgency}/x", body, headers
+            )
             answer = connection.getresponse()
             record.status = answer.status
+            if told := answer.headers.get("Retry-After"):
+                record.retry_after = float(told)
             if self.hangs_up(record):
                 answer.read(1)
                 record.error = "left"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 
 from soak.records import Fault, Journal
 from soak.site import SoakSite
-from standins.users import MODEL, PLAIN, Replica
+from standins.users import LAYERS, MODEL, PLAIN, Replica
 
 FaultAction = Callable[["FaultInjector"], None]
 
@@ -50,6 +50,12 @@
 STORE_DOWN_SECONDS = (0.02, 1.5)
 REWRITE_DELAY_SECONDS = (0.1, 1.5)
 """Time after which the operator and the servers write lost rows again."""
+CRASHED_TOGETHER = (2, 6)
+"""Number of model servers that crash together, as far as enough remain."""
+SAME_LAYER_PROBABILITY = 0.5
+"""Probability that these are all holders of a layer; random ones rarely leave a layer without a holder."""
+MIN_SERVERS_PRESSED = 1
+"""Model servers of each data hall that remain then: two can hold all layers together."""
 GRACE_SECONDS = 8.0
 REVOKE_AFTER = 1.0
 
@@ -257,6 +263,37 @@
     injector.start_fault("crash", server.id, ROW_REMOVAL_SECONDS + 2.0, work)
 
 
+def crash_together(injector: FaultInjector) -> None:
+    """Crash several model servers at once, random ones or all holders of a layer; empty ones come later."""
+    rng, site = injector.rng, injector.site
+    servers = site.of(MODEL)
+    layer, some = (
+        rng.randrange(LAYERS),
+        rng.sample(servers, min(len(servers), rng.randint(*CRASHED_TOGETHER))),
+    )
+    holders = [server for server in servers if layer in range(*server.held)]
+    chosen = holders if rng.random() < SAME_LAYER_PROBABILITY else some
+    down = injector.random_duration()
+    victims = [server for server in chosen if site.withdraw(server, MIN_SERVERS_PRESSED)]
+    if not victims:
+        return
+
+    def work() -> None:
+        for server in victims:
+            # A proxy that accepts connections would hide that the server is gone.
+            site.proxies.refuse(server.listens_at)
+            threading.Thread(target=server.die, daemon=True).start()
+        time.sleep(down)
+        for server in victims:
+            site.add_successor(server)
+        time.sleep(max(0.0, ROW_REMOVAL_SECONDS - down))
+        for server in victims:
+            site.store.drop("servers", server.id)
+
+    targets = ",".join(server.id for server in victims)
+    injector.start_fault("crash together", targets, ROW_REMOVAL_SECONDS + 2.0, work)
+
+
 def leave(injector: FaultInjector) -> None:
     """Have a server leave gracefully after its successor has joined."""
     server = injector.rng.choice(injector.site.replicas)
@@ -381,5 +418,8 @@
     stop,
 )
 
+PRESSED_ACTIONS: tuple[FaultAction, ...] = (crash_together, kill, *[reload] * 4)
+"""Harmless faults give the servers some time to load in between."""
+
 UNSTEADY_ACTIONS: tuple[FaultAction, ...] = (fail_store, fail_store, kill, pause, disturb_link)
 """Faults that cut daemons off from the store and from each other; seeds depend on the order."""
--- a/soak/records.py
+++ b/soak/records.py
@@ -30,6 +30,14 @@
     body: bytes = b""
     ended_at: float = 0.0
     error: str = ""
+    urgency: int | None = None
+    """Urgency on the wire of a request to a route of its own urgency; 0 is the most urgent."""
+
+    deadline: float = 4.0
+    """Seconds that its caller stated as the time left, as of sending."""
+
+    retry_after: float | None = None
+    """Value of ``Retry-After`` in its answer, in seconds."""
 
 
 @dataclass
--- a/soak/site.py
+++ b/soak/site.py
@@ -101,10 +101,14 @@
         chosen = next((d for d in order if false_if_unreachable(d.process.is_ready)), order[0])
         return chosen.incarnation, chosen.callers
 
-    def withdraw(self, server: Replica) -> bool:
-        """Exclude a server from further faults; return false if too few servers would remain."""
+    def withdraw(self, server: Replica, least: int = MIN_SERVERS) -> bool:
+        """Exclude a server from further faults; return false if too few servers would remain.
+
+        :param server: the server.
+        :param least: servers of its service and data hall that must remain.
+        """
         service = [r for r in self.replicas if bool(r.kind) == bool(server.kind) and r.hall == server.hall]
-        if server not in self.replicas or len(service) <= MIN_SERVERS:
+        if server not in self.replicas or len(service) <= least:
             return False
         self.replicas.remove(server)
         self.leaving.append(server)
--- a/standins/users/__init__.py
+++ b/standins/users/__init__.py
@@ -5,7 +5,17 @@
 every run of a request, so that tests can count them.
 """
 
-from standins.users.configuration import EVENTS, GROUP, HOST_NAME, KEY, MODEL, PLAIN, configuration
+from standins.users.configuration import (
+    EVENTS,
+    GROUP,
+    HOST_NAME,
+    KEY,
+    LAYERS,
+    MODEL,
+    PLAIN,
+    configuration,
+    with_urgencies,
+)
 from standins.users.daemon import Daemon, exchange, false_if_unreachable
 from standins.users.replica import Replica
 from standins.users.site import UsersSite
@@ -15,6 +25,7 @@
     "GROUP",
     "HOST_NAME",
     "KEY",
+    "LAYERS",
     "MODEL",
     "PLAIN",
     "Daemon",
@@ -23,4 +34,5 @@
     "configuration",
     "exchange",
     "false_if_unreachable",
+    "with_urgencies",
 ]
--- a/standins/users/configuration.py
+++ b/standins/users/configuration.py
@@ -1,5 +1,6 @@
 """The configuration that the operator of the stand-in writes to the store."""
 
+from collections.abc import Sequence
 from typing import Any
 
 LAYERS = 12
@@ -63,3 +64,25 @@
         },
         "tenants": [{"name": GROUP, "apiKeys": list(keys), "priority": 1}],
     }
+
+
+def with_urgencies(document: dict[str, Any], urgencies: Sequence[int]) -> dict[str, Any]:
+    """Return a configuration with a streamed route of the model for each urgency, and little cache memory.
+
+    The cache of a server that holds half of the layers has room for two requests of 50 tokens, so that few
+    callers ask for more than all servers can run.
+
+    :param document: a configuration by :func:`configuration`.
+    :param urgencies: urgencies as on the wire, 0 is the most urgent; the path prefix of a route ends in it.
+    """
+    routes = document["routes"]
+    stream = next(route for route in routes if route["service"] == MODEL)
+    added = [
+        {**stream, "name": f"s{urgency}", "pathPrefix": f"/stream{urgency}/", "priority": urgency}
+        for urgency in urgencies
+    ]
+    engine = {**document["services"][0]["engine"], "kvCapacity": 100, "kvTokenBytes": 120e6}
+    services = [{**document["services"][0], "engine": engine}, *document["services"][1:]]
+    # The priority of a tenant would override that of the routes.
+    tenants = [{name: tenant[name] for name in ("name", "apiKeys")} for tenant in document["tenants"]]
+    return {**document, "routes": [*routes, *added], "services": services, "tenants": tenants}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,17 +1,27 @@
 """Soak test: short runs that must find no violation, and violations that its checks must find."""
 
+import math
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 
+from bayglade.config import parse_address
+from bayglade.entries.streams import dial
+from bayglade.entries.wire import Heartbeat, ServiceReport
+from bayglade.ids import MemberId, Revision, ServiceName
+from bayglade.platform.store import MEMBERS_TABLE
+from bayglade.roster import MEMBER_PREFIX, SECRET_KEY
 from soak.__main__ import run
 from soak.checks import DRAIN_SECONDS, KEY_SECONDS, UNDISTURBED_SECONDS, check, stale_beliefs
 from soak.crashing_requests import contact_predicate, excess_crashes, trace_crashes
+from soak.pressure import MAX_UNCOVERED_SECONDS, MIN_ASKED, CoverageWatch, check_pressure
 from soak.records import Fault, Journal, Kind, Record
 from soak.site import SoakDaemon
-from standins.users import EVENTS
+from standins.users import EVENTS, LAYERS, MODEL, UsersSite
 from standins.users.replica import LimitAnnounced, LimitChange, RetryAfterSent
 from standins.users.site import ServerCrash
+from standins.world import wait_for
 
 SECONDS = 8.0
 KEY, GONE_KEY = "key", "gone-key"
@@ -334,3 +344,119 @@
 
 def test_daemons_with_stale_state_are_found() -> None:
     assert len(stale_beliefs(StaleSite())) == 2  # type: ignore[arg-type]
+
+
+def pressed_records(*served: int) -> list[Record]:
+    """Make attempts of each urgency, of which the given numbers are served."""
+    return [
+        a_record(Kind.STREAM, urgency=urgency, status=200 if number < count else 503, retry_after=0.5)
+        for urgency, count in enumerate(served)
+        for number in range(2 * MIN_ASKED)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("served", "word"),
+    [
+        ((60, 50, 40), ""),
+        ((40, 50, 41), "urgency"),
+        ((60, 50, 5), "urgency"),
+        ((50, 5, 40), "urgency"),
+    ],
+    ids=["by urgency", "most urgent less", "least urgent hardly", "another hardly"],
+)
+def test_urgencies_that_are_served_too_little_are_found(served: tuple[int, ...], word: str) -> None:
+    journal = Journal(records=pressed_records(*served))
+    found = check_pressure(journal, CoverageWatch(list))
+    assert [line.partition(":")[0] for line in found] == ([word] if word else [])
+
+
+@pytest.mark.parametrize(
+    ("changes", "word"),
+    [
+        ({"retry_after": 1.4}, ""),
+        ({"retry_after": 1.6}, "retry"),
+        ({"retry_after": 0.0}, "retry"),
+        ({"retry_after": -1.0}, "retry"),
+        ({"retry_after": math.nan}, "retry"),
+        ({"retry_after": None}, "retry"),
+        ({"ended_at": 104.2, "retry_after": 0.1}, ""),
+        ({"ended_at": 104.4, "retry_after": 0.1}, "held"),
+        ({"ended_at": 104.4, "status": 502}, "held"),
+    ],
+)
+def test_wrong_retry_times_and_requests_held_too_long_are_found(
+    changes: dict[str, object], word: str
+) -> None:
+    record = a_record(Kind.STREAM, **{"status": 503, "urgency": 0, **changes})
+    found = check_pressure(Journal(records=[record]), CoverageWatch(list))
+    assert [line.partition(":")[0] for line in found] == ([word] if word else [])
+
+
+@pytest.mark.parametrize(
+    ("spans", "seconds", "found"),
+    [
+        ([(0, 6), (0, 6)], MAX_UNCOVERED_SECONDS + 0.1, True),
+        ([(0, 6), (0, 6)], MAX_UNCOVERED_SECONDS - 0.1, False),
+        ([(0, 0), (0, 0)], MAX_UNCOVERED_SECONDS + 0.1, True),
+        ([(0, 6), (6, LAYERS)], MAX_UNCOVERED_SECONDS + 0.1, False),
+        ([(0, 6)], MAX_UNCOVERED_SECONDS + 0.1, False),
+    ],
+    ids=["missing long", "missing shortly", "all empty", "complete", "too few servers"],
+)
+def test_a_model_that_is_complete_nowhere_for_long_is_found(
+    spans: list[tuple[int, int]], seconds: float, found: bool
+) -> None:
+    held = spans
+    watch = CoverageWatch(lambda: held)
+    watch.sample(100.0)
+    held = [(0, LAYERS), (0, LAYERS)]
+    watch.sample(100.0 + seconds)
+    lines = check_pressure(Journal(), watch)
+    assert bool([line for line in lines if line.startswith("coverage")]) is found
+
+
+ABSURD_REPORTS = {
+    "forger-0": "no list",
+    "forger-1": [[MODEL, 0, -5]],
+    "forger-2": [[MODEL, 0, 0, 0, math.nan]],
+    "forger-3": [[MODEL, 0, 0, 0, 0.0, math.inf]],
+    "forger-4": [[MODEL, 0, 0, 0, 0.0, 0.0, 1e300]],
+    "forger-5": [{"service": 7}],
+}
+"""By daemon, because a daemon logs only one refusal a second of each other one."""
+
+
+def test_a_daemon_refuses_absurd_reports_and_goes_on() -> None:
+    """Guards against a daemon that breaks off the stream of, or decides by, reports with absurd numbers."""
+
+    def beat(reports: object) -> Heartbeat:
+        return Heartbeat(
+            revision=Revision(0), draining=False, usage=[], leaving=[], held=[], reports=reports
+        )
+
+    with UsersSite() as site:
+        row = {"address": "127.0.0.1:1", "hall": "hall-0"}
+        for forger in ABSURD_REPORTS:
+            site.store.put(MEMBERS_TABLE, MEMBER_PREFIX + forger, row)
+        daemon = site.start()
+        rows = {key: value for (_, key), (_, value) in site.store.rows.items() if value is not None}
+        secret = msgspec.json.decode(rows[SECRET_KEY]).encode()
+        address = parse_address(msgspec.json.decode(rows[MEMBER_PREFIX + "d0"])["address"])
+        streams = {forger: dial(address, MemberId(forger), secret) for forger in ABSURD_REPORTS}
+        for forger, stream in streams.items():
+            stream.send(beat(ABSURD_REPORTS[forger]))
+        wait_for(
+            "all are refused",
+            lambda: {entry["peer"] for entry in daemon.lines("report refused")} == set(ABSURD_REPORTS),
+        )
+        assert daemon.beliefs()["demand"] == []
+        for stream in streams.values():
+            stream.send(beat([ServiceReport(ServiceName(MODEL), 0, 3)]))
+        wait_for(
+            "valid reports on the same streams are taken in",
+            lambda: [line["waiting"] for line in daemon.beliefs()["demand"]] == [3 * len(streams)],
+        )
+        for stream in streams.values():
+            stream.close()
+        assert daemon.popen.poll() is None
