Run the pressed soak without proxies

Change: the site of this mode has no proxies, as none of its faults needs them. No bound of a check changes.

Run: the tests of test_soak.py without daemons under faults pass.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -104,7 +104,7 @@
     :return: the violations found, and counts.
     """
     journal = Journal(key_versions={KEY: 0})
-    with SoakSite(daemons) as site:
+    with SoakSite(daemons, proxied=not pressed) as site:
         if pressed:
             write_configuration(site)
         for daemon in site.fleet:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -280,8 +280,6 @@
 
     def work() -> None:
         for server in victims:
-            # A proxy that accepts connections would hide that the server is gone.
-            site.proxies.refuse(server.listens_at)
             threading.Thread(target=server.die, daemon=True).start()
         time.sleep(down)
         for server in victims:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -33,7 +33,6 @@
         """Connections up to this number stay open but pass no more bytes."""
 
         self.writers: set[asyncio.StreamWriter] = set()
-        self.listener: asyncio.Server
 
     def __repr__(self) -> str:
         return f"<Link {self.address} to {self.target}>"
@@ -75,10 +74,6 @@
         """Reset all connections of a link."""
         self.loop.call_soon_threadsafe(_reset_all, link)
 
-    def refuse(self, target: str) -> None:
-        """Refuse all further connections to an address, as the host of a crashed server does."""
-        self.loop.call_soon_threadsafe(self.links[target].listener.close)
-
     def stop(self) -> None:
         """Close all proxies."""
         asyncio.run_coroutine_threadsafe(_cancel_all(), self.loop).result(10)
@@ -87,8 +82,8 @@
         self.loop.close()
 
     async def _open(self, link: Link) -> None:
-        link.listener = await asyncio.start_server(lambda r, w: _serve(link, r, w), HOST, 0, backlog=256)
-        host, port = link.listener.sockets[0].getsockname()
+        server = await asyncio.start_server(lambda r, w: _serve(link, r, w), HOST, 0, backlog=256)
+        host, port = server.sockets[0].getsockname()
         link.address = f"{host}:{port}"
 
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -22,11 +22,11 @@
         self.site = site
         self.name = f"d{number}"
         self.hall = f"hall-{number % 2}"
-        self.store = site.proxies.front(site.store.server.address)
+        self.store = site.front(site.store.server.address)
         self.starts = 0
         self.lock = threading.Lock()
         self.process = self._start_process()
-        self.callers = site.proxies.front(self.process.callers)
+        self.callers = site.front(self.process.callers)
 
     def __repr__(self) -> str:
         return f"<SoakDaemon {self.incarnation}>"
@@ -82,16 +82,22 @@
 
 
 class SoakSite(UsersSite):
-    """Servers in two data halls, behind proxies, and daemons that can be restarted."""
+    """Servers in two data halls, behind proxies, and daemons that can be restarted.
 
-    def __init__(self, daemons: int) -> None:
+    :param daemons: number of daemons.
+    :param proxied: whether there are proxies. Without them addresses of crashed servers refuse connections,
+        and requests arrive sooner while the process of the stand-in is busy.
+    """
+
+    def __init__(self, daemons: int, proxied: bool = True) -> None:
         self.proxies = Proxies()
         self.numbers = itertools.count(100)
         self.keys = [KEY]
         self.old_keys: deque[str] = deque(maxlen=OLD_KEYS_KEPT)
         """Recently revoked keys; callers go on using them now and then."""
 
-        super().__init__(halls=2, stages=6, plain=5, front=self.proxies.front)
+        front = self.proxies.front if proxied else str
+        super().__init__(halls=2, stages=6, plain=5, front=front)
         self.fleet = [SoakDaemon(self, number) for number in range(daemons)]
 
     def choose_daemon(self) -> tuple[str, str] | None:
