--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,13 @@
 from soak.__main__ import run
 from soak.checks import DRAIN_SECONDS, KEY_SECONDS, UNDISTURBED_SECONDS, check, stale_beliefs
 from soak.crashing_requests import contact_predicate, excess_crashes, trace_crashes
-from soak.pressure import MAX_UNCOVERED_SECONDS, MIN_ASKED, CoverageWatch, check_pressure
+from soak.pressure import (
+    MAX_UNCOVERED_SECONDS,
+    MIN_ASKED,
+    URGENCIES,
+    CoverageWatch,
+    check_pressure,
+)
 from soak.records import Fault, Journal, Kind, Record
 from soak.site import SoakDaemon
 from standins.users import EVENTS, LAYERS, MODEL, UsersSite
@@ -346,6 +352,18 @@
     assert len(stale_beliefs(StaleSite())) == 2  # type: ignore[arg-type]
 
 
+PRESSED_SEED = 3
+
+
+def test_urgencies_refusals_and_coverage_hold_under_pressure() -> None:
+    """Guards against a model that stays incomplete after crashes, urgent requests that are served less than
+    others, and refusals with a ``Retry-After`` that callers cannot honour."""
+    result = run(seed=PRESSED_SEED, seconds=SECONDS, daemons=3, callers=2, pressed=True)
+    assert result.broken == []
+    assert result.faults["crash together"] > 0
+    assert all(result.served[urgency][1] >= MIN_ASKED for urgency in URGENCIES)
+
+
 def pressed_records(*served: int) -> list[Record]:
     """Make attempts of each urgency, of which the given numbers are served."""
     return [
