--- a/bayglade/path_waiting.py
+++ b/bayglade/path_waiting.py
@@ -92,6 +92,26 @@
     # Asked only where there is no room, so that admission never refuses while places are free.
     if _asks_admission(call, attempts) and not context.admission.admits(call):
         raise refuse_unadmitted(context, call)
+    return _await_path(context, call, pipeline, attempts, avoided, last_event_at, coverage, try_reserve)
+
+
+def _await_path(
+    context: RelayContext,
+    call: Call,
+    pipeline: Pipeline,
+    attempts: Attempts,
+    avoided: frozenset[BackendId],
+    last_event_at: float | None,
+    coverage: float | None,
+    try_reserve: Callable[[], Path | None],
+) -> Path | None:
+    """Wait for a path if the forecast says that there is one in time, and set what a refusal is to tell.
+
+    :param last_event_at: when the caller got the last event; None if it has none yet.
+    :param coverage: seconds until servers that the call may use cover all layers; None if not known.
+    :param try_reserve: reserves a path if there is room.
+    :return: the reserved path, or None if there was none in time.
+    """
     # A call that may have run cannot be rejected as not run, so it also waits for layers being loaded.
     covered_in = coverage or 0.0
     since = call.arrived if last_event_at is None else last_event_at
