--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -35,7 +35,7 @@
 from bayglade.quarantine import Quarantine
 from bayglade.refusals import Refusals
 from bayglade.retries import RetryBudget, jittered_retry_after
-from bayglade.room_forecast import MAX_RETRY_FRACTION, CapacityEstimates, retry_after
+from bayglade.room_forecast import CapacityEstimates, retry_after
 from bayglade.servers import Server
 from bayglade.service_reports import ServiceReports
 from bayglade.stall_timeouts import StallTimeouts
@@ -279,7 +279,7 @@
     def _retry_after(self, seconds: float, rng: random.Random) -> float:
         if self.by_forecast:
             return retry_after(seconds, self.call.seconds_left(), rng)
-        return min(jittered_retry_after(seconds, rng), MAX_RETRY_FRACTION * self.call.seconds_left())
+        return jittered_retry_after(seconds, rng)
 
     def outcome(self) -> Outcome:
         """Return the combined outcome of all sends."""
