Count connects to backend servers by outcome, and log changes of readiness

Neither logs nor metrics told how many servers they still reached, how connects failed, or what the balancer heard between two scrapes, so a partition looked the same as many servers that end. No decision has changed.

--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -52,6 +52,7 @@
 from bayglade.paths import PathSelector
 from bayglade.peering import Peering
 from bayglade.quarantine import Quarantine
+from bayglade.reachability import Reachability
 from bayglade.readers import Role
 from bayglade.refusals import Refusals
 from bayglade.relay import RelayContext
@@ -119,6 +120,8 @@
         rows = EpochGuardedTable(self.store, self.history)
         self.fleet = Fleet(HEARTBEATS_MISSED * config.server_heartbeat_ms / 1000 + EXPIRY_MARGIN_SECONDS)
         self.links = ConnectionPool()
+        self.reachability = Reachability(self.fleet, self.metrics)
+        self.links.on_connect = self.reachability.note_connect
         self.fleet.on_restart.append(self.links.close_idle)
         self.control = platform.ControlClient(self.links)
         self.diagnosis = Diagnosis(self.fleet, self.control, self.rng)
@@ -207,6 +210,9 @@
         self.loader.daemons = self.peering.count
         link_feeds(self._feeds())
         self.presence = DisconnectWatcher(self.metrics)
+        self.was_ready = False
+        """Whether the last readiness probe was answered with success."""
+
         self.demand_gauges: set[str] = set()
         """Names of the gauges of demand that are set."""
 
@@ -310,6 +316,9 @@
             connection.send_response(404, [], b"")
             return
         ready = self.ready()
+        if ready is not self.was_ready:
+            self.was_ready = ready
+            event("INFO", "readiness changed", ready=ready)
         connection.send_response(200 if ready else 503, [], b"ready" if ready else b"not ready")
 
     def _serve_metrics(self, connection: Connection, message: Message) -> None:
@@ -442,6 +451,7 @@
 
     def _update_gauges(self) -> None:
         self.metrics.gauge("in_flight", len(self.active_requests))
+        self.reachability.update_gauges()
         self.peers.admission.refresh()
         self.metrics.gauge("waiting", self.wait_queues.waiting())
         self.metrics.gauge("settings_version", self.intake.version)
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -55,6 +55,9 @@
         self.on_refused: Callable[[BackendId, str], None] = lambda backend, address: None
         """Called for each server at whose address a connect is refused: nothing listens there."""
 
+        self.on_connect: Callable[[BackendId, OSError | None], None] = lambda backend, error: None
+        """Called after each connect with its error; None if it succeeded."""
+
         self.trusted_from = 0.0
         """Connections that were last used before this time are not reused."""
 
@@ -162,6 +165,7 @@
             sock.connect((where.host, where.port))
         except OSError as error:
             sock.close()
+            self.on_connect(backend, error)
             if isinstance(error, ConnectionRefusedError):
                 self.on_refused(backend, address)
             raise BackendUnreachable(f"cannot connect: {error}", step="connect", peer=backend) from error
@@ -169,6 +173,7 @@
             sock.close()
             raise
         self.opened += 1
+        self.on_connect(backend, None)
         return PooledConnection(sock)
 
 
