--- a/standins/users/__init__.py
+++ b/standins/users/__init__.py
@@ -17,6 +17,7 @@
     with_urgencies,
 )
 from standins.users.daemon import Daemon, exchange, false_if_unreachable
+from standins.users.partitions import Partition
 from standins.users.replica import Replica
 from standins.users.site import UsersSite
 
@@ -29,6 +30,7 @@
     "MODEL",
     "PLAIN",
     "Daemon",
+    "Partition",
     "Replica",
     "UsersSite",
     "configuration",
--- a/standins/users/daemon.py
+++ b/standins/users/daemon.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from standins.users.configuration import MODEL
+from standins.users.partitions import FILE_VARIABLE, Partition, PartitionFile
 from standins.users.web import HOST
 from standins.world import STOP_TIMEOUT, free_port, wait_for
 
@@ -31,6 +32,7 @@
     def __init__(
         self, site: "UsersSite", name: str, hall: str, settings: dict[str, Any], file: str = ""
     ) -> None:
+        self.site = site
         self.callers = f"{HOST}:{free_port()}"
         self.ready = f"{HOST}:{free_port()}"
         self.metrics = f"{HOST}:{free_port()}"
@@ -41,7 +43,7 @@
             "ready": self.ready,
             "metrics": self.metrics,
             "store": site.store.server.address,
-            "peer_ports": f"{free_port()},0",
+            "peer_ports": f"{free_port()},{free_port()}",
             **settings,
         }
         self.callers, self.ready = self.settings["callers"], self.settings["ready"]
@@ -49,9 +51,16 @@
         self.file = site.folder / f"{file or name}.yaml"
         self.log = site.folder / f"{file or name}.log"
         self.write()
+        self.links = PartitionFile(site.folder / f"{file or name}.links")
+        self.partition(Partition.NONE)
+        command = ["standins.users.partitions"] if site.partitionable else ["bayglade", "gateway"]
         self.popen = subprocess.Popen(
-            [sys.executable, "-m", "bayglade", "gateway"],
-            env={**os.environ, "BAYGLADE_NODE_FILE": str(self.file)},
+            [sys.executable, "-m", *command],
+            env={
+                **os.environ,
+                "BAYGLADE_NODE_FILE": str(self.file),
+                FILE_VARIABLE: str(self.links.path),
+            },
             stdout=self.log.open("wb"),
             stderr=subprocess.STDOUT,
         )
@@ -60,6 +69,11 @@
         """Rewrite the settings file."""
         self.file.write_text(msgspec.json.encode(self.settings).decode(), encoding="utf-8")
 
+    def partition(self, partition: Partition) -> None:
+        """Cut or restore its links to all backend servers; the site must be partitionable."""
+        ports = [int(port) for d in self.site.daemons for port in d.settings["peer_ports"].split(",")]
+        self.links.write(partition, ports)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal."""
         self.popen.send_signal(number)
--- a/standins/users/site.py
+++ b/standins/users/site.py
@@ -37,6 +37,7 @@
     :param stages: number of model servers in each hall.
     :param plain: number of servers of the plain service, all in the first hall.
     :param front: puts a proxy in front of an address, and returns the address of the proxy.
+    :param partitionable: whether the links of each daemon to the servers can be cut.
     """
 
     def __init__(
@@ -45,12 +46,14 @@
         stages: int = 4,
         plain: int = 2,
         front: Callable[[str], str] = lambda address: address,
+        partitionable: bool = False,
     ) -> None:
         self.ports_before = reserved_ports()
         self.store = MetadataStore()
         self.front = front
         """Returns the address at which daemons reach a server that listens at another."""
 
+        self.partitionable = partitionable
         self.replicas: list[Replica] = []
         self.leaving: list[Replica] = []
         """Servers that are leaving or gone."""
