Tell a daemon's own isolation from the end of servers

Their probes had found a local fault after 0.15 s, and nothing acted on it.

Cause: one's own reach is taken for the state of the servers. Now failed connects to two servers of a service are followed by a check of three others, at most once a second. If none answers, the daemon is isolated from that service until servers answer in two consecutive rounds. Meanwhile its failures make no server suspect, suspicions since the first failure are dropped, refused connects are no evidence that a request has ended a server (that word spreads to all daemons), and it leaves lease and orders to others.

Callers of such a daemon are still refused; that comes next.

--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -1,7 +1,7 @@
 """The fleet: all backend servers that the platform lists, with the state that this daemon keeps of them."""
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Set
 
 import msgspec
 
@@ -62,6 +62,9 @@
         self.on_leaving_announced: Callable[[Server], None] = lambda server: None
         """Called with each server that announced in an answer that it leaves."""
 
+        self.is_isolated: Callable[[ServiceName], bool] = lambda service: False
+        """Tells whether this daemon reaches no server of a service, so that failures are its own."""
+
         self.last_added_at = 0.0
         """When a server or a new incarnation of one was last added."""
 
@@ -196,6 +199,8 @@
         :param reason: the failure, for the log.
         :return: whether the server is now suspect.
         """
+        if self.is_isolated(server.facts.service):
+            return False
         at = now()
         server.failures += 1
         peers = self.of_service(server.facts.service)
@@ -221,6 +226,20 @@
         self.change_count += 1
         event("INFO", "server trusted", peer=server.facts.id, reason=reason)
 
+    def clear_recent_suspicions(self, service: ServiceName, since: float, failed: Set[BackendId]) -> None:
+        """Trust servers again that became suspect because this daemon reached none of them.
+
+        :param service: the service from which it is isolated.
+        :param since: when the first connect failed, in monotonic seconds.
+        :param failed: the servers that did not answer since.
+        """
+        at = now()
+        for server in self.of_service(service):
+            recent = server.suspect_since >= since if server.suspect else server.facts.id in failed
+            if recent and not server.healthy(at):
+                server.failures = 0
+                self.clear_suspicion(server, "this daemon is isolated")
+
     def update_pace(self, server: Server, pace: float) -> None:
         """Store the pace that a server reports, if it has changed noticeably."""
         if abs(pace - server.pace) > MIN_PACE_CHANGE:
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -60,10 +60,11 @@
 from bayglade.retries import jittered_retry_after
 from bayglade.rows import Changes
 from bayglade.server_termination import watch_server_termination
+from bayglade.servers import Server
 from bayglade.service_reports import ServiceReports, gauge_name
 from bayglade.settings import CallerLimits
 from bayglade.streams import relay_stream
-from bayglade.upstream import ConnectionPool
+from bayglade.upstream import CONNECT_SECONDS, ConnectionPool
 from bayglade.usage import Usage
 from bayglade.wait_queues import WaitQueues
 from bayglade.wholes import relay_buffered
@@ -120,8 +121,9 @@
         rows = EpochGuardedTable(self.store, self.history)
         self.fleet = Fleet(HEARTBEATS_MISSED * config.server_heartbeat_ms / 1000 + EXPIRY_MARGIN_SECONDS)
         self.links = ConnectionPool()
-        self.reachability = Reachability(self.fleet, self.metrics)
+        self.reachability = Reachability(self.fleet, self._server_answers, self.metrics, self.rng)
         self.links.on_connect = self.reachability.note_connect
+        self.fleet.is_isolated = self.reachability.is_isolated
         self.fleet.on_restart.append(self.links.close_idle)
         self.control = platform.ControlClient(self.links)
         self.diagnosis = Diagnosis(self.fleet, self.control, self.rng)
@@ -153,7 +155,7 @@
         self.usage = Usage()
         self.wait_queues = WaitQueues(self.usage, self.intake.share_of)
         self.quarantine = Quarantine(secrets.token_bytes(FINGERPRINT_KEY_BYTES), self.rng)
-        watch_server_termination(self.fleet, self.links, self.diagnosis, self.quarantine)
+        watch_server_termination(self.fleet, self.links, self.diagnosis, self.quarantine, self.reachability)
         self.peers = RelayContext(
             fleet=self.fleet,
             paths=PathSelector(self.fleet, config.hall, config.without, self.rng),
@@ -194,6 +196,7 @@
             pair_servers=Mechanism.PAIRS not in config.without,
             tries_first=lambda: self.peering.reads_store() and self.document_feed.failing_since is None,
         )
+        self.loader.is_isolated = lambda: any(map(self.reachability.is_isolated, self.intake.pipelines()))
         self.peers.reports.own_coverage = lambda: getattr(self.loader, "coverage", {})
         self.peering = Peering(
             config,
@@ -311,6 +314,13 @@
             layout=layout_belief(self.metrics, len(self.loader.pending_orders)),
         )
 
+    def _server_answers(self, server: Server) -> bool:
+        """Return whether a server answers on a new connection."""
+        facts = server.facts
+        if facts.accelerator is None:
+            return self.links.probe(facts.id, facts.address)
+        return self.control.report(facts.id, facts.address, CONNECT_SECONDS, anew=True) is not None
+
     def _serve_readiness(self, connection: Connection, message: Message) -> None:
         if message.target != platform.READY_PATH:
             connection.send_response(404, [], b"")
--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -105,6 +105,10 @@
         self.daemons: Callable[[], int] = lambda: 1
         """Returns how many daemons check for missing layers."""
 
+        self.is_isolated: Callable[[], bool] = lambda: False
+        """Returns whether this daemon cannot reach the servers, so that another one has to give the
+        orders."""
+
         self.pending_orders: dict[BackendId, PendingOrder] = {}
         fleet.on_restart.append(self._forget_order)
         self.layouts: dict[ServiceName, LayoutState] = {}
@@ -152,6 +156,9 @@
         :return: false if something is missing and this daemon does not hold the lease.
         :raises PlatformUnavailable: when the lease cannot be read or written.
         """
+        if self.is_isolated():
+            self._leave_to_others()
+            return False
         at = now()
         self._forget_failed_orders(at)
         self._check_loading(at)
@@ -183,6 +190,14 @@
                 self.complete_state = state
         return True
 
+    def _leave_to_others(self) -> None:
+        """Give up the lease and all plans, because no order would arrive."""
+        self.pending_orders.clear()
+        self.silent_until.clear()
+        self._forget_plans()
+        self.work_since = None
+        self.lease.release()
+
     def _tells_coverage(self, pipelines: dict[ServiceName, Pipeline], at: float) -> bool:
         """Update the coverage after the last work; return whether it is to be told for longer."""
         if not self.coverage or self.lease.seconds_left() <= 0:
