Serve calls of a daemon that reaches no server through another daemon

Cause: a daemon had no way to a server but its own. Now an isolated daemon forwards calls over HTTP to a daemon that accepts them, at the last port of the range for daemons: one hop, sealed with the shared secret, with the time left, the servers used before, the event to resume after and the oldest settings that may apply. The other daemon serves the call as one of its own callers', so that keys, stops, limits, shares and retries count there once. A refusal for its own state, or a failed connect, leads to the next daemon; bytes whose answer is lost may have run. A begun stream is resumed the same way. Daemons tell in heartbeats from which services they are isolated, and such a daemon is not ready.

--- a/bayglade/calls.py
+++ b/bayglade/calls.py
@@ -1,6 +1,6 @@
 """Calls of callers to endpoints, and their translation to and from the HTTP of either side."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -49,6 +49,12 @@
     fingerprint: Fingerprint | None = None
     """Identifies the content of the request; computed when first needed."""
 
+    forwarded: bool = False
+    """Whether another daemon forwarded it; it is not forwarded again."""
+
+    earlier_servers: Sequence[BackendId] = ()
+    """Servers that the other daemon sent it to before."""
+
     def __repr__(self) -> str:
         return f"<Call {self.head.id} to {self.service}>"
 
--- a/bayglade/config.py
+++ b/bayglade/config.py
@@ -80,7 +80,8 @@
     """Address of the platform's metadata store."""
 
     peer_ports: str = ""
-    """Port range for streams from other gateways, as its first and last port; only the first is used."""
+    """Ports for other gateways, as the first and last of a range: streams arrive at the first, forwarded
+    calls at the last. A last port of 0 switches forwarding off."""
 
     grace_seconds: float = 8.0
     """Time between the termination signal and the platform killing the process."""
--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -20,7 +20,7 @@
 from bayglade.entries import streams, wire
 from bayglade.entries.ring import HEARTBEAT_INTERVAL, neighbours, rows_per_heartbeat
 from bayglade.exceptions import BaygladeError, PeerError
-from bayglade.ids import BackendId, Digest, MemberId, Revision
+from bayglade.ids import BackendId, Digest, MemberId, Revision, ServiceName
 from bayglade.logs import event
 from bayglade.metrics import Metrics
 from bayglade.revisions import Current
@@ -141,6 +141,9 @@
         self.coverage_for: Callable[[MemberId], list[wire.Coverage]] = lambda member: []
         """Returns the expected times of coverage to send to another daemon."""
 
+        self.isolated: Callable[[], list[ServiceName]] = list
+        """Returns the services of which this daemon reaches no server."""
+
         self.before_heartbeats: Callable[[], None] = lambda: None
         """Called before each round of heartbeats."""
 
@@ -352,6 +355,7 @@
             hall_reports=reports.hall,
             all_reports=reports.everywhere,
             coverage=self.coverage_for(member_id),
+            isolated=self.isolated(),
         )
 
     def _receive(self, connection: socket.socket) -> None:
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -221,6 +221,9 @@
     coverage: Any = []
     """A list of :class:`Coverage`, from the daemon that issues the orders or relayed by a reader."""
 
+    isolated: list[ServiceName] = []
+    """Services of which the sender reaches no server."""
+
 
 class Findings(msgspec.Struct, frozen=True, tag="s", array_like=True):
     """Relays observations about servers immediately.
--- a/bayglade/exceptions.py
+++ b/bayglade/exceptions.py
@@ -136,6 +136,44 @@
     code, status, default_outcome = "cut_off", 503, Outcome.NOT_RUN
 
 
+class Isolated(BaygladeError):
+    """This daemon reaches no backend server of the service, and may not forward the request."""
+
+    code, status, default_outcome = "isolated", 503, Outcome.NOT_RUN
+
+
+class SettingsBehind(BaygladeError):
+    """This daemon's settings are older than those under which a forwarded request was accepted."""
+
+    code, status, default_outcome = "settings_behind", 503, Outcome.NOT_RUN
+
+
+class PeerRefused(BaygladeError):
+    """Another daemon answered a forwarded request with an error of its own, which is passed on.
+
+    :param message: human-readable description.
+    :param code: the code of its error.
+    :param status: the status of its answer.
+    :param peer: the daemon.
+    :param retry_after: the seconds that it named, if any.
+    :param outcome: whether the request was executed.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        code: str,
+        status: int,
+        peer: str,
+        retry_after: float | None,
+        outcome: Outcome,
+    ) -> None:
+        super().__init__(message, step="forward", peer=peer, retry_after=retry_after, outcome=outcome)
+        self.code = code
+        self.status = status
+
+
 class RequestStopped(BaygladeError):
     """The request is blocked, as backend servers went down repeatedly while running it."""
 
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -28,10 +28,20 @@
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
 from bayglade.diagnosis import Diagnosis
 from bayglade.disconnects import CallerDisconnected, DisconnectWatcher
+from bayglade.entries.forwards import FORWARD_HEADER, SETTINGS_HEADER, decode_forwarded
 from bayglade.epochs import EpochGuardedTable, StoreHistory
-from bayglade.exceptions import BaygladeError, InvalidSettings, Outcome, Stopping
+from bayglade.exceptions import (
+    BaygladeError,
+    InvalidSettings,
+    Isolated,
+    Outcome,
+    PeerError,
+    SettingsBehind,
+    Stopping,
+)
 from bayglade.feeds import Feed, link_feeds
 from bayglade.fleet import Fleet
+from bayglade.forwarding import Forwarding
 from bayglade.freshness import (
     MIN_BOUND_SECONDS,
     answer_timeout,
@@ -173,6 +183,18 @@
             reports=ServiceReports(config.member),
             refusals=Refusals(config.member),
         )
+        self.peers.reachability = self.reachability
+        self.peers.forwarding = Forwarding(
+            config.member,
+            self.reachability.is_isolated,
+            lambda: self.peering.forward_addresses(),
+            lambda: self.peering.secret(),
+            lambda: self.intake.version,
+            lambda message: dialect.read_answer(message).request,
+            self.metrics,
+            self.rng,
+        )
+        self.peers.forwarding.enabled = Mechanism.FORWARDING not in config.without
         self.peers.paths.has_idle_connection = self.links.has_idle
         self.peers.admission = AdmissionLevels(
             self.peers.reports.totals,
@@ -211,6 +233,7 @@
             self.rng,
         )
         self.loader.daemons = self.peering.count
+        self.reachability.on_change = self.peering.announce_isolation
         link_feeds(self._feeds())
         self.presence = DisconnectWatcher(self.metrics)
         self.was_ready = False
@@ -247,6 +270,8 @@
         self._start_listener(self.config.ready, lambda: INTERNAL_CLIENT_LIMITS, self._serve_readiness)
         self._start_listener(self.config.metrics, lambda: INTERNAL_CLIENT_LIMITS, self._serve_metrics)
         self._start_listener(self.config.callers, self.intake.limits, self._serve_caller)
+        if self.peering.forward_address:
+            self._start_listener(self.peering.forward_address, self.intake.limits, self._serve_forwarded)
         self.document_feed.start()
         self.servers_feed.start()
         for task in (
@@ -270,8 +295,15 @@
             and self.intake.caught_up
             and bool(self.fleet.servers)
             and self.intake.keys_trusted()
+            and not self._withdrawn()
         )
 
+    def _withdrawn(self) -> bool:
+        """Return whether callers are better sent to other daemons, because this one reaches no server."""
+        if Mechanism.WITHDRAWAL in self.config.without:
+            return False
+        return any(map(self.reachability.is_isolated, self.intake.tree.services))
+
     def _expects_settings(self) -> bool:
         """Return whether the first settings are expected shortly.
 
@@ -351,11 +383,51 @@
         )
 
     def _serve_caller(self, connection: Connection, message: Message) -> None:
-        connection.close_after_response = connection.close_after_response or self.draining
+        self._serve_call(connection, message, self.intake.call)
+
+    def _serve_forwarded(self, connection: Connection, message: Message) -> None:
+        """Serve a call that another daemon forwards, as one of this daemon's own callers'."""
+        connection.peer_headers = [(SETTINGS_HEADER, str(self.intake.version))]
+        self._serve_call(connection, message, self._forwarded_call)
+
+    def _forwarded_call(self, message: Message) -> Call:
+        """Verify and authorise a call that another daemon forwards.
+
+        :raises BaygladeError: when it is refused; nothing was run.
+        """
+        secret = self.peering.secret()
+        if secret is None or self.draining:
+            raise Stopping("this daemon accepts no forwarded calls", step="forward")
+        told = decode_forwarded(message.header(FORWARD_HEADER.lower()) or "", secret)
+        if told.revision > self.intake.version:
+            raise SettingsBehind("the settings here are older than the sender's", step="forward")
+        message.headers = [(n, v) for n, v in message.headers if n.lower() != FORWARD_HEADER.lower()]
+        call = self.intake.call(message)
+        if call.head.id != told.request:
+            raise PeerError(
+                "the header belongs to another request",
+                step="forward",
+                peer=told.sender,
+                outcome=Outcome.NOT_RUN,
+            )
+        if told.last_event is not None:
+            call.head = msgspec.structs.replace(call.head, last_event=told.last_event)
+        call.deadline = min(call.deadline, call.arrived + told.seconds_left)
+        call.forwarded, call.earlier_servers = True, told.servers
+        event("INFO", "forward accepted", request=call.head.id, peer=told.sender, after=told.last_event)
+        if self.reachability.is_isolated(call.service):
+            raise Isolated("no server is in reach here", step="forward")
+        return call
+
+    def _serve_call(
+        self, connection: Connection, message: Message, read_call: Callable[[Message], Call]
+    ) -> None:
+        leaving = self.draining or (self._withdrawn() and not connection.peer_headers)
+        connection.close_after_response = connection.close_after_response or leaving
         started = now()
         request, call = RequestId(""), None
         try:
-            call = self.intake.call(message)
+            call = read_call(message)
             request = call.head.id
             self._check_draining(call)
             self.quarantine.check(call)
@@ -453,6 +525,7 @@
             if (seconds := suspensions.suspended_seconds()) > 0:
                 event("WARNING", "host was suspended", seconds=round(seconds, 2))
             self.links.prune(set(self.fleet.servers))
+            self.peers.forwarding.prune()
             self.quarantine.tidy()
             self._update_gauges()
             self.listing.log_staleness(self.document_feed.age())
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -15,7 +15,7 @@
 from bayglade.exceptions import BaygladeError, HeadTooLarge, InvalidMessage, SlowHead
 from bayglade.http1 import Headers, Message, MessageParser, encode_head
 from bayglade.logs import event
-from bayglade.responses import JSON_TYPE, error_body
+from bayglade.responses import JSON_TYPE, OUTCOME_HEADER, error_body
 from bayglade.settings import CallerLimits
 from bayglade.sockets import receive
 
@@ -31,9 +31,13 @@
 class Connection:
     """A caller's connection, as passed to the handler."""
 
-    __slots__ = ("close_after_response", "limits", "parser", "response_started", "sock")
+    __slots__ = ("close_after_response", "limits", "parser", "peer_headers", "response_started", "sock")
 
     def __init__(self, sock: socket.socket, limits: CallerLimits) -> None:
+        self.peer_headers: Headers = []
+        """Added to each response where the other side is a daemon, which is also told the outcome of
+        errors."""
+
         self.sock = sock
         self.limits = limits
         self.parser = MessageParser(False, limits.head_bytes, limits.body_bytes)
@@ -73,7 +77,7 @@
         """
         if self.close_after_response:
             headers = [*headers, ("Connection", "close")]
-        return encode_head(f"HTTP/1.1 {status} {reason_phrase(status)}", headers)
+        return encode_head(f"HTTP/1.1 {status} {reason_phrase(status)}", [*headers, *self.peer_headers])
 
     def send_error(self, error: BaygladeError, request: str = "") -> None:
         """Send an error response.
@@ -85,6 +89,8 @@
         headers = [("Content-Type", JSON_TYPE)]
         if error.retry_after is not None:
             headers.append(("Retry-After", f"{error.retry_after:.3f}"))
+        if self.peer_headers:
+            headers.append((OUTCOME_HEADER, error.outcome.value))
         self.send_response(error.status, headers, msgspec.json.encode(error_body(error, request)))
 
     def next_request(self) -> Message | None:
--- a/bayglade/mechanisms.py
+++ b/bayglade/mechanisms.py
@@ -49,6 +49,12 @@
     WARM = "warm"
     """First stages to which an idle connection is open are preferred."""
 
+    FORWARDING = "forwarding"
+    """A daemon that reaches no server has its calls served through another daemon."""
+
+    WITHDRAWAL = "withdrawal"
+    """A daemon that reaches no server is not ready, so that the balancer sends callers elsewhere."""
+
     CHANCE = "chance"
     """The costs of stages get random jitter, so that daemons don't all choose the same one."""
 
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -119,7 +119,11 @@
         self.catch_up = CatchUp(intake)
         intake.caught_up = not config.peer_ports
         host = parse_address(config.callers).host
-        self.address = f"{host}:{config.peer_ports.partition(',')[0]}"
+        first_port, _, last_port = config.peer_ports.partition(",")
+        self.address = f"{host}:{first_port}"
+        self.forward_address = f"{host}:{last_port}" if last_port not in ("", "0", first_port) else ""
+        """Where calls that other gateways forward are accepted; empty if none are."""
+
         self.fanout = Fanout({**feeds, table: self.roster_feed}, probe_feed, self._send, self.address)
         self.totals = LoadTotals(config.member)
         self.pools = RetryPools(self._readers, self._send, config.retry_window_seconds)
@@ -189,6 +193,27 @@
         """Return the number of gateways, as far as known here."""
         return max(1, len(self.ranking.ranked))
 
+    def secret(self) -> bytes | None:
+        """Return the secret that all gateways share; None before this one has joined."""
+        return self.membership.secret if self.membership is not None else None
+
+    def forward_addresses(self) -> dict[MemberId, str]:
+        """Return the other gateways that may accept forwarded calls, with their addresses."""
+        if self.membership is None:
+            return {}
+        excluded = self.lost_daemons.since.keys() | self.membership.stopping_members()
+        excluded |= {self.config.member}
+        return {
+            name: row.forwards
+            for name, row in self.roster.members.items()
+            if row.forwards and name not in excluded
+        }
+
+    def announce_isolation(self) -> None:
+        """Announce at once which services this gateway no longer reaches, or reaches again."""
+        if self.membership is not None:
+            self.membership.send_heartbeats()
+
     def _catch_up(self) -> None:
         """Let this gateway serve once others are known to have no newer settings."""
         while not self.catch_up.check(self._awaited_members()):
@@ -315,7 +340,12 @@
             self.rewrite_scheduled = False
 
     def _row(self) -> MemberRow:
-        return MemberRow(self.address, self.config.hall, link_mbps=self.config.link_mbps)
+        return MemberRow(
+            self.address,
+            self.config.hall,
+            link_mbps=self.config.link_mbps,
+            forwards=self.forward_address,
+        )
 
     def _retry_floor(self) -> float:
         members = self.membership.count() if self.membership is not None else 0
@@ -365,6 +395,7 @@
         membership.on_quota_reply = self.quotas.handle_reply
         membership.on_quota_return = self.quotas.handle_return
         membership.fetch_after = FETCH_DELAY if self.intake.caught_up else 0.0
+        membership.isolated = self.peers.reachability.isolated_services
         membership.caught_up = lambda: self.intake.caught_up
         self.peers.paths.remote_loads = lambda: self.totals.other_daemons(self._loads())
         self.peers.paths.daemon_count = lambda: self.totals.count_hall_peers() + 1
@@ -465,6 +496,9 @@
 
     def _receive_heartbeat(self, member: MemberId, beat: wire.Heartbeat) -> None:
         self.totals.merge_heartbeat(member, beat)
+        known = self.peers.forwarding.isolated_peers.get(member, frozenset())
+        self.peers.forwarding.isolated_peers[member] = frozenset(beat.isolated)
+        self.peers.reachability.note_isolated_peer(set(beat.isolated) - known)
         self.peers.reports.merge_heartbeat(member, beat)
         self.catch_up.record(member, beat.revision, beat.caught_up)
         self.catch_up.check(self._awaited_members())
--- a/bayglade/reachability.py
+++ b/bayglade/reachability.py
@@ -8,7 +8,7 @@
 
 import random
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import eventlet
 from eventlet.event import Event
@@ -126,6 +126,17 @@
         if len(known.failed_at) >= min(FAILED_SERVERS, len(self._candidates(service))):
             self._start_check(service, known)
 
+    def note_isolated_peer(self, services: Iterable[ServiceName]) -> None:
+        """Check services from which another daemon has become isolated: a cut often hits several daemons.
+
+        A daemon without requests to a service would otherwise learn of it from the first of them.
+        """
+        for service in services:
+            known = self.services.setdefault(service, ServiceReach())
+            idle = known.check is None and known.isolated_since is None
+            if idle and now() >= known.next_check_at and self._candidates(service):
+                self._start_check(service, known)
+
     def is_in_doubt(self, service: ServiceName) -> bool:
         """Return whether this daemon is isolated from a service, or a check is in progress."""
         known = self.services.get(service)
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -27,12 +27,15 @@
     RequestStopped,
 )
 from bayglade.fleet import Fleet
-from bayglade.ids import BackendId, Fingerprint
+from bayglade.forwarding import ForwardedExchange, Forwarding, forward_call
+from bayglade.http1 import Message
+from bayglade.ids import BackendId, Fingerprint, MemberId
 from bayglade.logs import event
 from bayglade.mechanisms import DisabledMechanisms, Mechanism
 from bayglade.metrics import Metrics
 from bayglade.paths import PathSelector
 from bayglade.quarantine import Quarantine
+from bayglade.reachability import Reachability
 from bayglade.refusals import Refusals
 from bayglade.retries import RetryBudget, jittered_retry_after
 from bayglade.room_forecast import CapacityEstimates, retry_after
@@ -97,6 +100,19 @@
         self.admission = admit_everything(metrics)
         """Whether new calls are admitted, by urgency."""
 
+        self.reachability = Reachability(fleet, lambda server: True, metrics, rng)
+        self.forwarding = Forwarding(
+            MemberId(""),
+            self.reachability.is_isolated,
+            dict,
+            lambda: None,
+            lambda: 0,
+            lambda message: None,
+            metrics,
+            rng,
+        )
+        """Both are replaced by the daemon, on whose other parts they depend."""
+
         self.budgets: dict[str, RetryBudget] = {}
         self.borrow: Callable[[str, RetryBudget], None] = lambda service, budget: None
         """Borrows retries from other daemons for an exhausted budget."""
@@ -286,6 +302,29 @@
         return Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
 
 
+def start_attempts(context: RelayContext, call: Call) -> Attempts:
+    """Return the attempts at a call, including those of the daemon that forwarded it."""
+    attempts = Attempts(call)
+    servers = context.fleet.servers
+    attempts.used_servers = [servers[backend] for backend in call.earlier_servers if backend in servers]
+    if not call.earlier_servers and not context.forwarding.is_needed(call):
+        # Otherwise another daemon counts the request.
+        context.retry_budget(call.service).note_request()
+    return attempts
+
+
+def forward(
+    context: RelayContext, call: Call, attempts: Attempts, last_event: int | None
+) -> tuple[ForwardedExchange, Message]:
+    """Forward a call to another daemon, counting it as sent.
+
+    :raises BaygladeError: as :func:`bayglade.forwarding.forward_call` does.
+    """
+    servers = [server.facts.id for server in attempts.used_servers]
+    attempts.send_count += 1
+    return forward_call(context.forwarding, call, servers, last_event)
+
+
 def await_crash_reports(context: RelayContext, call: Call) -> None:
     """Before a retry, wait for reports of whether the call's servers crashed, if these could stop it.
 
--- a/bayglade/roster.py
+++ b/bayglade/roster.py
@@ -41,6 +41,9 @@
     link_mbps: float = 0.0
     """Link speed of its host; 0 when unknown."""
 
+    forwards: str = ""
+    """Address at which it accepts calls that other daemons forward; empty if it accepts none."""
+
 
 class Roster(msgspec.Struct, frozen=True):
     """All daemons and the shared secret of their streams; None before any daemon has written one."""
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -5,12 +5,11 @@
 it after the last event that was delivered, within the same HTTP answer.
 """
 
-from collections.abc import Iterable
-
 import eventlet
 
 from bayglade.calls import AnswerHead, Call, demand_of
 from bayglade.clock import now
+from bayglade.delivery import Delivery
 from bayglade.exceptions import (
     BackendError,
     BackendRefused,
@@ -18,9 +17,12 @@
     BackendUnreachable,
     BackendUnwilling,
     CutOff,
+    Isolated,
     Outcome,
+    PeerRefused,
     Unauthenticated,
 )
+from bayglade.forwarding import ForwardedExchange
 from bayglade.http1 import Message, end_to_end_headers
 from bayglade.ids import BackendId
 from bayglade.listener import Connection
@@ -34,12 +36,19 @@
 )
 from bayglade.pathfinding import Path
 from bayglade.pipelines import Pipeline
-from bayglade.relay import Attempts, RelayContext, await_crash_reports, request_fingerprint
+from bayglade.relay import (
+    Attempts,
+    RelayContext,
+    await_crash_reports,
+    forward,
+    request_fingerprint,
+    start_attempts,
+)
 from bayglade.room_forecast import StreamProgress
 from bayglade.runs import Run, investigate_stall, leave_departing_stages, record_possible_crash
 from bayglade.sending import read_answer_head, send
 from bayglade.servers import Server
-from bayglade.sse import EventSplitter, event_id
+from bayglade.sse import EventSplitter
 from bayglade.trials import refusing_stages
 from bayglade.upstream import Exchange
 
@@ -49,69 +58,6 @@
 STALL_POLL_SECONDS = 0.04
 """How often a waiting stream checks whether a stage of its path is known to be dead: a little longer than
 the usual time between events."""
-LAST_CHUNK = b"0\r\n\r\n"
-
-
-class Delivery:
-    """The part of a stream that the caller has received."""
-
-    __slots__ = (
-        "begun",
-        "connection",
-        "first_event_seconds",
-        "last_event",
-        "last_sent_at",
-        "longest_gap",
-        "progress",
-    )
-
-    def __init__(self, connection: Connection, last_event: int | None, progress: StreamProgress) -> None:
-        self.connection = connection
-        self.progress = progress
-        self.begun = False
-        self.last_sent_at = now()
-        self.first_event_seconds: float | None = None
-        self.longest_gap = 0.0
-        self.last_event = last_event
-
-    def __repr__(self) -> str:
-        return f"<Delivery begun={self.begun} last_event={self.last_event}>"
-
-    def start_answer(self, message: Message) -> bytes:
-        """Return the head of the answer the first time; later runs continue under the same head."""
-        if self.begun:
-            return b""
-        self.begun = True
-        headers = [*end_to_end_headers(message.headers), ("Transfer-Encoding", "chunked")]
-        return self.connection.response_head(message.status, headers)
-
-    def deliver(self, message: Message, events: Iterable[bytes]) -> None:
-        """Send the events that the caller has not received yet."""
-        fresh = []
-        for item in events:
-            number = event_id(item)
-            if number is not None:
-                if self.last_event is not None and number <= self.last_event:
-                    continue
-                self.last_event = number
-            fresh.append(item)
-        if fresh:
-            self._record_gap()
-            self.progress.note(len(fresh), self.last_sent_at)
-            data = b"".join(fresh)
-            self.connection.send(self.start_answer(message) + b"%x\r\n%b\r\n" % (len(data), data))
-
-    def _record_gap(self) -> None:
-        at = now()
-        if self.first_event_seconds is None:
-            self.first_event_seconds = at - self.last_sent_at
-        else:
-            self.longest_gap = max(self.longest_gap, at - self.last_sent_at)
-        self.last_sent_at = at
-
-    def finish(self, message: Message) -> None:
-        """Send the end of a complete answer."""
-        self.connection.send(self.start_answer(message) + LAST_CHUNK)
 
 
 def relay_stream(context: RelayContext, call: Call, pipeline: Pipeline, connection: Connection) -> None:
@@ -125,13 +71,16 @@
         parts of the answer were sent.
     """
     context.capacity.note_deadline(call)
-    attempts = Attempts(call)
+    attempts = start_attempts(context, call)
     progress = StreamProgress(demand_of(call, pipeline).answer)
     delivery = Delivery(connection, call.head.last_event, progress)
     answered = False
+    if context.forwarding.is_needed(call):
+        # Demand and shares are counted by the daemon that sends the call to a server.
+        _serve(context, call, pipeline, attempts, delivery)
+        return
     context.reports.note_offered(call)
     try:
-        context.retry_budget(call.service).note_request()
         context.wait_queues.charge(call)
         _serve(context, call, pipeline, attempts, delivery)
         answered = True
@@ -153,6 +102,10 @@
     while attempts.can_continue(_kept_until_deadline(context, delivery)):
         if _kept_until_deadline(context, delivery) and not _await_retry(context, call, attempts):
             break
+        if context.forwarding.is_needed(call):
+            if _relay_forwarded(context, call, attempts, delivery):
+                return
+            continue
         last_event_at = delivery.last_sent_at if delivery.begun else None
         until_deadline = _kept_until_deadline(context, delivery)
         path = reserve_path(context, call, pipeline, attempts, avoided, last_event_at, until_deadline)
@@ -188,6 +141,7 @@
                 context.capacity.withdraw(call.service, delivery.progress)
             if not attempts.note_failure(error):
                 break
+            context.reachability.await_check(call.service)
         except (CutOff, Unauthenticated):
             # Both errors imply that the call has not run, which is uncertain once it was sent.
             if not attempts.may_have_run:
@@ -201,6 +155,69 @@
     raise final_refusal(context, call, attempts, delivery.begun)
 
 
+def _relay_forwarded(context: RelayContext, call: Call, attempts: Attempts, delivery: Delivery) -> bool:
+    """Relay a call through another daemon.
+
+    :return: whether its answer is complete; if not, the call may be tried again.
+    :raises BaygladeError: if the call must not be tried again.
+    """
+    kept = _kept_until_deadline(context, delivery)
+    if kept and not context.forwarding.is_possible(call.service):
+        _pause(call)
+        return False
+    if not attempts.acquire_send(context, kept):
+        if attempts.stop_error is None and kept:
+            return False
+        raise final_refusal(context, call, attempts, delivery.begun)
+    try:
+        forwarded, message = forward(context, call, attempts, delivery.last_event)
+    except (Isolated, PeerRefused) as error:
+        if kept and call.seconds_left() > 0:
+            _pause(call)
+            return False
+        if attempts.may_have_run:
+            raise final_refusal(context, call, attempts, delivery.begun) from error
+        raise
+    except BackendError as error:
+        _note_forward_failure(context, call, attempts, delivery, error)
+        return False
+    try:
+        if message.status != 200:
+            _forward_error(call, forwarded.exchange, message, delivery)
+        else:
+            _forward_peer_events(forwarded, message, delivery)
+    except BackendError as error:
+        _note_forward_failure(context, call, attempts, delivery, error)
+        return False
+    finally:
+        forwarded.close()
+    _record_answer(context, call, delivery, attempts)
+    return True
+
+
+def _note_forward_failure(
+    context: RelayContext, call: Call, attempts: Attempts, delivery: Delivery, error: BackendError
+) -> None:
+    """Record that another daemon gave no complete answer.
+
+    :raises BaygladeError: if the call must not be tried again.
+    """
+    event("INFO", "forward failed", request=call.head.id, error=repr(error))
+    if not attempts.note_failure(error):
+        raise final_refusal(context, call, attempts, delivery.begun)
+
+
+def _forward_peer_events(forwarded: ForwardedExchange, message: Message, delivery: Delivery) -> None:
+    splitter = EventSplitter()
+    last_event_at = now() if delivery.begun else None
+    while (piece := forwarded.read_piece(last_event_at)) is not None:
+        last_event_at = now()
+        delivery.deliver(message, splitter.feed(piece))
+    if splitter.buffer:
+        raise BackendError("the stream ended inside an event", step="stream", peer=forwarded.member)
+    delivery.finish(message)
+
+
 def _kept_until_deadline(context: RelayContext, delivery: Delivery) -> bool:
     """Return whether a stream is retried until its deadline.
 
@@ -296,10 +313,21 @@
             return read_answer_head(context, call, head, run.exchange, _next_poll_at(call, since, timeout))
         except BackendSilent:
             if run.should_leave_dead_stage() or _stalled(call, since, timeout):
+                _leave_if_isolated(context, call)
                 investigate_stall(context, call, pipeline, run, timeout)
+                _leave_if_isolated(context, call)
                 since = now()
 
 
+def _leave_if_isolated(context: RelayContext, call: Call) -> None:
+    """End a stalled run of a daemon that reaches no server, so that another daemon resumes the stream.
+
+    :raises BackendError: if the daemon is isolated and the call may be run again.
+    """
+    if context.forwarding.is_needed(call) and not call.at_most_once:
+        raise BackendError("no server is in reach", step="stream")
+
+
 def _next_poll_at(call: Call, since: float, timeout: float) -> float:
     """Return when to check next whether a waiting stream needs investigation.
 
@@ -341,7 +369,9 @@
             piece = run.exchange.read_piece(_next_poll_at(call, since, timeout))
         except BackendSilent:
             if run.should_leave_dead_stage() or _stalled(call, since, timeout):
+                _leave_if_isolated(context, call)
                 investigate_stall(context, call, pipeline, run, timeout)
+                _leave_if_isolated(context, call)
                 since = now()
             continue
         if piece is None:
@@ -373,6 +403,9 @@
         rest=error.rest_seconds if isinstance(error, BackendRefused) else None,
         begun=None if run.first_event_at is None else round(now() - run.first_event_at, 3),
     )
+    if context.reachability.is_isolated(call.service) and not isinstance(error, BackendRefused):
+        # The failure is one of this daemon's own links.
+        return frozenset()
     if isinstance(error, BackendRefused):
         if error.misdirected:
             context.fleet.mark_leaving(head, "another server has its address")
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -13,13 +13,23 @@
     BackendUnreachable,
     BackendUnwilling,
     CutOff,
+    Isolated,
+    PeerRefused,
     Unauthenticated,
 )
 from bayglade.http1 import Headers, Message, end_to_end_headers
 from bayglade.listener import Connection
 from bayglade.logs import event
 from bayglade.plain_balancing import balanced_services, choose_server, without_recent_refusals
-from bayglade.relay import Attempts, RelayContext, await_crash_reports, probe_server, request_fingerprint
+from bayglade.relay import (
+    Attempts,
+    RelayContext,
+    await_crash_reports,
+    forward,
+    probe_server,
+    request_fingerprint,
+    start_attempts,
+)
 from bayglade.reservations import Reservation
 from bayglade.sending import read_answer_head, send
 from bayglade.servers import Server
@@ -55,10 +65,14 @@
     :param connection: the caller's connection.
     :raises BaygladeError: if there is no answer to forward; nothing was sent to the caller.
     """
-    attempts = Attempts(call)
-    context.retry_budget(call.service).note_request()
+    attempts = start_attempts(context, call)
     answer: BufferedAnswer | None = None
     while attempts.acquire_send(context):
+        if context.forwarding.is_needed(call):
+            answer = _relay_forwarded(context, call, attempts)
+            if answer is not None:
+                break
+            continue
         place = _reserve_server(context, call, attempts)
         if place is None:
             break
@@ -69,6 +83,7 @@
             _record_failure(context, call, server, error)
             if not attempts.note_failure(error):
                 break
+            context.reachability.await_check(call.service)
             await_crash_reports(context, call)
             continue
         except (CutOff, Unauthenticated):
@@ -87,6 +102,33 @@
     event("INFO", "answered", request=call.head.id, status=answer.status, sent=attempts.send_count)
 
 
+def _relay_forwarded(context: RelayContext, call: Call, attempts: Attempts) -> BufferedAnswer | None:
+    """Relay a call through another daemon.
+
+    :return: its answer; None if the call may be tried again.
+    :raises BaygladeError: if it must not be tried again.
+    """
+    forwarded = None
+    try:
+        forwarded, message = forward(context, call, attempts, None)
+        pieces = []
+        while (piece := forwarded.read_piece()) is not None:
+            pieces.append(piece)
+        return BufferedAnswer(message, b"".join(pieces))
+    except BackendError as error:
+        event("INFO", "forward failed", request=call.head.id, error=repr(error))
+        if not attempts.note_failure(error):
+            raise attempts.final_error(context.rng) from error
+        return None
+    except (Isolated, PeerRefused) as error:
+        if attempts.may_have_run:
+            raise attempts.final_error(context.rng) from error
+        raise
+    finally:
+        if forwarded is not None:
+            forwarded.close()
+
+
 def _reserve_server(context: RelayContext, call: Call, attempts: Attempts) -> Reservation | None:
     """Choose a server, or wait until a rate-limited one accepts another request.
 
@@ -223,6 +265,11 @@
         return
     if isinstance(error, BackendUnwilling):
         return
+    if isinstance(error, BackendSilent):
+        context.reachability.note_failure(server.facts.id)
+    if context.reachability.is_isolated(call.service):
+        # The failure is one of this daemon's own links.
+        return
     if not isinstance(error, BackendUnreachable):
         _record_possible_crash(context, call, server, error)
     context.fleet.mark_suspect(server, error.code)
