--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -299,10 +299,17 @@
         )
 
     def _withdrawn(self) -> bool:
-        """Return whether callers are better sent to other daemons, because this one reaches no server."""
+        """Return whether callers are better sent to other daemons.
+
+        That is so if this one reaches no server of a service, and knows no daemon that may take its calls.
+        """
         if Mechanism.WITHDRAWAL in self.config.without:
             return False
-        return any(map(self.reachability.is_isolated, self.intake.tree.services))
+        forwarding = self.peers.forwarding
+        return any(
+            not forwarding.enabled or not forwarding.is_possible(service)
+            for service in self.reachability.isolated_services()
+        )
 
     def _expects_settings(self) -> bool:
         """Return whether the first settings are expected shortly.
--- a/bayglade/mechanisms.py
+++ b/bayglade/mechanisms.py
@@ -53,7 +53,7 @@
     """A daemon that reaches no server has its calls served through another daemon."""
 
     WITHDRAWAL = "withdrawal"
-    """A daemon that reaches no server is not ready, so that the balancer sends callers elsewhere."""
+    """A daemon that reaches no server, nor a daemon that does, is not ready."""
 
     CHANCE = "chance"
     """The costs of stages get random jitter, so that daemons don't all choose the same one."""
--- a/standins/users/daemon.py
+++ b/standins/users/daemon.py
@@ -120,7 +120,7 @@
     answer = b""
     with socket.create_connection((host, int(port)), timeout=seconds) as sock:
         sock.sendall(data)
-        while not _is_complete(answer):
+        while not is_complete(answer):
             piece = sock.recv(65536)
             if not piece:
                 break
@@ -136,7 +136,7 @@
         return False
 
 
-def _is_complete(answer: bytes) -> bool:
+def is_complete(answer: bytes) -> bool:
     head, end, body = answer.partition(b"\r\n\r\n")
     if not end:
         return False
--- a/tests/starts.py
+++ b/tests/starts.py
@@ -19,7 +19,7 @@
 from bayglade.exceptions import PlatformUnavailable
 from bayglade.gateway import Gateway
 from bayglade.ids import HallName, MemberId, StoreEpoch
-from bayglade.roster import MEMBER_PREFIX, SECRET_KEY, MemberRow
+from bayglade.roster import MEMBER_PREFIX, SECRET_KEY
 from bayglade.rows import (
     ABSENT,
     Changes,
@@ -160,7 +160,7 @@
         if known:
             self.store.put(MEMBERS, SECRET_KEY, encode_value("ab" * 32))
             for gateway in self.gateways:
-                row = MemberRow(gateway.peering.address, gateway.config.hall)
+                row = gateway.peering._row()
                 self.store.put(MEMBERS, MEMBER_PREFIX + gateway.config.member, encode_value(row))
 
     def start(self) -> None:
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -42,6 +42,7 @@
 from bayglade.service_reports import ServiceReports
 from bayglade.usage import Usage
 from bayglade.wait_queues import WaitQueues
+from tests.links import sound_links
 from tests.test_tiling import SERVICE, pipeline, place_servers, servers
 
 WAIT = 0.05
@@ -69,6 +70,7 @@
         self.tasks = [eventlet.spawn(self.wait_queues.run)]
         self.quarantine = Quarantine(b"key", random.Random(1))
         self.context: Any = SimpleNamespace(
+            **sound_links(),
             fleet=self.fleet,
             paths=PathSelector(self.fleet, HallName("a")),
             wait_queues=self.wait_queues,
@@ -139,6 +141,8 @@
             target=b"/x",
             body=b"prompt",
             at_most_once=False,
+            forwarded=False,
+            earlier_servers=(),
             arrived=at,
             deadline=at + seconds,
         )
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -25,6 +25,7 @@
 from bayglade.servers import ENDED_AFTER_SECONDS
 from bayglade.service_reports import ServiceReports
 from bayglade.streams import FULL_STAGE_SECONDS, STALL_POLL_SECONDS, _record_failure
+from tests.links import sound_links
 from tests.test_tiling import SERVICE, pipeline, place_servers, servers
 
 
@@ -45,6 +46,7 @@
         control = SimpleNamespace(reroute=self._reroute)
         paths = PathSelector(self.fleet, HallName("a"))
         self.context: Any = SimpleNamespace(
+            **sound_links(),
             fleet=self.fleet,
             paths=paths,
             control=control,
@@ -60,7 +62,10 @@
         )
         self.context.quarantine = Quarantine(b"key", random.Random(1))
         self.call: Any = SimpleNamespace(
-            service=SERVICE, endpoint=SimpleNamespace(max_attempts=2, timeout=10.0, name="r")
+            service=SERVICE,
+            endpoint=SimpleNamespace(max_attempts=2, timeout=10.0, name="r"),
+            forwarded=False,
+            earlier_servers=(),
         )
         self.call.fingerprint, self.call.priority = None, 0
         self.call.group, self.call.method, self.call.target, self.call.body = "g", "POST", b"/x", b"prompt"
