--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,7 @@
 from soak.faults import (
     DEFAULT_ACTIONS,
     LIMITED_ACTIONS,
+    PARTITIONED_ACTIONS,
     PRESSED_ACTIONS,
     RESTING_ACTIONS,
     RESTORED_ACTIONS,
@@ -85,6 +86,7 @@
     limited: bool = False,
     restored: bool = False,
     pressed: bool = False,
+    partitioned: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -101,10 +103,11 @@
     :param restored: whether the store is also restored from older copies.
     :param pressed: whether callers of three urgencies ask for more than the model servers can run, which
         crash together.
+    :param partitioned: whether to cut daemons off from all backend servers, in series and over restarts.
     :return: the violations found, and counts.
     """
     journal = Journal(key_versions={KEY: 0})
-    with SoakSite(daemons, proxied=not pressed) as site:
+    with SoakSite(daemons, proxied=not pressed, partitionable=partitioned) as site:
         if pressed:
             write_configuration(site)
         for daemon in site.fleet:
@@ -123,7 +126,11 @@
         if deadly is not None:
             site.deadly = {CRASHING_BODY}
             sender.start()
-        actions = _select_actions(resting, unsteady, limited, restored, pressed)
+        actions = (
+            PARTITIONED_ACTIONS
+            if partitioned
+            else _select_actions(resting, unsteady, limited, restored, pressed)
+        )
         FaultInjector(site, journal, seed, actions).run(seconds)
         time.sleep(SETTLE_SECONDS)
         if pressed:
@@ -241,6 +248,9 @@
         action="store_true",
         help="ask for more than the model servers can run, by three urgencies, while they crash together",
     )
+    parser.add_argument(
+        "--partitioned", action="store_true", help="cut daemons off from all backend servers as well"
+    )
     parser.add_argument(
         "--keep", type=Path, default=FAILURE_FOLDER, help="directory for logs of failed seeds"
     )
@@ -260,6 +270,7 @@
             options.limited,
             options.restored,
             options.pressed,
+            options.partitioned,
         )
         failed += bool(result.broken)
         print(msgspec.json.encode(result).decode(), flush=True)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from soak.records import Journal, Kind, Record
+from soak.records import PARTITION, Journal, Kind, Record
 from soak.site import SoakSite
 from standins.users import EVENTS, UsersSite
 from standins.users.limits import WINDOW_SECONDS, excesses
@@ -17,6 +17,10 @@
 SLACK_SECONDS = 0.3
 """Delay with which a run may be recorded on a busy machine."""
 GRACE_SECONDS = 8.0
+CONTACT_SECONDS = 3.0
+"""Time after the start of a partition from which first tries count, the users' ``contactMs``."""
+SERVED_FRACTION = 2 / 3
+MIN_TRIES = 6
 IN_FLIGHT_SECONDS = 0.5
 """Time for which requests in flight may still arrive at a server that sent ``Retry-After``."""
 MAX_REQUESTS_IN_REST = 2
@@ -38,6 +42,7 @@
         *_settings_regressions(journal),
         *_leaving(journal, site),
         *_planned_stops(journal),
+        *_partitions(journal),
         *_rests(journal, site),
         *_leaving_in_answers(journal, site),
         *_limits(journal, site),
@@ -155,6 +160,28 @@
             yield f"stop: {record.request} was cut {record.ended_at - stopped:.2f} s after the signal"
 
 
+def _partitions(journal: Journal) -> Iterator[str]:
+    """Check that daemons partitioned from all backend servers serve first tries nearly as others do."""
+    others = Journal(faults=[fault for fault in journal.faults if fault.name != PARTITION])
+    for fault in journal.faults:
+        if fault.name != PARTITION:
+            continue
+        tries = [
+            record
+            for record in journal.records
+            if record.daemon.partition(".")[0] == fault.target
+            and fault.at + CONTACT_SECONDS <= record.sent_at
+            and record.ended_at <= fault.until
+            and record.error != "left"
+            and record.key not in journal.revoked
+            and others.undisturbed(record.sent_at - UNDISTURBED_SECONDS, record.ended_at)
+            and record.daemon not in journal.stopped
+        ]
+        served = sum(record.status == 200 and record.whole for record in tries)
+        if len(tries) >= MIN_TRIES and served < SERVED_FRACTION * len(tries):
+            yield f"partition: {fault.target} served {served} of {len(tries)} first tries"
+
+
 def _suspended_or_cut_off(journal: Journal, since: float, until: float) -> bool:
     """Return whether a daemon may have been suspended or cut off in a span."""
     faults = (fault for fault in journal.faults if fault.name.startswith(("pause", "link")))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,9 +6,9 @@
 import time
 from collections.abc import Callable, Sequence
 
-from soak.records import Fault, Journal
+from soak.records import PARTITION, Fault, Journal
 from soak.site import SoakSite
-from standins.users import LAYERS, MODEL, PLAIN, Replica
+from standins.users import LAYERS, MODEL, PLAIN, Partition, Replica
 
 FaultAction = Callable[["FaultInjector"], None]
 
@@ -56,6 +56,7 @@
 """Probability that these are all holders of a layer; random ones rarely leave a layer without a holder."""
 MIN_SERVERS_PRESSED = 1
 """Model servers of each data hall that remain then: two can hold all layers together."""
+PARTITION_SECONDS = (1.0, 9.0)
 GRACE_SECONDS = 8.0
 REVOKE_AFTER = 1.0
 
@@ -169,6 +170,28 @@
     injector.start_fault("pause", daemon.name, lasts + 0.5, work)
 
 
+def partition(injector: FaultInjector) -> None:
+    """Cut the links of some daemons to all backend servers; one daemon at least keeps its links."""
+    site, rng = injector.site, injector.rng
+    how = rng.choice([kind for kind in Partition if kind is not Partition.NONE])
+    lasts = rng.uniform(*PARTITION_SECONDS)
+    sound = [daemon for daemon in site.fleet if daemon.partition is Partition.NONE]
+    chosen = rng.sample(sound, rng.randint(1, len(sound) - 1)) if len(sound) > 1 else []
+
+    def work() -> None:
+        time.sleep(lasts)
+        for daemon in chosen:
+            daemon.cut(Partition.NONE)
+
+    for daemon in chosen:
+        daemon.cut(how)
+        injector.start_fault(PARTITION, daemon.name, lasts, lambda: None)
+    if chosen:
+        thread = threading.Thread(target=work, daemon=True)
+        injector.threads.append(thread)
+        thread.start()
+
+
 def reload(injector: FaultInjector) -> None:
     """Rewrite a daemon's settings file, with or without a reload signal."""
     daemon, told = injector.rng.choice(injector.site.fleet), injector.rng.random() < 0.5
@@ -419,5 +442,16 @@
 PRESSED_ACTIONS: tuple[FaultAction, ...] = (crash_together, kill, *[reload] * 4)
 """Harmless faults give the servers some time to load in between."""
 
+PARTITIONED_ACTIONS: tuple[FaultAction, ...] = (
+    *[partition] * 3,
+    kill,
+    stop,
+    pause,
+    reload,
+    rotate_keys,
+    crash,
+)
+"""Partitions in series, which overlap with each other, with stops and kills."""
+
 UNSTEADY_ACTIONS: tuple[FaultAction, ...] = (fail_store, fail_store, kill, pause, disturb_link)
 """Faults that cut daemons off from the store and from each other; seeds depend on the order."""
--- a/soak/records.py
+++ b/soak/records.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+PARTITION = "partition"
+"""Name of the fault that cuts a daemon's links to all backend servers."""
+
 
 class Kind(Enum):
     """Kind of a request; the value is the path prefix of its route."""
--- a/soak/site.py
+++ b/soak/site.py
@@ -6,7 +6,7 @@
 from collections import deque
 
 from soak.proxy import Proxies
-from standins.users import KEY, Daemon, Replica, UsersSite, false_if_unreachable
+from standins.users import KEY, Daemon, Partition, Replica, UsersSite, false_if_unreachable
 from standins.world import STOP_TIMEOUT
 
 MIN_SERVERS = 3
@@ -25,6 +25,7 @@
         self.store = site.front(site.store.server.address)
         self.starts = 0
         self.lock = threading.Lock()
+        self.partition = Partition.NONE
         self.process = self._start_process()
         self.callers = site.front(self.process.callers)
 
@@ -49,6 +50,11 @@
         self.process = self._start_process()
         self.end_reservation()
 
+    def cut(self, partition: Partition) -> None:
+        """Cut or restore its links to the backend servers, over restarts too."""
+        self.partition = partition
+        self.process.partition(partition)
+
     def exits_within(self, seconds: float) -> bool:
         """Return whether the process exits in time, or logs in time that it stopped and exits later.
 
@@ -78,6 +84,8 @@
             self.site, self.name, self.hall, {"store": self.store, **kept}, f"{self.name}.{self.starts}"
         )
         self.site.daemons.append(daemon)
+        if self.partition is not Partition.NONE:
+            daemon.partition(self.partition)
         return daemon
 
 
@@ -87,9 +95,10 @@
     :param daemons: number of daemons.
     :param proxied: whether there are proxies. Without them addresses of crashed servers refuse connections,
         and requests arrive sooner while the process of the stand-in is busy.
+    :param partitionable: whether the links of single daemons to the servers can be cut.
     """
 
-    def __init__(self, daemons: int, proxied: bool = True) -> None:
+    def __init__(self, daemons: int, proxied: bool = True, partitionable: bool = False) -> None:
         self.proxies = Proxies()
         self.numbers = itertools.count(100)
         self.keys = [KEY]
@@ -97,7 +106,7 @@
         """Recently revoked keys; callers go on using them now and then."""
 
         front = self.proxies.front if proxied else str
-        super().__init__(halls=2, stages=6, plain=5, front=front)
+        super().__init__(halls=2, stages=6, plain=5, front=front, partitionable=partitionable)
         self.fleet = [SoakDaemon(self, number) for number in range(daemons)]
 
     def choose_daemon(self) -> tuple[str, str] | None:
@@ -142,6 +151,8 @@
 
     def heal(self) -> None:
         """End all faults."""
+        for daemon in self.fleet:
+            daemon.cut(Partition.NONE)
         for link in self.proxies.links.values():
             link.heal()
         self.store.faults.clear()
--- a/standins/users/daemon.py
+++ b/standins/users/daemon.py
@@ -137,6 +137,7 @@
 
 
 def is_complete(answer: bytes) -> bool:
+    """Return whether bytes are one whole HTTP answer with a length or in chunks."""
     head, end, body = answer.partition(b"\r\n\r\n")
     if not end:
         return False
