Prefer daemons that accept calls, and tell a sender of isolation in between

It now says that it is isolated, and the sender asks the next.

In a large site daemons do not hear from all others which are isolated. After two refusals a call goes to a daemon that accepted others lately.

--- a/bayglade/forwarding.py
+++ b/bayglade/forwarding.py
@@ -5,6 +5,7 @@
 sending it anywhere may be forwarded to a third daemon.
 """
 
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Mapping, Set
@@ -49,6 +50,10 @@
 """How long a daemon that could not be reached is passed over."""
 KEEP_SECONDS = 3.0
 """How long an idle connection to another daemon is kept."""
+RANDOM_DAEMONS = 2
+"""Daemons that one call is offered to before those that accepted other calls are preferred."""
+ACCEPTED_SECONDS = 5.0
+"""How long a daemon that accepted a call is preferred."""
 MAX_DAEMONS = 12
 """Daemons that one call is offered to, at most."""
 NO_DAEMON_RETRY_AFTER = 0.5
@@ -93,6 +98,9 @@
         self.pool = ConnectionPool()
         self.in_flight: Counter[MemberId] = Counter()
         self.passed_over_until: dict[MemberId, float] = {}
+        self.accepted_at: dict[MemberId, float] = {}
+        """When each daemon last accepted a call."""
+
         self.isolated_peers: dict[MemberId, Set[ServiceName]] = {}
         """Services from which other daemons say they are isolated."""
 
@@ -114,6 +122,9 @@
     def choose(self, service: ServiceName, tried: Set[MemberId]) -> MemberId | None:
         """Choose a daemon: the one with fewer forwarded calls of two random ones.
 
+        After some refusals it is one of those that accepted calls lately, if there are any: most daemons
+        may be isolated, and in a large site only some of them are heard.
+
         :param service: the service of the call.
         :param tried: daemons that are not to be chosen.
         """
@@ -125,6 +136,13 @@
             and self.passed_over_until.get(member, 0.0) <= at
             and service not in self.isolated_peers.get(member, ())
         ]
+        if len(tried) >= RANDOM_DAEMONS:
+            accepting = [
+                member
+                for member in usable
+                if self.accepted_at.get(member, -math.inf) > at - ACCEPTED_SECONDS
+            ]
+            usable = accepting or usable
         pair = self.rng.sample(usable, min(2, len(usable)))
         return min(pair, key=lambda member: self.in_flight[member], default=None)
 
@@ -141,7 +159,7 @@
         """Close idle connections that have expired, and forget daemons that are gone."""
         known = self.addresses()
         self.pool.prune({BackendId(member) for member in known})
-        for table in (self.passed_over_until, self.isolated_peers):
+        for table in (self.passed_over_until, self.isolated_peers, self.accepted_at):
             for member in table.keys() - known.keys():
                 del table[member]
 
@@ -267,7 +285,9 @@
             continue
         try:
             _send(forwarding, exchange, call, servers, last_event)
-            return exchange, exchange.read_head()
+            message = exchange.read_head()
+            forwarding.accepted_at[member] = now()
+            return exchange, message
         except PeerRefused as error:
             exchange.close()
             event("INFO", "forward refused", request=call.head.id, peer=member, error=repr(error))
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -441,7 +441,8 @@
             self.active_requests.add(request)
             with self.presence.watch(connection.sock):
                 self._relay_call(call, connection)
-        except BaygladeError as error:
+        except BaygladeError as failure:
+            error = self._as_seen_by_peer(failure, call)
             self._report_failure(connection, error, request, started)
             self._record_refusal(error, message, call, started)
         except (CallerDisconnected, OSError):
@@ -452,6 +453,16 @@
             self.active_requests.discard(request)
             self.metrics.observe("request_seconds", now() - started)
 
+    def _as_seen_by_peer(self, error: BaygladeError, call: Call | None) -> BaygladeError:
+        """Return the error for a forwarded call that failed because this daemon became isolated itself.
+
+        The daemon that forwarded it then tries another one.
+        """
+        not_run = error.outcome is Outcome.NOT_RUN and call is not None and call.forwarded
+        if call is None or not not_run or not self.reachability.is_isolated(call.service):
+            return error
+        return Isolated("no server is in reach here", step="forward")
+
     def _check_draining(self, call: Call) -> None:
         """Refuse a request that might not finish before this daemon exits."""
         if not self.draining or now() - self.draining_since < DRAIN_ACCEPT_SECONDS:
