--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -252,7 +252,7 @@
         or started to leave since do not count; one that is only unreachable at the moment does.
         """
         at = now()
-        alive = frozenset(server.facts.id for server in self.used_servers if not server.has_ended(at))
+        alive = frozenset(server.facts.id for server in self.used_servers if server.counts_as_used(at))
         return alive if len(alive) >= self.call.endpoint.max_attempts else None
 
     def note_sent(self, server: Server) -> None:
