--- a/bayglade/servers.py
+++ b/bayglade/servers.py
@@ -17,8 +17,8 @@
 """Seconds of silence, despite repeated probes, after which a stage is considered ended. On a link that is
 busy with a large document, answers are delayed by some tenths of a second."""
 COUNTED_SILENT_SECONDS = 1.8
-"""The same, after which it no longer counts towards the number of servers that a call may be sent to. A sound
-server may be silent for a second or so."""
+"""The same, after which it no longer counts towards the number of servers that a call may be sent to. A
+sound server may be silent for a second or so."""
 REFUSAL_TIME_CONSTANT = 5.0
 """Time constant, in seconds, with which refusals are forgotten. It is longer than the rest that servers ask
 for, 3 s, or each rest would end with a lost call, and short enough that a server is used again some
