--- a/bayglade/beliefs.py
+++ b/bayglade/beliefs.py
@@ -169,6 +169,8 @@
 
     coverage: list[CoverageBelief] = []
     layout: LayoutBelief = LayoutBelief(0, 0, 0)
+    isolated: list[ServiceName] = []
+    """Services of which it reaches no server; calls to them are forwarded."""
 
 
 def server_beliefs(fleet: Fleet) -> list[ServerBelief]:
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -350,6 +350,7 @@
             paths=path_beliefs(paths),
             demand=demand_beliefs(self.peers.reports, self.metrics.gauges),
             coverage=coverage_beliefs(self.peers.reports, self.intake.pipelines()),
+            isolated=self.reachability.isolated_services(),
             layout=layout_belief(self.metrics, len(self.loader.pending_orders)),
         )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,7 +22,7 @@
     CoverageWatch,
     check_pressure,
 )
-from soak.records import Fault, Journal, Kind, Record
+from soak.records import PARTITION, Fault, Journal, Kind, Record
 from soak.site import SoakDaemon
 from standins.users import EVENTS, LAYERS, MODEL, UsersSite
 from standins.users.replica import LimitAnnounced, LimitChange, RetryAfterSent
@@ -48,6 +48,34 @@
     assert sum(result.faults.values()) >= 5
 
 
+def test_daemons_partitioned_from_all_servers_break_nothing() -> None:
+    result = run(seed=1, seconds=SECONDS, daemons=3, callers=4, partitioned=True)
+    assert result.broken == []
+    assert result.statuses.get("200", 0) > 50
+    assert result.faults.get(PARTITION, 0) >= 2
+
+
+def test_the_check_of_partitions_finds_refused_first_tries() -> None:
+    journal = Journal(faults=[Fault(PARTITION, "d0", 10.0, 20.0)])
+    for number in range(10):
+        served = number < 5
+        journal.records.append(
+            Record(
+                request=f"r{number}",
+                kind=Kind.REPEATABLE,
+                key=KEY,
+                daemon="d0.1",
+                sent_at=14.0,
+                ended_at=14.1,
+                status=200 if served else 503,
+                whole=served,
+                body=f"answer to r{number}".encode(),
+            )
+        )
+    with UsersSite(stages=0, plain=0) as site:
+        assert check(journal, site) == ["partition: d0 served 5 of 10 first tries"]
+
+
 @pytest.mark.parametrize("path", ["/stream/x", "/safe/x"])
 def test_a_request_that_crashes_servers_is_stopped_under_faults(path: str) -> None:
     result = run(seed=7, seconds=SECONDS, daemons=3, callers=2, deadly=path)
