--- /dev/null
+++ b/bayglade/forwarded_calls.py
@@ -0,0 +1,65 @@
+"""Calls that another daemon forwards to this one: verified, then read as those of callers."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from bayglade.calls import Call
+from bayglade.entries.forwards import FORWARD_HEADER, decode_forwarded
+from bayglade.exceptions import BaygladeError, Isolated, Outcome, PeerError, SettingsBehind, Stopping
+from bayglade.http1 import Message
+from bayglade.ids import ServiceName
+from bayglade.intake import Intake
+from bayglade.logs import event
+
+
+def read_forwarded_call(
+    message: Message, secret: bytes | None, intake: Intake, is_isolated: Callable[[ServiceName], bool]
+) -> Call:
+    """Verify and authorise a call that another daemon forwards.
+
+    :param message: the complete request.
+    :param secret: the secret that all daemons share; None if this daemon accepts no such calls now.
+    :param intake: the settings in force.
+    :param is_isolated: tells whether this daemon reaches no server of a service.
+    :return: the call to relay.
+    :raises BaygladeError: when it is refused; nothing was run.
+    """
+    if secret is None:
+        raise Stopping("this daemon accepts no forwarded calls", step="forward")
+    told = decode_forwarded(message.header(FORWARD_HEADER.lower()) or "", secret)
+    if told.revision > intake.version:
+        raise SettingsBehind("the settings here are older than the sender's", step="forward")
+    message.headers = [(n, v) for n, v in message.headers if n.lower() != FORWARD_HEADER.lower()]
+    call = intake.call(message)
+    if call.head.id != told.request:
+        raise PeerError(
+            "the header belongs to another request",
+            step="forward",
+            peer=told.sender,
+            outcome=Outcome.NOT_RUN,
+        )
+    if told.last_event is not None:
+        call.head = msgspec.structs.replace(call.head, last_event=told.last_event)
+    call.deadline = min(call.deadline, call.arrived + told.seconds_left)
+    call.forwarded, call.earlier_servers = True, told.servers
+    event("INFO", "forward accepted", request=call.head.id, peer=told.sender, after=told.last_event)
+    if is_isolated(call.service):
+        raise _isolated()
+    return call
+
+
+def error_for_sender(
+    error: BaygladeError, call: Call | None, is_isolated: Callable[[ServiceName], bool]
+) -> BaygladeError:
+    """Return the error for a forwarded call that failed because this daemon became isolated meanwhile.
+
+    The daemon that forwarded it then tries another one. Other errors are returned as they are.
+    """
+    if call is None or not call.forwarded or error.outcome is not Outcome.NOT_RUN:
+        return error
+    return _isolated() if is_isolated(call.service) else error
+
+
+def _isolated() -> Isolated:
+    return Isolated("no server is in reach here", step="forward")
--- a/bayglade/forwarding.py
+++ b/bayglade/forwarding.py
@@ -164,6 +164,15 @@
                 del table[member]
 
 
+def forwarding_off(
+    is_isolated: Callable[[ServiceName], bool], metrics: Metrics, rng: random.Random
+) -> Forwarding:
+    """Return a forwarding that knows no other daemon."""
+    return Forwarding(
+        MemberId(""), is_isolated, dict, lambda: None, lambda: 0, lambda message: None, metrics, rng
+    )
+
+
 class ForwardedExchange:
     """A call in progress at another daemon."""
 
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -28,19 +28,17 @@
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
 from bayglade.diagnosis import Diagnosis
 from bayglade.disconnects import CallerDisconnected, DisconnectWatcher
-from bayglade.entries.forwards import FORWARD_HEADER, SETTINGS_HEADER, decode_forwarded
+from bayglade.entries.forwards import SETTINGS_HEADER
 from bayglade.epochs import EpochGuardedTable, StoreHistory
 from bayglade.exceptions import (
     BaygladeError,
     InvalidSettings,
-    Isolated,
     Outcome,
-    PeerError,
-    SettingsBehind,
     Stopping,
 )
 from bayglade.feeds import Feed, link_feeds
 from bayglade.fleet import Fleet
+from bayglade.forwarded_calls import error_for_sender, read_forwarded_call
 from bayglade.forwarding import Forwarding
 from bayglade.freshness import (
     MIN_BOUND_SECONDS,
@@ -396,36 +394,11 @@
     def _serve_forwarded(self, connection: Connection, message: Message) -> None:
         """Serve a call that another daemon forwards, as one of this daemon's own callers'."""
         connection.peer_headers = [(SETTINGS_HEADER, str(self.intake.version))]
-        self._serve_call(connection, message, self._forwarded_call)
+        self._serve_call(connection, message, self._read_forwarded_call)
 
-    def _forwarded_call(self, message: Message) -> Call:
-        """Verify and authorise a call that another daemon forwards.
-
-        :raises BaygladeError: when it is refused; nothing was run.
-        """
-        secret = self.peering.secret()
-        if secret is None or self.draining:
-            raise Stopping("this daemon accepts no forwarded calls", step="forward")
-        told = decode_forwarded(message.header(FORWARD_HEADER.lower()) or "", secret)
-        if told.revision > self.intake.version:
-            raise SettingsBehind("the settings here are older than the sender's", step="forward")
-        message.headers = [(n, v) for n, v in message.headers if n.lower() != FORWARD_HEADER.lower()]
-        call = self.intake.call(message)
-        if call.head.id != told.request:
-            raise PeerError(
-                "the header belongs to another request",
-                step="forward",
-                peer=told.sender,
-                outcome=Outcome.NOT_RUN,
-            )
-        if told.last_event is not None:
-            call.head = msgspec.structs.replace(call.head, last_event=told.last_event)
-        call.deadline = min(call.deadline, call.arrived + told.seconds_left)
-        call.forwarded, call.earlier_servers = True, told.servers
-        event("INFO", "forward accepted", request=call.head.id, peer=told.sender, after=told.last_event)
-        if self.reachability.is_isolated(call.service):
-            raise Isolated("no server is in reach here", step="forward")
-        return call
+    def _read_forwarded_call(self, message: Message) -> Call:
+        secret = None if self.draining else self.peering.secret()
+        return read_forwarded_call(message, secret, self.intake, self.reachability.is_isolated)
 
     def _serve_call(
         self, connection: Connection, message: Message, read_call: Callable[[Message], Call]
@@ -443,7 +416,7 @@
             with self.presence.watch(connection.sock):
                 self._relay_call(call, connection)
         except BaygladeError as failure:
-            error = self._as_seen_by_peer(failure, call)
+            error = error_for_sender(failure, call, self.reachability.is_isolated)
             self._report_failure(connection, error, request, started)
             self._record_refusal(error, message, call, started)
         except (CallerDisconnected, OSError):
@@ -454,16 +427,6 @@
             self.active_requests.discard(request)
             self.metrics.observe("request_seconds", now() - started)
 
-    def _as_seen_by_peer(self, error: BaygladeError, call: Call | None) -> BaygladeError:
-        """Return the error for a forwarded call that failed because this daemon became isolated itself.
-
-        The daemon that forwarded it then tries another one.
-        """
-        not_run = error.outcome is Outcome.NOT_RUN and call is not None and call.forwarded
-        if call is None or not not_run or not self.reachability.is_isolated(call.service):
-            return error
-        return Isolated("no server is in reach here", step="forward")
-
     def _check_draining(self, call: Call) -> None:
         """Refuse a request that might not finish before this daemon exits."""
         if not self.draining or now() - self.draining_since < DRAIN_ACCEPT_SECONDS:
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -27,9 +27,9 @@
     RequestStopped,
 )
 from bayglade.fleet import Fleet
-from bayglade.forwarding import ForwardedExchange, Forwarding, forward_call
+from bayglade.forwarding import ForwardedExchange, forward_call, forwarding_off
 from bayglade.http1 import Message
-from bayglade.ids import BackendId, Fingerprint, MemberId
+from bayglade.ids import BackendId, Fingerprint
 from bayglade.logs import event
 from bayglade.mechanisms import DisabledMechanisms, Mechanism
 from bayglade.metrics import Metrics
@@ -101,16 +101,7 @@
         """Whether new calls are admitted, by urgency."""
 
         self.reachability = Reachability(fleet, lambda server: True, metrics, rng)
-        self.forwarding = Forwarding(
-            MemberId(""),
-            self.reachability.is_isolated,
-            dict,
-            lambda: None,
-            lambda: 0,
-            lambda message: None,
-            metrics,
-            rng,
-        )
+        self.forwarding = forwarding_off(self.reachability.is_isolated, metrics, rng)
         """Both are replaced by the daemon, on whose other parts they depend."""
 
         self.budgets: dict[str, RetryBudget] = {}
