--- a/bayglade/reachability.py
+++ b/bayglade/reachability.py
@@ -126,7 +126,7 @@
         if len(known.failed_at) >= min(FAILED_SERVERS, len(self._candidates(service))):
             self._start_check(service, known)
 
-    def note_isolated_peer(self, services: Iterable[ServiceName]) -> None:
+    def note_isolated_elsewhere(self, services: Iterable[ServiceName]) -> None:
         """Check services from which another daemon has become isolated: a cut often hits several daemons.
 
         A daemon without requests to a service would otherwise learn of it from the first of them.
