Count the end of a server under a request at once again

Cause: since a refused connect counted as an end only after another server had answered. A service of two servers that have both ended has none that answers, so the daemon took itself for isolated, withheld both ends and forwarded the request to a daemon that did not know of them. The guard stood at the wrong depth: a refusal while the daemon is isolated is now ignored, any other counts at once, as before.

--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -163,7 +163,7 @@
         self.usage = Usage()
         self.wait_queues = WaitQueues(self.usage, self.intake.share_of)
         self.quarantine = Quarantine(secrets.token_bytes(FINGERPRINT_KEY_BYTES), self.rng)
-        watch_server_termination(self.fleet, self.links, self.diagnosis, self.quarantine, self.reachability)
+        watch_server_termination(self.fleet, self.links, self.diagnosis, self.quarantine)
         self.peers = RelayContext(
             fleet=self.fleet,
             paths=PathSelector(self.fleet, config.hall, config.without, self.rng),
--- a/bayglade/reachability.py
+++ b/bayglade/reachability.py
@@ -137,26 +137,12 @@
             if idle and now() >= known.next_check_at and self._candidates(service):
                 self._start_check(service, known)
 
-    def is_in_doubt(self, service: ServiceName) -> bool:
-        """Return whether this daemon is isolated from a service, or a check is in progress."""
-        known = self.services.get(service)
-        return known is not None and (known.isolated_since is not None or known.check is not None)
-
     def await_check(self, service: ServiceName) -> None:
         """Wait for the check of a service that is in progress, if there is one."""
         known = self.services.get(service)
         if known is not None and known.check is not None:
             known.check.wait()
 
-    def confirm(self, service: ServiceName) -> bool:
-        """Check servers of a service now, and return whether this daemon reaches any."""
-        known = self.services.setdefault(service, ServiceReach())
-        if known.isolated_since is None:
-            if known.check is None:
-                self._start_check(service, known)
-            self.await_check(service)
-        return known.isolated_since is None
-
     def _start_check(self, service: ServiceName, known: ServiceReach) -> None:
         known.check = Event()
         eventlet.spawn_n(self._check, service, known, known.check)
--- a/bayglade/server_termination.py
+++ b/bayglade/server_termination.py
@@ -6,17 +6,12 @@
 from bayglade.fleet import Fleet
 from bayglade.ids import BackendId
 from bayglade.quarantine import Quarantine
-from bayglade.reachability import Reachability
 from bayglade.servers import Server
 from bayglade.upstream import ConnectionPool
 
 
 def watch_server_termination(
-    fleet: Fleet,
-    pool: ConnectionPool,
-    diagnosis: Diagnosis,
-    quarantine: Quarantine,
-    reachability: Reachability | None = None,
+    fleet: Fleet, pool: ConnectionPool, diagnosis: Diagnosis, quarantine: Quarantine
 ) -> None:
     """Report servers that terminated, and servers that respond, to the quarantine.
 
@@ -24,26 +19,15 @@
     :param pool: reports addresses at which connects are refused.
     :param diagnosis: reports servers that answer a probe.
     :param quarantine: the receiver of these reports.
-    :param reachability: tells whether refused connects are a fault of this daemon's own links.
     """
 
     def refused(backend: BackendId, address: str) -> None:
         server = fleet.servers.get(backend)
         if server is None or server.facts.address != address or server.leaving:
             return
-        service = server.facts.service
-        # What is reported of requests spreads to all daemons, so it waits until other servers answer.
-        at_stake = server.facts.key in quarantine.unconfirmed
-        if reachability is not None and (at_stake or reachability.is_in_doubt(service)):
-            eventlet.spawn_n(ended_unless_isolated, server, reachability)
-        else:
-            ended(server)
-
-    def ended_unless_isolated(server: Server, reachability: Reachability) -> None:
-        if reachability.confirm(server.facts.service):
-            ended(server)
-
-    def ended(server: Server) -> None:
+        if fleet.is_isolated(server.facts.service):
+            # The links of this daemon are at fault, and what is reported here spreads to all daemons.
+            return
         # A stream that two servers cut within a second can then be resumed at once. Otherwise it would wait
         # until the second server has been silent for long enough to be considered terminated.
         server.connection_refused = True
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -2,8 +2,6 @@
 
 import random
 from collections.abc import Callable, Iterable
-from types import SimpleNamespace
-from typing import Any
 
 import eventlet
 import pytest
@@ -13,7 +11,6 @@
 from bayglade.loading import Loader
 from bayglade.metrics import Metrics
 from bayglade.reachability import RETURN_INTERVAL, RETURN_ROUNDS, Reachability
-from bayglade.server_termination import watch_server_termination
 from bayglade.servers import Server, ServerFacts
 from tests.fleets import patch_clock
 from tests.test_ends import Scene
@@ -165,12 +162,26 @@
 
 @pytest.mark.parametrize("isolated", [True, False])
 def test_a_refused_connect_of_an_isolated_daemon_is_no_evidence(scene: Scene, isolated: bool) -> None:
-    reach: Any = SimpleNamespace(confirm=lambda service: not isolated)
-    watch_server_termination(scene.fleet, scene.pool, scene.diagnosis, scene.quarantine, reach)
+    scene.fleet.is_isolated = lambda service: isolated
     scene.pool.on_refused(scene.server.facts.id, scene.server.facts.address)
     assert scene.ended() is not isolated
 
 
+def test_the_end_of_a_server_counts_although_no_other_server_answers() -> None:
+    """All servers of a small service may end under one request; a fourth one did."""
+
+    def scenario(_: Daemon) -> None:
+        scene = Scene()
+        reach = Reachability(scene.fleet, lambda server: False, Metrics(None), random.Random(1))
+        scene.fleet.is_isolated = reach.is_isolated
+        facts = scene.server.facts
+        reach.note_connect(facts.id, ConnectionRefusedError())
+        scene.pool.on_refused(facts.id, facts.address)
+        assert scene.ended()
+
+    run(scenario)
+
+
 def test_an_isolated_daemon_gives_up_the_lease_and_its_orders() -> None:
     released = []
 
