Do not count an unlisted server as ended while the daemon is isolated

A server that is no longer listed is probed when requests were cut there, and counted as ended if the probe fails; that word spreads to all daemons. A daemon that reaches no server fails each such probe. Names and two statements on the time to isolation are put right; the first tries that fail are shown by the test.

--- a/bayglade/forwarded_calls.py
+++ b/bayglade/forwarded_calls.py
@@ -27,23 +27,23 @@
     """
     if secret is None:
         raise Stopping("this daemon accepts no forwarded calls", step="forward")
-    told = decode_forwarded(message.header(FORWARD_HEADER.lower()) or "", secret)
-    if told.revision > intake.version:
+    header = decode_forwarded(message.header(FORWARD_HEADER.lower()) or "", secret)
+    if header.revision > intake.version:
         raise SettingsBehind("the settings here are older than the sender's", step="forward")
     message.headers = [(n, v) for n, v in message.headers if n.lower() != FORWARD_HEADER.lower()]
     call = intake.call(message)
-    if call.head.id != told.request:
+    if call.head.id != header.request:
         raise PeerError(
             "the header belongs to another request",
             step="forward",
-            peer=told.sender,
+            peer=header.sender,
             outcome=Outcome.NOT_RUN,
         )
-    if told.last_event is not None:
-        call.head = msgspec.structs.replace(call.head, last_event=told.last_event)
-    call.deadline = min(call.deadline, call.arrived + told.seconds_left)
-    call.forwarded, call.earlier_servers = True, told.servers
-    event("INFO", "forward accepted", request=call.head.id, peer=told.sender, after=told.last_event)
+    if header.last_event is not None:
+        call.head = msgspec.structs.replace(call.head, last_event=header.last_event)
+    call.deadline = min(call.deadline, call.arrived + header.seconds_left)
+    call.forwarded, call.earlier_servers = True, header.servers
+    event("INFO", "forward accepted", request=call.head.id, peer=header.sender, after=header.last_event)
     if is_isolated(call.service):
         raise _isolated()
     return call
--- a/bayglade/forwarding.py
+++ b/bayglade/forwarding.py
@@ -255,13 +255,13 @@
             error = msgspec.json.decode(body, type=ErrorAnswer).error
         except msgspec.DecodeError as failure:
             raise BackendError("malformed answer", step="forward", peer=self.member) from failure
-        told = message.header("retry-after")
+        retry_after = message.header("retry-after")
         return PeerRefused(
             error.message,
             code=error.code,
             status=message.status,
             peer=self.member,
-            retry_after=float(told) if told is not None else None,
+            retry_after=float(retry_after) if retry_after is not None else None,
             outcome=outcome,
         )
 
@@ -330,7 +330,7 @@
 ) -> None:
     secret = forwarding.secret()
     assert secret is not None
-    told = ForwardedCall(
+    header = ForwardedCall(
         sender=forwarding.member,
         request=call.head.id,
         seconds_left=call.seconds_left(),
@@ -339,7 +339,7 @@
         last_event=last_event,
     )
     headers = [(n, v) for n, v in end_to_end_headers(call.headers) if n.lower() != FORWARD_HEADER.lower()]
-    headers.append((FORWARD_HEADER, encode_forwarded(told, secret)))
+    headers.append((FORWARD_HEADER, encode_forwarded(header, secret)))
     if call.body or call.method not in ("GET", "HEAD"):
         headers.append(("Content-Length", str(len(call.body))))
     start = f"{call.method} {call.target.decode('latin-1')} HTTP/1.1"
--- a/bayglade/server_termination.py
+++ b/bayglade/server_termination.py
@@ -40,7 +40,8 @@
 
     def probe_unlisted(server: Server) -> None:
         # Some servers leave by removing only their entry, and continue to serve for a while.
-        if not pool.probe(server.facts.id, server.facts.address):
+        reached = pool.probe(server.facts.id, server.facts.address)
+        if not reached and not fleet.is_isolated(server.facts.service):
             quarantine.server_ended(server.facts.key)
 
     def answered(server: Server, asked_at: float) -> None:
--- a/tests/test_partitioned_daemons.py
+++ b/tests/test_partitioned_daemons.py
@@ -81,7 +81,7 @@
     first_tries(daemons[0], CONTACT_SECONDS)
     for daemon in daemons:
         answers = first_tries(daemon, 1.0)
-        assert all(is_served(answer) for answer in answers)
+        assert [answer for answer in answers if not is_served(answer)] == []
         assert all(site.runs(answer.request) == 1 for answer in answers)
 
 
@@ -100,6 +100,12 @@
     wait_for("it knows that it is isolated", isolated)
 
 
+def isolate(daemon: Daemon, cut: Partition = Partition.RESET) -> None:
+    """Cut a daemon off from all servers, and wait until it knows."""
+    daemon.partition(cut)
+    wait_isolated(daemon)
+
+
 def test_one_daemon_with_links_serves_the_callers_of_all(site: UsersSite) -> None:
     daemons = start_daemons(site, 4)
     for daemon in daemons[1:]:
@@ -124,8 +130,7 @@
 
 def test_a_stream_goes_on_when_the_daemon_that_relays_it_is_killed(site: UsersSite) -> None:
     daemons = start_daemons(site, 3)
-    daemons[0].partition(Partition.RESET)
-    wait_isolated(daemons[0])
+    isolate(daemons[0])
     stream = Stream(daemons[0])
     wait_for("it has begun", lambda: site.runs(stream.request))
     helper = next(
@@ -141,8 +146,7 @@
     site: UsersSite,
 ) -> None:
     daemons = start_daemons(site, 3)
-    daemons[0].partition(Partition.RESET)
-    wait_isolated(daemons[0])
+    isolate(daemons[0])
     for server in site.of(PLAIN):
         server.faults.set("mute")
     call = Stream(daemons[0], "/once/x")
@@ -155,8 +159,7 @@
 
 def test_a_partitioned_daemon_uses_its_own_links_again_once_they_are_back(site: UsersSite) -> None:
     daemons = start_daemons(site, 2)
-    daemons[0].partition(Partition.SILENT)
-    wait_isolated(daemons[0])
+    isolate(daemons[0], Partition.SILENT)
     daemons[0].partition(Partition.NONE)
     wait_for("its links are back", lambda: len(daemons[0].lines("service reached again")) >= 2)
     before = forwards(daemons[0])
@@ -187,8 +190,7 @@
 
 def test_servers_learn_that_the_caller_of_a_forwarded_stream_has_left(site: UsersSite) -> None:
     daemons = start_daemons(site, 2)
-    daemons[0].partition(Partition.RESET)
-    wait_isolated(daemons[0])
+    isolate(daemons[0])
     stream = Stream(daemons[0])
     wait_for("it has begun", lambda: site.runs(stream.request))
     stream.leave()
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -167,6 +167,13 @@
     assert scene.ended() is not isolated
 
 
+def test_an_unlisted_server_that_an_isolated_daemon_cannot_reach_has_not_ended(scene: Scene) -> None:
+    scene.fleet.is_isolated = lambda service: True
+    scene.reached = False
+    scene.fleet.apply_changes([], [scene.server.facts.id], outage=False)
+    assert not scene.ended()
+
+
 def test_the_end_of_a_server_counts_although_no_other_server_answers() -> None:
     """All servers of a small service may end under one request; a fourth one did."""
 
