Check all services once a daemon is isolated from one

A first try of a daemon that had lost all servers ended with 504 more than 3 s after a silent cut: test_a_daemon_partitioned_from_all_servers_serves_first_tries[3-2-silent], 2 of 4 runs of four test files beside six busy processes.

Cause: each service was checked only after its own calls had failed. Which kind the failing request was is not known; its answer came at its deadline. Now isolation from one service starts a check of the others.

Ruled out: that the case fails without load (0 of 12 plays). Measured: 0 of 5 such runs fail now. test_a_daemon_that_loses_one_service_checks_the_others_at_once fails without the change.

--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -498,7 +498,7 @@
         self.totals.merge_heartbeat(member, beat)
         known = self.peers.forwarding.isolated_peers.get(member, frozenset())
         self.peers.forwarding.isolated_peers[member] = frozenset(beat.isolated)
-        self.peers.reachability.note_isolated_elsewhere(set(beat.isolated) - known)
+        self.peers.reachability.check_services(set(beat.isolated) - known)
         self.peers.reports.merge_heartbeat(member, beat)
         self.catch_up.record(member, beat.revision, beat.caught_up)
         self.catch_up.check(self._awaited_members())
--- a/bayglade/reachability.py
+++ b/bayglade/reachability.py
@@ -126,10 +126,11 @@
         if len(known.failed_at) >= min(FAILED_SERVERS, len(self._candidates(service))):
             self._start_check(service, known)
 
-    def note_isolated_elsewhere(self, services: Iterable[ServiceName]) -> None:
-        """Check services from which another daemon has become isolated: a cut often hits several daemons.
+    def check_services(self, services: Iterable[ServiceName]) -> None:
+        """Check services that may be out of reach, because another service or another daemon was cut off.
 
-        A daemon without requests to a service would otherwise learn of it from the first of them.
+        Without requests to a service, or with one that must not be repeated on a silent connection, the
+        daemon would learn of it only seconds later.
         """
         for service in services:
             known = self.services.setdefault(service, ServiceReach())
@@ -187,6 +188,7 @@
         self.fleet.clear_recent_suspicions(service, first, known.failed_at.keys())
         known.failed_at.clear()
         eventlet.spawn_n(self._await_return, service, known)
+        self.check_services(self.fleet.by_service)
         self.on_change()
 
     def _await_return(self, service: ServiceName, known: ServiceReach) -> None:
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -85,6 +85,19 @@
     run(scenario)
 
 
+def test_a_daemon_that_loses_one_service_checks_the_others_at_once() -> None:
+    """A call that must not be repeated waits on a silent connection, and shows nothing until it ends."""
+
+    def scenario(daemon: Daemon) -> None:
+        daemon.lose(MODEL, range(6))
+        daemon.lose(TILES, range(6))
+        daemon.call(MODEL, [0, 1])
+        eventlet.sleep(2 * SILENT_SECONDS)
+        assert set(daemon.reach.isolated_services()) == {MODEL, TILES}
+
+    run(scenario)
+
+
 def test_one_failed_server_is_not_checked() -> None:
     def scenario(daemon: Daemon) -> None:
         daemon.lose(MODEL, [0])
