--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bayglade import forwarding
+from bayglade.clock import now
 from bayglade.entries.forwards import ForwardedCall, decode_forwarded, encode_forwarded
 from bayglade.exceptions import (
     BackendSilent,
@@ -16,7 +17,14 @@
     PeerError,
     PeerRefused,
 )
-from bayglade.forwarding import MAX_DAEMONS, ForwardedExchange, Forwarding, forward_call
+from bayglade.forwarding import (
+    KEEP_SECONDS,
+    MAX_DAEMONS,
+    RANDOM_DAEMONS,
+    ForwardedExchange,
+    Forwarding,
+    forward_call,
+)
 from bayglade.ids import BackendId, MemberId, RequestId, Revision, ServiceName
 from bayglade.metrics import Metrics
 from tests.forwarding_site import simulate
@@ -116,6 +124,33 @@
     assert "d1" not in peers.offered
 
 
+def test_a_daemon_that_accepted_a_call_is_preferred_after_some_refusals(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    peers = Peers(monkeypatch, **{f"d{n}": refusal("isolated") for n in range(1, 60)}, d60=None)
+    peers.forwarding.accepted_at[MemberId("d60")] = now()
+    assert peers.forward() == "d60"
+    assert len(peers.offered) <= RANDOM_DAEMONS + 1
+
+
+def test_a_forwarded_call_is_not_forwarded_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    peers, call = Peers(monkeypatch, d1=None), make_call()
+    call.forwarded = False
+    assert peers.forwarding.is_needed(call)
+    call.forwarded = True
+    assert not peers.forwarding.is_needed(call)
+
+
+def test_the_connection_of_a_finished_call_is_kept_for_the_next(monkeypatch: pytest.MonkeyPatch) -> None:
+    peers, kept = Peers(monkeypatch, d1=None), []
+    connection: Any = SimpleNamespace(close=kept.append)
+    exchange = ForwardedExchange(peers.forwarding, MemberId("d1"), connection, make_call())
+    assert peers.forwarding.in_flight[MemberId("d1")] == 1
+    exchange.close()
+    assert kept == [KEEP_SECONDS]
+    assert peers.forwarding.in_flight[MemberId("d1")] == 0
+
+
 def test_a_call_that_no_daemon_accepts_was_not_run(monkeypatch: pytest.MonkeyPatch) -> None:
     peers = Peers(monkeypatch, **{f"d{n}": refusal("isolated") for n in range(1, 40)})
     with pytest.raises(Isolated) as caught:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -75,10 +75,10 @@
     listed.mark_suspect(first, "silent")
     attempts.note_sent(second)
     assert attempts.allowed_servers() == {"s0", "s1"}
-    at += COUNTED_SILENT_SECONDS / 2
+    at += COUNTED_SILENT_SECONDS * 3 / 4
     listed.mark_suspect(first, "silent")
     assert attempts.allowed_servers() == {"s0", "s1"}
-    at += COUNTED_SILENT_SECONDS / 2
+    at += COUNTED_SILENT_SECONDS / 4 + 0.01
     assert attempts.allowed_servers() is None
 
 
