Show in the log which parts of a prompt were running when a server broke off

The adapter now reads the parts of a prompt that other requests may share, and each failed attempt that may have run names them, as keyed digests with the service. Ruled out: names as callers send them, which would tell of prompts; the endpoint or account in the digest, as the same part may come on any. No decision changes.

--- a/bayglade/calls.py
+++ b/bayglade/calls.py
@@ -7,7 +7,7 @@
 from bayglade.clock import now
 from bayglade.endpoints import Endpoint
 from bayglade.http1 import Headers, Message
-from bayglade.ids import BackendId, Fingerprint, GroupPath, RequestId, ServiceName
+from bayglade.ids import BackendId, Fingerprint, GroupPath, PromptPartId, RequestId, ServiceName
 from bayglade.models import Route
 from bayglade.pipelines import Demand, Pipeline
 
@@ -31,6 +31,9 @@
     last_event: int | None = None
     """The event after which a stream is resumed."""
 
+    shared_parts: tuple[PromptPartId, ...] = ()
+    """The parts of the prompt that other requests may share, without duplicates."""
+
 
 class Call(msgspec.Struct, kw_only=True):
     """A caller's request in progress; times are monotonic seconds."""
@@ -49,6 +52,9 @@
     fingerprint: Fingerprint | None = None
     """Identifies the content of the request; computed when first needed."""
 
+    part_fingerprints: tuple[Fingerprint, ...] | None = None
+    """Identify the shared parts of the prompt; computed when first needed."""
+
     forwarded: bool = False
     """Whether another daemon forwarded it; it is not forwarded again."""
 
--- a/bayglade/ids.py
+++ b/bayglade/ids.py
@@ -25,7 +25,11 @@
 Digest = NewType("Digest", str)
 
 Fingerprint = NewType("Fingerprint", str)
-"""Identifies the content of a request, independent of its id; see :mod:`bayglade.fingerprints`."""
+"""Identifies the content of a request, independent of its id, or a part of prompts; see
+:mod:`bayglade.fingerprints`."""
+
+PromptPartId = NewType("PromptPartId", str)
+"""Identifies a part of prompts that requests may share, as the caller names it."""
 
 StoreEpoch = NewType("StoreEpoch", int)
 """Increases each time the platform's store is restored from an older copy; row versions are unique
--- a/bayglade/platform/calls.py
+++ b/bayglade/platform/calls.py
@@ -6,7 +6,7 @@
 from bayglade.calls import AnswerHead, Call, CallHead, Dialect, Sending
 from bayglade.exceptions import InvalidMessage
 from bayglade.http1 import Headers, Message, end_to_end_headers
-from bayglade.ids import RequestId
+from bayglade.ids import PromptPartId, RequestId
 from bayglade.logs import event, rate_limited
 from bayglade.models import Route
 
@@ -14,6 +14,7 @@
 DEADLINE_HEADER = "X-Deadline-Ms"
 KEY_HEADER = "X-Key"
 TOKEN_COUNTS_HEADER = "X-Token-Counts"
+PROMPT_PARTS_HEADER = "X-Prompt-Prefix"
 LENGTH_HINT_HEADER = "Length-Hint"
 LAST_EVENT_HEADER = "Last-Event-Id"
 TENANT_HEADER = "X-Tenant"
@@ -30,6 +31,8 @@
 REJECTION_STATUSES = (429, 503)
 """Statuses with which a server rejects a request. With any other status, ``Retry-After`` is not the
 server's own and is ignored."""
+MAX_SHARED_PARTS = 32
+"""Limit on the parts of a prompt that are told apart; a caller may name any number of them."""
 DECIMAL = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 INVALID_HEADER_LOGS_PER_SECOND = 0.2
 """A server may send an invalid header with every answer; it is logged at most once in five seconds."""
@@ -97,6 +100,7 @@
             max_answer_tokens=answer,
             expected_answer_tokens=_length_hint(found.get(LENGTH_HINT_HEADER.lower())),
             last_event=_event_id(found.get(LAST_EVENT_HEADER.lower())),
+            shared_parts=_shared_parts(found.get(PROMPT_PARTS_HEADER.lower())),
         )
     except ValueError as error:
         raise InvalidMessage(f"invalid header value: {error}", step="read", peer="caller") from error
@@ -180,6 +184,18 @@
     return int(prompt), int(answer or 0)
 
 
+def _shared_parts(text: str | None) -> tuple[PromptPartId, ...]:
+    """Parse ``ID:TOKENS,ID:TOKENS,...``, the parts of a prompt; the last one belongs to the request itself.
+
+    Malformed entries are ignored: a prompt is passed on as it is.
+    """
+    if text is None or "," not in text:
+        return ()
+    names = (entry.partition(":")[0].strip() for entry in text.split(",")[:-1])
+    parts = dict.fromkeys(PromptPartId(name) for name in names if name)
+    return tuple(parts)[:MAX_SHARED_PARTS]
+
+
 def _length_hint(text: str | None) -> int | None:
     """Parse the caller's estimate of the answer's tokens; an invalid one is ignored."""
     return int(text) if text and text.isdigit() else None
--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -20,7 +20,7 @@
 from bayglade.entries.wire import Crash
 from bayglade.evidence import COMMON_CAUSE_SECONDS, CRASHES_TO_STOP, STOP_SECONDS, Evidence, should_stop
 from bayglade.exceptions import RequestStopped
-from bayglade.fingerprints import fingerprint_of
+from bayglade.fingerprints import fingerprint_of, part_fingerprints_of
 from bayglade.ids import BackendId, Fingerprint, ServerKey
 from bayglade.logs import event, rate_limited
 from bayglade.retries import jittered_retry_after
@@ -145,6 +145,12 @@
             call.fingerprint = fingerprint_of(call, self.key)
         return call.fingerprint
 
+    def part_fingerprints_for(self, call: Call) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints of the shared parts of a prompt; they are computed once per call."""
+        if call.part_fingerprints is None:
+            call.part_fingerprints = part_fingerprints_of(call, self.key)
+        return call.part_fingerprints
+
     def stopped(self) -> list[tuple[Fingerprint, Evidence]]:
         """List the requests that are stopped, with the evidence against them."""
         return [(fingerprint, e) for fingerprint, e in self.evidence.items() if e.stopped_at is not None]
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -359,3 +359,13 @@
     if error.outcome is Outcome.NOT_RUN:
         return None
     return context.quarantine.fingerprint_for(call)
+
+
+def request_parts(context: RelayContext, call: Call, error: BackendError) -> tuple[Fingerprint, ...] | None:
+    """Return the fingerprints, for the log, of the shared parts of a prompt that may have run.
+
+    Without them, requests that fail for one part of their prompts have nothing in common in the log.
+    """
+    if error.outcome is Outcome.NOT_RUN:
+        return None
+    return context.quarantine.part_fingerprints_for(call) or None
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -42,6 +42,7 @@
     await_crash_reports,
     forward,
     request_fingerprint,
+    request_parts,
     start_attempts,
 )
 from bayglade.room_forecast import StreamProgress
@@ -400,6 +401,7 @@
         at_fault=server.facts.id,
         error=repr(error),
         content=request_fingerprint(context, call, error),
+        parts=request_parts(context, call, error),
         rest=error.rest_seconds if isinstance(error, BackendRefused) else None,
         begun=None if run.first_event_at is None else round(now() - run.first_event_at, 3),
     )
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -28,6 +28,7 @@
     forward,
     probe_server,
     request_fingerprint,
+    request_parts,
     start_attempts,
 )
 from bayglade.reservations import Reservation
@@ -256,6 +257,7 @@
         peer=server.facts.id,
         error=repr(error),
         content=request_fingerprint(context, call, error),
+        parts=request_parts(context, call, error),
         rest=error.rest_seconds if isinstance(error, BackendRefused) else None,
     )
     if isinstance(error, BackendRefused):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,7 +14,7 @@
 from bayglade.ids import BackendId
 from bayglade.platform import calls as platform_calls
 from bayglade.platform import decode_document, decode_server
-from bayglade.platform.calls import MAX_UNKNOWN_HEADERS, read_answer, read_call
+from bayglade.platform.calls import MAX_SHARED_PARTS, MAX_UNKNOWN_HEADERS, read_answer, read_call
 from standins.users import GROUP, KEY, MODEL, PLAIN, configuration
 from tests.server_rows import facts_of
 
@@ -106,6 +106,23 @@
     assert (head.prompt_tokens, head.max_answer_tokens, head.last_event) == (800, 160, 7)
 
 
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("5c1e:800,91bd:410,e440:250", ("5c1e", "91bd")),
+        ("e440:250", ()),
+        ("", ()),
+        (",,:5, 5c1e:x,e440", ("5c1e",)),
+        ("5c1e:1,5c1e:2,e440:3", ("5c1e",)),
+        (f"{'f' * 3000}:1,e440:3", ("f" * 3000,)),
+        (",".join(f"{n}:1" for n in range(500)), tuple(str(n) for n in range(MAX_SHARED_PARTS))),
+    ],
+)
+def test_the_shared_parts_of_a_prompt_are_parsed(text: str, parts: tuple[str, ...]) -> None:
+    head = read_call(message(Host="h", X_Request_Id="r", X_Prompt_Prefix=text))
+    assert head.shared_parts == parts
+
+
 @pytest.mark.parametrize(
     "headers",
     [
