Test that a part of prompts that crashes servers is stopped (failing)

Callers saw 502 and cut streams while requests with one part in their prompts crashed server after server. Servers that crash at once by another cause stop no part, which holds already.

--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -274,7 +274,8 @@
         self.ran_at.append((request, time.monotonic()))
         self.seen.append({name.lower(): value for name, value in handler.headers.items()})
         head = {"X-Request-Id": request, "X-Response-Seal": f"seal-of-{self.id}"}
-        if body in self.site.deadly:
+        parts = prompt_part_ids(handler.headers.get("X-Prompt-Prefix", ""))
+        if body in self.site.deadly or not self.site.deadly_parts.isdisjoint(parts):
             self.site.deadly_requests[request] = body
             self.site.crash_under(request, body, self, handler.headers.get("Path"))
         if self.kind:
@@ -372,6 +373,11 @@
     return stages
 
 
+def prompt_part_ids(text: str) -> list[str]:
+    """Return the ids of the shared parts that a prompt header names; the last part is not shared."""
+    return [part.partition(":")[0] for part in text.split(",")][:-1]
+
+
 def _head(status: int, headers: dict[str, str]) -> bytes:
     lines = [f"HTTP/1.1 {status} Status", *(f"{n}: {v}" for n, v in headers.items()), "", ""]
     return "\r\n".join(lines).encode()
--- a/standins/users/site.py
+++ b/standins/users/site.py
@@ -65,6 +65,9 @@
         self.deadly: set[bytes] = set()
         """Bodies of requests that crash each server which starts to run them."""
 
+        self.deadly_parts: set[str] = set()
+        """Ids of prompt parts that crash each server which starts to run a request with one of them."""
+
         self.deadly_requests: dict[str, bytes] = {}
         """Bodies of the crashing requests that were sent, by request id."""
 
