--- a/bayglade/answers.py
+++ b/bayglade/answers.py
@@ -4,17 +4,19 @@
 only work per answer is a lookup by content; fingerprints are computed when they are first needed.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
+from typing import NamedTuple
 
 from bayglade.calls import Call
-from bayglade.fingerprints import RequestContent, fingerprint_of_content, request_content
-from bayglade.ids import Fingerprint
+from bayglade.fingerprints import RequestContent, fingerprint_of_content, part_fingerprint, request_content
+from bayglade.ids import Fingerprint, PromptPartId, ServiceName
 
 PROVEN_ANSWERS = 5
 """Answers after which a request is taken not to crash servers by itself."""
 PROVEN_SECONDS = 600.0
 """How long that holds after the last answer: as long as crashes count."""
 MAX_ANSWERS = 512
+MAX_COUNTED_PARTS = 4096
 MAX_BODY_BYTES = 4_000_000
 """Maximum total size of the bodies kept to compute fingerprints from."""
 
@@ -107,3 +109,67 @@
         self.body_bytes -= len(content.body)
         if self.not_fingerprinted.pop(content, None) is None and entry.fingerprint is not None:
             del self.by_fingerprint[entry.fingerprint]
+
+
+class AnsweredPrompt(NamedTuple):
+    """The shared parts of a prompt that was answered, and when, in monotonic seconds."""
+
+    service: ServiceName
+    parts: tuple[PromptPartId, ...]
+    at: float
+
+
+class PartAnswers:
+    """How often the parts of prompts were answered recently at one daemon, bounded in number.
+
+    Like :class:`Answers`, it computes fingerprints only once they are needed.
+    """
+
+    def __init__(self) -> None:
+        self.pending: deque[AnsweredPrompt] = deque(maxlen=MAX_ANSWERS)
+        """Answered prompts whose parts are not counted yet."""
+
+        self.counts: OrderedDict[Fingerprint, AnswerCount] = OrderedDict()
+        """By part, the one answered last at the end."""
+
+    def __repr__(self) -> str:
+        return f"<PartAnswers {len(self.counts)} parts, {len(self.pending)} prompts pending>"
+
+    def note(self, call: Call, at: float) -> None:
+        """Record a complete answer.
+
+        :param call: the request.
+        :param at: the time now, in monotonic seconds.
+        """
+        if call.head.shared_parts:
+            self.pending.append(AnsweredPrompt(call.service, call.head.shared_parts, at))
+
+    def proven(self, fingerprint: Fingerprint, key: bytes, at: float) -> bool:
+        """Tell whether prompts with a part were answered many times recently.
+
+        :param fingerprint: the part.
+        :param key: key of fingerprints.
+        :param at: the time now, in monotonic seconds.
+        """
+        while self.pending:
+            self._count(self.pending.popleft(), key)
+        entry = self.counts.get(fingerprint)
+        if entry is None or at - entry.answered_at > PROVEN_SECONDS:
+            return False
+        return entry.count >= PROVEN_ANSWERS
+
+    def forget_fingerprints(self) -> None:
+        """Drop all counts, as the key of fingerprints has changed."""
+        self.counts.clear()
+
+    def _count(self, prompt: AnsweredPrompt, key: bytes) -> None:
+        for part in prompt.parts:
+            fingerprint = part_fingerprint(prompt.service, part, key)
+            entry = self.counts.setdefault(fingerprint, AnswerCount())
+            if prompt.at - entry.answered_at > PROVEN_SECONDS:
+                entry.count = 0
+            entry.count += 1
+            entry.answered_at = prompt.at
+            self.counts.move_to_end(fingerprint)
+        while len(self.counts) > MAX_COUNTED_PARTS:
+            self.counts.popitem(last=False)
--- a/bayglade/beliefs.py
+++ b/bayglade/beliefs.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bayglade.clock import now
+from bayglade.evidence import Subject
 from bayglade.feeds import ORIGIN, Feed
 from bayglade.fleet import Fleet
 from bayglade.ids import (
@@ -78,9 +79,10 @@
 
 
 class StopBelief(msgspec.Struct, frozen=True):
-    """A request that the daemon holds in quarantine."""
+    """A request, or a part of prompts, that the daemon holds in quarantine."""
 
     content: Fingerprint
+    subject: Subject
     ends: list[BackendId]
     """Servers that crashed while running it."""
 
@@ -208,6 +210,7 @@
     return [
         StopBelief(
             content=name,
+            subject=evidence.subject,
             ends=sorted(start.backend for start in evidence.crashed_on),
             seconds=round(now() - (evidence.stopped_at or 0.0), 1),
             in_store=evidence.in_store,
--- a/bayglade/calls.py
+++ b/bayglade/calls.py
@@ -55,6 +55,9 @@
     part_fingerprints: tuple[Fingerprint, ...] | None = None
     """Identify the shared parts of the prompt; computed when first needed."""
 
+    trial_of: Fingerprint | None = None
+    """The stopped part of its prompt that is tried again with this call."""
+
     forwarded: bool = False
     """Whether another daemon forwarded it; it is not forwarded again."""
 
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -155,12 +155,26 @@
     age: float = 0.0
     """Seconds since the server broke off the request, as of sending."""
 
+    parts: tuple[Fingerprint, ...] = ()
+    """The parts of its prompt that other requests may share."""
+
+    ran: float = 0.0
+    """Seconds from sending the request to the server until it was broken off."""
+
     @property
     def key(self) -> ServerKey:
         """Return the server and the incarnation that ended."""
         return ServerKey(self.backend, self.incarnation)
 
 
+class SoundPart(msgspec.Struct, frozen=True, array_like=True):
+    """A part of prompts that a server has run without ending."""
+
+    fingerprint: Fingerprint
+    age: float
+    """Seconds since the server began to write the answer, as of sending."""
+
+
 class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
     """The rate limit that a server announced in an answer, or its removal."""
 
@@ -256,6 +270,9 @@
     limits: list[LimitNotice] = []
     """Rate limits that servers announced."""
 
+    sound: list[SoundPart] = []
+    """Suspected parts of prompts that servers have run since without ending."""
+
 
 class Fetch(msgspec.Struct, frozen=True, tag="f", array_like=True):
     """Requests the settings in force if they are newer than a revision."""
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -411,7 +411,7 @@
             call = read_call(message)
             request = call.head.id
             self._check_draining(call)
-            self.quarantine.check(call)
+            self.quarantine.check_arrival(call)
             self.active_requests.add(request)
             with self.presence.watch(connection.sock):
                 self._relay_call(call, connection)
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -44,6 +44,7 @@
     plan_readers,
 )
 from bayglade.relay import RelayContext
+from bayglade.rendezvous import choose_member
 from bayglade.retries import BUDGET_FLOOR, RetryBudget
 from bayglade.roster import MemberRow, Roster, apply_rows, join, mark_gone
 from bayglade.rows import Changes, Position, Table, was_restored
@@ -302,15 +303,25 @@
         quarantine = self.peers.quarantine
         for name, evidence in quarantine.unwritten():
             evidence.write_at = now() + STOP_REWRITE_SECONDS
-            eventlet.spawn_n(
-                self._change_stop, partial(write_stop, self.store, name, set(evidence.crashed_on))
+            write = partial(
+                write_stop,
+                self.store,
+                name,
+                set(evidence.crashed_on),
+                evidence.subject,
+                quarantine.required_companions(evidence),
             )
+            eventlet.spawn_n(self._change_stop, write)
         over = quarantine.take_lifts()
         if self.plan.hall_readers.get(self.config.hall, ())[:1] == (self.config.member,):
             over += quarantine.expired()
         for name in over:
             eventlet.spawn_n(self._change_stop, partial(remove_stop, self.store, name))
 
+    def _has_turn(self, turn: str) -> bool:
+        """Tell whether this daemon is the one chosen for a turn."""
+        return choose_member(turn, self.roster.members) == self.config.member
+
     def _change_stop(self, change: Callable[[], object]) -> None:
         try:
             change()
@@ -400,6 +411,7 @@
         self.peers.paths.remote_loads = lambda: self.totals.other_daemons(self._loads())
         self.peers.paths.daemon_count = lambda: self.totals.count_hall_peers() + 1
         self.peers.diagnosis.count_daemons = membership.count
+        self.peers.quarantine.has_turn = self._has_turn
         self.peers.paths.pipes.daemons = membership.count
         return membership
 
--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -1,36 +1,58 @@
-"""Quarantine of requests that crash backend servers.
+"""Quarantine of requests, and of parts of prompts, that crash backend servers.
 
 A request that crashes a server takes down everything else running there for seconds, and clients retry
-it under a new id, at any daemon. Crashes are therefore counted by request content (see
-:mod:`bayglade.fingerprints`) and by server incarnation, over all daemons. The set of (fingerprint,
-incarnation) pairs only grows; daemons exchange additions and may merge them in any order. A request is
-stopped once enough incarnations have crashed while running it. Stops are also stored in the platform's
+it under a new id, at any daemon; requests that differ may crash servers for a part of their prompts that
+they share. Crashes are therefore counted by request content and by prompt part (see
+:mod:`bayglade.fingerprints`), and by server incarnation, over all daemons. The set of (fingerprint,
+incarnation) pairs only grows; daemons exchange additions and may merge them in any order. What explains
+enough crashes is stopped (see :mod:`bayglade.attribution`). Stops are also stored in the platform's
 store, so that daemons that start later know them.
 """
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Set
+from collections.abc import Callable, Iterable, Mapping, Set
 
 import msgspec
 
-from bayglade.answers import Answers
+from bayglade.answers import Answers, PartAnswers
+from bayglade.attribution import is_widespread, judge, required_companions
 from bayglade.calls import Call
 from bayglade.clock import now
-from bayglade.entries.wire import Crash
-from bayglade.evidence import COMMON_CAUSE_SECONDS, CRASHES_TO_STOP, STOP_SECONDS, Evidence, should_stop
+from bayglade.entries.wire import Crash, SoundPart
+from bayglade.evidence import (
+    COMMON_CAUSE_SECONDS,
+    CRASHES_TO_STOP,
+    STOP_SECONDS,
+    SUSPECT_SECONDS,
+    Evidence,
+    Subject,
+)
 from bayglade.exceptions import RequestStopped
 from bayglade.fingerprints import fingerprint_of, part_fingerprints_of
 from bayglade.ids import BackendId, Fingerprint, ServerKey
 from bayglade.logs import event, rate_limited
 from bayglade.retries import jittered_retry_after
+from bayglade.stops import StopRow
 
 SUSPECT_RUN_SECONDS = 1.0
 """A request whose first event is older than this when its server crashes is no suspect: requests that
 crash servers do so soon after they start to run."""
+SOUND_RUN_SECONDS = 0.5
+"""A server that still writes an answer this long after its first event does not crash under it."""
 RESEND_DELAY_SECONDS = 0.15
 """Delay before a request that has crashed two servers is sent again. It leaves time for reports of the
 other requests that had just begun on those servers, and of a third crash."""
+TRIAL_INTERVAL_SECONDS = 60.0
+"""How long after the last crash a stopped part of prompts is tried again, once."""
+TRIAL_INTERVAL_PROVEN_SECONDS = 4.0
+"""The same for a part that was answered many times before: many requests may wait for the outcome."""
+TRIAL_BACKOFF = 5.0
+"""Factor by which that time grows with each trial that crashed a server."""
+TRIAL_GRACE_SECONDS = 2.0
+"""Crashes this soon after a stop were caused by requests sent before it."""
+TRIAL_TURN_SECONDS = 5.0
+"""How long one daemon may try a part before it is the turn of another one."""
 TRIAL_SECONDS = 0.4
 """How long other suspects are kept off a server to which a suspect was sent: longer than a server
 survives a request that crashes it, and shorter than clients wait."""
@@ -69,8 +91,26 @@
     last_at: float
 
 
+class Interruption(msgspec.Struct, frozen=True):
+    """A request that a server broke off; times are in monotonic seconds."""
+
+    at: float
+    sent_at: float
+    parts: tuple[Fingerprint, ...]
+
+    def crash(self, fingerprint: Fingerprint, server_key: ServerKey, at: float) -> Crash:
+        """Return the report that the server crashed, as of a time."""
+        return Crash(
+            fingerprint,
+            *server_key,
+            round(at - self.at, 3),
+            self.parts,
+            round(max(0.0, self.at - self.sent_at), 3),
+        )
+
+
 class Quarantine:
-    """The requests that one daemon has stopped, and the evidence against others.
+    """What one daemon has stopped, and the evidence against other suspects.
 
     :param key: key of fingerprints; all daemons use the same one once they have joined.
     :param rng: source of randomness.
@@ -82,11 +122,11 @@
         self.evidence: OrderedDict[Fingerprint, Evidence] = OrderedDict()
         """By fingerprint, ordered by last update."""
 
-        self.unconfirmed: dict[ServerKey, dict[Fingerprint, float]] = {}
-        """By server incarnation: requests that this daemon sent and that were interrupted there, with
-        the time. It isn't known yet whether the server crashed."""
+        self.unconfirmed: dict[ServerKey, dict[Fingerprint, Interruption]] = {}
+        """By server incarnation: requests that this daemon sent and that were interrupted there. It isn't
+        known yet whether the server crashed."""
 
-        self.remote_unconfirmed: dict[ServerKey, dict[Fingerprint, float]] = {}
+        self.remote_unconfirmed: dict[ServerKey, dict[Fingerprint, Interruption]] = {}
         """The same for requests that other daemons sent. These daemons may be gone when the crash is
         confirmed."""
 
@@ -100,6 +140,13 @@
         """Requests answered recently. One that many clients send is answered again and again, and is
         running during many crashes that it didn't cause."""
 
+        self.part_answers = PartAnswers()
+        """The same for parts of prompts."""
+
+        self.sound_at: OrderedDict[Fingerprint, float] = OrderedDict()
+        """When a server last began to write an answer to a prompt with a part, and did not crash. Recorded
+        while there is evidence against anything."""
+
         self.pending_lifts: set[Fingerprint] = set()
         """Stops in the store that this daemon knows to be wrong and is going to remove."""
 
@@ -117,7 +164,13 @@
         """Called for each request that was interrupted by a server which may have crashed."""
 
         self.on_proven: Callable[[list[Fingerprint]], None] = lambda fingerprints: None
-        """Called with requests that are under suspicion although they were answered many times before."""
+        """Called with suspects that were answered many times before."""
+
+        self.on_sound: Callable[[list[SoundPart]], None] = lambda sound: None
+        """Called with suspected parts of prompts that a server has run since."""
+
+        self.has_turn: Callable[[str], bool] = lambda turn: True
+        """Tells whether it is this daemon's turn of all daemons to do something."""
 
         self.log_refusal = rate_limited(MAX_LOGS_PER_SECOND)
 
@@ -130,7 +183,9 @@
             return
         self.key = key
         self.answers.forget_fingerprints()
+        self.part_answers.forget_fingerprints()
         for known in (
+            self.sound_at,
             self.evidence,
             self.unconfirmed,
             self.remote_unconfirmed,
@@ -152,37 +207,114 @@
         return call.part_fingerprints
 
     def stopped(self) -> list[tuple[Fingerprint, Evidence]]:
-        """List the requests that are stopped, with the evidence against them."""
+        """List what is stopped, with the evidence against it."""
         return [(fingerprint, e) for fingerprint, e in self.evidence.items() if e.stopped_at is not None]
 
     def is_stopped(self, call: Call) -> bool:
         """Tell whether a call must not be sent."""
-        evidence = self._evidence_for(call)
-        return evidence is not None and evidence.stopped_at is not None
+        return self._find_stop(call) is not None
+
+    def check_arrival(self, call: Call) -> None:
+        """Refuse a new call that must not be sent, unless it may be a trial of a stopped part.
+
+        :raises RequestStopped: as :meth:`check` does.
+        """
+        fingerprint = self._find_stop(call)
+        if fingerprint is not None and not self._start_trial(call, fingerprint):
+            self.check(call)
 
     def check(self, call: Call) -> None:
         """Refuse a call that must not be sent.
 
-        :raises RequestStopped: if too many servers crashed while running this request.
+        :raises RequestStopped: if too many servers crashed while running this request, or others with a
+            part of its prompt.
         """
-        evidence = self._evidence_for(call)
-        if evidence is None or evidence.stopped_at is None:
+        fingerprint = self._find_stop(call)
+        if fingerprint is None:
             return
-        fingerprint = self.fingerprint_for(call)
-        self.log_refusal("WARNING", "request held back", request=call.head.id, content=fingerprint)
-        left = max(0.0, evidence.stopped_at + STOP_SECONDS - now())
+        evidence = self.evidence[fingerprint]
+        self.log_refusal(
+            "WARNING",
+            "request held back",
+            request=call.head.id,
+            content=fingerprint,
+            subject=evidence.subject.value,
+        )
+        left = max(0.0, (evidence.stopped_at or 0.0) + STOP_SECONDS - now())
+        ran = (
+            "this request" if evidence.subject is Subject.REQUEST else "requests with a part of this prompt"
+        )
         raise RequestStopped(
-            f"{len(evidence.crashed_on)} servers ended when they ran this request ({fingerprint})",
+            f"{len(evidence.crashed_on)} servers ended when they ran {ran} ({fingerprint})",
             step="quarantine",
             retry_after=jittered_retry_after(left, self.rng),
         )
 
+    def _find_stop(self, call: Call) -> Fingerprint | None:
+        """Return what is stopped of a call: its content, or a part of its prompt."""
+        if not self.evidence:
+            return None
+        content, parts = self.fingerprint_for(call), self.part_fingerprints_for(call)
+        for fingerprint in (content, *parts):
+            evidence = self.evidence.get(fingerprint)
+            if evidence is None or evidence.stopped_at is None or fingerprint == call.trial_of:
+                continue
+            if self.required_companions(evidence) <= set(parts):
+                return fingerprint
+        return None
+
+    def _start_trial(self, call: Call, fingerprint: Fingerprint) -> bool:
+        """Tell whether a call is sent once although a part of its prompt is stopped.
+
+        Nothing else would clear a part that was stopped wrongly, as no server runs it any more. One daemon
+        at a time may try it, with one call.
+        """
+        evidence = self.evidence[fingerprint]
+        if evidence.subject is not Subject.PROMPT_PART or call.trial_of is not None:
+            return False
+        at = now()
+        interval = TRIAL_INTERVAL_PROVEN_SECONDS if evidence.proven else TRIAL_INTERVAL_SECONDS
+        due = max(evidence.last_crash_at, evidence.stopped_at or 0.0)
+        due += interval * TRIAL_BACKOFF**evidence.failed_trials
+        if at < max(due, evidence.trial_until):
+            return False
+        call.trial_of = fingerprint
+        turn = int((at - due) / TRIAL_TURN_SECONDS)
+        if self._find_stop(call) is not None or not self.has_turn(f"{fingerprint}/{turn}"):
+            call.trial_of = None
+            return False
+        evidence.trial_until = at + TRIAL_TURN_SECONDS
+        event("INFO", "trial of a stopped part", request=call.head.id, content=fingerprint)
+        return True
+
+    def end_trial(self, call: Call) -> None:
+        """Record that a call was sent; if it was a trial, it is not sent again."""
+        call.trial_of = None
+
+    def required_companions(self, evidence: Evidence) -> frozenset[Fingerprint]:
+        """Return the parts that a prompt must have, besides a stopped one, to be refused."""
+        return required_companions(evidence, self.evidence)
+
     def is_suspect(self, call: Call) -> bool:
         """Tell whether a server crashed, or may have crashed, shortly after it started to run a call."""
-        evidence = self._evidence_for(call)
-        return (evidence is not None and len(evidence.crashed_on) > 0) or len(
-            self.unconfirmed_servers(call)
-        ) > 0
+        return (
+            call.trial_of is not None
+            or self._crash_count(call) > 0
+            or len(self.unconfirmed_servers(call)) > 0
+        )
+
+    def _crash_count(self, call: Call) -> int:
+        """Return how many servers crashed under a call, or under others with a rarely used part."""
+        if not self.evidence:
+            return 0
+        evidence = self.evidence.get(self.fingerprint_for(call))
+        crashes = 0 if evidence is None else len(evidence.crashed_on)
+        for part in self.part_fingerprints_for(call):
+            against = self.evidence.get(part)
+            if against is not None and not against.proven and not is_widespread(against):
+                # A single crash says little about a part that others have as well.
+                crashes = max(crashes, len(against.crashed_on) - 1)
+        return crashes
 
     def unconfirmed_servers(self, call: Call) -> list[ServerKey]:
         """List the server incarnations that interrupted a call and may have crashed."""
@@ -207,9 +339,7 @@
 
     def resend_delay(self, call: Call) -> float:
         """Return how long to wait for crash reports before a call is sent again."""
-        evidence = self._evidence_for(call)
-        crashes = len(evidence.crashed_on) if evidence is not None else 0
-        crashes += len(self.unconfirmed_servers(call))
+        crashes = self._crash_count(call) + len(self.unconfirmed_servers(call))
         return RESEND_DELAY_SECONDS if crashes >= CRASHES_TO_STOP - 1 else 0.0
 
     def note_interrupted(
@@ -229,12 +359,13 @@
         times = self.recent_crashes.get(server_key)
         if times is not None and times.first_at < sent_at:
             return
-        fingerprint = self.fingerprint_for(call)
+        at, fingerprint = now(), self.fingerprint_for(call)
+        interruption = Interruption(at, sent_at, self.part_fingerprints_for(call))
         if times is not None:
-            self._publish(self._add_crashes([Crash(fingerprint, *server_key)]))
+            self._publish(self._add_crashes([interruption.crash(fingerprint, server_key, at)]))
             return
-        self.unconfirmed.setdefault(server_key, {})[fingerprint] = now()
-        self.on_interrupted(Crash(fingerprint, *server_key))
+        self.unconfirmed.setdefault(server_key, {})[fingerprint] = interruption
+        self.on_interrupted(interruption.crash(fingerprint, server_key, at))
 
     def mass_crash(self, call: Call) -> bool:
         """Tell whether several servers crashed just now that this call isn't suspected of.
@@ -254,15 +385,15 @@
         self.recent_crashes[server_key] = CrashTimes(known.first_at if known is not None else at, at)
         suspects = self.unconfirmed.pop(server_key, {})
         remote = {
-            suspect: since
-            for suspect, since in self.remote_unconfirmed.pop(server_key, {}).items()
+            suspect: interruption
+            for suspect, interruption in self.remote_unconfirmed.pop(server_key, {}).items()
             if suspect not in suspects
         }
         # Count all requests interrupted by this crash together, as which of them explains it can be
         # judged only then.
         fresh = self._add_crashes(
-            Crash(suspect, *server_key, round(at - since, 3))
-            for suspect, since in (suspects | remote).items()
+            interruption.crash(suspect, server_key, at)
+            for suspect, interruption in (suspects | remote).items()
         )
         self._publish([crash for crash in fresh if crash.fingerprint in suspects])
 
@@ -276,12 +407,15 @@
         for known in (self.unconfirmed, self.remote_unconfirmed):
             if (fingerprints := known.get(server_key)) is not None:
                 known[server_key] = {
-                    fingerprint: since for fingerprint, since in fingerprints.items() if since > asked_at
+                    fingerprint: interruption
+                    for fingerprint, interruption in fingerprints.items()
+                    if interruption.at > asked_at
                 }
 
     def note_answered(self, call: Call) -> None:
         """Record a complete answer, which clears the request of all crashes."""
         self.answers.note(call, now())
+        self.part_answers.note(call, now())
         if not (self.evidence or self.unconfirmed or self.remote_unconfirmed):
             return
         fingerprint = self.fingerprint_for(call)
@@ -289,6 +423,61 @@
             self._request_lift(cleared)
             self.on_update([], cleared)
 
+    @property
+    def has_suspects(self) -> bool:
+        """Return whether there is evidence against anything."""
+        return bool(self.evidence or self.unconfirmed or self.remote_unconfirmed)
+
+    def note_sound(self, call: Call, begun_at: float) -> None:
+        """Record that a server runs a call and has not crashed, which clears the parts of its prompt.
+
+        An earlier crash is not explained by a part that another server has run since. What began before
+        the crash says nothing: servers may crash from some moment on under a part that they ran before.
+
+        :param call: the call.
+        :param begun_at: when the server began to write the answer, in monotonic seconds.
+        """
+        if not self.has_suspects:
+            return
+        cleared = [
+            part for part in self.part_fingerprints_for(call) if self._note_sound_part(part, begun_at)
+        ]
+        self._publish_sound(cleared)
+
+    def merge_sound(self, reports: Iterable[SoundPart]) -> list[SoundPart]:
+        """Merge parts that servers ran at other daemons; return those that clear a part here."""
+        return [
+            report for report in reports if self._note_sound_part(report.fingerprint, now() - report.age)
+        ]
+
+    def _note_sound_part(self, part: Fingerprint, begun_at: float) -> bool:
+        """Record that a server ran a part; tell whether crashes count against it no longer."""
+        if begun_at > self.sound_at.get(part, float("-inf")):
+            self.sound_at[part] = begun_at
+            self.sound_at.move_to_end(part)
+        while len(self.sound_at) > MAX_SUSPECTS:
+            self.sound_at.popitem(last=False)
+        evidence = self.evidence.get(part)
+        if evidence is None:
+            return False
+        before = {
+            crash
+            for crash in evidence.crashed_on
+            if evidence.interrupted_at.get(crash, evidence.last_crash_at) < begun_at
+        }
+        if not before:
+            return False
+        evidence.crashed_on -= before
+        evidence.discounted |= before
+        self._reassess(before)
+        return True
+
+    def _publish_sound(self, parts: Iterable[Fingerprint]) -> None:
+        at = now()
+        reports = [SoundPart(part, round(at - self.sound_at[part], 3)) for part in parts]
+        if reports:
+            self.on_sound(reports)
+
     def merge_crashes(
         self, crashes: Iterable[Crash], cleared: Iterable[Fingerprint]
     ) -> tuple[list[Crash], list[Fingerprint]]:
@@ -321,7 +510,9 @@
             if crash.key in self.recent_crashes:
                 self._add_crashes([crash])
             elif not self._answered_since(crash):
-                self.remote_unconfirmed.setdefault(crash.key, {})[crash.fingerprint] = now() - crash.age
+                at = now() - crash.age
+                interruption = Interruption(at, at - crash.ran, crash.parts)
+                self.remote_unconfirmed.setdefault(crash.key, {})[crash.fingerprint] = interruption
         return fresh
 
     def _note_remote_interruption(self, crash: Crash) -> bool:
@@ -340,31 +531,45 @@
         return True
 
     def snapshot(self) -> tuple[list[Crash], list[Fingerprint]]:
-        """Return the crashes that count, and the proven requests among theirs, for a daemon that joins.
+        """Return the crashes that count, and the proven suspects among theirs, for a daemon that joins.
 
-        If there are many, only those updated last are returned.
+        If there are many, only those of the requests updated last are returned.
         """
         at = now()
-        recent = [(fingerprint, e) for fingerprint, e in self.evidence.items() if e.crashed_on][
-            -MAX_SHARED_ON_JOIN:
-        ]
-        crashes = [
-            Crash(fingerprint, *server_key, round(at - e.interrupted_at.get(server_key, at), 3))
-            for fingerprint, e in recent
-            for server_key in e.crashed_on
+        recent = [
+            (fingerprint, e)
+            for fingerprint, e in self.evidence.items()
+            if e.crashed_on and e.subject is Subject.REQUEST
+        ][-MAX_SHARED_ON_JOIN:]
+        crashes = []
+        for fingerprint, evidence in recent:
+            for server_key in evidence.crashed_on:
+                interrupted_at = evidence.interrupted_at.get(server_key, at)
+                sent_at = evidence.sent_at.get(server_key, interrupted_at)
+                interruption = Interruption(interrupted_at, sent_at, evidence.parts)
+                crashes.append(interruption.crash(fingerprint, server_key, at))
+        suspects = {*(fingerprint for fingerprint, _ in recent), *_parts_of(crashes)}
+        return crashes, sorted(s for s in suspects if s in self.evidence and self.evidence[s].proven)
+
+    def sound_parts(self, crashes: Iterable[Crash]) -> list[SoundPart]:
+        """Return which parts of interrupted requests servers have run since, for a daemon that joins."""
+        at = now()
+        return [
+            SoundPart(part, round(at - self.sound_at[part], 3))
+            for part in sorted(_parts_of(crashes))
+            if part in self.sound_at
         ]
-        return crashes, [fingerprint for fingerprint, e in recent if e.proven]
 
     def merge_stored(
-        self, rows: dict[Fingerprint, list[ServerKey] | None], whole: bool, restored: bool = False
+        self, rows: Mapping[Fingerprint, StopRow | None], whole: bool, restored: bool = False
     ) -> None:
         """Merge the stops found in the store.
 
-        :param rows: crashed incarnations by fingerprint; None for a stop that was lifted.
+        :param rows: stops by fingerprint; None for one that was lifted.
         :param whole: whether the rows are the whole table.
         :param restored: whether the store was restored from an older copy, which lacks newer stops.
         """
-        lifted = {fingerprint for fingerprint, incarnations in rows.items() if incarnations is None}
+        lifted = {fingerprint for fingerprint, row in rows.items() if row is None}
         missing = {
             fingerprint
             for fingerprint, e in self.evidence.items()
@@ -376,8 +581,8 @@
                 fingerprint for fingerprint in rows if fingerprint in self.recently_lifted
             }
             rows = {
-                fingerprint: incarnations
-                for fingerprint, incarnations in rows.items()
+                fingerprint: row
+                for fingerprint, row in rows.items()
                 if fingerprint not in self.recently_lifted
             }
         else:
@@ -387,23 +592,28 @@
                 event("INFO", "request let go", content=fingerprint, reason="its row was removed")
                 self.evidence.pop(fingerprint)
                 self.recently_lifted[fingerprint] = now()
-        stored = {
-            fingerprint: incarnations
-            for fingerprint, incarnations in rows.items()
-            if incarnations is not None
-        }
-        for fingerprint, incarnations in stored.items():
-            self._add_evidence(fingerprint, incarnations)
-            self.evidence[fingerprint].in_store = True
+        stored = {fingerprint: row for fingerprint, row in rows.items() if row is not None}
+        for fingerprint, row in stored.items():
+            self._add_stored(fingerprint, row)
+        to_stop = judge(self.evidence).stopped if stored else frozenset()
         for fingerprint in stored:
             evidence = self.evidence[fingerprint]
-            if evidence.crashed_on and not (
-                evidence.proven and not should_stop(fingerprint, self.evidence)
-            ):
+            disproved = evidence.proven or evidence.subject is Subject.PROMPT_PART
+            if evidence.crashed_on and not (disproved and fingerprint not in to_stop):
                 self._stop(fingerprint, evidence, "the store")
             elif evidence.crashed_on:
                 self._request_lift([fingerprint])
 
+    def _add_stored(self, fingerprint: Fingerprint, row: StopRow) -> None:
+        """Add a stop from the store to the evidence."""
+        crashes = row.crashes()
+        self._add_evidence(fingerprint, crashes, subject=row.subject)
+        evidence = self.evidence[fingerprint]
+        evidence.in_store = True
+        if row.subject is Subject.PROMPT_PART:
+            evidence.confirmed_on |= crashes
+            evidence.stored_companions = frozenset(row.companions)
+
     def _schedule_rewrite(self, fingerprints: Iterable[Fingerprint]) -> None:
         """Schedule stops to be written again that a restored store has lost."""
         for fingerprint in fingerprints:
@@ -444,7 +654,9 @@
         for known in (self.unconfirmed, self.remote_unconfirmed):
             for server_key, fingerprints in list(known.items()):
                 known[server_key] = {
-                    n: since for n, since in fingerprints.items() if at - since <= UNCONFIRMED_SECONDS
+                    n: interruption
+                    for n, interruption in fingerprints.items()
+                    if at - interruption.at <= UNCONFIRMED_SECONDS
                 }
                 if not known[server_key]:
                     del known[server_key]
@@ -454,6 +666,8 @@
             if not e.in_store and e.expires_at() < at
         ]:
             self.evidence.pop(fingerprint)
+        for part in [part for part, since in self.sound_at.items() if at - since > SUSPECT_SECONDS]:
+            del self.sound_at[part]
 
     def _evidence_for(self, call: Call) -> Evidence | None:
         """Return the evidence against a call, if any.
@@ -462,15 +676,15 @@
         """
         return self.evidence.get(self.fingerprint_for(call)) if self.evidence else None
 
-    def _get_or_create(self, fingerprint: Fingerprint) -> Evidence:
+    def _get_or_create(self, fingerprint: Fingerprint, subject: Subject = Subject.REQUEST) -> Evidence:
         if fingerprint not in self.evidence:
             self._evict_if_full()
-            self.evidence[fingerprint] = Evidence(now())
+            self.evidence[fingerprint] = Evidence(now(), subject)
         self.evidence.move_to_end(fingerprint)
         return self.evidence[fingerprint]
 
     def _evict_if_full(self) -> None:
-        """If the limit is reached, drop the oldest request that isn't stopped, or else the oldest stop."""
+        """If the limit is reached, drop the oldest suspect that isn't stopped, or else the oldest stop."""
         if len(self.evidence) < MAX_SUSPECTS:
             return
         oldest = next(iter(self.evidence))
@@ -485,34 +699,63 @@
             crash
             for crash in crashes
             if not self._answered_since(crash)
-            and self._add_evidence(crash.fingerprint, [crash.key], now() - crash.age)
+            and self._add_evidence(
+                crash.fingerprint, [crash.key], now() - crash.age, now() - crash.age - crash.ran
+            )
         ]
+        for crash in fresh:
+            self._add_parts(crash)
         self._reassess({crash.key for crash in fresh}, write_after)
         return fresh
 
+    def _add_parts(self, crash: Crash) -> None:
+        """Add a crash under a request to the evidence against the parts of its prompt."""
+        interrupted_at = now() - crash.age
+        self.evidence[crash.fingerprint].parts = crash.parts
+        sound = []
+        for part in crash.parts:
+            self._add_evidence(
+                part, [crash.key], interrupted_at, interrupted_at - crash.ran, Subject.PROMPT_PART
+            )
+            self.evidence[part].note_request(crash.key, crash.fingerprint)
+            if self.sound_at.get(part, float("-inf")) > interrupted_at:
+                self._note_sound_part(part, self.sound_at[part])
+                sound.append(part)
+        # The daemons that count this crash may not know that the part has run since.
+        self._publish_sound(sound)
+
     def _reassess(self, incarnations: Set[ServerKey], write_after: float = 0.0) -> None:
-        """Stop or release the requests affected by new crashes, on all evidence known now.
+        """Stop or release suspects, on all evidence known now.
 
-        :param incarnations: incarnations with new crashes; only requests suspected of these are reassessed.
+        :param incarnations: incarnations with new crashes, or with some that no longer count.
         :param write_after: delay in seconds before a resulting stop is written to the store.
         """
-        for fingerprint in [
-            n for n, e in self.evidence.items() if not incarnations.isdisjoint(e.crashed_on)
-        ]:
+        if not incarnations:
+            return
+        verdict = judge(self.evidence)
+        for fingerprint in verdict.stopped:
             evidence = self.evidence[fingerprint]
-            if should_stop(fingerprint, self.evidence):
-                if evidence.stopped_at is None:
-                    evidence.write_at = now() + ANSWER_GRACE_SECONDS + write_after
+            if evidence.stopped_at is None:
+                evidence.write_at = now() + ANSWER_GRACE_SECONDS + write_after
                 self._stop(fingerprint, evidence, "servers ended")
-            elif evidence.proven and evidence.stopped_at is not None:
-                evidence.stopped_at = None
-                self._request_lift([fingerprint])
-                event(
-                    "INFO",
-                    "request let go",
-                    content=fingerprint,
-                    reason="other requests explain its crashes",
-                )
+        for fingerprint, evidence in self.stopped():
+            if fingerprint in verdict.stopped:
+                continue
+            is_part = evidence.subject is Subject.PROMPT_PART
+            if evidence.proven or is_part or not verdict.explained.isdisjoint(evidence.crashed_on):
+                self._release(fingerprint, evidence)
+
+    def _release(self, fingerprint: Fingerprint, evidence: Evidence) -> None:
+        """Let a stopped suspect run again, as its crashes are explained otherwise."""
+        evidence.stopped_at = None
+        self._request_lift([fingerprint])
+        event(
+            "INFO",
+            "request let go",
+            content=fingerprint,
+            subject=evidence.subject.value,
+            reason="other requests explain its crashes",
+        )
 
     def merge_proven(self, fingerprints: Iterable[Fingerprint]) -> list[Fingerprint]:
         """Merge requests that were answered many times at other daemons; return those new here."""
@@ -544,16 +787,26 @@
         return lifts
 
     def _add_evidence(
-        self, fingerprint: Fingerprint, incarnations: Iterable[ServerKey], happened_at: float | None = None
+        self,
+        fingerprint: Fingerprint,
+        incarnations: Iterable[ServerKey],
+        happened_at: float | None = None,
+        sent_at: float | None = None,
+        subject: Subject = Subject.REQUEST,
     ) -> bool:
-        """Add crashed incarnations to the evidence against a request; tell whether any of them is new.
+        """Add crashed incarnations to the evidence against a suspect; tell whether any of them is new.
 
         :param happened_at: when these servers interrupted the request, if known.
+        :param sent_at: when the request was sent to them, if known.
+        :param subject: what is suspected.
         """
-        evidence = self._get_or_create(fingerprint)
+        evidence = self._get_or_create(fingerprint, subject)
+        # A daemon may learn that a part is proven before it learns what the fingerprint stands for.
+        evidence.subject = subject
+        answers = self.answers if subject is Subject.REQUEST else self.part_answers
         if (
             not evidence.proven
-            and self.answers.proven(fingerprint, self.key, now())
+            and answers.proven(fingerprint, self.key, now())
             and self._mark_proven(fingerprint)
         ):
             self.on_proven([fingerprint])
@@ -561,8 +814,13 @@
         evidence.crashed_on |= new
         if happened_at is not None:
             evidence.interrupted_at |= dict.fromkeys(new, happened_at)
+        if sent_at is not None:
+            for crash in incarnations:
+                evidence.sent_at[crash] = max(sent_at, evidence.sent_at.get(crash, sent_at))
         if new:
             evidence.last_crash_at = now()
+            if evidence.stopped_at is not None and now() - evidence.stopped_at > TRIAL_GRACE_SECONDS:
+                evidence.failed_trials += 1
         return bool(new)
 
     def _stop(self, fingerprint: Fingerprint, evidence: Evidence, source: str) -> None:
@@ -573,6 +831,8 @@
             "WARNING",
             "request stopped",
             content=fingerprint,
+            subject=evidence.subject.value,
+            requests=len(evidence.contents()) or None,
             source=source,
             ends=sorted(server_key.backend for server_key in evidence.crashed_on),
         )
@@ -604,3 +864,7 @@
     def _publish(self, crashes: list[Crash]) -> None:
         if crashes:
             self.on_update(crashes, [])
+
+
+def _parts_of(crashes: Iterable[Crash]) -> set[Fingerprint]:
+    return {part for crash in crashes for part in crash.parts}
--- a/bayglade/quotas.py
+++ b/bayglade/quotas.py
@@ -7,7 +7,6 @@
 See ``docs/design/rate_limits.md``.
 """
 
-import hashlib
 import random
 from collections.abc import Callable, Iterable
 
@@ -21,6 +20,7 @@
 from bayglade.ids import MemberId, ServerKey, ServiceName
 from bayglade.pending_replies import PendingReplies
 from bayglade.rate_limits import RateLimits, usable_rate
+from bayglade.rendezvous import choose_member
 from bayglade.servers import Server
 
 GRANT_SECONDS = 1.0
@@ -36,7 +36,6 @@
 MAX_HOPS = 1
 """How often a request for a token may be forwarded: daemons of a large site have no stream to every
 owner."""
-RANK_BYTES = 8
 
 OwnerOf = Callable[[Server], MemberId | None]
 """Returns the daemon that owns the limit of a server; None while the daemons aren't known."""
@@ -226,10 +225,4 @@
     :param key: the server incarnation.
     :param members: the daemons that may own it.
     """
-    return min(members, key=lambda member: _rank(key, member), default=None)
-
-
-def _rank(key: ServerKey, member: MemberId) -> bytes:
-    # Hashes the server with the daemon, so that the limits of many servers are spread over the daemons.
-    name = f"{key.backend}|{key.incarnation}|{member}"
-    return hashlib.blake2b(name.encode(), digest_size=RANK_BYTES).digest()
+    return choose_member(f"{key.backend}|{key.incarnation}", members)
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -135,6 +135,7 @@
         "by_forecast",
         "call",
         "failure",
+        "last_sent_at",
         "layers_missing",
         "may_have_run",
         "seconds_until_room",
@@ -148,6 +149,9 @@
     def __init__(self, call: Call) -> None:
         self.call = call
         self.send_count = 0
+        self.last_sent_at = float("-inf")
+        """When the call was sent last, in monotonic seconds."""
+
         self.unreachable_count = 0
         self.tried: set[BackendId] = set()
         self.used_servers: list[Server] = []
@@ -249,6 +253,7 @@
     def note_sent(self, server: Server) -> None:
         """Record that the call was sent to a server."""
         self.send_count += 1
+        self.last_sent_at = now()
         self.tried.add(server.facts.id)
         if server not in self.used_servers:
             self.used_servers.append(server)
--- a/bayglade/runs.py
+++ b/bayglade/runs.py
@@ -14,6 +14,7 @@
 from bayglade.mechanisms import Mechanism
 from bayglade.pathfinding import Path
 from bayglade.pipelines import Pipeline
+from bayglade.quarantine import SOUND_RUN_SECONDS
 from bayglade.relay import Attempts, RelayContext
 from bayglade.servers import SLOW_PACE, Server
 from bayglade.upstream import Exchange
@@ -45,6 +46,7 @@
         "attempts",
         "avoided",
         "begun",
+        "begun_at",
         "crash_recorded",
         "exchange",
         "first_event_at",
@@ -58,6 +60,7 @@
         "path",
         "path_since",
         "probe_interval",
+        "sound_noted",
         "unread_server",
     )
 
@@ -79,6 +82,12 @@
         self.begun = False
         """Whether an event of this run has arrived."""
 
+        self.begun_at: float | None = None
+        """When the first event of this run arrived."""
+
+        self.sound_noted = False
+        """Whether it was recorded that the server did not crash when it began to write the answer."""
+
         self.first_event_at: float | None = None
         """When the first event on the current path arrived."""
 
@@ -144,6 +153,8 @@
         self.last_event_at = now()
         if self.first_event_at is None:
             self.first_event_at = self.last_event_at
+        if self.begun_at is None:
+            self.begun_at = self.last_event_at
         self.next_probe_at = 0.0
         self.probe_interval = 0.0
 
@@ -290,6 +301,15 @@
     context.quarantine.note_interrupted(call, stage.facts.key, run.first_event_at, run.path_since)
 
 
+def note_sound_run(context: RelayContext, call: Call, run: Run) -> None:
+    """Record that a server goes on writing an answer, which requests that crash servers do not get."""
+    if run.sound_noted or run.begun_at is None or not context.quarantine.has_suspects:
+        return
+    if now() - run.begun_at >= SOUND_RUN_SECONDS:
+        run.sound_noted = True
+        context.quarantine.note_sound(call, run.begun_at)
+
+
 def _fail_or_stay(
     context: RelayContext, call: Call, pipeline: Pipeline, run: Run, stage: Server, reason: str
 ) -> None:
--- a/bayglade/sending.py
+++ b/bayglade/sending.py
@@ -58,6 +58,7 @@
         check_may_send(context, call, server)
         _confirm_rate_limits(place or path or Reservation((server,)))
         exchange.send(encode_head(start, headers) + call.body, call.deadline)
+        context.quarantine.end_trial(call)
     except BaseException:
         exchange.connection.sock.close()
         raise
@@ -78,9 +79,11 @@
     """Check conditions that may have changed since a server was chosen for a call.
 
     :raises CutOff: if the call may no longer be sent.
-    :raises BackendUnwilling: if the server is leaving, or asked for a pause.
+    :raises BackendUnwilling: if the server is leaving, or asked for a pause, or the call is stopped.
     """
     context.check_authorization(call)
+    if context.quarantine.is_stopped(call):
+        raise BackendUnwilling("servers ended under this request", step="send", peer=server.facts.id)
     if server.leaving or server.resting(now()):
         raise BackendUnwilling("the server accepts no requests now", step="send", peer=server.facts.id)
 
--- a/bayglade/spreading.py
+++ b/bayglade/spreading.py
@@ -11,7 +11,7 @@
 
 from bayglade.clock import now
 from bayglade.diagnosis import Diagnosis
-from bayglade.entries.wire import Crash, Finding, Findings, LimitNotice
+from bayglade.entries.wire import Crash, Finding, Findings, LimitNotice, SoundPart
 from bayglade.fleet import Fleet
 from bayglade.ids import BackendId, Fingerprint, MemberId, ServerKey
 from bayglade.quarantine import Quarantine
@@ -70,6 +70,7 @@
         quarantine.on_update = self._queue_update
         quarantine.on_proven = self._send_proven
         quarantine.on_interrupted = self._queue_interruption
+        quarantine.on_sound = self._send_sound
         fleet.rate_limits.on_update = self._send_limits
         fleet.on_leaving_announced = self._send_leaving
         self.dead = HeardFindings()
@@ -90,13 +91,14 @@
         self.probe_restarted([*(finding.key for finding in (*found.dead, *found.back)), *found.leaving])
         dead = self.dead.add(finding for finding in found.dead if self._is_current(finding))
         back = self.back.add(finding for finding in found.back if self._is_current(finding))
-        # Proven requests go before crashes, so that none of them is stopped for these crashes.
+        # Proven suspects and sound parts go before crashes, so that none is stopped for these crashes.
+        sound = self.quarantine.merge_sound(found.sound)
         proven = self.quarantine.merge_proven(found.proven)
         crashes, cleared = self.quarantine.merge_crashes(found.crashes, found.cleared)
         leaving = [key for key in found.leaving if self._merge_leaving(key)]
         breaks = self.quarantine.merge_interruptions(found.breaks)
         limits = self.fleet.rate_limits.merge_notices(found.limits)
-        news = Findings(dead, back, crashes, cleared, leaving, proven, breaks, limits)
+        news = Findings(dead, back, crashes, cleared, leaving, proven, breaks, limits, sound)
         if self.forwards() and news != Findings():
             self.broadcast(news, member)
         self._apply_dead(finding.backend for finding in dead)
@@ -108,7 +110,8 @@
         limits = self.fleet.rate_limits.snapshot()
         if not crashes and not limits:
             return []
-        return [Findings(crashes=crashes, proven=proven if crashes else [], limits=limits)]
+        sound = self.quarantine.sound_parts(crashes)
+        return [Findings(crashes=crashes, proven=proven, limits=limits, sound=sound)]
 
     def _queue_interruption(self, crash: Crash) -> None:
         """Report an interruption before its cause is known, as this daemon may be stopped before then."""
@@ -131,6 +134,9 @@
     def _send_proven(self, names: list[Fingerprint]) -> None:
         self.broadcast(Findings(proven=names), None)
 
+    def _send_sound(self, parts: list[SoundPart]) -> None:
+        self.broadcast(Findings(sound=parts), None)
+
     def _send_batch(self) -> None:
         found = Findings(crashes=self.crashes, cleared=self.cleared, breaks=self.breaks)
         self.crashes, self.cleared, self.breaks = [], [], []
--- a/bayglade/stop_commands.py
+++ b/bayglade/stop_commands.py
@@ -33,8 +33,10 @@
         except BaygladeError as error:
             self.line_error(error.message, style="error")
             return 1
-        for content, ends in sorted(found.items()):
-            self.line(f"{content} {' '.join(sorted(end.backend for end in ends or ()))}")
+        for content, row in sorted(found.items()):
+            if row is not None:
+                ends = " ".join(sorted(crash.backend for crash in row.crashes()))
+                self.line(f"{content} {row.subject.value} {ends}")
         return 0
 
 
--- a/bayglade/stops.py
+++ b/bayglade/stops.py
@@ -1,4 +1,6 @@
-"""Stops: requests that daemons refuse to run because servers ended under them, as rows in the store.
+"""Stops: what daemons refuse to run because servers ended under it, as rows in the store.
+
+A row is about one request, by its content, or about a part of prompts.
 
 They are in the same table as the rows of the daemons, so that the feed of that table, which
 every daemon follows, delivers them too, also to daemons that start later. Removing a row
@@ -9,6 +11,7 @@
 
 import msgspec
 
+from bayglade.evidence import Subject
 from bayglade.ids import BackendId, Fingerprint, Incarnation, ServerKey
 from bayglade.logs import event
 from bayglade.roster import STOP_PREFIX
@@ -16,19 +19,27 @@
 
 
 class StopRow(msgspec.Struct, frozen=True):
-    """A request that is stopped, with the evidence against it."""
+    """A request or part that is stopped, with the evidence against it."""
 
     ends: list[tuple[BackendId, Incarnation]]
     """The backend servers, by id and incarnation, that ended while they ran it."""
 
+    subject: Subject = Subject.REQUEST
+    companions: list[Fingerprint] = []
+    """The other parts of prompts without which a part is not refused."""
+
+    def crashes(self) -> set[ServerKey]:
+        """Return the incarnations that ended."""
+        return {ServerKey(*end) for end in self.ends}
 
-def read_stops(rows: Mapping[str, msgspec.Raw | None]) -> dict[Fingerprint, list[ServerKey] | None]:
+
+def read_stops(rows: Mapping[str, msgspec.Raw | None]) -> dict[Fingerprint, StopRow | None]:
     """Find the stops among the rows of the table.
 
     :param rows: rows by key; ``None`` for a row that was removed.
-    :return: for each request, the servers that ended under it; ``None`` for a stop that was lifted.
+    :return: the stops by fingerprint; ``None`` for one that was lifted.
     """
-    found: dict[Fingerprint, list[ServerKey] | None] = {}
+    found: dict[Fingerprint, StopRow | None] = {}
     for key, value in rows.items():
         if not key.startswith(STOP_PREFIX):
             continue
@@ -38,20 +49,29 @@
         except (msgspec.DecodeError, RecursionError) as error:
             event("ERROR", "stop row ignored", peer=key, error=str(error))
             continue
-        found[fingerprint] = None if row is None else [ServerKey(*end) for end in row.ends]
+        found[fingerprint] = row
     return found
 
 
-def write_stop(store: RowStore, fingerprint: Fingerprint, ends: Iterable[ServerKey]) -> None:
+def write_stop(
+    store: RowStore,
+    fingerprint: Fingerprint,
+    ends: Iterable[ServerKey],
+    subject: Subject = Subject.REQUEST,
+    companions: Iterable[Fingerprint] = (),
+) -> None:
     """Write a stop unless another daemon has already written it.
 
     :param store: the platform's table.
-    :param fingerprint: the fingerprint of the request.
+    :param fingerprint: the fingerprint of the request or part.
     :param ends: the servers that ended while they ran it.
+    :param subject: what is stopped.
+    :param companions: the other parts without which a part is not refused.
     :raises PlatformUnavailable: when the store does not answer.
     """
     key = STOP_PREFIX + fingerprint
-    row = encode_value(StopRow([(end.backend, end.incarnation) for end in sorted(ends)]))
+    keys = [(end.backend, end.incarnation) for end in sorted(ends)]
+    row = encode_value(StopRow(keys, subject, sorted(companions)))
     store.transact(Transaction([Condition(key, ABSENT)], [Write(key, row)]))
 
 
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -46,7 +46,13 @@
     start_attempts,
 )
 from bayglade.room_forecast import StreamProgress
-from bayglade.runs import Run, investigate_stall, leave_departing_stages, record_possible_crash
+from bayglade.runs import (
+    Run,
+    investigate_stall,
+    leave_departing_stages,
+    note_sound_run,
+    record_possible_crash,
+)
 from bayglade.sending import read_answer_head, send
 from bayglade.servers import Server
 from bayglade.sse import EventSplitter
@@ -301,6 +307,8 @@
         exchange.close(keep_seconds)
     for server in run.path.servers:
         context.fleet.record_success(server)
+    if run.begun_at is not None:
+        context.quarantine.note_sound(call, run.begun_at)
 
 
 def _await_head(
@@ -381,6 +389,7 @@
         context.stall_timeouts.record(now() - run.last_event_at, run.begun)
         run.note_event()
         delivery.deliver(message, splitter.feed(piece))
+        note_sound_run(context, call, run)
         leave_departing_stages(context, call, pipeline, run)
     if splitter.buffer:
         raise BackendError("the stream ended inside an event", step="stream", peer=run.exchange.backend)
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -81,7 +81,7 @@
         try:
             answer = _attempt(context, call, place, attempts)
         except BackendError as error:
-            _record_failure(context, call, server, error)
+            _record_failure(context, call, server, error, attempts.last_sent_at)
             if not attempts.note_failure(error):
                 break
             context.reachability.await_check(call.service)
@@ -99,6 +99,8 @@
         raise attempts.final_error(context.rng)
     if answer.status < 500:
         context.quarantine.note_answered(call)
+        if not context.forwarding.is_needed(call):
+            context.quarantine.note_sound(call, attempts.last_sent_at)
     connection.send_response(answer.status, answer.headers, answer.content)
     event("INFO", "answered", request=call.head.id, status=answer.status, sent=attempts.send_count)
 
@@ -249,7 +251,13 @@
     return fitting
 
 
-def _record_failure(context: RelayContext, call: Call, server: Server, error: BackendError) -> None:
+def _record_failure(
+    context: RelayContext,
+    call: Call,
+    server: Server,
+    error: BackendError,
+    sent_at: float = float("-inf"),
+) -> None:
     event(
         "INFO",
         "attempt failed",
@@ -273,12 +281,14 @@
         # The failure is one of this daemon's own links.
         return
     if not isinstance(error, BackendUnreachable):
-        _record_possible_crash(context, call, server, error)
+        _record_possible_crash(context, call, server, error, sent_at)
     context.fleet.mark_suspect(server, error.code)
 
 
-def _record_possible_crash(context: RelayContext, call: Call, server: Server, error: BackendError) -> None:
+def _record_possible_crash(
+    context: RelayContext, call: Call, server: Server, error: BackendError, sent_at: float
+) -> None:
     """Record that a server may have crashed while it ran a call, and probe whether it has."""
-    context.quarantine.note_interrupted(call, server.facts.key, None)
+    context.quarantine.note_interrupted(call, server.facts.key, None, sent_at)
     if not isinstance(error, BackendSilent):
         eventlet.spawn_n(probe_server, context, server)
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -135,6 +135,8 @@
             service=SERVICE,
             endpoint=SimpleNamespace(max_attempts=2, timeout=10.0, name="r"),
             fingerprint=None,
+            part_fingerprints=None,
+            trial_of=None,
             group=GroupPath(group),
             priority=0,
             method="POST",
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -404,7 +404,8 @@
 
 def write_stops(quarantine: Quarantine, store: Rows) -> None:
     for name, evidence in quarantine.unwritten():
-        stops.write_stop(store, name, evidence.crashed_on)
+        companions = quarantine.required_companions(evidence)
+        stops.write_stop(store, name, evidence.crashed_on, evidence.subject, companions)
 
 
 def test_a_stop_outlasts_all_daemons(clock: Clock) -> None:
@@ -473,10 +474,11 @@
     assert not quarantine.is_stopped(make_call())
 
 
-def stored_stop(quarantine: Quarantine, request: Call) -> dict[Fingerprint, list[ServerKey] | None]:
+def stored_stop(quarantine: Quarantine, request: Call) -> dict[Fingerprint, stops.StopRow | None]:
     crash_servers(quarantine, request, range(CRASHES_TO_STOP))
-    rows: dict[Fingerprint, list[ServerKey] | None] = {
-        quarantine.fingerprint_for(request): [server_key(number) for number in range(CRASHES_TO_STOP)]
+    ends = [(key.backend, key.incarnation) for key in map(server_key, range(CRASHES_TO_STOP))]
+    rows: dict[Fingerprint, stops.StopRow | None] = {
+        quarantine.fingerprint_for(request): stops.StopRow(ends)
     }
     quarantine.merge_stored(rows, False)
     return rows
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -226,7 +226,10 @@
     answered(AnswerHead(request="q", authentic=True, not_run=False, leaving=True), 200, fleet, server)
     assert server.leaving
     with pytest.raises(BackendUnwilling):
-        check_may_send(SimpleNamespace(check_authorization=lambda call: None), a_call(2), server)  # type: ignore[arg-type]
+        context: Any = SimpleNamespace(
+            check_authorization=lambda call: None, quarantine=Quarantine(b"key", random.Random(1))
+        )
+        check_may_send(context, a_call(2), server)
 
 
 def test_a_path_excludes_paused_stages_but_a_running_stream_stays_on_them(clock: Clock) -> None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -67,13 +67,13 @@
             forwarded=False,
             earlier_servers=(),
         )
-        self.call.fingerprint, self.call.priority = None, 0
+        self.call.fingerprint, self.call.part_fingerprints, self.call.priority = None, None, 0
         self.call.group, self.call.method, self.call.target, self.call.body = "g", "POST", b"/x", b"prompt"
         self.moved = moved
         path = paths.choose(SERVICE, self.model, self.model.typical_request())
         assert path is not None
         paths.reserve(path, self.model)
-        self.call.at_most_once = False
+        self.call.at_most_once, self.call.trial_of = False, None
         self.call.head = CallHead(id=RequestId("r"), host="h", prompt_tokens=700, max_answer_tokens=100)
         self.run = Run(path, Attempts(self.call))
 
