--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -49,7 +49,8 @@
 
     Faults of plain answers: refuse, elsewhere (answers as another instance), error, cut, reset,
     unframed, unframed_reset, stray, extra, garbage, unsealed, mute. Faults of streams: refuse,
-    elsewhere, reset, stall (as a stage) and partial (resets the connection inside an event).
+    elsewhere, reset, stall (as a stage), partial (resets the connection inside an event), unframed (ends
+    with its connection) and unframed_partial (ends so inside an event).
     """
 
     def __init__(self, site: "UsersSite", name: str, hall: str, kind: str | None) -> None:
@@ -331,6 +332,10 @@
     def _stream(self, handler: Handler, request: str, head: dict[str, str]) -> None:
         after, born = int(handler.headers.get("Last-Event-Id") or 0), self.born
         self._set_path(request, handler.headers["Path"])
+        breaks_off = self.faults.take("unframed_partial")
+        if breaks_off or self.faults.take("unframed"):
+            self._unframed_stream(handler, request, head, range(after + 1, EVENTS + 1), breaks_off)
+            return
         handler.wfile.write(_head(200, {**head, **handler.extra, "Transfer-Encoding": "chunked"}))
         for number in range(after + 1, EVENTS + 1):
             while self._stalled(request):
@@ -352,6 +357,21 @@
             time.sleep(EVENT_SECONDS)
         handler.wfile.write(b"0\r\n\r\n")
 
+    def _unframed_stream(
+        self, handler: Handler, request: str, head: dict[str, str], numbers: range, breaks_off: bool
+    ) -> None:
+        """Send a stream with neither a length nor chunks; it may end inside an event, half of the way."""
+        handler.wfile.write(_head(200, {**head, **handler.extra}))
+        for number in numbers:
+            self.site.check_path(self.paths[request], self.path_since[request])
+            data = f"id: {number}\ndata: {request} {number} {time.monotonic():.6f}\n\n".encode()
+            if breaks_off and number > EVENTS // 2:
+                handler.wfile.write(data[:9])
+                break
+            handler.wfile.write(data)
+            time.sleep(EVENT_SECONDS)
+        handler.close_connection = True
+
     def _set_path(self, request: str, path: str) -> None:
         self.path_since[request] = time.monotonic()
         self.paths[request] = read_path(path)
