--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -13,6 +13,7 @@
 import pytest
 
 from standins.users import Daemon, UsersSite
+from standins.users.partitions import Partition
 from standins.world import wait_for
 from tests.gateway_callers import Answer, ask
 from tests.test_crashing_requests import all_back, started, stopped
@@ -29,26 +30,30 @@
         yield made
 
 
-def send(daemon: Daemon, *parts: str) -> Answer:
+def send(daemon: Daemon, *parts: str, path: str = "/stream/x") -> Answer:
     """Send a request that is unlike all others, with these shared parts in its prompt."""
     number = next(_numbers)
     prompt = ",".join(f"{part}:10" for part in (*parts, f"{number:x}"))
     headers = {"X_Prompt_Prefix": prompt, "X_Token_Counts": "30,24"}
-    return ask(daemon.callers, "/stream/x", "POST", b"question %d" % number, **headers)
+    return ask(daemon.callers, path, "POST", b"question %d" % number, **headers)
 
 
-def served(daemon: Daemon, *parts: str) -> bool:
-    answer = send(daemon, *parts)
+def served(daemon: Daemon, *parts: str, path: str = "/stream/x") -> bool:
+    answer = send(daemon, *parts, path=path)
     return answer.whole and answer.status == 200
 
 
-def send_repeatedly(site: UsersSite, daemons: list[Daemon], *parts: str) -> list[Answer]:
+def send_repeatedly(
+    site: UsersSite, daemons: list[Daemon], *parts: str, path: str = "/stream/x"
+) -> list[Answer]:
     """Send requests with these parts to one daemon after the other, each once all servers are back."""
     answers = []
     for daemon in itertools.islice(itertools.cycle(daemons), TRIES):
-        answers.append(send(daemon, *parts))
+        answers.append(send(daemon, *parts, path=path))
         all_back(site)
-        wait_for("sound requests are served", lambda daemon=daemon: served(daemon, COMMON, SOUND))
+        wait_for(
+            "sound requests are served", lambda daemon=daemon: served(daemon, COMMON, SOUND, path=path)
+        )
     return answers
 
 
@@ -69,6 +74,26 @@
     assert all(served(daemon, *(part for part in parts if part != CRASHING)) for daemon in daemons)
 
 
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x"])
+def test_a_part_that_crashes_servers_of_a_plain_service_is_stopped(site: UsersSite, path: str) -> None:
+    site.deadly_parts = {CRASHING}
+    daemons = started(site, 2)
+    answers = send_repeatedly(site, daemons, COMMON, CRASHING, path=path)
+    assert len(site.crashes) <= MAX_CRASHES
+    assert stopped(answers[-1])
+
+
+def test_a_part_in_forwarded_requests_is_stopped() -> None:
+    with UsersSite(halls=2, stages=4, partitionable=True) as site:
+        site.deadly_parts = {CRASHING}
+        daemons = started(site, 3, key_trust_ms=60_000)
+        daemons[0].partition(Partition.RESET)
+        wait_for("it forwards", lambda: served(daemons[0], COMMON) and daemons[0].lines("forwarded"))
+        answers = send_repeatedly(site, daemons, COMMON, CRASHING)
+        assert len(site.crashes) <= MAX_CRASHES
+        assert all(stopped(answer) for answer in answers[-3:])
+
+
 def test_a_part_that_was_answered_before_is_stopped(site: UsersSite) -> None:
     daemons = started(site, 2)
     for daemon in daemons * 5:
