Crash servers under a part of prompts in the soak

Checked is that no more than three servers crash later than the contact time after the fifth crash, by daemons in touch, and that no sound request is held back from twice that time on.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,11 +14,15 @@
 from soak.callers import Callers
 from soak.checks import check, stale_beliefs
 from soak.crashing_requests import (
+    CRASHES_TO_STOP,
+    CRASHES_TO_STOP_PART,
     CRASHING_BODY,
+    CRASHING_PART,
     RequestSender,
     contact_predicate,
     excess_crashes,
     trace_crashes,
+    wrongly_refused,
 )
 from soak.faults import (
     DEFAULT_ACTIONS,
@@ -87,6 +91,7 @@
     restored: bool = False,
     pressed: bool = False,
     partitioned: bool = False,
+    part: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -104,6 +109,7 @@
     :param pressed: whether callers of three urgencies ask for more than the model servers can run, which
         crash together.
     :param partitioned: whether to cut daemons off from all backend servers, in series and over restarts.
+    :param part: whether the requests that crash servers differ in all but a part of their prompts.
     :return: the violations found, and counts.
     """
     journal = Journal(key_versions={KEY: 0})
@@ -122,9 +128,9 @@
         if pressed:
             pressure.start()
             watch.start()
-        sender = RequestSender(site.choose_daemon, lambda: site.keys[-1], deadly or "")
+        sender = RequestSender(site.choose_daemon, lambda: site.keys[-1], deadly or "", part)
         if deadly is not None:
-            site.deadly = {CRASHING_BODY}
+            site.deadly, site.deadly_parts = {CRASHING_BODY}, {CRASHING_PART}
             sender.start()
         actions = (
             PARTITIONED_ACTIONS
@@ -141,7 +147,10 @@
         if deadly is not None:
             sender.stop()
             in_touch = contact_predicate(journal, sender.daemon_of, site.store.server.address)
-            journal.violations += excess_crashes(site.crashes, in_touch)
+            allowed = CRASHES_TO_STOP_PART if part else CRASHES_TO_STOP
+            journal.violations += excess_crashes(site.crashes, in_touch, allowed)
+            if part:
+                journal.violations += wrongly_refused(journal.records, site.crashes)
         journal.violations += _check_recovery(pool, site)
         broken = check(journal, site)
         if broken:
@@ -233,6 +242,9 @@
     parser.add_argument("--daemons", type=int, default=4)
     parser.add_argument("--callers", type=int, default=8)
     parser.add_argument("--deadly", metavar="PATH", help="send requests there that crash servers")
+    parser.add_argument(
+        "--part", action="store_true", help="let these requests share only a part of their prompts"
+    )
     parser.add_argument(
         "--resting", action="store_true", help="have servers answer with Retry-After as well"
     )
@@ -271,6 +283,7 @@
             options.restored,
             options.pressed,
             options.partitioned,
+            options.part,
         )
         failed += bool(result.broken)
         print(msgspec.json.encode(result).decode(), flush=True)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -16,6 +16,8 @@
 DEADLINE_SECONDS = 4.0
 PRESSED_TOKEN_COUNTS = "44,12"
 """Tokens of the prompt and of the answer, for which :func:`with_urgencies` leaves little memory."""
+COMMON_PART = "aa01"
+"""Id of the part that all prompts share."""
 REQUESTS_PER_CONNECTION = 12
 PAUSE_SECONDS = 0.05
 OLD_KEY_FRACTION = 0.25
@@ -100,6 +102,8 @@
             "X-Deadline-Ms": str(round(1000 * deadline)),
             "X-Token-Counts": "20,24" if urgency is None else PRESSED_TOKEN_COUNTS,
         }
+        if kind is Kind.STREAM:
+            headers["X-Prompt-Prefix"] = f"{COMMON_PART}:10,{record.request}:10"
         body = b"some words" if METHODS[kind] == "POST" else None
         if urgency is not None:
             # Equal requests would be held back as ones that crash servers when several servers crash.
--- a/soak/crashing_requests.py
+++ b/soak/crashing_requests.py
@@ -6,14 +6,16 @@
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 
-from soak.callers import ANSWER_SECONDS, ChooseDaemon
+from soak.callers import ANSWER_SECONDS, COMMON_PART, ChooseDaemon
 from soak.checks import SLACK_SECONDS, UNDISTURBED_SECONDS
-from soak.records import Journal
+from soak.records import Journal, Record
 from soak.site import SoakSite
 from standins.users import HOST_NAME, Daemon
 from standins.users.site import ServerCrash
 
 CRASHING_BODY = b"the question that ends servers"
+CRASHING_PART = "dead"
+"""Id of a part of prompts that crashes servers."""
 PAUSE_SECONDS = 0.7
 """Between two requests; a server that crashed is back after half a second."""
 REQUEST_PREFIX = "deadly-"
@@ -30,14 +32,25 @@
 """Log events about server crashes and about the daemon's own start and stop."""
 CRASHES_TO_STOP = 3
 """Crashes after which daemons must stop the request."""
+CRASHES_TO_STOP_PART = 5
+"""Crashes after which daemons must stop requests with the part."""
+REFUSED = b"request_stopped"
+"""Code in the answer to a request that is held back."""
 MAX_LATE_CRASHES = 3
 """Crashes allowed after all daemons in contact must know of the third one."""
 
 
 class RequestSender:
-    """A caller that sends the crashing request, with the newest key, to daemons that a balancer picks."""
+    """A caller that sends crashing requests, with the newest key, to daemons that a balancer picks.
 
-    def __init__(self, choose: ChooseDaemon, key: Callable[[], str], path: str) -> None:
+    :param choose: picks a daemon.
+    :param key: returns the newest key.
+    :param path: the path of the requests.
+    :param part: whether the requests share nothing but a part of their prompts.
+    """
+
+    def __init__(self, choose: ChooseDaemon, key: Callable[[], str], path: str, part: bool = False) -> None:
+        self.part = part
         self.choose = choose
         self.key = key
         """Returns the newest key; all keys of the soak are of one account."""
@@ -79,9 +92,13 @@
             "X-Deadline-Ms": "4000",
             "X-Token-Counts": "20,24",
         }
+        body = CRASHING_BODY
+        if self.part:
+            headers["X-Prompt-Prefix"] = f"{COMMON_PART}:10,{CRASHING_PART}:10,{request}:10"
+            body = b"question of " + request.encode()
         # The answer does not matter: the check counts server crashes.
         with suppress(OSError, http.client.HTTPException):
-            connection.request("POST", self.path, CRASHING_BODY, headers)
+            connection.request("POST", self.path, body, headers)
             connection.getresponse().read()
         connection.close()
 
@@ -109,23 +126,42 @@
 
 
 def excess_crashes(
-    ends: Iterable[ServerCrash], in_touch: Callable[[ServerCrash], bool] = lambda end: True
+    ends: Iterable[ServerCrash],
+    in_touch: Callable[[ServerCrash], bool] = lambda end: True,
+    allowed: int = CRASHES_TO_STOP,
 ) -> Iterator[str]:
     """Check that daemons stopped sending the crashing request after enough crashes.
 
     :param ends: server crashes caused by it.
     :param in_touch: whether the daemon that caused a crash could have known of the earlier ones.
+    :param allowed: crashes after which daemons must have stopped it.
     :return: the violations.
     """
     known = sorted(ends, key=lambda end: end.at)
-    if len(known) < CRASHES_TO_STOP:
+    if len(known) < allowed:
         return
-    oldest = known[CRASHES_TO_STOP - 1].at + UNDISTURBED_SECONDS + SLACK_SECONDS
+    oldest = known[allowed - 1].at + UNDISTURBED_SECONDS + SLACK_SECONDS
     late = [end for end in known if end.at > oldest and in_touch(end)]
     if len(late) > MAX_LATE_CRASHES:
         yield f"deadly: {len(known)} servers crashed, {len(late)} of them late"
 
 
+def wrongly_refused(records: Iterable[Record], ends: Iterable[ServerCrash]) -> Iterator[str]:
+    """Check that requests without the crashing part are not held back once it is known.
+
+    :param records: requests as their callers saw them.
+    :param ends: server crashes caused by the part.
+    :return: the violations.
+    """
+    known = sorted(end.at for end in ends)[:CRASHES_TO_STOP_PART]
+    if not known:
+        return
+    settled = known[-1] + 2 * (UNDISTURBED_SECONDS + SLACK_SECONDS)
+    refused = [r.request for r in records if r.sent_at > settled and REFUSED in r.body]
+    if refused:
+        yield f"deadly: {len(refused)} sound requests held back, the first {refused[0]}"
+
+
 def contact_predicate(
     journal: Journal, daemon_of: dict[str, str], store: str
 ) -> Callable[[ServerCrash], bool]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,12 @@
 from bayglade.roster import MEMBER_PREFIX, SECRET_KEY
 from soak.__main__ import run
 from soak.checks import DRAIN_SECONDS, KEY_SECONDS, UNDISTURBED_SECONDS, check, stale_beliefs
-from soak.crashing_requests import contact_predicate, excess_crashes, trace_crashes
+from soak.crashing_requests import (
+    contact_predicate,
+    excess_crashes,
+    trace_crashes,
+    wrongly_refused,
+)
 from soak.pressure import (
     MAX_UNCOVERED_SECONDS,
     MIN_ASKED,
@@ -83,6 +88,24 @@
     assert result.ends > 0
 
 
+@pytest.mark.parametrize("unsteady", [False, True])
+def test_a_part_that_crashes_servers_is_stopped_under_faults(unsteady: bool) -> None:
+    result = run(
+        seed=3, seconds=SECONDS, daemons=3, callers=2, deadly="/stream/x", unsteady=unsteady, part=True
+    )
+    assert result.broken == []
+    assert result.ends > 0
+
+
+def test_sound_requests_that_are_held_back_are_found() -> None:
+    ends = [ServerCrash(b"q", "i", 1, 100.0 + n) for n in range(6)]
+    record = a_record(sent_at=112.0)
+    record.body = b'{"error": {"code": "request_stopped"}}'
+    assert list(wrongly_refused([record], ends)) != []
+    record.sent_at = 105.0
+    assert list(wrongly_refused([record], ends)) == []
+
+
 UNSTEADY_SEEDS = {
     1003: (
         "/stream/x",
