Judge evidence of crashes once before the next call

Cause: the verdict was worked out with each message. Ruled out: fewer suspects kept, as the one that matters may be among those dropped. The time of a stop is that of the message. Requests of a part are counted once, not three times a verdict.

--- a/bayglade/attribution.py
+++ b/bayglade/attribution.py
@@ -32,6 +32,15 @@
     """Crashes that a stopped part explains; they count against no request."""
 
 
+class SuspectedPart(NamedTuple):
+    """A part of prompts with enough crashes to be stopped."""
+
+    fingerprint: Fingerprint
+    evidence: Evidence
+    requests: int
+    """How many different requests with it were interrupted."""
+
+
 def judge(known: Mapping[Fingerprint, Evidence]) -> Verdict:
     """Tell which suspects have to be stopped, on all evidence known.
 
@@ -42,15 +51,17 @@
     """
     stopped: set[Fingerprint] = set()
     explained: set[ServerKey] = set()
-    parts = _suspected(Subject.PROMPT_PART, known)
-    for fingerprint in sorted(parts, key=lambda part: _likelihood_order(part, known)):
-        evidence = known[fingerprint]
-        if _should_stop_part(evidence, explained):
-            stopped.add(fingerprint)
-            explained |= evidence.crashed_on
+    parts = [
+        SuspectedPart(fingerprint, evidence, len(evidence.contents()))
+        for fingerprint, evidence in _suspected(Subject.PROMPT_PART, known)
+    ]
+    for part in sorted(parts, key=_likelihood_order):
+        if _should_stop_part(part, explained):
+            stopped.add(part.fingerprint)
+            explained |= part.evidence.crashed_on
     stopped.update(
         fingerprint
-        for fingerprint in _suspected(Subject.REQUEST, known)
+        for fingerprint, _ in _suspected(Subject.REQUEST, known)
         if _should_stop_request(fingerprint, known, explained)
     )
     return Verdict(frozenset(stopped), frozenset(explained))
@@ -81,26 +92,27 @@
     )
 
 
-def _suspected(subject: Subject, known: Mapping[Fingerprint, Evidence]) -> Iterable[Fingerprint]:
+def _suspected(
+    subject: Subject, known: Mapping[Fingerprint, Evidence]
+) -> Iterable[tuple[Fingerprint, Evidence]]:
     """Return the requests, or parts, with enough crashes to be stopped."""
     return (
-        fingerprint
+        (fingerprint, evidence)
         for fingerprint, evidence in known.items()
         if evidence.subject is subject and len(evidence.crashed_on) >= CRASHES_TO_STOP
     )
 
 
-def _likelihood_order(
-    fingerprint: Fingerprint, known: Mapping[Fingerprint, Evidence]
-) -> tuple[bool, int, int, Fingerprint]:
-    evidence = known[fingerprint]
-    return is_widespread(evidence), -len(evidence.crashed_on), len(evidence.contents()), fingerprint
+def _likelihood_order(part: SuspectedPart) -> tuple[bool, int, int, Fingerprint]:
+    crashes = len(part.evidence.crashed_on)
+    return part.requests > REQUESTS_PER_CRASH * crashes, -crashes, part.requests, part.fingerprint
 
 
-def _should_stop_part(evidence: Evidence, explained: Set[ServerKey]) -> bool:
+def _should_stop_part(part: SuspectedPart, explained: Set[ServerKey]) -> bool:
+    evidence = part.evidence
     if evidence.confirmed_on and evidence.confirmed_on <= evidence.crashed_on:
         return True
-    if len(evidence.contents()) < REQUESTS_TO_STOP_PART:
+    if part.requests < REQUESTS_TO_STOP_PART:
         return False
     needed = CRASHES_TO_STOP_PROVEN_PART if evidence.proven else CRASHES_TO_STOP
     return count_successive(evidence, evidence.crashed_on - explained) >= needed
--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -109,6 +109,14 @@
         )
 
 
+class PendingVerdict(msgspec.Struct, frozen=True):
+    """Evidence has changed and is to be judged; times are in monotonic seconds."""
+
+    since: float
+    write_at: float
+    """When to write resulting stops to the store."""
+
+
 class Quarantine:
     """What one daemon has stopped, and the evidence against other suspects.
 
@@ -147,6 +155,9 @@
         """When a server last began to write an answer to a prompt with a part, and did not crash. Recorded
         while there is evidence against anything."""
 
+        self.pending_verdict: PendingVerdict | None = None
+        """Set if the evidence has changed since it was judged."""
+
         self.pending_lifts: set[Fingerprint] = set()
         """Stops in the store that this daemon knows to be wrong and is going to remove."""
 
@@ -208,6 +219,10 @@
 
     def stopped(self) -> list[tuple[Fingerprint, Evidence]]:
         """List what is stopped, with the evidence against it."""
+        self._apply_verdict()
+        return self._list_stopped()
+
+    def _list_stopped(self) -> list[tuple[Fingerprint, Evidence]]:
         return [(fingerprint, e) for fingerprint, e in self.evidence.items() if e.stopped_at is not None]
 
     def is_stopped(self, call: Call) -> bool:
@@ -254,6 +269,7 @@
         """Return what is stopped of a call: its content, or a part of its prompt."""
         if not self.evidence:
             return None
+        self._apply_verdict()
         content, parts = self.fingerprint_for(call), self.part_fingerprints_for(call)
         for fingerprint in (content, *parts):
             evidence = self.evidence.get(fingerprint)
@@ -592,6 +608,7 @@
                 event("INFO", "request let go", content=fingerprint, reason="its row was removed")
                 self.evidence.pop(fingerprint)
                 self.recently_lifted[fingerprint] = now()
+        self._apply_verdict()
         stored = {fingerprint: row for fingerprint, row in rows.items() if row is not None}
         for fingerprint, row in stored.items():
             self._add_stored(fingerprint, row)
@@ -634,7 +651,8 @@
         return [n for n, e in self.stopped() if e.in_store and (e.stopped_at or 0.0) < oldest]
 
     def tidy(self) -> None:
-        """Drop expired state; called periodically."""
+        """Apply pending verdicts and drop expired state; called periodically."""
+        self._apply_verdict()
         at = now()
         self.trials = {backend: trial for backend, trial in self.trials.items() if trial.until > at}
         for server_key in [
@@ -687,6 +705,7 @@
         """If the limit is reached, drop the oldest suspect that isn't stopped, or else the oldest stop."""
         if len(self.evidence) < MAX_SUSPECTS:
             return
+        self._apply_verdict()
         oldest = next(iter(self.evidence))
         self.evidence.pop(next((n for n, e in self.evidence.items() if e.stopped_at is None), oldest))
 
@@ -725,26 +744,49 @@
         self._publish_sound(sound)
 
     def _reassess(self, incarnations: Set[ServerKey], write_after: float = 0.0) -> None:
-        """Stop or release suspects, on all evidence known now.
+        """Have suspects stopped or released before the next call is checked.
+
+        When many servers crash at once, each of many daemons reports what each crash interrupted.
 
         :param incarnations: incarnations with new crashes, or with some that no longer count.
         :param write_after: delay in seconds before a resulting stop is written to the store.
         """
-        if not incarnations:
+        if not self._may_change(incarnations):
             return
+        at = now()
+        pending = PendingVerdict(at, at + ANSWER_GRACE_SECONDS + write_after)
+        if self.pending_verdict is not None:
+            pending = PendingVerdict(
+                self.pending_verdict.since, min(pending.write_at, self.pending_verdict.write_at)
+            )
+        self.pending_verdict = pending
+
+    def _apply_verdict(self) -> None:
+        """Stop or release suspects, on all evidence known now, if that has changed."""
+        if self.pending_verdict is None:
+            return
+        pending, self.pending_verdict = self.pending_verdict, None
         verdict = judge(self.evidence)
         for fingerprint in verdict.stopped:
             evidence = self.evidence[fingerprint]
             if evidence.stopped_at is None:
-                evidence.write_at = now() + ANSWER_GRACE_SECONDS + write_after
-                self._stop(fingerprint, evidence, "servers ended")
-        for fingerprint, evidence in self.stopped():
+                evidence.write_at = pending.write_at
+                self._stop(fingerprint, evidence, "servers ended", pending.since)
+        for fingerprint, evidence in self._list_stopped():
             if fingerprint in verdict.stopped:
                 continue
             is_part = evidence.subject is Subject.PROMPT_PART
             if evidence.proven or is_part or not verdict.explained.isdisjoint(evidence.crashed_on):
                 self._release(fingerprint, evidence)
 
+    def _may_change(self, incarnations: Set[ServerKey]) -> bool:
+        """Tell whether other crashes of these incarnations may change a verdict."""
+        return bool(incarnations) and any(
+            e.stopped_at is not None
+            or (len(e.crashed_on) >= CRASHES_TO_STOP and not incarnations.isdisjoint(e.crashed_on))
+            for e in self.evidence.values()
+        )
+
     def _release(self, fingerprint: Fingerprint, evidence: Evidence) -> None:
         """Let a stopped suspect run again, as its crashes are explained otherwise."""
         evidence.stopped_at = None
@@ -783,6 +825,7 @@
 
     def take_lifts(self) -> list[Fingerprint]:
         """Return the stops that this daemon has to remove from the store, and reset the list."""
+        self._apply_verdict()
         lifts, self.pending_lifts = sorted(self.pending_lifts), set()
         return lifts
 
@@ -823,10 +866,12 @@
                 evidence.failed_trials += 1
         return bool(new)
 
-    def _stop(self, fingerprint: Fingerprint, evidence: Evidence, source: str) -> None:
+    def _stop(
+        self, fingerprint: Fingerprint, evidence: Evidence, source: str, at: float | None = None
+    ) -> None:
         if evidence.stopped_at is not None:
             return
-        evidence.stopped_at = now()
+        evidence.stopped_at = now() if at is None else at
         event(
             "WARNING",
             "request stopped",
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -342,7 +342,7 @@
                     daemon.merge_crashes([report], [])
                 else:
                     daemon.merge_sound([report])
-            verdicts.append({name for name, evidence in daemon.evidence.items() if evidence.stopped_at})
+            verdicts.append({name for name, _ in daemon.stopped()})
         assert verdicts[0] == verdicts[1] == verdicts[2]
         assert names[CRASHING] in verdicts[0]
         assert daemon.evidence[names[CRASHING]].subject is Subject.PROMPT_PART
