--- a/bayglade/evidence.py
+++ b/bayglade/evidence.py
@@ -107,11 +107,20 @@
         return set().union(*(self.requests.get(crash, ()) for crash in self.crashed_on))
 
     def note_request(self, crash: ServerKey, content: Fingerprint) -> None:
-        """Record a request with this part that a crashed server interrupted."""
+        """Record a request with this part that a crashed server interrupted, if that crash counts."""
+        if crash not in self.crashed_on:
+            return
         requests = self.requests.setdefault(crash, set())
         if len(requests) < MAX_REQUESTS_PER_CRASH:
             requests.add(content)
 
+    def discount(self, crashes: set[ServerKey]) -> None:
+        """Stop counting crashes."""
+        self.crashed_on -= crashes
+        self.discounted |= crashes
+        for crash in crashes:
+            self.requests.pop(crash, None)
+
     def expires_at(self) -> float:
         """Return when the evidence stops counting; a stop in the store counts until its row is removed."""
         if self.stopped_at is not None:
--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from bayglade import part_trials
 from bayglade.answers import Answers, PartAnswers
 from bayglade.attribution import is_widespread, judge, required_companions
 from bayglade.calls import Call
@@ -33,6 +34,7 @@
 from bayglade.ids import BackendId, Fingerprint, ServerKey
 from bayglade.logs import event, rate_limited
 from bayglade.retries import jittered_retry_after
+from bayglade.sound_parts import SoundParts
 from bayglade.stops import StopRow
 
 SUSPECT_RUN_SECONDS = 1.0
@@ -43,16 +45,6 @@
 RESEND_DELAY_SECONDS = 0.15
 """Delay before a request that has crashed two servers is sent again. It leaves time for reports of the
 other requests that had just begun on those servers, and of a third crash."""
-TRIAL_INTERVAL_SECONDS = 60.0
-"""How long after the last crash a stopped part of prompts is tried again, once."""
-TRIAL_INTERVAL_PROVEN_SECONDS = 4.0
-"""The same for a part that was answered many times before: many requests may wait for the outcome."""
-TRIAL_BACKOFF = 5.0
-"""Factor by which that time grows with each trial that crashed a server."""
-TRIAL_GRACE_SECONDS = 2.0
-"""Crashes this soon after a stop were caused by requests sent before it."""
-TRIAL_TURN_SECONDS = 5.0
-"""How long one daemon may try a part before it is the turn of another one."""
 TRIAL_SECONDS = 0.4
 """How long other suspects are kept off a server to which a suspect was sent: longer than a server
 survives a request that crashes it, and shorter than clients wait."""
@@ -151,9 +143,8 @@
         self.part_answers = PartAnswers()
         """The same for parts of prompts."""
 
-        self.sound_at: OrderedDict[Fingerprint, float] = OrderedDict()
-        """When a server last began to write an answer to a prompt with a part, and did not crash. Recorded
-        while there is evidence against anything."""
+        self.sound_parts = SoundParts()
+        """Recorded while there is evidence against anything."""
 
         self.pending_verdict: PendingVerdict | None = None
         """Set if the evidence has changed since it was judged."""
@@ -196,7 +187,7 @@
         self.answers.forget_fingerprints()
         self.part_answers.forget_fingerprints()
         for known in (
-            self.sound_at,
+            self.sound_parts,
             self.evidence,
             self.unconfirmed,
             self.remote_unconfirmed,
@@ -282,24 +273,20 @@
     def _start_trial(self, call: Call, fingerprint: Fingerprint) -> bool:
         """Tell whether a call is sent once although a part of its prompt is stopped.
 
-        Nothing else would clear a part that was stopped wrongly, as no server runs it any more. One daemon
-        at a time may try it, with one call.
+        One daemon at a time may try a part, with one call.
         """
         evidence = self.evidence[fingerprint]
         if evidence.subject is not Subject.PROMPT_PART or call.trial_of is not None:
             return False
         at = now()
-        interval = TRIAL_INTERVAL_PROVEN_SECONDS if evidence.proven else TRIAL_INTERVAL_SECONDS
-        due = max(evidence.last_crash_at, evidence.stopped_at or 0.0)
-        due += interval * TRIAL_BACKOFF**evidence.failed_trials
-        if at < max(due, evidence.trial_until):
+        if at < max(part_trials.due_at(evidence), evidence.trial_until):
             return False
         call.trial_of = fingerprint
-        turn = int((at - due) / TRIAL_TURN_SECONDS)
+        turn = part_trials.turn_at(evidence, at)
         if self._find_stop(call) is not None or not self.has_turn(f"{fingerprint}/{turn}"):
             call.trial_of = None
             return False
-        evidence.trial_until = at + TRIAL_TURN_SECONDS
+        evidence.trial_until = at + part_trials.TURN_SECONDS
         event("INFO", "trial of a stopped part", request=call.head.id, content=fingerprint)
         return True
 
@@ -355,8 +342,18 @@
 
     def resend_delay(self, call: Call) -> float:
         """Return how long to wait for crash reports before a call is sent again."""
-        crashes = self._crash_count(call) + len(self.unconfirmed_servers(call))
-        return RESEND_DELAY_SECONDS if crashes >= CRASHES_TO_STOP - 1 else 0.0
+        unconfirmed = len(self.unconfirmed_servers(call))
+        crashes = self._crash_count(call) + unconfirmed
+        if crashes >= CRASHES_TO_STOP - 1 or (unconfirmed and self._has_almost_stopped_part(call)):
+            return RESEND_DELAY_SECONDS
+        return 0.0
+
+    def _has_almost_stopped_part(self, call: Call) -> bool:
+        """Tell whether one more crash may stop a part of a call's prompt that was answered before."""
+        against = (self.evidence.get(part) for part in self.part_fingerprints_for(call))
+        return any(
+            e is not None and len(e.crashed_on) >= CRASHES_TO_STOP and not is_widespread(e) for e in against
+        )
 
     def note_interrupted(
         self, call: Call, server_key: ServerKey, begun_at: float | None, sent_at: float = float("-inf")
@@ -468,11 +465,7 @@
 
     def _note_sound_part(self, part: Fingerprint, begun_at: float) -> bool:
         """Record that a server ran a part; tell whether crashes count against it no longer."""
-        if begun_at > self.sound_at.get(part, float("-inf")):
-            self.sound_at[part] = begun_at
-            self.sound_at.move_to_end(part)
-        while len(self.sound_at) > MAX_SUSPECTS:
-            self.sound_at.popitem(last=False)
+        self.sound_parts.note(part, begun_at)
         evidence = self.evidence.get(part)
         if evidence is None:
             return False
@@ -483,15 +476,12 @@
         }
         if not before:
             return False
-        evidence.crashed_on -= before
-        evidence.discounted |= before
+        evidence.discount(before)
         self._reassess(before)
         return True
 
     def _publish_sound(self, parts: Iterable[Fingerprint]) -> None:
-        at = now()
-        reports = [SoundPart(part, round(at - self.sound_at[part], 3)) for part in parts]
-        if reports:
+        if reports := self.sound_parts.reports(parts, now()):
             self.on_sound(reports)
 
     def merge_crashes(
@@ -567,14 +557,9 @@
         suspects = {*(fingerprint for fingerprint, _ in recent), *_parts_of(crashes)}
         return crashes, sorted(s for s in suspects if s in self.evidence and self.evidence[s].proven)
 
-    def sound_parts(self, crashes: Iterable[Crash]) -> list[SoundPart]:
+    def snapshot_sound(self, crashes: Iterable[Crash]) -> list[SoundPart]:
         """Return which parts of interrupted requests servers have run since, for a daemon that joins."""
-        at = now()
-        return [
-            SoundPart(part, round(at - self.sound_at[part], 3))
-            for part in sorted(_parts_of(crashes))
-            if part in self.sound_at
-        ]
+        return self.sound_parts.reports(sorted(_parts_of(crashes)), now())
 
     def merge_stored(
         self, rows: Mapping[Fingerprint, StopRow | None], whole: bool, restored: bool = False
@@ -618,7 +603,7 @@
             disproved = evidence.proven or evidence.subject is Subject.PROMPT_PART
             if evidence.crashed_on and not (disproved and fingerprint not in to_stop):
                 self._stop(fingerprint, evidence, "the store")
-            elif evidence.crashed_on:
+            elif evidence.crashed_on or evidence.subject is Subject.PROMPT_PART:
                 self._request_lift([fingerprint])
 
     def _add_stored(self, fingerprint: Fingerprint, row: StopRow) -> None:
@@ -684,8 +669,7 @@
             if not e.in_store and e.expires_at() < at
         ]:
             self.evidence.pop(fingerprint)
-        for part in [part for part, since in self.sound_at.items() if at - since > SUSPECT_SECONDS]:
-            del self.sound_at[part]
+        self.sound_parts.expire(at - SUSPECT_SECONDS)
 
     def _evidence_for(self, call: Call) -> Evidence | None:
         """Return the evidence against a call, if any.
@@ -737,8 +721,8 @@
                 part, [crash.key], interrupted_at, interrupted_at - crash.ran, Subject.PROMPT_PART
             )
             self.evidence[part].note_request(crash.key, crash.fingerprint)
-            if self.sound_at.get(part, float("-inf")) > interrupted_at:
-                self._note_sound_part(part, self.sound_at[part])
+            if self.sound_parts.last(part) > interrupted_at:
+                self._note_sound_part(part, self.sound_parts.last(part))
                 sound.append(part)
         # The daemons that count this crash may not know that the part has run since.
         self._publish_sound(sound)
@@ -789,7 +773,7 @@
 
     def _release(self, fingerprint: Fingerprint, evidence: Evidence) -> None:
         """Let a stopped suspect run again, as its crashes are explained otherwise."""
-        evidence.stopped_at = None
+        evidence.stopped_at, evidence.failed_trials = None, 0
         self._request_lift([fingerprint])
         event(
             "INFO",
@@ -862,8 +846,7 @@
                 evidence.sent_at[crash] = max(sent_at, evidence.sent_at.get(crash, sent_at))
         if new:
             evidence.last_crash_at = now()
-            if evidence.stopped_at is not None and now() - evidence.stopped_at > TRIAL_GRACE_SECONDS:
-                evidence.failed_trials += 1
+            evidence.failed_trials += part_trials.is_failed_trial(evidence, now())
         return bool(new)
 
     def _stop(
@@ -899,8 +882,7 @@
                     # Other daemons count these interruptions, and don't know of the answer.
                     cleared.append(fingerprint)
                 continue
-            evidence.discounted |= evidence.crashed_on
-            evidence.crashed_on = set()
+            evidence.discount(set(evidence.crashed_on))
             evidence.stopped_at = None
             cleared.append(fingerprint)
             event("INFO", "request cleared", content=fingerprint, void=len(evidence.discounted))
--- a/bayglade/spreading.py
+++ b/bayglade/spreading.py
@@ -110,7 +110,7 @@
         limits = self.fleet.rate_limits.snapshot()
         if not crashes and not limits:
             return []
-        sound = self.quarantine.sound_parts(crashes)
+        sound = self.quarantine.snapshot_sound(crashes)
         return [Findings(crashes=crashes, proven=proven, limits=limits, sound=sound)]
 
     def _queue_interruption(self, crash: Crash) -> None:
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -18,12 +18,9 @@
 from bayglade.exceptions import RequestStopped
 from bayglade.fingerprints import part_fingerprint
 from bayglade.ids import Fingerprint, PromptPartId, RequestId, ServerKey, ServiceName
+from bayglade.part_trials import BACKOFF, GRACE_SECONDS, INTERVAL_SECONDS, TURN_SECONDS
 from bayglade.quarantine import (
     ANSWER_GRACE_SECONDS,
-    TRIAL_BACKOFF,
-    TRIAL_GRACE_SECONDS,
-    TRIAL_INTERVAL_SECONDS,
-    TRIAL_TURN_SECONDS,
     Quarantine,
 )
 from tests.test_quarantine import KEY, Clock, make_call, make_quarantine, server_key, stop_rows, write_stops
@@ -133,6 +130,17 @@
     assert refused(daemon, COMMON, CRASHING)
 
 
+def test_a_crash_that_may_stop_a_part_answered_before_delays_the_next_attempt(clock: Clock) -> None:
+    daemon = make_quarantine()
+    answer_repeatedly(daemon, COMMON, CRASHING)
+    for _ in range(CRASHES_TO_STOP_PROVEN_PART - 1):
+        crash(daemon, clock, make_prompt(COMMON, CRASHING))
+    call, key = make_prompt(COMMON, CRASHING), server_key(next(_servers))
+    assert daemon.resend_delay(call) == 0.0
+    daemon.note_interrupted(call, key, None, clock.at)
+    assert daemon.resend_delay(call) > 0.0
+
+
 def test_parts_that_cannot_be_told_apart_are_refused_together_only(clock: Clock) -> None:
     daemon = make_quarantine()
     for _ in range(CRASHES_TO_STOP):
@@ -223,7 +231,7 @@
         crash(here, clock, make_prompt(COMMON, CRASHING))
     run(here, clock, COMMON)
     crashes, proven = here.snapshot()
-    new.merge_sound(here.sound_parts(crashes))
+    new.merge_sound(here.snapshot_sound(crashes))
     new.merge_proven(proven)
     new.merge_crashes(crashes, [])
     assert refused(new, CRASHING)
@@ -245,6 +253,10 @@
     run(again, clock, CRASHING)
     assert not refused(again, CRASHING)
     assert again.take_lifts() == [name_of(CRASHING)]
+    # Another daemon that does not know yet writes its row once more.
+    again.merge_stored(stops.read_stops(stop_rows(store)), True)
+    assert not refused(again, CRASHING)
+    assert again.take_lifts() == [name_of(CRASHING)]
 
 
 def stopped_daemon(clock: Clock) -> Quarantine:
@@ -268,7 +280,7 @@
 
 def test_a_stopped_part_is_tried_again_with_one_call(clock: Clock) -> None:
     daemon = stopped_daemon(clock)
-    clock.at += TRIAL_INTERVAL_SECONDS - 0.1
+    clock.at += INTERVAL_SECONDS - 0.1
     assert not is_trial(daemon)
     clock.at += 0.2
     assert is_trial(daemon)
@@ -279,10 +291,10 @@
 
 def test_a_trial_that_crashes_a_server_delays_the_next(clock: Clock) -> None:
     daemon = stopped_daemon(clock)
-    clock.at += TRIAL_INTERVAL_SECONDS + TRIAL_GRACE_SECONDS
+    clock.at += INTERVAL_SECONDS + GRACE_SECONDS
     assert is_trial(daemon)
     crash(daemon, clock, make_prompt(CRASHING))
-    clock.at += TRIAL_INTERVAL_SECONDS * TRIAL_BACKOFF - 0.1
+    clock.at += INTERVAL_SECONDS * BACKOFF - 0.1
     assert not is_trial(daemon)
     clock.at += 0.2
     assert is_trial(daemon)
@@ -292,9 +304,9 @@
     daemon = stopped_daemon(clock)
     turns: list[str] = []
     daemon.has_turn = lambda turn: turns.append(turn) or len(turns) > 1  # type: ignore[func-returns-value]
-    clock.at += TRIAL_INTERVAL_SECONDS + 0.1
+    clock.at += INTERVAL_SECONDS + 0.1
     assert not is_trial(daemon)
-    clock.at += TRIAL_TURN_SECONDS
+    clock.at += TURN_SECONDS
     assert is_trial(daemon)
     assert len(set(turns)) == 2
 
