Count stopped parts of prompts apart from stopped requests

Operators saw one gauge for both; parts are refused in any request that has them, so they tell of more. The gauge parts_stopped is new, requests_stopped keeps its meaning.

--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -30,6 +30,7 @@
 from bayglade.disconnects import CallerDisconnected, DisconnectWatcher
 from bayglade.entries.forwards import SETTINGS_HEADER
 from bayglade.epochs import EpochGuardedTable, StoreHistory
+from bayglade.evidence import Subject
 from bayglade.exceptions import (
     BaygladeError,
     InvalidSettings,
@@ -534,7 +535,9 @@
         self.metrics.gauge("servers_resting", states.count("resting"))
         limited = sum(1 for server in self.fleet.servers.values() if server.throttle is not None)
         self.metrics.gauge("servers_limited", limited)
-        self.metrics.gauge("requests_stopped", len(self.quarantine.stopped()))
+        stopped = [evidence.subject for _, evidence in self.quarantine.stopped()]
+        self.metrics.gauge("requests_stopped", stopped.count(Subject.REQUEST))
+        self.metrics.gauge("parts_stopped", stopped.count(Subject.PROMPT_PART))
         self.metrics.gauge("connections_opened", self.links.opened)
         self._update_demand_gauges()
 
