Count two crashes of one moment at most against a part of prompts

What callers saw: beside load, one request in some was refused for 0.05 to 0.5 s when half of all servers crashed at once by another cause. Cause: crashes of one moment are noticed one after the other. A request cut by the first is sent on to a server that has crashed as well, or is about to; it looks like a run in succession, and three of those within 0.1 s stopped the part that all prompts share. Ruled out: widespread parts alone, as few requests ran there; a least length of runs, which would miss servers that crash sooner. Change: within 0.6 s two crashes count at most. A part needs two requests anyway, so one that crashes servers is stopped at the fourth crash as before.

--- a/bayglade/attribution.py
+++ b/bayglade/attribution.py
@@ -19,6 +19,8 @@
 may crash under it from now on."""
 REQUESTS_TO_STOP_PART = 2
 """Different requests that crashed servers before a part that they share is stopped instead of them."""
+MAX_CRASHES_A_MOMENT = 2
+"""How many crashes within ``COMMON_CAUSE_SECONDS`` count at most against a part."""
 REQUESTS_PER_CRASH = 2.0
 """A part that on average more requests than this had in common in each crash is used widely: it is
 running wherever a server crashes."""
@@ -121,19 +123,26 @@
 def count_successive(evidence: Evidence, crashes: Iterable[ServerKey]) -> int:
     """Count crashes of which each interrupted a run that was sent after the one before.
 
-    Servers that crash together have one cause, such as the failure of a rack, and interrupt runs that were
-    all sent before.
+    Servers that crash together have one cause, such as the failure of a rack. Most of the runs that they
+    interrupt were sent before; some are sent on until all these crashes are noticed, so that few of them
+    count.
 
     :param evidence: the evidence against the part that was run.
     :param crashes: the crashes to count; one at an unknown time counts by itself.
     """
-    count, ended = 0, float("-inf")
+    count, ended, since, left = 0, float("-inf"), float("-inf"), 0
     at = evidence.interrupted_at
     for crash in sorted(crashes, key=lambda crash: at.get(crash, float("-inf"))):
         if crash not in at:
             count += 1
-        elif evidence.sent_at.get(crash, at[crash]) >= ended:
-            count, ended = count + 1, at[crash]
+            continue
+        if evidence.sent_at.get(crash, at[crash]) < ended:
+            continue
+        ended = at[crash]
+        if ended - since > COMMON_CAUSE_SECONDS:
+            since, left = ended, MAX_CRASHES_A_MOMENT
+        if left > 0:
+            count, left = count + 1, left - 1
     return count
 
 
