--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -20,8 +20,6 @@
 
 COMMON, CRASHING, SOUND = "aa01", "dead", "bb02"
 MAX_CRASHES = 5
-MAX_TRIALS = 3
-"""Requests with a stopped part that may be sent to learn whether servers still crash under it."""
 TRIES = 9
 _numbers = itertools.count(1)
 
@@ -59,12 +57,6 @@
     return answers
 
 
-def few_crashes(site: UsersSite, parts: int = 1) -> bool:
-    """Return whether parts were stopped soon enough, and tried again rarely."""
-    trials = sum(len(daemon.lines("trial of a stopped part")) for daemon in site.daemons)
-    return len(site.crashes) - trials <= parts * MAX_CRASHES and trials <= parts * MAX_TRIALS
-
-
 @pytest.mark.parametrize("count", [1, 3])
 @pytest.mark.parametrize(
     "parts",
@@ -77,7 +69,7 @@
     site.deadly_parts = {CRASHING}
     daemons = started(site, count)
     answers = send_repeatedly(site, daemons, *parts)
-    assert few_crashes(site)
+    assert len(site.crashes) <= MAX_CRASHES
     assert all(stopped(answer) for answer in answers[-2:])
     assert all(served(daemon, *(part for part in parts if part != CRASHING)) for daemon in daemons)
 
@@ -87,7 +79,7 @@
     site.deadly_parts = {CRASHING}
     daemons = started(site, 2)
     answers = send_repeatedly(site, daemons, COMMON, CRASHING, path=path)
-    assert few_crashes(site)
+    assert len(site.crashes) <= MAX_CRASHES
     assert stopped(answers[-1])
 
 
@@ -98,7 +90,7 @@
         daemons[0].partition(Partition.RESET)
         wait_for("it forwards", lambda: served(daemons[0], COMMON) and daemons[0].lines("forwarded"))
         answers = send_repeatedly(site, daemons, COMMON, CRASHING)
-        assert few_crashes(site)
+        assert len(site.crashes) <= MAX_CRASHES
         assert all(stopped(answer) for answer in answers[-3:])
 
 
@@ -108,7 +100,7 @@
         assert served(daemon, COMMON, CRASHING, SOUND)
     site.deadly_parts = {CRASHING}
     answers = send_repeatedly(site, daemons, COMMON, CRASHING, SOUND)
-    assert few_crashes(site)
+    assert len(site.crashes) <= MAX_CRASHES
     assert stopped(answers[-1])
 
 
@@ -120,7 +112,7 @@
             send(daemon, COMMON, part, SOUND)
             all_back(site)
             wait_for("sound requests are served", lambda daemon=daemon: served(daemon, COMMON, SOUND))
-    assert few_crashes(site, 2)
+    assert len(site.crashes) <= 2 * MAX_CRASHES
     for part in site.deadly_parts:
         assert all(stopped(send(daemon, COMMON, part, SOUND)) for daemon in daemons)
 
