Log what each retry is charged to, and by which division of the bound

What callers saw: more repeats than allowed over all daemons. Neither logs nor metrics told whether a retry came from the daemon's own part or a loan, into how many parts the daemon divides the bound, or since when its process counts.

The line 'retry charged' and the counters retries_charged_own and retries_charged_loan tell; the budget in 'retry budget spent' shows its floor. No logic is changed.

--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -202,16 +202,34 @@
         """
         if not self.can_continue(begun) or self.check_stopped(context):
             return False
+        if self.send_count == 0:
+            return True
         budget = context.retry_budget(self.call.service)
-        if self.send_count == 0 or budget.acquire():
+        if budget.acquire():
+            self.log_charge(context)
             return True
         if Mechanism.LENDING not in context.without:
             context.borrow(self.call.service, budget)
             if budget.acquire():
+                self.log_charge(context)
                 return not self.check_stopped(context)
         self.log_budget_spent(context)
         return False
 
+    def log_charge(self, context: RelayContext) -> None:
+        """Log that a retry was charged: to which part of the bound, and by which division."""
+        budget = context.retry_budget(self.call.service)
+        event(
+            "INFO",
+            "retry charged",
+            request=self.call.head.id,
+            budget=budget,
+            to=budget.charged_to,
+            parts=context.diagnosis.count_daemons(),
+            counting=round(now() - budget.created_at, 1),
+        )
+        context.metrics.count(f"retries_charged_{budget.charged_to}")
+
     def log_budget_spent(self, context: RelayContext) -> None:
         """Log that the retry budget has no retry left for the call."""
         budget = context.retry_budget(self.call.service)
--- a/bayglade/retries.py
+++ b/bayglade/retries.py
@@ -29,7 +29,17 @@
     :param window: seconds over which requests and retries are counted.
     """
 
-    __slots__ = ("floor", "fraction", "loan", "loan_expires", "requests", "retries", "window")
+    __slots__ = (
+        "charged_to",
+        "created_at",
+        "floor",
+        "fraction",
+        "loan",
+        "loan_expires",
+        "requests",
+        "retries",
+        "window",
+    )
 
     def __init__(
         self,
@@ -46,9 +56,15 @@
         """Retries lent by another daemon; they are counted against that daemon's budget."""
 
         self.loan_expires = 0.0
+        self.charged_to = "own"
+        """What the last retry was charged to: this daemon's own part, or a loan."""
+
+        self.created_at = now()
+        """When this daemon began to count; what an earlier process took is not known."""
 
     def __repr__(self) -> str:
-        return f"<RetryBudget {len(self.retries)} of {self.requests.value:.1f}>"
+        allowed = self.floor + self.fraction * self.requests.value
+        return f"<RetryBudget {len(self.retries)} of {allowed:.1f} floor={self.floor:.1f}>"
 
     def note_request(self) -> None:
         """Count a request's first attempt."""
@@ -63,6 +79,7 @@
         if not self._own_available(at):
             return self._use_loan(at)
         self.retries.append(at)
+        self.charged_to = "own"
         return True
 
     def available(self) -> bool:
@@ -92,6 +109,7 @@
         if not self._loan_available(at):
             return False
         self.loan -= 1
+        self.charged_to = "loan"
         return True
 
 
