--- a/bayglade/lending.py
+++ b/bayglade/lending.py
@@ -33,7 +33,7 @@
 """The same if the daemon that is asked may ask others in turn."""
 MAX_ASKED = 4
 """Daemons asked for one loan, at most."""
-EMPTY_SECONDS = 0.4
+EMPTY_SECONDS = 1.0
 """How long a daemon that had nothing to lend is not asked again."""
 MAX_HOPS = 1
 """How often a request for a loan may be passed on."""
--- a/benches/retry_bound.py
+++ b/benches/retry_bound.py
@@ -3,18 +3,22 @@
 Daemons want retries all the time, in virtual time. For each way: the largest use of the bound in any
 window, which must not exceed 1, and the use while only one data hall wants any.
 
-Run it with ``python -m benches.retry_bound``.
+Run it with ``python -m benches.retry_bound``; with ``costs`` it measures messages and decisions instead.
 """
 
-from collections import deque
+import sys
+import timeit
+from collections import Counter, deque
 from collections.abc import Callable
 from enum import Enum
 from importlib import import_module
 from typing import Any
 
 from bayglade.clock import DecayingSum
-from bayglade.ids import HallName
-from bayglade.retry_parts import NO_PART, Part
+from bayglade.entries import wire
+from bayglade.ids import HallName, MemberId
+from bayglade.retry_ledger import RetryBound, RetryLedger
+from bayglade.retry_parts import NO_PART, Part, RetryParts
 
 retry_site = import_module("tests.retry_site")
 retry_sites = import_module("tests.test_retry_sites")
@@ -139,10 +143,76 @@
     return float(virtual_time.run_virtually(run))
 
 
+def print_costs() -> None:
+    """Print sizes of messages, times of decisions, and the messages while one hall wants retries."""
+    member = MemberId("front-hall-a-100")
+    messages = (
+        wire.BorrowRequest(12345, "wayfind-llm", 4.0),
+        wire.BorrowReply(12345, 4.0, member, 2**47),
+        wire.BorrowReturn("wayfind-llm", member, 2**47, 2.0),
+        wire.CreditDeposit("wayfind-llm", 2.35, 0.51),
+    )
+    for message in messages:
+        print(type(message).__name__, len(wire.FrameAuthenticator(b"key").seal(message)), "bytes sealed")
+    for count in (0, 60, 300):
+        parts = RetryParts(member, 10.0, 10.0, first_start=True)
+        daemons = {MemberId(f"d{number}") for number in range(440)} | {member}
+        parts.started_at -= 60.0
+        parts.observe(parts.started_at, daemons, daemons)
+        parts.member_since = parts.lender_since = parts.started_at
+        parts.known_at = parts.started_at + 60.0
+        ledger = RetryLedger(RetryBound(0.2, 440.0 * (count + 10), 10.0), parts.current)
+        for _ in range(count):
+            if (charge := ledger.acquire()) is not None:
+                charge.commit()
+
+        def hold(ledger: RetryLedger = ledger) -> None:
+            if (charge := ledger.acquire()) is not None:
+                charge.release()
+
+        seconds = min(timeit.repeat(hold, number=2000, repeat=5)) / 2000
+        print(f"{count} retries in the window: hold and release {1e6 * seconds:.1f} µs")
+    seconds = min(timeit.repeat(lambda: parts.observe(0.0, daemons, daemons), number=2000, repeat=5)) / 2000
+    print(f"observe a roster of {len(daemons)}: {1e6 * seconds:.1f} µs")
+    for label, size in {**SIZES, "440": retry_sites.SIZES[2]}.items():
+        sent, busiest, retries = count_messages(size)
+        print(f"{label} daemons, one hall alone, 10 s: {sent.total()} messages, {busiest} at the busiest")
+        print(f"  {dict(sent)}, {retries} retries")
+
+
+def count_messages(size: tuple[int, int, float, float]) -> tuple[Counter[str], int, int]:
+    """Count the messages about retries while the daemons of one hall alone want any for 10 s.
+
+    :return: messages by type, those received by the busiest daemon, and the retries that were sent.
+    """
+
+    def run() -> tuple[Counter[str], int, int]:
+        site = retry_site.RetrySite(*size)
+        site.troubled = {HallName("h0")}
+        eventlet.sleep(retry_sites.START_SECONDS + 15.0)
+        sent: Counter[str] = Counter()
+        received: Counter[MemberId] = Counter()
+        deliver = site.deliver
+
+        def counted(sender: MemberId, to: MemberId, message: wire.Message) -> None:
+            sent[type(message).__name__] += 1
+            received[to] += 1
+            deliver(sender, to, message)
+
+        site.deliver = counted
+        site.demanding = True
+        eventlet.sleep(10.0)
+        return sent, max(received.values()), len(site.retries)
+
+    found: tuple[Counter[str], int, int] = virtual_time.run_virtually(run)
+    return found
+
+
 def main() -> None:
     """Print a table for each size: the worst and the mean use over all seeds, by event and way."""
-    for module in (*retry_site.MODULES, clock):
-        module.now = virtual_time.now
+    if sys.argv[1:] == ["costs"]:
+        print_costs()
+        return
     for label, size in SIZES.items():
         print(f"\n{label} daemons; largest use over {len(SEEDS)} seeds, and its mean")
         print("event".ljust(48), *(way.name.rjust(14) for way in Way))
@@ -157,4 +227,6 @@
 
 
 if __name__ == "__main__":
+    for module in (*retry_site.MODULES, clock):
+        module.now = virtual_time.now
     main()
