Forward begun streams without asking for a retry of the own daemon

A begun stream at a daemon that reaches no server waited for a retry of that daemon, though the daemon that sends it to a server is the one that is charged. For 11 s after a start, or without a current view of the roster, it would have waited while others could resume it.

--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -252,7 +252,8 @@
         _pause(call)
     logged = False
     while call.seconds_left() > 0 and not attempts.check_stopped(context):
-        spent = not attempts.has_retry_budget(context)
+        # A forwarded call is charged by the daemon that sends it to a server.
+        spent = not context.forwarding.is_needed(call) and not attempts.has_retry_budget(context)
         if not spent and _is_authorized(context, call):
             return True
         if spent and not logged:
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -242,6 +242,22 @@
     assert scene.attempts == 2
 
 
+def test_a_begun_stream_is_forwarded_without_a_retry_of_its_own_daemon(scene: Scene) -> None:
+    """The daemon that sends it to a server charges the retry."""
+    forwarded: list[bool] = []
+
+    def broken_and_isolated() -> None:
+        scene.ledger.bound = RetryBound(0.0, 0.0, 10.0)
+        scene.context.forwarding = SimpleNamespace(
+            is_needed=lambda call: True, is_possible=lambda service: forwarded.append(True) or False
+        )
+        scene.break_off()
+
+    scene.start(broken_and_isolated)
+    eventlet.sleep(LATER)
+    assert forwarded
+
+
 def test_a_begun_stream_is_not_ended_by_the_number_of_rejections(
     scene: Scene, monkeypatch: pytest.MonkeyPatch
 ) -> None:
