--- a/bayglade/retry_parts.py
+++ b/bayglade/retry_parts.py
@@ -82,8 +82,8 @@
         self.history_seconds = self.settle_seconds + OUTAGE_SECONDS
         self.started_at = now()
         self.first_start = first_start
-        self.known_at = float("-inf")
-        """Every change of the roster accepted before this time is in the view."""
+        self.known_at = 0.0
+        """Every change of the roster accepted before this time is in the view; zero if unknown."""
 
         self.member_since: float | None = None
         self.lender_since: float | None = None
@@ -97,12 +97,12 @@
     ) -> None:
         """Take note of the roster as this daemon sees it.
 
-        :param known_at: a time such that every change accepted before it is included.
+        :param known_at: a time such that every change accepted before it is included; zero if unknown.
         :param daemons: all daemons in the roster.
         :param lenders: those that lend retries to others.
         """
         at = now()
-        if known_at - self.known_at > OUTAGE_SECONDS:
+        if 0.0 < self.known_at < known_at - OUTAGE_SECONDS:
             self.member_since = self.lender_since = None
         self.known_at = max(self.known_at, known_at)
         self.member_since = _since(self.member_since, self.member in daemons, at)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -6,13 +6,14 @@
 
 import msgspec
 
-from bayglade.beliefs import Beliefs, CoverageBelief, DemandBelief, LayoutBelief
+from bayglade.beliefs import Beliefs, CoverageBelief, DemandBelief, LayoutBelief, RetryBelief
 from bayglade.exceptions import CutOff, Outcome
 from bayglade.gateway import create_gateway
 from bayglade.http1 import Message
 from bayglade.ids import MemberId, RequestId, ServiceName
 from bayglade.pressure_commands import describe_pressure
 from bayglade.refusals import MAX_ID_CHARS, MAX_REFUSALS, Refusals, describe_refusal
+from bayglade.retry_commands import describe_retries
 from standins.users import MODEL as SITE_MODEL
 from standins.users import UsersSite
 from standins.world import wait_for
@@ -58,6 +59,7 @@
     base |= {"member": member, "lease": "", "duty": "", "demand": [demand]}
     base |= dict.fromkeys(("ready", "draining", "caught_up"), False)
     base |= dict.fromkeys(("settings", "settings_age", "servers_age", "in_flight", "waiting"), 0)
+    base |= {"retry_part": 0.0}
     base |= {"coverage": [CoverageBelief(MODEL, seconds)], "layout": LayoutBelief(orders, 5, 4)}
     return msgspec.convert(msgspec.to_builtins(base), Beliefs)
 
@@ -130,3 +132,17 @@
         assert pressure.returncode == 0, pressure.stderr
         assert "as seen by d0, of 1 asked" in pressure.stdout
         assert daemon.beliefs()["layout"]["orders_under_way"] >= 0
+
+
+def test_retries_show_who_has_spent_them() -> None:
+    """Guards against an operator who sees that no retry is left, and not where they went."""
+    spent = RetryBelief("model", 20.0, 21.3, False, 9, 1.2, 60.0, 0.5, 4.0, {})
+    started = RetryBelief("model", 1.0, 21.3, True, 9, 0.4, 7.0, 0.0, 0.0, {MemberId("d0"): 2.0})
+    views = [
+        msgspec.structs.replace(a_view(name, None, 0, None), retries=[belief])
+        for name, belief in (("d1", started), ("d0", spent))
+    ]
+    lines = describe_retries(views)
+    assert [line.split()[1] for line in lines[1:3]] == ["d0", "d1"]
+    assert lines[2].endswith("started 7 s ago")
+    assert lines[3:] == ["model: 21.0 of 43 used, and credit of 0", "as seen by 2 asked"]
--- a/tests/test_retry_sites.py
+++ b/tests/test_retry_sites.py
@@ -11,7 +11,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from bayglade.ids import HallName
+from bayglade.ids import HallName, MemberId
+from bayglade.retry_parts import NO_PART, Part, RetryParts
 from standins.users.retry_use import RetryUse
 from tests import retry_site, virtual_time
 from tests.retry_site import RetrySite, run_virtually
@@ -201,3 +202,18 @@
 
     use = play(SIZES[0], act, seed=seed)
     assert use.fraction <= 1.0, use
+
+
+def test_the_part_of_a_first_start_does_not_wait_for_the_first_answer_of_the_feed() -> None:
+    """A daemon knows the roster from its join before its feed of that table has been answered."""
+
+    def run() -> list[Part]:
+        me = MemberId("d0")
+        parts = RetryParts(me, 10.0, 10.0, first_start=True)
+        parts.observe(0.0, {me}, {me})
+        eventlet.sleep(4.0)
+        before = parts.current()
+        parts.observe(virtual_time.now(), {me}, {me})
+        return [before, parts.current()]
+
+    assert run_virtually(run) == [NO_PART, Part(1.0, 0.9)]
