Send requests of different content in the test of crashes against the bound on retries

Cause: all 24 callers of the test sent one request. While a deadly one crashed three servers, the callers' request was running on the same three and had been answered too rarely to be proven, so the quarantine stopped both (log of a failing play: 'request stopped' for both contents, the same three ends). The callers were then refused within 40 ms and sent 4,578 requests in place of 72; the retries were the same 35, but the bound grows with the requests.

Change: every request of the test has a content of its own. Both bounds that the test checks stay as they were. No logic changes: which of two requests that always ran together crashes servers can't be told, and both must be stopped before a fourth server.

--- a/tests/test_retry_bound.py
+++ b/tests/test_retry_bound.py
@@ -5,6 +5,7 @@
 ones, and those that were started again spent theirs anew: up to 1.2 times the bound reached the servers.
 """
 
+import itertools
 import signal
 import threading
 import time
@@ -50,7 +51,11 @@
 
 
 class Callers:
-    """Callers of streams at all daemons; every stream is broken off half of the way, again and again."""
+    """Callers of streams at all daemons; every stream is broken off half of the way, again and again.
+
+    No two requests have the same content: one that was running on three servers when they crashed is
+    stopped, whoever sends it.
+    """
 
     def __init__(self, site: UsersSite, reached: int = DAEMONS) -> None:
         self.site = site
@@ -58,6 +63,7 @@
         """Number of daemons that callers reach."""
 
         self.sent: list[float] = []
+        self.questions = itertools.count()
         self.stopping = False
         self.threads = [
             threading.Thread(target=self._call, args=(number,))
@@ -81,7 +87,7 @@
             daemon = self.site.daemons[number % self.reached]
             self.sent.append(time.monotonic())
             try:
-                ask(daemon.callers, "/stream/x", X_Deadline_Ms="2500")
+                ask(daemon.callers, f"/stream/x?question={next(self.questions)}", X_Deadline_Ms="2500")
             except OSError:
                 # The daemon is down or does not answer at the moment.
                 time.sleep(0.1)
