Borrow only the part of a retry that is missing, and return pieces that complete none

Ruled out: a smaller bound (parts 1.9 at all five daemons from the start, no 'starting').

Change: a request for a loan names what is missing for the requests that wait; pieces that complete no retry go back at once; waiting requests borrow in turn; lenders restore returned credit. A daemon that lent less than it was asked for counts as empty for a second.

--- a/bayglade/lending.py
+++ b/bayglade/lending.py
@@ -22,7 +22,7 @@
 from bayglade.logs import event
 from bayglade.metrics import Metrics
 from bayglade.pending_replies import PendingReplies
-from bayglade.retry_ledger import LOAN_SECONDS, Loan, RetryLedger
+from bayglade.retry_ledger import LEAST_LOAN, LOAN_SECONDS, TOLERANCE, Loan, RetryLedger
 
 LOAN_SIZE = 4
 """Retries borrowed at once, at most: about as many as streams of one daemon that the loss of one server
@@ -34,7 +34,7 @@
 MAX_ASKED = 4
 """Daemons asked for one loan, at most."""
 EMPTY_SECONDS = 1.0
-"""How long a daemon that had nothing to lend is not asked again."""
+"""How long a daemon that had less to lend than it was asked for is not asked again."""
 MAX_HOPS = 1
 """How often a request for a loan may be passed on."""
 DEPOSIT_FRACTION = 0.85
@@ -104,16 +104,19 @@
         return f"<RetryLending {len(self.borrowing)} borrowing>"
 
     def borrow(self, service: str, ledger: RetryLedger) -> None:
-        """Borrow retries; returns at once if there is nobody to ask.
+        """Borrow retries until one is available, or none of the daemons asked has any.
+
+        One request at a time borrows for all that wait; those that get nothing of it borrow in turn.
 
         :param service: the service whose requests are retried.
         :param ledger: this daemon's retries for it.
         """
         self.waiting[service] += 1
         try:
-            if (underway := self.borrowing.get(service)) is not None:
+            while (underway := self.borrowing.get(service)) is not None:
                 underway.wait()
-                return
+                if ledger.available():
+                    return
             done = self.borrowing[service] = Event()
             try:
                 self._ask_others(service, ledger)
@@ -183,9 +186,10 @@
 
     def _ask_others(self, service: str, ledger: RetryLedger) -> None:
         """Ask some daemons in turn, until one retry is complete."""
-        wanted = float(min(LOAN_SIZE, max(1, self.waiting[service])))
         hops = 0 if self.is_follower() else MAX_HOPS
         for lender in self._choose(service, None):
+            missing = ledger.count_missing(self.waiting[service])
+            wanted = min(LOAN_SIZE, max(LEAST_LOAN, missing))
             # The lender counts the loan from when it lends it, which is later.
             expires_at = now() + LOAN_SECONDS
             reply = self._ask(lender, service, wanted, hops)
@@ -201,6 +205,8 @@
             if ledger.available():
                 return
         self.metrics.count("loans_not_found")
+        # Pieces of a retry that lie at several daemons complete none.
+        self._return_loans(service, ledger.take_unused_loans())
 
     def _relay(self, member: MemberId, message: BorrowRequest) -> None:
         """Ask the lenders of other halls on behalf of another daemon."""
@@ -217,8 +223,9 @@
         reply = self.pending.request(
             lambda number: self.push(lender, BorrowRequest(number, service, wanted, hops)), seconds
         )
-        if reply is None or not reply.amount:
+        if reply is None or reply.amount < wanted - TOLERANCE:
             self.empty_until[lender, service] = now() + EMPTY_SECONDS
+        if reply is None or not reply.amount:
             return None
         self.last_lender[service] = lender
         return reply
@@ -236,5 +243,8 @@
         return usable[:MAX_ASKED]
 
     def _return_expired(self, service: str, ledger: RetryLedger) -> None:
-        for loan in ledger.take_expired_loans():
-            self.push(loan.through, BorrowReturn(service, loan.lender, loan.number, loan.amount))
+        self._return_loans(service, ledger.take_expired_loans())
+
+    def _return_loans(self, service: str, returned: Sequence[tuple[Loan, float]]) -> None:
+        for loan, amount in returned:
+            self.push(loan.through, BorrowReturn(service, loan.lender, loan.number, amount))
--- a/bayglade/retry_ledger.py
+++ b/bayglade/retry_ledger.py
@@ -100,16 +100,22 @@
 
 
 class LentRetries:
-    """Retries out of the own part that another daemon may use, or may have used."""
+    """Retries that another daemon may use, or may have used.
 
-    __slots__ = ("amount", "counted_until")
+    :param amount: how much of them is out of the own part.
+    :param credit: the credit that is lent beside it.
+    :param counted_until: until when they count against the own part.
+    """
+
+    __slots__ = ("amount", "counted_until", "credit")
 
-    def __init__(self, amount: float, counted_until: float) -> None:
+    def __init__(self, amount: float, credit: Credit, counted_until: float) -> None:
         self.amount = amount
+        self.credit = credit
         self.counted_until = counted_until
 
     def __repr__(self) -> str:
-        return f"<LentRetries {self.amount:.2f}>"
+        return f"<LentRetries {self.amount:.2f} credit={self.credit.amount:.2f}>"
 
 
 class Charge:
@@ -224,9 +230,13 @@
 
     def available(self) -> bool:
         """Return whether a retry could be held now."""
+        return self.count_missing(WHOLE) <= 0.0
+
+    def count_missing(self, wanted: float) -> float:
+        """Return how much is missing to hold this many retries now."""
         at = now()
         self._drop_expired(at)
-        return self.credit_total + self._part_left(at) + self._borrowed(at) >= WHOLE
+        return max(0.0, wanted - self.credit_total - self._part_left(at) - self._borrowed(at))
 
     def acquire(self) -> Charge | None:
         """Hold one retry, to be committed when it is sent, or released.
@@ -279,28 +289,44 @@
         most = (1.0 - STARTING_FRACTION) * self.bound.floor
         left = min(most * part.lendable - self.count_lent(at), most * part.own - self.count_used(at))
         amount = 0.0 if part.starting or left < LEAST_LOAN else min(wanted, left)
-        if amount:
-            self.lent[number] = LentRetries(amount, at + LOAN_SECONDS + self.counted_seconds)
         # The borrower may use it at the end of the loan; one retry is left for this daemon.
         not_before = at + LOAN_SECONDS - self.bound.window
         lasting = sum(credit.amount for credit in self.credits if credit.at > not_before)
         from_credit = min(wanted - amount, lasting - 1.0)
-        if from_credit < LEAST_LOAN:
-            return amount
-        return amount + self._take_credit(from_credit, not_before).amount
+        credit = self._take_credit(from_credit if from_credit >= LEAST_LOAN else 0.0, not_before)
+        lent = amount + credit.amount
+        if lent:
+            self.lent[number] = LentRetries(amount, credit, at + LOAN_SECONDS + self.counted_seconds)
+        return lent
 
     def take_back(self, number: int, amount: float) -> None:
         """Take back retries of a loan that were not used and no longer can be."""
         lent = self.lent.get(number)
-        if lent is not None:
-            lent.amount = max(0.0, lent.amount - amount)
+        if lent is None:
+            return
+        of_part = min(lent.amount, amount)
+        of_credit = min(lent.credit.amount, amount - of_part)
+        lent.amount -= of_part
+        lent.credit.amount -= of_credit
+        if of_credit:
+            self.add_credit(of_credit, lent.credit.at)
+
+    def take_unused_loans(self) -> list[tuple[Loan, float]]:
+        """Take what is left of all loans, to be returned to their lenders.
+
+        :return: the loans, and how much of each is returned.
+        """
+        unused = [(loan, loan.amount) for loan in self.loans if loan.amount]
+        for loan, _ in unused:
+            loan.amount = 0.0
+        return unused
 
-    def take_expired_loans(self) -> list[Loan]:
-        """Return the loans that have expired with retries left, to be returned to their lenders."""
+    def take_expired_loans(self) -> list[tuple[Loan, float]]:
+        """Take what is left of the loans that have expired; as :meth:`take_unused_loans`."""
         at = now()
         expired = [loan for loan in self.loans if loan.expires_at <= at]
         self.loans = deque(loan for loan in self.loans if loan.expires_at > at)
-        return [loan for loan in expired if loan.amount]
+        return [(loan, loan.amount) for loan in expired if loan.amount]
 
     def count_lent(self, at: float) -> float:
         """Return how many retries of the own part others may have used within the window."""
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -87,6 +87,16 @@
     assert ledger.lend(2, 100) == 3
 
 
+def test_returned_credit_can_be_spent(clock: ManualClock) -> None:
+    ledger = make_ledger(Part(0.5 / ALLOWED, 0.5 / ALLOWED), fraction=0.2)
+    for _ in range(30):
+        ledger.note_request()
+    assert ledger.lend(1, 100) == pytest.approx(2.5)
+    ledger.take_back(1, 1.5)
+    assert ledger.count_missing(100) == pytest.approx(100 - 2.5)
+    assert ledger.lend(2, 100) == pytest.approx(1.5)
+
+
 def test_a_loan_is_not_used_after_it_expired(clock: ManualClock) -> None:
     ledger = make_ledger(NO_PART)
     ledger.loans.append(retry_ledger.Loan(1, LENDER, LENDER, 2, clock.at + LOAN_SECONDS))
@@ -110,9 +120,11 @@
 class Pair:
     """A lender and a borrower, whose messages take a while."""
 
-    def __init__(self, delay: float = 0.001) -> None:
+    def __init__(
+        self, delay: float = 0.001, lendable: Part = ALL_LENDABLE, borrower: Part = NO_PART
+    ) -> None:
         self.delay = delay
-        self.ledgers = {LENDER: make_ledger(), BORROWER: make_ledger(NO_PART)}
+        self.ledgers = {LENDER: make_ledger(lendable), BORROWER: make_ledger(borrower)}
         self.ends = {
             member: RetryLending(
                 member,
@@ -162,6 +174,43 @@
     assert virtual_time.run_virtually(run) == (LOAN_SIZE, 1, 0)
 
 
+def test_a_daemon_borrows_only_what_it_lacks(virtually: None) -> None:
+    def run() -> float:
+        pair = Pair(borrower=Part(0.7 / ALLOWED, 0.0))
+        pair.ends[BORROWER].borrow(SERVICE, pair.ledgers[BORROWER])
+        assert pair.ledgers[BORROWER].acquire() is not None
+        return pair.ledgers[LENDER].count_lent(virtual_time.now())
+
+    assert virtual_time.run_virtually(run) == pytest.approx(0.3)
+
+
+def test_a_loan_that_completes_no_retry_returns_at_once(virtually: None) -> None:
+    def run() -> tuple[float, float]:
+        lendable = 0.8 / ALLOWED
+        pair = Pair(lendable=Part(lendable, lendable))
+        ledger = pair.ledgers[BORROWER]
+        pair.ends[BORROWER].borrow(SERVICE, ledger)
+        assert ledger.acquire() is None
+        eventlet.sleep(0.01)
+        return pair.ledgers[LENDER].count_lent(virtual_time.now()), ledger.count_missing(1)
+
+    assert virtual_time.run_virtually(run) == pytest.approx((0.0, 1.0))
+
+
+def test_each_request_that_waits_for_a_loan_gets_a_retry(virtually: None) -> None:
+    def run() -> int:
+        pair = Pair()
+        ledger = pair.ledgers[BORROWER]
+
+        def hold() -> bool:
+            pair.ends[BORROWER].borrow(SERVICE, ledger)
+            return ledger.acquire() is not None
+
+        return sum(waiting.wait() for waiting in [eventlet.spawn(hold) for _ in range(3 * LOAN_SIZE)])
+
+    assert virtual_time.run_virtually(run) == 3 * LOAN_SIZE
+
+
 def test_a_loan_that_arrives_late_is_not_used(virtually: None) -> None:
     def run() -> int:
         pair = Pair(delay=lending.REPLY_SECONDS)
