Move interruptions, and what is written to the store, out of the quarantine

No logic changes: what servers interrupted and which of them ended is kept by Interruptions, what this daemon has to write to or remove from the store by StoredStops. Test: the 177 tests of the quarantine, its reports, trials and streams.

--- a/bayglade/quarantine.py
+++ b/bayglade/quarantine.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from bayglade import part_trials
+from bayglade import part_trials, stored_stops
 from bayglade.answers import Answers, PartAnswers
 from bayglade.attribution import is_widespread, judge, required_companions
 from bayglade.calls import Call
@@ -32,10 +32,12 @@
 from bayglade.exceptions import RequestStopped
 from bayglade.fingerprints import fingerprint_of, part_fingerprints_of
 from bayglade.ids import BackendId, Fingerprint, ServerKey
+from bayglade.interruptions import Interruption, Interruptions
 from bayglade.logs import event, rate_limited
 from bayglade.retries import jittered_retry_after
 from bayglade.sound_parts import SoundParts
 from bayglade.stops import StopRow
+from bayglade.stored_stops import StoredStops
 
 SUSPECT_RUN_SECONDS = 1.0
 """A request whose first event is older than this when its server crashes is no suspect: requests that
@@ -48,19 +50,11 @@
 TRIAL_SECONDS = 0.4
 """How long other suspects are kept off a server to which a suspect was sent: longer than a server
 survives a request that crashes it, and shorter than clients wait."""
-UNCONFIRMED_SECONDS = 6.0
-"""How long an interruption counts as a possible crash while the crash isn't confirmed. The entry of a
-server that falls silent is removed after three missed heartbeats, 3.6 s on the users' platform."""
 MASS_CRASH_COUNT = 3
 """This many other servers that crash at about the same time indicate a cause other than the request."""
 ANSWER_GRACE_SECONDS = 0.5
 """Delay before a stop is written to the store, in which a report that the request was answered cancels
 it."""
-WRITE_SPREAD_SECONDS = 2.0
-"""A daemon that learns of the deciding crash from another one writes the stop after a random delay of
-up to this, unless another daemon has written it by then."""
-LIFTED_SECONDS = 60.0
-"""How long a lifted stop is remembered: longer than the age that a restored copy of the store may have."""
 MAX_SUSPECTS = 4096
 """Maximum number of requests with evidence: each crash adds all requests that had just begun there."""
 MAX_SHARED_ON_JOIN = 64
@@ -76,31 +70,6 @@
     until: float
 
 
-class CrashTimes(msgspec.Struct, frozen=True):
-    """When a daemon first and last learned that a server incarnation has ended, in monotonic seconds."""
-
-    first_at: float
-    last_at: float
-
-
-class Interruption(msgspec.Struct, frozen=True):
-    """A request that a server broke off; times are in monotonic seconds."""
-
-    at: float
-    sent_at: float
-    parts: tuple[Fingerprint, ...]
-
-    def crash(self, fingerprint: Fingerprint, server_key: ServerKey, at: float) -> Crash:
-        """Return the report that the server crashed, as of a time."""
-        return Crash(
-            fingerprint,
-            *server_key,
-            round(at - self.at, 3),
-            self.parts,
-            round(max(0.0, self.at - self.sent_at), 3),
-        )
-
-
 class PendingVerdict(msgspec.Struct, frozen=True):
     """Evidence has changed and is to be judged; times are in monotonic seconds."""
 
@@ -122,19 +91,8 @@
         self.evidence: OrderedDict[Fingerprint, Evidence] = OrderedDict()
         """By fingerprint, ordered by last update."""
 
-        self.unconfirmed: dict[ServerKey, dict[Fingerprint, Interruption]] = {}
-        """By server incarnation: requests that this daemon sent and that were interrupted there. It isn't
-        known yet whether the server crashed."""
-
-        self.remote_unconfirmed: dict[ServerKey, dict[Fingerprint, Interruption]] = {}
-        """The same for requests that other daemons sent. These daemons may be gone when the crash is
-        confirmed."""
-
-        self.seen_interruptions: dict[tuple[Fingerprint, ServerKey], float] = {}
-        """When each interruption reported by another daemon was first seen; each is forwarded once."""
-
-        self.recent_crashes: dict[ServerKey, CrashTimes] = {}
-        """Server incarnations that ended recently."""
+        self.interruptions = Interruptions()
+        """Of requests by servers that may have crashed."""
 
         self.answers = Answers()
         """Requests answered recently. One that many clients send is answered again and again, and is
@@ -149,11 +107,8 @@
         self.pending_verdict: PendingVerdict | None = None
         """Set if the evidence has changed since it was judged."""
 
-        self.pending_lifts: set[Fingerprint] = set()
-        """Stops in the store that this daemon knows to be wrong and is going to remove."""
-
-        self.recently_lifted: dict[Fingerprint, float] = {}
-        """When stops were removed from the store: a restored store may contain them again."""
+        self.stored = StoredStops(rng)
+        """What has to be removed from the store."""
 
         self.trials: dict[BackendId, Trial] = {}
         """By server, the last suspect sent to it."""
@@ -189,9 +144,7 @@
         for known in (
             self.sound_parts,
             self.evidence,
-            self.unconfirmed,
-            self.remote_unconfirmed,
-            self.seen_interruptions,
+            self.interruptions,
             self.trials,
         ):
             known.clear()
@@ -321,14 +274,9 @@
 
     def unconfirmed_servers(self, call: Call) -> list[ServerKey]:
         """List the server incarnations that interrupted a call and may have crashed."""
-        if not self.unconfirmed:
+        if not self.interruptions.own:
             return []
-        fingerprint = self.fingerprint_for(call)
-        return [
-            server_key
-            for server_key, fingerprints in self.unconfirmed.items()
-            if fingerprint in fingerprints
-        ]
+        return self.interruptions.servers_of(self.fingerprint_for(call))
 
     def servers_on_trial(self, call: Call) -> frozenset[BackendId]:
         """Return the servers to which a suspect other than this call was sent within the trial period."""
@@ -337,7 +285,7 @@
 
     def note_sent(self, call: Call, backend: BackendId) -> None:
         """Record that a call is sent to a server; a suspect starts a trial there."""
-        if (self.evidence or self.unconfirmed) and self.is_suspect(call):
+        if (self.evidence or self.interruptions.own) and self.is_suspect(call):
             self.trials[backend] = Trial(self.fingerprint_for(call), now() + TRIAL_SECONDS)
 
     def resend_delay(self, call: Call) -> float:
@@ -369,7 +317,7 @@
         """
         if begun_at is not None and now() - begun_at > SUSPECT_RUN_SECONDS:
             return
-        times = self.recent_crashes.get(server_key)
+        times = self.interruptions.ended.get(server_key)
         if times is not None and times.first_at < sent_at:
             return
         at, fingerprint = now(), self.fingerprint_for(call)
@@ -377,7 +325,7 @@
         if times is not None:
             self._publish(self._add_crashes([interruption.crash(fingerprint, server_key, at)]))
             return
-        self.unconfirmed.setdefault(server_key, {})[fingerprint] = interruption
+        self.interruptions.add(server_key, fingerprint, interruption)
         self.on_interrupted(interruption.crash(fingerprint, server_key, at))
 
     def mass_crash(self, call: Call) -> bool:
@@ -388,27 +336,19 @@
         oldest = now() - COMMON_CAUSE_SECONDS
         evidence = self._evidence_for(call)
         suspected = evidence.crashed_on if evidence is not None else frozenset()
-        others = [times for server_key, times in self.recent_crashes.items() if server_key not in suspected]
-        return sum(times.last_at >= oldest for times in others) >= MASS_CRASH_COUNT
+        return self.interruptions.count_ended(oldest, suspected) >= MASS_CRASH_COUNT
 
     def server_ended(self, server_key: ServerKey) -> None:
         """Record that a server incarnation has definitely ended."""
         at = now()
-        known = self.recent_crashes.get(server_key)
-        self.recent_crashes[server_key] = CrashTimes(known.first_at if known is not None else at, at)
-        suspects = self.unconfirmed.pop(server_key, {})
-        remote = {
-            suspect: interruption
-            for suspect, interruption in self.remote_unconfirmed.pop(server_key, {}).items()
-            if suspect not in suspects
-        }
+        interrupted = self.interruptions.end(server_key, at)
         # Count all requests interrupted by this crash together, as which of them explains it can be
         # judged only then.
         fresh = self._add_crashes(
             interruption.crash(suspect, server_key, at)
-            for suspect, interruption in (suspects | remote).items()
+            for suspect, interruption in (interrupted.own | interrupted.remote).items()
         )
-        self._publish([crash for crash in fresh if crash.fingerprint in suspects])
+        self._publish([crash for crash in fresh if crash.fingerprint in interrupted.own])
 
     def server_alive(self, server_key: ServerKey, asked_at: float) -> None:
         """Record that a server incarnation responded, and so hasn't crashed before.
@@ -417,29 +357,23 @@
         :param asked_at: when the request to which it responded was sent; later interruptions stay
             unconfirmed.
         """
-        for known in (self.unconfirmed, self.remote_unconfirmed):
-            if (fingerprints := known.get(server_key)) is not None:
-                known[server_key] = {
-                    fingerprint: interruption
-                    for fingerprint, interruption in fingerprints.items()
-                    if interruption.at > asked_at
-                }
+        self.interruptions.refute(server_key, asked_at)
 
     def note_answered(self, call: Call) -> None:
         """Record a complete answer, which clears the request of all crashes."""
         self.answers.note(call, now())
         self.part_answers.note(call, now())
-        if not (self.evidence or self.unconfirmed or self.remote_unconfirmed):
+        if not self.has_suspects:
             return
         fingerprint = self.fingerprint_for(call)
         if cleared := self._clear([fingerprint]):
-            self._request_lift(cleared)
+            self.stored.request_lifts(self.evidence, cleared)
             self.on_update([], cleared)
 
     @property
     def has_suspects(self) -> bool:
         """Return whether there is evidence against anything."""
-        return bool(self.evidence or self.unconfirmed or self.remote_unconfirmed)
+        return bool(self.evidence or self.interruptions)
 
     def note_sound(self, call: Call, begun_at: float) -> None:
         """Record that a server runs a call and has not crashed, which clears the parts of its prompt.
@@ -498,9 +432,9 @@
         if answered:
             # The daemons that count this crash have to learn of the answer, which arrived at another
             # daemon.
-            self._request_lift(answered)
+            self.stored.request_lifts(self.evidence, answered)
             self.on_update([], sorted(answered))
-        fresh = self._add_crashes(reports, self.rng.uniform(0.0, WRITE_SPREAD_SECONDS))
+        fresh = self._add_crashes(reports, self.stored.write_delay())
         for crash in reports:
             # The reporting daemon has confirmed that this incarnation has ended.
             self.server_ended(crash.key)
@@ -511,31 +445,15 @@
 
         :return: those that were new here.
         """
-        fresh = [crash for crash in interruptions if self._note_remote_interruption(crash)]
+        at = now()
+        fresh = [crash for crash in interruptions if self.interruptions.is_news(crash, at)]
         for crash in fresh:
-            if crash.key in self.recent_crashes:
+            if crash.key in self.interruptions.ended:
                 self._add_crashes([crash])
             elif not self._answered_since(crash):
-                at = now() - crash.age
-                interruption = Interruption(at, at - crash.ran, crash.parts)
-                self.remote_unconfirmed.setdefault(crash.key, {})[crash.fingerprint] = interruption
+                self.interruptions.add_remote(crash, at)
         return fresh
 
-    def _note_remote_interruption(self, crash: Crash) -> bool:
-        """Record a reported interruption; tell whether it is new and recent.
-
-        Each is forwarded only when new, so reports don't circulate forever.
-        """
-        mark = (crash.fingerprint, crash.key)
-        if (
-            crash.age > UNCONFIRMED_SECONDS
-            or mark in self.seen_interruptions
-            or len(self.seen_interruptions) >= MAX_SUSPECTS
-        ):
-            return False
-        self.seen_interruptions[mark] = now()
-        return True
-
     def snapshot(self) -> tuple[list[Crash], list[Fingerprint]]:
         """Return the crashes that count, and the proven suspects among theirs, for a daemon that joins.
 
@@ -577,22 +495,15 @@
             if whole and e.in_store and fingerprint not in rows
         }
         if restored:
-            self._schedule_rewrite(missing)
-            self.pending_lifts |= {
-                fingerprint for fingerprint in rows if fingerprint in self.recently_lifted
-            }
-            rows = {
-                fingerprint: row
-                for fingerprint, row in rows.items()
-                if fingerprint not in self.recently_lifted
-            }
+            self.stored.schedule_rewrite((self.evidence[n] for n in missing), now())
+            rows = self.stored.leave_out_lifted(rows)
         else:
             lifted |= missing
         for fingerprint in lifted:
             if fingerprint in self.evidence and self.evidence[fingerprint].in_store:
                 event("INFO", "request let go", content=fingerprint, reason="its row was removed")
                 self.evidence.pop(fingerprint)
-                self.recently_lifted[fingerprint] = now()
+                self.stored.note_lifted(fingerprint, now())
         self._apply_verdict()
         stored = {fingerprint: row for fingerprint, row in rows.items() if row is not None}
         for fingerprint, row in stored.items():
@@ -604,7 +515,7 @@
             if evidence.crashed_on and not (disproved and fingerprint not in to_stop):
                 self._stop(fingerprint, evidence, "the store")
             elif evidence.crashed_on or evidence.subject is Subject.PROMPT_PART:
-                self._request_lift([fingerprint])
+                self.stored.request_lifts(self.evidence, [fingerprint])
 
     def _add_stored(self, fingerprint: Fingerprint, row: StopRow) -> None:
         """Add a stop from the store to the evidence."""
@@ -616,53 +527,21 @@
             evidence.confirmed_on |= crashes
             evidence.stored_companions = frozenset(row.companions)
 
-    def _schedule_rewrite(self, fingerprints: Iterable[Fingerprint]) -> None:
-        """Schedule stops to be written again that a restored store has lost."""
-        for fingerprint in fingerprints:
-            evidence = self.evidence[fingerprint]
-            evidence.in_store = False
-            evidence.write_at = now() + self.rng.uniform(0.0, WRITE_SPREAD_SECONDS)
-
     def unwritten(self) -> list[tuple[Fingerprint, Evidence]]:
         """List the stops that are due to be written to the store."""
-        at = now()
-        return [
-            (fingerprint, e) for fingerprint, e in self.stopped() if not e.in_store and at >= e.write_at
-        ]
+        return stored_stops.due_to_be_written(self.stopped(), now())
 
     def expired(self) -> list[Fingerprint]:
         """List the stops in the store whose duration is over."""
-        oldest = now() - STOP_SECONDS
-        return [n for n, e in self.stopped() if e.in_store and (e.stopped_at or 0.0) < oldest]
+        return stored_stops.expired(self.stopped(), now())
 
     def tidy(self) -> None:
         """Apply pending verdicts and drop expired state; called periodically."""
         self._apply_verdict()
         at = now()
         self.trials = {backend: trial for backend, trial in self.trials.items() if trial.until > at}
-        for server_key in [
-            s for s, times in self.recent_crashes.items() if at - times.last_at > UNCONFIRMED_SECONDS
-        ]:
-            del self.recent_crashes[server_key]
-        self.seen_interruptions = {
-            mark: since
-            for mark, since in self.seen_interruptions.items()
-            if at - since <= UNCONFIRMED_SECONDS
-        }
-        self.recently_lifted = {
-            fingerprint: since
-            for fingerprint, since in self.recently_lifted.items()
-            if at - since <= LIFTED_SECONDS
-        }
-        for known in (self.unconfirmed, self.remote_unconfirmed):
-            for server_key, fingerprints in list(known.items()):
-                known[server_key] = {
-                    n: interruption
-                    for n, interruption in fingerprints.items()
-                    if at - interruption.at <= UNCONFIRMED_SECONDS
-                }
-                if not known[server_key]:
-                    del known[server_key]
+        self.interruptions.expire(at)
+        self.stored.expire(at)
         for fingerprint in [
             fingerprint
             for fingerprint, e in self.evidence.items()
@@ -774,7 +653,7 @@
     def _release(self, fingerprint: Fingerprint, evidence: Evidence) -> None:
         """Let a stopped suspect run again, as its crashes are explained otherwise."""
         evidence.stopped_at, evidence.failed_trials = None, 0
-        self._request_lift([fingerprint])
+        self.stored.request_lifts(self.evidence, [fingerprint])
         event(
             "INFO",
             "request let go",
@@ -800,18 +679,10 @@
         """Tell whether a request was answered here after another daemon's run of it was interrupted."""
         return self.answers.last_answered_at(crash.fingerprint, self.key) > now() - crash.age
 
-    def _request_lift(self, fingerprints: Iterable[Fingerprint]) -> None:
-        """Schedule the stored stops of requests to be removed, as these were answered."""
-        known = [(fingerprint, self.evidence.get(fingerprint)) for fingerprint in fingerprints]
-        self.pending_lifts |= {
-            fingerprint for fingerprint, evidence in known if evidence is not None and evidence.in_store
-        }
-
     def take_lifts(self) -> list[Fingerprint]:
         """Return the stops that this daemon has to remove from the store, and reset the list."""
         self._apply_verdict()
-        lifts, self.pending_lifts = sorted(self.pending_lifts), set()
-        return lifts
+        return self.stored.take_lifts()
 
     def _add_evidence(
         self,
@@ -872,13 +743,10 @@
         """
         cleared = []
         for fingerprint in fingerprints:
-            times = [
-                interrupted.pop(fingerprint, None)
-                for interrupted in (*self.unconfirmed.values(), *self.remote_unconfirmed.values())
-            ]
+            was_interrupted = self.interruptions.discard(fingerprint)
             evidence = self.evidence.get(fingerprint)
             if evidence is None or not evidence.crashed_on:
-                if any(since is not None for since in times):
+                if was_interrupted:
                     # Other daemons count these interruptions, and don't know of the answer.
                     cleared.append(fingerprint)
                 continue
--- a/bayglade/server_termination.py
+++ b/bayglade/server_termination.py
@@ -35,7 +35,7 @@
 
     def unlisted(server: Server) -> None:
         facts = server.facts
-        if facts.key in quarantine.unconfirmed:
+        if facts.key in quarantine.interruptions.own:
             eventlet.spawn_n(probe_unlisted, server)
 
     def probe_unlisted(server: Server) -> None:
--- a/tests/test_late_word.py
+++ b/tests/test_late_word.py
@@ -26,7 +26,8 @@
 from bayglade.evidence import CRASHES_TO_STOP
 from bayglade.fingerprints import fingerprint_of
 from bayglade.ids import MemberId
-from bayglade.quarantine import MAX_SHARED_ON_JOIN, MAX_SUSPECTS, UNCONFIRMED_SECONDS, Quarantine
+from bayglade.interruptions import MAX_SEEN, UNCONFIRMED_SECONDS
+from bayglade.quarantine import MAX_SHARED_ON_JOIN, Quarantine
 from tests.test_quarantine import KEY, Clock, crash_servers, make_call, make_quarantine, server_key
 
 
@@ -94,8 +95,8 @@
     for number in range(CRASHES_TO_STOP):
         other.server_ended(server_key(number))
     assert not other.is_stopped(make_call())
-    assert not other.remote_unconfirmed
-    assert not other.seen_interruptions
+    assert not other.interruptions.remote
+    assert not other.interruptions.seen
 
 
 def test_reported_interruptions_do_not_circulate_forever(clock: Clock) -> None:
@@ -115,10 +116,10 @@
 
 def test_reported_interruptions_are_bounded(clock: Clock) -> None:
     quarantine = make_quarantine()
-    for number in range(MAX_SUSPECTS + 10):
+    for number in range(MAX_SEEN + 10):
         name = fingerprint_of(make_call(b"%d" % number), KEY)
         quarantine.merge_interruptions([Crash(name, *server_key(1))])
-    assert len(quarantine.seen_interruptions) == MAX_SUSPECTS
+    assert len(quarantine.interruptions.seen) == MAX_SEEN
     old = Crash(fingerprint_of(make_call(), KEY), *server_key(2), UNCONFIRMED_SECONDS + 0.1)
     assert make_quarantine().merge_interruptions([old]) == []
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -16,17 +16,17 @@
 from bayglade.exceptions import RequestStopped
 from bayglade.fingerprints import fingerprint_of
 from bayglade.ids import BackendId, Fingerprint, GroupPath, Incarnation, RequestId, ServerKey, ServiceName
+from bayglade.interruptions import UNCONFIRMED_SECONDS
 from bayglade.quarantine import (
     ANSWER_GRACE_SECONDS,
     MASS_CRASH_COUNT,
     MAX_SUSPECTS,
     SUSPECT_RUN_SECONDS,
-    UNCONFIRMED_SECONDS,
-    WRITE_SPREAD_SECONDS,
     Quarantine,
 )
 from bayglade.roster import Roster, apply_rows
 from bayglade.rows import Row
+from bayglade.stored_stops import WRITE_SPREAD_SECONDS
 from tests.test_roster import Rows
 
 KEY = b"key"
