--- a/bayglade/beliefs.py
+++ b/bayglade/beliefs.py
@@ -253,7 +253,7 @@
             seconds=round(now() - (evidence.stopped_at or 0.0), 1),
             in_store=evidence.in_store,
         )
-        for name, evidence in quarantine.stopped()
+        for name, evidence in quarantine.suspects.stopped()
     ]
 
 
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -538,7 +538,7 @@
         self.metrics.gauge("servers_resting", states.count("resting"))
         limited = sum(1 for server in self.fleet.servers.values() if server.throttle is not None)
         self.metrics.gauge("servers_limited", limited)
-        stopped = [evidence.subject for _, evidence in self.quarantine.stopped()]
+        stopped = [evidence.subject for _, evidence in self.quarantine.suspects.stopped()]
         self.metrics.gauge("requests_stopped", stopped.count(Subject.REQUEST))
         self.metrics.gauge("parts_stopped", stopped.count(Subject.PROMPT_PART))
         self.metrics.gauge("connections_opened", self.links.opened)
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -323,7 +323,7 @@
         """Keep the rows of quarantined requests in the store, and remove those that were lifted or
         expired."""
         quarantine = self.peers.quarantine
-        for name, evidence in quarantine.unwritten():
+        for name, evidence in quarantine.suspects.unwritten():
             evidence.write_at = now() + STOP_REWRITE_SECONDS
             write = partial(
                 write_stop,
@@ -331,12 +331,12 @@
                 name,
                 set(evidence.crashed_on),
                 evidence.subject,
-                quarantine.required_companions(evidence),
+                quarantine.suspects.required_companions(evidence),
             )
             eventlet.spawn_n(self._change_stop, write)
-        over = quarantine.take_lifts()
+        over = quarantine.suspects.take_lifts()
         if self.plan.hall_readers.get(self.config.hall, ())[:1] == (self.config.member,):
-            over += quarantine.expired()
+            over += quarantine.suspects.expired()
         for name in over:
             eventlet.spawn_n(self._change_stop, partial(remove_stop, self.store, name))
 
@@ -449,7 +449,7 @@
     def _apply_roster(self, changes: Changes, whole: bool) -> None:
         restored = whole and was_restored(self.roster_position, changes.position)
         self.roster_position = changes.position
-        self.peers.quarantine.merge_stored(read_stops(changes.rows), whole, restored)
+        self.peers.quarantine.suspects.merge_stored(read_stops(changes.rows), whole, restored)
         before, self.roster = self.roster, apply_rows(changes.rows, Roster() if whole else self.roster)
         if self.membership is None:
             return
--- a/bayglade/spreading.py
+++ b/bayglade/spreading.py
@@ -68,9 +68,9 @@
         self.breaks: list[Crash] = []
 
         quarantine.on_update = self._queue_update
-        quarantine.on_proven = self._send_proven
+        quarantine.suspects.on_proven = self._send_proven
         quarantine.on_interrupted = self._queue_interruption
-        quarantine.on_sound = self._send_sound
+        quarantine.suspects.on_sound = self._send_sound
         fleet.rate_limits.on_update = self._send_limits
         fleet.on_leaving_announced = self._send_leaving
         self.dead = HeardFindings()
@@ -93,7 +93,7 @@
         back = self.back.add(finding for finding in found.back if self._is_current(finding))
         # Proven suspects and sound parts go before crashes, so that none is stopped for these crashes.
         sound = self.quarantine.merge_sound(found.sound)
-        proven = self.quarantine.merge_proven(found.proven)
+        proven = self.quarantine.suspects.merge_proven(found.proven)
         crashes, cleared = self.quarantine.merge_crashes(found.crashes, found.cleared)
         leaving = [key for key in found.leaving if self._merge_leaving(key)]
         breaks = self.quarantine.merge_interruptions(found.breaks)
@@ -106,11 +106,11 @@
 
     def initial_findings(self) -> list[Findings]:
         """Return the findings for a daemon that has just joined, or was unreachable."""
-        crashes, proven = self.quarantine.snapshot()
+        crashes, proven = self.quarantine.suspects.snapshot()
         limits = self.fleet.rate_limits.snapshot()
         if not crashes and not limits:
             return []
-        sound = self.quarantine.snapshot_sound(crashes)
+        sound = self.quarantine.suspects.snapshot_sound(crashes)
         return [Findings(crashes=crashes, proven=proven, limits=limits, sound=sound)]
 
     def _queue_interruption(self, crash: Crash) -> None:
--- a/benches/prompt_parts.py
+++ b/benches/prompt_parts.py
@@ -18,6 +18,7 @@
 from loguru import logger
 
 from bayglade import quarantine as quarantine_module
+from bayglade import suspects as suspects_module
 from bayglade.attribution import Verdict, judge
 from bayglade.calls import Call, CallHead
 from bayglade.evidence import COMMON_CAUSE_SECONDS, CRASHES_TO_STOP, Evidence, Subject
@@ -156,8 +157,8 @@
                 self.later(NOTICE_SECONDS, lambda other=other: act(other))
 
         daemon.on_update = lambda crashes, cleared: send(lambda o: o.merge_crashes(crashes, cleared))
-        daemon.on_sound = lambda sound: send(lambda o: o.merge_sound(sound))
-        daemon.on_proven = lambda proven: send(lambda o: o.merge_proven(proven))
+        daemon.suspects.on_sound = lambda sound: send(lambda o: o.merge_sound(sound))
+        daemon.suspects.on_proven = lambda proven: send(lambda o: o.suspects.merge_proven(proven))
 
     def _arrive(self) -> None:
         self.later(self.rng.expovariate(REQUESTS_PER_SECOND), self._arrive)
@@ -317,11 +318,12 @@
     print("| day | way | crashes | sent late (worst) | sound refused | of these late | of |")
     print("|---|---|---|---|---|---|---|")
     for day, (way, chosen) in itertools.product(DAYS, WAYS.items()):
-        vars(quarantine_module)["judge"] = chosen
+        vars(suspects_module)["judge"] = chosen
         outcomes = []
         for seed in range(1, seeds + 1):
             simulation = Simulation(day, seed)
-            vars(quarantine_module)["now"] = lambda simulation=simulation: simulation.at
+            for module in (quarantine_module, suspects_module):
+                vars(module)["now"] = lambda simulation=simulation: simulation.at
             outcomes.append(simulation.play())
         late = [outcome.late_sends() for outcome in outcomes]
         mean = [
--- a/tests/test_harmless_questions.py
+++ b/tests/test_harmless_questions.py
@@ -19,13 +19,15 @@
 
 from bayglade import quarantine as quarantine_module
 from bayglade import stops
+from bayglade import suspects as suspects_module
 from bayglade.answers import MAX_ANSWERS, MAX_BODY_BYTES, PROVEN_ANSWERS, PROVEN_SECONDS, Answers
 from bayglade.calls import Call
 from bayglade.entries.wire import Crash
 from bayglade.evidence import COMMON_CAUSE_SECONDS, CRASHES_TO_STOP
 from bayglade.fingerprints import fingerprint_of
 from bayglade.ids import Fingerprint
-from bayglade.quarantine import ANSWER_GRACE_SECONDS, Quarantine
+from bayglade.quarantine import Quarantine
+from bayglade.suspects import ANSWER_GRACE_SECONDS
 from tests.test_quarantine import (
     KEY,
     Clock,
@@ -44,7 +46,8 @@
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     made = Clock()
-    monkeypatch.setattr(quarantine_module, "now", made)
+    for module in (quarantine_module, suspects_module):
+        monkeypatch.setattr(module, "now", made)
     return made
 
 
@@ -68,9 +71,9 @@
         def send_proven(fingerprints: list[Fingerprint], sender: Quarantine = daemon) -> None:
             for other in daemons:
                 if other is not sender and fingerprints:
-                    send_proven(other.merge_proven(fingerprints), other)
+                    send_proven(other.suspects.merge_proven(fingerprints), other)
 
-        daemon.on_update, daemon.on_proven = send_update, send_proven
+        daemon.on_update, daemon.suspects.on_proven = send_update, send_proven
 
 
 def confirm_crashes_late(
@@ -171,10 +174,10 @@
     clock.at += ANSWER_GRACE_SECONDS
     write_stops(uninformed, store)
     answer_repeatedly(informed, clock)
-    informed.merge_stored(stops.read_stops(stop_rows(store)), True)
+    informed.suspects.merge_stored(stops.read_stops(stop_rows(store)), True)
     assert informed.is_stopped(make_call(CRASHING))
     assert not informed.is_stopped(make_call(COMMON))
-    assert informed.take_lifts() == [fingerprint_of(make_call(COMMON), KEY)]
+    assert informed.suspects.take_lifts() == [fingerprint_of(make_call(COMMON), KEY)]
 
 
 @given(
@@ -189,7 +192,8 @@
     """Servers crash under one request, while a common one has just begun there at other daemons."""
     with pytest.MonkeyPatch.context() as patch:
         clock = Clock()
-        patch.setattr(quarantine_module, "now", clock)
+        for module in (quarantine_module, suspects_module):
+            patch.setattr(module, "now", clock)
         daemons = [make_quarantine() for _ in range(3)]
         undelivered: list[tuple[Quarantine, str, list[Any]]] = []
         for daemon in daemons:
@@ -206,7 +210,7 @@
                     (other, "proven", [fingerprints]) for other in daemons if other is not me
                 )
 
-            daemon.on_update, daemon.on_proven = send_update, send_proven
+            daemon.on_update, daemon.suspects.on_proven = send_update, send_proven
         answer_repeatedly(daemons[answering], clock, PROVEN_ANSWERS)
         for what, number in steps:
             clock.at += 0.3
@@ -234,8 +238,8 @@
     """Deliver one report in random order, and forward what is new in it to the others."""
     to, kind, report = undelivered.pop(rng.randrange(len(undelivered)))
     if kind == "proven":
-        if fresh := to.merge_proven(*report):
-            to.on_proven(fresh)
+        if fresh := to.suspects.merge_proven(*report):
+            to.suspects.on_proven(fresh)
         return
     crashes, cleared = to.merge_crashes(*report)
     if crashes or cleared:
--- a/tests/test_late_word.py
+++ b/tests/test_late_word.py
@@ -19,6 +19,7 @@
 import pytest
 
 from bayglade import quarantine as quarantine_module
+from bayglade import suspects as suspects_module
 from bayglade.config import parse_address
 from bayglade.entries import membership as membership_module
 from bayglade.entries.membership import Member, Membership
@@ -27,14 +28,16 @@
 from bayglade.fingerprints import fingerprint_of
 from bayglade.ids import MemberId
 from bayglade.interruptions import MAX_SEEN, UNCONFIRMED_SECONDS
-from bayglade.quarantine import MAX_SHARED_ON_JOIN, Quarantine
+from bayglade.quarantine import Quarantine
+from bayglade.suspects import MAX_SHARED_ON_JOIN
 from tests.test_quarantine import KEY, Clock, crash_servers, make_call, make_quarantine, server_key
 
 
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     made = Clock()
-    monkeypatch.setattr(quarantine_module, "now", made)
+    for module in (quarantine_module, suspects_module):
+        monkeypatch.setattr(module, "now", made)
     return made
 
 
@@ -127,10 +130,10 @@
 def test_a_joining_daemon_gets_stopped_and_proven_requests(clock: Clock) -> None:
     here, new = make_quarantine(), make_quarantine()
     crash_servers(here, make_call(), range(CRASHES_TO_STOP))
-    here.merge_proven([fingerprint_of(make_call(b"asked by all"), KEY)])
+    here.suspects.merge_proven([fingerprint_of(make_call(b"asked by all"), KEY)])
     crash_servers(here, make_call(b"asked by all"), range(CRASHES_TO_STOP))
-    crashes, proven = here.snapshot()
-    new.merge_proven(proven)
+    crashes, proven = here.suspects.snapshot()
+    new.suspects.merge_proven(proven)
     new.merge_crashes(crashes, [])
     assert new.is_stopped(make_call())
     assert not new.is_stopped(make_call(b"asked by all"))
@@ -140,7 +143,7 @@
     here = make_quarantine()
     for number in range(2 * MAX_SHARED_ON_JOIN):
         crash_servers(here, make_call(b"%d" % number), range(number, number + 1))
-    crashes, _ = here.snapshot()
+    crashes, _ = here.suspects.snapshot()
     assert len(crashes) == MAX_SHARED_ON_JOIN
 
 
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -10,6 +10,7 @@
 
 from bayglade import quarantine as quarantine_module
 from bayglade import stops
+from bayglade import suspects as suspects_module
 from bayglade.answers import MAX_ANSWERS, MAX_COUNTED_PARTS, PROVEN_ANSWERS, PartAnswers
 from bayglade.attribution import CRASHES_TO_STOP_PROVEN_PART
 from bayglade.calls import Call, CallHead
@@ -19,10 +20,8 @@
 from bayglade.fingerprints import part_fingerprint
 from bayglade.ids import Fingerprint, PromptPartId, RequestId, ServerKey, ServiceName
 from bayglade.part_trials import BACKOFF, GRACE_SECONDS, INTERVAL_SECONDS, TURN_SECONDS
-from bayglade.quarantine import (
-    ANSWER_GRACE_SECONDS,
-    Quarantine,
-)
+from bayglade.quarantine import Quarantine
+from bayglade.suspects import ANSWER_GRACE_SECONDS
 from tests.test_quarantine import KEY, Clock, make_call, make_quarantine, server_key, stop_rows, write_stops
 from tests.test_roster import Rows
 
@@ -34,7 +33,8 @@
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     made = Clock()
-    monkeypatch.setattr(quarantine_module, "now", made)
+    for module in (quarantine_module, suspects_module):
+        monkeypatch.setattr(module, "now", made)
     return made
 
 
@@ -80,7 +80,7 @@
                 if other is not sender and reports:
                     tell_sound(other.merge_sound(reports), other)
 
-        daemon.on_update, daemon.on_sound = tell, tell_sound
+        daemon.on_update, daemon.suspects.on_sound = tell, tell_sound
 
 
 def answer_repeatedly(daemon: Quarantine, *parts: str) -> None:
@@ -221,7 +221,7 @@
     crash(here, clock, make_prompt("other"))
     run(here, clock, COMMON)
     sent: list[SoundPart] = []
-    here.on_sound = sent.extend
+    here.suspects.on_sound = sent.extend
     late = [
         Crash(Fingerprint(f"{number}"), *server_key(number), 4.0 - number, (name_of(COMMON),), 0.05)
         for number in range(CRASHES_TO_STOP)
@@ -239,9 +239,9 @@
     for _ in range(CRASHES_TO_STOP):
         crash(here, clock, make_prompt(COMMON, CRASHING))
     run(here, clock, COMMON)
-    crashes, proven = here.snapshot()
-    new.merge_sound(here.snapshot_sound(crashes))
-    new.merge_proven(proven)
+    crashes, proven = here.suspects.snapshot()
+    new.merge_sound(here.suspects.snapshot_sound(crashes))
+    new.suspects.merge_proven(proven)
     new.merge_crashes(crashes, [])
     assert refused(new, CRASHING)
     assert not refused(new, COMMON)
@@ -254,18 +254,18 @@
         run(daemon, clock, COMMON)
     clock.at += ANSWER_GRACE_SECONDS
     write_stops(daemon, store)
-    again.merge_stored(stops.read_stops(stop_rows(store)), True)
+    again.suspects.merge_stored(stops.read_stops(stop_rows(store)), True)
     assert refused(again, CRASHING)
     assert not refused(again, COMMON)
     crash(again, clock, make_prompt("other"))
     assert refused(again, CRASHING)
     run(again, clock, CRASHING)
     assert not refused(again, CRASHING)
-    assert again.take_lifts() == [name_of(CRASHING)]
+    assert again.suspects.take_lifts() == [name_of(CRASHING)]
     # Another daemon that does not know yet writes its row once more.
-    again.merge_stored(stops.read_stops(stop_rows(store)), True)
+    again.suspects.merge_stored(stops.read_stops(stop_rows(store)), True)
     assert not refused(again, CRASHING)
-    assert again.take_lifts() == [name_of(CRASHING)]
+    assert again.suspects.take_lifts() == [name_of(CRASHING)]
 
 
 def stopped_daemon(clock: Clock) -> Quarantine:
@@ -337,14 +337,15 @@
     daemon.note_sound(call, clock.at)
     assert call.part_fingerprints is None
     assert call.fingerprint is None
-    assert not daemon.part_answers.counts
+    assert not daemon.suspects.part_answers.counts
 
 
 @given(st.randoms(use_true_random=False), st.integers(0, 6))
 def test_daemons_agree_in_whatever_order_reports_arrive(rng: random.Random, sound_after: int) -> None:
     with pytest.MonkeyPatch.context() as patch:
         clock = Clock()
-        patch.setattr(quarantine_module, "now", clock)
+        for module in (quarantine_module, suspects_module):
+            patch.setattr(module, "now", clock)
         names = {part: name_of(part) for part in (COMMON, CRASHING, SOUND, "cc")}
         reports: list[Any] = []
         keys: list[ServerKey] = [server_key(number) for number in range(6)]
@@ -363,7 +364,7 @@
                     daemon.merge_crashes([report], [])
                 else:
                     daemon.merge_sound([report])
-            verdicts.append({name for name, _ in daemon.stopped()})
+            verdicts.append({name for name, _ in daemon.suspects.stopped()})
         assert verdicts[0] == verdicts[1] == verdicts[2]
         assert names[CRASHING] in verdicts[0]
-        assert daemon.evidence[names[CRASHING]].subject is Subject.PROMPT_PART
+        assert daemon.suspects.evidence[names[CRASHING]].subject is Subject.PROMPT_PART
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,6 +10,7 @@
 
 from bayglade import quarantine as quarantine_module
 from bayglade import stops
+from bayglade import suspects as suspects_module
 from bayglade.calls import Call, CallHead
 from bayglade.entries.wire import Crash
 from bayglade.evidence import COMMON_CAUSE_SECONDS, CRASHES_TO_STOP, STOP_SECONDS, SUSPECT_SECONDS
@@ -17,16 +18,11 @@
 from bayglade.fingerprints import fingerprint_of
 from bayglade.ids import BackendId, Fingerprint, GroupPath, Incarnation, RequestId, ServerKey, ServiceName
 from bayglade.interruptions import UNCONFIRMED_SECONDS
-from bayglade.quarantine import (
-    ANSWER_GRACE_SECONDS,
-    MASS_CRASH_COUNT,
-    MAX_SUSPECTS,
-    SUSPECT_RUN_SECONDS,
-    Quarantine,
-)
+from bayglade.quarantine import MASS_CRASH_COUNT, SUSPECT_RUN_SECONDS, Quarantine
 from bayglade.roster import Roster, apply_rows
 from bayglade.rows import Row
 from bayglade.stored_stops import WRITE_SPREAD_SECONDS
+from bayglade.suspects import ANSWER_GRACE_SECONDS, MAX_SUSPECTS
 from tests.test_roster import Rows
 
 KEY = b"key"
@@ -45,7 +41,8 @@
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     made = Clock()
-    monkeypatch.setattr(quarantine_module, "now", made)
+    for module in (quarantine_module, suspects_module):
+        monkeypatch.setattr(module, "now", made)
     return made
 
 
@@ -117,7 +114,7 @@
         quarantine.note_interrupted(request, server_key(1), None)
         quarantine.server_ended(server_key(1))
         quarantine.merge_crashes([Crash(name, *server_key(1))], [])
-    assert quarantine.evidence[name].crashed_on == {server_key(1)}
+    assert quarantine.suspects.evidence[name].crashed_on == {server_key(1)}
 
 
 def test_a_later_incarnation_of_a_server_counts_again() -> None:
@@ -135,7 +132,7 @@
         quarantine.note_interrupted(request, server_key(number), None)
         quarantine.server_alive(server_key(number), float("inf"))
         quarantine.server_ended(server_key(number))
-    assert not quarantine.evidence
+    assert not quarantine.suspects.evidence
 
 
 def test_a_response_to_an_earlier_probe_does_not_clear_an_interruption(clock: Clock) -> None:
@@ -145,7 +142,7 @@
     quarantine.note_interrupted(request, server_key(1), None)
     quarantine.server_alive(server_key(1), asked_at)
     quarantine.server_ended(server_key(1))
-    assert quarantine.evidence
+    assert quarantine.suspects.evidence
 
 
 def test_a_crash_long_after_the_interruption_does_not_count(clock: Clock) -> None:
@@ -154,7 +151,7 @@
     clock.at += UNCONFIRMED_SECONDS + 0.1
     quarantine.tidy()
     quarantine.server_ended(server_key(1))
-    assert not quarantine.evidence
+    assert not quarantine.suspects.evidence
 
 
 def test_an_interruption_noticed_after_the_crash_counts(clock: Clock) -> None:
@@ -162,7 +159,7 @@
     quarantine.server_ended(server_key(1))
     clock.at += 0.1
     quarantine.note_interrupted(request, server_key(1), None)
-    assert quarantine.evidence[quarantine.fingerprint_for(request)].crashed_on == {server_key(1)}
+    assert quarantine.suspects.evidence[quarantine.fingerprint_for(request)].crashed_on == {server_key(1)}
 
 
 def test_a_crash_before_the_request_was_sent_does_not_count(clock: Clock) -> None:
@@ -192,10 +189,10 @@
     quarantine, request = make_quarantine(), make_call()
     quarantine.note_interrupted(request, server_key(1), clock.at - SUSPECT_RUN_SECONDS - 0.01)
     quarantine.server_ended(server_key(1))
-    assert not quarantine.evidence
+    assert not quarantine.suspects.evidence
     quarantine.note_interrupted(request, server_key(2), clock.at - SUSPECT_RUN_SECONDS / 2)
     quarantine.server_ended(server_key(2))
-    assert quarantine.evidence
+    assert quarantine.suspects.evidence
 
 
 def test_a_complete_answer_clears_a_request_everywhere() -> None:
@@ -219,7 +216,7 @@
     crash_servers(quarantine, request, range(2))
     clock.at += SUSPECT_SECONDS + 0.1
     quarantine.tidy()
-    assert not quarantine.evidence
+    assert not quarantine.suspects.evidence
 
 
 def test_memory_is_bounded_and_stops_are_kept() -> None:
@@ -227,12 +224,12 @@
     crash_servers(quarantine, request, range(CRASHES_TO_STOP))
     for number in range(MAX_SUSPECTS * 2):
         crash_servers(quarantine, make_call(b"%d" % number), range(number + 10, number + 11))
-    assert len(quarantine.evidence) == MAX_SUSPECTS
+    assert len(quarantine.suspects.evidence) == MAX_SUSPECTS
     assert quarantine.is_stopped(request)
 
 
 def test_a_full_table_evicts_the_oldest_stops(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(quarantine_module, "MAX_SUSPECTS", 2)
+    monkeypatch.setattr(suspects_module, "MAX_SUSPECTS", 2)
     quarantine = make_quarantine()
     for number in range(4):
         crash_servers(
@@ -389,12 +386,12 @@
     clock.at += ANSWER_GRACE_SECONDS
     write_stops(quarantine, store)
     rows = stops.read_stops(stop_rows(store))
-    quarantine.merge_stored(rows, False)
+    quarantine.suspects.merge_stored(rows, False)
     quarantine.note_answered(request)
-    assert quarantine.take_lifts() == [quarantine.fingerprint_for(request)]
-    assert quarantine.take_lifts() == []
+    assert quarantine.suspects.take_lifts() == [quarantine.fingerprint_for(request)]
+    assert quarantine.suspects.take_lifts() == []
     # The row is read once more before it is removed.
-    quarantine.merge_stored(rows, True)
+    quarantine.suspects.merge_stored(rows, True)
     assert not quarantine.is_stopped(request)
 
 
@@ -403,8 +400,8 @@
 
 
 def write_stops(quarantine: Quarantine, store: Rows) -> None:
-    for name, evidence in quarantine.unwritten():
-        companions = quarantine.required_companions(evidence)
+    for name, evidence in quarantine.suspects.unwritten():
+        companions = quarantine.suspects.required_companions(evidence)
         stops.write_stop(store, name, evidence.crashed_on, evidence.subject, companions)
 
 
@@ -413,36 +410,36 @@
     clock.at += ANSWER_GRACE_SECONDS
     write_stops(quarantine, store)
     again = make_quarantine()
-    again.merge_stored(stops.read_stops(stop_rows(store)), True)
+    again.suspects.merge_stored(stops.read_stops(stop_rows(store)), True)
     assert again.is_stopped(request)
-    assert again.unwritten() == []
+    assert again.suspects.unwritten() == []
     assert apply_rows(stop_rows(store), Roster()).members == {}
 
 
 def test_one_daemon_writes_and_others_only_if_it_did_not(clock: Clock) -> None:
     quarantine, _ = stopped_quarantine(clock)
-    assert quarantine.unwritten() == []
+    assert quarantine.suspects.unwritten() == []
     clock.at += ANSWER_GRACE_SECONDS
-    assert len(quarantine.unwritten()) == 1
+    assert len(quarantine.suspects.unwritten()) == 1
     informed = make_quarantine()
     informed.merge_crashes(
         [Crash(fingerprint_of(make_call(), KEY), *server_key(n)) for n in range(CRASHES_TO_STOP)], []
     )
-    assert informed.unwritten() == []
+    assert informed.suspects.unwritten() == []
     clock.at += ANSWER_GRACE_SECONDS + WRITE_SPREAD_SECONDS
-    assert len(informed.unwritten()) == 1
+    assert len(informed.suspects.unwritten()) == 1
 
 
 def test_removing_the_row_releases_the_request(clock: Clock) -> None:
     (quarantine, request), store = stopped_quarantine(clock), Rows()
     clock.at += ANSWER_GRACE_SECONDS
     write_stops(quarantine, store)
-    quarantine.merge_stored(stops.read_stops(stop_rows(store)), False)
-    assert quarantine.expired() == []
+    quarantine.suspects.merge_stored(stops.read_stops(stop_rows(store)), False)
+    assert quarantine.suspects.expired() == []
     clock.at += STOP_SECONDS + 1.0
-    assert quarantine.expired() == [quarantine.fingerprint_for(request)]
+    assert quarantine.suspects.expired() == [quarantine.fingerprint_for(request)]
     key = next(iter(store.rows))
-    quarantine.merge_stored(stops.read_stops({key: None}), False)
+    quarantine.suspects.merge_stored(stops.read_stops({key: None}), False)
     assert not quarantine.is_stopped(request)
 
 
@@ -450,7 +447,7 @@
 def test_a_stop_not_written_yet_survives_a_full_read(clock: Clock, reread: bool) -> None:
     quarantine, request = stopped_quarantine(clock)
     if reread:
-        quarantine.merge_stored({}, True)
+        quarantine.suspects.merge_stored({}, True)
     assert quarantine.is_stopped(request)
 
 
@@ -480,24 +477,24 @@
     rows: dict[Fingerprint, stops.StopRow | None] = {
         quarantine.fingerprint_for(request): stops.StopRow(ends)
     }
-    quarantine.merge_stored(rows, False)
+    quarantine.suspects.merge_stored(rows, False)
     return rows
 
 
 def test_a_stop_lost_by_a_restored_store_is_written_again(clock: Clock) -> None:
     quarantine, request = make_quarantine(), make_call()
     stored_stop(quarantine, request)
-    quarantine.merge_stored({}, True, restored=True)
+    quarantine.suspects.merge_stored({}, True, restored=True)
     with pytest.raises(RequestStopped):
         quarantine.check(request)
     clock.at += 5.0
-    assert [name for name, _ in quarantine.unwritten()] == [quarantine.fingerprint_for(request)]
+    assert [name for name, _ in quarantine.suspects.unwritten()] == [quarantine.fingerprint_for(request)]
 
 
 def test_a_lifted_stop_is_not_taken_from_a_restored_store(clock: Clock) -> None:
     quarantine, request = make_quarantine(), make_call()
     rows = stored_stop(quarantine, request)
-    quarantine.merge_stored(dict.fromkeys(rows), False)
-    quarantine.merge_stored(rows, True, restored=True)
+    quarantine.suspects.merge_stored(dict.fromkeys(rows), False)
+    quarantine.suspects.merge_stored(rows, True, restored=True)
     quarantine.check(request)
-    assert quarantine.take_lifts() == list(rows)
+    assert quarantine.suspects.take_lifts() == list(rows)
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bayglade import quarantine as quarantine_module
+from bayglade import suspects as suspects_module
 from bayglade import trials
 from bayglade.fleet import Fleet
 from bayglade.quarantine import TRIAL_SECONDS, Quarantine
@@ -21,7 +22,7 @@
 
 @pytest.fixture(autouse=True)
 def virtual(monkeypatch: pytest.MonkeyPatch) -> None:
-    for module in (quarantine_module, trials):
+    for module in (quarantine_module, suspects_module, trials):
         monkeypatch.setattr(module, "now", now)
 
 
