--- a/bayglade/pressure_commands.py
+++ b/bayglade/pressure_commands.py
@@ -74,13 +74,8 @@
 
     def handle(self) -> int:
         """Fetch the view of each gateway and print them as one."""
-        bodies, errors = fetch_all(self.option("address"), "/beliefs")
-        for error in errors:
-            self.line_error(error, style="error")
-        if not bodies:
-            self.line_error("no gateway answered", style="error")
+        if not (views := fetch_views(self)):
             return 1
-        views = [msgspec.json.decode(body, type=Beliefs) for body in bodies]
         if self.option("json"):
             chosen = [{name: getattr(v, name) for name in JSON_FIELDS} for v in views]
             self.line(msgspec.json.encode(chosen).decode())
@@ -90,6 +85,19 @@
         return 0
 
 
+def fetch_views(command: Command) -> list[Beliefs]:
+    """Fetch the views of the gateways whose addresses a command was given, and print which failed.
+
+    :param command: a command with :data:`ADDRESSES` among its options.
+    """
+    bodies, errors = fetch_all(command.option("address"), "/beliefs")
+    for error in errors:
+        command.line_error(error, style="error")
+    if not bodies:
+        command.line_error("no gateway answered", style="error")
+    return [msgspec.json.decode(body, type=Beliefs) for body in bodies]
+
+
 def fetch_all(addresses: Sequence[str], path: str) -> tuple[list[bytes], list[str]]:
     """Fetch a path from the metrics listeners of daemons.
 
--- a/bayglade/retry_commands.py
+++ b/bayglade/retry_commands.py
@@ -10,7 +10,7 @@
 from bayglade.beliefs import Beliefs, RetryBelief
 from bayglade.ids import MemberId
 from bayglade.operators.commands import JSON_OPTION
-from bayglade.pressure_commands import ADDRESSES, fetch_all
+from bayglade.pressure_commands import ADDRESSES, fetch_views
 
 HEADERS = (
     "service",
@@ -36,13 +36,8 @@
 
     def handle(self) -> int:
         """Fetch the view of each gateway and print one line for each service."""
-        bodies, errors = fetch_all(self.option("address"), "/beliefs")
-        for error in errors:
-            self.line_error(error, style="error")
-        if not bodies:
-            self.line_error("no gateway answered", style="error")
+        if not (views := fetch_views(self)):
             return 1
-        views = [msgspec.json.decode(body, type=Beliefs) for body in bodies]
         if self.option("json"):
             chosen = [{"member": view.member, "retries": view.retries} for view in views]
             self.line(msgspec.json.encode(chosen).decode())
