Do not end when told to reload while starting

Cause: SIGHUP ends a process that has no handler for it, and the handlers were installed after all imports, 3.1 s after the start beside load.

Ruled out: an exception (it would be in the log), memory (12 GB free).

Change: the command ignores SIGHUP first, until the handlers are installed. Nothing is lost by that: changes of the settings file are noticed by their time too. The 0.2 s before, in which Python starts and imports the package, remain. The stand-in that cuts links does the same.

--- a/bayglade/cli.py
+++ b/bayglade/cli.py
@@ -2,6 +2,7 @@
 
 import argparse
 import os
+import signal
 import sys
 import warnings
 from pathlib import Path
@@ -18,6 +19,10 @@
     if command == "gateway" and arguments:
         # `gateway check` is a separate command, which needs no green sockets.
         command = "gateway check"
+    if command == "gateway":
+        # Told to reload while it starts, it would end: that is what the signal does by default. It notices
+        # changes of its settings file by itself too.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if command in GREEN_SOCKET_COMMANDS:
         # Addresses are IP literals; eventlet's green DNS resolver would take 12 MB and never be used.
         os.environ["EVENTLET_NO_GREENDNS"] = "yes"
--- a/standins/users/partitions.py
+++ b/standins/users/partitions.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import signal
 import socket
 from enum import Enum
 from pathlib import Path
@@ -122,6 +123,7 @@
 
 def main() -> None:
     """Run a gateway as ``python -m bayglade gateway`` does."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     eventlet.monkey_patch()
     patch_pools(PartitionFile(Path(os.environ[FILE_VARIABLE])))
     from bayglade.cli import run_gateway
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -233,6 +234,15 @@
     assert ask(daemon.callers, "/open/x", X_Key="").status == 200
 
 
+def test_a_daemon_that_is_told_to_reload_while_it_starts_does_not_end(site: UsersSite) -> None:
+    daemon = Daemon(site, "d0", "hall-0", {})
+    site.daemons.append(daemon)
+    libraries = Path(f"/proc/{daemon.popen.pid}/maps")
+    wait_for("it imports libraries", lambda: "greenlet" in libraries.read_text(encoding="utf-8"))
+    daemon.signal(signal.SIGHUP)
+    daemon.wait_ready()
+
+
 def test_metrics_are_exposed_in_the_prometheus_format(site: UsersSite) -> None:
     daemon = site.start()
     wait_for("calls are served", lambda: succeeds(daemon, "/once/x"))
