--- a/benches/retry_bound.py
+++ b/benches/retry_bound.py
@@ -59,6 +59,10 @@
         """Return nothing: requests earn no credit that could go elsewhere."""
         return 0.0
 
+    def take_unused_loans(self) -> list[Any]:
+        """Return nothing: it has no loans."""
+        return []
+
     def acquire(self) -> "WindowLedger | None":
         """Take a retry, if one is left."""
         at = virtual_time.now()
