Keep daemons whose lost rows are not rewritten yet in relayed rosters

What callers saw: after the store was restored from a backup, a daemon knew none of the others, or one of two, for up to a second. It stopped sharing reports with them and followed the store by itself.

Cause: daemons keep each other for 10 s when a restore has lost their rows, but only at the first whole roster of the new epoch. The roster is relayed, too, and a second whole one, read by another daemon before all rows were written again, removed those that were still missing. A daemon that joined before the restore and whose first read of the roster came after it did not know of the restore and removed all.

Ruled out: that the third daemon's late start alone is the cause, as it was listed: the first kind came with three daemons that all knew each other.

Change: the grace time applies to all whole rosters in it, and the epoch of the roster read when joining counts. The same for stops that were lifted before the restore, which a second whole table put in force again.

--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -48,7 +48,7 @@
 from bayglade.rendezvous import choose_member
 from bayglade.retry_ledger import RetryBound
 from bayglade.retry_parts import RetryParts, whole_bound
-from bayglade.roster import MemberRow, Roster, apply_rows, join, mark_gone
+from bayglade.roster import MemberRow, Roster, apply_rows, join, join_in_epoch, mark_gone
 from bayglade.rows import Changes, Position, Table, was_restored
 from bayglade.servers import Server
 from bayglade.spreading import Spreading
@@ -120,7 +120,10 @@
         self.lost_daemons = LostDaemons()
         self.next_gone_check_at = 0.0
         self.roster_position: Position | None = None
-        """Position of the roster as last applied."""
+        """Position of the roster as last applied; after joining, the beginning of the store's epoch."""
+
+        self.recovering_until = 0.0
+        """Until when a whole roster may lack rows that a restored store has lost, in monotonic seconds."""
 
         self.rewrite_scheduled = False
         """Whether a rewrite of the own row is scheduled."""
@@ -188,7 +191,11 @@
         eventlet.spawn_n(self._catch_up)
         where = parse_address(self.address)
         listening = listen(where.host, where.port)
-        self.roster = join(self.store, self.roster_feed.table, self.config.member, self._row())
+        self.roster, epoch = join_in_epoch(
+            self.store, self.roster_feed.table, self.config.member, self._row()
+        )
+        # Other gateways may relay what they read earlier in this epoch.
+        self.roster_position = Position(epoch, 0)
         assert self.roster.secret is not None
         self.membership = self._membership(self.roster.secret)
         self.peers.quarantine.use_key(derive_key(self.roster.secret))
@@ -449,12 +456,18 @@
     def _apply_roster(self, changes: Changes, whole: bool) -> None:
         restored = whole and was_restored(self.roster_position, changes.position)
         self.roster_position = changes.position
-        self.peers.quarantine.suspects.merge_stored(read_stops(changes.rows), whole, restored)
+        if restored:
+            self.recovering_until = now() + REWRITE_GRACE_SECONDS
+        # Another gateway may have read the restored table before the lost rows were rewritten.
+        recovering = whole and now() < self.recovering_until
+        self.peers.quarantine.suspects.merge_stored(read_stops(changes.rows), whole, recovering)
         before, self.roster = self.roster, apply_rows(changes.rows, Roster() if whole else self.roster)
         if self.membership is None:
             return
         if restored:
             self._merge_restored(before)
+        elif recovering:
+            self.roster = merge_restored(before, self.roster, self.lost_daemons.since)
         elif self.config.member not in self.roster.members:
             self._schedule_rewrite("the own row is missing or marked as gone")
         self._check_secret(self.membership)
--- a/bayglade/roster.py
+++ b/bayglade/roster.py
@@ -13,7 +13,7 @@
 
 from bayglade.config import parse_address
 from bayglade.exceptions import HistoryGone, InvalidSettings, PlatformUnavailable
-from bayglade.ids import HallName, MemberId
+from bayglade.ids import HallName, MemberId, StoreEpoch
 from bayglade.logs import event
 from bayglade.rows import ABSENT, Condition, RowStore, Table, Transaction, Write, encode_value
 
@@ -58,6 +58,13 @@
 
 
 def join(store: Table, table: str, member: MemberId, row: MemberRow, secret: bytes | None = None) -> Roster:
+    """Read the roster and write the missing rows; see :func:`join_in_epoch`."""
+    return join_in_epoch(store, table, member, row, secret)[0]
+
+
+def join_in_epoch(
+    store: Table, table: str, member: MemberId, row: MemberRow, secret: bytes | None = None
+) -> tuple[Roster, StoreEpoch]:
     """Read the roster and write the missing rows; retries until both have succeeded.
 
     :param store: the platform's table.
@@ -65,18 +72,19 @@
     :param member: the daemon's name.
     :param row: its address for streams of other daemons, and its data hall.
     :param secret: the secret that its streams use already; None if there are no streams yet.
-    :return: the roster, with this daemon and the secret.
+    :return: the roster, with this daemon and the secret, and the epoch of the store in which it was read.
     """
     tries = 0
     while True:
         try:
-            known = apply_rows(store.snapshot(table).rows, Roster())
+            changes = store.snapshot(table)
+            known = apply_rows(changes.rows, Roster())
             tries += 1
             if SECRET_KEY in known.malformed and tries < SECRET_READ_ATTEMPTS:
                 eventlet.sleep(RETRY_DELAY)
                 continue
             if (joined := _write_missing(store, member, row, known, secret)) is not None:
-                return joined
+                return joined, changes.epoch
         except (PlatformUnavailable, HistoryGone) as error:
             event("INFO", "roster not written", error=repr(error))
             eventlet.sleep(RETRY_DELAY)
