Look again at a complete layout when a server counts again

What callers saw: a server that was silent for half a second while it was empty got no layers for as long as the list of servers stayed the same; its capacity was not used.

Cause: layouts leave a silent, empty server out for 3 s. If all others had their layers by then, the loader recorded the layout as complete and looked again only when the list or the models changed. The end of the 3 s is no such change. Neither is the time at which a server with an unconfirmed entry counts again, or one with an invalid entry counts no longer.

Three new tests fail on the code before.

Change: the loader notes when a server next begins or ceases to count by itself, and checks again then.

--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -9,6 +9,7 @@
 :mod:`bayglade.layout_steps`.
 """
 
+import math
 import random
 from collections.abc import Callable
 
@@ -129,7 +130,10 @@
 
         self.complete_state: tuple[int, dict[ServiceName, Pipeline]] | None = None
         """The fleet's change counter and the models when nothing was left to order. While they are
-        unchanged, there is nothing to check."""
+        unchanged, there is nothing to check before ``recheck_at``."""
+
+        self.recheck_at = math.inf
+        """When layouts next begin or cease to count on a server by themselves, as of that time."""
 
     def __repr__(self) -> str:
         return f"<Loader {self.lease!r} {len(self.pending_orders)} orders>"
@@ -166,7 +170,7 @@
             self._forget_coverage()
         pipelines = self.pipelines()
         state = (self.fleet.change_count, pipelines)
-        if state == self.complete_state:
+        if state == self.complete_state and at < self.recheck_at:
             return True
         wanted = {service: self.wanted_spans(service, model) for service, model in pipelines.items()}
         wanted = {service: spans for service, spans in wanted.items() if spans}
@@ -187,7 +191,7 @@
             self._forget_coverage()
             self.lease.release()
             if not any(layout.unfinished() for layout in self.layouts.values()) and self._settled(at):
-                self.complete_state = state
+                self.complete_state, self.recheck_at = state, self._next_change_at(at)
         return True
 
     def _leave_to_others(self) -> None:
@@ -257,6 +261,12 @@
         ]
         return [s.facts for s in servers], {s.facts.id for s in servers if s.excluded is not None}
 
+    def _next_change_at(self, at: float) -> float:
+        """Return when layouts next begin or cease to count on a server by themselves."""
+        times = [until for until in self.silent_until.values() if until > at]
+        times += [server.layout_change_at(at) for server in self.fleet.servers.values()]
+        return min(times, default=math.inf)
+
     def _held(self, service: ServiceName, pipeline: Pipeline) -> Spans:
         """Return the spans that the usable servers report."""
         listed, excluded = self._counted(service, pipeline, now())
--- a/bayglade/servers.py
+++ b/bayglade/servers.py
@@ -1,5 +1,7 @@
 """Backend servers: what the platform's list says about one, and the state that a daemon keeps of it."""
 
+import math
+
 import msgspec
 
 from bayglade.clock import DecayingSum, now
@@ -253,6 +255,13 @@
             return False
         return self.excluded is None or at - self.excluded_at < EXCLUDED_LAYOUT_SECONDS
 
+    def layout_change_at(self, at: float) -> float:
+        """Return when layouts next begin or cease to count on it by themselves; infinity if never."""
+        times = [self.unconfirmed_until]
+        if self.excluded is not None:
+            times.append(self.excluded_at + EXCLUDED_LAYOUT_SECONDS)
+        return min((when for when in times if when > at), default=math.inf)
+
     def has_ended(self, at: float) -> bool:
         """Tell whether it has certainly ended or is leaving, rather than being unreachable for a moment."""
         if self.leaving or self.connection_refused:
--- a/tests/test_loading.py
+++ b/tests/test_loading.py
@@ -8,9 +8,10 @@
 
 from bayglade import loading
 from bayglade.fleet import Fleet
-from bayglade.loading import FALLBACK_DAEMONS_PER_CHECK, FALLBACK_DELAY, Loader
+from bayglade.loading import FALLBACK_DAEMONS_PER_CHECK, FALLBACK_DELAY, SILENT_SECONDS, Loader
 from bayglade.metrics import create_metrics
-from tests.test_tiling import SERVICE, pipeline, servers
+from bayglade.servers import EXCLUDED_LAYOUT_SECONDS
+from tests.test_tiling import SERVICE, pipeline, place_servers, servers
 
 
 class Site:
@@ -88,3 +89,55 @@
     site.at += FALLBACK_DELAY + 0.1
     site.loader.step()
     assert site.lease_checks == 0
+
+
+def complete_but_for_one(monkeypatch: pytest.MonkeyPatch) -> Site:
+    """Return a site in which all servers but the last, which is empty, hold their layers."""
+    site = Site(monkeypatch, first=True)
+    fleet = site.loader.fleet
+    *others, _ = list(fleet.servers.values())
+    placed = place_servers([server.facts for server in others], pipeline())
+    fleet.apply_changes([server.facts for server in placed], [], outage=False)
+    return site
+
+
+def test_an_empty_server_that_was_silent_gets_layers_when_it_counts_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against servers without layers until something else changes."""
+    site = complete_but_for_one(monkeypatch)
+    silent = list(site.loader.fleet.servers.values())[-1]
+    site.loader._note_silent(silent)
+    site.loader.step()
+    assert site.lease_checks == 0
+    site.at += SILENT_SECONDS + 0.1
+    site.loader.step()
+    assert site.lease_checks == 1
+
+
+def test_an_empty_server_with_an_unconfirmed_entry_gets_layers_when_it_counts_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = complete_but_for_one(monkeypatch)
+    list(site.loader.fleet.servers.values())[-1].unconfirmed_until = site.at + 2.0
+    site.loader.step()
+    assert site.lease_checks == 0
+    site.at += 2.1
+    site.loader.step()
+    assert site.lease_checks == 1
+
+
+def test_layers_of_an_excluded_server_are_loaded_elsewhere_when_it_counts_no_longer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = complete_but_for_one(monkeypatch)
+    *others, spare = list(site.loader.fleet.servers.values())
+    site.loader.fleet.apply_changes([], [spare.facts.id], outage=False)
+    others[0].excluded, others[0].excluded_at = "no valid entry", site.at
+    site.loader.step()
+    assert site.lease_checks == 0
+    # Missing layers are ordered a moment after they are first seen to be missing.
+    for _ in range(2):
+        site.at += EXCLUDED_LAYOUT_SECONDS + 0.1
+        site.loader.step()
+    assert site.lease_checks == 1
