Wait for the line that tells where a call was forwarded

Cause: test_a_stream_goes_on_when_the_daemon_that_relays_it_is_killed read the log once, as soon as a server had counted the run. The daemon writes 'forwarded' after it has sent the call, so the server may be first.

With the line delayed by 50 ms, 3 of 3 plays fail alike; with the wait 3 of 3 pass, and 3 of 3 without the delay. The checks of the test are as before.

--- a/tests/test_partitioned_daemons.py
+++ b/tests/test_partitioned_daemons.py
@@ -133,9 +133,13 @@
     isolate(daemons[0])
     stream = Stream(daemons[0])
     wait_for("it has begun", lambda: site.runs(stream.request))
-    helper = next(
-        line["peer"] for line in daemons[0].lines("forwarded") if line["request"] == stream.request
-    )
+    # The line is written after the call was sent, and the server may count the run before that.
+    helper = wait_for(
+        "the daemon logs where it was forwarded",
+        lambda: [
+            line["peer"] for line in daemons[0].lines("forwarded") if line["request"] == stream.request
+        ],
+    )[0]
     next(daemon for daemon in daemons if daemon.settings["member"] == helper).stop()
     answer = stream.result()
     assert answer.whole
