--- a/bayglade/suspects.py
+++ b/bayglade/suspects.py
@@ -254,7 +254,7 @@
 
         :param rows: stops by fingerprint; None for one that was lifted.
         :param whole: whether the rows are the whole table.
-        :param restored: whether the store was restored from an older copy, which lacks newer stops.
+        :param restored: whether the store was restored lately from an older copy, which lacks newer stops.
         """
         lifted = {fingerprint for fingerprint, row in rows.items() if row is None}
         missing = {
