Let daemons that wait for a token go before those that got one last

Callers of one daemon of eight could be refused for five seconds while the callers of the others were served by the same four rate-limited servers.

Cause: the owner of a limit gave each token to whoever asked first once it was there, and refused daemons ask again at random times.

Change: who got its last token later yields to a daemon that waits for one, unless a second token is there, the bucket is full, or the other one is 0.25 s late.

--- a/bayglade/quotas.py
+++ b/bayglade/quotas.py
@@ -7,13 +7,14 @@
 See ``docs/design/rate_limits.md``.
 """
 
+import math
 import random
 from collections.abc import Callable, Iterable
 
 import eventlet
 import msgspec
 
-from bayglade.buckets import Bucket
+from bayglade.buckets import Bucket, capacity
 from bayglade.clock import now
 from bayglade.entries.wire import LimitNotice, QuotaReply, QuotaRequest, QuotaReturn
 from bayglade.fanout import Send
@@ -33,6 +34,9 @@
 """Maximum retry delay for a daemon if the limit allows a request sooner than that."""
 CONTENDER_SECONDS = 2.0
 """How long a daemon counts as a contender for a limit after it asked."""
+ASK_AGAIN_GRACE_SECONDS = 0.25
+"""How much later than it was told a refused daemon may ask again and still go first: several times the
+interval at which waiting calls look for a token."""
 MAX_HOPS = 1
 """How often a request for a token may be forwarded: daemons of a large site have no stream to every
 owner."""
@@ -46,7 +50,7 @@
 class Pool:
     """The tokens left of a server's limit, at its owner; times are in monotonic seconds."""
 
-    __slots__ = ("bucket", "last_asked")
+    __slots__ = ("bucket", "granted_at", "last_asked", "waiting_until")
 
     def __init__(self, rate: float, at: float) -> None:
         # Starts empty: the previous owner may just have granted what a full bucket holds.
@@ -54,6 +58,12 @@
         self.last_asked: dict[MemberId, float] = {}
         """When each daemon last asked."""
 
+        self.granted_at: dict[MemberId, float] = {}
+        """When each contender last got a token."""
+
+        self.waiting_until: dict[MemberId, float] = {}
+        """Until when each contender that was refused is expected to ask again."""
+
     def __repr__(self) -> str:
         return f"<Pool {self.bucket!r} {len(self.last_asked)} contenders>"
 
@@ -63,8 +73,31 @@
         self.last_asked = {
             name: asked for name, asked in self.last_asked.items() if at - asked < CONTENDER_SECONDS
         }
+        for times in (self.granted_at, self.waiting_until):
+            for name in times.keys() - self.last_asked.keys():
+                del times[name]
         return len(self.last_asked)
 
+    def must_yield(self, member: MemberId, rate: float, at: float) -> bool:
+        """Return whether another daemon that waits for a token got its last one earlier than this one."""
+        # With another token there is one for whoever waits, and a full bucket would lose the next one.
+        if member not in self.granted_at or self.bucket.level >= min(2.0, capacity(rate)):
+            return False
+        last = self.granted_at[member]
+        return any(
+            until > at and self.granted_at.get(name, -math.inf) < last
+            for name, until in self.waiting_until.items()
+        )
+
+    def note_granted(self, member: MemberId, at: float) -> None:
+        """Record that a daemon got a token."""
+        self.granted_at[member] = at
+        self.waiting_until.pop(member, None)
+
+    def note_refused(self, member: MemberId, ask_again_at: float) -> None:
+        """Record when a daemon was told to ask again."""
+        self.waiting_until[member] = ask_again_at + ASK_AGAIN_GRACE_SECONDS
+
 
 class Quotas:
     """The tokens that this daemon grants as an owner, and those it requests from other owners.
@@ -124,13 +157,16 @@
         contenders = pool.count_contenders(member, at)
         pool.bucket.refill(rate, at)
         wait = pool.bucket.wait_for(1.0, rate)
-        if wait <= 0:
+        if wait <= 0 and not pool.must_yield(member, rate, at):
             pool.bucket.level -= 1.0
+            pool.note_granted(member, at)
             return QuotaReply(granted=True, contenders=contenders)
         # Spreads the retries: if all contenders asked at the moment of the next token, refusing them
         # would keep the owner busy.
         spread = self.rng.uniform(0.0, (contenders - 1) / rate)
-        return QuotaReply(wait=min(wait + spread, max(wait, MAX_RETRY_SECONDS)), contenders=contenders)
+        told = min(wait + spread, max(wait, MAX_RETRY_SECONDS))
+        pool.note_refused(member, at + told)
+        return QuotaReply(wait=told, contenders=contenders)
 
     def handle_request(self, member: MemberId, message: QuotaRequest) -> None:
         """Reply to a daemon that requests a token, or forward the request to the owner."""
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -379,3 +379,27 @@
         assert other.server.usable(now())
 
     run_scenario(scenario)
+
+
+def test_a_daemon_that_waits_for_a_token_goes_before_one_that_just_got_one() -> None:
+    """Whoever asked first got the next token, and one of eight daemons none in five seconds."""
+
+    def scenario() -> None:
+        site = Site(3, 2.0)
+        site.run(5.0, 8.0)
+        owner = site.owner()
+        waiting, served = (name for name in site.daemons if name != owner.name)
+        owner.callers.clear()
+        eventlet.sleep(3.0)
+        while owner.quotas.grant(owner.server, served).granted:
+            pass
+        assert not owner.quotas.grant(owner.server, waiting).granted
+        eventlet.sleep(0.3)
+        assert not owner.quotas.grant(owner.server, served).granted
+        assert owner.quotas.grant(owner.server, waiting).granted
+        # One that does not ask again holds up nobody for long.
+        assert not owner.quotas.grant(owner.server, waiting).granted
+        eventlet.sleep(1.0)
+        assert owner.quotas.grant(owner.server, served).granted
+
+    run_scenario(scenario)
