Move the site of retries in virtual time to the stand-ins

The bench of the bound on retries imported its site, its failures and the virtual clock from the tests by name, unchecked by mypy, and repeated their two plays. They are stand-ins now: standins/virtual_time.py, standins/retry_site.py (SiteSize in place of a bare tuple) and standins/retry_failures.py (what happens to the daemons, and the two plays). Checks, bounds and seeds are the same.

No change of the product.

--- a/benches/restored.py
+++ b/benches/restored.py
@@ -19,10 +19,10 @@
 from bayglade.fanout import decode_rows, encode_rows
 from bayglade.ids import MemberId, StoreEpoch
 from benches.common import print_table
+from standins import virtual_time
 from standins.users import KEY, configuration
 
 # Imported by name, because these modules are not type-checked as strictly.
-virtual_time = import_module("tests.virtual_time")
 fleets = import_module("tests.fleets")
 server_rows = import_module("tests.server_rows")
 
--- a/benches/retry_bound.py
+++ b/benches/retry_bound.py
@@ -11,23 +11,30 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from enum import Enum
-from importlib import import_module
+from functools import partial
 from typing import Any
 
+import eventlet
+
+from bayglade import clock
 from bayglade.clock import DecayingSum
 from bayglade.entries import wire
-from bayglade.ids import HallName, MemberId
+from bayglade.ids import MemberId
 from bayglade.retry_ledger import RetryBound, RetryLedger
 from bayglade.retry_parts import NO_PART, Part, RetryParts
-
-retry_site = import_module("tests.retry_site")
-retry_sites = import_module("tests.test_retry_sites")
-virtual_time = import_module("tests.virtual_time")
-clock = import_module("bayglade.clock")
-eventlet = import_module("eventlet")
+from standins import retry_site, virtual_time
+from standins.retry_failures import (
+    CREDIT_SECONDS,
+    FAILURES,
+    SIZES,
+    START_SECONDS,
+    one_hall,
+    play_failures,
+    play_local_trouble,
+)
+from standins.retry_site import RetryDaemon, RetrySite, SiteSize
 
 SEEDS = range(1, 6)
-SIZES = {"9": (9, 3, 202.0, 31.0), "81": (81, 3, 346.0, 120.0)}
 LIVE_SECONDS = 3.0
 """Silence after which a daemon no longer counts as live."""
 FIRST_FRACTION = 0.85
@@ -79,8 +86,9 @@
         return True
 
 
-def divide(site: Any, way: Way) -> None:
+def divide(site: RetrySite, way: Way) -> None:
     """Have all processes of a site divide the bound in a way, those that start later too."""
+    beats: dict[MemberId, float] = {}
 
     def prepare(daemon: Any) -> None:
         if way is not Way.LENT:
@@ -91,14 +99,14 @@
             daemon.ledger = WindowLedger(lambda: FIRST_FRACTION * site.floor * part_of(daemon).own)
             daemon.lending.is_follower = lambda: False
 
-    def part_of(daemon: Any) -> Part:
+    def part_of(daemon: RetryDaemon) -> Part:
         if way is Way.ROSTER:
             return Part(1.0 / len(daemon.ranking.halls), 0.0) if daemon.ranking.halls else NO_PART
         at = virtual_time.now()
         side = site.side.get(daemon.member, 0)
         heard = [
             other
-            for other, beat in site.beats.items()
+            for other, beat in beats.items()
             if at - beat < LIVE_SECONDS and site.side.get(other, 0) == side
         ]
         return Part(1.0 / max(1, len(heard)), 0.0)
@@ -106,47 +114,15 @@
     def beat() -> None:
         while True:
             at = virtual_time.now()
-            site.beats.update((member, at) for member, daemon in site.daemons.items() if daemon.runs)
+            beats.update((member, at) for member, daemon in site.daemons.items() if daemon.runs)
             eventlet.sleep(1.0)
 
-    site.beats = {}
     site.on_start = prepare
     for daemon in site.daemons.values():
         prepare(daemon)
     eventlet.spawn_n(beat)
 
 
-def play(way: Way, size: tuple[int, int, float, float], events: Callable[[Any], None], seed: int) -> float:
-    """Return the largest use of the bound while something happens to the daemons."""
-
-    def run() -> float:
-        site = retry_site.RetrySite(*size, seed=seed)
-        divide(site, way)
-        eventlet.sleep(retry_sites.START_SECONDS)
-        site.demanding = True
-        eventlet.sleep(2.0)
-        events(site)
-        eventlet.sleep(5.0)
-        return float(site.use().fraction)
-
-    return float(virtual_time.run_virtually(run))
-
-
-def play_one_hall(way: Way, size: tuple[int, int, float, float], seed: int) -> float:
-    """Return the use of the bound while the daemons of one hall alone want retries."""
-
-    def run() -> float:
-        site = retry_site.RetrySite(*size, seed=seed)
-        divide(site, way)
-        site.troubled = {HallName("h0")}
-        eventlet.sleep(retry_sites.START_SECONDS + 15.0)
-        site.demanding = True
-        eventlet.sleep(10.0)
-        return float(site.use().fraction)
-
-    return float(virtual_time.run_virtually(run))
-
-
 def print_costs() -> None:
     """Print sizes of messages, times of decisions, and the messages while one hall wants retries."""
     member = MemberId("front-hall-a-100")
@@ -178,32 +154,31 @@
         print(f"{count} retries in the window: hold and release {1e6 * seconds:.1f} µs")
     seconds = min(timeit.repeat(lambda: parts.observe(0.0, daemons, daemons), number=2000, repeat=5)) / 2000
     print(f"observe a roster of {len(daemons)}: {1e6 * seconds:.1f} µs")
-    for label, size in {**SIZES, "440": retry_sites.SIZES[2]}.items():
+    for size in SIZES:
         sent, busiest, retries = count_messages(size)
-        print(f"{label} daemons, one hall alone, 10 s: {sent.total()} messages, {busiest} at the busiest")
+        print(f"{size.daemons} daemons, one hall alone, 10 s: {sent.total()} messages")
+        print(f"  {busiest} at the busiest daemon")
         print(f"  {dict(sent)}, {retries} retries")
 
 
-def count_messages(size: tuple[int, int, float, float]) -> tuple[Counter[str], int, int]:
+def count_messages(size: SiteSize) -> tuple[Counter[str], int, int]:
     """Count the messages about retries while the daemons of one hall alone want any for 10 s.
 
     :return: messages by type, those received by the busiest daemon, and the retries that were sent.
     """
 
     def run() -> tuple[Counter[str], int, int]:
-        site = retry_site.RetrySite(*size)
-        site.troubled = {HallName("h0")}
-        eventlet.sleep(retry_sites.START_SECONDS + 15.0)
+        site = RetrySite(size)
+        one_hall(site)
+        eventlet.sleep(START_SECONDS + CREDIT_SECONDS)
         sent: Counter[str] = Counter()
         received: Counter[MemberId] = Counter()
-        deliver = site.deliver
 
-        def counted(sender: MemberId, to: MemberId, message: wire.Message) -> None:
+        def count(to: MemberId, message: wire.Message) -> None:
             sent[type(message).__name__] += 1
             received[to] += 1
-            deliver(sender, to, message)
 
-        site.deliver = counted
+        site.on_message = count
         site.demanding = True
         eventlet.sleep(10.0)
         return sent, max(received.values()), len(site.retries)
@@ -217,20 +192,28 @@
     if sys.argv[1:] == ["costs"]:
         print_costs()
         return
-    for label, size in SIZES.items():
-        print(f"\n{label} daemons; largest use over {len(SEEDS)} seeds, and its mean")
+    for size in SIZES[:2]:
+        print(f"\n{size.daemons} daemons; largest use over {len(SEEDS)} seeds, and its mean")
         print("event".ljust(48), *(way.name.rjust(14) for way in Way))
-        for events, name in zip(retry_sites.EVENTS, retry_sites.NAMES, strict=True):
-            row = [[play(way, size, events, seed) for seed in SEEDS] for way in Way]
-            print(
-                name.ljust(48), *(f"{max(u):.2f} {sum(u) / len(u):.2f}".rjust(14) for u in row), flush=True
-            )
-        row = [[play_one_hall(way, size, seed) for seed in SEEDS] for way in Way]
+        for failures in FAILURES:
+            row = [
+                [
+                    play_failures(size, failures, seed, prepare=partial(divide, way=way)).fraction
+                    for seed in SEEDS
+                ]
+                for way in Way
+            ]
+            cells = (f"{max(u):.2f} {sum(u) / len(u):.2f}".rjust(14) for u in row)
+            print(failures.__name__.ljust(48), *cells, flush=True)
+        row = [
+            [play_local_trouble(size, one_hall, seed, partial(divide, way=way)).fraction for seed in SEEDS]
+            for way in Way
+        ]
         cells = (f"{min(u):.2f} {sum(u) / len(u):.2f}".rjust(14) for u in row)
         print("one hall alone (smallest, mean)".ljust(48), *cells, flush=True)
 
 
 if __name__ == "__main__":
     for module in (*retry_site.MODULES, clock):
-        module.now = virtual_time.now
+        vars(module)["now"] = virtual_time.now
     main()
--- a/tests/retry_site.py
+++ b/standins/retry_site.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable, Iterable
 from itertools import count
+from typing import NamedTuple
 
 import eventlet
 
@@ -21,7 +22,7 @@
 from bayglade.retry_parts import RetryParts
 from standins.users.retry_use import RetryBound as Allowed
 from standins.users.retry_use import RetryUse, worst_retry_use
-from tests.virtual_time import now, run_virtually
+from standins.virtual_time import now
 
 SERVICE = "model"
 WINDOW = 10.0
@@ -33,11 +34,22 @@
 """How often a daemon looks whether it wants retries, in a site of up to ten; less often in larger ones."""
 MESH = 16
 """Sites of up to this many daemons have streams between all of them."""
-__all__ = ["RetrySite", "run_virtually"]
 MODULES = (lending, retry_ledger, retry_parts)
 """The modules that read the clock."""
 
 
+class SiteSize(NamedTuple):
+    """The size of a site."""
+
+    daemons: int
+    halls: int
+    floor: float
+    """Retries allowed in a window, besides those for requests."""
+
+    rate: float
+    """Requests a second at all daemons together."""
+
+
 class RetryDaemon:
     """One process of a daemon: its view of the roster, its retries and its loans."""
 
@@ -68,9 +80,11 @@
 
     @property
     def runs(self) -> bool:
+        """Whether its process is neither killed nor frozen."""
         return self.alive and not self.frozen
 
     def receive(self, sender: MemberId, message: Message) -> None:
+        """Handle a message of another daemon, once this one runs."""
         if self.frozen:
             self.held_messages.append((sender, message))
         elif self.alive:
@@ -84,6 +98,7 @@
                 self.lending.handle_deposit(sender, message)
 
     def wake(self) -> None:
+        """Go on after a freeze."""
         self.frozen = False
         held, self.held_messages = self.held_messages, []
         # It may send before it has read anything that arrived meanwhile.
@@ -165,25 +180,20 @@
 class RetrySite:
     """Daemons of one site; create it within virtual time.
 
-    :param daemons: their number.
-    :param halls: the number of data halls.
-    :param floor: retries allowed in a window, besides those for requests.
-    :param rate: requests a second at all daemons together.
+    :param size: how large it is.
     :param seed: seed of all randomness.
     :param late: whether what is sent may arrive as late as a connection lasts without an acknowledgement.
     """
 
-    def __init__(
-        self, daemons: int, halls: int, floor: float, rate: float, seed: int = 1, late: bool = False
-    ) -> None:
+    def __init__(self, size: SiteSize, seed: int = 1, late: bool = False) -> None:
         self.rng = random.Random(seed)
-        self.floor = floor
-        self.rate = rate
-        self.step = STEP_SECONDS * max(1.0, daemons / 40)
+        self.floor = size.floor
+        self.rate = size.rate
+        self.step = STEP_SECONDS * max(1.0, size.daemons / 40)
         self.late = late
         self.numbers = count()
         self.halls: dict[MemberId, HallName] = {}
-        self.hall_count = halls
+        self.hall_count = size.halls
         self.roster: dict[MemberId, HallName] = {}
         self.daemons: dict[MemberId, RetryDaemon] = {}
         self.parted: set[frozenset[MemberId]] = set()
@@ -202,14 +212,18 @@
         self.on_start: Callable[[RetryDaemon], None] = lambda daemon: None
         """Called with each process that starts."""
 
+        self.on_message: Callable[[MemberId, Message], None] = lambda to, message: None
+        """Called with each message between daemons and its receiver."""
+
         self.demanding = False
         self.backlog: dict[MemberId, float] = {}
         self.requests: list[float] = []
         self.retries: list[float] = []
-        for _ in range(daemons):
+        for _ in range(size.daemons):
             self.add(first_start=True)
 
     def add(self, first_start: bool = False) -> MemberId:
+        """Start a daemon that was not there before; return its name."""
         number = next(self.numbers)
         member = MemberId(f"d{number}")
         self.halls[member] = self.roster[member] = HallName(f"h{number % self.hall_count}")
@@ -217,6 +231,7 @@
         return member
 
     def restart(self, member: MemberId) -> None:
+        """Kill a daemon and start it again at once."""
         self.daemons[member].alive = False
         self.daemons[member] = RetryDaemon(self, member, first_start=False)
 
@@ -225,6 +240,7 @@
         del self.roster[member]
 
     def freeze(self, members: Iterable[MemberId], seconds: float) -> None:
+        """Freeze daemons for some seconds."""
         frozen = [self.daemons[member] for member in members]
         for daemon in frozen:
             daemon.frozen = True
@@ -233,11 +249,14 @@
             daemon.wake()
 
     def deliver(self, sender: MemberId, to: MemberId, message: Message) -> None:
+        """Deliver a message a little later, if the daemons reach each other."""
+        self.on_message(to, message)
         if self.side.get(sender, 0) == self.side.get(to, 0) and to in self.daemons:
             delay = MESSAGE_SECONDS * self.rng.uniform(0.5, 2.0)
             eventlet.spawn_after(delay, self._arrive, sender, to, message)
 
     def wants(self, daemon: RetryDaemon) -> bool:
+        """Return whether a daemon wants retries now."""
         if not self.demanding or daemon.member in self.isolated:
             return False
         if self.reached is not None and not self.isolated and daemon.member not in self.reached:
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -30,7 +30,7 @@
     plan_readers,
 )
 from bayglade.rows import Changes, Position, encode_value
-from tests.virtual_time import now
+from standins.virtual_time import now
 
 BOUND = 2.0
 """Seconds within which a leaving server must be known, unless a fleet sets another bound."""
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -18,7 +18,7 @@
 from bayglade.forwarding import Forwarding, forward_call
 from bayglade.ids import MemberId, RequestId, ServiceName
 from bayglade.metrics import Metrics
-from tests.virtual_time import now, run_virtually
+from standins.virtual_time import now, run_virtually
 
 SERVICE = ServiceName("model")
 OFFER_SECONDS = 0.002
--- a/tests/starts.py
+++ b/tests/starts.py
@@ -30,7 +30,7 @@
     encode_value,
 )
 from standins.users.configuration import configuration
-from tests.virtual_time import now
+from standins.virtual_time import now
 
 ANSWER_SECONDS = 0.004
 DIAL_SECONDS = 0.003
--- a/tests/test_diagnosis.py
+++ b/tests/test_diagnosis.py
@@ -25,7 +25,7 @@
 from bayglade.relay import Attempts
 from bayglade.runs import MAX_PROBE_INTERVAL, Run
 from bayglade.servers import Server, ServerFacts
-from tests import virtual_time
+from standins import virtual_time
 
 PATIENCE = 0.1
 ALIVE = StageReport(
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -22,9 +22,9 @@
 from bayglade.ids import UNKNOWN_EPOCH, MemberId, StoreEpoch
 from bayglade.readers import READER_COUNT
 from bayglade.rows import Changes, Position, encode_value
+from standins.virtual_time import START, now, run_virtually
 from tests import fleets
 from tests.fleets import ROSTER_BOUND, SILENCE, Fleet
-from tests.virtual_time import START, now, run_virtually
 
 BOUND = 2.0
 """Seconds within which a leaving server must be known, as configured in the incident."""
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -13,7 +13,7 @@
 from bayglade.metrics import create_metrics
 from bayglade.retry_ledger import LOAN_SECONDS, STARTING_FRACTION, RetryBound, RetryLedger
 from bayglade.retry_parts import DELIVERY_SECONDS, NO_PART, Part
-from tests import virtual_time
+from standins import virtual_time
 from tests.clocks import ManualClock
 
 WINDOW = 10.0
--- a/tests/test_lost_rows.py
+++ b/tests/test_lost_rows.py
@@ -20,11 +20,11 @@
 from bayglade.rows import Changes, encode_value
 from bayglade.stops import StopRow
 from standins.users import Daemon, UsersSite
+from standins.virtual_time import now, run_virtually
 from standins.world import wait_for
 from tests import starts
 from tests.starts import Site
 from tests.test_roster import Rows
-from tests.virtual_time import now, run_virtually
 
 A, B, C = MemberId("a"), MemberId("b"), MemberId("c")
 ROW = MemberRow("10.0.0.1:7000", HallName("h"))
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -18,8 +18,8 @@
 from bayglade.quotas import GRANT_SECONDS, Quotas, choose_owner
 from bayglade.servers import Server
 from standins.limit_sharing import allowed, worst_window
+from standins.virtual_time import now, run_virtually
 from tests.server_rows import facts_of
-from tests.virtual_time import now, run_virtually
 
 SERVER = BackendId("s")
 LATENCY_SECONDS = 0.001
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -12,10 +12,10 @@
 from bayglade.metrics import Metrics
 from bayglade.reachability import RETURN_INTERVAL, RETURN_ROUNDS, Reachability
 from bayglade.servers import Server, ServerFacts
+from standins.virtual_time import run_virtually
 from tests.fleets import patch_clock
 from tests.test_ends import Scene
 from tests.test_ends import scene as scene
-from tests.virtual_time import run_virtually
 
 MODEL, TILES = ServiceName("model"), ServiceName("tiles")
 ANSWER_SECONDS = 0.004
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -19,9 +19,9 @@
     needed_streams,
     plan_readers,
 )
+from standins.virtual_time import run_virtually
 from tests import fleets
 from tests.fleets import ROUND_TRIP, Fleet
-from tests.virtual_time import run_virtually
 
 DRAIN_SECONDS = 4.0
 KEY_TRUST_SECONDS = 3.8
--- a/tests/test_restored_fleets.py
+++ b/tests/test_restored_fleets.py
@@ -9,9 +9,9 @@
 
 from bayglade.ids import StoreEpoch
 from bayglade.rows import Position
+from standins.virtual_time import now, run_virtually
 from tests import fleets
 from tests.fleets import SILENCE, TABLES, Fleet
-from tests.virtual_time import now, run_virtually
 
 SIZES = ((6, 3), (23, 5))
 LARGE = (200, 5)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -13,9 +13,9 @@
 from bayglade.exceptions import CutOff, PlatformUnavailable
 from bayglade.intake import HOLD_FRACTION, HOLD_SECONDS, MAX_HELD, Intake
 from bayglade.settings import Tree
+from standins.virtual_time import now, run_virtually
 from tests import starts
 from tests.starts import MEMBERS, Site
-from tests.virtual_time import now, run_virtually
 
 SETTINGS_SECONDS = 0.15
 """Required median from listening, or from when the document is in the store, to settings in force."""
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -20,8 +20,8 @@
 from bayglade.leases import Lease, LeaseState
 from bayglade.retries import RetryBudget
 from bayglade.rows import Changes
+from standins.virtual_time import run_virtually
 from tests.test_roster import Rows
-from tests.virtual_time import run_virtually
 
 KEY_TRUST = 5.0
 
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -15,9 +15,9 @@
 from bayglade.quarantine import TRIAL_SECONDS, Quarantine
 from bayglade.servers import Server
 from bayglade.trials import PROBE_SECONDS, heads_to_avoid, refusing_stages, wait_for_isolated
+from standins.virtual_time import now, run_virtually
 from tests.test_quarantine import make_call, server_key
 from tests.test_tiling import SERVICE, pipeline, place_servers, servers
-from tests.virtual_time import now, run_virtually
 
 
 @pytest.fixture(autouse=True)
