Measure from its start what a daemon waits for after a restore

test_a_daemon_started_alone_after_a_restore_serves_with_the_stored_settings failed once in a whole run on beside load 13 to 23 (1,643 passed): 5.02 s, 5.0 allowed. The test timed the start of the process as well. A run of its scene beside 14 busy processes shows the same: 5.08 s, of which 2.99 s before the line "started", and then 2.07 s that the daemon waits for the settings to be confirmed; beside load 13, 1.73 and 2.07 s.

The test now allows 3.0 s from that line to readiness, which is less than the 3.3 s that 5.0 s left beside load 13.

--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -166,6 +166,6 @@
     before = site.start("hall-0")
     before.stop()
     site.restore_store(site.store.version)
-    started = time.monotonic()
-    site.start("hall-0")
-    assert time.monotonic() - started < 5.0
+    daemon = site.start("hall-0")
+    started, ready = (daemon.lines(event)[0]["steady"] for event in ("started", "readiness changed"))
+    assert ready - started < 3.0
