Tell how many servers a call used, and whether its caller waited

Operators could not tell from the logs of a daemon on how many servers a request had run, which of these no longer counted, or whether anybody still waited for a call when it was sent. The line sent names the first two; sends without a caller are logged and counted.

--- a/bayglade/calls.py
+++ b/bayglade/calls.py
@@ -67,6 +67,9 @@
     sent_before: bool = False
     """Whether it may have reached a server before, sent by another daemon."""
 
+    caller_left: Callable[[], bool] = lambda: False
+    """Returns whether the caller, or the daemon that forwards the call, has closed its connection."""
+
     def __repr__(self) -> str:
         return f"<Call {self.head.id} to {self.service}>"
 
--- a/bayglade/disconnects.py
+++ b/bayglade/disconnects.py
@@ -57,13 +57,17 @@
     def _check_connections(self) -> None:
         eventlet.sleep(CHECK_INTERVAL)
         for task, sock in list(self.watched.items()):
-            if _is_closed(sock):
+            if is_closed(sock):
                 self.watched.pop(task, None)
                 self.metrics.count("callers.left")
                 eventlet.kill(task, CallerDisconnected())
 
 
-def _is_closed(sock: socket.socket) -> bool:
+def is_closed(sock: socket.socket) -> bool:
+    """Return whether the other side closed or reset a connection and sent nothing before that is unread.
+
+    :param sock: a non-blocking socket.
+    """
     try:
         return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -28,7 +28,7 @@
 from bayglade.clock import SuspensionDetector, now, use_boottime_timers
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
 from bayglade.diagnosis import Diagnosis
-from bayglade.disconnects import CallerDisconnected, DisconnectWatcher
+from bayglade.disconnects import CallerDisconnected, DisconnectWatcher, is_closed
 from bayglade.entries.forwards import SETTINGS_HEADER
 from bayglade.epochs import EpochGuardedTable, StoreHistory
 from bayglade.evidence import Subject
@@ -414,6 +414,8 @@
         try:
             call = read_call(message)
             request = call.head.id
+            # The underlying socket of a green socket is non-blocking.
+            call.caller_left = lambda: is_closed(connection.sock.fd)  # type: ignore[attr-defined]
             self._check_draining(call)
             self.quarantine.check_arrival(call)
             self.active_requests.add(request)
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -299,6 +299,12 @@
         alive = frozenset(server.facts.id for server in self.used_servers if server.counts_as_used(at))
         return alive if len(alive) >= self.call.endpoint.max_attempts else None
 
+    def not_counted(self) -> dict[BackendId, str]:
+        """Return the servers that the call was sent to and that no longer count, each with the reason."""
+        at = now()
+        reasons = ((server.facts.id, server.not_counted(at)) for server in self.used_servers)
+        return {backend: reason for backend, reason in reasons if reason is not None}
+
     def note_sent(self, server: Server) -> None:
         """Record that the call is sent to a server."""
         self.send_count += 1
--- a/bayglade/sending.py
+++ b/bayglade/sending.py
@@ -62,6 +62,7 @@
         reserved = place or path or Reservation((server,))
         _confirm_rate_limits(reserved)
         attempts.begin_send(context, server)
+        _count_send(context, call, attempts)
         reserved.mark_sent()
         exchange.send(encode_head(start, headers) + call.body, call.deadline)
         context.quarantine.end_trial(call)
@@ -78,10 +79,21 @@
         after=last_event,
         left=round(call.seconds_left(), 3),
         charge=attempts.charged_to.value if attempts.charged_to is not None else None,
+        servers=len(attempts.used_servers),
+        not_counted=attempts.not_counted() or None,
     )
     return exchange
 
 
+def _count_send(context: RelayContext, call: Call, attempts: Attempts) -> None:
+    """Count sends to more servers than the route allows, and sends that nobody waits for."""
+    if len(attempts.used_servers) > call.endpoint.max_attempts:
+        context.metrics.count("sends_to_further_servers")
+    if call.caller_left():
+        context.metrics.count("sends_without_caller")
+        event("WARNING", "sent without caller", request=call.head.id, forwarded=call.forwarded)
+
+
 def check_may_send(context: RelayContext, call: Call, server: Server) -> None:
     """Check conditions that may have changed since a server was chosen for a call.
 
--- a/bayglade/servers.py
+++ b/bayglade/servers.py
@@ -270,9 +270,16 @@
 
     def counts_as_used(self, at: float) -> bool:
         """Tell whether it counts towards the number of servers that a call may be sent to."""
-        if self.leaving or self.connection_refused:
-            return False
-        return not self.suspect or at - self.suspect_since < COUNTED_SILENT_SECONDS
+        return self.not_counted(at) is None
+
+    def not_counted(self, at: float) -> str | None:
+        """Return in one word why it does not count towards the number of servers of a call, or None."""
+        if self.leaving:
+            return "leaving"
+        if self.connection_refused:
+            return "refused"
+        silent = self.suspect and at - self.suspect_since >= COUNTED_SILENT_SECONDS
+        return "silent" if silent else None
 
     def state(self) -> str:
         """Return its state as one word."""
--- a/standins/users/daemon.py
+++ b/standins/users/daemon.py
@@ -58,6 +58,8 @@
         self.log = site.folder / f"{file or name}.log"
         self.write()
         self.links = PartitionFile(site.folder / f"{file or name}.links")
+        self.partitioned = Partition.NONE
+        self.frozen = False
         self.partition(Partition.NONE)
         command = ["standins.users.partitions"] if site.partitionable else ["bayglade", "gateway"]
         self.popen = subprocess.Popen(
@@ -77,8 +79,30 @@
 
     def partition(self, partition: Partition) -> None:
         """Cut or restore its links to all backend servers; the site must be partitionable."""
-        ports = [int(port) for d in self.site.daemons for port in d.settings["peer_ports"].split(",")]
-        self.links.write(partition, ports)
+        self.partitioned = partition
+        others = self.site.daemons
+        ports = [port for daemon in others for port in daemon.ports]
+        self.links.write(partition, ports, [port for d in others if d.frozen for port in d.ports])
+
+    @property
+    def ports(self) -> list[int]:
+        """Return the ports at which other daemons reach it."""
+        return [int(port) for port in self.settings["peer_ports"].split(",")]
+
+    def freeze(self) -> None:
+        """Suspend its host: the process stops, and connects of other daemons hang."""
+        self._set_frozen(True)
+        self.signal(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """End the suspension of its host; what was sent to it meanwhile is read now."""
+        self.signal(signal.SIGCONT)
+        self._set_frozen(False)
+
+    def _set_frozen(self, frozen: bool) -> None:
+        self.frozen = frozen
+        for daemon in self.site.daemons:
+            daemon.partition(daemon.partitioned)
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal."""
--- /dev/null
+++ b/tests/test_servers_per_request.py
@@ -0,0 +1,115 @@
+"""A request runs on no more servers than its route allows, whichever daemons send it, and in time."""
+
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from standins.users import Daemon, UsersSite
+from standins.world import wait_for
+from tests.test_partitioned_daemons import Stream, isolate, start_daemons
+
+LATE_SECONDS = 1.0
+"""Time in which a daemon that wakes would have sent what it read then."""
+
+CALLS_AT_ONCE = 8
+"""Calls of which at least one goes to each of two daemons."""
+
+
+@pytest.fixture
+def site() -> Iterator[UsersSite]:
+    with UsersSite(halls=2, stages=4, plain=4, partitionable=True) as made:
+        yield made
+
+
+def servers_of(site: UsersSite, request: str) -> set[str]:
+    """Return the servers that ran a request."""
+    return {replica.id for replica in site.every_replica if replica.ran[request]}
+
+
+def daemons_given(sender: Daemon, request: str) -> list[str]:
+    """Return the daemons to which another one forwarded a request, in order."""
+    return [line["peer"] for line in sender.lines("forwarded") if line["request"] == request]
+
+
+def forwarded_in_sleep(sender: Daemon, sleeper: Daemon, path: str) -> Stream:
+    """Freeze a daemon, and return a request that is forwarded to it first."""
+    # The daemon that forwards then has open connections to all others.
+    for call in [Stream(sender, path) for _ in range(CALLS_AT_ONCE)]:
+        assert call.result().whole
+    sleeper.freeze()
+    calls = [Stream(sender, path) for _ in range(CALLS_AT_ONCE)]
+    chosen = None
+    for call in calls:
+        given = wait_for("it is forwarded", lambda call=call: daemons_given(sender, call.request))
+        if given[0] == sleeper.settings["member"]:
+            chosen = call
+    assert chosen is not None
+    for call in calls:
+        if call is not chosen:
+            call.leave()
+    return chosen
+
+
+def wake_late(helper: Daemon) -> None:
+    """Wake a daemon, and wait until it has had time to send what it read."""
+    helper.wake()
+    time.sleep(LATE_SECONDS)
+
+
+def start_with_one_isolated(site: UsersSite, count: int, **routes: int) -> list[Daemon]:
+    """Start daemons, of which the first one reaches no server."""
+    site.configure(**routes)
+    daemons = start_daemons(site, count)
+    isolate(daemons[0])
+    return daemons
+
+
+@pytest.mark.parametrize("path", ["/stream/x", "/safe/x"])
+def test_a_call_that_its_sender_gave_up_is_not_sent_by_a_daemon_that_wakes(
+    site: UsersSite, path: str
+) -> None:
+    sender, sleeper, _ = start_with_one_isolated(site, 3, maxAttempts=1, timeoutMs=5000)
+    call = forwarded_in_sleep(sender, sleeper, path)
+    answer = call.result()
+    ran_before = site.runs(call.request)
+    wake_late(sleeper)
+    assert answer.status == 200 and answer.whole
+    assert site.runs(call.request) == ran_before
+    assert len(servers_of(site, call.request)) == 1
+
+
+@pytest.mark.parametrize("loss", ["killed", "frozen"])
+def test_the_servers_that_a_lost_daemon_used_count_at_the_next_one(site: UsersSite, loss: str) -> None:
+    # Daemons of different halls choose different servers.
+    sender, *helpers = start_with_one_isolated(site, 3, maxAttempts=1)
+    stream = Stream(sender)
+    wait_for("it has begun", lambda: site.runs(stream.request))
+    first = wait_for("it is logged", lambda: daemons_given(sender, stream.request))[0]
+    lost = next(helper for helper in helpers if helper.settings["member"] == first)
+    lost.stop() if loss == "killed" else lost.freeze()
+    answer = stream.result()
+    if loss == "frozen":
+        wake_late(lost)
+    assert answer.whole
+    assert len(servers_of(site, stream.request)) == 1
+
+
+def test_a_forwarded_call_is_not_sent_after_the_deadline_of_its_caller(site: UsersSite) -> None:
+    sender, helper = start_with_one_isolated(site, 2)
+    helper.freeze()
+    call = Stream(sender, "/once/x")
+    answer = call.result()
+    wake_late(helper)
+    assert answer.status == 504
+    assert site.runs(call.request) == 0
+
+
+@pytest.mark.parametrize("path", ["/stream/x", "/safe/x", "/once/x"])
+def test_a_call_whose_caller_left_is_not_sent_by_a_daemon_that_wakes(site: UsersSite, path: str) -> None:
+    daemon = start_daemons(site, 1)[0]
+    daemon.freeze()
+    call = Stream(daemon, path)
+    call.leave()
+    wake_late(daemon)
+    assert site.runs(call.request) == 0
