Send forwarded calls only with a permit of the daemon that has the caller

Cause: the servers that a call had used were known to each daemon for its own sends only. Class: a bound of a call is counted by process while the call moves between processes, and a duration is applied when it is read.

A connection that is closed, or no permit, means that nobody waits. Daemons look at the connections of callers themselves before each send too. A call without a permit has not run, so that also calls that must not be repeated go on at another daemon. Interim responses no longer end an exchange.

A test of the old rule, that a silent daemon is never left with a call that must not be repeated, now says so only for a call that was permitted.

--- a/bayglade/calls.py
+++ b/bayglade/calls.py
@@ -62,13 +62,14 @@
     """Whether another daemon forwarded it; it is not forwarded again."""
 
     earlier_servers: Sequence[BackendId] = ()
-    """Servers that the other daemon sent it to before."""
+    """Servers that it may have been sent to before, by any other daemon."""
 
     sent_before: bool = False
     """Whether it may have reached a server before, sent by another daemon."""
 
-    caller_left: Callable[[], bool] = lambda: False
-    """Returns whether the caller, or the daemon that forwards the call, has closed its connection."""
+    confirm_send: Callable[[BackendId], None] = lambda backend: None
+    """Called before each send to a backend server. Raises CallerDisconnected if nobody waits for the answer
+    any more; may bring the deadline forward."""
 
     def __repr__(self) -> str:
         return f"<Call {self.head.id} to {self.service}>"
--- a/bayglade/entries/forwards.py
+++ b/bayglade/entries/forwards.py
@@ -1,13 +1,16 @@
-"""The headers with which a daemon forwards a caller's request to another one.
+"""What daemons tell each other about a call that one of them forwards to another one.
 
-The request itself is passed on unchanged. Its header is sealed with the secret that all daemons share, so
-that callers cannot send one.
+The request itself is passed on unchanged, with a header that is sealed with the secret that all daemons
+share, so that callers cannot send one. Before the other daemon sends the call to a backend server, it names
+the server in an interim response (RFC 9110, 15.2). The daemon that forwarded the call answers with a permit
+on the same connection, or closes it.
 """
 
 import base64
 import binascii
 import hashlib
 import hmac
+import struct
 
 import msgspec
 
@@ -17,6 +20,13 @@
 FORWARD_HEADER = "Bayglade-Forwarded"
 SETTINGS_HEADER = "Bayglade-Settings"
 """Header of the answer: the revision of the settings under which the call was served."""
+PERMIT_STATUS = 102
+"""Status of the interim response that asks for a permit."""
+SERVER_HEADER = "Bayglade-Server"
+"""Header of the interim response: the server to which the call is to be sent."""
+FORWARD_VERSION = 2
+"""Version of this exchange. It is sealed with the header, so that a daemon of another version, which would
+send without a permit, refuses the call."""
 SEAL_BYTES = 16
 MAX_HEADER_CHARS = 4096
 
@@ -33,7 +43,7 @@
     """The oldest settings under which the call may be served."""
 
     servers: list[BackendId] = []
-    """Servers that the call was sent to before."""
+    """Servers that the call may have been sent to before, by any daemon."""
 
     last_event: int | None = None
     """The event after which a stream is resumed."""
@@ -75,9 +85,31 @@
         raise _rejection("the header of a forwarded call is malformed") from error
 
 
+_PERMIT = struct.Struct("!d")
+PERMIT_BYTES = _PERMIT.size
+
+
+def encode_permit(seconds_left: float) -> bytes:
+    """Encode the permit to send a call to the server that was named.
+
+    :param seconds_left: seconds until the deadline of the call, as of sending the permit.
+    """
+    return _PERMIT.pack(seconds_left)
+
+
+def decode_permit(data: bytes) -> float:
+    """Return the seconds until the deadline of the call, as of sending the permit.
+
+    :param data: ``PERMIT_BYTES`` bytes.
+    """
+    seconds: float = _PERMIT.unpack(data)[0]
+    return seconds
+
+
 def _rejection(message: str) -> PeerError:
     return PeerError(message, step="forward", outcome=Outcome.NOT_RUN)
 
 
 def _seal(content: bytes, secret: bytes) -> bytes:
-    return hmac.digest(secret, FORWARD_HEADER.encode() + content, hashlib.sha256)[:SEAL_BYTES]
+    context = f"{FORWARD_HEADER} {FORWARD_VERSION}".encode()
+    return hmac.digest(secret, context + content, hashlib.sha256)[:SEAL_BYTES]
--- a/bayglade/forwarded_calls.py
+++ b/bayglade/forwarded_calls.py
@@ -1,16 +1,30 @@
-"""Calls that another daemon forwards to this one: verified, then read as those of callers."""
+"""Calls that another daemon forwards to this one: verified, read like those of callers, sent by permit."""
 
 from collections.abc import Callable
 
 import msgspec
 
 from bayglade.calls import Call
-from bayglade.entries.forwards import FORWARD_HEADER, decode_forwarded
+from bayglade.clock import now
+from bayglade.disconnects import CallerDisconnected, is_closed
+from bayglade.entries.forwards import (
+    FORWARD_HEADER,
+    PERMIT_BYTES,
+    PERMIT_STATUS,
+    SERVER_HEADER,
+    decode_forwarded,
+    decode_permit,
+)
 from bayglade.exceptions import BaygladeError, Isolated, Outcome, PeerError, SettingsBehind, Stopping
-from bayglade.http1 import Message
-from bayglade.ids import ServiceName
+from bayglade.http1 import Message, encode_head
+from bayglade.ids import BackendId, ServiceName
 from bayglade.intake import Intake
+from bayglade.listener import Connection
 from bayglade.logs import event
+from bayglade.sockets import receive
+
+PERMIT_SECONDS = 1.0
+"""Time limit for a permit; between data halls it takes a few milliseconds."""
 
 
 def read_forwarded_call(
@@ -50,6 +64,34 @@
     return call
 
 
+def obtain_permit(connection: Connection, call: Call, backend: BackendId) -> None:
+    """Ask the daemon that forwards a call for permission to send it to a server.
+
+    The deadline is set anew, because the call may have been read long after it was forwarded.
+
+    :param connection: the connection on which the call came.
+    :param call: the call.
+    :param backend: the server.
+    :raises CallerDisconnected: if the other daemon does not wait for the answer any more.
+    """
+    asked_at = now()
+    head = encode_head(f"HTTP/1.1 {PERMIT_STATUS} Processing", [(SERVER_HEADER, backend)])
+    permit = b""
+    try:
+        connection.sock.sendall(head)
+        while len(permit) < PERMIT_BYTES:
+            data = receive(connection.sock, asked_at + PERMIT_SECONDS)
+            if not data:
+                raise CallerDisconnected()
+            permit += data
+    except OSError as error:
+        raise CallerDisconnected() from error
+    # The permit may have waited in the socket while this daemon was suspended.
+    if len(permit) > PERMIT_BYTES or is_closed(connection.raw_socket):
+        raise CallerDisconnected()
+    call.deadline = min(call.deadline, asked_at + decode_permit(permit))
+
+
 def error_for_sender(
     error: BaygladeError, call: Call | None, is_isolated: Callable[[ServiceName], bool]
 ) -> BaygladeError:
--- a/bayglade/forwarding.py
+++ b/bayglade/forwarding.py
@@ -1,8 +1,10 @@
 """Forwarding: calls of a daemon that reaches no backend server are served through another daemon.
 
 The other daemon serves such a call as one of its own callers', under the account of the caller, and never
-forwards it again. Its answer is relayed as that of a backend server would be. A call that it refuses before
-sending it anywhere may be forwarded to a third daemon.
+forwards it again. Its answer is relayed as that of a backend server would be. It sends the call only with a
+permit of this daemon, for one server at a time. So this daemon knows all servers that the call may have
+reached, and a daemon that it has given up, or that wakes from a suspension, sends nothing. A call for which
+no permit was given has not run and may be forwarded to a third daemon.
 """
 
 import math
@@ -14,7 +16,15 @@
 
 from bayglade.calls import Call
 from bayglade.clock import now
-from bayglade.entries.forwards import FORWARD_HEADER, SETTINGS_HEADER, ForwardedCall, encode_forwarded
+from bayglade.entries.forwards import (
+    FORWARD_HEADER,
+    PERMIT_STATUS,
+    SERVER_HEADER,
+    SETTINGS_HEADER,
+    ForwardedCall,
+    encode_forwarded,
+    encode_permit,
+)
 from bayglade.exceptions import (
     BackendError,
     BackendSilent,
@@ -176,13 +186,19 @@
 class ForwardedExchange:
     """A call in progress at another daemon."""
 
-    __slots__ = ("call", "exchange", "forwarding", "member")
+    __slots__ = ("call", "exchange", "forwarding", "member", "note_permitted", "permitted")
 
     def __init__(self, forwarding: Forwarding, member: MemberId, exchange: Exchange, call: Call) -> None:
         self.forwarding = forwarding
         self.member = member
         self.exchange = exchange
         self.call = call
+        self.note_permitted: Callable[[BackendId], None] = lambda backend: None
+        """Called with each server to which the other daemon is permitted to send the call."""
+
+        self.permitted = False
+        """Whether the other daemon was permitted to send the call to a server."""
+
         forwarding.in_flight[member] += 1
 
     def __repr__(self) -> str:
@@ -197,7 +213,7 @@
         """
         while True:
             try:
-                message = self.exchange.read_head(self._next_check_at(), self._is_own)
+                message = self.exchange.read_head(self._next_check_at(), self._is_own, self._permit)
                 break
             except BackendSilent:
                 self._check_silence(None)
@@ -225,6 +241,25 @@
         self.exchange.close(KEEP_SECONDS)
         self.forwarding.in_flight[self.member] -= 1
 
+    def _permit(self, message: Message) -> None:
+        """Permit the other daemon to send the call to the server that it names.
+
+        :raises BackendError: if the permit cannot be sent.
+        """
+        backend = message.header(SERVER_HEADER.lower())
+        if message.status != PERMIT_STATUS or backend is None:
+            return
+        left = self.call.seconds_left()
+        if left <= 0:
+            raise BackendSilent("no answer in time", step="forward", peer=self.member)
+        self.permitted = True
+        self.note_permitted(BackendId(backend))
+        event("INFO", "send permitted", request=self.call.head.id, peer=self.member, server=backend)
+        try:
+            self.exchange.connection.sock.sendall(encode_permit(left))
+        except OSError as error:
+            raise BackendError(f"sending failed: {error}", step="forward", peer=self.member) from error
+
     def _is_own(self, message: Message) -> bool:
         return self.forwarding.request_of(message) in (None, self.call.head.id)
 
@@ -238,7 +273,7 @@
         """
         if now() >= self.call.deadline:
             raise BackendSilent("no answer in time", step="forward", peer=self.member)
-        if self.call.at_most_once:
+        if self.call.at_most_once and self.permitted:
             return
         if last_event_at is not None and now() - last_event_at > GAP_SECONDS:
             raise BackendSilent("the forwarded stream stalled", step="forward", peer=self.member)
@@ -275,6 +310,7 @@
     servers: list[BackendId],
     last_event: int | None,
     sent_before: bool = False,
+    note_permitted: Callable[[BackendId], None] = lambda backend: None,
 ) -> tuple[ForwardedExchange, Message]:
     """Forward a call to a daemon that accepts it.
 
@@ -283,10 +319,12 @@
     :param servers: servers that it was sent to before.
     :param last_event: the event after which a stream is resumed.
     :param sent_before: whether it may have reached a server; the errors below tell the same at the end.
+    :param note_permitted: called with each server to which a daemon is permitted to send the call.
     :return: the exchange, whose caller closes it, and the answer.
     :raises Isolated: if no daemon accepts it; it was not run by any of them.
     :raises PeerRefused: if a daemon refuses it for a reason that holds at the others too.
-    :raises BackendError: if a daemon that may have run it gave no answer.
+    :raises BackendError: if a daemon gave no answer; its outcome is ``NOT_RUN`` if that daemon was not
+        permitted to send the call.
     """
     tried: set[MemberId] = set()
     while len(tried) < MAX_DAEMONS and call.seconds_left() > 0:
@@ -300,6 +338,7 @@
             event("INFO", "daemon not reached", request=call.head.id, peer=member, error=repr(error))
             forwarding.pass_over(member, UNREACHED_SECONDS)
             continue
+        exchange.note_permitted = note_permitted
         try:
             _send(forwarding, exchange, call, servers, last_event, sent_before)
             message = exchange.read_head()
@@ -313,6 +352,11 @@
                 raise
             forwarding.metrics.count("forwards_refused")
             forwarding.pass_over(member, REFUSING_SECONDS)
+        except BackendError as error:
+            exchange.close()
+            if not exchange.permitted:
+                error.outcome = Outcome.NOT_RUN
+            raise
         except BaseException:
             exchange.close()
             raise
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -4,6 +4,7 @@
 import secrets
 import signal
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from urllib.parse import unquote_to_bytes
 
@@ -40,7 +41,7 @@
 )
 from bayglade.feeds import Feed, link_feeds
 from bayglade.fleet import Fleet
-from bayglade.forwarded_calls import error_for_sender, read_forwarded_call
+from bayglade.forwarded_calls import error_for_sender, obtain_permit, read_forwarded_call
 from bayglade.forwarding import Forwarding
 from bayglade.freshness import (
     MIN_BOUND_SECONDS,
@@ -50,7 +51,7 @@
     poll_wait,
 )
 from bayglade.http1 import Message
-from bayglade.ids import RequestId
+from bayglade.ids import BackendId, RequestId
 from bayglade.intake import RETRY_ELSEWHERE_SECONDS, Intake
 from bayglade.leases import Lease
 from bayglade.listener import Connection, Handler, listen, serve
@@ -393,19 +394,28 @@
         )
 
     def _serve_caller(self, connection: Connection, message: Message) -> None:
-        self._serve_call(connection, message, self.intake.call)
+        def confirm_send(call: Call, backend: BackendId) -> None:
+            if is_closed(connection.raw_socket):
+                raise CallerDisconnected()
+
+        self._serve_call(connection, message, self.intake.call, confirm_send)
 
     def _serve_forwarded(self, connection: Connection, message: Message) -> None:
         """Serve a call that another daemon forwards, as one of this daemon's own callers'."""
         connection.peer_headers = [(SETTINGS_HEADER, str(self.intake.version))]
-        self._serve_call(connection, message, self._read_forwarded_call)
+        confirm_send = partial(obtain_permit, connection)
+        self._serve_call(connection, message, self._read_forwarded_call, confirm_send)
 
     def _read_forwarded_call(self, message: Message) -> Call:
         secret = None if self.draining else self.peering.secret()
         return read_forwarded_call(message, secret, self.intake, self.reachability.is_isolated)
 
     def _serve_call(
-        self, connection: Connection, message: Message, read_call: Callable[[Message], Call]
+        self,
+        connection: Connection,
+        message: Message,
+        read_call: Callable[[Message], Call],
+        confirm_send: Callable[[Call, BackendId], None],
     ) -> None:
         leaving = self.draining or (self._withdrawn() and not connection.peer_headers)
         connection.close_after_response = connection.close_after_response or leaving
@@ -414,8 +424,7 @@
         try:
             call = read_call(message)
             request = call.head.id
-            # The underlying socket of a green socket is non-blocking.
-            call.caller_left = lambda: is_closed(connection.sock.fd)  # type: ignore[attr-defined]
+            call.confirm_send = partial(confirm_send, call)
             self._check_draining(call)
             self.quarantine.check_arrival(call)
             self.active_requests.add(request)
--- a/bayglade/http1.py
+++ b/bayglade/http1.py
@@ -70,7 +70,8 @@
     @property
     def delimited_by_close(self) -> bool:
         """Whether the body of this response is delimited only by the end of the connection."""
-        return self.length is None and not self.chunked and self.status not in BODILESS_STATUSES
+        bodiless = self.status < 200 or self.status in BODILESS_STATUSES
+        return self.length is None and not self.chunked and not bodiless
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header.
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -157,6 +157,7 @@
         "sent",
         "stop_error",
         "tried",
+        "unknown_servers",
         "unreachable_count",
         "used_servers",
     )
@@ -179,7 +180,10 @@
         self.unreachable_count = 0
         self.tried: set[BackendId] = set()
         self.used_servers: list[Server] = []
-        """Servers that the call was sent to, without duplicates."""
+        """Servers that the call was sent to, here or by other daemons, without duplicates."""
+
+        self.unknown_servers: set[BackendId] = set()
+        """Servers that other daemons sent the call to and that this one does not know."""
 
         self.failure: BackendError | None = None
         self.seconds_until_room: float | None = None
@@ -297,8 +301,21 @@
         """
         at = now()
         alive = frozenset(server.facts.id for server in self.used_servers if server.counts_as_used(at))
+        alive |= self.unknown_servers
         return alive if len(alive) >= self.call.endpoint.max_attempts else None
 
+    def used_ids(self) -> list[BackendId]:
+        """Return the servers that the call may have been sent to, here or by other daemons."""
+        return [*(server.facts.id for server in self.used_servers), *sorted(self.unknown_servers)]
+
+    def note_used_elsewhere(self, context: RelayContext, backend: BackendId) -> None:
+        """Record that another daemon may have sent the call to a server."""
+        server = context.fleet.servers.get(backend)
+        if server is None:
+            self.unknown_servers.add(backend)
+        elif server not in self.used_servers:
+            self.used_servers.append(server)
+
     def not_counted(self) -> dict[BackendId, str]:
         """Return the servers that the call was sent to and that no longer count, each with the reason."""
         at = now()
@@ -360,8 +377,8 @@
     An error that is raised tells whether the call may have reached a server.
     """
     attempts = Attempts(call)
-    servers = context.fleet.servers
-    attempts.used_servers = [servers[backend] for backend in call.earlier_servers if backend in servers]
+    for backend in call.earlier_servers:
+        attempts.note_used_elsewhere(context, backend)
     if not call.forwarded:
         # Otherwise the daemon that received it from the caller counts the request.
         context.note_request(call.service)
@@ -369,6 +386,8 @@
         yield attempts
     except BaygladeError as error:
         error.sent = attempts.sent
+        if attempts.allowed_servers() is not None:
+            context.metrics.count("calls_failed_at_server_bound")
         raise
     finally:
         attempts.release_retry()
@@ -383,15 +402,20 @@
 
     :raises BaygladeError: as :func:`bayglade.forwarding.forward_call` does.
     """
-    servers = [server.facts.id for server in attempts.used_servers]
     attempts.send_count += 1
+
+    def note_permitted(backend: BackendId) -> None:
+        attempts.note_used_elsewhere(context, backend)
+
     try:
-        exchange, message = forward_call(context.forwarding, call, servers, last_event, attempts.sent)
+        exchange, message = forward_call(
+            context.forwarding, call, attempts.used_ids(), last_event, attempts.sent, note_permitted
+        )
     except (Isolated, PeerRefused) as error:
         attempts.sent = error.sent
         raise
-    except BackendError:
-        attempts.sent = True
+    except BackendError as error:
+        attempts.sent = attempts.sent or error.outcome is not Outcome.NOT_RUN
         raise
     attempts.sent = True
     return exchange, message
--- a/bayglade/sending.py
+++ b/bayglade/sending.py
@@ -6,8 +6,10 @@
 
 from bayglade.calls import AnswerHead, Call, Sending
 from bayglade.clock import now
+from bayglade.disconnects import CallerDisconnected
 from bayglade.exceptions import BackendError, BackendRefused, BackendUnwilling
 from bayglade.http1 import Message, encode_head
+from bayglade.ids import BackendId
 from bayglade.logs import event
 from bayglade.pathfinding import Path
 from bayglade.relay import Attempts, RelayContext
@@ -36,8 +38,9 @@
     :param place: what the call has reserved on the server; the path if omitted.
     :return: the exchange; its answer has not been read yet.
     :raises CutOff: if the call may no longer be sent.
-    :raises BackendUnwilling: if the server stopped accepting requests meanwhile, or no retry is left;
-        nothing was sent.
+    :raises CallerDisconnected: if nobody waits for its answer; nothing was sent.
+    :raises BackendUnwilling: if the server stopped accepting requests meanwhile, the deadline has passed
+        or no retry is left; nothing was sent.
     :raises BackendUnreachable: if nothing was sent.
     :raises BackendError: if parts of the request may have arrived.
     """
@@ -47,6 +50,9 @@
     max_idle = MAX_IDLE_AT_MOST_ONCE if call.at_most_once else DEFAULT_IDLE_SECONDS
     exchange = open_exchange(context.pool, facts.id, facts.address, max_idle)
     try:
+        _confirm_send(context, call, facts.id)
+        if call.seconds_left() <= 0:
+            raise BackendUnwilling("the deadline has passed", step="send", peer=facts.id)
         sending = Sending(
             backend=facts.id,
             seconds=call.seconds_left(),
@@ -57,12 +63,13 @@
         if call.body or call.method not in ("GET", "HEAD"):
             headers.append(("Content-Length", str(len(call.body))))
         start = f"{call.method} {call.target.decode('latin-1')} HTTP/1.1"
-        # While the connection was opened, the server may have announced that it accepts no more requests.
+        # Meanwhile the server may have announced that it accepts no more requests.
         check_may_send(context, call, server)
         reserved = place or path or Reservation((server,))
         _confirm_rate_limits(reserved)
         attempts.begin_send(context, server)
-        _count_send(context, call, attempts)
+        if len(attempts.used_ids()) > call.endpoint.max_attempts:
+            context.metrics.count("sends_to_further_servers")
         reserved.mark_sent()
         exchange.send(encode_head(start, headers) + call.body, call.deadline)
         context.quarantine.end_trial(call)
@@ -79,19 +86,23 @@
         after=last_event,
         left=round(call.seconds_left(), 3),
         charge=attempts.charged_to.value if attempts.charged_to is not None else None,
-        servers=len(attempts.used_servers),
+        servers=len(attempts.used_ids()),
+        max_servers=call.endpoint.max_attempts,
         not_counted=attempts.not_counted() or None,
     )
     return exchange
 
 
-def _count_send(context: RelayContext, call: Call, attempts: Attempts) -> None:
-    """Count sends to more servers than the route allows, and sends that nobody waits for."""
-    if len(attempts.used_servers) > call.endpoint.max_attempts:
-        context.metrics.count("sends_to_further_servers")
-    if call.caller_left():
-        context.metrics.count("sends_without_caller")
-        event("WARNING", "sent without caller", request=call.head.id, forwarded=call.forwarded)
+def _confirm_send(context: RelayContext, call: Call, backend: BackendId) -> None:
+    """Check that somebody waits for the answer to a call.
+
+    :raises CallerDisconnected: if nobody does.
+    """
+    try:
+        call.confirm_send(backend)
+    except CallerDisconnected:
+        context.metrics.count("sends_abandoned")
+        raise
 
 
 def check_may_send(context: RelayContext, call: Call, server: Server) -> None:
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -167,6 +167,9 @@
             run.path.release()
             context.wait_queues.note_completion(call.service)
         await_crash_reports(context, call)
+        if call.forwarded and delivery.begun:
+            # No permit can be asked for inside an answer: the daemon that forwarded the call resumes it.
+            break
     raise final_refusal(context, call, attempts, delivery.begun)
 
 
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -210,11 +210,17 @@
         except OSError as error:
             raise self._broken_error(f"sending failed: {error}") from error
 
-    def read_head(self, until: float, is_own: Callable[[Message], bool]) -> Message:
+    def read_head(
+        self,
+        until: float,
+        is_own: Callable[[Message], bool],
+        on_interim: Callable[[Message], None] = lambda message: None,
+    ) -> Message:
         """Wait for the head of the answer.
 
         :param until: when to give up, in monotonic seconds.
         :param is_own: returns whether an answer belongs to this call.
+        :param on_interim: called with each interim response.
         :return: the answer; its body may be incomplete.
         :raises BackendSilent: if it did not arrive in time.
         :raises BackendError: if the connection broke, or its data is not a valid answer.
@@ -225,6 +231,8 @@
             if message is not None and (message.status < 200 or not is_own(message)):
                 # Discard an interim answer, or an answer to an earlier call.
                 stale += message.status >= 200
+                if message.status < 200:
+                    on_interim(message)
                 if stale > MAX_STALE_ANSWERS or message.delimited_by_close:
                     raise self._broken_error("received an answer to another call")
                 self._discard(message, until)
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -283,7 +283,11 @@
     servers = [s for s in context.fleet.healthy(call.service) if s.facts.id not in attempts.tried]
     context.fleet.rate_limits.request_tokens(servers)
     fitting = [server for server in servers if server.available_at(at) <= at]
-    if not fitting or attempts.allowed_servers() is not None:
+    allowed = attempts.allowed_servers()
+    if allowed is not None:
+        # Left are servers to which only other daemons have sent the call.
+        fitting = [server for server in fitting if server.facts.id in allowed]
+    if not fitting:
         return []
     if context.quarantine.is_suspect(call):
         fitting = wait_for_isolated(context, call, fitting) or fitting
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,11 +1,12 @@
 """Checks of the guarantees that daemons give, from the records of callers and servers."""
 
+from collections import defaultdict
 from collections.abc import Iterable, Iterator
 
 from soak.records import PARTITION, Journal, Kind, Record
 from soak.site import RETRY_BOUND, SoakSite
-from standins.users import EVENTS, UsersSite
-from standins.users.configuration import MODEL, PLAIN
+from standins.users import EVENTS, Replica, UsersSite
+from standins.users.configuration import MAX_ATTEMPTS, MODEL, PLAIN
 from standins.users.limits import WINDOW_SECONDS, excesses
 from standins.users.retry_use import worst_retry_use
 
@@ -40,6 +41,7 @@
         *journal.violations,
         *_answers(journal.records),
         *_runs(journal.records, site),
+        *_servers(journal, site),
         *_keys(journal, site),
         *_settings_regressions(journal),
         *_leaving(journal, site),
@@ -92,6 +94,30 @@
             yield f"not run: {record.request} got {record.status} and ran"
 
 
+def _servers(journal: Journal, site: UsersSite) -> Iterator[str]:
+    """Check that no request ran on more servers than its route allows, whichever daemons sent it.
+
+    Servers that ended, or whose link was disturbed, while it ran are not counted.
+    """
+    runs: defaultdict[str, list[tuple[Replica, float]]] = defaultdict(list)
+    for replica in site.every_replica:
+        for request, at in replica.ran_at:
+            runs[request].append((replica, at))
+    for request, found in runs.items():
+        last = max(at for _, at in found)
+        counted = {
+            replica.id
+            for replica, at in found
+            if not any(at < start <= last for start in replica.started)
+            and not any(
+                f.target in (replica.id, replica.listens_at) and f.at <= last and f.until >= at
+                for f in journal.faults
+            )
+        }
+        if len(counted) > MAX_ATTEMPTS:
+            yield f"servers: {request} ran on {sorted(counted)}, {MAX_ATTEMPTS} allowed"
+
+
 def _keys(journal: Journal, site: UsersSite) -> Iterator[str]:
     """Check that no request runs long after its key was revoked.
 
--- a/standins/users/configuration.py
+++ b/standins/users/configuration.py
@@ -10,6 +10,8 @@
 GROUP = "clinic"
 MODEL, PLAIN = "model-service", "plain-service"
 HOST_NAME = "site.example"
+MAX_ATTEMPTS = 2
+"""Servers on which a request may run, by its route."""
 
 
 def configuration(version: int, keys: tuple[str, ...], changes: dict[str, Any]) -> dict[str, Any]:
@@ -24,7 +26,7 @@
         "timeoutMs": 1500,
         "sloMs": 300,
         "priority": 1,
-        "maxAttempts": 2,
+        "maxAttempts": MAX_ATTEMPTS,
         **changes,
     }
     stream = {"resumable": True, "gap_aim_ms": 200, "timeoutMs": 5000, **changes}
--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -114,6 +114,9 @@
         self.said_leaving: list[tuple[str, float]] = []
         """Requests whose answers announced that it leaves, with monotonic times."""
 
+        self.event_seconds = EVENT_SECONDS
+        """Time between the events of its streams."""
+
         self.paused_stage: Replica | None = None
         """A later stage on whose behalf it refuses requests whose path includes that stage."""
 
@@ -360,7 +363,7 @@
                 handler.reset()
                 return
             handler.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
-            time.sleep(EVENT_SECONDS)
+            time.sleep(self.event_seconds)
         handler.wfile.write(b"0\r\n\r\n")
 
     def _unframed_stream(
@@ -375,7 +378,7 @@
                 handler.wfile.write(data[:9])
                 break
             handler.wfile.write(data)
-            time.sleep(EVENT_SECONDS)
+            time.sleep(self.event_seconds)
         handler.close_connection = True
 
     def _set_path(self, request: str, path: str) -> None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -160,9 +160,9 @@
     assert len(peers.offered) == MAX_DAEMONS
 
 
-@pytest.mark.parametrize("at_most_once", [True, False])
-def test_a_call_is_given_up_for_silence_only_if_it_may_be_repeated(
-    monkeypatch: pytest.MonkeyPatch, at_most_once: bool
+@pytest.mark.parametrize(("at_most_once", "permitted"), [(True, True), (True, False), (False, True)])
+def test_a_call_is_given_up_for_silence_only_if_it_has_not_run_or_may_be_repeated(
+    monkeypatch: pytest.MonkeyPatch, at_most_once: bool, permitted: bool
 ) -> None:
     peers = Peers(monkeypatch, d1=None)
     monkeypatch.setattr(peers.forwarding.pool, "probe", lambda backend, address: False)
@@ -172,7 +172,8 @@
         None,  # type: ignore[arg-type]
         make_call(at_most_once),
     )
-    if at_most_once:
+    exchange.permitted = permitted
+    if at_most_once and permitted:
         exchange._check_silence(None)
     else:
         with pytest.raises(BackendSilent):
--- a/tests/test_servers_per_request.py
+++ b/tests/test_servers_per_request.py
@@ -1,11 +1,14 @@
 """A request runs on no more servers than its route allows, whichever daemons send it, and in time."""
 
+import random
+import threading
 import time
 from collections.abc import Iterator
 
 import pytest
 
 from standins.users import Daemon, UsersSite
+from standins.users.configuration import MAX_ATTEMPTS
 from standins.world import wait_for
 from tests.test_partitioned_daemons import Stream, isolate, start_daemons
 
@@ -15,6 +18,8 @@
 CALLS_AT_ONCE = 8
 """Calls of which at least one goes to each of two daemons."""
 
+FREEZES_SECONDS = 8.0
+
 
 @pytest.fixture
 def site() -> Iterator[UsersSite]:
@@ -101,7 +106,7 @@
     call = Stream(sender, "/once/x")
     answer = call.result()
     wake_late(helper)
-    assert answer.status == 504
+    assert answer.status in (503, 504)
     assert site.runs(call.request) == 0
 
 
@@ -113,3 +118,56 @@
     call.leave()
     wake_late(daemon)
     assert site.runs(call.request) == 0
+
+
+class Caller:
+    """Sends a request, and notes when it has its answer."""
+
+    def __init__(self, daemon: Daemon, path: str) -> None:
+        self.call = Stream(daemon, path)
+        self.whole = False
+        self.ended_at = 0.0
+        self.thread = threading.Thread(target=self._read)
+        self.thread.start()
+
+    def _read(self) -> None:
+        try:
+            self.whole = self.call.result().whole
+        except OSError:
+            self.call.leave()
+        self.ended_at = time.monotonic()
+
+
+def lose_in_turn(helpers: list[Daemon], rng: random.Random, until: float) -> None:
+    """Freeze one daemon after the other for a while, until a time."""
+    while time.monotonic() < until:
+        helper = rng.choice(helpers)
+        helper.freeze()
+        time.sleep(rng.uniform(0.3, 2.5))
+        helper.wake()
+        time.sleep(rng.uniform(0.0, 0.3))
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_request_exceeds_its_servers_or_its_time_while_daemons_freeze_in_turn(
+    site: UsersSite, seed: int
+) -> None:
+    sender, *helpers = start_with_one_isolated(site, 4)
+    for server in site.replicas:
+        server.event_seconds = 0.1
+    until = time.monotonic() + FREEZES_SECONDS
+    losses = threading.Thread(target=lose_in_turn, args=(helpers, random.Random(seed), until))
+    losses.start()
+    callers = []
+    while time.monotonic() < until:
+        callers += [Caller(sender, path) for path in ("/stream/x", "/safe/x", "/once/x")]
+        time.sleep(0.15)
+    losses.join()
+    for caller in callers:
+        caller.thread.join()
+    time.sleep(LATE_SECONDS)
+    ended_at = {caller.call.request: caller.ended_at for caller in callers}
+    ran = [run for replica in site.replicas for run in replica.ran_at]
+    assert [request for request in ended_at if len(servers_of(site, request)) > MAX_ATTEMPTS] == []
+    assert [at for request, at in ran if request in ended_at and at > ended_at[request] + 0.5] == []
+    assert sum(caller.whole for caller in callers) >= len(callers) / 2
