Count servers that serve on while they leave towards a call's bound

Cause: a server that leaves, or whose entry is removed, was taken for one that has ended. It ends seconds later, and some servers leave by removing their entry alone. Refused connects of leaving servers are noted now. Those of servers that a daemon reached only for lack of links of its own are forgotten once it knows of that.

--- a/bayglade/fleet.py
+++ b/bayglade/fleet.py
@@ -239,6 +239,8 @@
             if recent and not server.healthy(at):
                 server.failures = 0
                 self.clear_suspicion(server, "this daemon is isolated")
+            if server.facts.id in failed:
+                server.connection_refused = False
 
     def update_pace(self, server: Server, pace: float) -> None:
         """Store the pace that a server reports, if it has changed noticeably."""
@@ -248,13 +250,18 @@
             self.change_count += 1
 
     def mark_leaving(self, server: Server, reason: str) -> None:
-        """Send a server no more requests, because it is leaving or another server has its address."""
+        """Send a server no more requests, because it is leaving."""
         if server.leaving:
             return
         server.leaving = True
         self.change_count += 1
         event("INFO", "server leaving", peer=server.facts.id, reason=reason)
 
+    def mark_replaced(self, server: Server) -> None:
+        """Send a server no more requests, because another one has its address."""
+        self.mark_leaving(server, "another server has its address")
+        server.left = True
+
     def announce_leaving(self, server: Server, source: str) -> None:
         """Mark a server that announced in an answer that it leaves, and have other daemons told.
 
@@ -393,6 +400,8 @@
             self.tombstones.remember(server, now())
             if not server.leaving:
                 self.on_unlisted(server)
+            # Some servers leave by removing only their entry, and continue to serve for a while.
+            server.left = server.leaving
             server.leaving = True
             event("INFO", "server gone", peer=backend)
 
--- a/bayglade/server_termination.py
+++ b/bayglade/server_termination.py
@@ -23,7 +23,7 @@
 
     def refused(backend: BackendId, address: str) -> None:
         server = fleet.servers.get(backend)
-        if server is None or server.facts.address != address or server.leaving:
+        if server is None or server.facts.address != address:
             return
         if fleet.is_isolated(server.facts.service):
             # The links of this daemon are at fault, and what is reported here spreads to all daemons.
@@ -31,7 +31,8 @@
         # A stream that two servers cut within a second can then be resumed at once. Otherwise it would wait
         # until the second server has been silent for long enough to be considered terminated.
         server.connection_refused = True
-        quarantine.server_ended(server.facts.key)
+        if not server.leaving:
+            quarantine.server_ended(server.facts.key)
 
     def unlisted(server: Server) -> None:
         facts = server.facts
--- a/bayglade/servers.py
+++ b/bayglade/servers.py
@@ -150,6 +150,7 @@
         "full_until",
         "in_flight",
         "leaving",
+        "left",
         "pace",
         "rate_limit",
         "refusals",
@@ -216,6 +217,9 @@
         """Set while it names a rate limit."""
 
         self.leaving = facts.leaving
+        self.left = False
+        """Whether it has ended as announced, or another server has its address."""
+
         self.pace = 1.0
         """How many times slower than usual it reported to be."""
 
@@ -269,13 +273,16 @@
         return self.suspect and at - self.suspect_since >= ENDED_AFTER_SECONDS
 
     def counts_as_used(self, at: float) -> bool:
-        """Tell whether it counts towards the number of servers that a call may be sent to."""
+        """Tell whether it counts towards the number of servers that a call may be sent to.
+
+        One that is leaving goes on with its requests for a while, even if it is no longer listed.
+        """
         return self.not_counted(at) is None
 
     def not_counted(self, at: float) -> str | None:
         """Return in one word why it does not count towards the number of servers of a call, or None."""
-        if self.leaving:
-            return "leaving"
+        if self.left:
+            return "left"
         if self.connection_refused:
             return "refused"
         silent = self.suspect and at - self.suspect_since >= COUNTED_SILENT_SECONDS
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -430,7 +430,7 @@
         return frozenset()
     if isinstance(error, BackendRefused):
         if error.misdirected:
-            context.fleet.mark_leaving(head, "another server has its address")
+            context.fleet.mark_replaced(head)
             return frozenset({server.facts.id})
         server.full_until = now() + FULL_STAGE_SECONDS
         if server is not head:
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -314,7 +314,7 @@
     if isinstance(error, BackendRefused):
         server.refusals.add(1.0, now())
         if error.misdirected:
-            context.fleet.mark_leaving(server, "another server has its address")
+            context.fleet.mark_replaced(server)
         return
     if isinstance(error, BackendUnwilling):
         return
