Count a token of a rate limit from its request

Found by reading, when looking for the class of the incident elsewhere: a duration applied when it is read. The second for which a daemon may use a token of a server's limit began when the reply was read. A daemon that was suspended in between could use it after the keeper's bucket had filled up again.

The test, a reply that is read 1.1 s after the request, fails before.

--- a/bayglade/quotas.py
+++ b/bayglade/quotas.py
@@ -202,6 +202,7 @@
         throttle = server.throttle
         if throttle is None:
             return
+        asked_at = now()
         try:
             reply = self._ask_owner(server, self.limits.notice(server), 0)
         finally:
@@ -211,9 +212,10 @@
         if not reply.granted:
             throttle.retry_at = at + reply.wait
             return
-        until = at + GRANT_SECONDS
+        # Counted from the request: the reply may have waited while this daemon was suspended.
+        until = asked_at + GRANT_SECONDS
         throttle.grant(until)
-        eventlet.spawn_after(GRANT_SECONDS, self._expire, server, until)
+        eventlet.spawn_after(max(0.0, until - at), self._expire, server, until)
         self.wake(server.facts.service)
 
     def _ask_owner(self, server: Server, notice: LimitNotice, hops: int) -> QuotaReply:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -403,3 +403,22 @@
         assert owner.quotas.grant(owner.server, served).granted
 
     run_scenario(scenario)
+
+
+def test_a_token_that_arrives_after_a_suspension_is_not_used(monkeypatch: pytest.MonkeyPatch) -> None:
+    at = 100.0
+    monkeypatch.setattr(quotas, "now", lambda: at)
+    monkeypatch.setattr(quotas.eventlet, "spawn_after", lambda *_: None)
+    daemon = Site(1, 1.0).add()
+    daemon.limits.note_answer(daemon.server, 1.0, at, "an answer")
+    throttle = daemon.server.throttle
+    assert throttle is not None
+
+    def reply_late(*_: object) -> QuotaReply:
+        nonlocal at
+        at += GRANT_SECONDS + 0.1
+        return QuotaReply(granted=True)
+
+    monkeypatch.setattr(daemon.quotas, "_ask_owner", reply_late)
+    daemon.quotas._fetch_token(daemon.server)
+    assert not throttle.has_token(at)
