Bound what servers may send without end, in bytes and in time

Cause: each read that brought bytes counted as progress. Time limits were only looked at when nothing was there to read, bytes between the contents of a body were not counted, whole answers and events had no limit, and interim responses no number. The task that read them let no other run.

Reads keep to their time once an earlier one brought nothing of use, and let other tasks run. Only a whole event counts as progress of a stream. The body of a call that may be tried elsewhere may take half of the time left. The own interface bounds the bytes of an answer of a plain service.

--- a/bayglade/config.py
+++ b/bayglade/config.py
@@ -13,8 +13,10 @@
 from bayglade.exceptions import InvalidSettings
 from bayglade.ids import HallName, MemberId
 from bayglade.mechanisms import Mechanism
+from bayglade.sse import DEFAULT_MAX_EVENT_BYTES
 
 MAX_CONFIG_BYTES = 64 * 1024
+DEFAULT_MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
 ConfigT = TypeVar("ConfigT")
 
@@ -111,6 +113,12 @@
     link_mbps: float = 0.0
     """Speed of the host's network link; daemons with fast links read tables for others. 0 if unknown."""
 
+    max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES
+    """Size limit of a backend server's answer, unless it is a stream."""
+
+    max_event_bytes: int = DEFAULT_MAX_EVENT_BYTES
+    """Size limit of an event of a stream."""
+
     log_level: str = "INFO"
     without: frozenset[Mechanism] = frozenset()
     """Mechanisms to switch off, in order to measure their effect."""
--- a/bayglade/exceptions.py
+++ b/bayglade/exceptions.py
@@ -200,6 +200,12 @@
     code = "backend_silent"
 
 
+class AnswerTooLarge(BackendError):
+    """A backend server sent more bytes than one answer, or one event of a stream, may have."""
+
+    code = "answer_too_large"
+
+
 class BackendRefused(BackendError):
     """A backend server refused the request before running any of it.
 
--- a/bayglade/forwarding.py
+++ b/bayglade/forwarding.py
@@ -26,6 +26,7 @@
     encode_permit,
 )
 from bayglade.exceptions import (
+    AnswerTooLarge,
     BackendError,
     BackendSilent,
     BackendUnreachable,
@@ -42,6 +43,7 @@
 from bayglade.upstream import (
     DEFAULT_IDLE_SECONDS,
     MAX_IDLE_AT_MOST_ONCE,
+    MAX_REPORT_BYTES,
     ConnectionPool,
     Exchange,
     open_exchange,
@@ -236,6 +238,22 @@
             except BackendSilent:
                 self._check_silence(last_event_at)
 
+    def read_body(self, max_bytes: int) -> bytes:
+        """Read the whole body of the answer.
+
+        :param max_bytes: size limit of the body.
+        :raises BackendError: if the answer breaks off or exceeds the limit.
+        """
+        pieces, size = [], 0
+        while (piece := self.read_piece()) is not None:
+            pieces.append(piece)
+            size += len(piece)
+            if size > max_bytes:
+                raise AnswerTooLarge(
+                    f"the answer exceeds {max_bytes} bytes", step="forward", peer=self.member
+                )
+        return b"".join(pieces)
+
     def close(self) -> None:
         """Return or close the connection."""
         self.exchange.close(KEEP_SECONDS)
@@ -283,9 +301,7 @@
             raise BackendSilent("the other daemon is gone", step="forward", peer=self.member)
 
     def _refusal(self, message: Message, outcome: Outcome) -> PeerRefused:
-        body = b""
-        while (piece := self.exchange.read_piece(self._next_check_at())) is not None:
-            body += piece
+        body = self.exchange.read_body(self.call.deadline, MAX_REPORT_BYTES)
         try:
             error = msgspec.json.decode(body, type=ErrorAnswer).error
         except msgspec.DecodeError as failure:
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -184,6 +184,8 @@
             reports=ServiceReports(config.member),
             refusals=Refusals(config.member),
         )
+        self.peers.max_answer_bytes = config.max_answer_bytes
+        self.peers.max_event_bytes = config.max_event_bytes
         self.peers.reachability = self.reachability
         self.peers.forwarding = Forwarding(
             config.member,
--- a/bayglade/platform/engines.py
+++ b/bayglade/platform/engines.py
@@ -19,7 +19,7 @@
     decode_strictly,
     incarnation_of,
 )
-from bayglade.upstream import DEFAULT_IDLE_SECONDS, ConnectionPool, open_exchange
+from bayglade.upstream import DEFAULT_IDLE_SECONDS, MAX_REPORT_BYTES, ConnectionPool, open_exchange
 
 REPORT_PATH = "/api/report"
 ORDER_PATH = "/api/order"
@@ -177,7 +177,6 @@
         headers = [("Host", address)]
         if method == "POST":
             headers += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-        pieces = []
         try:
             max_idle = 0.0 if anew else DEFAULT_IDLE_SECONDS
             exchange = open_exchange(self.links, backend, address, max_idle, timeout)
@@ -187,12 +186,11 @@
         try:
             exchange.send(encode_head(f"{method} {path} HTTP/1.1", headers) + body, until)
             answer = exchange.read_head(until, lambda message: True)
-            while (piece := exchange.read_piece(until)) is not None:
-                pieces.append(piece)
+            content = exchange.read_body(until, MAX_REPORT_BYTES)
         except BackendError as error:
             event("INFO", "server did not answer", peer=backend, path=path, error=repr(error))
             return Reply()
         finally:
             exchange.close()
         head = read_answer(answer)
-        return Reply(answer.status, b"".join(pieces), head.leaving, head.rate_limit)
+        return Reply(answer.status, content, head.leaving, head.rate_limit)
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -14,6 +14,7 @@
 from bayglade.admission_levels import admit_everything
 from bayglade.calls import Call, Dialect
 from bayglade.clock import now
+from bayglade.config import DEFAULT_MAX_ANSWER_BYTES
 from bayglade.control import Control
 from bayglade.diagnosis import Diagnosis
 from bayglade.exceptions import (
@@ -47,6 +48,7 @@
 from bayglade.room_forecast import CapacityEstimates, retry_after
 from bayglade.servers import Server
 from bayglade.service_reports import ServiceReports
+from bayglade.sse import DEFAULT_MAX_EVENT_BYTES
 from bayglade.stall_timeouts import StallTimeouts
 from bayglade.upstream import ConnectionPool
 from bayglade.wait_queues import WaitQueues
@@ -120,6 +122,12 @@
         self.note_request: Callable[[str], None] = lambda service: self.retry_ledger(service).note_request()
         """Counts a request of a caller, by which retries are allowed."""
 
+        self.max_answer_bytes = DEFAULT_MAX_ANSWER_BYTES
+        """Size limit of an answer that is read as a whole."""
+
+        self.max_event_bytes = DEFAULT_MAX_EVENT_BYTES
+        """Size limit of an event of a stream."""
+
         self.capacity = CapacityEstimates()
         """What this daemon knows of its running streams and of the completion rates."""
 
--- a/bayglade/services/client.py
+++ b/bayglade/services/client.py
@@ -3,13 +3,14 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-from bayglade.config import parse_address
-from bayglade.exceptions import BackendError, BackendUnreachable
+from bayglade.config import DEFAULT_MAX_ANSWER_BYTES, parse_address
+from bayglade.exceptions import AnswerTooLarge, BackendError, BackendUnreachable
 from bayglade.ids import BackendId
 from bayglade.services.wire import RESPONSE_HEADERS, ServiceAnswer, ServiceCall, filter_headers
 
 CONNECT_TIMEOUT = 0.5
 POOL_SIZE = 32
+READ_BYTES = 64 * 1024
 
 
 class Services:
@@ -55,14 +56,16 @@
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, read=timeout),
                 retries=False,
                 redirect=False,
+                preload_content=False,
                 decode_content=False,
             )
+            body = _read_body(response, backend)
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise BackendUnreachable("cannot connect", step="connect", peer=backend) from error
         except HTTPError as error:
             raise BackendError("incomplete answer", step="call", peer=backend) from error
         headers = filter_headers(dict(response.headers), RESPONSE_HEADERS)
-        return ServiceAnswer(status=response.status, headers=headers, body=response.data)
+        return ServiceAnswer(status=response.status, headers=headers, body=body)
 
     def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
         if address not in self.pools:
@@ -74,6 +77,28 @@
         return urllib3.HTTPConnectionPool(parsed.host, parsed.port, maxsize=POOL_SIZE, retries=False)
 
 
+def _read_body(response: urllib3.BaseHTTPResponse, backend: BackendId) -> bytes:
+    """Read the whole body of an answer; the connection returns to its pool only then.
+
+    :raises AnswerTooLarge: if it exceeds the size limit.
+    :raises HTTPError: if it is incomplete.
+    """
+    pieces, size = [], 0
+    try:
+        while piece := response.read(READ_BYTES):
+            pieces.append(piece)
+            size += len(piece)
+            if size > DEFAULT_MAX_ANSWER_BYTES:
+                raise AnswerTooLarge(
+                    f"the answer exceeds {DEFAULT_MAX_ANSWER_BYTES} bytes", step="call", peer=backend
+                )
+    except BaseException:
+        response.close()
+        raise
+    response.release_conn()
+    return b"".join(pieces)
+
+
 def create_services() -> Services:
     """Create the client; it connects when it is first used."""
     return Services()
--- a/bayglade/sse.py
+++ b/bayglade/sse.py
@@ -2,17 +2,26 @@
 
 import re
 
+from bayglade.exceptions import AnswerTooLarge
+
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"^id: ?(\d+)", re.MULTILINE)
 
 
+DEFAULT_MAX_EVENT_BYTES = 256 * 1024
+
+
 class EventSplitter:
-    """Splits the body of a stream into complete events, buffering an incomplete one."""
+    """Splits the body of a stream into complete events, buffering an incomplete one.
+
+    :param max_event_bytes: size limit of an event.
+    """
 
-    __slots__ = ("buffer",)
+    __slots__ = ("buffer", "max_event_bytes")
 
-    def __init__(self) -> None:
+    def __init__(self, max_event_bytes: int = DEFAULT_MAX_EVENT_BYTES) -> None:
         self.buffer = b""
+        self.max_event_bytes = max_event_bytes
 
     def __repr__(self) -> str:
         return f"<EventSplitter {len(self.buffer)} bytes buffered>"
@@ -22,6 +31,7 @@
 
         :param data: the next bytes as received.
         :return: the events completed by them, each with its terminating blank line.
+        :raises AnswerTooLarge: if an incomplete event exceeds the limit.
         """
         data = self.buffer + data
         events, start = [], 0
@@ -29,6 +39,8 @@
             events.append(data[start : end.end()])
             start = end.end()
         self.buffer = data[start:]
+        if len(self.buffer) > self.max_event_bytes:
+            raise AnswerTooLarge(f"an event exceeds {self.max_event_bytes} bytes", step="stream")
         return events
 
 
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -201,9 +201,9 @@
         return False
     try:
         if message.status != 200:
-            _forward_error(call, forwarded.exchange, message, delivery)
+            _forward_error(call, forwarded.exchange, message, delivery, context.max_answer_bytes)
         else:
-            _forward_peer_events(forwarded, message, delivery)
+            _forward_peer_events(forwarded, message, delivery, context.max_event_bytes)
     except BackendError as error:
         _note_forward_failure(context, call, attempts, delivery, error)
         return False
@@ -225,12 +225,15 @@
         raise final_refusal(context, call, attempts, delivery.begun)
 
 
-def _forward_peer_events(forwarded: ForwardedExchange, message: Message, delivery: Delivery) -> None:
-    splitter = EventSplitter()
+def _forward_peer_events(
+    forwarded: ForwardedExchange, message: Message, delivery: Delivery, max_event_bytes: int
+) -> None:
+    splitter = EventSplitter(max_event_bytes)
     last_event_at = now() if delivery.begun else None
     while (piece := forwarded.read_piece(last_event_at)) is not None:
-        last_event_at = now()
-        delivery.deliver(message, splitter.feed(piece))
+        if events := splitter.feed(piece):
+            last_event_at = now()
+        delivery.deliver(message, events)
     if splitter.buffer:
         raise BackendError("the stream ended inside an event", step="stream", peer=forwarded.member)
     delivery.finish(message)
@@ -309,7 +312,7 @@
     try:
         message, answer = _await_head(context, call, pipeline, run)
         if message.status != 200:
-            _forward_error(call, exchange, message, delivery)
+            _forward_error(call, exchange, message, delivery, context.max_answer_bytes)
         else:
             _forward_events(context, call, pipeline, run, message, delivery)
         keep_seconds = answer.keep_alive_seconds
@@ -363,43 +366,48 @@
     return at >= since + timeout or at >= call.deadline
 
 
-def _forward_error(call: Call, exchange: Exchange, message: Message, delivery: Delivery) -> None:
+def _forward_error(
+    call: Call, exchange: Exchange, message: Message, delivery: Delivery, max_bytes: int
+) -> None:
     """Forward an error answer that the server vouches for, as a complete answer."""
-    pieces = []
-    while (piece := exchange.read_piece(call.deadline)) is not None:
-        pieces.append(piece)
+    content = exchange.read_body(call.deadline, max_bytes)
     if delivery.begun:
         raise BackendError(
             "cannot resume the stream: the server failed", step="stream", peer=exchange.backend
         )
-    delivery.connection.send_response(message.status, end_to_end_headers(message.headers), b"".join(pieces))
+    delivery.connection.send_response(message.status, end_to_end_headers(message.headers), content)
 
 
 def _forward_events(
     context: RelayContext, call: Call, pipeline: Pipeline, run: Run, message: Message, delivery: Delivery
 ) -> None:
-    splitter = EventSplitter()
+    splitter = EventSplitter(context.max_event_bytes)
     since = now()
     while True:
         if delivery.begun:
             timeout = context.stall_timeouts.gap_timeout(call.endpoint.gap_aim)
         else:
             timeout = context.stall_timeouts.first_event_timeout(call.endpoint.aim)
+        events: list[bytes] = []
         try:
             piece = run.exchange.read_piece(_next_poll_at(call, since, timeout))
+            if piece is None:
+                break
+            events = splitter.feed(piece)
         except BackendSilent:
+            pass
+        if not events:
+            # A server may also send bytes without end that complete no event.
             if run.should_leave_dead_stage() or _stalled(call, since, timeout):
                 _leave_if_isolated(context, call)
                 investigate_stall(context, call, pipeline, run, timeout)
                 _leave_if_isolated(context, call)
                 since = now()
             continue
-        if piece is None:
-            break
         since = now()
         context.stall_timeouts.record(now() - run.last_event_at, run.begun)
         run.note_event()
-        delivery.deliver(message, splitter.feed(piece))
+        delivery.deliver(message, events)
         note_sound_run(context, call, run)
         leave_departing_stages(context, call, pipeline, run)
     if splitter.buffer:
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -4,9 +4,17 @@
 from collections import deque
 from collections.abc import Callable
 
+import eventlet
+
 from bayglade.clock import now
 from bayglade.config import parse_address
-from bayglade.exceptions import BackendError, BackendSilent, BackendUnreachable, InvalidMessage
+from bayglade.exceptions import (
+    AnswerTooLarge,
+    BackendError,
+    BackendSilent,
+    BackendUnreachable,
+    InvalidMessage,
+)
 from bayglade.http1 import Message, MessageParser
 from bayglade.ids import BackendId
 from bayglade.logs import event
@@ -25,6 +33,11 @@
 the meantime, it would be unknown whether the call ran."""
 MAX_STALE_ANSWERS = 2
 """Bound on the answers to earlier calls that are discarded before the answer to this one."""
+MAX_INTERIM_ANSWERS = 20
+"""Bound on the interim responses before an answer. A server sends one or two; another daemon one for each
+of its sends."""
+MAX_REPORT_BYTES = 1024 * 1024
+"""Size limit of answers to this daemon's own requests, such as reports."""
 
 
 class PooledConnection:
@@ -180,7 +193,16 @@
 class Exchange:
     """One call on a connection: the request is sent, then the answer is read in pieces."""
 
-    __slots__ = ("answer", "backend", "connection", "dirty", "pool", "sent_at")
+    __slots__ = (
+        "answer",
+        "backend",
+        "connection",
+        "dirty",
+        "interim_answers",
+        "pool",
+        "sent_at",
+        "stale_answers",
+    )
 
     def __init__(self, pool: ConnectionPool, backend: BackendId, connection: PooledConnection) -> None:
         self.pool = pool
@@ -190,6 +212,12 @@
         self.sent_at = 0.0
         """When the request was sent, in monotonic seconds."""
 
+        self.stale_answers = 0
+        """Answers to earlier calls that were discarded."""
+
+        self.interim_answers = 0
+        """Interim responses that were discarded."""
+
         self.dirty = False
         """Whether the connection cannot be reused because data of no or another call was read from it."""
 
@@ -225,24 +253,19 @@
         :raises BackendSilent: if it did not arrive in time.
         :raises BackendError: if the connection broke, or its data is not a valid answer.
         """
-        stale = 0
+        again = False
         while True:
             message = self._current_answer()
-            if message is not None and (message.status < 200 or not is_own(message)):
-                # Discard an interim answer, or an answer to an earlier call.
-                stale += message.status >= 200
-                if message.status < 200:
-                    on_interim(message)
-                if stale > MAX_STALE_ANSWERS or message.delimited_by_close:
-                    raise self._broken_error("received an answer to another call")
-                self._discard(message, until)
-                continue
-            if message is not None:
+            if message is None:
+                if not self.receive(until, again):
+                    raise self._broken_error("the connection closed before an answer")
+                again = True
+            elif message.status >= 200 and is_own(message):
                 self.answer = message
-                self.dirty = stale > 0
+                self.dirty = self.stale_answers > 0
                 return message
-            if not self.receive(until):
-                raise self._broken_error("the connection closed before an answer")
+            else:
+                self._skip(message, until, on_interim)
 
     def read_piece(self, until: float) -> bytes | None:
         """Wait for the next piece of the body.
@@ -254,6 +277,7 @@
         """
         answer = self.answer
         assert answer is not None
+        again = False
         while True:
             if answer.pieces:
                 data = b"".join(answer.pieces)
@@ -261,11 +285,34 @@
                 return data
             if answer.complete:
                 return None
-            if not self.receive(until):
+            if not self.receive(until, again):
                 if not answer.delimited_by_close:
                     raise self._broken_error("the answer was cut")
                 answer.complete = True
                 self.dirty = True
+            again = True
+
+    def read_body(self, until: float, max_bytes: int) -> bytes:
+        """Read the whole body.
+
+        :param until: when to give up, in monotonic seconds.
+        :param max_bytes: size limit of the body.
+        :return: the bytes.
+        :raises BackendSilent: if it is not complete in time.
+        :raises AnswerTooLarge: if it exceeds the limit.
+        :raises BackendError: if the answer was truncated or is invalid.
+        """
+        pieces, size = [], 0
+        while (piece := self.read_piece(until)) is not None:
+            pieces.append(piece)
+            size += len(piece)
+            if size > max_bytes:
+                raise AnswerTooLarge(
+                    f"the answer exceeds {max_bytes} bytes", step="receive", peer=self.backend
+                )
+            if now() >= until:
+                raise self._timeout_error()
+        return b"".join(pieces)
 
     def close(self, keep_seconds: float | None = None) -> None:
         """Return the connection to the pool if the answer was read completely, otherwise close it.
@@ -281,8 +328,17 @@
         else:
             self.connection.sock.close()
 
-    def receive(self, until: float) -> bool:
-        """Read once from the connection; return false if it was closed."""
+    def receive(self, until: float, again: bool = False) -> bool:
+        """Read once from the connection; return false if it was closed.
+
+        :param until: when to give up, in monotonic seconds; what has arrived by then is read all the same.
+        :param again: whether an earlier read brought nothing of use. This one then keeps to the time, and
+            lets other tasks run: a server may send such bytes without end.
+        """
+        if again:
+            if now() >= until:
+                raise self._timeout_error()
+            eventlet.sleep(0)
         try:
             data = receive(self.connection.sock, until)
         except TimeoutError as error:
@@ -304,11 +360,23 @@
         messages = self.connection.reader.messages
         return messages[0] if messages and messages[0].head_complete else None
 
-    def _discard(self, message: Message, until: float) -> None:
+    def _skip(self, message: Message, until: float, on_interim: Callable[[Message], None]) -> None:
+        """Discard an interim response, or an answer to an earlier call."""
+        too_many = self.stale_answers >= MAX_STALE_ANSWERS or self.interim_answers >= MAX_INTERIM_ANSWERS
+        if too_many or message.delimited_by_close:
+            raise self._broken_error("received an answer to another call")
+        again = False
         while not message.complete:
-            if not self.receive(until):
+            message.pieces.clear()
+            if not self.receive(until, again):
                 raise self._broken_error("the connection closed inside an answer to another call")
+            again = True
         self.connection.reader.messages.popleft()
+        if message.status >= 200:
+            self.stale_answers += 1
+            return
+        self.interim_answers += 1
+        on_interim(message)
 
     def _timeout_error(self) -> BackendSilent:
         return BackendSilent("no answer in time", step="receive", peer=self.backend)
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -39,6 +39,8 @@
 
 ANSWER_TIMEOUT_FRACTION = 0.6
 """Fraction of the latency objective after which a repeatable call is tried at another server."""
+BODY_TIMEOUT_FRACTION = 0.5
+"""Fraction of the time left that a body may take, if the call can then be tried elsewhere."""
 RETRY_CHECK_SECONDS = 0.1
 """Interval at which a call that waits for a slow server checks whether it may be tried at another one."""
 MAX_WAIT_SECONDS = 1.5
@@ -127,10 +129,7 @@
     forwarded = None
     try:
         forwarded, message = forward(context, call, attempts, None)
-        pieces = []
-        while (piece := forwarded.read_piece()) is not None:
-            pieces.append(piece)
-        return BufferedAnswer(message, b"".join(pieces))
+        return BufferedAnswer(message, forwarded.read_body(context.max_answer_bytes))
     except BackendError as error:
         event("INFO", "forward failed", request=call.head.id, error=repr(error))
         if not attempts.note_failure(error):
@@ -194,9 +193,7 @@
         exchange = send(context, call, attempts, server, None, None, place)
         try:
             message, head = _await_answer_head(context, call, server, exchange, attempts)
-            pieces = []
-            while (piece := exchange.read_piece(call.deadline)) is not None:
-                pieces.append(piece)
+            content = exchange.read_body(_body_deadline(context, call, attempts), context.max_answer_bytes)
             keep_seconds = head.keep_alive_seconds
         finally:
             exchange.close(keep_seconds)
@@ -206,7 +203,7 @@
     if message.status < 500:
         context.fleet.record_success(server)
         server.note_answer(now() - began, now())
-    return BufferedAnswer(message, b"".join(pieces))
+    return BufferedAnswer(message, content)
 
 
 def _await_answer_head(
@@ -239,6 +236,14 @@
             logged = True
 
 
+def _body_deadline(context: RelayContext, call: Call, attempts: Attempts) -> float:
+    """Return when to give up reading the body of an answer, in monotonic seconds."""
+    may_retry = call.endpoint.repeatable and _has_other_server(context, call, attempts)
+    if not may_retry or not attempts.can_retry(context):
+        return call.deadline
+    return now() + BODY_TIMEOUT_FRACTION * call.seconds_left()
+
+
 def _has_other_server(context: RelayContext, call: Call, attempts: Attempts) -> bool:
     """Return whether a call that was sent may be sent to another server as well."""
     if len(attempts.used_servers) >= call.endpoint.max_attempts:
--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -44,6 +44,21 @@
     """The incarnation of the server that announced it."""
 
 
+ENDLESS = {
+    "endless_status": (b"HTTP/1.1 200 ", b"x"),
+    "endless_header": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"x"),
+    "endless_headers": (b"HTTP/1.1 200 OK\r\n", b"X-More: x\r\n"),
+    "endless_interim": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "endless_body": (None, b"40\r\n" + b"x" * 64 + b"\r\n"),
+    "endless_chunk_size": (None, b"0"),
+    "endless_chunk_extension": (b"40;", b"x"),
+    "endless_trailers": (b"0\r\n", b"X-More: x\r\n"),
+}
+"""Faults of answers that never end: how each begins, and what it repeats. Those inside a body come
+after the head of an answer in chunks."""
+IN_BODY = ("endless_body", "endless_chunk_size", "endless_chunk_extension", "endless_trailers")
+ENDLESS_PIECE_BYTES = 16 * 1024
+ENDLESS_PAUSE_SECONDS = 0.02
 SLOW_SECONDS = 0.4
 """How long a slow plain answer takes, longer than the latency objective of its route."""
 
@@ -54,7 +69,8 @@
     Faults of plain answers: refuse, elsewhere (answers as another instance), error, cut, reset,
     unframed, unframed_reset, stray, extra, garbage, unsealed, mute, slow. Faults of streams: refuse,
     elsewhere, reset, stall (as a stage), partial (resets the connection inside an event), unframed (ends
-    with its connection) and unframed_partial (ends so inside an event).
+    with its connection) and unframed_partial (ends so inside an event). Faults of both: those of ENDLESS,
+    until the caller closes the connection.
     """
 
     def __init__(self, site: "UsersSite", name: str, hall: str, kind: str | None) -> None:
@@ -117,6 +133,15 @@
         self.event_seconds = EVENT_SECONDS
         """Time between the events of its streams."""
 
+        self.endless_slowly = False
+        """Whether answers without end come in small pieces."""
+
+        self.endless_open = 0
+        """Answers without end whose connection is open."""
+
+        self.endless_sent = 0
+        """Bytes of such answers that were sent."""
+
         self.paused_stage: Replica | None = None
         """A later stage on whose behalf it refuses requests whose path includes that stage."""
 
@@ -286,11 +311,33 @@
         if body in self.site.deadly or not self.site.deadly_parts.isdisjoint(parts):
             self.site.deadly_requests[request] = body
             self.site.crash_under(request, body, self, handler.headers.get("Path"))
+        for fault in ENDLESS:
+            if self.faults.take(fault):
+                self._answer_without_end(handler, fault, head)
+                return
         if self.kind:
             self._stream(handler, request, head)
         else:
             self._plain(handler, request, head)
 
+    def _answer_without_end(self, handler: Handler, fault: str, head: dict[str, str]) -> None:
+        begin, repeated = ENDLESS[fault]
+        if fault in IN_BODY:
+            begin = _head(200, {**head, "Transfer-Encoding": "chunked"}) + (begin or b"")
+        size = len(repeated) if self.endless_slowly else ENDLESS_PIECE_BYTES
+        piece = repeated * max(1, size // len(repeated))
+        self.endless_open += 1
+        handler.close_connection = True
+        try:
+            handler.wfile.write(begin or b"")
+            while not self.site.stopped:
+                handler.wfile.write(piece)
+                self.endless_sent += len(piece)
+                if self.endless_slowly:
+                    time.sleep(ENDLESS_PAUSE_SECONDS)
+        finally:
+            self.endless_open -= 1
+
     def _record_limit(self, request: str, limit: str) -> None:
         try:
             rate = float(limit)
