Read bodies in one way, with their limits

Three places joined the pieces of a body and checked its size. The time that a body may take, where the call can be tried elsewhere, asks only for retries that the daemon has itself: borrowing would hold up an answer that is on its way. A body that is complete at the deadline is delivered.

--- a/bayglade/entries/forwards.py
+++ b/bayglade/entries/forwards.py
@@ -27,6 +27,8 @@
 FORWARD_VERSION = 2
 """Version of this exchange. It is sealed with the header, so that a daemon of another version, which would
 send without a permit, refuses the call."""
+PERMIT = struct.Struct("!d")
+"""A permit: the seconds left for the call."""
 SEAL_BYTES = 16
 MAX_HEADER_CHARS = 4096
 
@@ -85,24 +87,20 @@
         raise _rejection("the header of a forwarded call is malformed") from error
 
 
-_PERMIT = struct.Struct("!d")
-PERMIT_BYTES = _PERMIT.size
-
-
 def encode_permit(seconds_left: float) -> bytes:
     """Encode the permit to send a call to the server that was named.
 
     :param seconds_left: seconds until the deadline of the call, as of sending the permit.
     """
-    return _PERMIT.pack(seconds_left)
+    return PERMIT.pack(seconds_left)
 
 
 def decode_permit(data: bytes) -> float:
     """Return the seconds until the deadline of the call, as of sending the permit.
 
-    :param data: ``PERMIT_BYTES`` bytes.
+    :param data: the permit, of ``PERMIT.size`` bytes.
     """
-    seconds: float = _PERMIT.unpack(data)[0]
+    seconds: float = PERMIT.unpack(data)[0]
     return seconds
 
 
--- a/bayglade/forwarded_calls.py
+++ b/bayglade/forwarded_calls.py
@@ -9,7 +9,7 @@
 from bayglade.disconnects import CallerDisconnected, is_closed
 from bayglade.entries.forwards import (
     FORWARD_HEADER,
-    PERMIT_BYTES,
+    PERMIT,
     PERMIT_STATUS,
     SERVER_HEADER,
     decode_forwarded,
@@ -79,7 +79,7 @@
     permit = b""
     try:
         connection.sock.sendall(head)
-        while len(permit) < PERMIT_BYTES:
+        while len(permit) < PERMIT.size:
             data = receive(connection.sock, asked_at + PERMIT_SECONDS)
             if not data:
                 raise CallerDisconnected()
@@ -87,7 +87,7 @@
     except OSError as error:
         raise CallerDisconnected() from error
     # The permit may have waited in the socket while this daemon was suspended.
-    if len(permit) > PERMIT_BYTES or is_closed(connection.raw_socket):
+    if len(permit) > PERMIT.size or is_closed(connection.raw_socket):
         raise CallerDisconnected()
     call.deadline = min(call.deadline, asked_at + decode_permit(permit))
 
--- a/bayglade/forwarding.py
+++ b/bayglade/forwarding.py
@@ -26,7 +26,6 @@
     encode_permit,
 )
 from bayglade.exceptions import (
-    AnswerTooLarge,
     BackendError,
     BackendSilent,
     BackendUnreachable,
@@ -46,6 +45,7 @@
     MAX_REPORT_BYTES,
     ConnectionPool,
     Exchange,
+    join_pieces,
     open_exchange,
 )
 
@@ -244,15 +244,7 @@
         :param max_bytes: size limit of the body.
         :raises BackendError: if the answer breaks off or exceeds the limit.
         """
-        pieces, size = [], 0
-        while (piece := self.read_piece()) is not None:
-            pieces.append(piece)
-            size += len(piece)
-            if size > max_bytes:
-                raise AnswerTooLarge(
-                    f"the answer exceeds {max_bytes} bytes", step="forward", peer=self.member
-                )
-        return b"".join(pieces)
+        return join_pieces(self.read_piece, max_bytes, self.member)
 
     def close(self) -> None:
         """Return or close the connection."""
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 
 import eventlet
 
@@ -411,10 +412,7 @@
     :raises BaygladeError: as :func:`bayglade.forwarding.forward_call` does.
     """
     attempts.send_count += 1
-
-    def note_permitted(backend: BackendId) -> None:
-        attempts.note_used_elsewhere(context, backend)
-
+    note_permitted = partial(attempts.note_used_elsewhere, context)
     try:
         exchange, message = forward_call(
             context.forwarding, call, attempts.used_ids(), last_event, attempts.sent, note_permitted
--- a/bayglade/services/client.py
+++ b/bayglade/services/client.py
@@ -4,9 +4,10 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from bayglade.config import DEFAULT_MAX_ANSWER_BYTES, parse_address
-from bayglade.exceptions import AnswerTooLarge, BackendError, BackendUnreachable
+from bayglade.exceptions import BackendError, BackendUnreachable
 from bayglade.ids import BackendId
 from bayglade.services.wire import RESPONSE_HEADERS, ServiceAnswer, ServiceCall, filter_headers
+from bayglade.upstream import join_pieces
 
 CONNECT_TIMEOUT = 0.5
 POOL_SIZE = 32
@@ -83,20 +84,13 @@
     :raises AnswerTooLarge: if it exceeds the size limit.
     :raises HTTPError: if it is incomplete.
     """
-    pieces, size = [], 0
     try:
-        while piece := response.read(READ_BYTES):
-            pieces.append(piece)
-            size += len(piece)
-            if size > DEFAULT_MAX_ANSWER_BYTES:
-                raise AnswerTooLarge(
-                    f"the answer exceeds {DEFAULT_MAX_ANSWER_BYTES} bytes", step="call", peer=backend
-                )
+        body = join_pieces(lambda: response.read(READ_BYTES) or None, DEFAULT_MAX_ANSWER_BYTES, backend)
     except BaseException:
         response.close()
         raise
     response.release_conn()
-    return b"".join(pieces)
+    return body
 
 
 def create_services() -> Services:
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -302,17 +302,18 @@
         :raises AnswerTooLarge: if it exceeds the limit.
         :raises BackendError: if the answer was truncated or is invalid.
         """
-        pieces, size = [], 0
-        while (piece := self.read_piece(until)) is not None:
-            pieces.append(piece)
-            size += len(piece)
-            if size > max_bytes:
-                raise AnswerTooLarge(
-                    f"the answer exceeds {max_bytes} bytes", step="receive", peer=self.backend
-                )
-            if now() >= until:
+
+        def next_piece() -> bytes | None:
+            piece = self.read_piece(until)
+            if piece is not None and now() >= until and not self.is_complete():
                 raise self._timeout_error()
-        return b"".join(pieces)
+            return piece
+
+        return join_pieces(next_piece, max_bytes, self.backend)
+
+    def is_complete(self) -> bool:
+        """Return whether the whole answer has arrived."""
+        return self.answer is not None and self.answer.complete
 
     def close(self, keep_seconds: float | None = None) -> None:
         """Return the connection to the pool if the answer was read completely, otherwise close it.
@@ -385,6 +386,23 @@
         return BackendError(message, step="receive", peer=self.backend)
 
 
+def join_pieces(next_piece: Callable[[], bytes | None], max_bytes: int, peer: str) -> bytes:
+    """Read the pieces of a body to its end.
+
+    :param next_piece: returns the next piece, or None at the end.
+    :param max_bytes: size limit of the body.
+    :param peer: who sends it.
+    :raises AnswerTooLarge: if it exceeds the limit.
+    """
+    pieces, size = [], 0
+    while (piece := next_piece()) is not None:
+        pieces.append(piece)
+        size += len(piece)
+        if size > max_bytes:
+            raise AnswerTooLarge(f"the answer exceeds {max_bytes} bytes", step="receive", peer=peer)
+    return b"".join(pieces)
+
+
 def open_exchange(
     pool: ConnectionPool,
     backend: BackendId,
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -238,8 +238,9 @@
 
 def _body_deadline(context: RelayContext, call: Call, attempts: Attempts) -> float:
     """Return when to give up reading the body of an answer, in monotonic seconds."""
-    may_retry = call.endpoint.repeatable and _has_other_server(context, call, attempts)
-    if not may_retry or not attempts.can_retry(context):
+    if not call.endpoint.repeatable or not _has_other_server(context, call, attempts):
+        return call.deadline
+    if not context.retry_ledger(call.service).available():
         return call.deadline
     return now() + BODY_TIMEOUT_FRACTION * call.seconds_left()
 
