--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -39,7 +39,6 @@
 
 
 def faulty_server(site: UsersSite, path: str) -> Replica:
-    """Return a server to which calls of a path are sent, one of several."""
     if path == "/safe/x":
         return site.of(PLAIN)[0]
     return next(server for server in site.of(MODEL) if server.held[0] == 0)
@@ -73,8 +72,6 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     class Endless:
-        """Stands for a server, and for the handler that answers its requests."""
-
         def serve(self, handler: Handler, body: bytes) -> None:
             handler.send_response_only(200)
             handler.send_header("Transfer-Encoding", "chunked")
--- a/tests/test_servers_per_request.py
+++ b/tests/test_servers_per_request.py
@@ -28,12 +28,10 @@
 
 
 def servers_of(site: UsersSite, request: str) -> set[str]:
-    """Return the servers that ran a request."""
     return {replica.id for replica in site.every_replica if replica.ran[request]}
 
 
 def daemons_given(sender: Daemon, request: str) -> list[str]:
-    """Return the daemons to which another one forwarded a request, in order."""
     return [line["peer"] for line in sender.lines("forwarded") if line["request"] == request]
 
 
@@ -57,7 +55,6 @@
 
 
 def wake_late(helper: Daemon) -> None:
-    """Wake a daemon, and wait until it has had time to send what it read."""
     helper.wake()
     time.sleep(LATE_SECONDS)
 
@@ -121,8 +118,6 @@
 
 
 class Caller:
-    """Sends a request, and notes when it has its answer."""
-
     def __init__(self, daemon: Daemon, path: str) -> None:
         self.call = Stream(daemon, path)
         self.whole = False
@@ -139,7 +134,6 @@
 
 
 def lose_in_turn(helpers: list[Daemon], rng: random.Random, until: float) -> None:
-    """Freeze one daemon after the other for a while, until a time."""
     while time.monotonic() < until:
         helper = rng.choice(helpers)
         helper.freeze()
