Name and place the parts of the mended relay for a newcomer

No behaviour and no check is changed. What a reader would have stumbled over: whether a connection is closed was asked in the module of the watcher, and needed a second way to the raw socket; it stands beside is_idle now. Names that were pictures (sleeping, waking) are the terms of suspension; the parser counts framing bytes.

--- a/bayglade/disconnects.py
+++ b/bayglade/disconnects.py
@@ -1,14 +1,18 @@
 """Detects callers that disconnect while their request is being served."""
 
-import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
+from typing import TYPE_CHECKING
 
 import eventlet
 import greenlet
 from eventlet.event import Event
 
 from bayglade.metrics import Metrics
+from bayglade.sockets import is_closed
+
+if TYPE_CHECKING:
+    from eventlet.greenio import GreenSocket
 
 CHECK_INTERVAL = 0.2
 """Interval between checks of the callers' connections, in seconds. Servers must be told within half a
@@ -24,14 +28,14 @@
 
     def __init__(self, metrics: Metrics) -> None:
         self.metrics = metrics
-        self.watched: dict[greenlet.greenlet, socket.socket] = {}
+        self.watched: dict[greenlet.greenlet, GreenSocket] = {}
         self.became_nonempty = Event()
 
     def __repr__(self) -> str:
         return f"<DisconnectWatcher {len(self.watched)} watched>"
 
     @contextmanager
-    def watch(self, connection: socket.socket) -> Iterator[None]:
+    def watch(self, connection: "GreenSocket") -> Iterator[None]:
         """Watch the connection of a request while its task works on it.
 
         :param connection: the caller's green socket.
@@ -39,8 +43,7 @@
         task = eventlet.getcurrent()
         if not self.watched and not self.became_nonempty.ready():
             self.became_nonempty.send()
-        # The underlying socket of a green socket is non-blocking.
-        self.watched[task] = connection.fd  # type: ignore[attr-defined]
+        self.watched[task] = connection
         try:
             yield
         finally:
@@ -61,16 +64,3 @@
                 self.watched.pop(task, None)
                 self.metrics.count("callers.left")
                 eventlet.kill(task, CallerDisconnected())
-
-
-def is_closed(sock: socket.socket) -> bool:
-    """Return whether the other side closed or reset a connection and sent nothing before that is unread.
-
-    :param sock: a non-blocking socket.
-    """
-    try:
-        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
--- a/bayglade/forwarded_calls.py
+++ b/bayglade/forwarded_calls.py
@@ -6,7 +6,7 @@
 
 from bayglade.calls import Call
 from bayglade.clock import now
-from bayglade.disconnects import CallerDisconnected, is_closed
+from bayglade.disconnects import CallerDisconnected
 from bayglade.entries.forwards import (
     FORWARD_HEADER,
     PERMIT,
@@ -21,7 +21,7 @@
 from bayglade.intake import Intake
 from bayglade.listener import Connection
 from bayglade.logs import event
-from bayglade.sockets import receive
+from bayglade.sockets import is_closed, receive
 
 PERMIT_SECONDS = 1.0
 """Time limit for a permit; between data halls it takes a few milliseconds."""
@@ -87,7 +87,7 @@
     except OSError as error:
         raise CallerDisconnected() from error
     # The permit may have waited in the socket while this daemon was suspended.
-    if len(permit) > PERMIT.size or is_closed(connection.raw_socket):
+    if len(permit) > PERMIT.size or is_closed(connection.sock):
         raise CallerDisconnected()
     call.deadline = min(call.deadline, asked_at + decode_permit(permit))
 
--- a/bayglade/forwarding.py
+++ b/bayglade/forwarding.py
@@ -41,8 +41,8 @@
 from bayglade.retries import jittered_retry_after
 from bayglade.upstream import (
     DEFAULT_IDLE_SECONDS,
+    MAX_CONTROL_BYTES,
     MAX_IDLE_AT_MOST_ONCE,
-    MAX_REPORT_BYTES,
     ConnectionPool,
     Exchange,
     join_pieces,
@@ -293,7 +293,7 @@
             raise BackendSilent("the other daemon is gone", step="forward", peer=self.member)
 
     def _refusal(self, message: Message, outcome: Outcome) -> PeerRefused:
-        body = self.exchange.read_body(self.call.deadline, MAX_REPORT_BYTES)
+        body = self.exchange.read_body(self.call.deadline, MAX_CONTROL_BYTES)
         try:
             error = msgspec.json.decode(body, type=ErrorAnswer).error
         except msgspec.DecodeError as failure:
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -29,7 +29,7 @@
 from bayglade.clock import SuspensionDetector, now, use_boottime_timers
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
 from bayglade.diagnosis import Diagnosis
-from bayglade.disconnects import CallerDisconnected, DisconnectWatcher, is_closed
+from bayglade.disconnects import CallerDisconnected, DisconnectWatcher
 from bayglade.entries.forwards import SETTINGS_HEADER
 from bayglade.epochs import EpochGuardedTable, StoreHistory
 from bayglade.evidence import Subject
@@ -74,6 +74,7 @@
 from bayglade.servers import Server
 from bayglade.service_reports import ServiceReports, gauge_name
 from bayglade.settings import CallerLimits
+from bayglade.sockets import is_closed
 from bayglade.streams import relay_stream
 from bayglade.upstream import CONNECT_SECONDS, ConnectionPool
 from bayglade.usage import Usage
@@ -397,7 +398,7 @@
 
     def _serve_caller(self, connection: Connection, message: Message) -> None:
         def confirm_send(call: Call, backend: BackendId) -> None:
-            if is_closed(connection.raw_socket):
+            if is_closed(connection.sock):
                 raise CallerDisconnected()
 
         self._serve_call(connection, message, self.intake.call, confirm_send)
--- a/bayglade/http1.py
+++ b/bayglade/http1.py
@@ -102,10 +102,12 @@
     ) -> None:
         self.max_head_bytes = max_head_bytes
         self.max_body_bytes = max_body_bytes
-        self.unproductive_bytes = 0
+        self.framing_bytes = 0
         """Bytes read inside a body since its last content: chunk sizes and extensions, and trailers."""
 
-        self.productive = False
+        self.has_content = False
+        """Whether the bytes read last completed a head or brought content of a body."""
+
         self.messages: deque[Message] = deque()
         self.current: Message | None = None
         self.head_bytes = 0
@@ -129,7 +131,7 @@
         """
         if self.current is None or not self.current.head_complete:
             self.head_bytes += len(data)
-        self.productive = False
+        self.has_content = False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -142,8 +144,8 @@
             raise InvalidMessage(str(error), step="read") from error
         if self.head_bytes > self.max_head_bytes and not (self.current and self.current.head_complete):
             raise HeadTooLarge("the head exceeds the size limit", step="read")
-        self.unproductive_bytes = 0 if self.productive else self.unproductive_bytes + len(data)
-        if self.unproductive_bytes > self.max_head_bytes:
+        self.framing_bytes = 0 if self.has_content else self.framing_bytes + len(data)
+        if self.framing_bytes > self.max_head_bytes:
             raise InvalidMessage("the framing of the body exceeds the size limit", step="read")
 
     def on_message_begin(self) -> None:
@@ -172,7 +174,7 @@
         message = self.current
         assert message is not None
         message.head_complete = True
-        self.productive = True
+        self.has_content = True
         message.keep_alive = self.parser.should_keep_alive()
         self.head_bytes = 0
         if isinstance(self.parser, httptools.HttpResponseParser):
@@ -192,7 +194,7 @@
         """Append a piece of the body (httptools callback)."""
         assert self.current is not None
         self.body_bytes += len(data)
-        self.productive = True
+        self.has_content = True
         if self.max_body_bytes is not None and self.body_bytes > self.max_body_bytes:
             raise RequestTooLarge("the body exceeds the size limit", step="read", peer="caller")
         self.current.pieces.append(data)
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -49,12 +49,6 @@
     def __repr__(self) -> str:
         return f"<Connection closing={self.close_after_response}>"
 
-    @property
-    def raw_socket(self) -> socket.socket:
-        """Return the non-blocking socket that eventlet's green socket wraps."""
-        raw: socket.socket = self.sock.fd  # type: ignore[attr-defined]
-        return raw
-
     def send(self, data: bytes) -> None:
         """Send bytes of the response.
 
--- a/bayglade/platform/engines.py
+++ b/bayglade/platform/engines.py
@@ -19,7 +19,7 @@
     decode_strictly,
     incarnation_of,
 )
-from bayglade.upstream import DEFAULT_IDLE_SECONDS, MAX_REPORT_BYTES, ConnectionPool, open_exchange
+from bayglade.upstream import DEFAULT_IDLE_SECONDS, MAX_CONTROL_BYTES, ConnectionPool, open_exchange
 
 REPORT_PATH = "/api/report"
 ORDER_PATH = "/api/order"
@@ -186,7 +186,7 @@
         try:
             exchange.send(encode_head(f"{method} {path} HTTP/1.1", headers) + body, until)
             answer = exchange.read_head(until, lambda message: True)
-            content = exchange.read_body(until, MAX_REPORT_BYTES)
+            content = exchange.read_body(until, MAX_CONTROL_BYTES)
         except BackendError as error:
             event("INFO", "server did not answer", peer=backend, path=path, error=repr(error))
             return Reply()
--- a/bayglade/sending.py
+++ b/bayglade/sending.py
@@ -51,8 +51,6 @@
     exchange = open_exchange(context.pool, facts.id, facts.address, max_idle)
     try:
         _confirm_send(context, call, facts.id)
-        if call.seconds_left() <= 0:
-            raise BackendUnwilling("the deadline has passed", step="send", peer=facts.id)
         sending = Sending(
             backend=facts.id,
             seconds=call.seconds_left(),
@@ -94,15 +92,18 @@
 
 
 def _confirm_send(context: RelayContext, call: Call, backend: BackendId) -> None:
-    """Check that somebody waits for the answer to a call.
+    """Check that somebody waits for the answer to a call, and has time left.
 
-    :raises CallerDisconnected: if nobody does.
+    :raises CallerDisconnected: if nobody waits.
+    :raises BackendUnwilling: if the deadline has passed.
     """
     try:
         call.confirm_send(backend)
     except CallerDisconnected:
         context.metrics.count("sends_abandoned")
         raise
+    if call.seconds_left() <= 0:
+        raise BackendUnwilling("the deadline has passed", step="send", peer=backend)
 
 
 def check_may_send(context: RelayContext, call: Call, server: Server) -> None:
--- a/bayglade/sockets.py
+++ b/bayglade/sockets.py
@@ -37,6 +37,19 @@
             trampoline(raw, read=True, timeout=left, timeout_exc=TimeoutError)
 
 
+def is_closed(sock: "GreenSocket") -> bool:
+    """Return whether the other side closed or reset a connection and nothing that it sent is unread.
+
+    :param sock: a green socket.
+    """
+    try:
+        return not sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def is_idle(sock: "GreenSocket") -> bool:
     """Return whether nothing arrived on a connection, neither bytes nor its end.
 
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -36,8 +36,8 @@
 MAX_INTERIM_ANSWERS = 20
 """Bound on the interim responses before an answer. A server sends one or two; another daemon one for each
 of its sends."""
-MAX_REPORT_BYTES = 1024 * 1024
-"""Size limit of answers to this daemon's own requests, such as reports."""
+MAX_CONTROL_BYTES = 1024 * 1024
+"""Size limit of a server's report, and of an error of another daemon."""
 
 
 class PooledConnection:
--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -44,19 +44,20 @@
     """The incarnation of the server that announced it."""
 
 
-ENDLESS = {
+ENDLESS_HEADS = {
     "endless_status": (b"HTTP/1.1 200 ", b"x"),
     "endless_header": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"x"),
     "endless_headers": (b"HTTP/1.1 200 OK\r\n", b"X-More: x\r\n"),
     "endless_interim": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
-    "endless_body": (None, b"40\r\n" + b"x" * 64 + b"\r\n"),
-    "endless_chunk_size": (None, b"0"),
+}
+ENDLESS_BODIES = {
+    "endless_body": (b"", b"40\r\n" + b"x" * 64 + b"\r\n"),
+    "endless_chunk_size": (b"", b"0"),
     "endless_chunk_extension": (b"40;", b"x"),
     "endless_trailers": (b"0\r\n", b"X-More: x\r\n"),
 }
-"""Faults of answers that never end: how each begins, and what it repeats. Those inside a body come
-after the head of an answer in chunks."""
-IN_BODY = ("endless_body", "endless_chunk_size", "endless_chunk_extension", "endless_trailers")
+ENDLESS = {**ENDLESS_HEADS, **ENDLESS_BODIES}
+"""Faults of answers that never end: how each begins, and what it repeats. Bodies are sent in chunks."""
 ENDLESS_PIECE_BYTES = 16 * 1024
 ENDLESS_PAUSE_SECONDS = 0.02
 SLOW_SECONDS = 0.4
@@ -322,14 +323,14 @@
 
     def _answer_without_end(self, handler: Handler, fault: str, head: dict[str, str]) -> None:
         begin, repeated = ENDLESS[fault]
-        if fault in IN_BODY:
-            begin = _head(200, {**head, "Transfer-Encoding": "chunked"}) + (begin or b"")
+        if fault in ENDLESS_BODIES:
+            begin = _head(200, {**head, "Transfer-Encoding": "chunked"}) + begin
         size = len(repeated) if self.endless_slowly else ENDLESS_PIECE_BYTES
         piece = repeated * max(1, size // len(repeated))
         self.endless_open += 1
         handler.close_connection = True
         try:
-            handler.wfile.write(begin or b"")
+            handler.wfile.write(begin)
             while not self.site.stopped:
                 handler.wfile.write(piece)
                 self.endless_sent += len(piece)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 import hypothesis
 import pytest
 
+from standins.users import UsersSite
 from standins.world import World
 
 pytest_plugins = ["tests.steps", "tests.steps_settings", "tests.steps_placement"]
@@ -24,3 +25,9 @@
 def world() -> Iterator[World]:
     with World() as made:
         yield made
+
+
+@pytest.fixture
+def partitionable_site() -> Iterator[UsersSite]:
+    with UsersSite(halls=2, stages=4, plain=4, partitionable=True) as made:
+        yield made
