Let the other servers of the stand-in run beside one that answers without end

What callers saw: nothing; test_endless_answers failed now and then beside load: 4 of 12 streams were answered with 502 ("the first stage is dead").

Cause: the servers of the stand-in are threads of one process. One that sends without end, without a pause, keeps the lock of the interpreter. Log of a failing play of [/stream/x-endless_interim-fast]: another server, i-0-2, was silent for 0.3 s; the call left it for the faulty one, had then used both of its two servers, and waited 1.5 s with the servers it avoids, although i-0-2 was trusted again after 0.3 s.

Ruled out: the daemon's own time; it logged each step within milliseconds.

Change: a pause of 1 ms after each piece of 16 kB, so that a fast sender still sends megabytes a second. The bounds that the tests check are unchanged.

That the call keeps avoiding a server that is trusted again is older and left as it is.

--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -59,7 +59,9 @@
 ENDLESS = {**ENDLESS_HEADS, **ENDLESS_BODIES}
 """Faults of answers that never end: how each begins, and what it repeats. Bodies are sent in chunks."""
 ENDLESS_PIECE_BYTES = 16 * 1024
-ENDLESS_PAUSE_SECONDS = 0.02
+ENDLESS_PAUSE_SECONDS = 0.001
+"""Pause after each piece, without which the other servers of this process would hardly run."""
+ENDLESS_SLOW_PAUSE_SECONDS = 0.02
 SLOW_SECONDS = 0.4
 """How long a slow plain answer takes, longer than the latency objective of its route."""
 
@@ -93,6 +95,9 @@
         self.ran: Counter[str] = Counter()
         """Runs by request id."""
 
+        self.events_sent: Counter[str] = Counter()
+        """Events of streams that it sent, by request id."""
+
         self.seen: list[dict[str, str]] = []
         """Headers of requests that ran, in lower case."""
 
@@ -327,6 +332,7 @@
             begin = _head(200, {**head, "Transfer-Encoding": "chunked"}) + begin
         size = len(repeated) if self.endless_slowly else ENDLESS_PIECE_BYTES
         piece = repeated * max(1, size // len(repeated))
+        pause = ENDLESS_SLOW_PAUSE_SECONDS if self.endless_slowly else ENDLESS_PAUSE_SECONDS
         self.endless_open += 1
         handler.close_connection = True
         try:
@@ -334,8 +340,7 @@
             while not self.site.stopped:
                 handler.wfile.write(piece)
                 self.endless_sent += len(piece)
-                if self.endless_slowly:
-                    time.sleep(ENDLESS_PAUSE_SECONDS)
+                time.sleep(pause)
         finally:
             self.endless_open -= 1
 
@@ -411,6 +416,7 @@
                 handler.reset()
                 return
             handler.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
+            self.events_sent[request] += 1
             time.sleep(self.event_seconds)
         handler.wfile.write(b"0\r\n\r\n")
 
