Have the test of held-back rows wait for the daemon's retries

What callers saw: nothing. The case of a stream without an event failed in 5 of 43 cases when five processes played the file at once (all 5 of that case).

Cause: log of a failing play: "retry budget spent", 0.0 of 0.0, 0.5 s after the first stage's run had failed. A daemon that has just started has no part of the bound on retries before it has read the roster; a stream without an event is sent again and needs one, a stream that has begun waits for one.

Change: the test waits for the daemon's part, as UsersSite.wait_placed does.

--- a/tests/test_held_back_rows.py
+++ b/tests/test_held_back_rows.py
@@ -73,6 +73,7 @@
     daemon = site.start()
     wait_for("the written rows name all layers", delayed_rows.shows_all_layers)
     wait_for("streams are served", lambda: succeeds(daemon))
+    wait_for("it has its part of the retries", daemon.has_retry_part)
     wait_for("rows of second holders are delayed", lambda: delayed_rows.delayed)
     known = {request for replica in site.of(MODEL) for request in replica.paths}
     victim = next(r for r in site.of(MODEL) if r.id in delayed_rows.shown and r.held[1] == LAYERS)
