Serve no call by settings older than those shown to a caller

Cause: what forwarded answers told of newer settings was a floor for later forwards alone; the document was fetched 1.5 s later. Class: word that one's knowledge is outdated reaches one of its users.

Evidence: the case's record, and the revision named by the forwarded answers from the first one on. Ruled out: a lost update, an older document applied.

Change: the floor is kept where the settings are, and no call is read below it. The request for a permit names the settings, before the call is sent. The document is fetched at once from the daemon that showed it; calls are held for 0.4 s at most, then forwarded to daemons that have it. After 30 s without one the daemon serves by its own again. Servers' own Bayglade- headers are dropped.

--- a/bayglade/calls.py
+++ b/bayglade/calls.py
@@ -64,6 +64,9 @@
     forwarded: bool = False
     """Whether another daemon forwarded it; it is not forwarded again."""
 
+    must_forward: bool = False
+    """Whether newer settings than those by which it was read are known to be in force."""
+
     earlier_servers: Sequence[BackendId] = ()
     """Servers that it may have been sent to before, by any other daemon."""
 
--- a/bayglade/delivery.py
+++ b/bayglade/delivery.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from bayglade.clock import now
-from bayglade.http1 import Message, end_to_end_headers
+from bayglade.http1 import Message, answer_headers
 from bayglade.listener import Connection
 from bayglade.room_forecast import StreamProgress
 from bayglade.sse import event_id
@@ -41,7 +41,7 @@
         if self.begun:
             return b""
         self.begun = True
-        headers = [*end_to_end_headers(message.headers), ("Transfer-Encoding", "chunked")]
+        headers = [*answer_headers(message.headers), ("Transfer-Encoding", "chunked")]
         return self.connection.response_head(message.status, headers)
 
     def deliver(self, message: Message, events: Iterable[bytes]) -> None:
--- a/bayglade/forwarded_calls.py
+++ b/bayglade/forwarded_calls.py
@@ -12,6 +12,7 @@
     PERMIT,
     PERMIT_STATUS,
     SERVER_HEADER,
+    SETTINGS_HEADER,
     decode_forwarded,
     decode_permit,
 )
@@ -46,6 +47,8 @@
         raise SettingsBehind("the settings here are older than the sender's", step="forward")
     message.headers = [(n, v) for n, v in message.headers if n.lower() != FORWARD_HEADER.lower()]
     call = intake.call(message)
+    if call.must_forward:
+        raise SettingsBehind("newer settings are in force than those known here", step="forward")
     if call.head.id != header.request:
         raise PeerError(
             "the header belongs to another request",
@@ -75,7 +78,8 @@
     :raises CallerDisconnected: if the other daemon does not wait for the answer any more.
     """
     asked_at = now()
-    head = encode_head(f"HTTP/1.1 {PERMIT_STATUS} Processing", [(SERVER_HEADER, backend)])
+    told = [(SERVER_HEADER, backend), (SETTINGS_HEADER, str(call.revision))]
+    head = encode_head(f"HTTP/1.1 {PERMIT_STATUS} Processing", told)
     permit = b""
     try:
         connection.sock.sendall(head)
--- a/bayglade/forwarding.py
+++ b/bayglade/forwarding.py
@@ -83,7 +83,7 @@
     :param is_isolated: tells whether this daemon reaches no server of a service.
     :param addresses: returns the daemons that may accept calls, with the addresses at which they do.
     :param secret: returns the secret that all daemons share; None before this daemon has joined.
-    :param revision: returns the revision of the settings in force.
+    :param revision: returns the oldest settings by which a call may be served.
     :param request_of: returns the request that an answer names, if it names one.
     :param metrics: receives counters.
     :param rng: source of randomness.
@@ -95,7 +95,7 @@
         is_isolated: Callable[[ServiceName], bool],
         addresses: Callable[[], Mapping[MemberId, str]],
         secret: Callable[[], bytes | None],
-        revision: Callable[[], int],
+        revision: Callable[[], Revision],
         request_of: Callable[[Message], str | None],
         metrics: Metrics,
         rng: random.Random,
@@ -121,16 +121,17 @@
         self.isolated_peers: dict[MemberId, Set[ServiceName]] = {}
         """Services from which other daemons say they are isolated."""
 
-        self.newest_revision = 0
-        """Newest settings under which another daemon answered. A later call served under older ones would
-        undo for the caller what an earlier one showed."""
+        self.on_settings: Callable[[Revision, MemberId], None] = lambda revision, member: None
+        """Called with the settings by which another daemon serves a call, before it sends the call."""
 
     def __repr__(self) -> str:
         return f"<Forwarding {self.in_flight.total()} in flight>"
 
     def is_needed(self, call: Call) -> bool:
-        """Return whether a call has to be forwarded because no server is in reach."""
-        return self.enabled and not call.forwarded and self.is_isolated(call.service)
+        """Return whether a call has to be forwarded, for lack of servers or of the settings in force."""
+        if not self.enabled or call.forwarded:
+            return False
+        return call.must_forward or self.is_isolated(call.service)
 
     def is_possible(self, service: ServiceName) -> bool:
         """Return whether some daemon may accept calls to a service."""
@@ -167,10 +168,11 @@
         """Forward no calls to a daemon for a while."""
         self.passed_over_until[member] = now() + seconds
 
-    def note_settings(self, revision: str | None) -> None:
-        """Record the settings under which another daemon served a call."""
+    def note_settings(self, message: Message, member: MemberId) -> None:
+        """Note by which settings another daemon serves a call."""
+        revision = message.header(SETTINGS_HEADER.lower())
         if revision is not None and revision.isdigit():
-            self.newest_revision = max(self.newest_revision, int(revision))
+            self.on_settings(Revision(int(revision)), member)
 
     def prune(self) -> None:
         """Close idle connections that have expired, and forget daemons that are gone."""
@@ -186,7 +188,14 @@
 ) -> Forwarding:
     """Return a forwarding that knows no other daemon."""
     return Forwarding(
-        MemberId(""), is_isolated, dict, lambda: None, lambda: 0, lambda message: None, metrics, rng
+        MemberId(""),
+        is_isolated,
+        dict,
+        lambda: None,
+        lambda: Revision(0),
+        lambda message: None,
+        metrics,
+        rng,
     )
 
 
@@ -224,7 +233,7 @@
                 break
             except BackendSilent:
                 self._check_silence(None)
-        self.forwarding.note_settings(message.header(SETTINGS_HEADER.lower()))
+        self.forwarding.note_settings(message, self.member)
         outcome = message.header(OUTCOME_HEADER.lower())
         if outcome is not None:
             raise self._refusal(message, Outcome(outcome))
@@ -265,6 +274,7 @@
         backend = message.header(SERVER_HEADER.lower())
         if message.status != PERMIT_STATUS or backend is None:
             return
+        self.forwarding.note_settings(message, self.member)
         left = self.call.seconds_left()
         if left <= 0:
             raise BackendSilent("no answer in time", step="forward", peer=self.member)
@@ -407,7 +417,7 @@
         sender=forwarding.member,
         request=call.head.id,
         seconds_left=call.seconds_left(),
-        revision=Revision(max(forwarding.revision(), forwarding.newest_revision)),
+        revision=forwarding.revision(),
         servers=servers,
         last_event=last_event,
         sent_before=sent_before,
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -30,7 +30,7 @@
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
 from bayglade.diagnosis import Diagnosis
 from bayglade.disconnects import CallerDisconnected, DisconnectWatcher
-from bayglade.entries.forwards import SETTINGS_HEADER
+from bayglade.entries.forwards import SETTINGS_HEADER, SETTINGS_REQUEST_HEADER, SETTINGS_TARGET
 from bayglade.epochs import EpochGuardedTable, StoreHistory
 from bayglade.evidence import Subject
 from bayglade.exceptions import (
@@ -60,6 +60,7 @@
 from bayglade.logs import event
 from bayglade.mechanisms import Mechanism
 from bayglade.metrics import create_metrics
+from bayglade.newer_settings import NewerSettings, serve_settings
 from bayglade.paths import PathSelector
 from bayglade.peering import Peering, retry_bound
 from bayglade.quarantine import Quarantine
@@ -193,12 +194,14 @@
             self.reachability.is_isolated,
             lambda: self.peering.forward_addresses(),
             lambda: self.peering.secret(),
-            lambda: self.intake.version,
+            self.intake.oldest_allowed,
             lambda message: dialect.read_answer(message).request,
             self.metrics,
             self.rng,
         )
         self.peers.forwarding.check_authorization = self.intake.check
+        self.newer_settings = NewerSettings(self.intake, self.peers.forwarding, self.rng)
+        self.peers.forwarding.on_settings = self.newer_settings.note
         self.peers.forwarding.enabled = Mechanism.FORWARDING not in config.without
         self.peers.paths.has_idle_connection = self.links.has_idle
         self.peers.admission = AdmissionLevels(
@@ -407,8 +410,17 @@
     def _serve_forwarded(self, connection: Connection, message: Message) -> None:
         """Serve a call that another daemon forwards, as one of this daemon's own callers'."""
         connection.peer_headers = [(SETTINGS_HEADER, str(self.intake.version))]
-        confirm_send = partial(obtain_permit, connection)
-        self._serve_call(connection, message, self._read_forwarded_call, confirm_send)
+        if message.header(SETTINGS_REQUEST_HEADER.lower()) and message.target == SETTINGS_TARGET:
+            serve_settings(connection, message, self.peering.secret(), self.intake)
+            return
+
+        def read_call(message: Message) -> Call:
+            call = self._read_forwarded_call(message)
+            # Newer settings may have come into force while it was held.
+            connection.peer_headers = [(SETTINGS_HEADER, str(call.revision))]
+            return call
+
+        self._serve_call(connection, message, read_call, partial(obtain_permit, connection))
 
     def _read_forwarded_call(self, message: Message) -> Call:
         secret = None if self.draining else self.peering.secret()
--- a/bayglade/http1.py
+++ b/bayglade/http1.py
@@ -14,6 +14,7 @@
 Headers = list[tuple[str, str]]
 """Names and values as received, in order; the case of names is preserved."""
 
+DAEMON_HEADER_PREFIX = "bayglade-"
 PER_CONNECTION_HEADERS = frozenset(
     {
         "connection",
@@ -222,6 +223,16 @@
     return "\r\n".join(lines).encode("latin-1")
 
 
+def answer_headers(headers: Headers) -> Headers:
+    """Return the headers of a server's answer to pass on.
+
+    Those with which daemons tell each other about an answer are removed: a server does not speak for one.
+
+    :param headers: headers as received.
+    """
+    return [h for h in end_to_end_headers(headers) if not h[0].lower().startswith(DAEMON_HEADER_PREFIX)]
+
+
 def end_to_end_headers(headers: Headers) -> Headers:
     """Remove hop-by-hop headers, including those that the Connection header names.
 
--- a/bayglade/intake.py
+++ b/bayglade/intake.py
@@ -71,6 +71,19 @@
         self.expects_settings: Callable[[], bool] = lambda: False
         """Returns whether the first settings are expected within the time for which calls are held."""
 
+        self.required = Revision(0)
+        """Settings by which another daemon serves callers of this one. Serving other calls by older ones
+        would undo for a caller what an earlier call showed."""
+
+        self.behind_since = 0.0
+        """When these settings were first required, in monotonic seconds."""
+
+        self.waived = Revision(0)
+        """Settings that are not required any more, because no daemon provides them."""
+
+        self.reached = Event()
+        """Set once the required settings are in force."""
+
         self.held = 0
         """Calls that are held for settings or their confirmation."""
 
@@ -130,6 +143,38 @@
         self.current = Current(Revision(version), digest_of(document), document, tree)
         if not self.known.ready():
             self.known.send()
+        if not self.is_behind() and not self.reached.ready():
+            self.reached.send()
+
+    def is_behind(self) -> bool:
+        """Return whether newer settings than those known here are known to be in force."""
+        return self.required > self.version
+
+    def oldest_allowed(self) -> Revision:
+        """Return the oldest settings by which calls of this daemon's callers may be served."""
+        return max(Revision(self.version), self.required)
+
+    def require(self, revision: Revision) -> bool:
+        """Serve no call by settings older than these from now on.
+
+        :param revision: settings by which another daemon serves callers of this one.
+        :return: whether they are still to be fetched.
+        """
+        if revision > max(self.oldest_allowed(), self.waived):
+            event("INFO", "newer settings known", revision=revision, in_force=self.version)
+            if not self.is_behind():
+                self.behind_since = now()
+            self.required = revision
+            if self.reached.ready():
+                self.reached = Event()
+        return self.is_behind()
+
+    def waive(self) -> None:
+        """Serve by the settings in force, because no daemon provides the required ones."""
+        event("WARNING", "newer settings not found", revision=self.required, in_force=self.version)
+        self.waived, self.required = self.required, Revision(0)
+        if not self.reached.ready():
+            self.reached.send()
 
     def limits(self) -> CallerLimits:
         """Return the limits for new connections."""
@@ -161,11 +206,13 @@
             raise self._cut_off("no settings are known yet")
         if not self.caught_up and not self._await_confirmation(until):
             raise self._cut_off("other daemons may have newer settings")
+        if self.is_behind():
+            self._await_required(until)
         try:
             endpoint = self.endpoints.find(head.host, message.target.decode("latin-1"))
             group = self._group(head, endpoint)
         except (NotFound, Unauthenticated) as error:
-            if self.age() > STALE_FRACTION * self.key_trust:
+            if self.is_behind() or self.age() > STALE_FRACTION * self.key_trust:
                 raise self._cut_off("the settings known here may be outdated") from error
             raise
         seconds = (
@@ -186,6 +233,7 @@
             headers=message.headers,
             body=message.body(),
             revision=self.version,
+            must_forward=self.is_behind(),
         )
         self.check(call)
         return call
@@ -214,6 +262,10 @@
         self._hold(self.confirmed, min(until, now() + CONFIRMATION_HOLD_SECONDS))
         return self.caught_up
 
+    def _await_required(self, until: float) -> None:
+        """Hold a call while newer settings are fetched, which takes some milliseconds."""
+        self._hold(self.reached, min(until, self.behind_since + HOLD_SECONDS))
+
     def _hold(self, awaited: Event, until: float) -> None:
         """Wait for an event until a time, unless too many calls are held already."""
         if self.held >= MAX_HELD or until <= now():
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -29,7 +29,7 @@
     Unauthenticated,
 )
 from bayglade.forwarding import ForwardedExchange
-from bayglade.http1 import Message, end_to_end_headers
+from bayglade.http1 import Message, answer_headers
 from bayglade.ids import BackendId
 from bayglade.listener import Connection
 from bayglade.logs import event
@@ -433,7 +433,7 @@
         raise BackendError(
             "cannot resume the stream: the server failed", step="stream", peer=exchange.backend
         )
-    delivery.connection.send_response(message.status, end_to_end_headers(message.headers), content)
+    delivery.connection.send_response(message.status, answer_headers(message.headers), content)
 
 
 def _forward_events(
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -21,7 +21,7 @@
     PeerRefused,
     Unauthenticated,
 )
-from bayglade.http1 import Headers, Message, end_to_end_headers
+from bayglade.http1 import Headers, Message, answer_headers
 from bayglade.ids import BackendId
 from bayglade.listener import Connection
 from bayglade.logs import event
@@ -63,7 +63,7 @@
 
     def __init__(self, message: Message, content: bytes) -> None:
         self.status = message.status
-        self.headers: Headers = end_to_end_headers(message.headers)
+        self.headers: Headers = answer_headers(message.headers)
         self.content = content
 
     def __repr__(self) -> str:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,7 @@
     wrongly_refused,
 )
 from soak.faults import (
+    BEHIND_ACTIONS,
     DEFAULT_ACTIONS,
     LIMITED_ACTIONS,
     PARTITIONED_ACTIONS,
@@ -100,6 +101,7 @@
     part: bool = False,
     shared: bool = False,
     emptied: bool = False,
+    behind: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -120,10 +122,11 @@
     :param part: whether the requests that crash servers differ in all but a part of their prompts.
     :param shared: whether the model and the plain service share the streams, which callers take up.
     :param emptied: whether all keys are taken away for a while after the last fault.
+    :param behind: whether to cut daemons off from the store and one service's servers while keys change.
     :return: the violations found, and counts.
     """
     journal = Journal(key_versions={KEY: 0})
-    with SoakSite(daemons, proxied=not pressed, partitionable=partitioned) as site:
+    with SoakSite(daemons, proxied=not pressed, partitionable=partitioned or behind) as site:
         if pressed:
             write_configuration(site)
         if shared:
@@ -145,11 +148,9 @@
         if deadly is not None:
             site.deadly, site.deadly_parts = {CRASHING_BODY}, {CRASHING_PART}
             sender.start()
-        actions = (
-            PARTITIONED_ACTIONS
-            if partitioned
-            else _select_actions(resting, unsteady, limited, restored, pressed)
-        )
+        actions = _select_actions(resting, unsteady, limited, restored, pressed)
+        if partitioned or behind:
+            actions = BEHIND_ACTIONS if behind else PARTITIONED_ACTIONS
         FaultInjector(site, journal, seed, actions).run(seconds)
         if emptied:
             _revoke_all_keys(journal, site)
@@ -295,6 +296,11 @@
     parser.add_argument(
         "--emptied", action="store_true", help="take all keys away for a while after the last fault"
     )
+    parser.add_argument(
+        "--behind",
+        action="store_true",
+        help="cut daemons off from the store and one service's servers while keys change",
+    )
     parser.add_argument(
         "--keep", type=Path, default=FAILURE_FOLDER, help="directory for logs of failed seeds"
     )
@@ -318,6 +324,7 @@
             options.part,
             options.shared,
             options.emptied,
+            options.behind,
         )
         failed += bool(result.broken)
         print(msgspec.json.encode(result).decode(), flush=True)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -57,6 +57,8 @@
 MIN_SERVERS_PRESSED = 1
 """Model servers of each data hall that remain then: two can hold all layers together."""
 PARTITION_SECONDS = (1.0, 9.0)
+BEHIND_SECONDS = (2.0, 4.5)
+"""Shorter than the age up to which keys are trusted: afterwards a daemon serves no keyed requests."""
 GRACE_SECONDS = 8.0
 REVOKE_AFTER = 1.0
 
@@ -192,6 +194,26 @@
         thread.start()
 
 
+def fall_behind(injector: FaultInjector) -> None:
+    """Cut a daemon off from the store and from the servers of one service."""
+    site, rng = injector.site, injector.rng
+    lasts = rng.uniform(*BEHIND_SECONDS)
+    lost = rng.choice((MODEL, PLAIN))
+    daemon = rng.choice(site.fleet)
+    if any(other.partition is not Partition.NONE for other in site.fleet):
+        return
+    reached = [server.address for server in site.replicas if server not in site.of(lost)]
+
+    def work() -> None:
+        time.sleep(lasts)
+        daemon.cut(Partition.NONE)
+        daemon.cut_store(False)
+
+    daemon.cut(Partition.RESET, reached)
+    daemon.cut_store(True)
+    injector.start_fault("behind", daemon.name, lasts, work)
+
+
 def reload(injector: FaultInjector) -> None:
     """Rewrite a daemon's settings file, with or without a reload signal."""
     daemon, told = injector.rng.choice(injector.site.fleet), injector.rng.random() < 0.5
@@ -453,5 +475,8 @@
 )
 """Partitions in series, which overlap with each other, with stops and kills."""
 
+BEHIND_ACTIONS: tuple[FaultAction, ...] = (*[fall_behind] * 3, *[rotate_keys] * 3, kill, reload)
+"""Daemons that reach neither the store nor some servers while keys change."""
+
 UNSTEADY_ACTIONS: tuple[FaultAction, ...] = (fail_store, fail_store, kill, pause, disturb_link)
 """Faults that cut daemons off from the store and from each other; seeds depend on the order."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -55,6 +55,9 @@
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
         self.links: dict[str, Link] = {}
+        """By target, the one opened last."""
+
+        self.by_address: dict[str, Link] = {}
 
     def __repr__(self) -> str:
         return f"<Proxies {len(self.links)} links>"
@@ -67,7 +70,7 @@
         """
         link = Link(target)
         asyncio.run_coroutine_threadsafe(self._open(link), self.loop).result(10)
-        self.links[target] = link
+        self.links[target] = self.by_address[link.address] = link
         return link.address
 
     def reset(self, link: Link) -> None:
--- a/soak/site.py
+++ b/soak/site.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections import deque
+from collections.abc import Sequence
 
 from soak.proxy import Proxies
 from standins.users import KEY, Daemon, Partition, Replica, UsersSite, false_if_unreachable
@@ -29,6 +30,7 @@
         self.starts = 0
         self.lock = threading.Lock()
         self.partition = Partition.NONE
+        self.spared: Sequence[str] = ()
         self.process = self._start_process()
         self.callers = site.front(self.process.callers)
 
@@ -53,10 +55,15 @@
         self.process = self._start_process()
         self.end_reservation()
 
-    def cut(self, partition: Partition) -> None:
-        """Cut or restore its links to the backend servers, over restarts too."""
-        self.partition = partition
-        self.process.partition(partition)
+    def cut(self, partition: Partition, spared: Sequence[str] = ()) -> None:
+        """Cut or restore its links to the backend servers, but for some addresses, over restarts too."""
+        self.partition, self.spared = partition, spared
+        self.process.partition(partition, spared)
+
+    def cut_store(self, cut: bool) -> None:
+        """Hold back what it sends to the store and gets from there, or stop doing so."""
+        link = self.site.proxies.by_address[self.store]
+        link.mute_up = link.mute_down = cut
 
     def exits_within(self, seconds: float) -> bool:
         """Return whether the process exits in time, or logs in time that it stopped and exits later.
@@ -94,7 +101,7 @@
         daemon = Daemon(self.site, self.name, self.hall, settings, f"{self.name}.{self.starts}")
         self.site.daemons.append(daemon)
         if self.partition is not Partition.NONE:
-            daemon.partition(self.partition)
+            daemon.partition(self.partition, self.spared)
         return daemon
 
 
--- a/standins/users/daemon.py
+++ b/standins/users/daemon.py
@@ -5,7 +5,7 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -59,6 +59,7 @@
         self.write()
         self.links = PartitionFile(site.folder / f"{file or name}.links")
         self.partitioned = Partition.NONE
+        self.spared: list[str] = []
         self.suspended = False
         self.partition(Partition.NONE)
         command = ["standins.users.partitions"] if site.partitionable else ["bayglade", "gateway"]
@@ -77,11 +78,16 @@
         """Rewrite the settings file."""
         self.file.write_text(msgspec.json.encode(self.settings).decode(), encoding="utf-8")
 
-    def partition(self, partition: Partition) -> None:
-        """Cut or restore its links to all backend servers; the site must be partitionable."""
-        self.partitioned = partition
+    def partition(self, partition: Partition, spared: Iterable[str] = ()) -> None:
+        """Cut or restore its links to the backend servers; the site must be partitionable.
+
+        :param partition: how the links fail.
+        :param spared: addresses of servers to which they don't.
+        """
+        self.partitioned, self.spared = partition, list(spared)
         others = self.site.daemons
         ports = [port for daemon in others for port in daemon.ports]
+        ports += [int(address.rpartition(":")[2]) for address in self.spared]
         self.links.write(partition, ports, [port for d in others if d.suspended for port in d.ports])
 
     @property
@@ -102,7 +108,7 @@
     def _set_suspended(self, suspended: bool) -> None:
         self.suspended = suspended
         for daemon in self.site.daemons:
-            daemon.partition(daemon.partitioned)
+            daemon.partition(daemon.partitioned, daemon.spared)
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -77,6 +77,7 @@
         head=SimpleNamespace(id=RequestId("r")),
         seconds_left=lambda: 5.0,
         at_most_once=at_most_once,
+        must_forward=False,
         deadline=float("inf"),
     )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -74,6 +74,13 @@
     assert result.statuses.get("401", 0) > 10
 
 
+# Found by a review: the soak cut daemons off from all servers or none, and never from the store as well.
+def test_daemons_that_fall_behind_do_not_go_back_to_older_settings() -> None:
+    result = run(seed=2, seconds=SECONDS, daemons=3, callers=6, behind=True)
+    assert result.broken == []
+    assert result.faults.get("behind", 0) >= 2
+
+
 def test_the_check_of_events_finds_a_stream_that_begins_anew() -> None:
     found = violations(a_record(Kind.STREAM, body=events(EVENTS), after=5), ("q", 100.0))
     assert any(line.startswith("order: q") for line in found)
