Say by which settings the call of a suspension test was read

test_keys_are_too_old_after_a_suspension failed since the key of a call is decided once more if the settings changed after it was read: its scene's call did not say. What the test checks is the same.

--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -56,7 +56,7 @@
     feed = Feed(SimpleNamespace(snapshot=lambda table: Changes({}, 1)), "op", 1.0, lambda *_: None)  # type: ignore[arg-type]
     feed.known_at = now()
     intake = Intake(SimpleNamespace(), feed.age, KEY_TRUST, random.Random(1))  # type: ignore[arg-type]
-    keyed: Any = SimpleNamespace(group="clinic")
+    keyed: Any = SimpleNamespace(group="clinic", revision=0)
     intake.check(keyed)
     suspend(KEY_TRUST)
     assert not intake.keys_trusted()
