Have a test of its own show that the soak's callers take up streams

Cause: whether a stream of the soak breaks hangs on when its faults come, and the daemon resumes most streams itself.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Soak test: short runs that must find no violation, and violations that its checks must find."""
 
+import http.client
 import math
 from types import SimpleNamespace
 
@@ -13,6 +14,7 @@
 from bayglade.platform.store import MEMBERS_TABLE
 from bayglade.roster import MEMBER_PREFIX, SECRET_KEY
 from soak.__main__ import run
+from soak.callers import Callers, _last_event
 from soak.checks import DRAIN_SECONDS, KEY_SECONDS, UNDISTURBED_SECONDS, check, stale_beliefs
 from soak.crashing_requests import (
     contact_predicate,
@@ -29,7 +31,8 @@
 )
 from soak.records import PARTITION, Fault, Journal, Kind, Record
 from soak.site import SoakDaemon
-from standins.users import EVENTS, LAYERS, MODEL, UsersSite
+from standins.users import EVENTS, LAYERS, MODEL, PLAIN, UsersSite
+from standins.users import KEY as SITE_KEY
 from standins.users.replica import LimitAnnounced, LimitChange, RetryAfterSent
 from standins.users.site import ServerCrash
 from standins.world import wait_for
@@ -64,7 +67,29 @@
 def test_streams_shared_by_two_services_are_taken_up_in_order() -> None:
     result = run(seed=1, seconds=SECONDS, daemons=3, callers=6, shared=True)
     assert result.broken == []
-    assert result.resumed > 0
+    assert result.statuses.get("200", 0) > 50
+
+
+def test_callers_take_up_a_stream_that_breaks() -> None:
+    with UsersSite(stages=0, plain=2) as site:
+        site.share_streams({PLAIN: 1.0})
+        # The daemon resumes other streams itself.
+        site.configure(resumable=False)
+        daemon = site.start()
+        for replica in site.replicas:
+            replica.faults.set("reset", 3)
+        journal = Journal()
+        pool = Callers(journal, lambda: ("d0.1", daemon.callers), lambda: [SITE_KEY], list, 1)
+        broken = None
+        while broken is None or broken.error != "cut":
+            connection = http.client.HTTPConnection(daemon.callers, timeout=5.0)
+            broken = pool.send(connection, "d0.1", Kind.STREAM, SITE_KEY)
+        for replica in site.replicas:
+            replica.faults.clear()
+        pool._take_up(SITE_KEY, _last_event(broken))
+        resumed = journal.records[-1]
+        assert resumed.after > 0
+        assert check(Journal(records=[resumed]), site) == []
 
 
 # Found by a review: the soak always left some keys in the configuration.
