Hand the memory and descriptors of the host to a daemon's settings

Callers: nothing yet. Bounds on what all clients of a daemon together make it keep have to follow from the host, which the platform names in the fields limits.memoryMb and limits.maxFds and the daemon did not read.

Ruled out: reading the host's memory alone. The platform bounds a process, and /proc/meminfo shows the machine.

--- a/bayglade/config.py
+++ b/bayglade/config.py
@@ -59,6 +59,12 @@
     poll_interval: float = 1.0
     """Base interval of polling the platform."""
 
+    memory_mb: float = 0.0
+    """Memory of the host that this process may use, in MB; 0 for what the host has."""
+
+    max_descriptors: int = 0
+    """Descriptors that this process may open, with those reserved for files; 0 for the process limit."""
+
     def __repr__(self) -> str:
         return f"<Config {self.member} in {self.hall} at {self.callers}>"
 
@@ -119,6 +125,12 @@
     max_event_bytes: int = DEFAULT_MAX_EVENT_BYTES
     """Size limit of an event of a stream."""
 
+    memory_mb: float = 0.0
+    """Memory of the host that this process may use, in MB; 0 for what the host has."""
+
+    max_descriptors: int = 0
+    """Descriptors that this process may open, with those reserved for files; 0 for the process limit."""
+
     log_level: str = "INFO"
     without: frozenset[Mechanism] = frozenset()
     """Mechanisms to switch off, in order to measure their effect."""
