Bound the bytes of all clients' requests together

Callers saw: many clients that send a large body each, but for its end, took 354 MB at 300 clients and 1 MiB, 655 where the bodies were complete and waited for servers, 375 by requests sent ahead, 178 by heads of tiny fields; the process of a host with less ends, and with it all its callers' requests.

Cause: each connection is limited, their sum is not. Beside it, what was counted was not what it costs: a body was kept in the pieces in which it came, all requests of a read were parsed ahead, a field of 4 bytes takes 200, and the kernel enlarges the receive buffer of a busy connection to megabytes, which count as memory until they are read.

Change: the clients of a listener have an account of the bytes of their requests (bayglade/clients.py), by what they cost. Where they exceed a part of the host's memory, the client that has held most for longest without completing a request is refused with 503, which promises truly that nothing ran. Requests in service may take three quarters, large ones half, so that small ones find room beside them; what is complete and finds none is refused before it is read any further. A body is gathered in one buffer, one request is parsed at a time, the rest of a read stays as bytes, and its time begins with it. The receive buffer of a client's connection is 32 KiB. Readiness and metrics take no bodies.

Why this works: whatever a client sends is added to the account in the same turn as it is read, so that what is kept exceeds it by one read at most.

Ruled out: a bound on connections alone. At 4 MiB a body, 36 MB are nine connections, and small requests would wait for large ones.

--- a/bayglade/exceptions.py
+++ b/bayglade/exceptions.py
@@ -120,6 +120,12 @@
     code, status, default_outcome = "overloaded", 503, Outcome.NOT_RUN
 
 
+class HostFull(BaygladeError):
+    """This daemon keeps as many bytes of requests as the memory of its host allows."""
+
+    code, status, default_outcome = "host_full", 503, Outcome.NOT_RUN
+
+
 class NoRoute(BaygladeError):
     """No set of live backend servers covers every layer of the model."""
 
--- a/bayglade/forwarding.py
+++ b/bayglade/forwarding.py
@@ -72,7 +72,9 @@
 """Daemons that one call is offered to, at most."""
 NO_DAEMON_RETRY_AFTER = 0.5
 """Retry-After in seconds, before jitter, if no daemon can serve the call."""
-OWN_STATE_CODES = frozenset({"isolated", "stopping", "cut_off", "settings_behind", "peer_error"})
+OWN_STATE_CODES = frozenset(
+    {"isolated", "stopping", "cut_off", "settings_behind", "peer_error", "host_full"}
+)
 """Codes of refusals that concern the other daemon alone; another one may accept the call."""
 
 
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -26,6 +26,15 @@
     table_beliefs,
 )
 from bayglade.calls import Call
+from bayglade.clients import (
+    CALLERS_REQUEST_FRACTION,
+    FORWARDED_REQUEST_FRACTION,
+    INTERNAL_BYTES,
+    ClientLimits,
+    Clients,
+    client_limits,
+    host_memory_mb,
+)
 from bayglade.clock import SuspensionDetector, now, use_boottime_timers
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
 from bayglade.diagnosis import Diagnosis
@@ -54,7 +63,7 @@
 from bayglade.ids import BackendId, RequestId
 from bayglade.intake import RETRY_ELSEWHERE_SECONDS, Intake
 from bayglade.leases import Lease
-from bayglade.listener import Connection, Handler, listen, serve
+from bayglade.listener import RECEIVE_BUFFER_BYTES, Connection, Handler, listen, serve
 from bayglade.listing import Listing
 from bayglade.loading import LEASE_MARGIN, LEASE_NAME, LEASE_SECONDS, Loader
 from bayglade.logs import event
@@ -112,8 +121,14 @@
 """How long after a start the first settings are expected. The operator may not have written any, and then a
 refusal at once is better than one after a wait."""
 FINGERPRINT_KEY_BYTES = 32
-INTERNAL_CLIENT_LIMITS = CallerLimits()
+INTERNAL_CLIENT_LIMITS = CallerLimits(body_bytes=0)
 """Limits for clients of the readiness and metrics listeners."""
+INTERNAL_BOUNDS = ClientLimits(INTERNAL_BYTES)
+
+
+def internal_client_limits() -> CallerLimits:
+    """Return the limits for a client of the readiness or metrics listener."""
+    return INTERNAL_CLIENT_LIMITS
 
 
 class Gateway:
@@ -244,6 +259,14 @@
         self.reachability.on_change = self.peering.announce_isolation
         link_feeds(self._feeds())
         self.presence = DisconnectWatcher(self.metrics)
+        self.clients = (
+            Clients("ready", lambda: INTERNAL_BOUNDS, self.metrics),
+            Clients("metrics", lambda: INTERNAL_BOUNDS, self.metrics),
+            Clients("callers", partial(self._client_limits, CALLERS_REQUEST_FRACTION), self.metrics),
+            Clients("forwarded", partial(self._client_limits, FORWARDED_REQUEST_FRACTION), self.metrics),
+        )
+        """The clients of each listener."""
+
         self.was_ready = False
         """Whether the last readiness probe was answered with success."""
 
@@ -275,11 +298,13 @@
                 least=MIN_BOUND_SECONDS,
             )
         self._install_signal_handlers()
-        self._start_listener(self.config.ready, lambda: INTERNAL_CLIENT_LIMITS, self._serve_readiness)
-        self._start_listener(self.config.metrics, lambda: INTERNAL_CLIENT_LIMITS, self._serve_metrics)
-        self._start_listener(self.config.callers, self.intake.limits, self._serve_caller)
+        ready, metrics, callers, forwarded = self.clients
+        self._start_listener(self.config.ready, ready, internal_client_limits, self._serve_readiness)
+        self._start_listener(self.config.metrics, metrics, internal_client_limits, self._serve_metrics)
+        self._start_listener(self.config.callers, callers, self.intake.limits, self._serve_caller)
         if self.peering.forward_address:
-            self._start_listener(self.peering.forward_address, self.intake.limits, self._serve_forwarded)
+            address = self.peering.forward_address
+            self._start_listener(address, forwarded, self.intake.limits, self._serve_forwarded)
         self.document_feed.start()
         self.servers_feed.start()
         for task in (
@@ -364,6 +389,11 @@
             layout=layout_belief(self.metrics, len(self.loader.pending_orders)),
         )
 
+    def _client_limits(self, request_fraction: float) -> ClientLimits:
+        limits = self.intake.limits()
+        memory_mb = host_memory_mb(self.config.memory_mb)
+        return client_limits(request_fraction, memory_mb, limits.head_bytes + limits.body_bytes)
+
     def _server_answers(self, server: Server) -> bool:
         """Return whether a server answers on a new connection."""
         facts = server.facts
@@ -570,6 +600,8 @@
         self.metrics.gauge("requests_stopped", stopped.count(Subject.REQUEST))
         self.metrics.gauge("parts_stopped", stopped.count(Subject.PROMPT_PART))
         self.metrics.gauge("connections_opened", self.links.opened)
+        for clients in self.clients:
+            clients.update_gauges()
         self._update_demand_gauges()
 
     def _update_demand_gauges(self) -> None:
@@ -602,9 +634,12 @@
         self.intake.key_trust = self.config.key_trust_ms / 1000
         event("INFO", "reloaded", cause=cause)
 
-    def _start_listener(self, address: str, limits: Callable[[], CallerLimits], handler: Handler) -> None:
+    def _start_listener(
+        self, address: str, clients: Clients, limits: Callable[[], CallerLimits], handler: Handler
+    ) -> None:
         listen_on = parse_address(address)
-        eventlet.spawn_n(serve, listen(listen_on.host, listen_on.port), limits, handler)
+        listening = listen(listen_on.host, listen_on.port, RECEIVE_BUFFER_BYTES)
+        eventlet.spawn_n(serve, listening, clients, limits, handler)
 
     def _install_signal_handlers(self) -> None:
         def deferred(act: Callable[[], None]) -> Callable[[int, object], None]:
--- a/bayglade/http1.py
+++ b/bayglade/http1.py
@@ -34,13 +34,22 @@
 
 FIELD_OVERHEAD_BYTES = 4
 """Bytes of a header field besides its name and value: the colon, the space and the line end."""
+FIELD_MEMORY_BYTES = 200
+"""Memory of a parsed header field besides its name and value: two strings and a tuple."""
+MESSAGE_MEMORY_BYTES = 1024
+"""Memory of a parsed message besides its fields and its body."""
+END_OF_PART = b"\r\n\r\n"
+"""Ends each head, and each body in chunks."""
 BODILESS_STATUSES = (204, 304)
 
 
 class Message:
-    """An HTTP message: its head, and the pieces of its body as they arrive."""
+    """An HTTP message: its head, and its body as it arrives: of a request in one buffer, of a response in
+    pieces.
+    """
 
     __slots__ = (
+        "buffer",
         "chunked",
         "complete",
         "head_complete",
@@ -59,6 +68,7 @@
         self.status = 0
         self.headers: Headers = []
         self.pieces: deque[bytes] = deque()
+        self.buffer = bytearray()
         self.length: int | None = None
         self.chunked = False
         self.keep_alive = True
@@ -85,9 +95,10 @@
                 return value
         return None
 
-    def body(self) -> bytes:
-        """Return the part of the body received so far."""
-        return b"".join(self.pieces)
+    def take_body(self) -> bytes:
+        """Return the body of a request, and keep it no longer."""
+        body, self.buffer = bytes(self.buffer), bytearray()
+        return body
 
 
 class MessageParser:
@@ -117,13 +128,52 @@
         self.field_bytes = 0
         """Bytes of the fields of the current head; also limits a head that is received in a single read."""
 
+        self.field_count = 0
+        """Fields of the current head."""
+
         self.body_bytes = 0
+        self.fed_last = b""
+        """The last bytes that were parsed, which may be the beginning of ``END_OF_PART``."""
+
+        self.is_request = not responses
         self.parser: httptools.HttpRequestParser | httptools.HttpResponseParser
         self.parser = httptools.HttpResponseParser(self) if responses else httptools.HttpRequestParser(self)
 
     def __repr__(self) -> str:
         return f"<MessageParser {len(self.messages)} messages>"
 
+    def kept_bytes(self) -> int:
+        """Return about how many bytes of memory the message that is being received takes."""
+        if not self.messages:
+            return self.head_bytes
+        fields = self.field_bytes + FIELD_MEMORY_BYTES * self.field_count
+        # The size of a bytearray's memory, which grows ahead of its content.
+        body: int = self.messages[-1].buffer.__alloc__()
+        return MESSAGE_MEMORY_BYTES + self.head_bytes + fields + body
+
+    def discard(self) -> None:
+        """Keep nothing of what was parsed; nothing more can be parsed.
+
+        The parser and its callbacks refer to each other, so they stay until the next garbage collection.
+        """
+        self.messages.clear()
+        self.current = None
+
+    def end_of_part(self, data: bytes, start: int) -> int:
+        """Return the end of a part of some bytes that does not reach into the next message.
+
+        :param data: bytes that continue those parsed so far.
+        :param start: where the part begins.
+        """
+        message = self.current
+        if message is not None and message.head_complete and not message.chunked:
+            return min(len(data), start + (message.length or 0) - self.body_bytes)
+        across = self.fed_last + data[start : start + len(END_OF_PART) - 1]
+        if (at := across.find(END_OF_PART)) >= 0:
+            return start + at + len(END_OF_PART) - len(self.fed_last)
+        at = data.find(END_OF_PART, start)
+        return len(data) if at < 0 else at + len(END_OF_PART)
+
     def feed(self, data: bytes) -> None:
         """Parse bytes.
 
@@ -133,6 +183,7 @@
         if self.current is None or not self.current.head_complete:
             self.head_bytes += len(data)
         self.has_content = False
+        self.fed_last = (self.fed_last + data[1 - len(END_OF_PART) :])[1 - len(END_OF_PART) :]
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -155,6 +206,7 @@
         self.messages.append(self.current)
         self.body_bytes = 0
         self.field_bytes = 0
+        self.field_count = 0
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target, which may be delivered in parts (httptools callback)."""
@@ -168,6 +220,7 @@
         if self.current.head_complete:
             return
         self.current.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        self.field_count += 1
         self._count_field_bytes(len(name) + len(value) + FIELD_OVERHEAD_BYTES)
 
     def on_headers_complete(self) -> None:
@@ -198,7 +251,10 @@
         self.has_content = True
         if self.max_body_bytes is not None and self.body_bytes > self.max_body_bytes:
             raise RequestTooLarge("the body exceeds the size limit", step="read", peer="caller")
-        self.current.pieces.append(data)
+        if self.is_request:
+            self.current.buffer += data
+        else:
+            self.current.pieces.append(data)
 
     def _count_field_bytes(self, size: int) -> None:
         self.field_bytes += size
--- a/bayglade/intake.py
+++ b/bayglade/intake.py
@@ -231,7 +231,7 @@
             method=message.method,
             target=message.target,
             headers=message.headers,
-            body=message.body(),
+            body=message.take_body(),
             revision=self.version,
             must_forward=self.is_behind(),
         )
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -11,36 +11,53 @@
 import eventlet
 import msgspec
 
+from bayglade.clients import Client, Clients, ClientState
 from bayglade.clock import now
-from bayglade.exceptions import BaygladeError, HeadTooLarge, InvalidMessage, SlowHead
+from bayglade.exceptions import BaygladeError, HeadTooLarge, HostFull, InvalidMessage, SlowHead
 from bayglade.http1 import Headers, Message, MessageParser, encode_head
-from bayglade.logs import event
+from bayglade.logs import event, rate_limited
 from bayglade.responses import JSON_TYPE, OUTCOME_HEADER, SENT_HEADER, error_body
 from bayglade.settings import CallerLimits
 from bayglade.sockets import receive
 
 LISTEN_BACKLOG = 1024
+RECEIVE_BUFFER_BYTES = 32 * 1024
+"""Receive buffer of each connection. Bytes that wait there count as memory of the process."""
 SEND_TIMEOUT = 10.0
 """Timeout of sending to a caller that doesn't read."""
 LINGER_SECONDS = 0.5
 """How long to read and discard the rest of a rejected request: closing the connection with unread bytes
 would reset it, and the caller could lose the response."""
+REJECTIONS_LOGGED_PER_SECOND = 10.0
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class Connection:
     """A caller's connection, as passed to the handler."""
 
-    __slots__ = ("close_after_response", "limits", "parser", "peer_headers", "response_started", "sock")
-
-    def __init__(self, sock: socket.socket, limits: CallerLimits) -> None:
+    __slots__ = (
+        "ahead",
+        "client",
+        "close_after_response",
+        "limits",
+        "parser",
+        "peer_headers",
+        "response_started",
+        "sock",
+    )
+
+    def __init__(self, sock: socket.socket, client: Client, limits: CallerLimits) -> None:
         self.peer_headers: Headers = []
         """Added to each response where the other side is a daemon, which is also told the outcome of
         errors."""
 
         self.sock = sock
+        self.client = client
         self.limits = limits
         self.parser = MessageParser(False, limits.head_bytes, limits.body_bytes)
+        self.ahead = b""
+        """Bytes of later requests, which are parsed once it is their turn."""
+
         self.close_after_response = False
         """Whether the connection closes after the next response."""
         self.response_started = False
@@ -99,44 +116,65 @@
 
         :return: the request, or ``None`` if the caller closed the connection or the idle timeout passed.
         :raises InvalidMessage: if the bytes received aren't a valid request.
+        :raises HostFull: if there is no memory for it; nothing was run.
         """
-        deadline = now() + self.limits.idle_seconds
-        while True:
-            message = self.parser.messages[0] if self.parser.messages else None
-            if message is not None and message.complete:
-                return self.parser.messages.popleft()
-            if not self._receive(deadline, message):
+        started = bool(self.ahead)
+        deadline = now() + (self.limits.head_seconds if started else self.limits.idle_seconds)
+        self.client.enter(ClientState.RECEIVING if started else ClientState.IDLE)
+        self._parse(b"")
+        while not self._is_complete():
+            data = self._receive(deadline, started)
+            if not data:
                 return None
-            if message is None and self._request_started():
+            if not started:
                 # The timeout of a request starts with its first byte.
-                deadline = now() + self.limits.head_seconds
+                started, deadline = True, now() + self.limits.head_seconds
+                self.client.enter(ClientState.RECEIVING)
+            self._parse(data)
             self._send_continue()
+        self.client.begin_service()
+        return self.parser.messages.popleft()
+
+    def discard_request(self) -> None:
+        """Keep nothing that was received; no further request can be read."""
+        self.parser.discard()
+        self.ahead = b""
+        self.client.let_go()
 
-    def _request_started(self) -> bool:
-        return bool(self.parser.messages) or self.parser.head_bytes > 0
+    def _is_complete(self) -> bool:
+        return bool(self.parser.messages) and self.parser.messages[0].complete
 
-    def _receive(self, deadline: float, message: Message | None) -> bool:
+    def _receive(self, deadline: float, started: bool) -> bytes:
         try:
-            data = receive(self.sock, deadline)
+            return receive(self.sock, deadline)
         except TimeoutError:
-            if not self._request_started():
-                return False
+            if not started:
+                return b""
             raise SlowHead("the request was not received in time", step="read", peer="caller") from None
-        if not data:
-            return False
-        self.parser.feed(data)
-        return True
+
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes up to the end of a request, and keep the rest."""
+        data, start = self.ahead + data, 0
+        self.ahead = b""
+        while start < len(data) and not self._is_complete():
+            end = self.parser.end_of_part(data, start)
+            self.parser.feed(data[start:end])
+            start = end
+        self.ahead = data[start:]
+        self.client.hold_request(self.parser.kept_bytes() + len(self.ahead))
 
     def _send_continue(self) -> None:
         """Send ``100 Continue`` if the caller waits for it before sending the body (RFC 9110, 10.1.1)."""
         message = self.parser.messages[0] if self.parser.messages else None
-        if message is None or message.complete or not message.head_complete or message.pieces:
+        if message is None or message.complete or not message.head_complete or message.buffer:
             return
         if message.header("expect") is not None:
             message.headers = [(n, v) for n, v in message.headers if n.lower() != "expect"]
             self.sock.sendall(CONTINUE)
 
 
+log_rejected = rate_limited(REJECTIONS_LOGGED_PER_SECOND)
+
 Handler = Callable[[Connection, Message], None]
 
 
@@ -148,31 +186,39 @@
         return "Unknown"
 
 
-def listen(host: str, port: int) -> socket.socket:
+def listen(host: str, port: int, receive_buffer: int | None = None) -> socket.socket:
     """Open a listening socket.
 
     :param host: an IP address.
     :param port: the port.
+    :param receive_buffer: bytes of each connection that the kernel keeps until they are read; the kernel
+        decides if omitted, and enlarges the buffers of busy connections.
     :return: the socket.
     :raises OSError: if the address can't be bound.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if receive_buffer is not None:
+        # Accepted connections inherit it.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
     sock.bind((host, port))
     sock.listen(LISTEN_BACKLOG)
     return sock
 
 
-def serve(listening: socket.socket, limits: Callable[[], CallerLimits], handler: Handler) -> None:
+def serve(
+    listening: socket.socket, clients: Clients, limits: Callable[[], CallerLimits], handler: Handler
+) -> None:
     """Accept connections until the socket is closed, serving each in a green thread.
 
     :param listening: the listening socket.
+    :param clients: the clients of this listener.
     :param limits: returns the limits for new connections.
     :param handler: serves a request.
     """
     while True:
         try:
-            sock, _ = listening.accept()
+            sock, address = listening.accept()
         except OSError as error:
             if listening.fileno() < 0:
                 return
@@ -180,11 +226,14 @@
             event("ERROR", "cannot accept a connection", error=repr(error))
             eventlet.sleep(0.05)
             continue
-        eventlet.spawn_n(_serve_connection, sock, limits(), handler)
+        eventlet.spawn_n(_serve_connection, sock, address[0], clients, limits(), handler)
 
 
-def _serve_connection(sock: socket.socket, limits: CallerLimits, handler: Handler) -> None:
-    connection = Connection(sock, limits)
+def _serve_connection(
+    sock: socket.socket, address: str, clients: Clients, limits: CallerLimits, handler: Handler
+) -> None:
+    client = clients.add(address)
+    connection = Connection(sock, client, limits)
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         while _serve_request(connection, handler):
@@ -192,28 +241,37 @@
     except OSError as error:
         event("DEBUG", "connection to caller failed", error=repr(error))
     finally:
+        connection.discard_request()
+        clients.discard(client)
         sock.close()
 
 
 def _serve_request(connection: Connection, handler: Handler) -> bool:
     """Serve a request; return whether another one may follow on the connection."""
+    rejection: BaygladeError | None = None
+    message = None
     try:
         message = connection.next_request()
-    except InvalidMessage as error:
-        _reject_malformed(connection, error)
-        return False
+    except (InvalidMessage, HostFull) as error:
+        # Its traceback refers to what was received.
+        rejection = error.with_traceback(None)
+    if rejection is not None:
+        _reject(connection, rejection)
     if message is None:
         return False
     connection.response_started = False
     connection.close_after_response = connection.close_after_response or not message.keep_alive
     connection.sock.settimeout(SEND_TIMEOUT)
     handler(connection, message)
+    connection.client.let_go()
     return not connection.close_after_response
 
 
-def _reject_malformed(connection: Connection, error: InvalidMessage) -> None:
-    """Reject a malformed request and close the connection, as the end of the request is unknown."""
-    event("INFO", "bad request", error=repr(error), large=isinstance(error, HeadTooLarge))
+def _reject(connection: Connection, error: BaygladeError) -> None:
+    """Reject a request that was not read completely, and close the connection."""
+    log_rejected("INFO", "bad request", error=repr(error), large=isinstance(error, HeadTooLarge))
+    connection.client.enter(ClientState.CLOSING)
+    connection.discard_request()
     connection.close_after_response = True
     connection.sock.settimeout(LINGER_SECONDS)
     connection.send_error(error)
--- a/benches/permits.py
+++ b/benches/permits.py
@@ -17,6 +17,7 @@
 from loguru import logger
 
 from bayglade import upstream
+from bayglade.clients import INTERNAL_BYTES, ClientLimits, Clients
 from bayglade.entries.forwards import (
     PERMIT,
     PERMIT_STATUS,
@@ -57,7 +58,8 @@
 
 def ask(far: Any, call: Any, permits: int) -> None:
     """Ask for permits, then close the connection."""
-    connection = Connection(far, CallerLimits())
+    clients = Clients("bench", lambda: ClientLimits(INTERNAL_BYTES), Metrics(None))
+    connection = Connection(far, clients.add(""), CallerLimits())
     for _ in range(permits):
         obtain_permit(connection, call, SERVER)
     far.close()
--- a/tests/crowds/bounds.py
+++ b/tests/crowds/bounds.py
@@ -77,4 +77,4 @@
         watch.stopping.set()
         watch.thread.join()
     assert watch.process.is_running() and watch.process.status() != psutil.STATUS_ZOMBIE
-    assert watch.peak_mb <= MACHINE_MB, watch.peak_mb
+    assert watch.peak_mb <= MACHINE_MB, (watch.peak_mb, watch.peak_unread_mb)
--- a/tests/test_newer_settings.py
+++ b/tests/test_newer_settings.py
@@ -15,6 +15,7 @@
 from hypothesis import strategies as st
 
 from bayglade import newer_settings, upstream
+from bayglade.clients import INTERNAL_BYTES, ClientLimits, Clients
 from bayglade.entries.forwards import (
     PERMIT,
     PERMIT_STATUS,
@@ -63,7 +64,8 @@
             eventlet.sleep(seconds)
             serve_settings(connection, message, secret, self.settings.intake)
 
-        self.task = eventlet.spawn(serve, self.listening, CallerLimits, handle)
+        clients = Clients("forwarded", lambda: ClientLimits(INTERNAL_BYTES), Metrics(None))
+        self.task = eventlet.spawn(serve, self.listening, clients, CallerLimits, handle)
 
 
 class Daemon:
