Read large requests in turns, so that no client keeps the others waiting

Callers saw: beside 300 clients that send bodies in chunks of 2 bytes, no ordinary request was answered.

Cause: a read returns at once while bytes are there, so a connection on which they arrive as fast as they are read never lets others run, and a read of 64 KiB in chunks of 2 bytes costs 9,000 calls of the parser. The deadline of a request was looked at only when nothing was there to read; so was the time for which the rest of a rejected request is discarded.

Change: from its fifth read on, a request takes turns with all others of the process: one read, of 8 KiB at most for a body in chunks, then everything else that is ready. Whoever waits for bytes is told when the deadline has passed, though bytes are there.

Why this works: beside any number of such clients, one turn lies between two wake-ups of any other task.

Ruled out: memory as the cause of the missing answers; it was within the bound. Not shown before: bytes behind a rejected request kept nobody waiting here, as the crowd sends slower than the daemon discards; it was found by reading.

--- a/bayglade/clients.py
+++ b/bayglade/clients.py
@@ -19,6 +19,7 @@
 from bayglade.exceptions import HostFull
 from bayglade.logs import rate_limited
 from bayglade.metrics import Metrics
+from bayglade.sockets import ReadTurns
 
 MB = 1024 * 1024
 CALLERS_REQUEST_FRACTION = 0.12
@@ -119,6 +120,7 @@
 
     :param name: the name of the listener, for logs and gauges.
     :param limits: returns the bounds in force.
+    :param turns: the turns of all connections of this process that have much to read.
     :param metrics: receives gauges and counters.
     :param retry_after: returns the Retry-After of a refusal, in seconds.
     """
@@ -127,11 +129,13 @@
         self,
         name: str,
         limits: Callable[[], ClientLimits],
+        turns: ReadTurns,
         metrics: Metrics,
         retry_after: Callable[[], float] = lambda: RETRY_AFTER_SECONDS,
     ) -> None:
         self.name = name
         self.limits = limits
+        self.turns = turns
         self.metrics = metrics
         self.retry_after = retry_after
         self.members: set[Client] = set()
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -84,7 +84,7 @@
 from bayglade.servers import Server
 from bayglade.service_reports import ServiceReports, gauge_name
 from bayglade.settings import CallerLimits
-from bayglade.sockets import is_closed
+from bayglade.sockets import ReadTurns, is_closed
 from bayglade.streams import relay_stream
 from bayglade.upstream import CONNECT_SECONDS, ConnectionPool
 from bayglade.usage import Usage
@@ -259,11 +259,14 @@
         self.reachability.on_change = self.peering.announce_isolation
         link_feeds(self._feeds())
         self.presence = DisconnectWatcher(self.metrics)
+        turns = ReadTurns()
+        callers_limits = partial(self._client_limits, CALLERS_REQUEST_FRACTION)
+        forwarded_limits = partial(self._client_limits, FORWARDED_REQUEST_FRACTION)
         self.clients = (
-            Clients("ready", lambda: INTERNAL_BOUNDS, self.metrics),
-            Clients("metrics", lambda: INTERNAL_BOUNDS, self.metrics),
-            Clients("callers", partial(self._client_limits, CALLERS_REQUEST_FRACTION), self.metrics),
-            Clients("forwarded", partial(self._client_limits, FORWARDED_REQUEST_FRACTION), self.metrics),
+            Clients("ready", lambda: INTERNAL_BOUNDS, turns, self.metrics),
+            Clients("metrics", lambda: INTERNAL_BOUNDS, turns, self.metrics),
+            Clients("callers", callers_limits, turns, self.metrics),
+            Clients("forwarded", forwarded_limits, turns, self.metrics),
         )
         """The clients of each listener."""
 
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -6,6 +6,7 @@
 
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from http import HTTPStatus
 
 import eventlet
@@ -18,13 +19,19 @@
 from bayglade.logs import event, rate_limited
 from bayglade.responses import JSON_TYPE, OUTCOME_HEADER, SENT_HEADER, error_body
 from bayglade.settings import CallerLimits
-from bayglade.sockets import receive
+from bayglade.sockets import READ_BYTES, ReadTurns, receive, wait_readable
 
 LISTEN_BACKLOG = 1024
 RECEIVE_BUFFER_BYTES = 32 * 1024
 """Receive buffer of each connection. Bytes that wait there count as memory of the process."""
 SEND_TIMEOUT = 10.0
 """Timeout of sending to a caller that doesn't read."""
+FREE_READS = 4
+"""Reads of one request before it takes turns with others; most requests need one or two."""
+FREE_READ_BYTES = 16 * 1024
+CHUNKED_READ_BYTES = 8 * 1024
+"""Bytes read in one turn from a body in chunks: each chunk costs a call of the parser, and one byte of
+content is enough for a chunk."""
 LINGER_SECONDS = 0.5
 """How long to read and discard the rest of a rejected request: closing the connection with unread bytes
 would reset it, and the caller could lose the response."""
@@ -44,9 +51,10 @@
         "peer_headers",
         "response_started",
         "sock",
+        "turns",
     )
 
-    def __init__(self, sock: socket.socket, client: Client, limits: CallerLimits) -> None:
+    def __init__(self, sock: socket.socket, client: Client, limits: CallerLimits, turns: ReadTurns) -> None:
         self.peer_headers: Headers = []
         """Added to each response where the other side is a daemon, which is also told the outcome of
         errors."""
@@ -54,6 +62,7 @@
         self.sock = sock
         self.client = client
         self.limits = limits
+        self.turns = turns
         self.parser = MessageParser(False, limits.head_bytes, limits.body_bytes)
         self.ahead = b""
         """Bytes of later requests, which are parsed once it is their turn."""
@@ -122,15 +131,16 @@
         deadline = now() + (self.limits.head_seconds if started else self.limits.idle_seconds)
         self.client.enter(ClientState.RECEIVING if started else ClientState.IDLE)
         self._parse(b"")
+        reads = 0
         while not self._is_complete():
-            data = self._receive(deadline, started)
-            if not data:
+            more = self._read_in_turn(deadline) if reads >= FREE_READS else self._read(deadline, started)
+            if not more:
                 return None
+            reads += 1
             if not started:
                 # The timeout of a request starts with its first byte.
                 started, deadline = True, now() + self.limits.head_seconds
                 self.client.enter(ClientState.RECEIVING)
-            self._parse(data)
             self._send_continue()
         self.client.begin_service()
         return self.parser.messages.popleft()
@@ -144,13 +154,33 @@
     def _is_complete(self) -> bool:
         return bool(self.parser.messages) and self.parser.messages[0].complete
 
-    def _receive(self, deadline: float, started: bool) -> bytes:
+    def _read(self, deadline: float, started: bool) -> bool:
+        """Read and parse once; return whether the connection goes on."""
         try:
-            return receive(self.sock, deadline)
+            data = receive(self.sock, deadline, FREE_READ_BYTES)
         except TimeoutError:
             if not started:
-                return b""
-            raise SlowHead("the request was not received in time", step="read", peer="caller") from None
+                return False
+            raise _slow_head() from None
+        self._parse(data)
+        return bool(data)
+
+    def _read_in_turn(self, deadline: float) -> bool:
+        """Read and parse once, after other tasks; return whether the connection goes on."""
+        messages = self.parser.messages
+        size = CHUNKED_READ_BYTES if messages and messages[0].chunked else READ_BYTES
+        try:
+            wait_readable(self.sock, deadline)
+        except TimeoutError:
+            raise _slow_head() from None
+        with self.turns.turn():
+            try:
+                data = receive(self.sock, now(), size)
+            except TimeoutError:
+                # Not readable after all.
+                return True
+            self._parse(data)
+        return bool(data)
 
     def _parse(self, data: bytes) -> None:
         """Parse received bytes up to the end of a request, and keep the rest."""
@@ -175,6 +205,11 @@
 
 log_rejected = rate_limited(REJECTIONS_LOGGED_PER_SECOND)
 
+
+def _slow_head() -> SlowHead:
+    return SlowHead("the request was not received in time", step="read", peer="caller")
+
+
 Handler = Callable[[Connection, Message], None]
 
 
@@ -233,7 +268,7 @@
     sock: socket.socket, address: str, clients: Clients, limits: CallerLimits, handler: Handler
 ) -> None:
     client = clients.add(address)
-    connection = Connection(sock, client, limits)
+    connection = Connection(sock, client, limits, clients.turns)
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         while _serve_request(connection, handler):
@@ -277,5 +312,8 @@
     connection.send_error(error)
     connection.sock.shutdown(socket.SHUT_WR)
     deadline = now() + LINGER_SECONDS
-    while receive(connection.sock, deadline):
-        pass
+    with suppress(TimeoutError):
+        while True:
+            wait_readable(connection.sock, deadline)
+            if not receive(connection.sock, deadline):
+                return
--- a/bayglade/sockets.py
+++ b/bayglade/sockets.py
@@ -5,9 +5,13 @@
 """
 
 import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+import eventlet
 from eventlet.hubs import trampoline
+from eventlet.semaphore import Semaphore
 
 from bayglade.clock import now
 
@@ -17,11 +21,45 @@
 READ_BYTES = 64 * 1024
 
 
-def receive(sock: "GreenSocket", deadline: float) -> bytes:
+class ReadTurns:
+    """Lets connections with much to read take turns, so that other tasks run in between.
+
+    A connection on which bytes arrive as fast as they are read would otherwise never let others run.
+    """
+
+    def __init__(self) -> None:
+        self.semaphore = Semaphore()
+
+    def __repr__(self) -> str:
+        return f"<ReadTurns free={self.semaphore.counter}>"
+
+    @contextmanager
+    def turn(self) -> Iterator[None]:
+        """Take a turn, after whatever became ready during the one before."""
+        with self.semaphore:
+            eventlet.sleep(0)
+            yield
+
+
+def wait_readable(sock: "GreenSocket", deadline: float) -> None:
+    """Let other tasks run until bytes are there, or the end of the connection.
+
+    :param sock: a green socket.
+    :param deadline: when to give up, in seconds of :func:`bayglade.clock.now`.
+    :raises TimeoutError: at the deadline, even if bytes are there.
+    """
+    left = deadline - now()
+    if left <= 0:
+        raise TimeoutError("the deadline has passed")
+    trampoline(sock.fd, read=True, timeout=left, timeout_exc=TimeoutError)
+
+
+def receive(sock: "GreenSocket", deadline: float, size: int = READ_BYTES) -> bytes:
     """Read available bytes, waiting for the first ones if necessary.
 
     :param sock: a green socket.
     :param deadline: when to give up, in seconds of :func:`bayglade.clock.now`.
+    :param size: the greatest number of bytes to read.
     :return: the bytes; empty if the peer closed the connection.
     :raises TimeoutError: if nothing arrived before the deadline.
     :raises OSError: if the connection was reset.
@@ -29,7 +67,7 @@
     raw: socket.socket = sock.fd
     while True:
         try:
-            return raw.recv(READ_BYTES)
+            return raw.recv(size)
         except BlockingIOError:
             left = deadline - now()
             if left <= 0:
--- a/benches/permits.py
+++ b/benches/permits.py
@@ -37,7 +37,7 @@
 from bayglade.newer_settings import NewerSettings, serve_settings
 from bayglade.platform import create_dialect, decode_document
 from bayglade.settings import CallerLimits
-from bayglade.sockets import is_closed
+from bayglade.sockets import ReadTurns, is_closed
 from bayglade.upstream import ConnectionPool, Exchange, PooledConnection
 from standins.users.configuration import configuration
 
@@ -58,8 +58,8 @@
 
 def ask(far: Any, call: Any, permits: int) -> None:
     """Ask for permits, then close the connection."""
-    clients = Clients("bench", lambda: ClientLimits(INTERNAL_BYTES), Metrics(None))
-    connection = Connection(far, clients.add(""), CallerLimits())
+    clients = Clients("bench", lambda: ClientLimits(INTERNAL_BYTES), ReadTurns(), Metrics(None))
+    connection = Connection(far, clients.add(""), CallerLimits(), clients.turns)
     for _ in range(permits):
         obtain_permit(connection, call, SERVER)
     far.close()
--- /dev/null
+++ b/tests/test_client_limits.py
@@ -0,0 +1,196 @@
+"""Bounds on what all clients together make a daemon keep: the account, turns, and how requests are cut."""
+
+import itertools
+from collections.abc import Iterator
+from typing import Any
+
+import eventlet
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from bayglade import clients, listener
+from bayglade.clients import ClientLimits, Clients, ClientState
+from bayglade.exceptions import HostFull
+from bayglade.http1 import Message
+from bayglade.listener import Connection
+from bayglade.metrics import Metrics
+from bayglade.settings import CallerLimits
+from bayglade.sockets import ReadTurns, wait_readable
+
+KB = 1024
+REQUEST_BYTES = 1000 * KB
+LIMITS = CallerLimits(head_bytes=4 * KB, body_bytes=64 * KB)
+
+
+@pytest.fixture
+def removed(monkeypatch: pytest.MonkeyPatch) -> list[Any]:
+    tasks: list[Any] = []
+    monkeypatch.setattr(clients.eventlet, "kill", lambda task, error: tasks.append(task))
+    return tasks
+
+
+def make_clients(request_bytes: int = REQUEST_BYTES) -> Clients:
+    return Clients("callers", lambda: ClientLimits(request_bytes), ReadTurns(), Metrics(None))
+
+
+def receiving(all_clients: Clients, name: str, size: int, seconds: float) -> clients.Client:
+    """Add a client that has been sending a request for some seconds."""
+    client = all_clients.add(name)
+    client.task = name
+    client.enter(ClientState.RECEIVING)
+    client.since -= seconds
+    client.hold_request(size)
+    return client
+
+
+def test_who_has_held_most_for_longest_makes_room(removed: list[Any]) -> None:
+    all_clients = make_clients()
+    receiving(all_clients, "long but small", 10 * KB, 10.0)
+    receiving(all_clients, "large but new", 500 * KB, 0.1)
+    receiving(all_clients, "large and long", 400 * KB, 5.0)
+    receiving(all_clients, "asking", 200 * KB, 0.0)
+    assert removed == ["large and long"]
+    assert all_clients.request_bytes == 710 * KB
+
+
+def test_a_client_that_has_held_most_itself_is_refused(removed: list[Any]) -> None:
+    all_clients = make_clients()
+    receiving(all_clients, "small", 10 * KB, 1.0)
+    greedy = receiving(all_clients, "greedy", 900 * KB, 10.0)
+    with pytest.raises(HostFull) as refusal:
+        greedy.hold_request(1100 * KB)
+    assert removed == []
+    assert refusal.value.retry_after
+    assert all_clients.request_bytes == 10 * KB
+
+
+def test_large_requests_leave_room_in_service_for_small_ones() -> None:
+    all_clients = make_clients()
+    for name in ("a", "b"):
+        receiving(all_clients, name, 240 * KB, 1.0).begin_service()
+    with pytest.raises(HostFull):
+        receiving(all_clients, "large", 240 * KB, 1.0).begin_service()
+    receiving(all_clients, "small", 10 * KB, 1.0).begin_service()
+
+
+def test_nothing_is_accounted_for_clients_that_are_gone(removed: list[Any]) -> None:
+    all_clients = make_clients()
+    served = receiving(all_clients, "served", 100 * KB, 1.0)
+    served.begin_service()
+    unfinished = receiving(all_clients, "unfinished", 100 * KB, 1.0)
+    for client in (served, unfinished):
+        all_clients.discard(client)
+    assert (all_clients.request_bytes, all_clients.serving_bytes, all_clients.members) == (0, 0, set())
+
+
+def test_one_request_of_the_greatest_size_fits_on_a_small_host() -> None:
+    largest = 4 * KB * KB
+    limits = clients.client_limits(0.1, 10.0, largest)
+    assert limits.request_bytes * clients.LARGE_SERVING_FRACTION >= largest
+
+
+# A task that is ended while it waits for its turn, as one is whose client has to make room.
+def test_turns_go_on_when_a_task_is_ended_in_its_turn() -> None:
+    turns, done = ReadTurns(), []
+
+    def read(name: str) -> None:
+        with turns.turn():
+            done.append(name)
+
+    tasks = [eventlet.spawn(read, name) for name in ("first", "second", "third")]
+    eventlet.sleep(0)
+    tasks[0].kill()
+    tasks[1].kill()
+    tasks[2].wait()
+    assert done == ["third"]
+
+
+def test_waiting_for_bytes_ends_at_its_deadline_though_bytes_are_there() -> None:
+    listening = eventlet.listen(("127.0.0.1", 0))
+    near = eventlet.connect(listening.getsockname())
+    far, _ = listening.accept()
+    near.sendall(b"x")
+    with pytest.raises(TimeoutError):
+        wait_readable(far, 0.0)
+
+
+def in_chunks(body: bytes, sizes: list[int]) -> bytes:
+    found, at = b"", 0
+    for size in sizes:
+        if piece := body[at : at + size]:
+            found += b"%x\r\n%b\r\n" % (len(piece), piece)
+            at += size
+    return (
+        found + b"%x\r\n%b\r\n0\r\n\r\n" % (len(body[at:]), body[at:])
+        if body[at:]
+        else found + b"0\r\n\r\n"
+    )
+
+
+@strategies.composite
+def requests(draw: Any) -> tuple[bytes, bytes]:
+    """Draw a request as it is sent, and its body; bodies look like ends of heads and of chunks."""
+    body = draw(
+        strategies.lists(strategies.sampled_from([b"\r\n", b"\r\n\r\n", b"x", b"0\r\n"]), max_size=30)
+    )
+    joined = b"".join(body)
+    framing = draw(strategies.sampled_from(["none", "length", "chunks"]))
+    if framing == "none":
+        return b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n", b""
+    if framing == "length":
+        return b"POST /x HTTP/1.1\r\nContent-Length: %d\r\n\r\n%b" % (len(joined), joined), joined
+    sizes = draw(strategies.lists(strategies.integers(1, 5), max_size=60))
+    return b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + in_chunks(joined, sizes), joined
+
+
+class Scripted:
+    """A connection whose reads return given pieces of what its client sends."""
+
+    def __init__(self, data: bytes, cuts: list[int], monkeypatch: pytest.MonkeyPatch) -> None:
+        edges = [0, *sorted({cut % len(data) for cut in cuts} - {0}), len(data)] if data else [0]
+        self.reads: Iterator[bytes] = iter([data[a:b] for a, b in itertools.pairwise(edges)])
+        monkeypatch.setattr(listener, "receive", lambda *_: next(self.reads, b""))
+        monkeypatch.setattr(listener, "wait_readable", lambda *_: None)
+        self.clients = make_clients()
+        sock: Any = None
+        self.connection = Connection(sock, self.clients.add("client"), LIMITS, self.clients.turns)
+
+    def next_request(self) -> Message | None:
+        message = self.connection.next_request()
+        if message is not None:
+            kept = len(message.buffer) + len(self.connection.ahead)
+            assert kept <= self.clients.request_bytes
+            self.connection.client.let_go()
+        # Requests that were sent ahead are kept as they came.
+        assert len(self.connection.parser.messages) == 0
+        return message
+
+
+@hypothesis.given(
+    strategies.lists(requests(), max_size=4), strategies.lists(strategies.integers(0, 10_000))
+)
+def test_requests_are_read_alike_however_they_are_cut(
+    sent: list[tuple[bytes, bytes]], cuts: list[int]
+) -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        scripted = Scripted(b"".join(data for data, _ in sent), cuts, patch)
+        for _, body in sent:
+            message = scripted.next_request()
+            assert message is not None
+            assert message.take_body() == body
+        assert scripted.next_request() is None
+
+
+@hypothesis.given(strategies.integers(1, 3), strategies.lists(strategies.integers(0, 200_000), max_size=20))
+def test_what_is_kept_of_tiny_chunks_is_accounted(size: int, cuts: list[int]) -> None:
+    data = (
+        b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"%x\r\n%b\r\n" % (size, b"x" * size) * 2000
+    )
+    with pytest.MonkeyPatch.context() as patch:
+        scripted = Scripted(data, cuts, patch)
+        assert scripted.connection.next_request() is None
+        message = scripted.connection.parser.messages[0]
+        assert len(message.pieces) == 0
+        assert message.buffer.__alloc__() <= scripted.clients.request_bytes <= 3 * size * 2000 + 4 * KB
--- a/tests/test_newer_settings.py
+++ b/tests/test_newer_settings.py
@@ -35,6 +35,7 @@
 from bayglade.platform import decode_document
 from bayglade.readers import Ranking
 from bayglade.settings import CallerLimits
+from bayglade.sockets import ReadTurns
 from soak.proxy import Proxies
 from standins.users import MODEL, PLAIN, Partition, UsersSite
 from standins.world import wait_for
@@ -64,7 +65,7 @@
             eventlet.sleep(seconds)
             serve_settings(connection, message, secret, self.settings.intake)
 
-        clients = Clients("forwarded", lambda: ClientLimits(INTERNAL_BYTES), Metrics(None))
+        clients = Clients("forwarded", lambda: ClientLimits(INTERNAL_BYTES), ReadTurns(), Metrics(None))
         self.task = eventlet.spawn(serve, self.listening, clients, CallerLimits, handle)
 
 
