Bound the bytes of answers that clients don't read

Callers saw: answers of 4 MiB that 100 clients did not read, or a byte now and then, took 981 and 992 MB.

Cause: an answer is read whole and kept until its caller has taken it, joined once more with its head, and a caller that takes a byte before each time-out keeps it for as long as it likes. No sum bounds them. Beside it, errors kept what they had seen: an error in a local variable of a frame of its traceback, or in the attempts that such a frame refers to, is in a cycle with all these frames, so that bodies and answers stayed until a garbage collection.

Change: the bytes of answers have an account, taken as they are read from the server. Where it is full, whoever has left most unread for longest loses the connection; if nobody has, the answer that arrives is given up with 502, which promises nothing and is not held against its server. Clients that don't read make room for requests in service too. A caller may take its answer until the deadline of its request, and at least as long as before. Large heads and bodies are sent one after the other instead of joined, the send buffer of a client's connection is 64 KiB (the kernel took megabytes of each answer), and errors that are kept lose their traceback.

Why this works: each byte of an answer is in the account before the next is read, and whatever waits for a reader can be dropped at once.

--- a/bayglade/calls.py
+++ b/bayglade/calls.py
@@ -77,6 +77,10 @@
     """Called before each send to a backend server. Raises CallerDisconnected if nobody waits for the answer
     any more; may bring the deadline forward."""
 
+    hold_answer: Callable[[int], None] = lambda size: None
+    """Called with the bytes that are kept of the answer. Raises AnswersFull if there is no memory for
+    them."""
+
     def __repr__(self) -> str:
         return f"<Call {self.head.id} to {self.service}>"
 
--- a/bayglade/clients.py
+++ b/bayglade/clients.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from bayglade.clock import now
-from bayglade.exceptions import HostFull
+from bayglade.exceptions import AnswersFull, HostFull
 from bayglade.logs import rate_limited
 from bayglade.metrics import Metrics
 from bayglade.sockets import ReadTurns
@@ -25,8 +25,11 @@
 CALLERS_REQUEST_FRACTION = 0.12
 """Fraction of the memory for requests of callers. ``docs/CAPACITY.md`` lists what the rest is for."""
 FORWARDED_REQUEST_FRACTION = 0.05
+CALLERS_ANSWER_FRACTION = 0.10
+FORWARDED_ANSWER_FRACTION = 0.03
 MIN_LARGEST_REQUESTS = 4
 """Requests of the greatest size for which there is always memory: one is served, others are received."""
+MIN_LARGEST_ANSWERS = 2
 SMALL_REQUEST_BYTES = 16 * 1024
 SERVING_FRACTION = 0.75
 """Fraction of the memory for requests that those in service may take; the rest is for reception."""
@@ -49,20 +52,31 @@
 
     RECEIVING = "receiving"
     SERVING = "serving"
+    SENDING = "sending"
+    """An answer waits until the client reads."""
+
     CLOSING = "closing"
     """The request was rejected, and the rest of it is being discarded."""
 
 
+class ClientRemoved(ConnectionAbortedError):
+    """Raised in the task of a connection that is closed in favour of others."""
+
+
 class ClientLimits(msgspec.Struct, frozen=True):
     """Bounds on all clients of one listener."""
 
     request_bytes: int
+    answer_bytes: int
+
+
+INTERNAL_LIMITS = ClientLimits(INTERNAL_BYTES, INTERNAL_BYTES)
 
 
 class Client:
     """One connection of a client, with what it makes this process keep."""
 
-    __slots__ = ("address", "clients", "request_bytes", "since", "state", "task")
+    __slots__ = ("address", "answer_bytes", "clients", "request_bytes", "since", "state", "task")
 
     def __init__(self, clients: "Clients", address: str) -> None:
         self.clients = clients
@@ -72,10 +86,15 @@
         """When the state was entered, in monotonic seconds."""
 
         self.request_bytes = 0
+        self.answer_bytes = 0
         self.task: greenlet.greenlet = eventlet.getcurrent()
 
     def __repr__(self) -> str:
-        return f"<Client {self.address} {self.state.value} {self.request_bytes} bytes>"
+        return f"<Client {self.address} {self.state.value} {self.held_bytes()} bytes>"
+
+    def held_bytes(self) -> int:
+        """Return the bytes that are kept for this client."""
+        return self.request_bytes + self.answer_bytes
 
     def enter(self, state: ClientState) -> None:
         """Record what the connection does from now on."""
@@ -106,13 +125,26 @@
         clients.serving_bytes += self.request_bytes
         self.enter(ClientState.SERVING)
 
+    def hold_answer(self, size: int) -> None:
+        """Record how many bytes are kept of the answer.
+
+        :param size: all of them, in bytes.
+        :raises AnswersFull: if there is no memory for them.
+        """
+        clients = self.clients
+        clients.answer_bytes += size - self.answer_bytes
+        self.answer_bytes = size
+        if clients.answer_bytes > clients.limits().answer_bytes:
+            clients.make_answer_room(self)
+
     def let_go(self) -> None:
-        """Record that nothing is kept of the request any more."""
+        """Record that nothing is kept of the request and its answer any more."""
         clients = self.clients
-        if self.state is ClientState.SERVING:
+        if self.state in (ClientState.SERVING, ClientState.SENDING):
             clients.serving_bytes -= self.request_bytes
         clients.request_bytes -= self.request_bytes
-        self.request_bytes = 0
+        clients.answer_bytes -= self.answer_bytes
+        self.request_bytes = self.answer_bytes = 0
 
 
 class Clients:
@@ -145,8 +177,10 @@
         self.serving_bytes = 0
         """Those of them that belong to requests in service."""
 
+        self.answer_bytes = 0
+
     def __repr__(self) -> str:
-        return f"<Clients {self.name} {len(self.members)}, {self.request_bytes} bytes>"
+        return f"<Clients {self.name} {len(self.members)}, {self.request_bytes + self.answer_bytes} bytes>"
 
     def add(self, address: str) -> Client:
         """Add the connection that the current task serves.
@@ -173,9 +207,18 @@
         )
 
     def has_service_room(self, size: int) -> bool:
-        """Return whether a complete request of a size may be served."""
+        """Return whether a complete request of a size may be served.
+
+        Clients that don't read the answers to requests in service make room for it.
+        """
         fraction = SERVING_FRACTION if size <= SMALL_REQUEST_BYTES else LARGE_SERVING_FRACTION
-        return self.serving_bytes + size <= fraction * self.limits().request_bytes
+        bound = fraction * self.limits().request_bytes
+        while self.serving_bytes + size > bound:
+            client = self._heaviest(ClientState.SENDING, lambda member: member.request_bytes)
+            if client is None:
+                return False
+            self._remove(client, ClientRemoved("the answer was not read"))
+        return True
 
     def make_request_room(self, asking: Client) -> None:
         """Remove clients whose requests are incomplete until the bytes of requests fit.
@@ -185,12 +228,26 @@
         """
         bound = RELIEF_FRACTION * self.limits().request_bytes
         while self.request_bytes > bound:
-            client = self._heaviest_unfinished()
+            client = self._heaviest(ClientState.RECEIVING, lambda member: member.request_bytes)
             if client is asking or client is None:
                 self._note_removed(asking)
                 asking.let_go()
                 raise self.refusal()
-            self._remove(client)
+            self._remove(client, self.refusal())
+
+    def make_answer_room(self, asking: Client) -> None:
+        """Remove clients that don't read their answers until the bytes of answers fit.
+
+        :param asking: the client whose answer arrives.
+        :raises AnswersFull: if that is not enough.
+        """
+        bound = self.limits().answer_bytes
+        while self.answer_bytes > bound:
+            client = self._heaviest(ClientState.SENDING, lambda member: member.answer_bytes)
+            if client is None:
+                self._note_removed(asking)
+                raise AnswersFull("too many bytes of answers are kept", step="answer", peer="caller")
+            self._remove(client, ClientRemoved("the answer was not read"))
 
     def update_gauges(self) -> None:
         """Set the gauges of the connections and bytes."""
@@ -199,39 +256,63 @@
             self.metrics.gauge(f"clients_{self.name}_{state.value}", states[state])
         self.metrics.gauge(f"clients_{self.name}_request_bytes", self.request_bytes)
         self.metrics.gauge(f"clients_{self.name}_serving_bytes", self.serving_bytes)
+        self.metrics.gauge(f"clients_{self.name}_answer_bytes", self.answer_bytes)
 
-    def _heaviest_unfinished(self) -> Client | None:
-        """Return the client that has held most for longest without completing its request."""
+    def _heaviest(self, state: ClientState, size: Callable[[Client], int]) -> Client | None:
+        """Return the client that has held most for longest, of those in a state that hold anything."""
         at = now()
-        receiving = (member for member in self.members if member.state is ClientState.RECEIVING)
-        return max(receiving, key=lambda member: member.request_bytes * (at - member.since), default=None)
+        holding = (member for member in self.members if member.state is state and size(member) > 0)
+        return max(holding, key=lambda member: size(member) * (at - member.since), default=None)
 
-    def _remove(self, client: Client) -> None:
-        """End the reception of a client's request, by an error in its task."""
+    def _remove(self, client: Client, error: Exception) -> None:
+        """End what a connection is doing, by an error in its task."""
         self._note_removed(client)
         client.let_go()
         client.enter(ClientState.CLOSING)
-        eventlet.kill(client.task, self.refusal())
+        eventlet.kill(client.task, error)
 
     def _note_removed(self, client: Client) -> None:
+        self.metrics.count(f"clients_{self.name}_removed_{client.state.value}")
         log_removed(
             "WARNING",
             "client removed",
             listener=self.name,
             client=client.address,
-            bytes=client.request_bytes,
+            state=client.state.value,
+            bytes=client.held_bytes(),
             seconds=round(now() - client.since, 3),
         )
 
 
-def client_limits(request_fraction: float, memory_mb: float, largest_request: int) -> ClientLimits:
+def create_internal_clients(name: str, turns: ReadTurns, metrics: Metrics) -> Clients:
+    """Create the clients of a listener for small requests and answers, such as those for readiness.
+
+    :param name: the name of the listener.
+    :param turns: the turns of all connections of this process that have much to read.
+    :param metrics: receives gauges and counters.
+    """
+    return Clients(name, lambda: INTERNAL_LIMITS, turns, metrics)
+
+
+def client_limits(
+    memory_mb: float,
+    request_fraction: float,
+    answer_fraction: float,
+    largest_request: int,
+    largest_answer: int,
+) -> ClientLimits:
     """Return the bounds of a listener.
 
-    :param request_fraction: fraction of the memory for requests.
     :param memory_mb: memory of the host, in MB.
+    :param request_fraction: fraction of it for requests.
+    :param answer_fraction: fraction of it for answers.
     :param largest_request: bytes of the largest request that a client may send.
+    :param largest_answer: bytes of the largest answer that is read whole.
     """
-    return ClientLimits(max(int(request_fraction * memory_mb * MB), MIN_LARGEST_REQUESTS * largest_request))
+    return ClientLimits(
+        max(int(request_fraction * memory_mb * MB), MIN_LARGEST_REQUESTS * largest_request),
+        max(int(answer_fraction * memory_mb * MB), MIN_LARGEST_ANSWERS * largest_answer),
+    )
 
 
 def host_memory_mb(configured: float) -> float:
--- a/bayglade/exceptions.py
+++ b/bayglade/exceptions.py
@@ -126,6 +126,12 @@
     code, status, default_outcome = "host_full", 503, Outcome.NOT_RUN
 
 
+class AnswersFull(BaygladeError):
+    """This daemon keeps as many bytes of answers as the memory of its host allows."""
+
+    code, status, default_outcome = "answers_full", 502, Outcome.UNKNOWN
+
+
 class NoRoute(BaygladeError):
     """No set of live backend servers covers every layer of the model."""
 
--- a/bayglade/forwarding.py
+++ b/bayglade/forwarding.py
@@ -260,7 +260,7 @@
         :param max_bytes: size limit of the body.
         :raises BackendError: if the answer breaks off or exceeds the limit.
         """
-        return join_pieces(self.read_piece, max_bytes, self.member)
+        return join_pieces(self.read_piece, max_bytes, self.member, self.call.hold_answer)
 
     def close(self) -> None:
         """Return or close the connection."""
@@ -429,7 +429,7 @@
     if call.body or call.method not in ("GET", "HEAD"):
         headers.append(("Content-Length", str(len(call.body))))
     start = f"{call.method} {call.target.decode('latin-1')} HTTP/1.1"
-    forwarded.exchange.send(encode_head(start, headers) + call.body, call.deadline)
+    forwarded.exchange.send(encode_head(start, headers), call.body, call.deadline)
     forwarding.metrics.count("forwards")
     event(
         "INFO",
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -27,12 +27,14 @@
 )
 from bayglade.calls import Call
 from bayglade.clients import (
+    CALLERS_ANSWER_FRACTION,
     CALLERS_REQUEST_FRACTION,
+    FORWARDED_ANSWER_FRACTION,
     FORWARDED_REQUEST_FRACTION,
-    INTERNAL_BYTES,
     ClientLimits,
     Clients,
     client_limits,
+    create_internal_clients,
     host_memory_mb,
 )
 from bayglade.clock import SuspensionDetector, now, use_boottime_timers
@@ -63,7 +65,7 @@
 from bayglade.ids import BackendId, RequestId
 from bayglade.intake import RETRY_ELSEWHERE_SECONDS, Intake
 from bayglade.leases import Lease
-from bayglade.listener import RECEIVE_BUFFER_BYTES, Connection, Handler, listen, serve
+from bayglade.listener import Connection, Handler, listen, serve
 from bayglade.listing import Listing
 from bayglade.loading import LEASE_MARGIN, LEASE_NAME, LEASE_SECONDS, Loader
 from bayglade.logs import event
@@ -123,7 +125,6 @@
 FINGERPRINT_KEY_BYTES = 32
 INTERNAL_CLIENT_LIMITS = CallerLimits(body_bytes=0)
 """Limits for clients of the readiness and metrics listeners."""
-INTERNAL_BOUNDS = ClientLimits(INTERNAL_BYTES)
 
 
 def internal_client_limits() -> CallerLimits:
@@ -260,11 +261,13 @@
         link_feeds(self._feeds())
         self.presence = DisconnectWatcher(self.metrics)
         turns = ReadTurns()
-        callers_limits = partial(self._client_limits, CALLERS_REQUEST_FRACTION)
-        forwarded_limits = partial(self._client_limits, FORWARDED_REQUEST_FRACTION)
+        callers_limits = partial(self._client_limits, CALLERS_REQUEST_FRACTION, CALLERS_ANSWER_FRACTION)
+        forwarded_limits = partial(
+            self._client_limits, FORWARDED_REQUEST_FRACTION, FORWARDED_ANSWER_FRACTION
+        )
         self.clients = (
-            Clients("ready", lambda: INTERNAL_BOUNDS, turns, self.metrics),
-            Clients("metrics", lambda: INTERNAL_BOUNDS, turns, self.metrics),
+            create_internal_clients("ready", turns, self.metrics),
+            create_internal_clients("metrics", turns, self.metrics),
             Clients("callers", callers_limits, turns, self.metrics),
             Clients("forwarded", forwarded_limits, turns, self.metrics),
         )
@@ -392,10 +395,15 @@
             layout=layout_belief(self.metrics, len(self.loader.pending_orders)),
         )
 
-    def _client_limits(self, request_fraction: float) -> ClientLimits:
+    def _client_limits(self, request_fraction: float, answer_fraction: float) -> ClientLimits:
         limits = self.intake.limits()
-        memory_mb = host_memory_mb(self.config.memory_mb)
-        return client_limits(request_fraction, memory_mb, limits.head_bytes + limits.body_bytes)
+        return client_limits(
+            host_memory_mb(self.config.memory_mb),
+            request_fraction,
+            answer_fraction,
+            limits.head_bytes + limits.body_bytes,
+            self.config.max_answer_bytes,
+        )
 
     def _server_answers(self, server: Server) -> bool:
         """Return whether a server answers on a new connection."""
@@ -474,13 +482,16 @@
             call = read_call(message)
             request = call.head.id
             call.confirm_send = partial(confirm_send, call)
+            call.hold_answer = connection.client.hold_answer
+            connection.answer_until = call.deadline
             self._check_draining(call)
             self.quarantine.check_arrival(call)
             self.active_requests.add(request)
             with self.presence.watch(connection.sock):
                 self._relay_call(call, connection)
         except BaygladeError as failure:
-            error = error_for_sender(failure, call, self.reachability.is_isolated)
+            # Its traceback refers to this call's body and answer, and to itself through this variable.
+            error = error_for_sender(failure, call, self.reachability.is_isolated).with_traceback(None)
             self._report_failure(connection, error, request, started)
             self._record_refusal(error, message, call, started)
         except (CallerDisconnected, OSError):
@@ -641,7 +652,7 @@
         self, address: str, clients: Clients, limits: Callable[[], CallerLimits], handler: Handler
     ) -> None:
         listen_on = parse_address(address)
-        listening = listen(listen_on.host, listen_on.port, RECEIVE_BUFFER_BYTES)
+        listening = listen(listen_on.host, listen_on.port, for_clients=True)
         eventlet.spawn_n(serve, listening, clients, limits, handler)
 
     def _install_signal_handlers(self) -> None:
--- a/bayglade/http1.py
+++ b/bayglade/http1.py
@@ -40,6 +40,8 @@
 """Memory of a parsed message besides its fields and its body."""
 END_OF_PART = b"\r\n\r\n"
 """Ends each head, and each body in chunks."""
+MAX_COPIED_BYTES = 16 * 1024
+"""Size of a body up to which a copy costs less than a second send."""
 BODILESS_STATUSES = (204, 304)
 
 
@@ -279,6 +281,17 @@
     return "\r\n".join(lines).encode("latin-1")
 
 
+def parts_to_send(head: bytes, body: bytes) -> tuple[bytes | memoryview, ...]:
+    """Return what to send for a message: in one piece if it is small, else without a copy of the body.
+
+    :param head: the encoded head.
+    :param body: the body.
+    """
+    if len(body) <= MAX_COPIED_BYTES:
+        return (head + body,)
+    return head, memoryview(body)
+
+
 def answer_headers(headers: Headers) -> Headers:
     """Return the headers of a server's answer to pass on.
 
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -8,22 +8,29 @@
 from collections.abc import Callable
 from contextlib import suppress
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 import eventlet
 import msgspec
+from eventlet.hubs import trampoline
 
 from bayglade.clients import Client, Clients, ClientState
 from bayglade.clock import now
 from bayglade.exceptions import BaygladeError, HeadTooLarge, HostFull, InvalidMessage, SlowHead
-from bayglade.http1 import Headers, Message, MessageParser, encode_head
+from bayglade.http1 import Headers, Message, MessageParser, encode_head, parts_to_send
 from bayglade.logs import event, rate_limited
 from bayglade.responses import JSON_TYPE, OUTCOME_HEADER, SENT_HEADER, error_body
 from bayglade.settings import CallerLimits
 from bayglade.sockets import READ_BYTES, ReadTurns, receive, wait_readable
 
+if TYPE_CHECKING:
+    from eventlet.greenio import GreenSocket
+
 LISTEN_BACKLOG = 1024
 RECEIVE_BUFFER_BYTES = 32 * 1024
-"""Receive buffer of each connection. Bytes that wait there count as memory of the process."""
+"""Receive buffer of each connection of a client. Bytes that wait there count as memory of the process."""
+SEND_BUFFER_BYTES = 64 * 1024
+"""Send buffer of each connection of a client."""
 SEND_TIMEOUT = 10.0
 """Timeout of sending to a caller that doesn't read."""
 FREE_READS = 4
@@ -44,17 +51,19 @@
 
     __slots__ = (
         "ahead",
+        "answer_until",
         "client",
         "close_after_response",
         "limits",
         "parser",
         "peer_headers",
         "response_started",
+        "send_seconds",
         "sock",
         "turns",
     )
 
-    def __init__(self, sock: socket.socket, client: Client, limits: CallerLimits, turns: ReadTurns) -> None:
+    def __init__(self, sock: "GreenSocket", client: Client, limits: CallerLimits, turns: ReadTurns) -> None:
         self.peer_headers: Headers = []
         """Added to each response where the other side is a daemon, which is also told the outcome of
         errors."""
@@ -72,17 +81,42 @@
         self.response_started = False
         """Whether any byte of the current response was sent."""
 
+        self.answer_until = 0.0
+        """The deadline of the current request, in monotonic seconds; until then its answer may be read."""
+
+        self.send_seconds = SEND_TIMEOUT
+        """Timeout of each wait for the caller to read."""
+
     def __repr__(self) -> str:
         return f"<Connection closing={self.close_after_response}>"
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes | memoryview) -> None:
         """Send bytes of the response.
 
         :param data: the bytes.
         :raises OSError: if the caller is gone or doesn't read.
         """
         self.response_started = True
-        self.sock.sendall(data)
+        try:
+            sent = self.sock.fd.send(data)
+        except BlockingIOError:
+            sent = 0
+        if sent < len(data):
+            self._send_rest(memoryview(data)[sent:])
+
+    def _send_rest(self, data: memoryview) -> None:
+        """Send bytes as the caller reads: until the deadline of its request, with bounded pauses."""
+        until = max(self.answer_until, now() + self.send_seconds)
+        self.client.enter(ClientState.SENDING)
+        raw = self.sock.fd
+        while data:
+            left = min(self.send_seconds, until - now())
+            if left <= 0:
+                raise TimeoutError("the caller reads too slowly")
+            trampoline(raw, write=True, timeout=left, timeout_exc=TimeoutError)
+            with suppress(BlockingIOError):
+                data = data[raw.send(data) :]
+        self.client.enter(ClientState.SERVING)
 
     def send_response(self, status: int, headers: Headers, content: bytes) -> None:
         """Send a complete response.
@@ -92,7 +126,9 @@
         :param content: the body.
         :raises OSError: if the caller is gone or doesn't read.
         """
-        self.send(self.response_head(status, [*headers, ("Content-Length", str(len(content)))]) + content)
+        head = self.response_head(status, [*headers, ("Content-Length", str(len(content)))])
+        for part in parts_to_send(head, content):
+            self.send(part)
 
     def response_head(self, status: int, headers: Headers) -> bytes:
         """Encode the head of a response, adding ``Connection: close`` if it is the last.
@@ -221,21 +257,22 @@
         return "Unknown"
 
 
-def listen(host: str, port: int, receive_buffer: int | None = None) -> socket.socket:
+def listen(host: str, port: int, for_clients: bool = False) -> socket.socket:
     """Open a listening socket.
 
     :param host: an IP address.
     :param port: the port.
-    :param receive_buffer: bytes of each connection that the kernel keeps until they are read; the kernel
-        decides if omitted, and enlarges the buffers of busy connections.
+    :param for_clients: whether to limit the buffers of each connection, which the kernel otherwise enlarges
+        on busy ones.
     :return: the socket.
     :raises OSError: if the address can't be bound.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    if receive_buffer is not None:
-        # Accepted connections inherit it.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    if for_clients:
+        # Accepted connections inherit both.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     sock.bind((host, port))
     sock.listen(LISTEN_BACKLOG)
     return sock
@@ -265,7 +302,7 @@
 
 
 def _serve_connection(
-    sock: socket.socket, address: str, clients: Clients, limits: CallerLimits, handler: Handler
+    sock: "GreenSocket", address: str, clients: Clients, limits: CallerLimits, handler: Handler
 ) -> None:
     client = clients.add(address)
     connection = Connection(sock, client, limits, clients.turns)
@@ -294,7 +331,7 @@
         _reject(connection, rejection)
     if message is None:
         return False
-    connection.response_started = False
+    connection.response_started, connection.answer_until = False, 0.0
     connection.close_after_response = connection.close_after_response or not message.keep_alive
     connection.sock.settimeout(SEND_TIMEOUT)
     handler(connection, message)
@@ -308,7 +345,7 @@
     connection.client.enter(ClientState.CLOSING)
     connection.discard_request()
     connection.close_after_response = True
-    connection.sock.settimeout(LINGER_SECONDS)
+    connection.send_seconds = LINGER_SECONDS
     connection.send_error(error)
     connection.sock.shutdown(socket.SHUT_WR)
     deadline = now() + LINGER_SECONDS
--- a/bayglade/newer_settings.py
+++ b/bayglade/newer_settings.py
@@ -119,7 +119,7 @@
             ("Host", exchange.backend),
             (SETTINGS_REQUEST_HEADER, encode_sealed(request, SETTINGS_REQUEST_HEADER, secret)),
         ]
-        exchange.send(encode_head(f"GET {SETTINGS_TARGET.decode()} HTTP/1.1", headers), until)
+        exchange.send(encode_head(f"GET {SETTINGS_TARGET.decode()} HTTP/1.1", headers), b"", until)
         message = exchange.read_head(until, lambda message: True)
         document = exchange.read_body(until, MAX_CONTROL_BYTES)
         text = message.header(SETTINGS_OFFER_HEADER.lower())
--- a/bayglade/platform/engines.py
+++ b/bayglade/platform/engines.py
@@ -184,7 +184,7 @@
             event("INFO", "server not reached", peer=backend, path=path, error=repr(error))
             return Reply()
         try:
-            exchange.send(encode_head(f"{method} {path} HTTP/1.1", headers) + body, until)
+            exchange.send(encode_head(f"{method} {path} HTTP/1.1", headers), body, until)
             answer = exchange.read_head(until, lambda message: True)
             content = exchange.read_body(until, MAX_CONTROL_BYTES)
         except BackendError as error:
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -348,7 +348,8 @@
 
     def note_failure(self, error: BackendError) -> bool:
         """Record a failed attempt, and return whether another one may follow."""
-        self.failure = error
+        # Its traceback refers to the call's body, and to itself through these attempts.
+        self.failure = error.with_traceback(None)
         if isinstance(error, BackendUnreachable):
             self.unreachable_count += 1
         if error.outcome is Outcome.NOT_RUN:
--- a/bayglade/sending.py
+++ b/bayglade/sending.py
@@ -69,7 +69,7 @@
         if len(attempts.used_ids()) > call.endpoint.max_attempts:
             context.metrics.count("sends_to_further_servers")
         reserved.mark_sent()
-        exchange.send(encode_head(start, headers) + call.body, call.deadline)
+        exchange.send(encode_head(start, headers), call.body, call.deadline)
         context.quarantine.end_trial(call)
     except BaseException:
         exchange.connection.sock.close()
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -433,7 +433,7 @@
     call: Call, exchange: Exchange, message: Message, delivery: Delivery, max_bytes: int
 ) -> None:
     """Forward an answer that is no event stream, mostly an error, once it is complete."""
-    content = exchange.read_body(call.deadline, max_bytes)
+    content = exchange.read_body(call.deadline, max_bytes, call.hold_answer)
     if delivery.begun:
         raise BackendError(
             "cannot resume the stream: the server failed", step="stream", peer=exchange.backend
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -15,7 +15,7 @@
     BackendUnreachable,
     InvalidMessage,
 )
-from bayglade.http1 import Message, MessageParser
+from bayglade.http1 import Message, MessageParser, parts_to_send
 from bayglade.ids import BackendId
 from bayglade.logs import event
 from bayglade.sockets import is_idle, receive
@@ -40,6 +40,13 @@
 """Size limit of a server's report, and of an error of another daemon."""
 
 
+HoldBytes = Callable[[int], None]
+
+
+def hold_freely(size: int) -> None:
+    """Keep any number of bytes."""
+
+
 class PooledConnection:
     """One connection to a backend server; times are monotonic seconds."""
 
@@ -224,17 +231,19 @@
     def __repr__(self) -> str:
         return f"<Exchange with {self.backend} {self.answer!r}>"
 
-    def send(self, data: bytes, until: float) -> None:
+    def send(self, head: bytes, body: bytes, until: float) -> None:
         """Send the request.
 
-        :param data: head and body.
+        :param head: the encoded head.
+        :param body: the body.
         :param until: when to give up, in monotonic seconds.
         :raises BackendError: if sending failed; parts of the request may have arrived.
         """
         self.sent_at = now()
         try:
             self.connection.sock.settimeout(max(0.001, until - self.sent_at))
-            self.connection.sock.sendall(data)
+            for part in parts_to_send(head, body):
+                self.connection.sock.sendall(part)
         except OSError as error:
             raise self._broken_error(f"sending failed: {error}") from error
 
@@ -292,11 +301,12 @@
                 self.dirty = True
             again = True
 
-    def read_body(self, until: float, max_bytes: int) -> bytes:
+    def read_body(self, until: float, max_bytes: int, hold: HoldBytes = hold_freely) -> bytes:
         """Read the whole body.
 
         :param until: when to give up, in monotonic seconds.
         :param max_bytes: size limit of the body.
+        :param hold: called with the bytes read so far, before further ones are read.
         :return: the bytes.
         :raises BackendSilent: if it is not complete in time.
         :raises AnswerTooLarge: if it exceeds the limit.
@@ -309,7 +319,7 @@
                 raise self._timeout_error()
             return piece
 
-        return join_pieces(next_piece, max_bytes, self.backend)
+        return join_pieces(next_piece, max_bytes, self.backend, hold)
 
     def is_complete(self) -> bool:
         """Return whether the whole answer has arrived."""
@@ -327,6 +337,7 @@
             self.connection.reader.messages.clear()
             self.pool.release(self.backend, self.connection, keep_seconds)
         else:
+            self.connection.reader.discard()
             self.connection.sock.close()
 
     def receive(self, until: float, again: bool = False) -> bool:
@@ -386,21 +397,24 @@
         return BackendError(message, step="receive", peer=self.backend)
 
 
-def join_pieces(next_piece: Callable[[], bytes | None], max_bytes: int, peer: str) -> bytes:
+def join_pieces(
+    next_piece: Callable[[], bytes | None], max_bytes: int, peer: str, hold: HoldBytes = hold_freely
+) -> bytes:
     """Read the pieces of a body to its end.
 
     :param next_piece: returns the next piece, or None at the end.
     :param max_bytes: size limit of the body.
     :param peer: who sends it.
+    :param hold: called with the bytes read so far, before further ones are read.
     :raises AnswerTooLarge: if it exceeds the limit.
     """
-    pieces, size = [], 0
+    body = bytearray()
     while (piece := next_piece()) is not None:
-        pieces.append(piece)
-        size += len(piece)
-        if size > max_bytes:
+        body += piece
+        if len(body) > max_bytes:
             raise AnswerTooLarge(f"the answer exceeds {max_bytes} bytes", step="receive", peer=peer)
-    return b"".join(pieces)
+        hold(len(body))
+    return bytes(body)
 
 
 def open_exchange(
--- a/bayglade/wholes.py
+++ b/bayglade/wholes.py
@@ -215,7 +215,8 @@
         exchange = send(context, call, attempts, server, None, None, place)
         try:
             message, head = _await_answer_head(context, call, server, exchange, attempts)
-            content = exchange.read_body(_body_deadline(context, call, attempts), context.max_answer_bytes)
+            until = _body_deadline(context, call, attempts)
+            content = exchange.read_body(until, context.max_answer_bytes, call.hold_answer)
             keep_seconds = head.keep_alive_seconds
         finally:
             exchange.close(keep_seconds)
--- a/benches/permits.py
+++ b/benches/permits.py
@@ -17,7 +17,7 @@
 from loguru import logger
 
 from bayglade import upstream
-from bayglade.clients import INTERNAL_BYTES, ClientLimits, Clients
+from bayglade.clients import create_internal_clients
 from bayglade.entries.forwards import (
     PERMIT,
     PERMIT_STATUS,
@@ -58,7 +58,7 @@
 
 def ask(far: Any, call: Any, permits: int) -> None:
     """Ask for permits, then close the connection."""
-    clients = Clients("bench", lambda: ClientLimits(INTERNAL_BYTES), ReadTurns(), Metrics(None))
+    clients = create_internal_clients("bench", ReadTurns(), Metrics(None))
     connection = Connection(far, clients.add(""), CallerLimits(), clients.turns)
     for _ in range(permits):
         obtain_permit(connection, call, SERVER)
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections.abc import Iterator
+from types import SimpleNamespace
 from typing import Any
 
 import eventlet
@@ -11,15 +12,18 @@
 
 from bayglade import clients, listener
 from bayglade.clients import ClientLimits, Clients, ClientState
-from bayglade.exceptions import HostFull
+from bayglade.exceptions import AnswersFull, BackendError, HostFull, Outcome
+from bayglade.gateway import REFUSING_STATUSES
 from bayglade.http1 import Message
 from bayglade.listener import Connection
 from bayglade.metrics import Metrics
+from bayglade.relay import Attempts
 from bayglade.settings import CallerLimits
 from bayglade.sockets import ReadTurns, wait_readable
 
 KB = 1024
 REQUEST_BYTES = 1000 * KB
+ANSWER_BYTES = 800 * KB
 LIMITS = CallerLimits(head_bytes=4 * KB, body_bytes=64 * KB)
 
 
@@ -31,7 +35,7 @@
 
 
 def make_clients(request_bytes: int = REQUEST_BYTES) -> Clients:
-    return Clients("callers", lambda: ClientLimits(request_bytes), ReadTurns(), Metrics(None))
+    return Clients("callers", lambda: ClientLimits(request_bytes, ANSWER_BYTES), ReadTurns(), Metrics(None))
 
 
 def receiving(all_clients: Clients, name: str, size: int, seconds: float) -> clients.Client:
@@ -74,6 +78,56 @@
     receiving(all_clients, "small", 10 * KB, 1.0).begin_service()
 
 
+def sending(all_clients: Clients, name: str, size: int, seconds: float) -> clients.Client:
+    """Add a client that has not read its answer for some seconds."""
+    client = receiving(all_clients, name, KB, 0.0)
+    client.begin_service()
+    client.hold_answer(size)
+    client.enter(ClientState.SENDING)
+    client.since -= seconds
+    return client
+
+
+def test_who_has_not_read_most_for_longest_makes_room_for_answers(removed: list[Any]) -> None:
+    all_clients = make_clients()
+    sending(all_clients, "long but small", 10 * KB, 10.0)
+    sending(all_clients, "large and long", 500 * KB, 5.0)
+    sending(all_clients, "large but new", 200 * KB, 0.1)
+    arriving = receiving(all_clients, "arriving", KB, 0.0)
+    arriving.begin_service()
+    arriving.hold_answer(300 * KB)
+    assert removed == ["large and long"]
+    assert all_clients.answer_bytes == 510 * KB
+
+
+def test_an_answer_is_given_up_if_no_memory_waits_for_readers(removed: list[Any]) -> None:
+    all_clients = make_clients()
+    arriving = [receiving(all_clients, name, KB, 0.0) for name in ("first", "second")]
+    for client in arriving:
+        client.begin_service()
+    arriving[0].hold_answer(700 * KB)
+    with pytest.raises(AnswersFull) as failure:
+        arriving[1].hold_answer(200 * KB)
+    assert removed == []
+    assert failure.value.outcome is Outcome.UNKNOWN
+    assert failure.value.status not in REFUSING_STATUSES
+
+
+# Such an error formed a cycle with its traceback, which kept what was received until a garbage collection.
+def test_a_failed_attempt_keeps_nothing_of_its_answer() -> None:
+    attempts = Attempts(SimpleNamespace(sent_before=False, at_most_once=False))
+
+    def fail(body: bytes) -> None:
+        raise BackendError(f"no answer for {len(body)} bytes", step="test")
+
+    try:
+        fail(bytes(KB))
+    except BackendError as error:
+        attempts.note_failure(error)
+    assert attempts.failure is not None
+    assert attempts.failure.__traceback__ is None
+
+
 def test_nothing_is_accounted_for_clients_that_are_gone(removed: list[Any]) -> None:
     all_clients = make_clients()
     served = receiving(all_clients, "served", 100 * KB, 1.0)
@@ -86,8 +140,9 @@
 
 def test_one_request_of_the_greatest_size_fits_on_a_small_host() -> None:
     largest = 4 * KB * KB
-    limits = clients.client_limits(0.1, 10.0, largest)
+    limits = clients.client_limits(10.0, 0.1, 0.1, largest, largest)
     assert limits.request_bytes * clients.LARGE_SERVING_FRACTION >= largest
+    assert limits.answer_bytes >= largest
 
 
 # A task that is ended while it waits for its turn, as one is whose client has to make room.
@@ -113,6 +168,8 @@
     near.sendall(b"x")
     with pytest.raises(TimeoutError):
         wait_readable(far, 0.0)
+    for sock in (listening, near, far):
+        sock.close()
 
 
 def in_chunks(body: bytes, sizes: list[int]) -> bytes:
--- a/tests/test_newer_settings.py
+++ b/tests/test_newer_settings.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 
 from bayglade import newer_settings, upstream
-from bayglade.clients import INTERNAL_BYTES, ClientLimits, Clients
+from bayglade.clients import create_internal_clients
 from bayglade.entries.forwards import (
     PERMIT,
     PERMIT_STATUS,
@@ -65,7 +65,7 @@
             eventlet.sleep(seconds)
             serve_settings(connection, message, secret, self.settings.intake)
 
-        clients = Clients("forwarded", lambda: ClientLimits(INTERNAL_BYTES), ReadTurns(), Metrics(None))
+        clients = create_internal_clients("forwarded", ReadTurns(), Metrics(None))
         self.task = eventlet.spawn(serve, self.listening, clients, CallerLimits, handle)
 
 
