Bound the connections of clients, and close idle ones first

Callers saw: beside 700 silent connections at any port of a host with 600 descriptors, ordinary requests were not answered.

Cause: every connection is accepted. Once no descriptor is left, callers that behave get none, nor do servers, the store and other daemons, and each failed accept was logged 20 times a second.

Change: each listener has a bound on its connections, a part of the descriptors of the host less those for files: 0.45 for callers, 0.15 for forwarded calls, 32 each for readiness and metrics, 0.1 for streams of daemons that have not proved yet that they are daemons. At the bound, idle connections are closed first, then those with an incomplete request, the oldest first; one inside a complete request never is, and if there is no other, the new one is closed. 32 accepts in a row let other tasks run; failed accepts are logged once a second.

Why this works: the parts add up to 0.7 of the sockets and 64, so that the rest is there for servers, store and daemons whatever clients do.

Ruled out: the limit of the kernel's queue; the accepts failed with EMFILE.

--- a/bayglade/clients.py
+++ b/bayglade/clients.py
@@ -1,15 +1,17 @@
-"""Bounds on the bytes that all clients of a listener together make this process keep.
+"""Bounds on what all clients of a listener together make this process keep: bytes and connections.
 
 The limits of a single connection leave their sum open, which grows with the number of clients. Here the
 sum is bounded. When bytes are short, the client that has held most for longest without completing anything
-loses its place. Small requests may fill a part of the memory that large ones can't. See
-``docs/design/client_limits.md``.
+loses its place; when connections are short, idle ones are closed first. Small requests may fill a part of
+the memory that large ones can't. See ``docs/design/client_limits.md``.
 """
 
 import os
+import resource
 from collections import Counter
 from collections.abc import Callable
 from enum import Enum
+from heapq import nsmallest
 
 import eventlet
 import greenlet
@@ -37,6 +39,16 @@
 """The same for requests larger than ``SMALL_REQUEST_BYTES``."""
 RELIEF_FRACTION = 7 / 8
 """Fraction of a bound to which clients are removed at once, so that not every read removes one."""
+FILE_DESCRIPTORS = 200
+"""Descriptors that are left for files."""
+MIN_SOCKETS = 256
+CALLERS_SOCKET_FRACTION = 0.45
+"""Fraction of the sockets for connections of callers. What is not named here is for connections to servers,
+to the store and between daemons."""
+FORWARDED_SOCKET_FRACTION = 0.15
+HANDSHAKE_SOCKET_FRACTION = 0.1
+"""The same for connections to the port of other daemons that have not shown yet that they are from one."""
+INTERNAL_CONNECTIONS = 32
 INTERNAL_BYTES = MB
 RETRY_AFTER_SECONDS = 0.5
 LOG_LINES_PER_SECOND = 2.0
@@ -59,6 +71,10 @@
     """The request was rejected, and the rest of it is being discarded."""
 
 
+WAITING_STATES = ((ClientState.IDLE, ClientState.CLOSING), (ClientState.RECEIVING,))
+"""States in which a connection may be closed in favour of another one, in this order."""
+
+
 class ClientRemoved(ConnectionAbortedError):
     """Raised in the task of a connection that is closed in favour of others."""
 
@@ -66,11 +82,12 @@
 class ClientLimits(msgspec.Struct, frozen=True):
     """Bounds on all clients of one listener."""
 
+    connections: int
     request_bytes: int
     answer_bytes: int
 
 
-INTERNAL_LIMITS = ClientLimits(INTERNAL_BYTES, INTERNAL_BYTES)
+INTERNAL_LIMITS = ClientLimits(INTERNAL_CONNECTIONS, INTERNAL_BYTES, INTERNAL_BYTES)
 
 
 class Client:
@@ -183,10 +200,17 @@
         return f"<Clients {self.name} {len(self.members)}, {self.request_bytes + self.answer_bytes} bytes>"
 
     def add(self, address: str) -> Client:
-        """Add the connection that the current task serves.
+        """Add the connection that the current task serves, and close others if there are too many.
 
         :param address: the address of the client.
+        :raises ClientRemoved: if all others are inside a request that is complete.
         """
+        bound = self.limits().connections
+        if len(self.members) >= bound:
+            self._close_waiting(max(1, len(self.members) - int(RELIEF_FRACTION * bound)))
+        if len(self.members) >= bound:
+            self.metrics.count(f"clients_{self.name}_not_accepted")
+            raise ClientRemoved("too many connections")
         client = Client(self, address)
         self.members.add(client)
         return client
@@ -264,6 +288,16 @@
         holding = (member for member in self.members if member.state is state and size(member) > 0)
         return max(holding, key=lambda member: size(member) * (at - member.since), default=None)
 
+    def _close_waiting(self, count: int) -> None:
+        """Close connections without a request, or else with an incomplete one; the oldest first."""
+        for states in WAITING_STATES:
+            waiting = [member for member in self.members if member.state in states]
+            for member in nsmallest(count, waiting, key=lambda member: member.since):
+                self.members.discard(member)
+                self._remove(member, ClientRemoved("too many connections"))
+            if waiting:
+                return
+
     def _remove(self, client: Client, error: Exception) -> None:
         """End what a connection is doing, by an error in its task."""
         self._note_removed(client)
@@ -295,6 +329,7 @@
 
 
 def client_limits(
+    connections: int,
     memory_mb: float,
     request_fraction: float,
     answer_fraction: float,
@@ -303,6 +338,7 @@
 ) -> ClientLimits:
     """Return the bounds of a listener.
 
+    :param connections: the greatest number of connections.
     :param memory_mb: memory of the host, in MB.
     :param request_fraction: fraction of it for requests.
     :param answer_fraction: fraction of it for answers.
@@ -310,6 +346,7 @@
     :param largest_answer: bytes of the largest answer that is read whole.
     """
     return ClientLimits(
+        connections,
         max(int(request_fraction * memory_mb * MB), MIN_LARGEST_REQUESTS * largest_request),
         max(int(answer_fraction * memory_mb * MB), MIN_LARGEST_ANSWERS * largest_answer),
     )
@@ -321,3 +358,12 @@
     :param configured: the memory in the settings; 0 for what the host has.
     """
     return configured or os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") / MB
+
+
+def host_sockets(configured: int) -> int:
+    """Return the number of sockets that this process may open.
+
+    :param configured: the descriptors in the settings; 0 for the limit of the process.
+    """
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return max(MIN_SOCKETS, (configured or soft) - FILE_DESCRIPTORS)
--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -26,6 +26,7 @@
 from bayglade.revisions import Current
 from bayglade.usage import GroupUsage, Usage
 
+DEFAULT_MAX_HANDSHAKES = 256
 LIVE_TIMEOUT = 3.5
 ONE_WAY_SILENCE_SECONDS = 3.0
 """A stream is dialled again once the other side reports having heard nothing for this many seconds."""
@@ -182,6 +183,10 @@
         self.usage_rows: list[GroupUsage] = []
         self.bytes_out = 0
         self.bytes_in = 0
+        self.handshakes = 0
+        """Connections whose other side has not shown yet that it is a daemon."""
+
+        self.max_handshakes = DEFAULT_MAX_HANDSHAKES
 
     def __repr__(self) -> str:
         return f"<Membership {len(self.live())} of {len(self.listed)} live>"
@@ -278,6 +283,13 @@
                 connection, _ = sock.accept()
             except OSError:
                 return
+            if self.handshakes >= self.max_handshakes:
+                self.metrics.count("entries.streams_not_accepted")
+                connection.close()
+                # Closing at once must not keep other tasks waiting.
+                eventlet.sleep(0)
+                continue
+            self.handshakes += 1
             eventlet.spawn_n(self._receive, connection)
 
     def run_due(self) -> None:
@@ -366,7 +378,7 @@
         """Read one stream from another daemon until it ends."""
         peer = ""
         try:
-            stream = streams.accept(connection, self.secret)
+            stream = self._accept(connection)
             peer = stream.member
             for message in stream.messages(LIVE_TIMEOUT * 2):
                 self.bytes_in += stream.take_received_bytes()
@@ -377,6 +389,12 @@
         finally:
             connection.close()
 
+    def _accept(self, connection: socket.socket) -> streams.InStream:
+        try:
+            return streams.accept(connection, self.secret)
+        finally:
+            self.handshakes -= 1
+
     def _handle(self, sender: MemberId, message: wire.Message) -> None:
         self.last_heard[sender] = now()
         member = self.members.get(sender)
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -29,13 +29,16 @@
 from bayglade.clients import (
     CALLERS_ANSWER_FRACTION,
     CALLERS_REQUEST_FRACTION,
+    CALLERS_SOCKET_FRACTION,
     FORWARDED_ANSWER_FRACTION,
     FORWARDED_REQUEST_FRACTION,
+    FORWARDED_SOCKET_FRACTION,
     ClientLimits,
     Clients,
     client_limits,
     create_internal_clients,
     host_memory_mb,
+    host_sockets,
 )
 from bayglade.clock import SuspensionDetector, now, use_boottime_timers
 from bayglade.config import GatewayConfig, load_gateway_config, parse_address
@@ -261,9 +264,14 @@
         link_feeds(self._feeds())
         self.presence = DisconnectWatcher(self.metrics)
         turns = ReadTurns()
-        callers_limits = partial(self._client_limits, CALLERS_REQUEST_FRACTION, CALLERS_ANSWER_FRACTION)
+        callers_limits = partial(
+            self._client_limits, CALLERS_SOCKET_FRACTION, CALLERS_REQUEST_FRACTION, CALLERS_ANSWER_FRACTION
+        )
         forwarded_limits = partial(
-            self._client_limits, FORWARDED_REQUEST_FRACTION, FORWARDED_ANSWER_FRACTION
+            self._client_limits,
+            FORWARDED_SOCKET_FRACTION,
+            FORWARDED_REQUEST_FRACTION,
+            FORWARDED_ANSWER_FRACTION,
         )
         self.clients = (
             create_internal_clients("ready", turns, self.metrics),
@@ -395,9 +403,12 @@
             layout=layout_belief(self.metrics, len(self.loader.pending_orders)),
         )
 
-    def _client_limits(self, request_fraction: float, answer_fraction: float) -> ClientLimits:
+    def _client_limits(
+        self, socket_fraction: float, request_fraction: float, answer_fraction: float
+    ) -> ClientLimits:
         limits = self.intake.limits()
         return client_limits(
+            int(socket_fraction * host_sockets(self.config.max_descriptors)),
             host_memory_mb(self.config.memory_mb),
             request_fraction,
             answer_fraction,
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -14,7 +14,7 @@
 import msgspec
 from eventlet.hubs import trampoline
 
-from bayglade.clients import Client, Clients, ClientState
+from bayglade.clients import Client, ClientRemoved, Clients, ClientState
 from bayglade.clock import now
 from bayglade.exceptions import BaygladeError, HeadTooLarge, HostFull, InvalidMessage, SlowHead
 from bayglade.http1 import Headers, Message, MessageParser, encode_head, parts_to_send
@@ -43,6 +43,9 @@
 """How long to read and discard the rest of a rejected request: closing the connection with unread bytes
 would reset it, and the caller could lose the response."""
 REJECTIONS_LOGGED_PER_SECOND = 10.0
+ACCEPT_RETRY_SECONDS = 0.05
+ACCEPTS_PER_TURN = 32
+"""Connections that are accepted in a row before other tasks run."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -240,6 +243,7 @@
 
 
 log_rejected = rate_limited(REJECTIONS_LOGGED_PER_SECOND)
+log_not_accepted = rate_limited(1.0)
 
 
 def _slow_head() -> SlowHead:
@@ -247,6 +251,7 @@
 
 
 Handler = Callable[[Connection, Message], None]
+Prepare = Callable[[Connection], None]
 
 
 def reason_phrase(status: int) -> str:
@@ -279,7 +284,11 @@
 
 
 def serve(
-    listening: socket.socket, clients: Clients, limits: Callable[[], CallerLimits], handler: Handler
+    listening: socket.socket,
+    clients: Clients,
+    limits: Callable[[], CallerLimits],
+    handler: Handler,
+    prepare: Prepare = lambda connection: None,
 ) -> None:
     """Accept connections until the socket is closed, serving each in a green thread.
 
@@ -287,7 +296,9 @@
     :param clients: the clients of this listener.
     :param limits: returns the limits for new connections.
     :param handler: serves a request.
+    :param prepare: called with each new connection.
     """
+    accepted = 0
     while True:
         try:
             sock, address = listening.accept()
@@ -295,19 +306,32 @@
             if listening.fileno() < 0:
                 return
             # Out of file descriptors, most likely; retry, as connections in use will free theirs.
-            event("ERROR", "cannot accept a connection", error=repr(error))
-            eventlet.sleep(0.05)
+            log_not_accepted("ERROR", "cannot accept a connection", error=repr(error))
+            eventlet.sleep(ACCEPT_RETRY_SECONDS)
             continue
-        eventlet.spawn_n(_serve_connection, sock, address[0], clients, limits(), handler)
+        eventlet.spawn_n(_serve_connection, sock, address[0], clients, limits(), handler, prepare)
+        accepted += 1
+        if accepted % ACCEPTS_PER_TURN == 0:
+            eventlet.sleep(0)
 
 
 def _serve_connection(
-    sock: "GreenSocket", address: str, clients: Clients, limits: CallerLimits, handler: Handler
+    sock: "GreenSocket",
+    address: str,
+    clients: Clients,
+    limits: CallerLimits,
+    handler: Handler,
+    prepare: Prepare,
 ) -> None:
-    client = clients.add(address)
+    try:
+        client = clients.add(address)
+    except ClientRemoved:
+        sock.close()
+        return
     connection = Connection(sock, client, limits, clients.turns)
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        prepare(connection)
         while _serve_request(connection, handler):
             pass
     except OSError as error:
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from bayglade.catchup import CatchUp
+from bayglade.clients import HANDSHAKE_SOCKET_FRACTION, host_sockets
 from bayglade.clock import now
 from bayglade.config import GatewayConfig, parse_address
 from bayglade.entries import wire
@@ -426,6 +427,8 @@
             self._receive_heartbeat,
             self.rng,
         )
+        sockets = host_sockets(self.config.max_descriptors)
+        membership.max_handshakes = int(HANDSHAKE_SOCKET_FRACTION * sockets)
         membership.before_heartbeats = self._update_sums
         membership.sums_for = self.totals.for_member
         membership.reports_for = self.peers.reports.for_member
--- a/tests/crowds/test_clients.py
+++ b/tests/crowds/test_clients.py
@@ -170,7 +170,7 @@
         judge(site, daemon, crowd)
 
 
-@pytest.mark.parametrize("name", ["callers", "forwarded", "ready", "metrics"])
+@pytest.mark.parametrize("name", ["callers", "forwarded", "ready", "metrics", "streams"])
 def test_connections_do_not_use_up_the_descriptors(site: UsersSite, name: str) -> None:
     daemon = start(site, max_descriptors=DESCRIPTORS)
     process = psutil.Process(daemon.popen.pid)
@@ -180,6 +180,7 @@
         "ready": daemon.ready,
         "metrics": daemon.metrics,
         "forwarded": f"127.0.0.1:{daemon.ports[1]}",
+        "streams": f"127.0.0.1:{daemon.ports[0]}",
     }
     with (
         Crowd(addresses[name], "silent", SILENT_CLIENTS) as crowd,
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies
 
 from bayglade import clients, listener
-from bayglade.clients import ClientLimits, Clients, ClientState
+from bayglade.clients import ClientLimits, ClientRemoved, Clients, ClientState
 from bayglade.exceptions import AnswersFull, BackendError, HostFull, Outcome
 from bayglade.gateway import REFUSING_STATUSES
 from bayglade.http1 import Message
@@ -24,6 +24,7 @@
 KB = 1024
 REQUEST_BYTES = 1000 * KB
 ANSWER_BYTES = 800 * KB
+CONNECTIONS = 8
 LIMITS = CallerLimits(head_bytes=4 * KB, body_bytes=64 * KB)
 
 
@@ -35,7 +36,12 @@
 
 
 def make_clients(request_bytes: int = REQUEST_BYTES) -> Clients:
-    return Clients("callers", lambda: ClientLimits(request_bytes, ANSWER_BYTES), ReadTurns(), Metrics(None))
+    return Clients(
+        "callers",
+        lambda: ClientLimits(CONNECTIONS, request_bytes, ANSWER_BYTES),
+        ReadTurns(),
+        Metrics(None),
+    )
 
 
 def receiving(all_clients: Clients, name: str, size: int, seconds: float) -> clients.Client:
@@ -128,6 +134,22 @@
     assert attempts.failure.__traceback__ is None
 
 
+def test_idle_connections_are_closed_first_and_never_one_in_service(removed: list[Any]) -> None:
+    all_clients = make_clients()
+    for number in range(3):
+        receiving(all_clients, f"served {number}", KB, 9.0).begin_service()
+    for number in range(4):
+        receiving(all_clients, f"receiving {number}", KB, 9.0 - number)
+    idle = all_clients.add("idle")
+    idle.task = "idle"
+    for number in range(5):
+        receiving(all_clients, f"new {number}", KB, 0.0).begin_service()
+    with pytest.raises(ClientRemoved):
+        all_clients.add("one more")
+    assert removed == ["idle", *(f"receiving {number}" for number in range(4))]
+    assert len(all_clients.members) == CONNECTIONS
+
+
 def test_nothing_is_accounted_for_clients_that_are_gone(removed: list[Any]) -> None:
     all_clients = make_clients()
     served = receiving(all_clients, "served", 100 * KB, 1.0)
@@ -140,7 +162,7 @@
 
 def test_one_request_of_the_greatest_size_fits_on_a_small_host() -> None:
     largest = 4 * KB * KB
-    limits = clients.client_limits(10.0, 0.1, 0.1, largest, largest)
+    limits = clients.client_limits(8, 10.0, 0.1, 0.1, largest, largest)
     assert limits.request_bytes * clients.LARGE_SERVING_FRACTION >= largest
     assert limits.answer_bytes >= largest
 
