Read bodies at the port of daemons only from daemons

Callers saw: nothing by itself. Calls that a daemon without servers forwards for them had to share the memory for forwarded calls with bodies that no daemon sent, since the seal was checked once a body was complete.

Cause: the check of a forwarded call needs its head only, and came after the body.

Change: at that port the seal of a call, or of a question for settings, is checked when the head is there; without it the connection is closed and nothing of the body is kept. Refusals of unfinished requests say there that they are a daemon's own, so that the one that forwards does not take them for an answer.

Why this works: the seal is made with the secret of the daemons, which clients do not have, so only daemons can take that memory.

Evidence: all three cases of the test got 408 after the time for a request before, and are answered with 500 at once now. Ruled out: a limit on these bodies alone, which would hit forwarded calls too.

--- a/bayglade/forwarded_calls.py
+++ b/bayglade/forwarded_calls.py
@@ -13,8 +13,11 @@
     PERMIT_STATUS,
     SERVER_HEADER,
     SETTINGS_HEADER,
+    SETTINGS_REQUEST_HEADER,
+    SettingsRequest,
     decode_forwarded,
     decode_permit,
+    decode_sealed,
 )
 from bayglade.exceptions import BaygladeError, Isolated, Outcome, PeerError, SettingsBehind, Stopping
 from bayglade.http1 import Message, encode_head
@@ -28,6 +31,22 @@
 """Time limit for a permit; between data halls it takes a few milliseconds."""
 
 
+def check_sender(message: Message, secret: bytes | None) -> None:
+    """Check, before the body of a request is read, that another daemon sends it.
+
+    :param message: the request, of which the head is complete.
+    :param secret: the secret that all daemons share; None before this daemon has joined.
+    :raises BaygladeError: if it is not from a daemon, or that cannot be told.
+    """
+    if secret is None:
+        raise Stopping("this daemon accepts no forwarded calls", step="forward")
+    asked = message.header(SETTINGS_REQUEST_HEADER.lower())
+    if asked is not None:
+        decode_sealed(asked, SettingsRequest, SETTINGS_REQUEST_HEADER, secret)
+    else:
+        decode_forwarded(message.header(FORWARD_HEADER.lower()) or "", secret)
+
+
 def read_forwarded_call(
     message: Message, secret: bytes | None, intake: Intake, is_isolated: Callable[[ServiceName], bool]
 ) -> Call:
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -55,7 +55,7 @@
 )
 from bayglade.feeds import Feed, link_feeds
 from bayglade.fleet import Fleet
-from bayglade.forwarded_calls import error_for_sender, obtain_permit, read_forwarded_call
+from bayglade.forwarded_calls import check_sender, error_for_sender, obtain_permit, read_forwarded_call
 from bayglade.forwarding import Forwarding
 from bayglade.freshness import (
     MIN_BOUND_SECONDS,
@@ -68,7 +68,7 @@
 from bayglade.ids import BackendId, RequestId
 from bayglade.intake import RETRY_ELSEWHERE_SECONDS, Intake
 from bayglade.leases import Lease
-from bayglade.listener import Connection, Handler, listen, serve
+from bayglade.listener import Connection, Handler, Prepare, listen, serve
 from bayglade.listing import Listing
 from bayglade.loading import LEASE_MARGIN, LEASE_NAME, LEASE_SECONDS, Loader
 from bayglade.logs import event
@@ -318,7 +318,9 @@
         self._start_listener(self.config.callers, callers, self.intake.limits, self._serve_caller)
         if self.peering.forward_address:
             address = self.peering.forward_address
-            self._start_listener(address, forwarded, self.intake.limits, self._serve_forwarded)
+            self._start_listener(
+                address, forwarded, self.intake.limits, self._serve_forwarded, self._prepare_forwarded
+            )
         self.document_feed.start()
         self.servers_feed.start()
         for task in (
@@ -459,6 +461,10 @@
 
         self._serve_call(connection, message, self.intake.call, confirm_send)
 
+    def _prepare_forwarded(self, connection: Connection) -> None:
+        connection.peer_headers = [(SETTINGS_HEADER, str(self.intake.version))]
+        connection.check_head = lambda message: check_sender(message, self.peering.secret())
+
     def _serve_forwarded(self, connection: Connection, message: Message) -> None:
         """Serve a call that another daemon forwards, as one of this daemon's own callers'."""
         connection.peer_headers = [(SETTINGS_HEADER, str(self.intake.version))]
@@ -660,11 +666,16 @@
         event("INFO", "reloaded", cause=cause)
 
     def _start_listener(
-        self, address: str, clients: Clients, limits: Callable[[], CallerLimits], handler: Handler
+        self,
+        address: str,
+        clients: Clients,
+        limits: Callable[[], CallerLimits],
+        handler: Handler,
+        prepare: Prepare = lambda connection: None,
     ) -> None:
         listen_on = parse_address(address)
         listening = listen(listen_on.host, listen_on.port, for_clients=True)
-        eventlet.spawn_n(serve, listening, clients, limits, handler)
+        eventlet.spawn_n(serve, listening, clients, limits, handler, prepare)
 
     def _install_signal_handlers(self) -> None:
         def deferred(act: Callable[[], None]) -> Callable[[int, object], None]:
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -16,7 +16,7 @@
 
 from bayglade.clients import Client, ClientRemoved, Clients, ClientState
 from bayglade.clock import now
-from bayglade.exceptions import BaygladeError, HeadTooLarge, HostFull, InvalidMessage, SlowHead
+from bayglade.exceptions import BaygladeError, HeadTooLarge, SlowHead
 from bayglade.http1 import Headers, Message, MessageParser, encode_head, parts_to_send
 from bayglade.logs import event, rate_limited
 from bayglade.responses import JSON_TYPE, OUTCOME_HEADER, SENT_HEADER, error_body
@@ -55,6 +55,7 @@
     __slots__ = (
         "ahead",
         "answer_until",
+        "check_head",
         "client",
         "close_after_response",
         "limits",
@@ -71,6 +72,9 @@
         """Added to each response where the other side is a daemon, which is also told the outcome of
         errors."""
 
+        self.check_head: Callable[[Message], None] | None = None
+        """Called with each request before its body is read. Raises BaygladeError if it is not to be."""
+
         self.sock = sock
         self.client = client
         self.limits = limits
@@ -165,12 +169,13 @@
         :return: the request, or ``None`` if the caller closed the connection or the idle timeout passed.
         :raises InvalidMessage: if the bytes received aren't a valid request.
         :raises HostFull: if there is no memory for it; nothing was run.
+        :raises BaygladeError: if its body is not to be read.
         """
         started = bool(self.ahead)
         deadline = now() + (self.limits.head_seconds if started else self.limits.idle_seconds)
         self.client.enter(ClientState.RECEIVING if started else ClientState.IDLE)
         self._parse(b"")
-        reads = 0
+        reads, head_done = 0, False
         while not self._is_complete():
             more = self._read_in_turn(deadline) if reads >= FREE_READS else self._read(deadline, started)
             if not more:
@@ -180,7 +185,7 @@
                 # The timeout of a request starts with its first byte.
                 started, deadline = True, now() + self.limits.head_seconds
                 self.client.enter(ClientState.RECEIVING)
-            self._send_continue()
+            head_done = head_done or self._begin_body()
         self.client.begin_service()
         return self.parser.messages.popleft()
 
@@ -232,14 +237,20 @@
         self.ahead = data[start:]
         self.client.hold_request(self.parser.kept_bytes() + len(self.ahead))
 
-    def _send_continue(self) -> None:
-        """Send ``100 Continue`` if the caller waits for it before sending the body (RFC 9110, 10.1.1)."""
+    def _begin_body(self) -> bool:
+        """Check the head of an incomplete request; return whether it is there.
+
+        Send ``100 Continue`` if the caller waits for it before sending the body (RFC 9110, 10.1.1).
+        """
         message = self.parser.messages[0] if self.parser.messages else None
-        if message is None or message.complete or not message.head_complete or message.buffer:
-            return
-        if message.header("expect") is not None:
+        if message is None or message.complete or not message.head_complete:
+            return False
+        if self.check_head is not None:
+            self.check_head(message)
+        if not message.buffer and message.header("expect") is not None:
             message.headers = [(n, v) for n, v in message.headers if n.lower() != "expect"]
             self.sock.sendall(CONTINUE)
+        return True
 
 
 log_rejected = rate_limited(REJECTIONS_LOGGED_PER_SECOND)
@@ -348,7 +359,7 @@
     message = None
     try:
         message = connection.next_request()
-    except (InvalidMessage, HostFull) as error:
+    except BaygladeError as error:
         # Its traceback refers to what was received.
         rejection = error.with_traceback(None)
     if rejection is not None:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -20,6 +20,8 @@
 from bayglade.relay import Attempts
 from bayglade.settings import CallerLimits
 from bayglade.sockets import ReadTurns, wait_readable
+from standins.users import UsersSite, exchange
+from tests.gateway_callers import read_answer
 
 KB = 1024
 REQUEST_BYTES = 1000 * KB
@@ -273,3 +275,13 @@
         message = scripted.connection.parser.messages[0]
         assert len(message.pieces) == 0
         assert message.buffer.__alloc__() <= scripted.clients.request_bytes <= 3 * size * 2000 + 4 * KB
+
+
+# Bodies that no daemon sent took the place of forwarded ones until they were complete, or too late.
+@pytest.mark.parametrize("field", ["X-Other: x", "Bayglade-Forwarded: x", "Bayglade-Settings-Request: x"])
+def test_no_body_is_read_at_the_port_of_daemons_that_no_daemon_sends(field: str) -> None:
+    with UsersSite(halls=1, stages=1) as site:
+        daemon = site.start()
+        head = f"POST /safe/x HTTP/1.1\r\nHost: x\r\n{field}\r\nContent-Length: 1000\r\n\r\n"
+        answer = exchange(f"127.0.0.1:{daemon.ports[1]}", head.encode())
+        assert read_answer("", answer).status == 500
