Bound what clients make an entry daemon keep

Callers saw: 300 clients with unfinished bodies of 1 MiB took over 350 MB at the project's own interface, complete ones that wait for a server likewise; beside 700 silent connections the daemon of a host with 600 descriptors refused every connection from then on.

Cause: the same as at the other interface. A body was read in one call, which keeps each chunk as an object of its own; the line of a chunk's size was read however long it was; the rest of a body that is not read was discarded without an end; and the WSGI server ends when an accept fails for lack of descriptors.

Change: requests of the WSGI application are clients of the same account. A body is read in pieces of 16 KiB, or 512 bytes of chunks, each accounted before the next, in turn with others. Responses, and answers of plain services as they are read, are accounted until they are delivered. Connections without a complete head have a bound of their own, and the oldest is closed first. A connection whose body was not read is closed. Lines of the framing have 8 KiB at most. The buffers of connections are bounded as at the other interface.

Why this works: whatever the application and the WSGI server keep is either in the account or a constant for each connection, whose number is bounded.

Ruled out: eventlet's own limits; they bound heads only.

--- a/bayglade/callers/api.py
+++ b/bayglade/callers/api.py
@@ -17,6 +17,7 @@
 from bayglade.ids import ModelName, RequestId, ServiceName
 from bayglade.models import Completion, EndReason, ServiceRequest
 from bayglade.responses import (
+    CLIENT_KEY,
     JSON_TYPE,
     REQUEST_HEADER,
     Environ,
@@ -268,6 +269,7 @@
         path=f"{path}?{query}" if query else path,
         headers=headers,
         body=body,
+        hold_answer=environ[CLIENT_KEY].hold_answer,
     )
 
 
--- a/bayglade/callers/server.py
+++ b/bayglade/callers/server.py
@@ -26,17 +26,22 @@
         """Discard a line."""
 
 
-def create_protocol_class(header_timeout: float) -> type[eventlet.wsgi.HttpProtocol]:
-    """Create a protocol class that limits the time for each request head.
+def create_protocol_class(header_timeout: float, max_waiting: int) -> type[eventlet.wsgi.HttpProtocol]:
+    """Create a protocol class that limits the time of request heads, and the connections without one.
 
     :param header_timeout: maximum seconds from the first to the last byte of a head.
+    :param max_waiting: maximum number of connections without a complete head; the oldest is closed first.
     :return: the class, for the WSGI server.
     """
+    waiting: dict[eventlet.wsgi.HttpProtocol, None] = {}
 
     class GuardedProtocol(eventlet.wsgi.HttpProtocol):
         """eventlet's HTTP protocol with a timeout for request heads and a check for duplicate headers."""
 
         def _read_request_line(self) -> Any:
+            waiting[self] = None
+            if len(waiting) > max_waiting:
+                next(iter(waiting))._shut_down()
             if not self._wait_for_request():
                 return ""
             self.guard = eventlet.spawn_after(header_timeout, self._shut_down)
@@ -51,6 +56,7 @@
                 return False
 
         def _shut_down(self) -> None:
+            waiting.pop(self, None)
             with suppress(OSError):
                 self.connection.shutdown(socket.SHUT_RDWR)
 
@@ -59,6 +65,7 @@
                 good = super().parse_request()
             finally:
                 self.guard.cancel()
+                waiting.pop(self, None)
             if good and self._has_duplicate_headers():
                 self.wfile.write(BAD_REQUEST_RESPONSE)
                 self.close_connection = True
@@ -69,6 +76,7 @@
             try:
                 super().handle_one_request()
             finally:
+                waiting.pop(self, None)
                 if getattr(self, "guard", None) is not None:
                     self.guard.cancel()
 
@@ -86,14 +94,16 @@
 def serve(
     sock: socket.socket,
     application: Callable[..., Any],
-    max_connections: int,
+    max_requests: int,
+    max_waiting: int,
     header_timeout: float,
 ) -> None:
     """Serve until the calling green thread is killed, then wait for responses in flight.
 
     :param sock: the listening socket.
     :param application: the WSGI application.
-    :param max_connections: maximum number of concurrent connections.
+    :param max_requests: maximum number of requests at once.
+    :param max_waiting: maximum number of connections without a complete head.
     :param header_timeout: maximum seconds for the head of a request.
     """
     with suppress(eventlet.greenlet.GreenletExit):
@@ -103,8 +113,8 @@
             log=_NullLog(),
             log_output=False,
             debug=False,
-            custom_pool=eventlet.GreenPool(max_connections),
-            protocol=create_protocol_class(header_timeout),
+            custom_pool=eventlet.GreenPool(max_requests + max_waiting + 1),
+            protocol=create_protocol_class(header_timeout, max_waiting),
             keepalive=IDLE_TIMEOUT,
             socket_timeout=SOCKET_TIMEOUT,
         )
--- a/bayglade/daemon.py
+++ b/bayglade/daemon.py
@@ -10,8 +10,18 @@
 
 from bayglade import callers, logs
 from bayglade.claims import Claims
+from bayglade.clients import (
+    CALLERS_ANSWER_FRACTION,
+    CALLERS_REQUEST_FRACTION,
+    CALLERS_SOCKET_FRACTION,
+    ClientRemoved,
+    Clients,
+    client_limits,
+    host_memory_mb,
+    host_sockets,
+)
 from bayglade.clock import now, use_boottime_timers
-from bayglade.config import Config, parse_address
+from bayglade.config import DEFAULT_MAX_ANSWER_BYTES, Config, parse_address
 from bayglade.directory import Directory
 from bayglade.disconnects import DisconnectWatcher
 from bayglade.engines import create_engines
@@ -21,21 +31,26 @@
 from bayglade.exceptions import BaygladeError
 from bayglade.ids import BackendId, MemberId
 from bayglade.leases import Lease
+from bayglade.listener import limit_buffers
 from bayglade.logs import event
 from bayglade.metrics import create_metrics
 from bayglade.operators.api import OperatorApi
 from bayglade.placement import LEASE_NAME, Placer
 from bayglade.responses import (
+    CLIENT_KEY,
+    DeliveredBody,
     Environ,
     Response,
     StartResponse,
     error_response,
+    has_unread_body,
     json_response,
     to_wsgi,
 )
 from bayglade.revisions import Current, Revisions
 from bayglade.router import Router
 from bayglade.services import create_services
+from bayglade.sockets import ReadTurns
 from bayglade.table import create_platform
 from bayglade.table.wire import HostKind, HostState
 from bayglade.trust import Trust
@@ -58,6 +73,10 @@
 READY_PATH = "/readyz"
 ADMIN_PREFIX = "/admin/"
 LISTEN_BACKLOG = 1024
+WAITING_SOCKET_FRACTION = 0.2
+"""Fraction of the sockets for connections of callers without a complete head of a request."""
+COPIES_SENT = 2
+"""Copies of a response while it is sent: the server joins it with its head."""
 
 
 class Daemon:
@@ -101,6 +120,18 @@
         self.callers = callers.CallerApi(
             self.router, self.presence, config.max_body_bytes, config.body_timeout
         )
+        sockets = host_sockets(config.max_descriptors)
+        self.max_requests = min(config.max_connections, int(CALLERS_SOCKET_FRACTION * sockets))
+        self.max_waiting = min(config.max_connections, int(WAITING_SOCKET_FRACTION * sockets))
+        limits = client_limits(
+            self.max_requests,
+            host_memory_mb(config.memory_mb),
+            CALLERS_REQUEST_FRACTION,
+            CALLERS_ANSWER_FRACTION,
+            config.max_body_bytes,
+            DEFAULT_MAX_ANSWER_BYTES,
+        )
+        self.clients = Clients("callers", lambda: limits, ReadTurns(), self.metrics)
         self.operators = OperatorApi(
             config.member, self.router, self.revisions, self.membership, self.ready
         )
@@ -120,7 +151,7 @@
         """
         logs.configure_logging(self.config.member, self.config.log_format, self.config.log_level)
         use_boottime_timers()
-        callers_socket = _listen(self.config.callers)
+        callers_socket = _listen(self.config.callers, for_clients=True)
         entries_socket = _listen(self.config.entries)
         self._install_signal_handlers()
         tasks = (self._poll_hosts, self._poll_settings, self._probe_loads, self._tick, self._run_placement)
@@ -139,8 +170,14 @@
     def application(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Serve one HTTP request (WSGI, PEP 3333)."""
         started = now()
+        try:
+            client = self.clients.add(environ["REMOTE_ADDR"])
+        except ClientRemoved:
+            return to_wsgi(error_response(self.clients.refusal()), environ, start_response, True)
+        environ[CLIENT_KEY] = client
         try:
             response = self._respond(environ)
+            client.hold_answer(COPIES_SENT * len(response.content))
         except BaygladeError as error:
             response = error_response(error)
             self.metrics.count(f"errors.{error.code}")
@@ -150,9 +187,9 @@
             response = error_response(BaygladeError("internal error of the daemon", step="respond"))
         self.metrics.count("requests")
         self.metrics.send_timing("request.first_byte", now() - started)
-        # The unread rest of a body would be parsed as the next request.
-        close = self.membership.draining or response.status in (400, 413)
-        return to_wsgi(response, environ, start_response, close)
+        # The unread rest of a body would be parsed as the next request, or be read however long it is.
+        close = self.membership.draining or response.status in (400, 413) or has_unread_body(environ)
+        return DeliveredBody(to_wsgi(response, environ, start_response, close), client)
 
     def _respond(self, environ: Environ) -> Response:
         path = environ["PATH_INFO"]
@@ -165,7 +202,9 @@
         return self.callers.handle(environ)
 
     def _serve(self, sock: socket.socket) -> None:
-        callers.serve(sock, self.application, self.config.max_connections, self.config.header_timeout)
+        callers.serve(
+            sock, self.application, self.max_requests, self.max_waiting, self.config.header_timeout
+        )
 
     def _install_signal_handlers(self) -> None:
         def schedule_shutdown(_: int, __: object) -> None:
@@ -309,6 +348,7 @@
             if late > LATE_TICK_SECONDS:
                 event("WARNING", "event loop is late", seconds=round(late, 3))
             self.membership.run_due()
+            self.clients.update_gauges()
             self._update_leaving()
             self.router.update_capacity_fraction(len(self.membership.live()) + 1)
             self.router.admission.reject_uncovered()
@@ -324,12 +364,14 @@
     return Daemon(config)
 
 
-def _listen(address: str) -> socket.socket:
+def _listen(address: str, for_clients: bool = False) -> socket.socket:
     listen_on = parse_address(address)
     # With eventlet's default of reuse_port, two daemons could silently share a port.
     sock: socket.socket = eventlet.listen(
         (listen_on.host, listen_on.port), backlog=LISTEN_BACKLOG, reuse_port=False
     )
+    if for_clients:
+        limit_buffers(sock)
     # Inherited by accepted connections: Nagle's algorithm would delay tokens until an acknowledgement.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -286,14 +286,18 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     if for_clients:
-        # Accepted connections inherit both.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        limit_buffers(sock)
     sock.bind((host, port))
     sock.listen(LISTEN_BACKLOG)
     return sock
 
 
+def limit_buffers(listening: socket.socket) -> None:
+    """Limit the buffers of the connections that a socket accepts, which inherit them."""
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
+
 def serve(
     listening: socket.socket,
     clients: Clients,
--- a/bayglade/responses.py
+++ b/bayglade/responses.py
@@ -1,11 +1,12 @@
 """HTTP requests and responses as request handlers see them, over WSGI."""
 
-from collections.abc import Callable, Iterable
-from typing import Any
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, BinaryIO
 
 import eventlet
 import msgspec
 
+from bayglade.clients import Client, ClientRemoved, ClientState
 from bayglade.exceptions import BaygladeError, InvalidRequest, RequestTooLarge
 
 Environ = dict[str, Any]
@@ -18,6 +19,14 @@
 SENT_HEADER = "Bayglade-Sent"
 """Tells another daemon whether a call that it forwarded may have reached a server."""
 REQUEST_HEADER = "Bayglade-Request"
+CLIENT_KEY = "bayglade.client"
+"""Key of the client in the environment of a request."""
+
+PIECE_BYTES = 16 * 1024
+"""Bytes of a body that are read at a time. The reader keeps them beside the body."""
+CHUNKED_PIECE_BYTES = 512
+"""The same for a body in chunks, each of which is an object of its own until the piece is complete."""
+MAX_LINE_BYTES = 8 * 1024
 
 REASON_PHRASES = {
     200: "OK",
@@ -136,6 +145,32 @@
     return [response.content]
 
 
+class BoundedLines:
+    """A file of which no line is longer than a limit, for sizes of chunks and trailers.
+
+    :param file: the file.
+    """
+
+    __slots__ = ("file",)
+
+    def __init__(self, file: BinaryIO) -> None:
+        self.file = file
+
+    def read(self, size: int) -> bytes:
+        """Read a number of bytes; fewer at the end."""
+        return self.file.read(size)
+
+    def readline(self) -> bytes:
+        """Read a line.
+
+        :raises OSError: if it exceeds the limit.
+        """
+        line = self.file.readline(MAX_LINE_BYTES)
+        if len(line) == MAX_LINE_BYTES:
+            raise OSError("the framing of the body exceeds the size limit")
+        return line
+
+
 def read_body(environ: Environ, limit: int, timeout: float) -> bytes:
     """Read the complete body of a request.
 
@@ -145,23 +180,78 @@
     :return: the body.
     :raises RequestTooLarge: if it is larger than the limit.
     :raises InvalidRequest: if it was truncated or arrived too slowly.
+    :raises HostFull: if there is no memory for it.
     """
     declared = environ.get("CONTENT_LENGTH")
     if declared and int(declared) > limit:
         raise RequestTooLarge(f"the body is larger than {limit} bytes", step="read", peer="caller")
+    client: Client = environ[CLIENT_KEY]
+    client.enter(ClientState.RECEIVING)
     slow = InvalidRequest("the body arrived too slowly", step="read", peer="caller")
     try:
         with eventlet.Timeout(timeout, slow):
-            body: bytes = environ["wsgi.input"].read(int(declared) if declared else limit + 1)
+            body = _read_pieces(environ, client, int(declared) if declared else limit + 1)
+    except ClientRemoved:
+        raise client.clients.refusal() from None
     except (OSError, ValueError) as error:
         raise InvalidRequest("the body cannot be read", step="read", peer="caller") from error
     if declared and len(body) < int(declared):
         raise InvalidRequest("the body was truncated", step="read", peer="caller")
     if len(body) > limit:
         raise RequestTooLarge(f"the body is larger than {limit} bytes", step="read", peer="caller")
+    client.begin_service()
     return body
 
 
+def _read_pieces(environ: Environ, client: Client, size: int) -> bytes:
+    """Read a body in pieces, in turn with other clients; each is accounted before the next is read."""
+    source, body = environ["wsgi.input"], bytearray()
+    source.rfile = BoundedLines(source.rfile)
+    piece_bytes = CHUNKED_PIECE_BYTES if source.chunked_input else PIECE_BYTES
+    while piece := source.read(min(piece_bytes, size - len(body))):
+        body += piece
+        client.hold_request(len(body) + PIECE_BYTES)
+        with client.clients.turns.turn():
+            pass
+    return bytes(body)
+
+
+def has_unread_body(environ: Environ) -> bool:
+    """Return whether a part of the body of a request was not read."""
+    source = environ["eventlet.input"]
+    if source.chunked_input:
+        return bool(source.chunk_length != 0)
+    return bool(source.position < (source.content_length or 0))
+
+
+class DeliveredBody:
+    """The body of a response, accounted as kept for its client until it is delivered.
+
+    :param chunks: its parts.
+    :param client: the client.
+    """
+
+    __slots__ = ("chunks", "client")
+
+    def __init__(self, chunks: Iterable[bytes], client: Client) -> None:
+        self.chunks = chunks
+        self.client = client
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the parts; while one is sent, the client has to read."""
+        for chunk in self.chunks:
+            self.client.enter(ClientState.SENDING)
+            yield chunk
+            self.client.enter(ClientState.SERVING)
+
+    def close(self) -> None:
+        """Record that nothing is kept any more; the server calls it at the end of each response."""
+        close = getattr(self.chunks, "close", None)
+        if close is not None:
+            close()
+        self.client.clients.discard(self.client)
+
+
 def request_header(environ: Environ, name: str) -> str | None:
     """Return the value of a request header, or None."""
     value: str | None = environ.get("HTTP_" + name.upper().replace("-", "_"))
--- a/bayglade/services/client.py
+++ b/bayglade/services/client.py
@@ -7,7 +7,7 @@
 from bayglade.exceptions import BackendError, BackendUnreachable
 from bayglade.ids import BackendId
 from bayglade.services.wire import RESPONSE_HEADERS, ServiceAnswer, ServiceCall, filter_headers
-from bayglade.upstream import join_pieces
+from bayglade.upstream import HoldBytes, join_pieces
 
 CONNECT_TIMEOUT = 0.5
 POOL_SIZE = 32
@@ -60,7 +60,7 @@
                 preload_content=False,
                 decode_content=False,
             )
-            body = _read_body(response, backend)
+            body = _read_body(response, backend, call.hold_answer)
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise BackendUnreachable("cannot connect", step="connect", peer=backend) from error
         except HTTPError as error:
@@ -78,14 +78,17 @@
         return urllib3.HTTPConnectionPool(parsed.host, parsed.port, maxsize=POOL_SIZE, retries=False)
 
 
-def _read_body(response: urllib3.BaseHTTPResponse, backend: BackendId) -> bytes:
+def _read_body(response: urllib3.BaseHTTPResponse, backend: BackendId, hold: HoldBytes) -> bytes:
     """Read the whole body of an answer; the connection returns to its pool only then.
 
+    :param hold: called with the bytes read so far.
     :raises AnswerTooLarge: if it exceeds the size limit.
     :raises HTTPError: if it is incomplete.
     """
     try:
-        body = join_pieces(lambda: response.read(READ_BYTES) or None, DEFAULT_MAX_ANSWER_BYTES, backend)
+        body = join_pieces(
+            lambda: response.read(READ_BYTES) or None, DEFAULT_MAX_ANSWER_BYTES, backend, hold
+        )
     except BaseException:
         response.close()
         raise
--- a/bayglade/services/wire.py
+++ b/bayglade/services/wire.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from bayglade.upstream import HoldBytes, hold_freely
+
 REQUEST_ID_HEADER = "Bayglade-Request"
 GROUP_HEADER = "Bayglade-Group"
 
@@ -19,6 +21,8 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    hold_answer: HoldBytes = hold_freely
+    """Called with the bytes that are kept of the answer."""
 
 
 class ServiceAnswer(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/crowds/bounds.py
+++ b/tests/crowds/bounds.py
@@ -12,6 +12,11 @@
 answers have 1 MiB."""
 BODY_BYTES = 1024 * 1024
 CLIENTS = 300
+DESCRIPTORS = 600
+"""Descriptors of the host in the test of connections; the users' hosts have 4,100."""
+FILE_DESCRIPTORS = 200
+"""Those of them that are reserved for files."""
+SILENT_CLIENTS = 700
 KILL_MB = 1200
 """Memory at which a process is killed, to spare the machine that runs the tests."""
 SAMPLE_SECONDS = 0.05
--- a/tests/crowds/test_clients.py
+++ b/tests/crowds/test_clients.py
@@ -16,7 +16,15 @@
 from standins.users import HOST_NAME, Daemon, UsersSite, exchange
 from standins.users.configuration import KEY
 from standins.world import STOP_TIMEOUT, wait_for
-from tests.crowds.bounds import BODY_BYTES, CLIENTS, MACHINE_MB, watched
+from tests.crowds.bounds import (
+    BODY_BYTES,
+    CLIENTS,
+    DESCRIPTORS,
+    FILE_DESCRIPTORS,
+    MACHINE_MB,
+    SILENT_CLIENTS,
+    watched,
+)
 from tests.gateway_callers import ask, read_answer
 from tests.test_partitioned_daemons import isolate
 
@@ -25,11 +33,6 @@
 """Time limits on requests and idle connections: longer than any crowd stays."""
 TINY_FIELD_CLIENTS = 500
 FEW_CLIENTS = 20
-DESCRIPTORS = 600
-"""Descriptors of the host in the test of connections; the users' hosts have 4,100."""
-FILE_DESCRIPTORS = 200
-"""Those of them that are reserved for files."""
-SILENT_CLIENTS = 700
 LONG_ANSWER_BYTES = 4 * BODY_BYTES
 """More than the kernel buffers for a connection."""
 
--- a/tests/crowds/test_own_interface.py
+++ b/tests/crowds/test_own_interface.py
@@ -2,12 +2,21 @@
 
 from collections.abc import Iterator
 
+import psutil
 import pytest
 
 from standins.crowds import Crowd
 from standins.world import CALLER_KEY, Process, World, backend, usual_tree
 from tests import callers
-from tests.crowds.bounds import BODY_BYTES, CLIENTS, MACHINE_MB, watched
+from tests.crowds.bounds import (
+    BODY_BYTES,
+    CLIENTS,
+    DESCRIPTORS,
+    FILE_DESCRIPTORS,
+    MACHINE_MB,
+    SILENT_CLIENTS,
+    watched,
+)
 
 SECONDS = 30.0
 """Time limits on heads and bodies: longer than any crowd stays."""
@@ -23,7 +32,12 @@
     world.wait_up()
     world.cli("settings", "init", str(world.write_settings(tree)), "-p", world.platform)
     made = world.start_daemon(
-        "d1", memory_mb=MACHINE_MB, max_body_bytes=BODY_BYTES, header_timeout=SECONDS, body_timeout=SECONDS
+        "d1",
+        memory_mb=MACHINE_MB,
+        max_descriptors=DESCRIPTORS,
+        max_body_bytes=BODY_BYTES,
+        header_timeout=SECONDS,
+        body_timeout=SECONDS,
     )
     world.wait_ready(made)
     yield made
@@ -61,3 +75,17 @@
         assert callers.complete(daemon.address)[0] == 200
         crowd.leave()
         assert callers.complete(daemon.address)[0] == 200
+
+
+def test_connections_do_not_use_up_the_descriptors(daemon: Process) -> None:
+    process = psutil.Process(daemon.popen.pid)
+    process.rlimit(psutil.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+    with (
+        Crowd(daemon.address, "silent", SILENT_CLIENTS) as crowd,
+        watched(daemon.popen.pid, [port(daemon)]) as watch,
+    ):
+        crowd.wait_settled()
+        assert callers.complete(daemon.address)[0] == 200
+        crowd.leave()
+        assert callers.complete(daemon.address)[0] == 200
+    assert watch.peak_descriptors <= DESCRIPTORS - FILE_DESCRIPTORS
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -1,5 +1,6 @@
 """Bounds on what all clients together make a daemon keep: the account, turns, and how requests are cut."""
 
+import io
 import itertools
 from collections.abc import Iterator
 from types import SimpleNamespace
@@ -18,6 +19,7 @@
 from bayglade.listener import Connection
 from bayglade.metrics import Metrics
 from bayglade.relay import Attempts
+from bayglade.responses import BoundedLines
 from bayglade.settings import CallerLimits
 from bayglade.sockets import ReadTurns, wait_readable
 from standins.users import UsersSite, exchange
@@ -285,3 +287,12 @@
         head = f"POST /safe/x HTTP/1.1\r\nHost: x\r\n{field}\r\nContent-Length: 1000\r\n\r\n"
         answer = exchange(f"127.0.0.1:{daemon.ports[1]}", head.encode())
         assert read_answer("", answer).status == 500
+
+
+# The line of a chunk's size was read to its end, however long it was.
+def test_a_line_without_end_is_given_up() -> None:
+    lines = BoundedLines(io.BytesIO(b"5\r\nhello\r\n" + b"0" * 100_000))
+    assert lines.readline() == b"5\r\n"
+    assert lines.read(7) == b"hello\r\n"
+    with pytest.raises(OSError, match="exceeds"):
+        lines.readline()
