Count what else is kept of requests and answers

Callers saw: nothing yet. What a daemon remembers of answered requests counted their bodies only, so 512 targets of 16 KiB came on top of its bound; an unfinished event of a stream, 256 KiB at most, was in no sum; a stream between daemons that is written as fast as it is read kept other tasks from running.

Change: the whole content of a remembered request counts; an unfinished event is accounted like an answer; after a full read a stream between daemons lets other tasks run.

Why this works: each is now in a sum that has a bound.

Ruled out: the shared parts of prompts, of which 32 a request at most are kept, refusals, with ids cut to 200 characters, and evidence, which holds digests. Result: the tests of quarantine, streams and entries pass.

--- a/bayglade/answers.py
+++ b/bayglade/answers.py
@@ -17,8 +17,8 @@
 """How long that holds after the last answer: as long as crashes count."""
 MAX_ANSWERS = 512
 MAX_COUNTED_PARTS = 4096
-MAX_BODY_BYTES = 4_000_000
-"""Maximum total size of the bodies kept to compute fingerprints from."""
+MAX_CONTENT_BYTES = 4_000_000
+"""Maximum total size of the contents kept to compute fingerprints from."""
 
 
 class AnswerCount:
@@ -43,8 +43,8 @@
         self.answered: OrderedDict[RequestContent, AnswerCount] = OrderedDict()
         """By content, the one answered last at the end."""
 
-        self.body_bytes = 0
-        """Total size of the bodies kept."""
+        self.content_bytes = 0
+        """Total size of the contents kept."""
 
         self.by_fingerprint: dict[Fingerprint, AnswerCount] = {}
         self.not_fingerprinted: dict[RequestContent, AnswerCount] = {}
@@ -62,13 +62,13 @@
         entry = self.answered.get(content)
         if entry is None:
             entry = self.answered[content] = self.not_fingerprinted[content] = AnswerCount()
-            self.body_bytes += len(content.body)
+            self.content_bytes += content.size()
         if at - entry.answered_at > PROVEN_SECONDS:
             entry.count = 0
         entry.count += 1
         entry.answered_at = at
         self.answered.move_to_end(content)
-        while len(self.answered) > MAX_ANSWERS or self.body_bytes > MAX_BODY_BYTES:
+        while len(self.answered) > MAX_ANSWERS or self.content_bytes > MAX_CONTENT_BYTES:
             self._forget_oldest()
 
     def last_answered_at(self, fingerprint: Fingerprint, key: bytes) -> float:
@@ -106,7 +106,7 @@
 
     def _forget_oldest(self) -> None:
         content, entry = self.answered.popitem(last=False)
-        self.body_bytes -= len(content.body)
+        self.content_bytes -= content.size()
         if self.not_fingerprinted.pop(content, None) is None and entry.fingerprint is not None:
             del self.by_fingerprint[entry.fingerprint]
 
--- a/bayglade/entries/streams.py
+++ b/bayglade/entries/streams.py
@@ -86,6 +86,9 @@
             self.received_bytes += len(chunk)
             for frame in _unpack(unpacker, chunk):
                 yield self.authenticator.open(frame)
+            if len(chunk) == READ_BYTES:
+                # More is there. A stream that is read as fast as it is written must let other tasks run.
+                eventlet.sleep(0)
 
 
 def dial(address: Address, me: MemberId, secret: bytes) -> OutStream:
--- a/bayglade/fingerprints.py
+++ b/bayglade/fingerprints.py
@@ -29,6 +29,10 @@
     target: bytes
     body: bytes
 
+    def size(self) -> int:
+        """Return about how many bytes it takes: of what a client chooses."""
+        return len(self.method) + len(self.host) + len(self.target) + len(self.body)
+
 
 def request_content(call: Call) -> RequestContent:
     """Return the content of a request."""
--- a/bayglade/streams.py
+++ b/bayglade/streams.py
@@ -444,7 +444,7 @@
 def _forward_events(
     context: RelayContext, call: Call, policy: RunPolicy, run: Run, message: Message, delivery: Delivery
 ) -> None:
-    splitter = EventSplitter(context.max_event_bytes)
+    splitter, held = EventSplitter(context.max_event_bytes), 0
     since = now()
     while True:
         if delivery.begun:
@@ -457,6 +457,9 @@
         if piece is None:
             break
         events = splitter.feed(piece) if piece else []
+        if len(splitter.buffer) != held:
+            held = len(splitter.buffer)
+            call.hold_answer(held)
         if not events:
             # A server may also send bytes without end that complete no event.
             since = _check_stall(context, call, policy, run, since, timeout)
--- a/tests/test_harmless_questions.py
+++ b/tests/test_harmless_questions.py
@@ -20,7 +20,7 @@
 from bayglade import quarantine as quarantine_module
 from bayglade import stops
 from bayglade import suspects as suspects_module
-from bayglade.answers import MAX_ANSWERS, MAX_BODY_BYTES, PROVEN_ANSWERS, PROVEN_SECONDS, Answers
+from bayglade.answers import MAX_ANSWERS, MAX_CONTENT_BYTES, PROVEN_ANSWERS, PROVEN_SECONDS, Answers
 from bayglade.calls import Call
 from bayglade.entries.wire import Crash
 from bayglade.evidence import COMMON_CAUSE_SECONDS, CRASHES_TO_STOP
@@ -258,8 +258,8 @@
     answers.proven(fingerprint_of(answered_call(0), KEY), KEY, 0.0)
     assert len(answers.by_fingerprint) == MAX_ANSWERS
     for number in range(8):
-        answers.note(answered_call(number, MAX_BODY_BYTES // 4), 1e4 + number)
-    assert answers.body_bytes <= MAX_BODY_BYTES
+        answers.note(answered_call(number, MAX_CONTENT_BYTES // 4), 1e4 + number)
+    assert answers.content_bytes <= MAX_CONTENT_BYTES
     assert len(answers.by_fingerprint) + len(answers.not_fingerprinted) == len(answers.answered)
 
 
