Tell operators why a request found no memory

Callers saw: 503 with the code host_full and a Retry-After, always 0.5 s.

Cause: such a request is refused before it becomes a call, and bayglade why knows refused calls only.

Change: a listener tells of each request that it rejects once its head is known; the daemon counts the error by its code and records the refusal under the request's id. Retry-After has jitter, so that refused callers do not come back all at once.

Why this works: the head has the id, whatever is missing of the body.

Evidence: the test asks for the refusal of a request beside five that fill the memory of a tiny host; nobody recorded it before, as the listener answered by itself (by reading; the test was written with the change). Ruled out: logging each refusal, which an attack could use to fill logs.

--- a/bayglade/clients.py
+++ b/bayglade/clients.py
@@ -51,6 +51,8 @@
 INTERNAL_CONNECTIONS = 32
 INTERNAL_BYTES = MB
 RETRY_AFTER_SECONDS = 0.5
+"""Retry-After of a refused request, before jitter. What holds the memory is removed when more is needed,
+and a retry mostly reaches another daemon."""
 LOG_LINES_PER_SECOND = 2.0
 
 log_removed = rate_limited(LOG_LINES_PER_SECOND)
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -33,6 +33,7 @@
     FORWARDED_ANSWER_FRACTION,
     FORWARDED_REQUEST_FRACTION,
     FORWARDED_SOCKET_FRACTION,
+    RETRY_AFTER_SECONDS,
     ClientLimits,
     Clients,
     client_limits,
@@ -263,7 +264,7 @@
         self.reachability.on_change = self.peering.announce_isolation
         link_feeds(self._feeds())
         self.presence = DisconnectWatcher(self.metrics)
-        turns = ReadTurns()
+        turns, retry_after = ReadTurns(), partial(jittered_retry_after, RETRY_AFTER_SECONDS, self.rng)
         callers_limits = partial(
             self._client_limits, CALLERS_SOCKET_FRACTION, CALLERS_REQUEST_FRACTION, CALLERS_ANSWER_FRACTION
         )
@@ -276,8 +277,8 @@
         self.clients = (
             create_internal_clients("ready", turns, self.metrics),
             create_internal_clients("metrics", turns, self.metrics),
-            Clients("callers", callers_limits, turns, self.metrics),
-            Clients("forwarded", forwarded_limits, turns, self.metrics),
+            Clients("callers", callers_limits, turns, self.metrics, retry_after),
+            Clients("forwarded", forwarded_limits, turns, self.metrics, retry_after),
         )
         """The clients of each listener."""
 
@@ -315,7 +316,9 @@
         ready, metrics, callers, forwarded = self.clients
         self._start_listener(self.config.ready, ready, internal_client_limits, self._serve_readiness)
         self._start_listener(self.config.metrics, metrics, internal_client_limits, self._serve_metrics)
-        self._start_listener(self.config.callers, callers, self.intake.limits, self._serve_caller)
+        self._start_listener(
+            self.config.callers, callers, self.intake.limits, self._serve_caller, self._prepare_caller
+        )
         if self.peering.forward_address:
             address = self.peering.forward_address
             self._start_listener(
@@ -461,6 +464,13 @@
 
         self._serve_call(connection, message, self.intake.call, confirm_send)
 
+    def _prepare_caller(self, connection: Connection) -> None:
+        def note_rejected(message: Message, error: BaygladeError) -> None:
+            self.metrics.count(f"errors_{error.code}")
+            self._record_refusal(error, message, None, now())
+
+        connection.note_rejected = note_rejected
+
     def _prepare_forwarded(self, connection: Connection) -> None:
         connection.peer_headers = [(SETTINGS_HEADER, str(self.intake.version))]
         connection.check_head = lambda message: check_sender(message, self.peering.secret())
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -59,6 +59,7 @@
         "client",
         "close_after_response",
         "limits",
+        "note_rejected",
         "parser",
         "peer_headers",
         "response_started",
@@ -75,6 +76,9 @@
         self.check_head: Callable[[Message], None] | None = None
         """Called with each request before its body is read. Raises BaygladeError if it is not to be."""
 
+        self.note_rejected: Callable[[Message, BaygladeError], None] | None = None
+        """Called with each request that is rejected before the handler gets it, if its head is known."""
+
         self.sock = sock
         self.client = client
         self.limits = limits
@@ -381,6 +385,9 @@
 def _reject(connection: Connection, error: BaygladeError) -> None:
     """Reject a request that was not read completely, and close the connection."""
     log_rejected("INFO", "bad request", error=repr(error), large=isinstance(error, HeadTooLarge))
+    message = connection.parser.messages[0] if connection.parser.messages else None
+    if message is not None and message.head_complete and connection.note_rejected is not None:
+        connection.note_rejected(message, error)
     connection.client.enter(ClientState.CLOSING)
     connection.discard_request()
     connection.close_after_response = True
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -2,16 +2,20 @@
 
 import io
 import itertools
+import socket
 from collections.abc import Iterator
+from contextlib import suppress
 from types import SimpleNamespace
 from typing import Any
 
 import eventlet
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies
 
 from bayglade import clients, listener
+from bayglade.answers import MAX_CONTENT_BYTES, Answers
 from bayglade.clients import ClientLimits, ClientRemoved, Clients, ClientState
 from bayglade.exceptions import AnswersFull, BackendError, HostFull, Outcome
 from bayglade.gateway import REFUSING_STATUSES
@@ -22,10 +26,12 @@
 from bayglade.responses import BoundedLines
 from bayglade.settings import CallerLimits
 from bayglade.sockets import ReadTurns, wait_readable
-from standins.users import UsersSite, exchange
-from tests.gateway_callers import read_answer
+from standins.users import PLAIN, Daemon, UsersSite, exchange
+from standins.world import wait_for
+from tests.gateway_callers import read_answer, request_bytes
 
 KB = 1024
+_numbers = itertools.count(1)
 REQUEST_BYTES = 1000 * KB
 ANSWER_BYTES = 800 * KB
 CONNECTIONS = 8
@@ -296,3 +302,51 @@
     assert lines.read(7) == b"hello\r\n"
     with pytest.raises(OSError, match="exceeds"):
         lines.readline()
+
+
+def test_an_operator_learns_why_a_request_found_no_memory() -> None:
+    with UsersSite(halls=1, stages=1, plain=2) as site:
+        # Memory for four requests of the greatest size, and three quarters of it for those in service.
+        daemon = site.start(memory_mb=0.001)
+        for server in site.of(PLAIN):
+            server.faults.set("mute")
+        calls = [ClientCall(daemon, bytes(9_000)) for _ in range(6)]
+        refused = wait_for("one is refused", lambda: [call for call in calls if call.refused()])[0]
+        assert b"host_full" in refused.answer
+        told = exchange(
+            daemon.metrics, f"GET /refusals/{refused.request} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+        )
+        assert msgspec.json.decode(told.partition(b"\r\n\r\n")[2])["code"] == "host_full"
+        for call in calls:
+            call.sock.close()
+        assert b"clients_callers_refused_total" in exchange(
+            daemon.metrics, b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+        )
+
+
+class ClientCall:
+    """A request with a body, whose answer is read as far as it is there."""
+
+    def __init__(self, daemon: Daemon, body: bytes) -> None:
+        self.request = f"call-{next(_numbers)}"
+        host, _, port = daemon.callers.partition(":")
+        self.sock = socket.create_connection((host, int(port)))
+        self.sock.sendall(request_bytes("/once/x", self.request, "POST", body))
+        self.sock.setblocking(False)
+        self.answer = b""
+
+    def refused(self) -> bool:
+        with suppress(BlockingIOError):
+            self.answer += self.sock.recv(65536)
+        return self.answer.startswith(b"HTTP/1.1 503")
+
+
+# Only bodies were counted of what is remembered of answered requests; a target may be as long as a head.
+def test_what_is_remembered_of_answered_requests_is_bounded_with_their_targets() -> None:
+    remembered = Answers()
+    for number in range(400):
+        target = b"/%d" % number + b"x" * 15_000
+        head = SimpleNamespace(host="site", shared_parts=())
+        call: Any = SimpleNamespace(group=None, method="GET", head=head, target=target, body=b"")
+        remembered.note(call, 1.0)
+    assert sum(len(content.target) for content in remembered.answered) <= MAX_CONTENT_BYTES
