Let crowds of clients that don't behave come in the soak

Callers saw: nothing; no soak had such clients beside its faults.

Daemons have hosts of 100 MB and take bodies of 512 KiB; at the end no daemon may have taken more at any time.

Evidence: a check that finds a process above its bound has a test of its own. Ruled out: proxies between crowds and daemons; they would hold the bytes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,6 +26,7 @@
 )
 from soak.faults import (
     BEHIND_ACTIONS,
+    CROWDED_ACTIONS,
     DEFAULT_ACTIONS,
     LIMITED_ACTIONS,
     PARTITIONED_ACTIONS,
@@ -102,6 +103,7 @@
     shared: bool = False,
     emptied: bool = False,
     behind: bool = False,
+    crowded: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -123,6 +125,7 @@
     :param shared: whether the model and the plain service share the streams, which callers take up.
     :param emptied: whether all keys are taken away for a while after the last fault.
     :param behind: whether to cut daemons off from the store and one service's servers while keys change.
+    :param crowded: whether crowds of clients that don't behave come beside the faults.
     :return: the violations found, and counts.
     """
     journal = Journal(key_versions={KEY: 0})
@@ -131,6 +134,8 @@
             write_configuration(site)
         if shared:
             site.share_streams({MODEL: 1.0, PLAIN: 1.0})
+        if crowded:
+            site.admit_crowds()
         for daemon in site.fleet:
             daemon.process.wait_ready()
         site.wait_placed()
@@ -151,6 +156,8 @@
         actions = _select_actions(resting, unsteady, limited, restored, pressed)
         if partitioned or behind:
             actions = BEHIND_ACTIONS if behind else PARTITIONED_ACTIONS
+        if crowded:
+            actions = CROWDED_ACTIONS
         FaultInjector(site, journal, seed, actions).run(seconds)
         if emptied:
             _revoke_all_keys(journal, site)
@@ -168,6 +175,8 @@
             if part:
                 journal.violations += wrongly_refused(journal.records, site.crashes)
         journal.violations += _check_recovery(pool, site)
+        if crowded:
+            journal.violations += site.memory_violations()
         broken = check(journal, site)
         if broken:
             _save_logs(keep / str(seed), site, journal, broken)
@@ -301,6 +310,9 @@
         action="store_true",
         help="cut daemons off from the store and one service's servers while keys change",
     )
+    parser.add_argument(
+        "--crowded", action="store_true", help="let crowds of clients that don't behave come as well"
+    )
     parser.add_argument(
         "--keep", type=Path, default=FAILURE_FOLDER, help="directory for logs of failed seeds"
     )
@@ -325,6 +337,7 @@
             options.shared,
             options.emptied,
             options.behind,
+            options.crowded,
         )
         failed += bool(result.broken)
         print(msgspec.json.encode(result).decode(), flush=True)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable, Sequence
 
 from soak.records import PARTITION, Fault, Journal
-from soak.site import SoakSite
+from soak.site import CROWD_BODY_BYTES, SoakSite
+from standins.crowds import Crowd
 from standins.users import LAYERS, MODEL, PLAIN, Partition, Replica
 
 FaultAction = Callable[["FaultInjector"], None]
@@ -59,6 +60,17 @@
 PARTITION_SECONDS = (1.0, 9.0)
 BEHIND_SECONDS = (2.0, 4.5)
 """Shorter than the age up to which keys are trusted: afterwards a daemon serves no keyed requests."""
+CROWD_KINDS = (
+    "bodies",
+    "large_chunks",
+    "small_chunks",
+    "whole_bodies",
+    "sent_ahead",
+    "tiny_fields",
+    "silent",
+)
+CROWD_CLIENTS = (20, 120)
+CROWD_SECONDS = (1.0, 6.0)
 GRACE_SECONDS = 8.0
 REVOKE_AFTER = 1.0
 
@@ -121,6 +133,18 @@
         return self.rng.uniform(*FAULT_SECONDS)
 
 
+def crowd(injector: FaultInjector) -> None:
+    """Have clients that don't behave connect to a daemon, and stay for a while or until it is gone."""
+    daemon, seconds = injector.rng.choice(injector.site.fleet), injector.rng.uniform(*CROWD_SECONDS)
+    kind, clients = injector.rng.choice(CROWD_KINDS), injector.rng.randint(*CROWD_CLIENTS)
+
+    def work() -> None:
+        with Crowd(daemon.process.callers, kind, clients, bytes=CROWD_BODY_BYTES, path="/open/x"):
+            time.sleep(seconds)
+
+    injector.start_fault("crowd", daemon.incarnation, seconds, work)
+
+
 def kill(injector: FaultInjector) -> None:
     """Kill a daemon and start it again later."""
     daemon, down = injector.rng.choice(injector.site.fleet), injector.random_duration()
@@ -461,6 +485,8 @@
     stop,
 )
 
+CROWDED_ACTIONS: tuple[FaultAction, ...] = (*DEFAULT_ACTIONS, *[crowd] * 8)
+
 PRESSED_ACTIONS: tuple[FaultAction, ...] = (crash_together, kill, *[reload] * 4)
 """Harmless faults give the servers some time to load in between."""
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -5,6 +5,7 @@
 import time
 from collections import deque
 from collections.abc import Sequence
+from pathlib import Path
 
 from soak.proxy import Proxies
 from standins.users import KEY, Daemon, Partition, Replica, UsersSite, false_if_unreachable
@@ -15,6 +16,11 @@
 """Servers of each service and data hall that must remain when one is withdrawn."""
 KEYS_KEPT = 3
 OLD_KEYS_KEPT = 2
+MEMORY_MB = 100
+"""Memory of the host of each daemon."""
+CROWD_BODY_BYTES = 512 * 1024
+CROWD_LIMITS = {"maxBodyBytes": CROWD_BODY_BYTES, "maxHeaderBytes": 16 * 1024, "headerTimeoutMs": 5000}
+"""Limits on clients under which a crowd can hold more than that memory."""
 RETRY_BOUND = RetryBound(fraction=0.1, floor=10.0, window=10.0)
 """The bound on the retries of all daemons to a service."""
 
@@ -91,6 +97,7 @@
             else {n: before.settings[n] for n in ("callers", "ready", "metrics", "peer_ports")}
         )
         settings = {
+            "memory_mb": MEMORY_MB,
             "store": self.store,
             "first_start": before is None,
             "retry_fraction": RETRY_BOUND.fraction,
@@ -125,6 +132,21 @@
         super().__init__(halls=2, stages=6, plain=5, front=front, partitionable=partitionable)
         self.fleet = [SoakDaemon(self, number) for number in range(daemons)]
 
+    def admit_crowds(self) -> None:
+        """Write limits under which crowds of clients can fill the memory of a host."""
+        self.client_limits = dict(CROWD_LIMITS)
+        self.configure(tuple(self.keys))
+
+    def memory_violations(self) -> list[str]:
+        """Describe each daemon that took more memory at any time than its host has."""
+        found = []
+        for daemon in self.fleet:
+            status = Path(f"/proc/{daemon.process.popen.pid}/status")
+            peak = status.read_text(encoding="utf-8").partition("VmHWM:")[2].split()[:1]
+            if peak and int(peak[0]) > 1024 * MEMORY_MB:
+                found.append(f"memory: {daemon.incarnation} took {int(peak[0]) // 1024} MB of {MEMORY_MB}")
+        return found
+
     def choose_daemon(self) -> tuple[str, str] | None:
         """Return the next ready daemon, as a load balancer does; any daemon if none is ready."""
         self.turn = getattr(self, "turn", 0) + 1
--- a/standins/users/site.py
+++ b/standins/users/site.py
@@ -84,6 +84,9 @@
         self.stream_weights: dict[str, float] = {}
         """The services that share the route of streams; empty if it leads to the model."""
 
+        self.client_limits: dict[str, float] = {}
+        """Limits on clients in which this configuration and all later ones differ from the usual one."""
+
         self.configuration: dict[str, Any] = {}
         """The configuration that the operator wrote last."""
 
@@ -124,6 +127,7 @@
         """Write a configuration as the operator does; ``changes`` apply to every route."""
         self.version = version if version is not None else self.version + 3
         self.configuration = configuration(self.version, keys, changes)
+        self.configuration["limits"] |= self.client_limits
         if self.stream_weights:
             route = next(route for route in self.configuration["routes"] if route["kind"] == "stream")
             del route["service"]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,9 @@
 
 import http.client
 import math
+import os
 from types import SimpleNamespace
+from typing import Any
 
 import msgspec
 import pytest
@@ -30,7 +32,7 @@
     check_pressure,
 )
 from soak.records import PARTITION, Fault, Journal, Kind, Record
-from soak.site import SoakDaemon
+from soak.site import SoakDaemon, SoakSite
 from standins.users import EVENTS, LAYERS, MODEL, PLAIN, UsersSite
 from standins.users import KEY as SITE_KEY
 from standins.users.replica import LimitAnnounced, LimitChange, RetryAfterSent
@@ -64,6 +66,24 @@
 
 
 # Found by a review: the soak had streams of the model only, and no caller that takes one up.
+def test_crowds_of_clients_that_do_not_behave_break_nothing() -> None:
+    result = run(seed=4, seconds=SECONDS, daemons=3, callers=4, crowded=True)
+    assert result.broken == []
+    assert result.faults.get("crowd", 0) > 1
+    assert result.statuses.get("200", 0) > 50
+
+
+def test_a_daemon_that_takes_more_memory_than_its_host_has_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    process = SimpleNamespace(popen=SimpleNamespace(pid=os.getpid()))
+    site: Any = SimpleNamespace(fleet=[SimpleNamespace(process=process, incarnation="d0.1")])
+    monkeypatch.setattr("soak.site.MEMORY_MB", 1_000_000)
+    assert SoakSite.memory_violations(site) == []
+    monkeypatch.setattr("soak.site.MEMORY_MB", 1)
+    assert len(SoakSite.memory_violations(site)) == 1
+
+
 def test_streams_shared_by_two_services_are_taken_up_in_order() -> None:
     result = run(seed=1, seconds=SECONDS, daemons=3, callers=6, shared=True)
     assert result.broken == []
