Take off the requests in service only what was added to them

Callers saw: nothing; found by reading the change as a newcomer. At the own interface a request that was refused unread was taken off the bytes in service once its response was sent, so that these fell below zero and the bound on them with it.

Cause: what to take off was told by the state of the connection, which sending a response changes.

Change: a client knows how many of its bytes are in service. Beside it, the memory and descriptors of the host are asked at the start and when settings are read again, not for each read, and a body of a few pieces takes no turns.

Why this works: what is taken off is what was added.

Evidence: test_only_requests_in_service_are_taken_off_them fails without it. Ruled out: the other interface, where a rejected request is let go before its response is sent.

--- a/bayglade/clients.py
+++ b/bayglade/clients.py
@@ -95,7 +95,16 @@
 class Client:
     """One connection of a client, with what it makes this process keep."""
 
-    __slots__ = ("address", "answer_bytes", "clients", "request_bytes", "since", "state", "task")
+    __slots__ = (
+        "address",
+        "answer_bytes",
+        "clients",
+        "request_bytes",
+        "serving_bytes",
+        "since",
+        "state",
+        "task",
+    )
 
     def __init__(self, clients: "Clients", address: str) -> None:
         self.clients = clients
@@ -105,6 +114,9 @@
         """When the state was entered, in monotonic seconds."""
 
         self.request_bytes = 0
+        self.serving_bytes = 0
+        """Bytes of the request once it is in service, else 0."""
+
         self.answer_bytes = 0
         self.task: greenlet.greenlet = eventlet.getcurrent()
 
@@ -142,6 +154,7 @@
         if not clients.has_service_room(self.request_bytes):
             raise clients.refusal()
         clients.serving_bytes += self.request_bytes
+        self.serving_bytes = self.request_bytes
         self.enter(ClientState.SERVING)
 
     def hold_answer(self, size: int) -> None:
@@ -159,11 +172,10 @@
     def let_go(self) -> None:
         """Record that nothing is kept of the request and its answer any more."""
         clients = self.clients
-        if self.state in (ClientState.SERVING, ClientState.SENDING):
-            clients.serving_bytes -= self.request_bytes
+        clients.serving_bytes -= self.serving_bytes
         clients.request_bytes -= self.request_bytes
         clients.answer_bytes -= self.answer_bytes
-        self.request_bytes = self.answer_bytes = 0
+        self.serving_bytes = self.request_bytes = self.answer_bytes = 0
 
 
 class Clients:
@@ -240,7 +252,7 @@
         fraction = SERVING_FRACTION if size <= SMALL_REQUEST_BYTES else LARGE_SERVING_FRACTION
         bound = fraction * self.limits().request_bytes
         while self.serving_bytes + size > bound:
-            client = self._heaviest(ClientState.SENDING, lambda member: member.request_bytes)
+            client = self._heaviest(ClientState.SENDING, lambda member: member.serving_bytes)
             if client is None:
                 return False
             self._remove(client, ClientRemoved("the answer was not read"))
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -264,6 +264,8 @@
         self.reachability.on_change = self.peering.announce_isolation
         link_feeds(self._feeds())
         self.presence = DisconnectWatcher(self.metrics)
+        self.memory_mb = host_memory_mb(config.memory_mb)
+        self.sockets = host_sockets(config.max_descriptors)
         turns, retry_after = ReadTurns(), partial(jittered_retry_after, RETRY_AFTER_SECONDS, self.rng)
         callers_limits = partial(
             self._client_limits, CALLERS_SOCKET_FRACTION, CALLERS_REQUEST_FRACTION, CALLERS_ANSWER_FRACTION
@@ -413,8 +415,8 @@
     ) -> ClientLimits:
         limits = self.intake.limits()
         return client_limits(
-            int(socket_fraction * host_sockets(self.config.max_descriptors)),
-            host_memory_mb(self.config.memory_mb),
+            int(socket_fraction * self.sockets),
+            self.memory_mb,
             request_fraction,
             answer_fraction,
             limits.head_bytes + limits.body_bytes,
@@ -673,6 +675,8 @@
             event("ERROR", "reload refused", cause=cause, error=repr(error))
             return
         self.intake.key_trust = self.config.key_trust_ms / 1000
+        self.memory_mb = host_memory_mb(self.config.memory_mb)
+        self.sockets = host_sockets(self.config.max_descriptors)
         event("INFO", "reloaded", cause=cause)
 
     def _start_listener(
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -118,8 +118,8 @@
     def _send_rest(self, data: memoryview) -> None:
         """Send bytes as the caller reads: until the deadline of its request, with bounded pauses."""
         until = max(self.answer_until, now() + self.send_seconds)
+        state, raw = self.client.state, self.sock.fd
         self.client.enter(ClientState.SENDING)
-        raw = self.sock.fd
         while data:
             left = min(self.send_seconds, until - now())
             if left <= 0:
@@ -127,7 +127,7 @@
             trampoline(raw, write=True, timeout=left, timeout_exc=TimeoutError)
             with suppress(BlockingIOError):
                 data = data[raw.send(data) :]
-        self.client.enter(ClientState.SERVING)
+        self.client.enter(state)
 
     def send_response(self, status: int, headers: Headers, content: bytes) -> None:
         """Send a complete response.
--- a/bayglade/responses.py
+++ b/bayglade/responses.py
@@ -26,6 +26,8 @@
 """Bytes of a body that are read at a time. The reader keeps them beside the body."""
 CHUNKED_PIECE_BYTES = 512
 """The same for a body in chunks, each of which is an object of its own until the piece is complete."""
+FREE_PIECES = 4
+"""Pieces of one body before its reader takes turns with others."""
 MAX_LINE_BYTES = 8 * 1024
 
 REASON_PHRASES = {
@@ -208,11 +210,15 @@
     source, body = environ["wsgi.input"], bytearray()
     source.rfile = BoundedLines(source.rfile)
     piece_bytes = CHUNKED_PIECE_BYTES if source.chunked_input else PIECE_BYTES
+    pieces = 0
     while piece := source.read(min(piece_bytes, size - len(body))):
         body += piece
         client.hold_request(len(body) + PIECE_BYTES)
-        with client.clients.turns.turn():
-            pass
+        pieces += 1
+        if pieces >= FREE_PIECES:
+            # A turn cannot last while bytes are awaited, so the next piece is read after it.
+            with client.clients.turns.turn():
+                pass
     return bytes(body)
 
 
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -170,6 +170,16 @@
     assert (all_clients.request_bytes, all_clients.serving_bytes, all_clients.members) == (0, 0, set())
 
 
+# A refused request that is not in service was taken off what is, once its response was sent.
+def test_only_requests_in_service_are_taken_off_them() -> None:
+    all_clients = make_clients()
+    receiving(all_clients, "served", 100 * KB, 1.0).begin_service()
+    refused = receiving(all_clients, "refused", 50 * KB, 1.0)
+    refused.enter(ClientState.SENDING)
+    all_clients.discard(refused)
+    assert all_clients.serving_bytes == 100 * KB
+
+
 def test_one_request_of_the_greatest_size_fits_on_a_small_host() -> None:
     largest = 4 * KB * KB
     limits = clients.client_limits(8, 10.0, 0.1, 0.1, largest, largest)
