Halve the receive buffer of clients' connections

Callers saw: nothing. What may lie unread on all connections of a host of 300 MB did not fit beside the other bounds: about 40 KB each with a buffer of 32 KiB (12 to 13 MB on 300 connections), 98 MB on 2,340.

Cause: the kernel keeps more than the buffer's nominal size.

Change: 16 KiB.

Ruled out: fewer connections, which would close idle ones of callers sooner.

--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -27,7 +27,7 @@
     from eventlet.greenio import GreenSocket
 
 LISTEN_BACKLOG = 1024
-RECEIVE_BUFFER_BYTES = 32 * 1024
+RECEIVE_BUFFER_BYTES = 16 * 1024
 """Receive buffer of each connection of a client. Bytes that wait there count as memory of the process."""
 SEND_BUFFER_BYTES = 64 * 1024
 """Send buffer of each connection of a client."""
