Review: case 6 writes its record however it ends

Seen: the record was written by a shared file, and not at all if the script was stopped or failed in another way than expected; its status was then that of a broken rule.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from pathlib import Path
 
-from harness import Client, Record, SmallSite, at_once, kill, wait_ready
+from harness import Client, Record, SmallSite, at_once, kill, play, wait_ready
 
 TROUBLE = os.environ.get("TROUBLE") != "0"
 DAEMONS = 5
@@ -60,12 +60,4 @@
 
 
 if __name__ == "__main__":
-    record = Record(Path(__file__).parent)
-    try:
-        code = main(record)
-    except (OSError, TimeoutError, RuntimeError) as error:
-        record(f"could not run: {error!r}")
-        code = 2
-    record(f"exit {code}")
-    record.write()
-    sys.exit(code)
+    sys.exit(play(main, Path(__file__).with_name("record.txt")))
--- a/review/harness.py
+++ b/review/harness.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+import sys
 import threading
 import time
 from collections.abc import Callable
@@ -43,13 +44,16 @@
 """The settings of a daemon as the template of the deploy file gives them for the site; the roster's time is
 the default, which the template does not set."""
 
+FAILURES = (ArithmeticError, AttributeError, LookupError, OSError, RuntimeError, TypeError, ValueError)
+"""Errors with which a case could not run; uncaught, they would end it with the status of a broken rule."""
+
 
 class Record:
     """What was sent, answered and run, line by line with the time."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         self.lines: list[str] = []
-        self.path = folder / "record.txt"
+        self.path = path
         self.began = time.monotonic()
         self.lock = threading.Lock()
 
@@ -186,3 +190,23 @@
         thread.start()
     for thread in threads:
         thread.join()
+
+
+def play(main: Callable[[Record], int], path: Path) -> int:
+    """Play a case, and write its record however it ends.
+
+    :param main: plays it; returns 1 if the rule was broken, 0 if it held, 2 if it could not run.
+    :param path: the file of the record.
+    :return: the exit status of the script.
+    """
+    record, code = Record(path), 2
+    # Stopped by a signal, it ends its processes and leaves a record too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        code = main(record)
+    except FAILURES as error:
+        record(f"could not run: {error!r}")
+    finally:
+        record(f"exit {code}")
+        record.write()
+    return code
