--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,7 +10,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-from harness import Client, Record, SmallSite, wait_ready
+from harness import Client, Record, SmallSite, play, wait_ready
 
 from standins.users.daemon import Daemon
 from standins.users.replica import Replica
@@ -168,12 +168,4 @@
 
 
 if __name__ == "__main__":
-    record = Record(Path(__file__).parent)
-    try:
-        code = main(record)
-    except (OSError, TimeoutError, RuntimeError) as error:
-        record(f"could not run: {error!r}")
-        code = 2
-    record(f"exit {code}")
-    record.write()
-    sys.exit(code)
+    sys.exit(play(main, Path(__file__).with_name("record.txt")))
