Show that one unreadable entry keeps daemons that start from serving

What callers saw: with an entry of another writer in the list of servers, no request was served after a restart.

--- /dev/null
+++ b/tests/test_unreadable_entries.py
@@ -0,0 +1,60 @@
+"""Entries of other writers that cannot be read: the others hold, for daemons that start as well.
+
+Guards against readers of the store that one entry ends: with a port of 5,000 digits in the list of servers,
+no daemon that started served a request.
+"""
+
+import json
+from collections.abc import Iterator
+
+import pytest
+
+from standins.users import MODEL, PLAIN, Daemon, UsersSite
+from standins.world import wait_for
+from tests.gateway_callers import ask
+
+HUGE = 10**400
+ODD_ENTRIES = {
+    "port of many digits": {"addr": "10.9.9.9:" + "9" * 5000},
+    "address of no host": {"addr": "0.0.0.0:80"},
+    "slots out of range": {"slots": HUGE},
+}
+
+
+@pytest.fixture
+def site() -> Iterator[UsersSite]:
+    with UsersSite(halls=1, stages=4) as made:
+        yield made
+
+
+def restart(daemon: Daemon) -> Daemon:
+    """Kill a daemon and start it again with the same settings."""
+    daemon.stop()
+    settings = {**daemon.settings, "first_start": False}
+    again = Daemon(daemon.site, settings["member"], settings["hall"], settings, f"{daemon.file.stem}-again")
+    daemon.site.daemons.append(again)
+    return again
+
+
+def is_served(daemon: Daemon, path: str) -> bool:
+    answer = ask(daemon.callers, path)
+    return answer.whole and answer.status == 200
+
+
+@pytest.mark.parametrize("service", [PLAIN, MODEL])
+@pytest.mark.parametrize("odd", ODD_ENTRIES)
+def test_daemons_that_start_serve_beside_an_unreadable_entry(
+    site: UsersSite, odd: str, service: str
+) -> None:
+    daemons = [site.start() for _ in range(2)]
+    site.wait_placed()
+    entry = {**site.of(service)[0].row(), "addr": "10.9.9.9:8080", **ODD_ENTRIES[odd]}
+    site.store.put_bytes("servers", "i-of-another", json.dumps(entry).encode())
+    restarted = [restart(daemon) for daemon in daemons]
+    for daemon in restarted:
+        daemon.wait_ready()
+        wait_for("streams are served", lambda daemon=daemon: is_served(daemon, "/stream/x"))
+        assert all(is_served(daemon, path) for path in ("/safe/x", "/once/x", "/stream/x") * 4)
+    site.of(PLAIN)[0].leave()
+    for daemon in restarted:
+        wait_for("a leaving server is noticed", lambda daemon=daemon: daemon.lines("server leaving"))
