Start feeds and other tasks again that an unexpected error ends

What callers saw: daemons that started beside an entry with a port of 5,000 digits were never ready.

Cause: Feed.run and the other tasks of a daemon end for good at an error of a type that they do not name, and nothing tells so but a traceback on standard error. A feed that ended leaves an old copy, or none; a loader, the streams to another daemon or the check of the roster are gone for the life of the process.

Change: a feed survives any error, counts as stopped, logs 'feed stopped', shows table_X_stopped and table_X_errors, grows old, and applies its whole copy with the next answer until that succeeds. The other tasks run under keep_running, which logs 'task failed' and counts. Streams are dialled again; accept is tried again without descriptors; a connection without a descriptor blames no server; the KeyError of Loader._order (a server that left while others were asked) is gone.

Ruled out: ending the process at such an error. All daemons that read the entry would end, again and again.

--- a/bayglade/daemon.py
+++ b/bayglade/daemon.py
@@ -54,6 +54,7 @@
 from bayglade.sockets import ReadTurns
 from bayglade.table import create_platform
 from bayglade.table.wire import HostKind, HostState
+from bayglade.tasks import keep_running
 from bayglade.trust import Trust
 
 TICK_INTERVAL = 0.25
@@ -156,9 +157,16 @@
         callers_socket = _listen(self.config.callers, for_clients=True)
         entries_socket = _listen(self.config.entries)
         self._install_signal_handlers()
-        tasks = (self._poll_hosts, self._poll_settings, self._probe_loads, self._tick, self._run_placement)
-        for task in (*tasks, self.presence.run):
-            eventlet.spawn_n(task)
+        tasks = {
+            "hosts": self._poll_hosts,
+            "settings": self._poll_settings,
+            "probes": self._probe_loads,
+            "tick": self._tick,
+            "placement": self._run_placement,
+            "presence": self.presence.run,
+        }
+        for name, task in tasks.items():
+            eventlet.spawn_n(keep_running, name, task, self.metrics)
         eventlet.spawn_n(self.membership.serve, entries_socket)
         server = eventlet.spawn(self._serve, callers_socket)
         event("INFO", "started", callers=self.config.callers, entries=self.config.entries)
--- a/bayglade/entries/membership.py
+++ b/bayglade/entries/membership.py
@@ -7,6 +7,7 @@
 
 import random
 import socket
+import traceback
 from collections.abc import Callable, Set
 from typing import Protocol
 
@@ -21,7 +22,7 @@
 from bayglade.entries.ring import HEARTBEAT_INTERVAL, neighbours, rows_per_heartbeat
 from bayglade.exceptions import BaygladeError, PeerError
 from bayglade.ids import BackendId, Digest, MemberId, Revision, ServiceName
-from bayglade.logs import event
+from bayglade.logs import event, rate_limited
 from bayglade.metrics import Metrics
 from bayglade.revisions import Current
 from bayglade.usage import GroupUsage, Usage
@@ -32,6 +33,9 @@
 """A stream is dialled again once the other side reports having heard nothing for this many seconds."""
 MIN_REDIAL_DELAY = 0.1
 MAX_REDIAL_DELAY = 2.0
+ACCEPT_RETRY_SECONDS = 0.05
+"""Pause after an accept that failed for want of file descriptors."""
+FAILURE_LOGS_PER_SECOND = 0.2
 MAX_OUTBOX = 32
 """Limit on messages queued for an unreachable daemon; a sender that needs an answer asks again."""
 
@@ -126,6 +130,7 @@
         self.revisions = revisions
         self.usage = usage
         self.metrics = metrics
+        self.log_failure = rate_limited(FAILURE_LOGS_PER_SECOND)
         self.leaving = leaving
         self.held = held
         self.on_heartbeat = on_heartbeat
@@ -281,8 +286,13 @@
         while True:
             try:
                 connection, _ = sock.accept()
-            except OSError:
-                return
+            except OSError as error:
+                if sock.fileno() < 0:
+                    return
+                # Out of file descriptors, most likely; connections in use will free theirs.
+                self.log_failure("ERROR", "cannot accept a stream", error=repr(error))
+                eventlet.sleep(ACCEPT_RETRY_SECONDS)
+                continue
             if self.handshakes >= self.max_handshakes:
                 self.metrics.count("entries.streams_not_accepted")
                 connection.close()
@@ -325,7 +335,9 @@
         while True:
             try:
                 stream = streams.dial(member.address, self.me, self.secret)
-            except (OSError, PeerError):
+            except Exception as error:  # noqa: BLE001 - no error may end the stream for good
+                if not isinstance(error, (OSError, PeerError)):
+                    self._note_unexpected("dial", member.id, error)
                 member.wait(delay * self.rng.uniform(0.5, 1.0))
                 delay = min(MAX_REDIAL_DELAY, delay * 2)
                 continue
@@ -337,6 +349,10 @@
                 self._send_on(member, stream)
             except OSError as error:
                 event("INFO", "stream to daemon broke", peer=member.id, error=repr(error))
+            except Exception as error:  # noqa: BLE001 - no error may end the stream for good
+                self._note_unexpected("send", member.id, error)
+                # The same message may fail again.
+                eventlet.sleep(delay)
             finally:
                 member.stream = None
                 stream.close()
@@ -386,9 +402,18 @@
         except (OSError, BaygladeError) as error:
             self.metrics.count("entries.streams_broken")
             event("INFO", "stream from daemon broke", peer=peer, error=repr(error))
+        except Exception as error:  # noqa: BLE001 - no error may end the stream for good
+            self.metrics.count("entries.streams_broken")
+            self._note_unexpected("receive", peer, error)
         finally:
             connection.close()
 
+    def _note_unexpected(self, step: str, peer: str, error: Exception) -> None:
+        """Log an error that is no failure of a stream; the stream is opened again."""
+        self.log_failure(
+            "ERROR", "stream failed", step=step, peer=peer, error=repr(error), trace=traceback.format_exc()
+        )
+
     def _accept(self, connection: socket.socket) -> streams.InStream:
         try:
             return streams.accept(connection, self.secret)
--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -6,11 +6,15 @@
 every write acknowledged before it is known here: the time just before the last answered call was
 sent or, if that call waited its full time without a change, the end of that wait.
 
+An error that is no failure of the store, in a call or in what applies the rows, doesn't end a feed
+either: it counts as stopped, and applies its whole copy again until that succeeds.
+
 While another daemon relays the table (see :mod:`bayglade.fanout`) and what it relays is fresh, a
 feed makes no calls of its own.
 """
 
 import random
+import traceback
 from collections.abc import Callable, Iterable
 from functools import partial
 
@@ -53,6 +57,8 @@
 DROPPED_LOGS_PER_SECOND = 2.0
 """Limit on log lines about rejected updates: a daemon that lags receives the same ones repeatedly."""
 
+STOPPED_LOGS_PER_SECOND = 0.2
+
 MAX_REMOVED_ROWS = 1000
 """Removed rows that are kept, so that other daemons can be told of the removal."""
 
@@ -164,7 +170,15 @@
         self.dropped = 0
         """Updates that were rejected."""
 
+        self.stopped_since: float | None = None
+        """Since when the local copy has not been applied, or not been read, because of an unexpected error;
+        None while the feed works."""
+
+        self.errors = 0
+        """Unexpected errors so far."""
+
         self.log_dropped = rate_limited(DROPPED_LOGS_PER_SECOND)
+        self.log_stopped = rate_limited(STOPPED_LOGS_PER_SECOND)
         self.rng = random.Random()
         self.task: eventlet.greenthread.GreenThread | None = None
 
@@ -172,7 +186,12 @@
         return f"<Feed {self.table} position={self.position} age={self.age():.1f}>"
 
     def age(self) -> float:
-        """Return the seconds since the local copy was known to be current."""
+        """Return the seconds since what was applied was known to be current."""
+        applied_at = self.known_at if self.stopped_since is None else min(self.known_at, self.stopped_since)
+        return now() - applied_at
+
+    def copy_age(self) -> float:
+        """Return the seconds since the local copy, applied or not, was known to be current."""
         return now() - self.known_at
 
     def start(self) -> None:
@@ -201,6 +220,10 @@
             except PlatformUnavailable as error:
                 self._record_failure(error)
                 self._back_off()
+            except Exception as error:  # noqa: BLE001 - no error may end the feed
+                self._note_stopped(error)
+                self._record_failure(error)
+                self._back_off()
 
     def _poll(self) -> None:
         called, wait = now(), 0.0
@@ -358,15 +381,43 @@
         if self.position is not None and changes.position < self.position:
             return False
         if self.position == changes.position and (is_snapshot or not changes.rows):
+            self._apply_again()
             return False
         self._note_restored(changes)
         self.position, self.confirmed_at = changes.position, now()
         self._keep_rows(changes, is_snapshot)
+        if self.stopped_since is not None:
+            self._apply_again()
+            return True
         if not is_snapshot and not changes.rows:
             return False
-        self.apply(changes, is_snapshot)
+        self._apply(changes, is_snapshot)
         return True
 
+    def _apply(self, changes: Changes, is_snapshot: bool) -> None:
+        try:
+            self.apply(changes, is_snapshot)
+        except Exception as error:  # noqa: BLE001 - no error may end the feed
+            self._note_stopped(error)
+            return
+        if self.stopped_since is not None:
+            event("INFO", "feed resumed", table=self.table, after=round(now() - self.stopped_since, 2))
+            self.stopped_since = None
+
+    def _apply_again(self) -> None:
+        """Apply the whole copy if an error has stopped the feed."""
+        if self.stopped_since is not None:
+            self._apply(*self.changes_since(None))
+
+    def _note_stopped(self, error: Exception) -> None:
+        """Record an error that is no failure of the store."""
+        self.errors += 1
+        if self.stopped_since is None:
+            self.stopped_since = now()
+        self.log_stopped(
+            "ERROR", "feed stopped", table=self.table, error=repr(error), trace=traceback.format_exc()
+        )
+
     def _note_restored(self, changes: Changes) -> None:
         """Log what differs after the store was restored; rows missing from the backup may be rewritten."""
         before = self.position or self.history_gone_after
@@ -468,7 +519,7 @@
 
     def _next_wait(self) -> float:
         """Return how long the next call may wait for a change, in seconds."""
-        wait = min(self.wait, max(MIN_WAIT, MAX_AGE_IN_WAITS * self.wait - self.age()))
+        wait = min(self.wait, max(MIN_WAIT, MAX_AGE_IN_WAITS * self.wait - self.copy_age()))
         # While nothing changes, waits end at whole multiples of their length on the clock. Those of several
         # tables then end together and are relayed in one message, which wakes followers less often.
         left = self.wait - now() % self.wait
@@ -478,7 +529,7 @@
         """Return whether an own call to the store failed recently, even if others relay the table."""
         return self.lost_at > 0 and now() - self.lost_at < RECENT_FAILURE_SECONDS
 
-    def _record_failure(self, error: PlatformUnavailable) -> None:
+    def _record_failure(self, error: Exception) -> None:
         self.lost_at, self.idle = now(), False
         self.failures += 1
         if self.failing_since is None:
--- a/bayglade/forwarding.py
+++ b/bayglade/forwarding.py
@@ -30,6 +30,7 @@
     BackendError,
     BackendSilent,
     BackendUnreachable,
+    BackendUnwilling,
     CutOff,
     Isolated,
     Outcome,
@@ -363,7 +364,7 @@
         tried.add(member)
         try:
             exchange = _open(forwarding, member, call)
-        except BackendUnreachable as error:
+        except (BackendUnreachable, BackendUnwilling) as error:
             event("INFO", "daemon not reached", request=call.head.id, peer=member, error=repr(error))
             forwarding.pass_over(member, UNREACHED_SECONDS)
             continue
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -93,6 +93,7 @@
 from bayglade.settings import CallerLimits
 from bayglade.sockets import ReadTurns, is_closed
 from bayglade.streams import relay_stream
+from bayglade.tasks import keep_running
 from bayglade.upstream import CONNECT_SECONDS, ConnectionPool
 from bayglade.usage import Usage
 from bayglade.wait_queues import WaitQueues
@@ -329,15 +330,16 @@
             )
         self.document_feed.start()
         self.servers_feed.start()
-        for task in (
-            self.peering.run,
-            self.loader.run,
-            self.diagnosis.recheck_forever,
-            self.presence.run,
-            self.wait_queues.run,
-            self._run_housekeeping,
-        ):
-            eventlet.spawn_n(task)
+        tasks = {
+            "peering": self.peering.run,
+            "loader": self.loader.run,
+            "diagnosis": self.diagnosis.recheck_forever,
+            "presence": self.presence.run,
+            "wait_queues": self.wait_queues.run,
+            "housekeeping": self._run_housekeeping,
+        }
+        for name, task in tasks.items():
+            eventlet.spawn_n(keep_running, name, task, self.metrics)
         event("INFO", "started", callers=self.config.callers, hall=self.config.hall)
         self.shutdown_requested.wait()
         self._drain()
@@ -634,6 +636,8 @@
             if feed.position is not None:
                 self.metrics.gauge(f"table_{feed.table}_version", feed.position.version)
             self.metrics.gauge(f"table_{feed.table}_updates_dropped", feed.dropped)
+            self.metrics.gauge(f"table_{feed.table}_errors", feed.errors)
+            self.metrics.gauge(f"table_{feed.table}_stopped", float(feed.stopped_since is not None))
         self.metrics.gauge("store_epoch", self.history.epoch)
         self.metrics.gauge("ready", float(self.ready()))
         self.metrics.gauge("servers_listed", len(self.fleet.servers))
--- a/bayglade/loading.py
+++ b/bayglade/loading.py
@@ -277,6 +277,8 @@
         layout = self.layouts[service]
         held = self._held(service, pipeline)
         steps = self._confirmed(held, wanted, pipeline, layout.forced)
+        # Servers may have left the list while others were asked.
+        steps = {backend: span for backend, span in steps.items() if backend in self.fleet.servers}
         if not steps:
             return
         halls: dict[HallName, int] = {}
--- a/bayglade/peering.py
+++ b/bayglade/peering.py
@@ -7,6 +7,7 @@
 """
 
 import random
+import socket
 from collections.abc import Callable, Sequence, Set
 from functools import partial
 
@@ -54,6 +55,7 @@
 from bayglade.servers import Server
 from bayglade.spreading import Spreading
 from bayglade.stops import read_stops, remove_stop, write_stop
+from bayglade.tasks import keep_running
 from bayglade.totals import LoadTotals
 from bayglade.usage import Usage
 
@@ -189,9 +191,18 @@
         """Join the other gateways, then monitor them forever."""
         if not self.config.peer_ports:
             return
-        eventlet.spawn_n(self._catch_up)
+        metrics = self.peers.metrics
+        eventlet.spawn_n(keep_running, "catch_up", self._catch_up, metrics)
         where = parse_address(self.address)
         listening = listen(where.host, where.port)
+        keep_running("join", partial(self._join, listening), metrics)
+        keep_running("roster", self._check_forever, metrics)
+
+    def _join(self, listening: socket.socket) -> None:
+        """Join the other gateways, and accept their streams.
+
+        :param listening: the socket that they connect to.
+        """
         self.roster, epoch = join_in_epoch(
             self.store, self.roster_feed.table, self.config.member, self._row()
         )
@@ -205,6 +216,9 @@
         self._roster_changed()
         self.roster_feed.start()
         eventlet.spawn_after(START_SECONDS, setattr, self.roster_feed, "batch_delay", ROSTER_BATCH_DELAY)
+
+    def _check_forever(self) -> None:
+        """Monitor the other gateways; never returns."""
         while True:
             eventlet.sleep(CHECK_INTERVAL)
             self._check()
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -13,6 +13,7 @@
     BackendError,
     BackendSilent,
     BackendUnreachable,
+    BackendUnwilling,
     InvalidMessage,
 )
 from bayglade.http1 import Message, MessageParser, parts_to_send
@@ -104,6 +105,7 @@
         :param connect_seconds: timeout of the connect.
         :return: the connection.
         :raises BackendUnreachable: if none can be opened.
+        :raises BackendUnwilling: if this process has no descriptor left for one.
         """
         connections = self.idle.get(backend)
         while connections and max_idle > 0:
@@ -122,7 +124,7 @@
         """
         try:
             connection = self._open(backend, address, CONNECT_SECONDS)
-        except BackendUnreachable as error:
+        except (BackendUnreachable, BackendUnwilling) as error:
             event("INFO", "server not reached", peer=backend, error=repr(error))
             return False
         self.release(backend, connection, None)
@@ -177,12 +179,20 @@
 
     def _open(self, backend: BackendId, address: str, seconds: float) -> PooledConnection:
         where = parse_address(address)
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            # Out of file descriptors: this says nothing about the server.
+            raise BackendUnwilling(f"no socket: {error}", step="connect", peer=backend) from error
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
             sock.settimeout(seconds)
             sock.connect((where.host, where.port))
+        except ValueError as error:
+            # The address cannot be encoded, as one that another writer left.
+            sock.close()
+            raise BackendUnreachable(f"no address: {error}", step="connect", peer=backend) from error
         except OSError as error:
             sock.close()
             self.on_connect(backend, error)
