Let no entry of the store decide about others

What callers saw: with an entry of another writer in the list of servers, whose port had 5,000 digits, 0 of 60 requests were served after a restart. With one whose key was not ASCII, 4 and 5 of 10 calls failed.

Cause: decoders raise errors of types that their callers do not expect (int() refuses more than 4,300 digits), and they accept what fails later: numbers beyond 64 bits, keys that cannot be sent in a header, addresses of no host.

Change: decoding.py turns any error of a decoder into InvalidSettings and decodes rows one by one; all readers of the store use it (servers, daemons, stops, leases, claims, settings and their history, hosts, relayed tables, reports). Numbers are bounded by 2**53, addresses have one form, keys of servers can be sent in a header. Keys are quoted in reads of the next page. Relayed tables are bounded after decompression.

--- a/bayglade/claims.py
+++ b/bayglade/claims.py
@@ -18,9 +18,11 @@
 
 from bayglade import rows
 from bayglade.clock import now
+from bayglade.decoding import decode_json
 from bayglade.exceptions import (
     BaygladeError,
     ClaimUnresolved,
+    InvalidSettings,
     KeyReused,
     PlatformAnswerLost,
     PlatformUnavailable,
@@ -39,6 +41,7 @@
 MAX_RUNNING_WAIT = 1.5
 """Seconds that a repeated request waits for the answer of an earlier one that may still be running."""
 FIRST_RUNNING_PAUSE = 0.05
+UNRESOLVED_RETRY_SECONDS = 1.0
 MAX_STORED_BODY = 64 * 1024
 MAX_PENDING_ROWS = 4096
 
@@ -174,7 +177,9 @@
             eventlet.sleep(pause)
             pause *= 2
         raise ClaimUnresolved(
-            "an earlier request with this key has no stored answer", step="claim", retry_after=1.0
+            "an earlier request with this key has no stored answer",
+            step="claim",
+            retry_after=UNRESOLVED_RETRY_SECONDS,
         )
 
     def _read_row(self, claim: Claim) -> tuple[int, ClaimRow]:
@@ -182,7 +187,13 @@
         found = self.platform.read([claim.key]).get(claim.key)
         if found is None:
             raise PlatformUnavailable("the claim has disappeared", step="claim", retry_after=1.0)
-        row = msgspec.json.decode(found.value, type=ClaimRow)
+        row = _decode_row(found)
+        if row is None:
+            raise ClaimUnresolved(
+                "the claim of an earlier request with this key cannot be read",
+                step="claim",
+                retry_after=UNRESOLVED_RETRY_SECONDS,
+            )
         if row.body_sha256 != claim.row.body_sha256:
             raise KeyReused("the key was used with another body", step="claim", peer="caller")
         return found.version, row
@@ -305,8 +316,17 @@
 
 
 def _is_same_write(found: rows.Row, row: ClaimRow) -> bool:
-    kept = msgspec.json.decode(found.value, type=ClaimRow)
-    return kept.attempt == row.attempt and kept.state is row.state
+    kept = _decode_row(found)
+    return kept is not None and kept.attempt == row.attempt and kept.state is row.state
+
+
+def _decode_row(found: rows.Row) -> ClaimRow | None:
+    """Decode the row of a claim; ``None`` if no daemon can have written it."""
+    try:
+        return decode_json(found.value, ClaimRow, "the row of a claim", "claim")
+    except InvalidSettings as error:
+        event("ERROR", "claim ignored", error=error.message)
+        return None
 
 
 def _transaction(batch: list[_Operation]) -> rows.Transaction:
--- a/bayglade/config.py
+++ b/bayglade/config.py
@@ -5,6 +5,7 @@
 """
 
 import io
+from ipaddress import AddressValueError, IPv4Address
 from pathlib import Path
 from typing import TypeVar
 
@@ -16,6 +17,11 @@
 from bayglade.sse import DEFAULT_MAX_EVENT_BYTES
 
 MAX_CONFIG_BYTES = 64 * 1024
+MAX_SHOWN_CHARACTERS = 60
+"""Length up to which an invalid address is part of the error message."""
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+"""Checked before a port is converted: Python converts only numbers of a limited length."""
 DEFAULT_MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
 ConfigT = TypeVar("ConfigT")
@@ -147,11 +153,37 @@
     :raises InvalidSettings: if the text has another form.
     """
     host, _, port = text.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
-        raise InvalidSettings(f"{text!r} is not of the form host:port, with an IP address", step="config")
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not host or not is_number or int(port) > MAX_PORT:
+        raise InvalidSettings(
+            f"{text[:MAX_SHOWN_CHARACTERS]!r} is not of the form host:port, with an IP address",
+            step="config",
+        )
     return Address(host, int(port))
 
 
+def parse_host_address(text: str) -> Address:
+    """Parse the address of another host, as an entry of the store names it.
+
+    Such addresses are compared as text, and sent to backend servers, so each has only one valid form.
+
+    :param text: an IPv4 address of one host, a colon and a port.
+    :return: the parsed address.
+    :raises InvalidSettings: if the text is anything else.
+    """
+    where = parse_address(text)
+    shown = text[:MAX_SHOWN_CHARACTERS]
+    try:
+        host = IPv4Address(where.host)
+    except AddressValueError as error:
+        raise InvalidSettings(f"{shown!r} is not an IPv4 address and port", step="config") from error
+    if host.is_unspecified or host.is_multicast or host.is_reserved:
+        raise InvalidSettings(f"{shown!r} is not the address of a host", step="config")
+    if where.port == 0 or str(where) != text:
+        raise InvalidSettings(f"{shown!r} has no valid port", step="config")
+    return where
+
+
 def load_config(path: Path) -> Config:
     """Read and validate the local settings of an entry daemon.
 
--- a/bayglade/fanout.py
+++ b/bayglade/fanout.py
@@ -17,8 +17,9 @@
 import msgspec
 
 from bayglade.clock import now
+from bayglade.decoding import reading
 from bayglade.entries.wire import Message, Poll, StoreUnreachable, TableUpdate, Updates
-from bayglade.exceptions import PeerError
+from bayglade.exceptions import InvalidSettings, PeerError
 from bayglade.feeds import INITIAL_RETRY_DELAY, MAX_RETRY_DELAY, ORIGIN, Feed
 from bayglade.ids import MemberId
 from bayglade.rows import Changes, Position
@@ -38,6 +39,8 @@
 COALESCE_SECONDS = 0.03
 """Seconds for which answers without changes are collected before others are told how fresh the tables are:
 those for several tables arrive within milliseconds of each other."""
+MAX_TABLE_BYTES = 32 * 1024 * 1024
+"""Size limit of a table that another daemon relays, after decompression."""
 COMPRESSION_LEVEL = 1
 """Compression level of zlib; a document of 2,000 routes takes some milliseconds."""
 
@@ -286,7 +289,7 @@
                 self.encoded_updates.clear()
             self.encoded_updates[name, have] = update
         recovered = now() - feed.recovered_at if feed.recovered_at else None
-        return msgspec.structs.replace(update, age=feed.age(), recovered_age=recovered)
+        return msgspec.structs.replace(update, age=feed.copy_age(), recovered_age=recovered)
 
 
 def encode_rows(rows: Mapping[str, msgspec.Raw | None]) -> bytes:
@@ -307,7 +310,12 @@
     if not data:
         return {}
     try:
-        plain = msgspec.msgpack.decode(zlib.decompress(data), type=dict[str, bytes | None])
-    except (zlib.error, msgspec.DecodeError) as error:
-        raise PeerError(f"malformed table update: {error}", step="update") from error
+        with reading("a table update", "update"):
+            decompressor = zlib.decompressobj()
+            content = decompressor.decompress(data, MAX_TABLE_BYTES)
+            if not decompressor.eof:
+                raise ValueError("it is truncated or exceeds the size limit")
+            plain = msgspec.msgpack.decode(content, type=dict[str, bytes | None])
+    except InvalidSettings as error:
+        raise PeerError(error.message, step="update") from error
     return {key: None if value is None else msgspec.Raw(value) for key, value in plain.items()}
--- a/bayglade/leases.py
+++ b/bayglade/leases.py
@@ -16,8 +16,9 @@
 import msgspec
 
 from bayglade.clock import now
+from bayglade.decoding import Count, decode_json
 from bayglade.epochs import StoreHistory
-from bayglade.exceptions import PlatformAnswerLost
+from bayglade.exceptions import InvalidSettings, PlatformAnswerLost
 from bayglade.ids import UNKNOWN_EPOCH, MemberId, StoreEpoch
 from bayglade.logs import event
 from bayglade.rows import ABSENT, Condition, Position, Row, RowStore, Transaction, Write, encode_value
@@ -34,7 +35,7 @@
     """A lease as stored in the platform's table."""
 
     holder: MemberId
-    epoch: int
+    epoch: Count
     released: bool = False
     written_in: StoreEpoch = UNKNOWN_EPOCH
     """The store's epoch when the row was written. It is lower than the store's current epoch if the row
@@ -139,9 +140,9 @@
         An invalid row is treated as a lease of an unknown holder, which has to expire.
         """
         try:
-            return msgspec.json.decode(value, type=LeaseRow)
-        except (msgspec.DecodeError, RecursionError) as error:
-            event("WARNING", "lease makes no sense", key=self.key, error=str(error))
+            return decode_json(value, LeaseRow, "the row of a lease", "lease")
+        except InvalidSettings as error:
+            event("WARNING", "lease makes no sense", key=self.key, error=error.message)
             return None
 
     def release(self) -> None:
--- a/bayglade/listing.py
+++ b/bayglade/listing.py
@@ -7,7 +7,7 @@
 
 from bayglade import logs
 from bayglade.clock import now
-from bayglade.exceptions import InvalidSettings
+from bayglade.decoding import decode_each
 from bayglade.feeds import Feed
 from bayglade.fleet import LAPSE_GRACE_SECONDS, Fleet
 from bayglade.ids import BackendId
@@ -58,21 +58,12 @@
         :param changes: rows that changed; ``None`` for a row that was removed.
         :param whole: whether the rows are the whole list.
         """
-        listed: list[ServerFacts] = []
-        gone: list[BackendId] = []
-        invalid: dict[BackendId, str] = {}
-        for key, value in changes.rows.items():
-            if value is None:
-                gone.append(BackendId(key))
-                continue
-            try:
-                listed.append(self.decode(key, value))
-            except InvalidSettings as error:
-                invalid[BackendId(key)] = error.message
-                self.metrics.count("strange_server_rows")
-                self.log_invalid_entry(
-                    "WARNING", "entry is not the server's own", peer=key, reason=error.message
-                )
+        decoded = decode_each(changes.rows, self.decode)
+        listed, gone = list(decoded.found.values()), [BackendId(key) for key in decoded.removed]
+        invalid = {BackendId(key): reason for key, reason in decoded.invalid.items()}
+        for backend, reason in invalid.items():
+            self.metrics.count("strange_server_rows")
+            self.log_invalid_entry("WARNING", "entry is not the server's own", peer=backend, reason=reason)
         outage = self._grace_left() > 0
         before, self.position = self.position, changes.position
         if whole:
--- a/bayglade/platform/documents.py
+++ b/bayglade/platform/documents.py
@@ -1,12 +1,12 @@
 """Decodes the operator's configuration document and the rows of servers into Bayglade's own types."""
 
 from hashlib import sha256
-from ipaddress import AddressValueError, IPv4Address
-from typing import Annotated, Literal, TypeVar
+from typing import Annotated, Literal
 
 import msgspec
 
-from bayglade.config import parse_address
+from bayglade.config import parse_host_address
+from bayglade.decoding import Count, Integer, Name, Number, UnixMilliseconds, decode_json, reading
 from bayglade.endpoints import Endpoint, Target
 from bayglade.exceptions import InvalidSettings
 from bayglade.ids import (
@@ -27,10 +27,10 @@
 DOCUMENT_KEY = "config"
 SERVERS_TABLE = "servers"
 
-Count = Annotated[int, msgspec.Meta(ge=0)]
-Name = Annotated[str, msgspec.Meta(min_length=1)]
-UnixMilliseconds = Annotated[int, msgspec.Meta(gt=0, le=2**53)]
-DecodedT = TypeVar("DecodedT")
+MAX_KEY_BYTES = 200
+"""Limit on the length of a row's key, as stated by the users."""
+MAX_SLOTS = 2**31 - 1
+Slots = Annotated[int, msgspec.Meta(gt=0, le=MAX_SLOTS)]
 
 
 class SplitEntry(msgspec.Struct):
@@ -143,7 +143,7 @@
 
     first: Count = msgspec.field(name="from")
     last: Count = msgspec.field(name="targetVersion")
-    version: int = 0
+    version: Integer = 0
 
     def __post_init__(self) -> None:
         if self.last < self.first:
@@ -164,9 +164,9 @@
     addr: str
     zone: Name
     version: str  # of its software
-    slots: Annotated[int, msgspec.Meta(gt=0)]
+    slots: Slots
     state: Literal["ready", "draining"]
-    cold_left_ms: float
+    cold_left_ms: Number
     seq: Count  # number of writes of the row; in a report it counts orders
     born: UnixMilliseconds | msgspec.UnsetType = msgspec.UNSET
     kind: str | None = None
@@ -180,16 +180,17 @@
     :return: its version and the settings tree that it describes.
     :raises InvalidSettings: if it is malformed.
     """
-    document = decode_strictly(value, Document, "the operator's document", "settings")
-    tree = Tree(
-        services={ServiceName(s.name): _service(s) for s in document.services},
-        endpoints=[_endpoint(route) for route in document.routes],
-        keys_required=document.tenants is not None,
-    )
-    if document.limits is not None:
-        tree.caller_limits = _limits(document.limits)
-    for tenant in document.tenants or ():
-        _add_account(tree, tenant)
+    document = decode_json(value, Document, "the operator's document", "settings")
+    with reading("the operator's document", "settings"):
+        tree = Tree(
+            services={ServiceName(s.name): _service(s) for s in document.services},
+            endpoints=[_endpoint(route) for route in document.routes],
+            keys_required=document.tenants is not None,
+        )
+        if document.limits is not None:
+            tree.caller_limits = _limits(document.limits)
+        for tenant in document.tenants or ():
+            _add_account(tree, tenant)
     return document.version, tree
 
 
@@ -200,8 +201,9 @@
     :param value: the row's value.
     :raises InvalidSettings: if it is not a row that a server would write.
     """
-    row = decode_strictly(value, ServerRow, f"row of server {key}", "fleet")
-    _check_address(row.addr)
+    _check_id(key)
+    row = decode_json(value, ServerRow, f"row of server {key}", "fleet")
+    parse_host_address(row.addr)
     layers = row.layers or NO_LAYERS
     return ServerFacts(
         id=BackendId(key),
@@ -219,33 +221,13 @@
     )
 
 
-def decode_strictly(value: bytes | msgspec.Raw, kind: type[DecodedT], what: str, step: str) -> DecodedT:
-    """Decode and validate JSON from an untrusted writer.
-
-    :param value: the encoded value.
-    :param kind: the required type.
-    :param what: a description of the value, for the error message.
-    :param step: the processing step, for the error.
-    :raises InvalidSettings: if the value is malformed or has another type.
-    """
-    try:
-        return msgspec.json.decode(value, type=kind)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise InvalidSettings(f"{what}: {error}", step=step) from error
-
-
-def _check_address(text: str) -> None:
-    """Check that an address consists of an IPv4 address and a port, so that it can be dialled.
+def _check_id(key: str) -> None:
+    """Check that a key can be the id of a server, which is sent in headers.
 
-    :raises InvalidSettings: if it does not.
+    :raises InvalidSettings: if it can't.
     """
-    where = parse_address(text)
-    try:
-        IPv4Address(where.host)
-    except AddressValueError as error:
-        raise InvalidSettings(f"{text!r} is not an IPv4 address and port", step="fleet") from error
-    if where.port == 0:
-        raise InvalidSettings(f"{text!r} has no port", step="fleet")
+    if not 0 < len(key) <= MAX_KEY_BYTES or not (key.isascii() and key.isprintable()) or " " in key:
+        raise InvalidSettings(f"{key[:MAX_KEY_BYTES]!r} is not the id of a server", step="fleet")
 
 
 def incarnation_of(born: int | msgspec.UnsetType) -> Incarnation:
--- a/bayglade/platform/engines.py
+++ b/bayglade/platform/engines.py
@@ -6,19 +6,14 @@
 
 from bayglade.clock import now
 from bayglade.control import OrderOutcome, RerouteOutcome, StageReport
+from bayglade.decoding import Amount, Count, UnixMilliseconds, decode_json
 from bayglade.exceptions import BackendError, InvalidSettings
 from bayglade.http1 import encode_head
 from bayglade.ids import BackendId, RequestId
 from bayglade.logs import event
 from bayglade.models import Route
 from bayglade.platform.calls import read_answer, write_route
-from bayglade.platform.documents import (
-    NO_LAYERS,
-    Layers,
-    UnixMilliseconds,
-    decode_strictly,
-    incarnation_of,
-)
+from bayglade.platform.documents import NO_LAYERS, Layers, incarnation_of
 from bayglade.upstream import DEFAULT_IDLE_SECONDS, MAX_CONTROL_BYTES, ConnectionPool, open_exchange
 
 REPORT_PATH = "/api/report"
@@ -38,14 +33,14 @@
 class Report(msgspec.Struct):
     """A server's report about itself."""
 
-    seq: int = 0  # orders begun since the server started
+    seq: Count = 0  # orders begun since the server started
     busy: bool = False  # an order is in progress; does not refer to requests
     layers: Layers | None = None
-    running: int = 0
-    queued: int = 0
-    kv_used: float = msgspec.field(name="kvUsed", default=0.0)  # tokens times layers
-    kv_total: float = msgspec.field(name="kvTotal", default=0.0)
-    pace: float = 1.0  # times slower than usual
+    running: Count = 0
+    queued: Count = 0
+    kv_used: Amount = msgspec.field(name="kvUsed", default=0.0)  # tokens times layers
+    kv_total: Amount = msgspec.field(name="kvTotal", default=0.0)
+    pace: Amount = 1.0  # times slower than usual
     stalled: list[StalledEntry] = []
     born: UnixMilliseconds | msgspec.UnsetType = msgspec.UNSET
 
@@ -94,7 +89,7 @@
     :return: the report, or None if it is malformed.
     """
     try:
-        report = decode_strictly(body, Report, "a report", "report")
+        report = decode_json(body, Report, "a report", "report")
     except InvalidSettings:
         return None
     layers = report.layers or NO_LAYERS
@@ -154,11 +149,10 @@
             return RerouteOutcome(True)
         if reply.status == 409 and reply.body:
             try:
-                return RerouteOutcome(
-                    False, True, msgspec.json.decode(reply.body, type=RerouteRefusal).addr
-                )
-            except msgspec.DecodeError as error:
-                event("WARNING", "malformed refusal of a reroute", peer=backend, error=str(error))
+                refusal = decode_json(reply.body, RerouteRefusal, "a refusal", "reroute")
+                return RerouteOutcome(False, True, refusal.addr)
+            except InvalidSettings as error:
+                event("WARNING", "malformed refusal of a reroute", peer=backend, error=error.message)
         # A refusal without a body means that some stage has no room.
         return RerouteOutcome(False, reply.status == 409)
 
--- a/bayglade/platform/store.py
+++ b/bayglade/platform/store.py
@@ -4,13 +4,15 @@
 import binascii
 import math
 from collections.abc import Callable
+from urllib.parse import quote
 
 import msgspec
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from bayglade.config import Address
-from bayglade.exceptions import HistoryGone, PlatformAnswerLost, PlatformUnavailable
+from bayglade.decoding import Count, decode_json
+from bayglade.exceptions import HistoryGone, InvalidSettings, PlatformAnswerLost, PlatformUnavailable
 from bayglade.ids import UNKNOWN_EPOCH, StoreEpoch
 from bayglade.logs import rate_limited
 from bayglade.rows import ABSENT, Changes, Position, Row, Transaction, TransactionResult
@@ -36,7 +38,7 @@
 
     key: str
     value: str = ""  # base64
-    ver: int = ABSENT
+    ver: Count = ABSENT
     gone: bool = False  # the row was removed; only in feeds
 
 
@@ -44,7 +46,7 @@
     """Rows as of one version of the store."""
 
     rows: list[StoredRow]
-    ver: int  # the newest version in the whole store, not just in these rows
+    ver: Count  # the newest version in the whole store, not just in these rows
     more: bool = False
 
 
@@ -114,8 +116,9 @@
         found: dict[str, msgspec.Raw | None] = {}
         start, first = "", None
         while True:
+            # Other writers choose their keys freely, so a key may hold any character.
             page, epoch = self._read_page(
-                f"/api/rows-get?table={table}&part=&from={start}&limit={PAGE_ROWS}"
+                f"/api/rows-get?table={table}&part=&from={quote(start)}&limit={PAGE_ROWS}"
             )
             # The feed repeats changes since the first page, so the version of that page is the one to keep.
             first = Position(epoch, page.ver) if first is None else first
@@ -140,7 +143,9 @@
         """Read rows of Bayglade's own tables; see :class:`bayglade.rows.RowStore`."""
         found: dict[str, Row] = {}
         for key in keys:
-            page, epoch = self._read_page(f"/api/rows-get?table={_table_of(key)}&part=&from={key}&limit=1")
+            page, epoch = self._read_page(
+                f"/api/rows-get?table={_table_of(key)}&part=&from={quote(key)}&limit=1"
+            )
             for row in page.rows:
                 if row.key == key:
                     found[key] = Row(row.ver, _decode_value(row.value), epoch)
@@ -163,7 +168,10 @@
             "transact", "POST", "/api/rows-tx", msgspec.json.encode(message), READ_TIMEOUT
         )
         if answer.status == 412:
-            conflicts = msgspec.json.decode(answer.body, type=Page).rows
+            try:
+                conflicts = decode_json(answer.body, Page, "the answer", "transact").rows
+            except InvalidSettings as error:
+                raise PlatformAnswerLost(error.message, step="transact", peer="store") from error
             return TransactionResult(False, [row.key for row in conflicts], answer.epoch)
         if answer.status != 200:
             raise self._status_error("transact", answer.status, lost=answer.status not in (429, 503))
@@ -178,9 +186,9 @@
         if answer.status != 200:
             raise self._status_error("read", answer.status, lost=False)
         try:
-            return msgspec.json.decode(answer.body, type=Page), answer.epoch
-        except msgspec.DecodeError as error:
-            raise PlatformUnavailable(f"malformed answer: {error}", step="read", peer="store") from error
+            return decode_json(answer.body, Page, "the answer", "read"), answer.epoch
+        except InvalidSettings as error:
+            raise PlatformUnavailable(error.message, step="read", peer="store") from error
 
     def _status_error(self, step: str, status: int, lost: bool) -> PlatformUnavailable:
         kind = PlatformAnswerLost if lost else PlatformUnavailable
--- a/bayglade/revisions.py
+++ b/bayglade/revisions.py
@@ -14,6 +14,7 @@
 
 from bayglade import patches, rows, settings
 from bayglade.clock import now
+from bayglade.decoding import decode_each, decode_json
 from bayglade.exceptions import (
     Forbidden,
     InvalidSettings,
@@ -109,10 +110,15 @@
 
         :raises PlatformUnavailable: when the table does not answer.
         :raises SettingsWentBack: when the head is older than the revision in force.
+        :raises InvalidSettings: when the head cannot be read.
         """
         asked, known = now(), self.current
         row = self.platform.read([HEAD_KEY]).get(HEAD_KEY)
-        head = msgspec.json.decode(row.value, type=Head) if row else Head(Revision(0), Digest(""))
+        head = (
+            decode_json(row.value, Head, "the head of the settings", "settings")
+            if row
+            else Head(Revision(0), Digest(""))
+        )
         self._check_head_not_behind(head, known)
         if head.revision > self.current.revision:
             self.offer(head.revision, head.digest, self.platform.get_object(head.digest))
@@ -187,7 +193,11 @@
         oldest = max(0, newest - min(count, MAX_HISTORY))
         keys = [_revision_key(Revision(n)) for n in range(newest, oldest, -1)]
         rows = self.platform.read(keys)
-        return [msgspec.json.decode(rows[key].value, type=AuditRow) for key in keys if key in rows]
+        found = {key: rows[key].value for key in keys if key in rows}
+        decoded = decode_each(found, lambda key, value: msgspec.json.decode(value, type=AuditRow))
+        for key, reason in decoded.invalid.items():
+            event("ERROR", "audit row ignored", key=key, error=reason)
+        return list(decoded.found.values())
 
     def _check_head_not_behind(self, head: Head, known: Current) -> None:
         """Check that the head is not behind what was in force before it was read."""
--- a/bayglade/roster.py
+++ b/bayglade/roster.py
@@ -12,9 +12,10 @@
 import msgspec
 
 from bayglade.config import parse_address
-from bayglade.exceptions import HistoryGone, InvalidSettings, PlatformUnavailable
+from bayglade.decoding import Amount, decode_each
+from bayglade.exceptions import HistoryGone, PlatformUnavailable
 from bayglade.ids import HallName, MemberId, StoreEpoch
-from bayglade.logs import event
+from bayglade.logs import event, rate_limited
 from bayglade.rows import ABSENT, Condition, RowStore, Table, Transaction, Write, encode_value
 
 MEMBER_PREFIX = "members/"
@@ -29,6 +30,11 @@
 """Number of reads after which a malformed secret is replaced: its writer may still correct it."""
 
 
+IGNORED_ROW_LOGS_PER_SECOND = 1.0
+
+_log_ignored_row = rate_limited(IGNORED_ROW_LOGS_PER_SECOND)
+
+
 class MemberRow(msgspec.Struct, frozen=True):
     """The row of a daemon."""
 
@@ -38,7 +44,7 @@
     """Set by others once the daemon was silent for long; a daemon that finds its own row marked writes it
     again."""
 
-    link_mbps: float = 0.0
+    link_mbps: Amount = 0.0
     """Link speed of its host; 0 when unknown."""
 
     forwards: str = ""
@@ -148,25 +154,35 @@
     :param before: the roster before.
     """
     members, secret, marked = dict(before.members), before.secret, set(before.marked_gone)
-    malformed = set(before.malformed)
-    for key, value in rows.items():
-        if key.startswith(STOP_PREFIX):
-            continue
-        member = MemberId(key.removeprefix(MEMBER_PREFIX))
-        malformed.discard(key)
-        try:
-            if key == SECRET_KEY:
-                secret = secret if value is None else msgspec.json.decode(value, type=str).encode()
-                continue
-            members.pop(member, None)
-            marked.discard(member)
-            row = msgspec.json.decode(value, type=MemberRow) if value is not None else None
-            if row is not None and row.gone:
-                marked.add(member)
-            elif row is not None:
-                parse_address(row.address)
-                members[member] = row
-        except (msgspec.DecodeError, RecursionError, InvalidSettings) as error:
-            malformed.add(key)
-            event("ERROR", "member row ignored", peer=key, error=str(error))
+    own = {key: value for key, value in rows.items() if not key.startswith(STOP_PREFIX)}
+    decoded = decode_each(own, _decode_row)
+    for key in own.keys() - {SECRET_KEY}:
+        members.pop(_member_of(key), None)
+        marked.discard(_member_of(key))
+    for key, row in decoded.found.items():
+        if isinstance(row, bytes):
+            secret = row
+        elif row.gone:
+            marked.add(_member_of(key))
+        else:
+            members[_member_of(key)] = row
+    for key, reason in decoded.invalid.items():
+        _log_ignored_row("ERROR", "member row ignored", peer=key, error=reason)
+    malformed = (before.malformed - own.keys()) | decoded.invalid.keys()
     return Roster(members, secret, frozenset(marked), frozenset(malformed))
+
+
+def _member_of(key: str) -> MemberId:
+    return MemberId(key.removeprefix(MEMBER_PREFIX))
+
+
+def _decode_row(key: str, value: msgspec.Raw) -> MemberRow | bytes:
+    """Decode the row of a daemon, or the secret."""
+    if key == SECRET_KEY:
+        return msgspec.json.decode(value, type=str).encode()
+    row = msgspec.json.decode(value, type=MemberRow)
+    if not row.gone:
+        parse_address(row.address)
+        if row.forwards:
+            parse_address(row.forwards)
+    return row
--- a/bayglade/settings.py
+++ b/bayglade/settings.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from bayglade.decoding import decode_json
 from bayglade.endpoints import Endpoint
 from bayglade.exceptions import InvalidSettings, NotFound
 from bayglade.ids import (
@@ -339,10 +340,7 @@
     """
     if len(document) > MAX_DOCUMENT_BYTES:
         raise InvalidSettings(f"settings document exceeds {MAX_DOCUMENT_BYTES} bytes", step="settings")
-    try:
-        tree = msgspec.json.decode(document, type=Tree)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise InvalidSettings(str(error), step="settings") from error
+    tree = decode_json(document, Tree, "the settings document", "settings")
     check(tree)
     return tree
 
--- a/bayglade/stops.py
+++ b/bayglade/stops.py
@@ -8,9 +8,11 @@
 """
 
 from collections.abc import Iterable, Mapping
+from typing import Annotated
 
 import msgspec
 
+from bayglade.decoding import WHOLE_NUMBER, decode_each
 from bayglade.evidence import Subject
 from bayglade.ids import BackendId, Fingerprint, Incarnation, ServerKey
 from bayglade.logs import event
@@ -21,7 +23,7 @@
 class StopRow(msgspec.Struct, frozen=True):
     """A request or part that is stopped, with the evidence against it."""
 
-    ends: list[tuple[BackendId, Incarnation]]
+    ends: list[tuple[BackendId, Annotated[Incarnation, WHOLE_NUMBER]]]
     """The backend servers, by id and incarnation, that ended while they ran it."""
 
     subject: Subject = Subject.REQUEST
@@ -39,18 +41,16 @@
     :param rows: rows by key; ``None`` for a row that was removed.
     :return: the stops by fingerprint; ``None`` for one that was lifted.
     """
-    found: dict[Fingerprint, StopRow | None] = {}
-    for key, value in rows.items():
-        if not key.startswith(STOP_PREFIX):
-            continue
-        fingerprint = Fingerprint(key.removeprefix(STOP_PREFIX))
-        try:
-            row = msgspec.json.decode(value, type=StopRow) if value is not None else None
-        except (msgspec.DecodeError, RecursionError) as error:
-            event("ERROR", "stop row ignored", peer=key, error=str(error))
-            continue
-        found[fingerprint] = row
-    return found
+    stops = {key: value for key, value in rows.items() if key.startswith(STOP_PREFIX)}
+    decoded = decode_each(stops, lambda key, value: msgspec.json.decode(value, type=StopRow))
+    for key, reason in decoded.invalid.items():
+        event("ERROR", "stop row ignored", peer=key, error=reason)
+    found: dict[Fingerprint, StopRow | None] = {_fingerprint_of(key): None for key in decoded.removed}
+    return found | {_fingerprint_of(key): row for key, row in decoded.found.items()}
+
+
+def _fingerprint_of(key: str) -> Fingerprint:
+    return Fingerprint(key.removeprefix(STOP_PREFIX))
 
 
 def write_stop(
--- a/bayglade/table/client.py
+++ b/bayglade/table/client.py
@@ -5,8 +5,10 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from bayglade.config import Address, parse_address
-from bayglade.exceptions import NotFound, PlatformAnswerLost, PlatformUnavailable
+from bayglade.decoding import DecodedT, decode_each, decode_json
+from bayglade.exceptions import InvalidSettings, NotFound, PlatformAnswerLost, PlatformUnavailable
 from bayglade.ids import Digest
+from bayglade.logs import rate_limited
 from bayglade.rows import Row, Transaction, TransactionResult
 from bayglade.table import wire
 
@@ -14,6 +16,7 @@
 READ_TIMEOUT = 2.0
 POOL_SIZE = 16
 RETRY_AFTER = 2.0
+INVALID_HOST_LOGS_PER_SECOND = 1.0
 
 
 class Platform:
@@ -28,6 +31,7 @@
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, read=READ_TIMEOUT),
             retries=False,
         )
+        self.log_invalid_host = rate_limited(INVALID_HOST_LOGS_PER_SECOND)
 
     def __repr__(self) -> str:
         return f"<Platform {self.address}>"
@@ -40,7 +44,7 @@
         :raises PlatformUnavailable: if the platform does not answer.
         """
         body = self._post("read", wire.TABLE_READ_PATH, wire.ReadRows(keys), PlatformUnavailable)
-        return msgspec.json.decode(body, type=wire.Rows).rows
+        return self._decode("read", body, wire.Rows, PlatformUnavailable).rows
 
     def transact(self, transaction: Transaction) -> TransactionResult:
         """Write rows atomically if all conditions hold.
@@ -51,7 +55,7 @@
         :raises PlatformAnswerLost: if it may have been committed.
         """
         body = self._post("transact", wire.TABLE_TRANSACT_PATH, transaction, PlatformAnswerLost)
-        return msgspec.json.decode(body, type=TransactionResult)
+        return self._decode("transact", body, TransactionResult, PlatformAnswerLost)
 
     def put_object(self, digest: Digest, content: bytes) -> None:
         """Store content under its digest; the operation is idempotent.
@@ -79,7 +83,19 @@
         :raises PlatformUnavailable: if the platform does not answer.
         """
         body = self._request("hosts", "GET", wire.HOSTS_PATH, None, PlatformUnavailable)
-        return msgspec.json.decode(body, type=wire.Hosts).hosts
+        listed = self._decode("hosts", body, wire.Hosts, PlatformUnavailable).hosts
+        decoded = decode_each({str(n): entry for n, entry in enumerate(listed)}, _decode_host)
+        for number, reason in decoded.invalid.items():
+            self.log_invalid_host("ERROR", "host ignored", number=number, error=reason)
+        return list(decoded.found.values())
+
+    def _decode(
+        self, step: str, body: bytes, kind: type[DecodedT], error_type: type[PlatformUnavailable]
+    ) -> DecodedT:
+        try:
+            return decode_json(body, kind, "the answer", step)
+        except InvalidSettings as error:
+            raise error_type(error.message, step=step, peer=str(self.address)) from error
 
     def _post(
         self, step: str, path: str, message: msgspec.Struct, lost_error: type[PlatformUnavailable]
@@ -109,6 +125,17 @@
         return response.data
 
 
+def _decode_host(number: str, entry: msgspec.Raw) -> wire.Host:
+    """Decode an entry of the host list.
+
+    :raises InvalidSettings: if the address of a daemon cannot be dialled.
+    """
+    host = msgspec.json.decode(entry, type=wire.Host)
+    if host.kind is wire.HostKind.ENTRY:
+        parse_address(host.address)
+    return host
+
+
 def create_platform(address: str) -> Platform:
     """Create the client of a platform; it connects when it is first used.
 
--- a/bayglade/table/wire.py
+++ b/bayglade/table/wire.py
@@ -51,4 +51,5 @@
 class Hosts(msgspec.Struct, frozen=True):
     """The host list; it may be outdated."""
 
-    hosts: list[Host]
+    hosts: list[msgspec.Raw]
+    """The entries, each a :class:`Host`; other writers may have left entries that are none."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -83,7 +83,7 @@
 
     def list_hosts(self, _: bytes, __: dict[str, Any]) -> tuple[int, Any]:
         """Return the host list."""
-        return 200, wire.Hosts(list(self.hosts.values()))
+        return 200, wire.Hosts([msgspec.Raw(msgspec.json.encode(host)) for host in self.hosts.values()])
 
     def set_host(self, body: bytes, _: dict[str, Any]) -> tuple[int, Any]:
         """Add or replace a host in the list."""
