Take an answer whose status is none for no answer

What callers saw: with a server that answered 600 or 999, that status; with one that answered 000 to 099, 504 at the deadline where 502 at once was due.

Cause: no status was checked. Those of 600 and above were passed on as they came; those below 100 counted as interim responses, after which the call waited for another answer.

Change: the parser of responses refuses statuses outside 100 to 599, and 101, which nobody here asks for. Calls, streams, reports, orders and forwarded calls all read answers through it; the own interface checks the same. Beside it, numbers in answers that Python does not convert (ids of events, Keep-Alive, revisions) are ignored.

--- a/bayglade/decoding.py
+++ b/bayglade/decoding.py
@@ -26,6 +26,8 @@
 Name = Annotated[str, msgspec.Meta(min_length=1)]
 UnixMilliseconds = Annotated[int, msgspec.Meta(gt=0, le=MAX_INTEGER)]
 
+MAX_DIGITS = 18
+"""Digits of a decimal number that always fits into 64 bits."""
 MAX_REASON_CHARACTERS = 300
 TRACEBACK_FRAMES = -5
 """The innermost frames, which name the decoder that failed."""
@@ -45,6 +47,17 @@
     """Why each row that can't be read is invalid."""
 
 
+def whole_number(text: str) -> int | None:
+    """Parse the decimal digits of a number that fits into 64 bits.
+
+    :param text: what another process sent.
+    :return: the number; ``None`` if the text is anything else.
+    """
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS):
+        return None
+    return int(text)
+
+
 @contextmanager
 def reading(what: str, step: str) -> Iterator[None]:
     """Turn any error of a decoder into one type.
--- a/bayglade/forwarding.py
+++ b/bayglade/forwarding.py
@@ -17,6 +17,7 @@
 
 from bayglade.calls import Call
 from bayglade.clock import now
+from bayglade.decoding import reading, whole_number
 from bayglade.entries.forwards import (
     FORWARD_HEADER,
     PERMIT_STATUS,
@@ -32,6 +33,7 @@
     BackendUnreachable,
     BackendUnwilling,
     CutOff,
+    InvalidSettings,
     Isolated,
     Outcome,
     PeerRefused,
@@ -173,9 +175,9 @@
 
     def note_settings(self, message: Message, member: MemberId) -> None:
         """Note by which settings another daemon serves a call."""
-        revision = message.header(SETTINGS_HEADER.lower())
-        if revision is not None and revision.isdigit():
-            self.on_settings(Revision(int(revision)), member)
+        revision = whole_number(message.header(SETTINGS_HEADER.lower()) or "")
+        if revision is not None:
+            self.on_settings(Revision(revision), member)
 
     def prune(self) -> None:
         """Close idle connections that have expired, and forget daemons that are gone."""
@@ -316,17 +318,19 @@
 
     def _refusal(self, message: Message, outcome: Outcome) -> PeerRefused:
         body = self.exchange.read_body(self.call.deadline, MAX_CONTROL_BYTES)
+        retry_after = message.header("retry-after")
         try:
-            error = msgspec.json.decode(body, type=ErrorAnswer).error
-        except msgspec.DecodeError as failure:
+            with reading("an error", "forward"):
+                error = msgspec.json.decode(body, type=ErrorAnswer).error
+                retry_seconds = float(retry_after) if retry_after is not None else None
+        except InvalidSettings as failure:
             raise BackendError("malformed answer", step="forward", peer=self.member) from failure
-        retry_after = message.header("retry-after")
         refusal = PeerRefused(
             error.message,
             code=error.code,
             status=message.status,
             peer=self.member,
-            retry_after=float(retry_after) if retry_after is not None else None,
+            retry_after=retry_seconds,
             outcome=outcome,
         )
         # An older daemon does not tell.
--- a/bayglade/http1.py
+++ b/bayglade/http1.py
@@ -43,6 +43,10 @@
 MAX_COPIED_BYTES = 16 * 1024
 """Size of a body up to which a copy costs less than a second send."""
 BODILESS_STATUSES = (204, 304)
+MIN_STATUS, MAX_STATUS = 100, 599
+"""Statuses that HTTP defines (RFC 9110, section 15); a message with another one is no response."""
+SWITCHING_PROTOCOLS = 101
+"""A status that nobody here asks for."""
 
 
 class Message:
@@ -235,6 +239,8 @@
         self.head_bytes = 0
         if isinstance(self.parser, httptools.HttpResponseParser):
             message.status = self.parser.get_status_code()
+            if not is_status(message.status):
+                raise InvalidMessage(f"{message.status:03d} is not a status of a response", step="read")
         else:
             message.method = self.parser.get_method().decode("ascii")
         for name, value in message.headers:
@@ -270,6 +276,14 @@
         self.current = None
 
 
+def is_status(status: int) -> bool:
+    """Return whether a response may have a status; no request here asks for another protocol.
+
+    :param status: the three digits of a status line.
+    """
+    return MIN_STATUS <= status <= MAX_STATUS and status != SWITCHING_PROTOCOLS
+
+
 def encode_head(start: str, headers: Headers) -> bytes:
     """Encode the head of a message.
 
--- a/bayglade/platform/calls.py
+++ b/bayglade/platform/calls.py
@@ -4,6 +4,7 @@
 import re
 
 from bayglade.calls import AnswerHead, Call, CallHead, Dialect, Sending
+from bayglade.decoding import whole_number
 from bayglade.exceptions import InvalidMessage
 from bayglade.http1 import Headers, Message, end_to_end_headers
 from bayglade.ids import PromptPartId, RequestId
@@ -200,18 +201,18 @@
 
 def _length_hint(text: str | None) -> int | None:
     """Parse the caller's estimate of the answer's tokens; an invalid one is ignored."""
-    return int(text) if text and text.isdigit() else None
+    return whole_number(text or "")
 
 
 def _event_id(text: str | None) -> int | None:
-    return int(text) if text and text.isdigit() else None
+    return whole_number(text or "")
 
 
 def _keep_alive_seconds(text: str | None) -> float | None:
     """Parse the whole seconds of ``Keep-Alive: timeout=5``."""
     if text is None:
         return None
-    digits = "".join(c for c in text.partition("timeout=")[2] or text if c.isdigit())
+    digits = "".join(c for c in text.partition("timeout=")[2] or text if c.isascii() and c.isdigit())
     return float(digits) if digits else None
 
 
--- a/bayglade/platform/store.py
+++ b/bayglade/platform/store.py
@@ -11,7 +11,7 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from bayglade.config import Address
-from bayglade.decoding import Count, decode_json
+from bayglade.decoding import Count, decode_json, whole_number
 from bayglade.exceptions import HistoryGone, InvalidSettings, PlatformAnswerLost, PlatformUnavailable
 from bayglade.ids import UNKNOWN_EPOCH, StoreEpoch
 from bayglade.logs import rate_limited
@@ -27,8 +27,6 @@
 one kind does not wake the feeds of another."""
 MEMBERS_TABLE = TABLE_PREFIX + "members"
 EPOCH_HEADER = "Store-Era"
-MAX_EPOCH_DIGITS = 18
-"""Epochs must fit into 64 bits, since they are sent to other daemons too."""
 INVALID_EPOCH_LOGS_PER_SECOND = 0.1
 """Log lines per second about invalid epochs: every answer carries an epoch."""
 
@@ -224,10 +222,11 @@
         """Parse the epoch of an answer; an invalid one is treated as unknown."""
         if text is None:
             return UNKNOWN_EPOCH
-        if not (text.isascii() and text.isdigit() and len(text) <= MAX_EPOCH_DIGITS):
+        epoch = whole_number(text)
+        if epoch is None:
             self.log_invalid_epoch("WARNING", "store epoch makes no sense", value=text[:20])
             return UNKNOWN_EPOCH
-        return StoreEpoch(int(text))
+        return StoreEpoch(epoch)
 
 
 def _table_of(key: str) -> str:
--- a/bayglade/services/client.py
+++ b/bayglade/services/client.py
@@ -5,6 +5,7 @@
 
 from bayglade.config import DEFAULT_MAX_ANSWER_BYTES, parse_address
 from bayglade.exceptions import BackendError, BackendUnreachable
+from bayglade.http1 import is_status
 from bayglade.ids import BackendId
 from bayglade.services.wire import RESPONSE_HEADERS, ServiceAnswer, ServiceCall, filter_headers
 from bayglade.upstream import HoldBytes, join_pieces
@@ -60,6 +61,9 @@
                 preload_content=False,
                 decode_content=False,
             )
+            if not is_status(response.status):
+                response.close()
+                raise BackendError(f"{response.status} is not a status", step="call", peer=backend)
             body = _read_body(response, backend, call.hold_answer)
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise BackendUnreachable("cannot connect", step="connect", peer=backend) from error
--- a/bayglade/sse.py
+++ b/bayglade/sse.py
@@ -6,7 +6,8 @@
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_DATA = re.compile(rb"^data:", re.MULTILINE)
-EVENT_ID = re.compile(rb"^id: ?(\d+)", re.MULTILINE)
+EVENT_ID = re.compile(rb"^id: ?(\d{1,18})(?!\d)", re.MULTILINE)
+"""Ids fit into 64 bits."""
 
 
 DEFAULT_MAX_EVENT_BYTES = 256 * 1024
--- a/bayglade/table/client.py
+++ b/bayglade/table/client.py
@@ -119,7 +119,7 @@
         if response.status == 503:
             message = "the platform rejected the request"
             raise PlatformUnavailable(message, step=step, peer=peer, retry_after=RETRY_AFTER)
-        if response.status >= 300:
+        if not 200 <= response.status < 300:
             message = f"the platform answered {response.status}"
             raise lost_error(message, step=step, peer=peer, retry_after=RETRY_AFTER)
         return response.data
--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -158,6 +158,9 @@
         self.endless_sent = 0
         """Bytes of such answers that were sent."""
 
+        self.odd_status = ""
+        """Three digits that stand in place of the status of all its answers; empty for the usual ones."""
+
         self.paused_stage: Replica | None = None
         """A later stage on whose behalf it refuses requests whose path includes that stage."""
 
@@ -256,7 +259,9 @@
             handler.extra["Server-Leaving"] = "1"
         if self.rate_limit:
             handler.extra["Server-Limit"] = self.rate_limit
-        if handler.path == "/api/report":
+        if self.odd_status:
+            self._answer_with_odd_status(handler)
+        elif handler.path == "/api/report":
             handler.json(self._report())
         elif handler.path == "/api/order":
             self._order(handler, msgspec.json.decode(body))
@@ -337,6 +342,19 @@
         else:
             self._plain(handler, request, head)
 
+    def _answer_with_odd_status(self, handler: Handler) -> None:
+        """Answer a request, which has run, or a question with a status that is none."""
+        request = handler.headers["X-Request-Id"]
+        if request:
+            self.arrived.append((request, time.monotonic()))
+            self.ran[request] += 1
+        head = {
+            "X-Request-Id": request or "",
+            "X-Response-Seal": f"seal-of-{self.id}",
+            "Content-Length": "3",
+        }
+        handler.wfile.write(_head(0, head, self.odd_status) + b"odd")
+
     def _answer_without_end(self, handler: Handler, fault: str, head: dict[str, str]) -> None:
         begin, repeated = ENDLESS[fault]
         if fault in ENDLESS_BODIES:
@@ -486,6 +504,6 @@
     return [part.partition(":")[0] for part in text.split(",")][:-1]
 
 
-def _head(status: int, headers: dict[str, str]) -> bytes:
-    lines = [f"HTTP/1.1 {status} Status", *(f"{n}: {v}" for n, v in headers.items()), "", ""]
+def _head(status: int, headers: dict[str, str], text: str = "") -> bytes:
+    lines = [f"HTTP/1.1 {text or status} Status", *(f"{n}: {v}" for n, v in headers.items()), "", ""]
     return "\r\n".join(lines).encode()
