Answer the requests that are in service when a daemon exits

What callers saw: in a planned stop, requests that the daemon had passed on to a server and that outlasted the grace ended with the connection, without an answer, among them requests that may not be repeated.

Cause: the process exited with requests in service, incomplete requests and unread bytes; the kernel closed or reset their connections.

Change: at the end of the grace each request in service is ended and answered: 504, the outcome unknown, if it may have reached a server, else 503 with Retry-After.

--- a/bayglade/clients.py
+++ b/bayglade/clients.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from bayglade.clock import now
-from bayglade.exceptions import AnswersFull, HostFull
+from bayglade.exceptions import AnswersFull, BaygladeError, HostFull
 from bayglade.logs import rate_limited
 from bayglade.metrics import Metrics
 from bayglade.sockets import ReadTurns
@@ -81,6 +81,10 @@
     """Raised in the task of a connection that is closed in favour of others."""
 
 
+class ConnectionEnded(ConnectionAbortedError):
+    """Raised in the task of a connection that is closed in order, with no request on it."""
+
+
 class ClientLimits(msgspec.Struct, frozen=True):
     """Bounds on all clients of one listener."""
 
@@ -287,6 +291,21 @@
                 raise AnswersFull("too many bytes of answers are kept", step="answer", peer="caller")
             self._remove(client, ClientRemoved("the answer was not read"))
 
+    def refuse_incomplete(self, refusal: Callable[[], BaygladeError]) -> None:
+        """Refuse all requests that are still being received.
+
+        :param refusal: creates the error for one of them.
+        """
+        for member in [member for member in self.members if member.state is ClientState.RECEIVING]:
+            member.enter(ClientState.CLOSING)
+            eventlet.kill(member.task, refusal())
+
+    def close_idle(self) -> None:
+        """Close all connections on which no request is in service."""
+        for member in [member for member in self.members if member.state is ClientState.IDLE]:
+            member.enter(ClientState.CLOSING)
+            eventlet.kill(member.task, ConnectionEnded("this daemon exits"))
+
     def update_gauges(self) -> None:
         """Set the gauges of the connections and bytes."""
         states = Counter(member.state for member in self.members)
--- a/bayglade/disconnects.py
+++ b/bayglade/disconnects.py
@@ -1,4 +1,4 @@
-"""Detects callers that disconnect while their request is being served."""
+"""Ends the tasks of requests in service: of callers that disconnect, and of all when the daemon exits."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -23,6 +23,10 @@
     """Raised in the task of a request whose caller disconnected."""
 
 
+class ServiceEnded(greenlet.GreenletExit):
+    """Raised in the task of a request that is still in service when the daemon exits."""
+
+
 class DisconnectWatcher:
     """Watches the connections of requests that are being served."""
 
@@ -49,6 +53,13 @@
         finally:
             self.watched.pop(task, None)
 
+    def end_service(self) -> None:
+        """End all requests in service; their callers are told whether they may have run."""
+        for task in list(self.watched):
+            self.watched.pop(task, None)
+            self.metrics.count("requests.ended_at_exit")
+            eventlet.kill(task, ServiceEnded())
+
     def run(self) -> None:
         """Check the watched connections periodically; never returns."""
         while True:
--- a/bayglade/exceptions.py
+++ b/bayglade/exceptions.py
@@ -200,6 +200,12 @@
     code, status, default_outcome = "stopping", 503, Outcome.NOT_RUN
 
 
+class StoppedMidway(BaygladeError):
+    """This daemon exits before the answer is complete; the request may run on."""
+
+    code, status, default_outcome = "stopped_midway", 504, Outcome.UNKNOWN
+
+
 class BackendError(BaygladeError):
     """A backend server failed after it may have started to run the request."""
 
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 import signal
+import socket
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -68,7 +69,7 @@
 )
 from bayglade.http1 import Message
 from bayglade.ids import BackendId, RequestId
-from bayglade.intake import RETRY_ELSEWHERE_SECONDS, Intake
+from bayglade.intake import Intake
 from bayglade.leases import Lease
 from bayglade.listener import Connection, Handler, Prepare, listen, serve
 from bayglade.listing import Listing
@@ -85,7 +86,7 @@
 from bayglade.refusals import Refusals
 from bayglade.relay import RelayContext
 from bayglade.responses import JSON_TYPE
-from bayglade.retries import jittered_retry_after
+from bayglade.retries import RETRY_ELSEWHERE_SECONDS, jittered_retry_after
 from bayglade.rows import Changes
 from bayglade.server_termination import watch_server_termination
 from bayglade.servers import Server
@@ -124,7 +125,11 @@
 """How long after the termination signal every request is still accepted; later ones only if their
 deadline passes before the daemon exits."""
 EXIT_MARGIN_SECONDS = 0.6
-"""Seconds by which the daemon exits before the platform would kill it."""
+"""Seconds before the platform would kill the daemon at which it ends what is still in service."""
+CLOSING_SECONDS = 0.25
+"""How long a daemon closes its connections before it exits; meanwhile it refuses all requests."""
+REFUSED_AT_CLOSING_SECONDS = 0.1
+"""The first part of that time, in which requests that were under way arrive and are refused."""
 SETTINGS_EXPECTED_SECONDS = 2.0
 """How long after a start the first settings are expected. The operator may not have written any, and then a
 refusal at once is better than one after a wait."""
@@ -297,6 +302,12 @@
         self.intake.expects_settings = self._expects_settings
         self.draining = False
         self.draining_since = 0.0
+        self.closing = False
+        """Whether this daemon is about to exit and serves no more requests."""
+
+        self.listening: list[socket.socket] = []
+        """The sockets at which requests to servers arrive."""
+
         self.shutdown_requested = Event()
 
     def __repr__(self) -> str:
@@ -536,14 +547,18 @@
 
     def _check_draining(self, call: Call) -> None:
         """Refuse a request that might not finish before this daemon exits."""
-        if not self.draining or now() - self.draining_since < DRAIN_ACCEPT_SECONDS:
+        if not self.draining or (not self.closing and now() - self.draining_since < DRAIN_ACCEPT_SECONDS):
             return
-        if call.deadline > self._exit_time():
-            retry_seconds = jittered_retry_after(RETRY_ELSEWHERE_SECONDS, self.rng, RETRY_ELSEWHERE_SECONDS)
-            raise Stopping("this daemon is shutting down", step="intake", retry_after=retry_seconds)
+        if self.closing or call.deadline > self._exit_time():
+            raise self._stopping()
+
+    def _stopping(self) -> Stopping:
+        """Return the refusal of a request that another daemon can serve at once."""
+        retry_seconds = jittered_retry_after(RETRY_ELSEWHERE_SECONDS, self.rng, RETRY_ELSEWHERE_SECONDS)
+        return Stopping("this daemon is shutting down", step="intake", retry_after=retry_seconds)
 
     def _exit_time(self) -> float:
-        """Return when this daemon exits by itself, given that it is draining."""
+        """Return until when this daemon serves requests, given that it is draining."""
         return self.draining_since + self.config.grace_seconds - EXIT_MARGIN_SECONDS
 
     def _relay_call(self, call: Call, connection: Connection) -> None:
@@ -696,6 +711,8 @@
     ) -> None:
         listen_on = parse_address(address)
         listening = listen(listen_on.host, listen_on.port, for_clients=True)
+        if clients in self.clients[2:]:
+            self.listening.append(listening)
         eventlet.spawn_n(serve, listening, clients, limits, handler, prepare)
 
     def _install_signal_handlers(self) -> None:
@@ -722,9 +739,26 @@
         eventlet.sleep(min(BALANCER_REMOVAL_SECONDS, exit_time - now()))
         while self.active_requests and now() < exit_time:
             eventlet.sleep(DRAIN_POLL_INTERVAL)
-        event(
-            "INFO", "stopped", cut=sorted(self.active_requests), after=round(now() - self.draining_since, 2)
-        )
+        cut = sorted(self.active_requests)
+        self._close_connections()
+        event("INFO", "stopped", cut=cut, after=round(now() - self.draining_since, 2))
+
+    def _close_connections(self) -> None:
+        """Answer all requests that are here, and close the connections to callers in order.
+
+        A connection that is closed with unread data is reset, and its caller does not know whether a
+        request that it has just sent has run.
+        """
+        self.closing = True
+        self.presence.end_service()
+        eventlet.sleep(REFUSED_AT_CLOSING_SECONDS)
+        for listening in self.listening:
+            listening.close()
+        _, _, *serving = self.clients
+        for clients in serving:
+            clients.refuse_incomplete(self._stopping)
+            clients.close_idle()
+        eventlet.sleep(CLOSING_SECONDS - REFUSED_AT_CLOSING_SECONDS)
 
 
 def create_gateway(path: Path) -> Gateway:
--- a/bayglade/intake.py
+++ b/bayglade/intake.py
@@ -17,7 +17,7 @@
 from bayglade.ids import Digest, GroupPath, Revision, ServiceName
 from bayglade.logs import event
 from bayglade.pipelines import Pipeline
-from bayglade.retries import jittered_retry_after
+from bayglade.retries import RETRY_ELSEWHERE_SECONDS, jittered_retry_after
 from bayglade.revisions import EMPTY, Current
 from bayglade.settings import CallerLimits, Tree, digest_of, level_at, priority_of, urgency_of
 
@@ -38,8 +38,6 @@
 retry; callers honour ``Retry-After`` up to the same fraction."""
 MAX_HELD = 200
 """Limit on calls held at a time; each keeps its connection and its body in memory."""
-RETRY_ELSEWHERE_SECONDS = 0.03
-"""Retry-After in seconds where another daemon can answer at once; the retry then reaches another one."""
 
 
 class Intake:
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -14,7 +14,7 @@
 import msgspec
 from eventlet.hubs import trampoline
 
-from bayglade.clients import Client, ClientRemoved, Clients, ClientState
+from bayglade.clients import Client, ClientRemoved, Clients, ClientState, ConnectionEnded
 from bayglade.clock import now
 from bayglade.exceptions import BaygladeError, HeadTooLarge, SlowHead
 from bayglade.http1 import Headers, Message, MessageParser, encode_head, parts_to_send
@@ -42,6 +42,8 @@
 LINGER_SECONDS = 0.5
 """How long to read and discard the rest of a rejected request: closing the connection with unread bytes
 would reset it, and the caller could lose the response."""
+CLOSE_SECONDS = 0.1
+"""The same for an idle connection when the daemon exits, on which a request may be on its way."""
 REJECTIONS_LOGGED_PER_SECOND = 10.0
 ACCEPT_RETRY_SECONDS = 0.05
 ACCEPTS_PER_TURN = 32
@@ -353,6 +355,9 @@
         prepare(connection)
         while _serve_request(connection, handler):
             pass
+    except ConnectionEnded:
+        with suppress(OSError):
+            _close_in_order(connection, CLOSE_SECONDS)
     except OSError as error:
         event("DEBUG", "connection to caller failed", error=repr(error))
     finally:
@@ -394,8 +399,17 @@
     connection.close_after_response = True
     connection.send_seconds = LINGER_SECONDS
     connection.send_error(error)
+    _close_in_order(connection, LINGER_SECONDS)
+
+
+def _close_in_order(connection: Connection, seconds: float) -> None:
+    """Tell the caller that nothing more comes, and discard what it still sends, for a while.
+
+    :param seconds: how long.
+    :raises OSError: if the connection is broken.
+    """
     connection.sock.shutdown(socket.SHUT_WR)
-    deadline = now() + LINGER_SECONDS
+    deadline = now() + seconds
     with suppress(TimeoutError):
         while True:
             wait_readable(connection.sock, deadline)
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -18,6 +18,7 @@
 from bayglade.config import DEFAULT_MAX_ANSWER_BYTES
 from bayglade.control import Control
 from bayglade.diagnosis import Diagnosis
+from bayglade.disconnects import ServiceEnded
 from bayglade.exceptions import (
     BackendError,
     BackendRefused,
@@ -31,6 +32,8 @@
     Overloaded,
     PeerRefused,
     RequestStopped,
+    StoppedMidway,
+    Stopping,
 )
 from bayglade.fleet import Fleet
 from bayglade.forwarding import ForwardedExchange, forward_call, forwarding_off
@@ -43,7 +46,7 @@
 from bayglade.quarantine import Quarantine
 from bayglade.reachability import Reachability
 from bayglade.refusals import Refusals
-from bayglade.retries import jittered_retry_after
+from bayglade.retries import RETRY_ELSEWHERE_SECONDS, jittered_retry_after
 from bayglade.retry_ledger import Charge, ChargeSource, RetryBound, RetryLedger
 from bayglade.retry_parts import PartOf, whole_bound
 from bayglade.room_forecast import CapacityEstimates, retry_after
@@ -377,6 +380,16 @@
         again = self._retry_after(self.seconds_until_room or NO_ROUTE_RETRY_AFTER, rng)
         return NoRoute("no server can run this request now", step="relay", retry_after=again)
 
+    def exit_error(self, rng: random.Random) -> BaygladeError:
+        """Return the error for the caller if the daemon exits before there is an answer."""
+        if self.sent or self.may_have_run or self.used_ids():
+            error: BaygladeError = StoppedMidway("this daemon exits", step="relay")
+        else:
+            again = jittered_retry_after(RETRY_ELSEWHERE_SECONDS, rng, RETRY_ELSEWHERE_SECONDS)
+            error = Stopping("this daemon exits", step="relay", retry_after=again)
+        error.sent = self.sent
+        return error
+
     def _retry_after(self, seconds: float, rng: random.Random) -> float:
         if self.by_forecast:
             return retry_after(seconds, self.call.seconds_left(), rng)
@@ -401,6 +414,8 @@
         context.note_request(call.service)
     try:
         yield attempts
+    except ServiceEnded:
+        raise attempts.exit_error(context.rng) from None
     except BaygladeError as error:
         error.sent = attempts.sent
         if attempts.allowed_servers() is not None:
--- a/bayglade/retries.py
+++ b/bayglade/retries.py
@@ -13,6 +13,8 @@
 """Random part of delays and of Retry-After times."""
 BASE_DELAY = 0.1
 """Delay before the first retry, in seconds and before jitter."""
+RETRY_ELSEWHERE_SECONDS = 0.03
+"""Retry-After in seconds where another daemon can answer at once; the retry then reaches another one."""
 MIN_RETRY_AFTER = 0.5
 MAX_RETRY_AFTER = 60.0
 """Bounds on Retry-After times in seconds, before jitter."""
