Bound the answers that are read with urllib3

Cause: the store, the own interface's table, services and engines are read with urllib3. Its answers had no bound but for the bodies of services; lines of chunk sizes and trailers and interim responses are read in loops without a bound; and a green socket whose peer is as fast as its reader never lets another task run, so no timeout fires.

Change: guarded_http.py makes pools whose answers are bounded in bytes, head and framing included, and in time from the first byte on, and whose reads take turns with other tasks. Streams of engines are bounded by frame and by gap.

Ruled out: gateways' own reading of servers (upstream.py), bounded since the incident on servers per request.

--- a/bayglade/engines/client.py
+++ b/bayglade/engines/client.py
@@ -1,8 +1,10 @@
 """Client for the model engines: token streams, cancellation, load reports and orders."""
 
+import math
 from collections.abc import Iterator
 from contextlib import suppress
 
+import eventlet
 import msgspec
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError, ReadTimeoutError
@@ -10,11 +12,15 @@
 from bayglade.config import parse_address
 from bayglade.engines import wire
 from bayglade.exceptions import BackendError, BackendRefused, BackendUnreachable
+from bayglade.guarded_http import create_pool
 
 CONNECT_TIMEOUT = 0.5
 PROBE_TIMEOUT = 0.3
 POOL_SIZE = 64
+CONTROL_POOL_SIZE = 4
 READ_BYTES = 16 * 1024
+MAX_CONTROL_BYTES = 1024 * 1024
+"""Size limit of an answer that is no stream."""
 
 
 class Engines:
@@ -22,6 +28,8 @@
 
     def __init__(self) -> None:
         self.pools: dict[str, urllib3.HTTPConnectionPool] = {}
+        self.control_pools: dict[str, urllib3.HTTPConnectionPool] = {}
+        """Pools for short answers."""
 
     def __repr__(self) -> str:
         return f"<Engines {len(self.pools)} pools>"
@@ -42,7 +50,7 @@
         response = self._open(first_stage, message, gap_timeout)
         end: wire.EndFrame | None = None
         try:
-            for line in self._read_lines(first_stage, response):
+            for line in self._read_lines(first_stage, response, gap_timeout):
                 frame = self._decode_frame(first_stage, line)
                 if isinstance(frame, wire.EndFrame):
                     end = frame
@@ -96,31 +104,39 @@
 
         :param listed: addresses of the engines to keep.
         """
-        for address in set(self.pools) - listed:
-            self.pools.pop(address).close()
+        for pools in (self.pools, self.control_pools):
+            for address in set(pools) - listed:
+                pools.pop(address).close()
 
     def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
-        pool = self.pools.get(address)
-        if pool is None:
-            parsed = parse_address(address)
-            pool = urllib3.HTTPConnectionPool(parsed.host, parsed.port, maxsize=POOL_SIZE, retries=False)
-            self.pools[address] = pool
-        return pool
+        if address not in self.pools:
+            # Streams are bounded frame by frame.
+            self.pools[address] = create_pool(parse_address(address), POOL_SIZE, math.inf)
+        return self.pools[address]
+
+    def _control_pool(self, address: str) -> urllib3.HTTPConnectionPool:
+        if address not in self.control_pools:
+            self.control_pools[address] = create_pool(
+                parse_address(address), CONTROL_POOL_SIZE, MAX_CONTROL_BYTES, PROBE_TIMEOUT
+            )
+        return self.control_pools[address]
 
     def _open(
         self, first_stage: wire.Stage, message: wire.Generate, gap_timeout: float
     ) -> urllib3.BaseHTTPResponse:
+        slow = BackendError("no answer in time", step="send", peer=first_stage.backend)
         try:
-            response = self._pool(first_stage.address).urlopen(
-                "POST",
-                wire.GENERATE_PATH,
-                body=msgspec.json.encode(message),
-                headers={"Content-Type": "application/json"},
-                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, read=gap_timeout),
-                retries=False,
-                redirect=False,
-                preload_content=False,
-            )
+            with eventlet.Timeout(CONNECT_TIMEOUT + gap_timeout, slow):
+                response = self._pool(first_stage.address).urlopen(
+                    "POST",
+                    wire.GENERATE_PATH,
+                    body=msgspec.json.encode(message),
+                    headers={"Content-Type": "application/json"},
+                    timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, read=gap_timeout),
+                    retries=False,
+                    redirect=False,
+                    preload_content=False,
+                )
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise BackendUnreachable("cannot connect", step="connect", peer=first_stage.backend) from error
         except HTTPError as error:
@@ -136,10 +152,18 @@
             raise BackendRefused(message, step="generate", peer=first_stage.backend)
         raise BackendError(message, step="generate", peer=first_stage.backend)
 
-    def _read_lines(self, first_stage: wire.Stage, response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    def _read_lines(
+        self, first_stage: wire.Stage, response: urllib3.BaseHTTPResponse, gap_timeout: float
+    ) -> Iterator[bytes]:
         rest = b""
+        # Bytes that frame the stream don't count as data, however many there are.
+        slow = BackendError("the stream timed out", step="stream", peer=first_stage.backend)
         try:
-            for chunk in response.read_chunked(READ_BYTES):
+            while True:
+                with eventlet.Timeout(gap_timeout, slow):
+                    chunk = response.read1(READ_BYTES, decode_content=False)
+                if not chunk:
+                    return
                 *lines, rest = (rest + chunk).split(b"\n")
                 yield from lines
                 if len(rest) > wire.MAX_FRAME_BYTES:
@@ -162,7 +186,7 @@
     def _request(self, address: str, method: str, path: str, body: bytes | None) -> bytes | None:
         timeout = urllib3.Timeout(connect=PROBE_TIMEOUT, read=PROBE_TIMEOUT)
         try:
-            response = self._pool(address).urlopen(
+            response = self._control_pool(address).urlopen(
                 method, path, body=body, timeout=timeout, retries=False, redirect=False
             )
         except HTTPError:
--- a/bayglade/platform/store.py
+++ b/bayglade/platform/store.py
@@ -13,6 +13,7 @@
 from bayglade.config import Address
 from bayglade.decoding import Count, decode_json, whole_number
 from bayglade.exceptions import HistoryGone, InvalidSettings, PlatformAnswerLost, PlatformUnavailable
+from bayglade.guarded_http import create_pool
 from bayglade.ids import UNKNOWN_EPOCH, StoreEpoch
 from bayglade.logs import rate_limited
 from bayglade.rows import ABSENT, Changes, Position, Row, Transaction, TransactionResult
@@ -21,6 +22,10 @@
 READ_TIMEOUT = 1.0
 """Maximum time for an answer in seconds, in addition to the requested wait."""
 POOL_SIZE = 4
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Size limit of an answer; the document of the largest site has a few megabytes."""
+MAX_ANSWER_SECONDS = 5.0
+"""Maximum time from the first byte of an answer to its last."""
 PAGE_ROWS = 500
 TABLE_PREFIX = "bayglade-"
 """Prefix of the names of Bayglade's own tables. Each kind of row has its own table, so that a change of
@@ -106,8 +111,7 @@
         return f"<Store {self.address}>"
 
     def _new_pool(self) -> urllib3.HTTPConnectionPool:
-        where = self.address
-        return urllib3.HTTPConnectionPool(where.host, where.port, maxsize=POOL_SIZE, retries=False)
+        return create_pool(self.address, POOL_SIZE, MAX_ANSWER_BYTES, MAX_ANSWER_SECONDS)
 
     def snapshot(self, table: str) -> Changes:
         """Read all rows of a table, page by page; see :class:`bayglade.rows.ChangeFeed`."""
--- a/bayglade/services/client.py
+++ b/bayglade/services/client.py
@@ -5,6 +5,7 @@
 
 from bayglade.config import DEFAULT_MAX_ANSWER_BYTES, parse_address
 from bayglade.exceptions import BackendError, BackendUnreachable
+from bayglade.guarded_http import create_pool
 from bayglade.http1 import is_status
 from bayglade.ids import BackendId
 from bayglade.services.wire import RESPONSE_HEADERS, ServiceAnswer, ServiceCall, filter_headers
@@ -13,6 +14,8 @@
 CONNECT_TIMEOUT = 0.5
 POOL_SIZE = 32
 READ_BYTES = 64 * 1024
+MAX_FRAMED_BYTES = 4 * DEFAULT_MAX_ANSWER_BYTES
+"""Size limit of an answer with its head, and with what frames the body."""
 
 
 class Services:
@@ -78,8 +81,7 @@
         return self.pools[address]
 
     def _new_pool(self, address: str) -> urllib3.HTTPConnectionPool:
-        parsed = parse_address(address)
-        return urllib3.HTTPConnectionPool(parsed.host, parsed.port, maxsize=POOL_SIZE, retries=False)
+        return create_pool(parse_address(address), POOL_SIZE, MAX_FRAMED_BYTES)
 
 
 def _read_body(response: urllib3.BaseHTTPResponse, backend: BackendId, hold: HoldBytes) -> bytes:
--- a/bayglade/table/client.py
+++ b/bayglade/table/client.py
@@ -7,6 +7,7 @@
 from bayglade.config import Address, parse_address
 from bayglade.decoding import DecodedT, decode_each, decode_json
 from bayglade.exceptions import InvalidSettings, NotFound, PlatformAnswerLost, PlatformUnavailable
+from bayglade.guarded_http import create_pool
 from bayglade.ids import Digest
 from bayglade.logs import rate_limited
 from bayglade.rows import Row, Transaction, TransactionResult
@@ -15,6 +16,9 @@
 CONNECT_TIMEOUT = 1.0
 READ_TIMEOUT = 2.0
 POOL_SIZE = 16
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_SECONDS = 5.0
+"""Maximum time from the first byte of an answer to its last."""
 RETRY_AFTER = 2.0
 INVALID_HOST_LOGS_PER_SECOND = 1.0
 
@@ -24,12 +28,12 @@
 
     def __init__(self, address: Address) -> None:
         self.address = address
-        self.pool = urllib3.HTTPConnectionPool(
-            address.host,
-            address.port,
-            maxsize=POOL_SIZE,
-            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, read=READ_TIMEOUT),
-            retries=False,
+        self.pool = create_pool(
+            address,
+            POOL_SIZE,
+            MAX_ANSWER_BYTES,
+            MAX_ANSWER_SECONDS,
+            urllib3.Timeout(connect=CONNECT_TIMEOUT, read=READ_TIMEOUT),
         )
         self.log_invalid_host = rate_limited(INVALID_HOST_LOGS_PER_SECOND)
 
