Test a pool of servers that all answer without end

Shown not to happen here: with every server of both services, and their reports, answering without end in heads, interim responses, bodies and trailers, and 96 calls at once, a daemon on a host of 128 MB stays below it and serves again once they stop.

--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -149,6 +149,9 @@
         self.endless_slowly = False
         """Whether answers without end come in small pieces."""
 
+        self.reports_without_end = ""
+        """The fault of ENDLESS with which it answers questions for its report; empty for sound reports."""
+
         self.long_answer_bytes = 0
         """Size of the plain answers to requests whose path ends in LONG_SUFFIX."""
 
@@ -261,6 +264,8 @@
             handler.extra["Server-Limit"] = self.rate_limit
         if self.odd_status:
             self._answer_with_odd_status(handler)
+        elif handler.path == "/api/report" and self.reports_without_end:
+            self._answer_without_end(handler, self.reports_without_end, {})
         elif handler.path == "/api/report":
             handler.json(self._report())
         elif handler.path == "/api/order":
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,5 +1,7 @@
 """Servers that send bytes without end: in a head, a body, the framing of a body, or an event."""
 
+import threading
+import time
 from collections.abc import Iterator
 
 import psutil
@@ -20,6 +22,7 @@
 
 CALLS = 12
 """Calls at once, some of which go to the server that answers without end."""
+HOST_MB = 128
 MAX_GROWTH_BYTES = 24 * 1024 * 1024
 """More than the limits on answers of all calls that the faulty server is sent at once."""
 
@@ -68,6 +71,32 @@
     wait_for("its connections are closed", lambda: faulty.endless_open == 0)
 
 
+@pytest.mark.parametrize("fault", ["endless_header", "endless_interim", "endless_body", "endless_trailers"])
+def test_a_pool_of_servers_that_all_answer_without_end_fits_into_memory(
+    site: UsersSite, fault: str
+) -> None:
+    daemon = site.start(key_trust_ms=60_000, memory_mb=HOST_MB)
+    site.wait_placed()
+    process = psutil.Process(daemon.popen.pid)
+    for server in site.replicas:
+        server.reports_without_end = fault
+        server.faults.set(fault)
+    calls = [Stream(daemon, path) for _ in range(4 * CALLS) for path in ("/stream/x", "/safe/x")]
+    readers = [threading.Thread(target=call.result, daemon=True) for call in calls]
+    for reader in readers:
+        reader.start()
+    peak = 0
+    while any(reader.is_alive() for reader in readers):
+        peak = max(peak, process.memory_info().rss)
+        time.sleep(0.02)
+    assert peak < HOST_MB * 1024 * 1024
+    for server in site.replicas:
+        server.reports_without_end = ""
+        server.faults.clear()
+    for path in ("/stream/x", "/safe/x"):
+        wait_for("it serves again", lambda path=path: is_served(ask(daemon.callers, path)))
+
+
 def test_a_plain_service_of_the_own_interface_may_not_answer_without_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
