Apply the limits in force on open connections

Cause: a state that is taken once and kept. A connection read its limits when it was accepted.

Change: a connection looks at the limits in force whenever it reads. An idle connection stays as long as the longer of the idle timeouts.

Looked for elsewhere: limits on all clients are asked for anew each time; listeners and time-outs of requests that are being received keep the value of their start, and end in 408, which may be sent again.

--- a/bayglade/intake.py
+++ b/bayglade/intake.py
@@ -201,7 +201,7 @@
         head = self.dialect.read_call(message)
         until = arrived + _hold_limit(head)
         if not self.version and not self._await_settings(until):
-            raise self._cut_off("no settings are known yet")
+            raise self.unknown_settings()
         if not self.caught_up and not self._await_confirmation(until):
             raise self._cut_off("other daemons may have newer settings")
         if self.is_behind():
@@ -236,6 +236,10 @@
         self.check(call)
         return call
 
+    def unknown_settings(self) -> BaygladeError:
+        """Return the refusal of a request while no settings are known."""
+        return self._cut_off("no settings are known yet")
+
     def confirm_settings(self) -> None:
         """Record that other daemons have no newer settings, as far as can be determined."""
         self.caught_up = True
--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -61,9 +61,11 @@
         "client",
         "close_after_response",
         "limits",
+        "limits_in_force",
         "note_rejected",
         "parser",
         "peer_headers",
+        "replace_rejection",
         "response_started",
         "send_seconds",
         "sock",
@@ -81,9 +83,17 @@
         self.note_rejected: Callable[[Message, BaygladeError], None] | None = None
         """Called with each request that is rejected before the handler gets it, if its head is known."""
 
+        self.replace_rejection: Callable[[BaygladeError], BaygladeError] = lambda error: error
+        """Returns the error that the caller gets in place of one for which its request is rejected."""
+
         self.sock = sock
         self.client = client
         self.limits = limits
+        """The limits as of the last bytes that were read."""
+
+        self.limits_in_force: Callable[[], CallerLimits] = lambda: limits
+        """Returns the limits in force."""
+
         self.turns = turns
         self.parser = MessageParser(False, limits.head_bytes, limits.body_bytes)
         self.ahead = b""
@@ -178,6 +188,7 @@
         :raises BaygladeError: if its body is not to be read.
         """
         started = bool(self.ahead)
+        self._update_limits()
         deadline = now() + (self.limits.head_seconds if started else self.limits.idle_seconds)
         self.client.enter(ClientState.RECEIVING if started else ClientState.IDLE)
         self._parse(b"")
@@ -201,17 +212,31 @@
         self.ahead = b""
         self.client.let_go()
 
+    def _update_limits(self) -> None:
+        """Apply the limits in force, which may have changed since the connection was accepted."""
+        limits = self.limits_in_force()
+        if limits is not self.limits:
+            self.limits = limits
+            self.parser.max_head_bytes, self.parser.max_body_bytes = limits.head_bytes, limits.body_bytes
+
     def _is_complete(self) -> bool:
         return bool(self.parser.messages) and self.parser.messages[0].complete
 
     def _read(self, deadline: float, started: bool) -> bool:
         """Read and parse once; return whether the connection goes on."""
-        try:
-            data = receive(self.sock, deadline, FREE_READ_BYTES)
-        except TimeoutError:
-            if not started:
+        began, idle_seconds = now(), self.limits.idle_seconds
+        while True:
+            try:
+                data = receive(self.sock, deadline, FREE_READ_BYTES)
+                break
+            except TimeoutError:
+                if started:
+                    raise _slow_head() from None
+            self._update_limits()
+            if self.limits.idle_seconds <= idle_seconds:
                 return False
-            raise _slow_head() from None
+            idle_seconds = self.limits.idle_seconds
+            deadline = began + idle_seconds
         self._parse(data)
         return bool(data)
 
@@ -234,6 +259,7 @@
 
     def _parse(self, data: bytes) -> None:
         """Parse received bytes up to the end of a request, and keep the rest."""
+        self._update_limits()
         data, start = self.ahead + data, 0
         self.ahead = b""
         while start < len(data) and not self._is_complete():
@@ -315,7 +341,7 @@
 
     :param listening: the listening socket.
     :param clients: the clients of this listener.
-    :param limits: returns the limits for new connections.
+    :param limits: returns the limits in force.
     :param handler: serves a request.
     :param prepare: called with each new connection.
     """
@@ -330,7 +356,7 @@
             log_not_accepted("ERROR", "cannot accept a connection", error=repr(error))
             eventlet.sleep(ACCEPT_RETRY_SECONDS)
             continue
-        eventlet.spawn_n(_serve_connection, sock, address[0], clients, limits(), handler, prepare)
+        eventlet.spawn_n(_serve_connection, sock, address[0], clients, limits, handler, prepare)
         accepted += 1
         if accepted % ACCEPTS_PER_TURN == 0:
             eventlet.sleep(0)
@@ -340,7 +366,7 @@
     sock: "GreenSocket",
     address: str,
     clients: Clients,
-    limits: CallerLimits,
+    limits: Callable[[], CallerLimits],
     handler: Handler,
     prepare: Prepare,
 ) -> None:
@@ -349,7 +375,8 @@
     except ClientRemoved:
         sock.close()
         return
-    connection = Connection(sock, client, limits, clients.turns)
+    connection = Connection(sock, client, limits(), clients.turns)
+    connection.limits_in_force = limits
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         prepare(connection)
@@ -398,7 +425,7 @@
     connection.discard_request()
     connection.close_after_response = True
     connection.send_seconds = LINGER_SECONDS
-    connection.send_error(error)
+    connection.send_error(connection.replace_rejection(error))
     _close_in_order(connection, LINGER_SECONDS)
 
 
