Take a broken connection to the store for no outage of it

Cause: a local event passed on as a global one. Any failed call of a feed counted as an outage of the store, in which entries may expire although their servers run, and its end was told to the others.

Change: an outage is noted only if the store answered no daemon that was heard of for 1.5 heartbeats of the servers; a server that misses one heartbeat writes its entry in time. What another daemon tells is judged by what was heard here meanwhile. The grace is no longer stretched by up to 1 s.

test_entries_that_lapse_in_a_store_outage_may_return had an outage of some milliseconds, in which no entry can expire; it lasts 2 s now, with the same assertions.

--- a/bayglade/feeds.py
+++ b/bayglade/feeds.py
@@ -121,6 +121,10 @@
         self.recovered_at = 0.0
         """When the store last recovered from an outage that this feed noticed or was told of."""
 
+        self.min_outage = 0.0
+        """Seconds without an answer of the store, to any daemon heard of, from which on this is an outage.
+        A connection that broke, or a daemon that lost the store alone, is none."""
+
         self.probe_feed: Feed | None = None
         """The feed that retries a failing store most often; None when it is this one."""
 
@@ -240,7 +244,7 @@
         self.lost_at, self.failures, self.confirmed_at = 0.0, 0, called
         if self.failing_since is not None:
             event("INFO", "store regained", table=self.table, out=round(now() - self.failing_since, 2))
-            self.recovered_at = self._recovery_time(self.failing_since)
+            self._note_recovered(self._recovery_time(self.failing_since))
             self.failing_since = None
             if self.on_recovered is not None:
                 self.on_recovered()
@@ -282,8 +286,7 @@
         if self._may_be_restored(changes, recovered_at) or self._is_stale(changes, self.history_gone_after):
             self._count_dropped("older", changes, after)
             return
-        # Entries that expired during an outage are judged by when the store recovered.
-        self.recovered_at = max(self.recovered_at, recovered_at)
+        self._note_recovered(recovered_at)
         if self.failing_since is not None:
             event("INFO", "store told of", table=self.table, out=round(now() - self.failing_since, 2))
             self.failing_since = None
@@ -485,6 +488,14 @@
             return self.probe_feed.recovered_at
         return now()
 
+    def _note_recovered(self, recovered_at: float) -> None:
+        """Record an outage of the store, by whose end entries that expired in it are judged.
+
+        :param recovered_at: when it ended, as far as a feed or another daemon noticed one.
+        """
+        if recovered_at - self.known_at >= self.min_outage:
+            self.recovered_at = max(self.recovered_at, recovered_at)
+
     def _back_off(self) -> None:
         """Back off after a failed call, exponentially and with jitter."""
         lost = self._probe_failing()
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -103,6 +103,8 @@
 METRICS_PATH = b"/metrics"
 BELIEFS_PATH = b"/beliefs"
 REFUSALS_PATH = b"/refusals/"
+LIMIT_STATUSES = (413, 431)
+"""Statuses of requests that exceed a limit; callers don't send them again."""
 REFUSING_STATUSES = (408, 421, 429, 503)
 """Statuses which promise that the request has not run: such answers are recorded as refusals."""
 DEMAND_GAUGES = ("waiting", "offered", "refused")
@@ -112,6 +114,9 @@
 effect."""
 HEARTBEATS_MISSED = 3
 """Heartbeats that a backend server has to miss before the platform removes its entry."""
+MIN_OUTAGE_HEARTBEATS = 1.5
+"""Heartbeats for which the store must not have answered for entries to expire although their servers run: a
+server that misses one writes the next in time."""
 EXPIRY_MARGIN_SECONDS = 1.0
 """Seconds for the removal of an entry to become known to this daemon."""
 HOUSEKEEPING_INTERVAL = 1.0
@@ -189,6 +194,7 @@
             self.history,
         )
         self.listing.feed = self.servers_feed
+        self.servers_feed.min_outage = MIN_OUTAGE_HEARTBEATS * config.server_heartbeat_ms / 1000
         dialect = platform.create_dialect()
         self.intake = Intake(dialect, self.document_feed.age, key_trust, self.rng)
         self.intake.decode = platform.decode_document
@@ -481,12 +487,21 @@
         self._serve_call(connection, message, self.intake.call, confirm_send)
 
     def _prepare_caller(self, connection: Connection) -> None:
+        connection.replace_rejection = self._replace_rejection
+
         def note_rejected(message: Message, error: BaygladeError) -> None:
             self.metrics.count(f"errors_{error.code}")
             self._record_refusal(error, message, None, now())
 
         connection.note_rejected = note_rejected
 
+    def _replace_rejection(self, error: BaygladeError) -> BaygladeError:
+        """Return the rejection of a request that is not read completely, as its caller gets it."""
+        if self.intake.version or error.status not in LIMIT_STATUSES:
+            return error
+        # The limits that the request exceeds are not those that the operator wrote.
+        return self.intake.unknown_settings()
+
     def _prepare_forwarded(self, connection: Connection) -> None:
         connection.peer_headers = [(SETTINGS_HEADER, str(self.intake.version))]
         connection.check_head = lambda message: check_sender(message, self.peering.secret())
--- a/bayglade/listing.py
+++ b/bayglade/listing.py
@@ -93,7 +93,10 @@
 
     def _drop_lapsed(self) -> None:
         # The store may have become unavailable again, and the grace period then starts anew.
-        if self.feed.failing_since is None and self._grace_left() <= 0:
+        if self.feed.failing_since is not None:
+            if self.fleet.lapsed:
+                eventlet.spawn_after(max(RETRY_SECONDS, self._grace_left()), self._drop_lapsed)
+        elif (left := self._grace_left()) > 0:
+            eventlet.spawn_after(left, self._drop_lapsed)
+        else:
             self.fleet.drop_lapsed()
-        elif self.fleet.lapsed:
-            eventlet.spawn_after(max(RETRY_SECONDS, self._grace_left()), self._drop_lapsed)
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -16,6 +16,9 @@
 from standins.world import wait_for
 from tests.gateway_callers import Answer, ask, read_answer, request_bytes
 
+EXPIRY_OUTAGE_SECONDS = 2.0
+"""Length of an outage of the store in which entries may expire: more than 1.5 heartbeats of servers."""
+
 
 @pytest.fixture
 def site() -> Iterator[UsersSite]:
@@ -162,6 +165,7 @@
     wait_for("calls are served", lambda: succeeds(daemon, "/once/x"))
     site.store.faults.set("busy")
     wait_for("the store is found unreachable", lambda: daemon.lines("store lost"))
+    time.sleep(EXPIRY_OUTAGE_SECONDS)
     gone, lapsed = site.of(PLAIN)
     for replica in (gone, lapsed):
         site.store.drop("servers", replica.id)
