Take a lease over whose row another writer keeps changing

What callers would see: no layers are loaded while another writer changes the row of the lease again and again, and leaves it unreadable.

Cause: each new version of the row counted as a renewal. An unreadable row renews nothing.

Evidence: test_an_invalid_lease_row_that_is_written_again_and_again_is_waited_out fails on the code before.

--- a/bayglade/leases.py
+++ b/bayglade/leases.py
@@ -81,6 +81,8 @@
         self.valid_until = 0.0
         self.seen: Position | None = None
         self.seen_at = 0.0
+        self.seen_invalid = False
+        """Whether the row has been invalid since it was seen."""
 
     def __repr__(self) -> str:
         return f"<Lease {self.key} {self.state().value} epoch={self.epoch}>"
@@ -116,7 +118,7 @@
             # Other daemons that read the row must see who holds the lease.
             return self._write(condition, self.epoch)
         free = row is None or (found is not None and found.released)
-        if (free and not lost) or self._expired(row):
+        if (free and not lost) or self._expired(row, found):
             unknown = lost or (found is None and self.history.restored_at is not None)
             return self._write(
                 condition, self.highest_epoch + (EPOCHS_SKIPPED_AFTER_RESTORE if unknown else 1)
@@ -155,11 +157,15 @@
         self.valid_until = 0.0
         self._transact(self.epoch, released=True)
 
-    def _expired(self, row: Row | None) -> bool:
-        """Tell whether the row has been seen unchanged for longer than the lease lasts."""
+    def _expired(self, row: Row | None, found: LeaseRow | None) -> bool:
+        """Tell whether the row has been seen unchanged for longer than the lease lasts.
+
+        A row that is invalid renews no lease, however often another writer changes it.
+        """
         position = row.position if row is not None else Position(self.history.epoch, ABSENT)
-        if position != self.seen:
-            self.seen, self.seen_at = position, now()
+        is_invalid = row is not None and found is None
+        if position != self.seen and not (is_invalid and self.seen_invalid):
+            self.seen, self.seen_at, self.seen_invalid = position, now(), is_invalid
             return False
         return now() - self.seen_at > self.duration + self.margin
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -231,6 +231,20 @@
     assert lease.seconds_left() > 0
 
 
+def test_an_invalid_lease_row_that_is_written_again_and_again_is_waited_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    at = 100.0
+    monkeypatch.setattr("bayglade.leases.now", lambda: at)
+    rows = FakeTable(leases__placement=b"\xff")
+    lease = Lease(rows, "placement", MemberId("d"), 2.5, 0.7)
+    for version in range(2, 10):
+        assert not lease.acquire_or_renew()
+        at += 0.45
+        rows.rows["leases/placement"] = (version, msgspec.Raw(b"\xff%d" % version))
+    assert lease.acquire_or_renew()
+
+
 @pytest.mark.parametrize("invalid", [b"\xff", b"[]", b'{"address": "nowhere", "hall": "h"}'])
 def test_a_daemon_overwrites_an_invalid_row_of_its_own(invalid: bytes) -> None:
     rows = FakeTable(members__d=invalid, **{SECRET_KEY.replace("/", "__"): b'"aa"'})
