--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,6 +29,7 @@
     CROWDED_ACTIONS,
     DEFAULT_ACTIONS,
     LIMITED_ACTIONS,
+    ODD_ACTIONS,
     PARTITIONED_ACTIONS,
     PRESSED_ACTIONS,
     RESTING_ACTIONS,
@@ -104,6 +105,7 @@
     emptied: bool = False,
     behind: bool = False,
     crowded: bool = False,
+    odd: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -126,6 +128,8 @@
     :param emptied: whether all keys are taken away for a while after the last fault.
     :param behind: whether to cut daemons off from the store and one service's servers while keys change.
     :param crowded: whether crowds of clients that don't behave come beside the faults.
+    :param odd: whether another writer also leaves unreadable entries in the store, and servers answer with
+        odd statuses and without an end.
     :return: the violations found, and counts.
     """
     journal = Journal(key_versions={KEY: 0})
@@ -156,8 +160,8 @@
         actions = _select_actions(resting, unsteady, limited, restored, pressed)
         if partitioned or behind:
             actions = BEHIND_ACTIONS if behind else PARTITIONED_ACTIONS
-        if crowded:
-            actions = CROWDED_ACTIONS
+        if crowded or odd:
+            actions = CROWDED_ACTIONS if crowded else ODD_ACTIONS
         FaultInjector(site, journal, seed, actions).run(seconds)
         if emptied:
             _revoke_all_keys(journal, site)
@@ -313,6 +317,9 @@
     parser.add_argument(
         "--crowded", action="store_true", help="let crowds of clients that don't behave come as well"
     )
+    parser.add_argument(
+        "--odd", action="store_true", help="leave unreadable entries, and have servers answer oddly as well"
+    )
     parser.add_argument(
         "--keep", type=Path, default=FAILURE_FOLDER, help="directory for logs of failed seeds"
     )
@@ -338,6 +345,7 @@
             options.emptied,
             options.behind,
             options.crowded,
+            options.odd,
         )
         failed += bool(result.broken)
         print(msgspec.json.encode(result).decode(), flush=True)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -296,6 +296,7 @@
     """
     found = []
     rows = {key for (table, key), (_, value) in site.store.rows.items() if table == "servers" and value}
+    rows -= site.foreign_keys
     for daemon in site.fleet:
         try:
             beliefs = daemon.process.beliefs()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,9 +7,11 @@
 from collections.abc import Callable, Sequence
 
 from soak.records import PARTITION, Fault, Journal
-from soak.site import CROWD_BODY_BYTES, SoakSite
+from soak.site import CROWD_BODY_BYTES, SoakDaemon, SoakSite
 from standins.crowds import Crowd
+from standins.odd_entries import draw_unreadable
 from standins.users import LAYERS, MODEL, PLAIN, Partition, Replica
+from standins.users.replica import ENDLESS
 
 FaultAction = Callable[["FaultInjector"], None]
 
@@ -71,6 +73,13 @@
 )
 CROWD_CLIENTS = (20, 120)
 CROWD_SECONDS = (1.0, 6.0)
+ODD_ENTRIES = (1, 1, 3, 30)
+"""Numbers of entries that another writer leaves at once."""
+MAX_REWRITES = 5
+REWRITE_SECONDS = 0.2
+RESTART_ALL_PROBABILITY = 0.3
+ODD_STATUSES = ("000", "099", "101", "600", "999")
+ODD_ANSWER_SECONDS = 2.0
 GRACE_SECONDS = 8.0
 REVOKE_AFTER = 1.0
 
@@ -145,9 +154,67 @@
     injector.start_fault("crowd", daemon.incarnation, seconds, work)
 
 
+def write_odd_entries(injector: FaultInjector) -> None:
+    """Have another writer leave entries that cannot be read, again and again; they stay.
+
+    At times all daemons are killed and started again afterwards.
+    """
+    rng, site = injector.rng, injector.site
+    rows = {
+        "servers": (site.of(PLAIN)[0].row(), "addr", ""),
+        "bayglade-members": ({"address": "127.0.0.1:1", "hall": "hall-0"}, "address", "members/"),
+    }
+    table = rng.choice(("servers", "servers", "bayglade-members"))
+    row, address, prefix = rows[table]
+    rounds = rng.randint(1, MAX_REWRITES)
+    entries = [draw_unreadable(row, address, rng) for _ in range(rounds * rng.choice(ODD_ENTRIES))]
+    restart_all = rng.random() < RESTART_ALL_PROBABILITY
+
+    def write() -> None:
+        for number, (key, value) in enumerate(entries):
+            site.foreign_keys.add(prefix + key)
+            site.store.put_bytes(table, prefix + key, value)
+            if number % rounds == 0:
+                time.sleep(REWRITE_SECONDS)
+
+    injector.start_fault("odd entries", table, rounds * REWRITE_SECONDS, write, planned=True)
+    if restart_all:
+        for daemon in site.fleet:
+            kill_one(injector, daemon)
+
+
+def answer_oddly(injector: FaultInjector) -> None:
+    """Have a server answer with a status that is none, or without an end, its reports as well."""
+    rng = injector.rng
+    server, status, fault = (
+        rng.choice(injector.site.replicas),
+        rng.choice(ODD_STATUSES),
+        rng.choice([*ENDLESS]),
+    )
+    endless = rng.random() < 0.5
+
+    def work() -> None:
+        if endless:
+            server.faults.set(fault)
+            server.reports_without_end = fault
+        else:
+            server.odd_status = status
+        time.sleep(ODD_ANSWER_SECONDS)
+        server.faults.left[fault] = 0
+        server.reports_without_end = server.odd_status = ""
+
+    name = f"answers {fault if endless else status}"
+    injector.start_fault(name, server.id, ODD_ANSWER_SECONDS + 1.0, work)
+
+
 def kill(injector: FaultInjector) -> None:
     """Kill a daemon and start it again later."""
-    daemon, down = injector.rng.choice(injector.site.fleet), injector.random_duration()
+    kill_one(injector, injector.rng.choice(injector.site.fleet))
+
+
+def kill_one(injector: FaultInjector, daemon: SoakDaemon) -> None:
+    """Kill a given daemon and start it again later, unless another fault has reserved it."""
+    down = injector.random_duration()
     if not daemon.reserve():
         return
 
@@ -485,6 +552,8 @@
     stop,
 )
 
+ODD_ACTIONS: tuple[FaultAction, ...] = (*DEFAULT_ACTIONS, *[write_odd_entries] * 5, *[answer_oddly] * 4)
+
 CROWDED_ACTIONS: tuple[FaultAction, ...] = (*DEFAULT_ACTIONS, *[crowd] * 8)
 
 PRESSED_ACTIONS: tuple[FaultAction, ...] = (crash_together, kill, *[reload] * 4)
--- a/soak/site.py
+++ b/soak/site.py
@@ -128,6 +128,9 @@
         self.old_keys: deque[str] = deque(maxlen=OLD_KEYS_KEPT)
         """Recently revoked keys; callers go on using them now and then."""
 
+        self.foreign_keys: set[str] = set()
+        """Keys of entries that other writers left in the store."""
+
         front = self.proxies.front if proxied else str
         super().__init__(halls=2, stages=6, plain=5, front=front, partitionable=partitionable)
         self.fleet = [SoakDaemon(self, number) for number in range(daemons)]
@@ -202,6 +205,7 @@
             link.heal()
         self.store.faults.clear()
         for replica in self.every_replica:
+            replica.odd_status = replica.reports_without_end = ""
             replica.faults.left.update({name: 0 for name in replica.faults.left if name != "stall"})
 
     def stop(self) -> None:
--- a/standins/odd_entries.py
+++ b/standins/odd_entries.py
@@ -27,31 +27,42 @@
 OTHER_TYPES: tuple[Any, ...] = (None, True, 7, "text", [], {}, [[1]])
 NO_IDS = ("i of nobody", "\u0438\u043c\u044f", "i\r\nX-Tenant: other", "i\0", "i" * 201)
 """Keys that cannot be sent in a header."""
+ODD_KEY_PROBABILITY = 0.2
 NESTED = (b"[" * 60_000, b'{"a":' * 10_000 + b"1" + b"}" * 10_000)
 NO_JSON = (b"", b"\xff\x00", b"{", b"[]", b"null", b'{"service": "\xff"}', b'"\\ud800"')
 
 
+def unreadable_values(row: dict[str, Any], address: str = "addr") -> list[bytes]:
+    """Return values that no reader can use: without an address of a host, nested too deep, or no JSON.
+
+    :param row: the content of a valid row.
+    :param address: the field of its address.
+    """
+    return [*(json.dumps({**row, address: text}).encode() for text in NO_ADDRESSES), *NESTED, *NO_JSON]
+
+
 def odd_values(row: dict[str, Any]) -> list[bytes]:
-    """Return values that differ from a valid row in one field, or are no row at all.
+    """Return unreadable values, and those that differ from a valid row in one field.
 
     :param row: the content of a valid row with an address and whole numbers.
     """
-    changed: list[dict[str, Any]] = [{**row, "addr": address} for address in NO_ADDRESSES]
+    changed: list[dict[str, Any]] = []
     for name, value in row.items():
         changed += [{**row, name: other} for other in OTHER_TYPES if type(other) is not type(value)]
         if type(value) is int:
             changed += [{**row, name: number} for number in OUT_OF_RANGE]
         changed.append({field: kept for field, kept in row.items() if field != name})
-    return [*(json.dumps(each).encode() for each in changed), *NESTED, *NO_JSON]
+    return [*unreadable_values(row), *(json.dumps(each).encode() for each in changed)]
 
 
-def draw(row: dict[str, Any], rng: random.Random) -> tuple[str, bytes]:
-    """Draw an odd entry.
+def draw_unreadable(row: dict[str, Any], address: str, rng: random.Random) -> tuple[str, bytes]:
+    """Draw an unreadable entry.
 
     :param row: the content of a valid row.
+    :param address: the field of its address.
     :param rng: source of randomness.
-    :return: its key and value.
+    :return: the end of its key, and its value.
     """
-    if rng.random() < 0.2:
-        return rng.choice(NO_IDS), json.dumps({**row, "addr": "127.9.9.9:8080"}).encode()
-    return f"i-odd-{rng.randrange(1000)}", rng.choice(odd_values(row))
+    if rng.random() < ODD_KEY_PROBABILITY:
+        return rng.choice(NO_IDS), rng.choice(NO_JSON)
+    return f"i-odd-{rng.randrange(1000)}", rng.choice(unreadable_values(row, address))
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -28,7 +28,7 @@
 from bayglade.stops import read_stops
 from bayglade.table.client import _decode_host
 from bayglade.tasks import keep_running
-from standins.odd_entries import NO_IDS, draw, odd_values
+from standins.odd_entries import NO_IDS, draw_unreadable, odd_values
 from tests.server_rows import server_row
 from tests.test_foreign_entries import JSON_VALUES, FakeTable
 
@@ -207,6 +207,12 @@
     assert counted == ["task_failures_loader"] * 2
 
 
-def test_drawn_entries_repeat_with_their_seed() -> None:
-    drawn = [[draw(server_row(), random.Random(number)) for number in range(20)] for _ in range(2)]
+def test_drawn_entries_repeat_with_their_seed_and_are_unreadable() -> None:
+    drawn = [
+        [draw_unreadable(server_row(), "addr", random.Random(number)) for number in range(40)]
+        for _ in range(2)
+    ]
     assert drawn[0] == drawn[1]
+    for key, value in drawn[0]:
+        with pytest.raises(InvalidSettings):
+            decode_server(key, msgspec.Raw(value))
