Keep no rejected request while its connection closes

What was seen: ten tests of tests/crowds failed on x86-64 machines, at 132 to 163 MB where 128 are allowed.

Question: the code, the bound or the allocator? A rejected request stayed in a variable of _reject while its connection lingered, up to 0.5 s, and was accounted no more.

Evidence: beside 500 heads of tiny fields the daemon held 819,000 blocks of 64 bytes (tuples of header fields); a dump showed 258 messages with 841,854 fields, and 258 tasks waiting in _reject. Such tasks keep whole bodies too. Not the allocator: nearly all of the 70 arenas was in use; not huge pages: the same with glibc.malloc.hugetlb=1; not the size of reads: the same with reads into one buffer. It shows on faster machines, where more rejections linger at a time.

Change: the request is looked at in a function of its own, which has ended when the connection lingers.

--- a/bayglade/listener.py
+++ b/bayglade/listener.py
@@ -417,10 +417,7 @@
 
 def _reject(connection: Connection, error: BaygladeError) -> None:
     """Reject a request that was not read completely, and close the connection."""
-    log_rejected("INFO", "bad request", error=repr(error), large=isinstance(error, HeadTooLarge))
-    message = connection.parser.messages[0] if connection.parser.messages else None
-    if message is not None and message.head_complete and connection.note_rejected is not None:
-        connection.note_rejected(message, error)
+    _note_rejection(connection, error)
     connection.client.enter(ClientState.CLOSING)
     connection.discard_request()
     connection.close_after_response = True
@@ -429,6 +426,14 @@
     _close_in_order(connection, LINGER_SECONDS)
 
 
+def _note_rejection(connection: Connection, error: BaygladeError) -> None:
+    """Log and record a rejection; the request itself must not be kept while the connection closes."""
+    log_rejected("INFO", "bad request", error=repr(error), large=isinstance(error, HeadTooLarge))
+    message = connection.parser.messages[0] if connection.parser.messages else None
+    if message is not None and message.head_complete and connection.note_rejected is not None:
+        connection.note_rejected(message, error)
+
+
 def _close_in_order(connection: Connection, seconds: float) -> None:
     """Tell the caller that nothing more comes, and discard what it still sends, for a while.
 
