--- a/bayglade/platform/engines.py
+++ b/bayglade/platform/engines.py
@@ -12,7 +12,7 @@
 from bayglade.ids import BackendId, RequestId
 from bayglade.logs import event
 from bayglade.models import Route
-from bayglade.platform.calls import read_answer, write_route
+from bayglade.platform.calls import EXPECTED_INSTANCE_HEADER, read_answer, write_route
 from bayglade.platform.documents import NO_LAYERS, Layers, incarnation_of
 from bayglade.upstream import DEFAULT_IDLE_SECONDS, MAX_CONTROL_BYTES, ConnectionPool, open_exchange
 
@@ -170,6 +170,8 @@
         until = now() + timeout
         headers = [("Host", address)]
         if method == "POST":
+            # Another server may have the address by now.
+            headers += [(EXPECTED_INSTANCE_HEADER, backend)]
             headers += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
         try:
             max_idle = 0.0 if anew else DEFAULT_IDLE_SECONDS
--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -291,6 +291,9 @@
         }
 
     def _order(self, handler: Handler, order: Any) -> None:
+        if handler.headers.get("X-Expect-Instance", self.id) != self.id:
+            handler.json({}, 421)
+            return
         if order["op"] == "repath":
             known = order["id"] in self.paths
             if known:
