Send a request that may run once on no connection of its last sending

A refusal that came a second time on a kept connection was taken for the answer to the next sending of the same request.

Cause: answers are told apart by the request's id, which is the same in all its sendings.

Change: a connection remembers the last request that may run only once, and is left aside for that one.

The new case of test_upstream.py passes.

--- a/bayglade/sending.py
+++ b/bayglade/sending.py
@@ -48,7 +48,8 @@
     check_may_send(context, call, server)
     context.quarantine.note_sent(call, facts.id)
     max_idle = MAX_IDLE_AT_MOST_ONCE if call.at_most_once else DEFAULT_IDLE_SECONDS
-    exchange = open_exchange(context.pool, facts.id, facts.address, max_idle)
+    request = call.head.id if call.at_most_once else None
+    exchange = open_exchange(context.pool, facts.id, facts.address, max_idle, request=request)
     try:
         _confirm_send(context, call, facts.id)
         sending = Sending(
--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -17,7 +17,7 @@
     InvalidMessage,
 )
 from bayglade.http1 import Message, MessageParser, parts_to_send
-from bayglade.ids import BackendId
+from bayglade.ids import BackendId, RequestId
 from bayglade.logs import event
 from bayglade.sockets import is_idle, receive
 
@@ -51,10 +51,14 @@
 class PooledConnection:
     """One connection to a backend server; times are monotonic seconds."""
 
-    __slots__ = ("expires_at", "reader", "sock", "used_at")
+    __slots__ = ("expires_at", "last_request", "reader", "sock", "used_at")
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
+        self.last_request: RequestId | None = None
+        """The request that was sent last, if it may run only once. A second answer to it may still arrive,
+        and would be taken for the answer to its next sending."""
+
         self.reader = MessageParser(True)
         self.used_at = now()
         self.expires_at = self.used_at + DEFAULT_IDLE_SECONDS
@@ -96,6 +100,7 @@
         address: str,
         max_idle: float = DEFAULT_IDLE_SECONDS,
         connect_seconds: float = CONNECT_SECONDS,
+        request: RequestId | None = None,
     ) -> PooledConnection:
         """Return an idle connection, or open one.
 
@@ -103,17 +108,29 @@
         :param address: the address that it listens on.
         :param max_idle: greatest idle time of the connection, in seconds; 0 opens a new one.
         :param connect_seconds: timeout of the connect.
-        :return: the connection.
+        :param request: the request that is to be sent.
+        :return: the connection; not one on which that request was the last.
         :raises BackendUnreachable: if none can be opened.
         :raises BackendUnwilling: if this process has no descriptor left for one.
         """
         connections = self.idle.get(backend)
-        while connections and max_idle > 0:
-            connection = connections.pop()
-            if self._usable(connection) and now() - connection.used_at < max_idle and connection.is_clean():
-                return connection
-            connection.sock.close()
-        return self._open(backend, address, connect_seconds)
+        set_aside: list[PooledConnection] = []
+        try:
+            while connections and max_idle > 0:
+                connection = connections.pop()
+                if request is not None and connection.last_request == request:
+                    set_aside.append(connection)
+                elif self._usable(connection) and self._is_fresh(connection, max_idle):
+                    connection.last_request = request
+                    return connection
+                else:
+                    connection.sock.close()
+        finally:
+            if connections is not None:
+                connections.extend(reversed(set_aside))
+        connection = self._open(backend, address, connect_seconds)
+        connection.last_request = request
+        return connection
 
     def probe(self, backend: BackendId, address: str) -> bool:
         """Return whether anything listens for a server; the connection goes to the pool.
@@ -152,6 +169,9 @@
         """
         self.trusted_from = max(self.trusted_from, before)
 
+    def _is_fresh(self, connection: PooledConnection, max_idle: float) -> bool:
+        return now() - connection.used_at < max_idle and connection.is_clean()
+
     def _usable(self, connection: PooledConnection) -> bool:
         return now() < connection.expires_at and connection.used_at > self.trusted_from
 
@@ -433,6 +453,7 @@
     address: str,
     max_idle: float = DEFAULT_IDLE_SECONDS,
     connect_seconds: float = CONNECT_SECONDS,
+    request: RequestId | None = None,
 ) -> Exchange:
     """Start an exchange on an idle or a new connection.
 
@@ -441,7 +462,9 @@
     :param address: the address that it listens on.
     :param max_idle: greatest idle time of a pooled connection, in seconds.
     :param connect_seconds: timeout of the connect.
+    :param request: the request that is to be sent, if a second answer to an earlier sending of it would harm.
     :return: the exchange; nothing is sent yet.
     :raises BackendUnreachable: if the server cannot be reached.
     """
-    return Exchange(pool, backend, pool.acquire(backend, address, max_idle, connect_seconds))
+    connection = pool.acquire(backend, address, max_idle, connect_seconds, request)
+    return Exchange(pool, backend, connection)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -13,7 +13,7 @@
 from eventlet.green import socket as green_socket
 
 from bayglade import upstream
-from bayglade.ids import BackendId
+from bayglade.ids import BackendId, RequestId
 from bayglade.upstream import ConnectionPool
 
 SERVER, OTHER = BackendId("i-1"), BackendId("i-2")
@@ -69,3 +69,16 @@
     pool.distrust_before(101.0)
     pool.distrust_before(99.0)
     assert not pool.has_idle(SERVER)
+
+
+def test_a_request_is_not_sent_again_on_the_connection_of_its_last_sending(address: str) -> None:
+    # A refusal that came a second time was taken for the answer to the second sending: it ran twice.
+    pool, once = ConnectionPool(), RequestId("once")
+    first = pool.acquire(SERVER, address, request=once)
+    pool.release(SERVER, first, None)
+    second = pool.acquire(SERVER, address, request=once)
+    assert second is not first
+    # Another request may use it: it tells the second answer by its id.
+    assert pool.acquire(SERVER, address, request=RequestId("other")) is first
+    pool.release(SERVER, first, None)
+    assert pool.acquire(SERVER, address, request=once) is first
