--- a/bayglade/upstream.py
+++ b/bayglade/upstream.py
@@ -462,7 +462,7 @@
     :param address: the address that it listens on.
     :param max_idle: greatest idle time of a pooled connection, in seconds.
     :param connect_seconds: timeout of the connect.
-    :param request: the request that is to be sent, if a second answer to an earlier sending of it would harm.
+    :param request: the request that is to be sent, if it may run only once.
     :return: the exchange; nothing is sent yet.
     :raises BackendUnreachable: if the server cannot be reached.
     """
