--- a/bayglade/decoding.py
+++ b/bayglade/decoding.py
@@ -58,6 +58,17 @@
     return int(text)
 
 
+def _as_invalid(error: Exception, what: str, step: str) -> InvalidSettings:
+    """Return the error for a value that cannot be decoded; log a failure that no decoder should have."""
+    if isinstance(error, InvalidSettings):
+        return error
+    if not isinstance(error, (msgspec.DecodeError, RecursionError, BaygladeError)):
+        trace = "".join(traceback.format_exception(error, limit=TRACEBACK_FRAMES))
+        _log_unexpected_error("ERROR", "decoder failed", what=what, trace=trace)
+    reason = str(error)[:MAX_REASON_CHARACTERS] or type(error).__name__
+    return InvalidSettings(f"{what}: {reason}", step=step)
+
+
 @contextmanager
 def reading(what: str, step: str) -> Iterator[None]:
     """Turn any error of a decoder into one type.
@@ -71,11 +82,7 @@
     except InvalidSettings:
         raise
     except Exception as error:
-        if not isinstance(error, (msgspec.DecodeError, RecursionError, BaygladeError)):
-            trace = traceback.format_exc(limit=TRACEBACK_FRAMES)
-            _log_unexpected_error("ERROR", "decoder failed", what=what, trace=trace)
-        reason = str(error)[:MAX_REASON_CHARACTERS] or type(error).__name__
-        raise InvalidSettings(f"{what}: {reason}", step=step) from error
+        raise _as_invalid(error, what, step) from error
 
 
 def decode_json(value: bytes | msgspec.Raw, kind: type[DecodedT], what: str, step: str) -> DecodedT:
@@ -87,8 +94,10 @@
     :param step: the processing step, for the error.
     :raises InvalidSettings: if the value is malformed or has another type.
     """
-    with reading(what, step):
+    try:
         return msgspec.json.decode(value, type=kind)
+    except Exception as error:
+        raise _as_invalid(error, what, step) from error
 
 
 def decode_each(
@@ -105,8 +114,8 @@
             decoded.removed.append(key)
             continue
         try:
-            with reading(f"row {key[:MAX_REASON_CHARACTERS]}", "read"):
-                decoded.found[key] = decode(key, value)
-        except InvalidSettings as error:
-            decoded.invalid[key] = error.message
+            decoded.found[key] = decode(key, value)
+        except Exception as error:  # noqa: BLE001 - as above
+            what = f"row {key[:MAX_REASON_CHARACTERS]}"
+            decoded.invalid[key] = _as_invalid(error, what, "read").message
     return decoded
