Test daemons that start beside unreadable rows of their own

With a port of 5,000 digits in a row of a daemon, numbers of 400 digits in a stop and in the lease of the layers. On the code before, daemons do not hear each other.

--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -58,3 +58,28 @@
     site.of(PLAIN)[0].leave()
     for daemon in restarted:
         wait_for("a leaving server is noticed", lambda daemon=daemon: daemon.lines("server leaving"))
+
+
+OWN_ROWS = {
+    ("bayglade-members", "members/i-of-another"): {"address": "127.9.9.9:" + "9" * 5000, "hall": "hall-0"},
+    ("bayglade-members", "members/#stopped/odd"): {"ends": [["s", HUGE]]},
+    ("bayglade-leases", "leases/placement"): {"holder": "d0", "epoch": HUGE},
+}
+
+
+def test_daemons_that_start_serve_beside_unreadable_rows_of_their_own(site: UsersSite) -> None:
+    daemons = [site.start() for _ in range(2)]
+    site.wait_placed()
+    for (table, key), row in OWN_ROWS.items():
+        site.store.put_bytes(table, key, json.dumps(row).encode())
+    restarted = [restart(daemon) for daemon in daemons]
+    for daemon in restarted:
+        daemon.wait_ready()
+        wait_for("streams are served", lambda daemon=daemon: is_served(daemon, "/stream/x"))
+        others = {other.settings["member"] for other in restarted if other is not daemon}
+        wait_for(
+            "it hears the other",
+            lambda daemon=daemon, others=others: others <= set(daemon.beliefs()["members"]),
+        )
+    site.of(MODEL)[0].restart()
+    wait_for("its layers are loaded again", lambda: site.of(MODEL)[0].held != (0, 0))
