Pass the request to a connection in order, as stand-ins of tests take it

Seven tests failed in a whole run: the stand-in of open_exchange in test_rests.py and test_retry_charges.py takes no keywords, and that of a site in test_soak.py has no keys of other writers; it has an empty set of them now.

--- a/bayglade/sending.py
+++ b/bayglade/sending.py
@@ -15,7 +15,13 @@
 from bayglade.relay import Attempts, RelayContext
 from bayglade.reservations import Reservation
 from bayglade.servers import Server
-from bayglade.upstream import DEFAULT_IDLE_SECONDS, MAX_IDLE_AT_MOST_ONCE, Exchange, open_exchange
+from bayglade.upstream import (
+    CONNECT_SECONDS,
+    DEFAULT_IDLE_SECONDS,
+    MAX_IDLE_AT_MOST_ONCE,
+    Exchange,
+    open_exchange,
+)
 
 
 def send(
@@ -49,7 +55,7 @@
     context.quarantine.note_sent(call, facts.id)
     max_idle = MAX_IDLE_AT_MOST_ONCE if call.at_most_once else DEFAULT_IDLE_SECONDS
     request = call.head.id if call.at_most_once else None
-    exchange = open_exchange(context.pool, facts.id, facts.address, max_idle, request=request)
+    exchange = open_exchange(context.pool, facts.id, facts.address, max_idle, CONNECT_SECONDS, request)
     try:
         _confirm_send(context, call, facts.id)
         sending = Sending(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -482,6 +482,7 @@
     """A site without faults whose only daemon has stale settings and too many servers."""
 
     version = 7
+    foreign_keys: frozenset[str] = frozenset()
     store = SimpleNamespace(rows={("servers", "a"): (1, b"{}"), ("servers", "b"): (2, None)})
     fleet = (SimpleNamespace(incarnation="d0.1", process=SimpleNamespace(beliefs=lambda: BELIEFS)),)
 
