Mend what a second reading found

The time after which another daemon can serve a request was worked out in three places (retry_elsewhere), the sockets of callers were told from others by their place in a tuple, and a comment referred to one that is not there.

Behaviour and checks are unchanged: 304 tests of the eight files that touch it pass.

--- a/bayglade/decoding.py
+++ b/bayglade/decoding.py
@@ -115,7 +115,7 @@
             continue
         try:
             decoded.found[key] = decode(key, value)
-        except Exception as error:  # noqa: BLE001 - as above
+        except Exception as error:  # noqa: BLE001 - whatever a decoder raises, the row is invalid
             what = f"row {key[:MAX_REASON_CHARACTERS]}"
             decoded.invalid[key] = _as_invalid(error, what, "read").message
     return decoded
--- a/bayglade/gateway.py
+++ b/bayglade/gateway.py
@@ -86,7 +86,7 @@
 from bayglade.refusals import Refusals
 from bayglade.relay import RelayContext
 from bayglade.responses import JSON_TYPE
-from bayglade.retries import RETRY_ELSEWHERE_SECONDS, jittered_retry_after
+from bayglade.retries import jittered_retry_after, retry_elsewhere
 from bayglade.rows import Changes
 from bayglade.server_termination import watch_server_termination
 from bayglade.servers import Server
@@ -337,14 +337,16 @@
         ready, metrics, callers, forwarded = self.clients
         self._start_listener(self.config.ready, ready, internal_client_limits, self._serve_readiness)
         self._start_listener(self.config.metrics, metrics, internal_client_limits, self._serve_metrics)
-        self._start_listener(
+        listening = self._start_listener(
             self.config.callers, callers, self.intake.limits, self._serve_caller, self._prepare_caller
         )
+        self.listening.append(listening)
         if self.peering.forward_address:
             address = self.peering.forward_address
-            self._start_listener(
+            listening = self._start_listener(
                 address, forwarded, self.intake.limits, self._serve_forwarded, self._prepare_forwarded
             )
+            self.listening.append(listening)
         self.document_feed.start()
         self.servers_feed.start()
         tasks = {
@@ -569,8 +571,9 @@
 
     def _stopping(self) -> Stopping:
         """Return the refusal of a request that another daemon can serve at once."""
-        retry_seconds = jittered_retry_after(RETRY_ELSEWHERE_SECONDS, self.rng, RETRY_ELSEWHERE_SECONDS)
-        return Stopping("this daemon is shutting down", step="intake", retry_after=retry_seconds)
+        return Stopping(
+            "this daemon is shutting down", step="intake", retry_after=retry_elsewhere(self.rng)
+        )
 
     def _exit_time(self) -> float:
         """Return until when this daemon serves requests, given that it is draining."""
@@ -723,12 +726,11 @@
         limits: Callable[[], CallerLimits],
         handler: Handler,
         prepare: Prepare = lambda connection: None,
-    ) -> None:
+    ) -> socket.socket:
         listen_on = parse_address(address)
         listening = listen(listen_on.host, listen_on.port, for_clients=True)
-        if clients in self.clients[2:]:
-            self.listening.append(listening)
         eventlet.spawn_n(serve, listening, clients, limits, handler, prepare)
+        return listening
 
     def _install_signal_handlers(self) -> None:
         def deferred(act: Callable[[], None]) -> Callable[[int, object], None]:
@@ -769,8 +771,8 @@
         eventlet.sleep(REFUSED_AT_CLOSING_SECONDS)
         for listening in self.listening:
             listening.close()
-        _, _, *serving = self.clients
-        for clients in serving:
+        *_, callers, forwarded = self.clients
+        for clients in (callers, forwarded):
             clients.refuse_incomplete(self._stopping)
             clients.close_idle()
         eventlet.sleep(CLOSING_SECONDS - REFUSED_AT_CLOSING_SECONDS)
--- a/bayglade/intake.py
+++ b/bayglade/intake.py
@@ -17,7 +17,7 @@
 from bayglade.ids import Digest, GroupPath, Revision, ServiceName
 from bayglade.logs import event
 from bayglade.pipelines import Pipeline
-from bayglade.retries import RETRY_ELSEWHERE_SECONDS, jittered_retry_after
+from bayglade.retries import retry_elsewhere
 from bayglade.revisions import EMPTY, Current
 from bayglade.settings import CallerLimits, Tree, digest_of, level_at, priority_of, urgency_of
 
@@ -330,8 +330,7 @@
         return urgency_of(own, endpoint.priority)
 
     def _cut_off(self, message: str) -> BaygladeError:
-        again = jittered_retry_after(RETRY_ELSEWHERE_SECONDS, self.rng, RETRY_ELSEWHERE_SECONDS)
-        return CutOff(message, step="intake", retry_after=again)
+        return CutOff(message, step="intake", retry_after=retry_elsewhere(self.rng))
 
 
 def _hold_limit(head: CallHead | None) -> float:
--- a/bayglade/relay.py
+++ b/bayglade/relay.py
@@ -46,7 +46,7 @@
 from bayglade.quarantine import Quarantine
 from bayglade.reachability import Reachability
 from bayglade.refusals import Refusals
-from bayglade.retries import RETRY_ELSEWHERE_SECONDS, jittered_retry_after
+from bayglade.retries import jittered_retry_after, retry_elsewhere
 from bayglade.retry_ledger import Charge, ChargeSource, RetryBound, RetryLedger
 from bayglade.retry_parts import PartOf, whole_bound
 from bayglade.room_forecast import CapacityEstimates, retry_after
@@ -385,8 +385,7 @@
         if self.sent or self.may_have_run or self.used_ids():
             error: BaygladeError = StoppedMidway("this daemon exits", step="relay")
         else:
-            again = jittered_retry_after(RETRY_ELSEWHERE_SECONDS, rng, RETRY_ELSEWHERE_SECONDS)
-            error = Stopping("this daemon exits", step="relay", retry_after=again)
+            error = Stopping("this daemon exits", step="relay", retry_after=retry_elsewhere(rng))
         error.sent = self.sent
         return error
 
--- a/bayglade/retries.py
+++ b/bayglade/retries.py
@@ -87,3 +87,11 @@
     """
     base = min(max(seconds, minimum), MAX_RETRY_AFTER)
     return base * (1.0 + JITTER * rng.random())
+
+
+def retry_elsewhere(rng: random.Random) -> float:
+    """Return the Retry-After time, in seconds, of a request that another daemon can serve at once.
+
+    :param rng: source of the jitter.
+    """
+    return jittered_retry_after(RETRY_ELSEWHERE_SECONDS, rng, RETRY_ELSEWHERE_SECONDS)
