Turn any error in messages of engines and daemons into theirs

What callers would see: a frame of an engine that is nested too deep ended the request with an error of another type; a stored answer that another writer left in a claim ended the connection of the caller that repeats its request. A greeting of a stream, which anybody can send, and messages of daemons ended the task that reads them.

Cause: the same as of the unreadable entries; a second look at every decoder of what another process writes found six that name msgspec.DecodeError alone, and one that names nothing.

Ruled out: requests of callers and changes of operators name both errors already; docs of the gateway's settings file come from its own host.

--- a/bayglade/callers/api.py
+++ b/bayglade/callers/api.py
@@ -11,9 +11,18 @@
 from bayglade.claims import Claim, StoredAnswer
 from bayglade.clock import now
 from bayglade.completions import Answer
+from bayglade.decoding import reading
 from bayglade.directory import AccountHolder, Directory
 from bayglade.disconnects import DisconnectWatcher
-from bayglade.exceptions import BaygladeError, InvalidRequest, MethodNotAllowed, NotFound, Outcome
+from bayglade.exceptions import (
+    BaygladeError,
+    ClaimUnresolved,
+    InvalidRequest,
+    InvalidSettings,
+    MethodNotAllowed,
+    NotFound,
+    Outcome,
+)
 from bayglade.ids import ModelName, RequestId, ServiceName
 from bayglade.models import Completion, EndReason, ServiceRequest
 from bayglade.responses import (
@@ -287,7 +296,11 @@
     """Return a stored completion; if the caller asked for a stream, all text goes out as one event."""
     if not writer.params.stream:
         return _ok_response(RequestId(writer.request), JSON_TYPE, answer.body)
-    choice = msgspec.json.decode(answer.body, type=wire.Completion).choices[0]
+    try:
+        with reading("a stored answer", "claim"):
+            choice = msgspec.json.decode(answer.body, type=wire.Completion).choices[0]
+    except InvalidSettings as error:
+        raise ClaimUnresolved("the stored answer cannot be read", step="claim") from error
     text = choice.message.content if choice.message is not None else choice.text or ""
     response = _ok_response(RequestId(writer.request), wire.STREAM_TYPE, b"")
     response.chunks = [writer.token(text), writer.end(choice.finish_reason or "stop")]
--- a/bayglade/engines/client.py
+++ b/bayglade/engines/client.py
@@ -10,8 +10,9 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError, ReadTimeoutError
 
 from bayglade.config import parse_address
+from bayglade.decoding import decode_json, reading
 from bayglade.engines import wire
-from bayglade.exceptions import BackendError, BackendRefused, BackendUnreachable
+from bayglade.exceptions import BackendError, BackendRefused, BackendUnreachable, InvalidSettings
 from bayglade.guarded_http import create_pool
 
 CONNECT_TIMEOUT = 0.5
@@ -86,8 +87,8 @@
         body = self._request(address, "GET", wire.LOAD_PATH, None)
         if body is None:
             return None
-        with suppress(msgspec.DecodeError):
-            return msgspec.json.decode(body, type=wire.Load)
+        with suppress(InvalidSettings):
+            return decode_json(body, wire.Load, "a load", "load")
         return None
 
     def order(self, address: str, message: wire.HoldVersion) -> bool:
@@ -179,8 +180,9 @@
 
     def _decode_frame(self, first_stage: wire.Stage, line: bytes) -> wire.Frame:
         try:
-            return wire.decode_frame(line)
-        except msgspec.DecodeError as error:
+            with reading("a frame", "stream"):
+                return wire.decode_frame(line)
+        except InvalidSettings as error:
             raise BackendError("malformed frame", step="stream", peer=first_stage.backend) from error
 
     def _request(self, address: str, method: str, path: str, body: bytes | None) -> bytes | None:
--- a/bayglade/engines/wire.py
+++ b/bayglade/engines/wire.py
@@ -109,6 +109,6 @@
 
     :param line: JSON, without the line terminator.
     :return: the frame.
-    :raises msgspec.DecodeError: if the line is not a valid frame.
+    :raises Exception: of any type, if the line is not a valid frame.
     """
     return _decoder.decode(line)
--- a/bayglade/entries/forwards.py
+++ b/bayglade/entries/forwards.py
@@ -18,7 +18,8 @@
 
 import msgspec
 
-from bayglade.exceptions import Outcome, PeerError
+from bayglade.decoding import reading
+from bayglade.exceptions import InvalidSettings, Outcome, PeerError
 from bayglade.ids import BackendId, Digest, MemberId, RequestId, Revision
 
 FORWARD_HEADER = "Bayglade-Forwarded"
@@ -130,8 +131,9 @@
     if not hmac.compare_digest(seal, _seal(content, name, secret)):
         raise _rejection("the header of a forwarded call is not sealed by a daemon")
     try:
-        return msgspec.msgpack.decode(content, type=kind)
-    except msgspec.DecodeError as error:
+        with reading(name, "forward"):
+            return msgspec.msgpack.decode(content, type=kind)
+    except InvalidSettings as error:
         raise _rejection("the header of a forwarded call is malformed") from error
 
 
--- a/bayglade/entries/wire.py
+++ b/bayglade/entries/wire.py
@@ -13,7 +13,8 @@
 import msgpack
 import msgspec
 
-from bayglade.exceptions import PeerError
+from bayglade.decoding import reading
+from bayglade.exceptions import InvalidSettings, PeerError
 from bayglade.ids import (
     UNKNOWN_INCARNATION,
     BackendId,
@@ -479,9 +480,10 @@
         if not hmac.compare_digest(seal, self._digest(payload)):
             raise PeerError("the digest of a frame does not match", step="open")
         try:
-            return _decoder.decode(payload)
-        except msgspec.DecodeError as error:
-            raise PeerError(f"malformed message: {error}", step="open") from error
+            with reading("a message", "open"):
+                return _decoder.decode(payload)
+        except InvalidSettings as error:
+            raise PeerError(f"malformed message: {error.message}", step="open") from error
 
     def _digest(self, payload: bytes) -> bytes:
         self.count += 1
@@ -532,6 +534,7 @@
     if not isinstance(frame, list) or len(frame) != 1 or not isinstance(frame[0], bytes):
         raise PeerError("the first frame is not a valid greeting", step="hello")
     try:
-        return _hello_decoder.decode(frame[0])
-    except msgspec.DecodeError as error:
+        with reading("a greeting", "hello"):
+            return _hello_decoder.decode(frame[0])
+    except InvalidSettings as error:
         raise PeerError("malformed greeting", step="hello") from error
--- a/bayglade/operators/client.py
+++ b/bayglade/operators/client.py
@@ -10,7 +10,14 @@
 
 from bayglade import patches
 from bayglade.config import parse_address
-from bayglade.exceptions import BaygladeError, Outcome, PlatformAnswerLost, PlatformUnavailable
+from bayglade.decoding import decode_json
+from bayglade.exceptions import (
+    BaygladeError,
+    InvalidSettings,
+    Outcome,
+    PlatformAnswerLost,
+    PlatformUnavailable,
+)
 from bayglade.ids import ChangeId, Revision
 from bayglade.operators import wire
 from bayglade.responses import ErrorAnswer
@@ -108,8 +115,8 @@
 
 def _remote_error(content: bytes, path: str, peer: str) -> BaygladeError:
     try:
-        body = msgspec.json.decode(content, type=ErrorAnswer).error
-    except msgspec.DecodeError:
+        body = decode_json(content, ErrorAnswer, "the answer", path).error
+    except InvalidSettings:
         return BaygladeError("malformed answer", step=path, peer=peer)
     error = BaygladeError(
         body.message,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -4,27 +4,40 @@
 error later, when they are encoded for a server or another daemon.
 """
 
+import base64
 import json
 import random
+from types import SimpleNamespace
 
 import msgspec
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from bayglade.callers.api import _stored_response
 from bayglade.claims import _decode_row
 from bayglade.decoding import MAX_INTEGER, decode_each
-from bayglade.entries.wire import ServerLoad
-from bayglade.exceptions import InvalidSettings, PeerError, PlatformUnavailable
+from bayglade.engines import wire
+from bayglade.engines.client import Engines
+from bayglade.entries.forwards import ForwardedCall, _seal, decode_sealed
+from bayglade.entries.wire import FrameAuthenticator, ServerLoad, decode_hello
+from bayglade.exceptions import (
+    BackendError,
+    ClaimUnresolved,
+    InvalidSettings,
+    PeerError,
+    PlatformUnavailable,
+)
 from bayglade.fanout import decode_rows, encode_rows
 from bayglade.feeds import Feed
 from bayglade.http1 import encode_head
-from bayglade.ids import MemberId
+from bayglade.ids import BackendId, MemberId
 from bayglade.leases import Lease
 from bayglade.platform import decode_document, decode_report, decode_server
 from bayglade.roster import MEMBER_PREFIX, STOP_PREFIX, MemberRow, Roster, apply_rows
 from bayglade.rows import Changes, Row
 from bayglade.servers import ServerFacts
+from bayglade.services.wire import ServiceAnswer
 from bayglade.stops import read_stops
 from bayglade.table.client import _decode_host
 from bayglade.tasks import keep_running
@@ -216,3 +229,32 @@
     for key, value in drawn[0]:
         with pytest.raises(InvalidSettings):
             decode_server(key, msgspec.Raw(value))
+
+
+DEEP_JSON = b'{"x":' + b"[" * 60_000
+DEEP_MSGPACK = b"\x81\xa1x" + b"\x91" * 60_000
+
+
+def test_a_frame_of_an_engine_that_is_nested_too_deep_is_malformed() -> None:
+    engine = wire.Stage(BackendId("i-1"), "127.0.0.1:1", 0, 4)
+    with pytest.raises(BackendError):
+        Engines()._decode_frame(engine, DEEP_JSON)
+
+
+def test_messages_of_daemons_that_are_nested_too_deep_are_malformed() -> None:
+    sealer = FrameAuthenticator(b"k" * 32)
+    with pytest.raises(PeerError):
+        FrameAuthenticator(b"k" * 32).open([sealer._digest(DEEP_MSGPACK), DEEP_MSGPACK])
+    with pytest.raises(PeerError):
+        decode_hello([DEEP_MSGPACK])
+    short = DEEP_MSGPACK[:2000]
+    header = base64.urlsafe_b64encode(_seal(short, "name", b"secret") + short).decode()
+    with pytest.raises(PeerError):
+        decode_sealed(header, ForwardedCall, "name", b"secret")
+
+
+@pytest.mark.parametrize("body", [DEEP_JSON, b"", b'{"choices": []}'])
+def test_a_stored_completion_that_cannot_be_read_is_unresolved(body: bytes) -> None:
+    writer = SimpleNamespace(params=SimpleNamespace(stream=True), request="r")
+    with pytest.raises(ClaimUnresolved):
+        _stored_response(writer, ServiceAnswer(status=200, headers={}, body=body))  # type: ignore[arg-type]
