--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,8 +28,8 @@
     BEHIND_ACTIONS,
     CROWDED_ACTIONS,
     DEFAULT_ACTIONS,
+    INVALID_ACTIONS,
     LIMITED_ACTIONS,
-    ODD_ACTIONS,
     PARTITIONED_ACTIONS,
     PRESSED_ACTIONS,
     RESTING_ACTIONS,
@@ -105,7 +105,7 @@
     emptied: bool = False,
     behind: bool = False,
     crowded: bool = False,
-    odd: bool = False,
+    invalid: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -128,8 +128,8 @@
     :param emptied: whether all keys are taken away for a while after the last fault.
     :param behind: whether to cut daemons off from the store and one service's servers while keys change.
     :param crowded: whether crowds of clients that don't behave come beside the faults.
-    :param odd: whether another writer also leaves unreadable entries in the store, and servers answer with
-        odd statuses and without an end.
+    :param invalid: whether another writer also leaves unreadable entries in the store, and servers send
+        invalid statuses and answers without an end.
     :return: the violations found, and counts.
     """
     journal = Journal(key_versions={KEY: 0})
@@ -160,8 +160,8 @@
         actions = _select_actions(resting, unsteady, limited, restored, pressed)
         if partitioned or behind:
             actions = BEHIND_ACTIONS if behind else PARTITIONED_ACTIONS
-        if crowded or odd:
-            actions = CROWDED_ACTIONS if crowded else ODD_ACTIONS
+        if crowded or invalid:
+            actions = CROWDED_ACTIONS if crowded else INVALID_ACTIONS
         FaultInjector(site, journal, seed, actions).run(seconds)
         if emptied:
             _revoke_all_keys(journal, site)
@@ -318,7 +318,9 @@
         "--crowded", action="store_true", help="let crowds of clients that don't behave come as well"
     )
     parser.add_argument(
-        "--odd", action="store_true", help="leave unreadable entries, and have servers answer oddly as well"
+        "--invalid",
+        action="store_true",
+        help="leave unreadable entries, and have servers send invalid answers as well",
     )
     parser.add_argument(
         "--keep", type=Path, default=FAILURE_FOLDER, help="directory for logs of failed seeds"
@@ -345,7 +347,7 @@
             options.emptied,
             options.behind,
             options.crowded,
-            options.odd,
+            options.invalid,
         )
         failed += bool(result.broken)
         print(msgspec.json.encode(result).decode(), flush=True)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,7 +9,7 @@
 from soak.records import PARTITION, Fault, Journal
 from soak.site import CROWD_BODY_BYTES, SoakDaemon, SoakSite
 from standins.crowds import Crowd
-from standins.odd_entries import draw_unreadable
+from standins.invalid_entries import draw_unreadable
 from standins.users import LAYERS, MODEL, PLAIN, Partition, Replica
 from standins.users.replica import ENDLESS
 
@@ -73,13 +73,13 @@
 )
 CROWD_CLIENTS = (20, 120)
 CROWD_SECONDS = (1.0, 6.0)
-ODD_ENTRIES = (1, 1, 3, 30)
+INVALID_ENTRIES = (1, 1, 3, 30)
 """Numbers of entries that another writer leaves at once."""
 MAX_REWRITES = 5
 REWRITE_SECONDS = 0.2
 RESTART_ALL_PROBABILITY = 0.3
-ODD_STATUSES = ("000", "099", "101", "600", "999")
-ODD_ANSWER_SECONDS = 2.0
+INVALID_STATUSES = ("000", "099", "101", "600", "999")
+INVALID_ANSWER_SECONDS = 2.0
 GRACE_SECONDS = 8.0
 REVOKE_AFTER = 1.0
 
@@ -154,7 +154,7 @@
     injector.start_fault("crowd", daemon.incarnation, seconds, work)
 
 
-def write_odd_entries(injector: FaultInjector) -> None:
+def write_invalid_entries(injector: FaultInjector) -> None:
     """Have another writer leave entries that cannot be read, again and again; they stay.
 
     At times all daemons are killed and started again afterwards.
@@ -167,7 +167,7 @@
     table = rng.choice(("servers", "servers", "bayglade-members"))
     row, address, prefix = rows[table]
     rounds = rng.randint(1, MAX_REWRITES)
-    entries = [draw_unreadable(row, address, rng) for _ in range(rounds * rng.choice(ODD_ENTRIES))]
+    entries = [draw_unreadable(row, address, rng) for _ in range(rounds * rng.choice(INVALID_ENTRIES))]
     restart_all = rng.random() < RESTART_ALL_PROBABILITY
 
     def write() -> None:
@@ -177,18 +177,18 @@
             if number % rounds == 0:
                 time.sleep(REWRITE_SECONDS)
 
-    injector.start_fault("odd entries", table, rounds * REWRITE_SECONDS, write, planned=True)
+    injector.start_fault("invalid entries", table, rounds * REWRITE_SECONDS, write, planned=True)
     if restart_all:
         for daemon in site.fleet:
             kill_one(injector, daemon)
 
 
-def answer_oddly(injector: FaultInjector) -> None:
+def send_invalid_answers(injector: FaultInjector) -> None:
     """Have a server answer with a status that is none, or without an end, its reports as well."""
     rng = injector.rng
     server, status, fault = (
         rng.choice(injector.site.replicas),
-        rng.choice(ODD_STATUSES),
+        rng.choice(INVALID_STATUSES),
         rng.choice([*ENDLESS]),
     )
     endless = rng.random() < 0.5
@@ -198,13 +198,13 @@
             server.faults.set(fault)
             server.reports_without_end = fault
         else:
-            server.odd_status = status
-        time.sleep(ODD_ANSWER_SECONDS)
+            server.invalid_status = status
+        time.sleep(INVALID_ANSWER_SECONDS)
         server.faults.left[fault] = 0
-        server.reports_without_end = server.odd_status = ""
+        server.reports_without_end = server.invalid_status = ""
 
     name = f"answers {fault if endless else status}"
-    injector.start_fault(name, server.id, ODD_ANSWER_SECONDS + 1.0, work)
+    injector.start_fault(name, server.id, INVALID_ANSWER_SECONDS + 1.0, work)
 
 
 def kill(injector: FaultInjector) -> None:
@@ -552,7 +552,11 @@
     stop,
 )
 
-ODD_ACTIONS: tuple[FaultAction, ...] = (*DEFAULT_ACTIONS, *[write_odd_entries] * 5, *[answer_oddly] * 4)
+INVALID_ACTIONS: tuple[FaultAction, ...] = (
+    *DEFAULT_ACTIONS,
+    *[write_invalid_entries] * 5,
+    *[send_invalid_answers] * 4,
+)
 
 CROWDED_ACTIONS: tuple[FaultAction, ...] = (*DEFAULT_ACTIONS, *[crowd] * 8)
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -205,7 +205,7 @@
             link.heal()
         self.store.faults.clear()
         for replica in self.every_replica:
-            replica.odd_status = replica.reports_without_end = ""
+            replica.invalid_status = replica.reports_without_end = ""
             replica.faults.left.update({name: 0 for name in replica.faults.left if name != "stall"})
 
     def stop(self) -> None:
--- a/standins/odd_entries.py
+++ b/standins/invalid_entries.py
@@ -27,7 +27,7 @@
 OTHER_TYPES: tuple[Any, ...] = (None, True, 7, "text", [], {}, [[1]])
 NO_IDS = ("i of nobody", "\u0438\u043c\u044f", "i\r\nX-Tenant: other", "i\0", "i" * 201)
 """Keys that cannot be sent in a header."""
-ODD_KEY_PROBABILITY = 0.2
+INVALID_KEY_PROBABILITY = 0.2
 NESTED = (b"[" * 60_000, b'{"a":' * 10_000 + b"1" + b"}" * 10_000)
 NO_JSON = (b"", b"\xff\x00", b"{", b"[]", b"null", b'{"service": "\xff"}', b'"\\ud800"')
 
@@ -41,7 +41,7 @@
     return [*(json.dumps({**row, address: text}).encode() for text in NO_ADDRESSES), *NESTED, *NO_JSON]
 
 
-def odd_values(row: dict[str, Any]) -> list[bytes]:
+def invalid_values(row: dict[str, Any]) -> list[bytes]:
     """Return unreadable values, and those that differ from a valid row in one field.
 
     :param row: the content of a valid row with an address and whole numbers.
@@ -63,6 +63,6 @@
     :param rng: source of randomness.
     :return: the end of its key, and its value.
     """
-    if rng.random() < ODD_KEY_PROBABILITY:
+    if rng.random() < INVALID_KEY_PROBABILITY:
         return rng.choice(NO_IDS), rng.choice(NO_JSON)
-    return f"i-odd-{rng.randrange(1000)}", rng.choice(unreadable_values(row, address))
+    return f"i-invalid-{rng.randrange(1000)}", rng.choice(unreadable_values(row, address))
--- a/standins/users/replica.py
+++ b/standins/users/replica.py
@@ -161,7 +161,7 @@
         self.endless_sent = 0
         """Bytes of such answers that were sent."""
 
-        self.odd_status = ""
+        self.invalid_status = ""
         """Three digits that stand in place of the status of all its answers; empty for the usual ones."""
 
         self.paused_stage: Replica | None = None
@@ -262,8 +262,8 @@
             handler.extra["Server-Leaving"] = "1"
         if self.rate_limit:
             handler.extra["Server-Limit"] = self.rate_limit
-        if self.odd_status:
-            self._answer_with_odd_status(handler)
+        if self.invalid_status:
+            self._answer_with_invalid_status(handler)
         elif handler.path == "/api/report" and self.reports_without_end:
             self._answer_without_end(handler, self.reports_without_end, {})
         elif handler.path == "/api/report":
@@ -350,7 +350,7 @@
         else:
             self._plain(handler, request, head)
 
-    def _answer_with_odd_status(self, handler: Handler) -> None:
+    def _answer_with_invalid_status(self, handler: Handler) -> None:
         """Answer a request, which has run, or a question with a status that is none."""
         request = handler.headers["X-Request-Id"]
         if request:
@@ -361,7 +361,7 @@
             "X-Response-Seal": f"seal-of-{self.id}",
             "Content-Length": "3",
         }
-        handler.wfile.write(_head(0, head, self.odd_status) + b"odd")
+        handler.wfile.write(_head(0, head, self.invalid_status) + b"bad")
 
     def _answer_without_end(self, handler: Handler, fault: str, head: dict[str, str]) -> None:
         begin, repeated = ENDLESS[fault]
--- a/tests/test_odd_entries.py
+++ b/tests/test_decoding.py
@@ -1,4 +1,4 @@
-"""Decoders of the store's tables against odd entries: a typed error, or a value that can be passed on.
+"""Decoders of the store's tables against invalid entries: a typed error, or a value that can be passed on.
 
 Guards against errors of other types, which end the task that reads a table, and against values that make an
 error later, when they are encoded for a server or another daemon.
@@ -41,11 +41,11 @@
 from bayglade.stops import read_stops
 from bayglade.table.client import _decode_host
 from bayglade.tasks import keep_running
-from standins.odd_entries import NO_IDS, draw_unreadable, odd_values
+from standins.invalid_entries import NO_IDS, draw_unreadable, invalid_values
 from tests.server_rows import server_row
 from tests.test_foreign_entries import JSON_VALUES, FakeTable
 
-ODD_VALUES = odd_values(server_row())
+INVALID_VALUES = invalid_values(server_row())
 
 
 def assert_can_be_passed_on(facts: ServerFacts) -> None:
@@ -57,10 +57,10 @@
     assert float(facts.slots) * facts.last < float("inf")
 
 
-@pytest.mark.parametrize("number", range(len(ODD_VALUES)))
-def test_an_odd_value_is_rejected_or_can_be_passed_on(number: int) -> None:
+@pytest.mark.parametrize("number", range(len(INVALID_VALUES)))
+def test_an_invalid_value_is_rejected_or_can_be_passed_on(number: int) -> None:
     try:
-        facts = decode_server("s", msgspec.Raw(ODD_VALUES[number]))
+        facts = decode_server("s", msgspec.Raw(INVALID_VALUES[number]))
     except InvalidSettings:
         return
     assert_can_be_passed_on(facts)
@@ -88,9 +88,9 @@
     assert_can_be_passed_on(facts)
 
 
-@pytest.mark.parametrize("number", range(0, len(ODD_VALUES), 3))
+@pytest.mark.parametrize("number", range(0, len(INVALID_VALUES), 3))
 def test_other_decoders_raise_errors_of_known_types(number: int) -> None:
-    value = msgspec.Raw(ODD_VALUES[number])
+    value = msgspec.Raw(INVALID_VALUES[number])
     with pytest.raises(InvalidSettings):
         decode_document(value)
     decode_report(bytes(value))
@@ -101,7 +101,7 @@
     good = MEMBER_PREFIX + "good"
     row = MemberRow("10.0.0.1:7000", server_row()["zone"])
     roster = apply_rows(
-        {MEMBER_PREFIX + "odd": value, good: msgspec.Raw(msgspec.json.encode(row))}, Roster()
+        {MEMBER_PREFIX + "invalid": value, good: msgspec.Raw(msgspec.json.encode(row))}, Roster()
     )
     assert roster.members == {MemberId("good"): row}
 
@@ -116,7 +116,8 @@
 )
 def test_a_daemons_row_with_an_unreadable_address_is_ignored(row: dict[str, str]) -> None:
     assert (
-        apply_rows({MEMBER_PREFIX + "odd": msgspec.Raw(json.dumps(row).encode())}, Roster()).members == {}
+        apply_rows({MEMBER_PREFIX + "invalid": msgspec.Raw(json.dumps(row).encode())}, Roster()).members
+        == {}
     )
 
 
--- a/tests/test_odd_statuses.py
+++ b/tests/test_invalid_statuses.py
@@ -23,7 +23,7 @@
 from tests.test_endless_answers import faulty_server
 from tests.test_partitioned_daemons import is_served
 
-ODD_STATUSES = ("000", "007", "099", "101", "600", "999")
+INVALID_STATUSES = ("000", "007", "099", "101", "600", "999")
 AT_ONCE_SECONDS = 1.0
 """Less than the deadline of the calls, 4 s, and than the time-out of the plain route, 1.5 s."""
 
@@ -48,11 +48,11 @@
 
 
 @pytest.mark.parametrize("path", ["/safe/x", "/once/x"])
-@pytest.mark.parametrize("status", ODD_STATUSES)
-def test_callers_get_no_odd_status_and_do_not_wait(site: UsersSite, status: str, path: str) -> None:
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_callers_get_no_invalid_status_and_do_not_wait(site: UsersSite, status: str, path: str) -> None:
     daemon = started(site)
     for server in site.of(PLAIN):
-        server.odd_status = status
+        server.invalid_status = status
     answers = [timed(daemon, path) for _ in range(6)]
     assert {answer.status for answer, _ in answers} <= {502, 503, 504}
     assert max(seconds for _, seconds in answers) < AT_ONCE_SECONDS
@@ -62,31 +62,31 @@
 
 
 @pytest.mark.parametrize("path", ["/safe/x", "/stream/x"])
-@pytest.mark.parametrize("status", ODD_STATUSES)
-def test_calls_are_served_beside_a_server_with_an_odd_status(
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_calls_are_served_beside_a_server_with_an_invalid_status(
     site: UsersSite, status: str, path: str
 ) -> None:
     daemon = started(site)
-    odd = faulty_server(site, path)
-    odd.odd_status = status
+    invalid = faulty_server(site, path)
+    invalid.invalid_status = status
     answers = [timed(daemon, path) for _ in range(8)]
     assert all(is_served(answer) for answer, _ in answers)
     assert max(seconds for _, seconds in answers) < AT_ONCE_SECONDS
 
 
 @pytest.mark.parametrize("status", [0, 1, 50, 99, 101, 600, 700, 999])
-def test_an_odd_status_is_no_message(status: int) -> None:
+def test_an_invalid_status_is_no_message(status: int) -> None:
     with pytest.raises(InvalidMessage):
         MessageParser(True).feed(b"HTTP/1.1 %03d x\r\nContent-Length: 0\r\n\r\n" % status)
 
 
 @pytest.mark.parametrize("status", ["000", "101", "600", "999"])
-def test_the_own_interface_passes_no_odd_status_on(status: str) -> None:
-    class Odd:
+def test_the_own_interface_passes_no_invalid_status_on(status: str) -> None:
+    class Invalid:
         def serve(self, handler: Handler, body: bytes) -> None:
             handler.wfile.write(f"HTTP/1.1 {status} x\r\nContent-Length: 0\r\n\r\n".encode())
 
-    server = Server(Odd())
+    server = Server(Invalid())
     try:
         call = ServiceCall(method="GET", path="/x", headers={}, body=b"")
         with pytest.raises(BackendError):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -74,10 +74,10 @@
 
 
 # Found by the users: the soak had no other writer in the store, and no server whose answers are none.
-def test_unreadable_entries_and_odd_answers_break_nothing() -> None:
-    result = run(seed=3, seconds=SECONDS, daemons=3, callers=4, odd=True)
+def test_unreadable_entries_and_invalid_answers_break_nothing() -> None:
+    result = run(seed=3, seconds=SECONDS, daemons=3, callers=4, invalid=True)
     assert result.broken == []
-    assert result.faults.get("odd entries", 0) > 0
+    assert result.faults.get("invalid entries", 0) > 0
     assert result.statuses.get("200", 0) > 50
 
 
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -14,7 +14,7 @@
 from tests.gateway_callers import ask
 
 HUGE = 10**400
-ODD_ENTRIES = {
+INVALID_ENTRIES = {
     "port of many digits": {"addr": "127.9.9.9:" + "9" * 5000},
     "address of no host": {"addr": "0.0.0.0:80"},
     "slots out of range": {"slots": HUGE},
@@ -42,13 +42,13 @@
 
 
 @pytest.mark.parametrize("service", [PLAIN, MODEL])
-@pytest.mark.parametrize("odd", ODD_ENTRIES)
+@pytest.mark.parametrize("invalid", INVALID_ENTRIES)
 def test_daemons_that_start_serve_beside_an_unreadable_entry(
-    site: UsersSite, odd: str, service: str
+    site: UsersSite, invalid: str, service: str
 ) -> None:
     daemons = [site.start() for _ in range(2)]
     site.wait_placed()
-    entry = {**site.of(service)[0].row(), "addr": "127.9.9.9:8080", **ODD_ENTRIES[odd]}
+    entry = {**site.of(service)[0].row(), "addr": "127.9.9.9:8080", **INVALID_ENTRIES[invalid]}
     site.store.put_bytes("servers", "i-of-another", json.dumps(entry).encode())
     restarted = [restart(daemon) for daemon in daemons]
     for daemon in restarted:
@@ -62,7 +62,7 @@
 
 OWN_ROWS = {
     ("bayglade-members", "members/i-of-another"): {"address": "127.9.9.9:" + "9" * 5000, "hall": "hall-0"},
-    ("bayglade-members", "members/#stopped/odd"): {"ends": [["s", HUGE]]},
+    ("bayglade-members", "members/#stopped/invalid"): {"ends": [["s", HUGE]]},
     ("bayglade-leases", "leases/placement"): {"holder": "d0", "epoch": HUGE},
 }
 
